Found the workspace, the shared types and the text model

Cause: several people build side by side, so the vocabulary (names, ranks, revisions, fencing numbers, engine states), the text's checked form and the interfaces of each crate are fixed first.

Text differences by lines instead of parsed values: comments and layout survive, `GET` returns what was applied byte for byte; the cost of parsing again at each instance is to be measured.

Checked: cargo fmt, clippy -D warnings and cargo test pass; doctests are the only tests so far.

--- /dev/null
+++ b/crates/wheel_agreement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log and group state as pure step functions.
--- /dev/null
+++ b/crates/wheel_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measures the slopes behind docs/CAPACITY.md and writes them as CSV.
--- /dev/null
+++ b/crates/wheel_ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' tool wisteriactl.
--- /dev/null
+++ b/crates/wheel_daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon wisteriawheeld: settings, wiring and signals.
--- /dev/null
+++ b/crates/wheel_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Cap'n Proto RPC between instances.
--- /dev/null
+++ b/crates/wheel_storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log, vote and snapshots under one data folder.
--- /dev/null
+++ b/crates/wheel_text/src/text_delta.rs
@@ -0,0 +1,82 @@
+//! The difference between two texts, line by line.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use similar::{Algorithm, DiffOp, TextDiff};
+
+/// Lines that one place of a text loses and gains.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct DeltaHunk {
+    /// The first line that goes, or before which lines come; from 0, in the old text.
+    pub start: u32,
+    /// How many lines go.
+    pub removed: u32,
+    /// The lines that come, with their line ends.
+    pub added: String,
+}
+
+/// What turns one text into another; comments and layout survive, for it works on lines.
+///
+/// ```
+/// use wheel_text::TextDelta;
+///
+/// let delta = TextDelta::between("a\nb\n", "a\nc\n");
+/// assert_eq!(delta.apply_to("a\nb\n").as_deref(), Ok("a\nc\n"));
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct TextDelta {
+    /// Changed places, first to last.
+    pub hunks: Vec<DeltaHunk>,
+}
+
+/// Why a delta doesn't fit a text: it was made from another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DeltaError {
+    /// The line of the old text that the delta names and the text lacks.
+    pub line: u32,
+}
+
+impl fmt::Display for DeltaError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the difference names line {} that the text doesn't have", self.line)
+    }
+}
+
+impl std::error::Error for DeltaError {}
+
+impl TextDelta {
+    /// Finds a short delta from `old` to `new`.
+    pub fn between(old: &str, new: &str) -> Self {
+        let diff = TextDiff::configure().algorithm(Algorithm::Patience).diff_lines(old, new);
+        let hunks = diff.ops().iter().filter(|op| !matches!(op, DiffOp::Equal { .. }));
+        let make_hunk = |op: &DiffOp| DeltaHunk {
+            start: op.old_range().start as u32,
+            removed: op.old_range().len() as u32,
+            added: diff.new_slices()[op.new_range()].concat(),
+        };
+        Self { hunks: hunks.map(make_hunk).collect() }
+    }
+
+    /// Applies the delta to the text that it was made from.
+    ///
+    /// # Errors
+    /// [`DeltaError`] if `old` is shorter than a place that the delta names.
+    pub fn apply_to(&self, old: &str) -> Result<String, DeltaError> {
+        let lines: Vec<&str> = old.split_inclusive('\n').collect();
+        let mut text = String::with_capacity(old.len());
+        let mut next = 0;
+        for hunk in &self.hunks {
+            let start = hunk.start as usize;
+            let kept = lines.get(next..start).ok_or(DeltaError { line: hunk.start })?;
+            kept.iter().for_each(|line| text.push_str(line));
+            text.push_str(&hunk.added);
+            next = start + hunk.removed as usize;
+        }
+        let rest = lines.get(next..).ok_or(DeltaError { line: next as u32 })?;
+        rest.iter().for_each(|line| text.push_str(line));
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/wheel_text/src/text_fault.rs
@@ -0,0 +1,42 @@
+//! A fault in the operators' text.
+
+use std::fmt;
+
+/// Tells where a text is wrong, what is wrong and how to mend it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TextFault {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+    /// What is wrong.
+    pub problem: String,
+    /// How to mend it.
+    pub remedy: String,
+}
+
+impl TextFault {
+    /// Places a fault at byte `offset` of `source`.
+    pub fn at(source: &str, offset: usize, problem: &str, remedy: &str) -> Self {
+        let before = source.get(..offset).unwrap_or(source);
+        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        Self {
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+            problem: problem.to_owned(),
+            remedy: remedy.to_owned(),
+        }
+    }
+
+    /// Takes over a syntax or type error of the TOML library.
+    pub(crate) fn from_toml(source: &str, error: &toml::de::Error) -> Self {
+        let offset = error.span().map_or(0, |span| span.start);
+        Self::at(source, offset, error.message(), "correct the TOML at this place")
+    }
+}
+
+impl fmt::Display for TextFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}; {}", self.line, self.column, self.problem, self.remedy)
+    }
+}
--- /dev/null
+++ b/crates/wheel_text/src/text_hash.rs
@@ -0,0 +1,32 @@
+//! Hashes that chain the revisions of the text.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The chained hash of a revision: of the hash before it and of the new text.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct TextHash([u8; 32]);
+
+impl TextHash {
+    /// The hash of the revision whose text is `source`, after a revision with this hash.
+    pub fn chain(self, source: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.0);
+        hasher.update(source.as_bytes());
+        Self(*hasher.finalize().as_bytes())
+    }
+
+    /// The bytes of the hash.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for TextHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().take(8).try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
--- /dev/null
+++ b/crates/wheel_types/src/engine_order.rs
@@ -0,0 +1,20 @@
+//! An order to an engine.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{FencingNumber, IncarnationId, OrderAction, RequestId};
+
+/// The body of `POST /engine/v1/orders`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct EngineOrder {
+    /// The order's own id; an engine carries out each id at most once.
+    pub order_id: RequestId,
+    /// The fencing number of the lease under which it was given.
+    pub fencing_number: FencingNumber,
+    /// The engine's incarnation that the order is meant for.
+    pub incarnation: IncarnationId,
+    /// What to do.
+    #[serde(flatten)]
+    pub action: OrderAction,
+}
--- /dev/null
+++ b/crates/wheel_types/src/lib.rs
@@ -0,0 +1,42 @@
+//! Shared vocabulary of wisteriawheel: names, ranks, revisions, fencing numbers, outcomes and the
+//! state that engines report.
+//!
+//! Everything here is a small value without behaviour beyond checks and formatting. Crates above
+//! this one agree on these types and on nothing else.
+
+mod adapter_state;
+mod engine_call;
+mod engine_order;
+mod engine_role;
+mod engine_state;
+mod fencing_number;
+mod incarnation_id;
+mod load_report;
+mod model_state;
+mod monotonic_time;
+mod names;
+mod order_action;
+mod request_id;
+mod request_outcome;
+mod request_rank;
+mod text_revision;
+
+pub use adapter_state::AdapterState;
+pub use engine_call::EngineCall;
+pub use engine_order::EngineOrder;
+pub use engine_role::EngineRole;
+pub use engine_state::EngineState;
+pub use fencing_number::FencingNumber;
+pub use incarnation_id::IncarnationId;
+pub use load_report::LoadReport;
+pub use model_state::{ModelPhase, ModelState};
+pub use monotonic_time::MonotonicTime;
+pub use names::{
+    AdapterName, CallerName, CentreName, InstanceName, ModelName, RegionName, ServiceName,
+    UpstreamName,
+};
+pub use order_action::OrderAction;
+pub use request_id::RequestId;
+pub use request_outcome::RequestOutcome;
+pub use request_rank::RequestRank;
+pub use text_revision::TextRevision;
--- /dev/null
+++ b/crates/wheel_types/src/text_revision.rs
@@ -0,0 +1,24 @@
+//! The revision of the operators' text.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Counts accepted texts; revision 0 is the empty text before the first apply.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct TextRevision(pub u64);
+
+impl TextRevision {
+    /// The number that follows this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for TextRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! The hyper client side: calls, streams, orders and connection health of upstreams.
