Add the HTTP front for callers and operators

Weighed: hyper-util's auto builder against hyper's own HTTP/1 builder. Callers and upstreams speak HTTP/1.1 here, so the plain builder with a header timeout and a bound on headers is enough. Bounded: connections, open requests, header bytes, body bytes and time, metric labels.

--- /dev/null
+++ b/crates/wheel_director/src/lib.rs
@@ -0,0 +1,1 @@
+//! Drives a data centre's lease, its placement and its orders to engines.
--- /dev/null
+++ b/crates/wheel_entry/src/answer_body.rs
@@ -0,0 +1,32 @@
+//! Bodies of answers.
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use snafu::Snafu;
+
+/// Why a body ended before its end. The connection is then closed without a clean end, so that a
+/// caller never takes a part for the whole.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum AnswerError {
+    /// The upstream's answer broke off and couldn't be resumed.
+    #[snafu(display("answer broke off: {reason}"))]
+    BrokeOff {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// The body of any answer, streamed or whole.
+pub type AnswerBody = UnsyncBoxBody<Bytes, AnswerError>;
+
+/// A body of known bytes.
+pub fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body without bytes.
+pub fn empty_body() -> AnswerBody {
+    full_body(Bytes::new())
+}
--- /dev/null
+++ b/crates/wheel_entry/src/caller_resolver.rs
@@ -0,0 +1,166 @@
+//! Finds out who sends a request and under which service and rank it runs.
+
+use std::time::Duration;
+
+use http::{HeaderMap, Method, header};
+use tokio::time::Instant;
+use wheel_text::{CallerIdentity, ServiceSpec, ServingText};
+use wheel_types::{AdapterName, CallerName, ModelName, RequestRank};
+
+use crate::generate_body::GenerateBody;
+use crate::{RefusalCode, RequestRefusal, header_names};
+
+/// The longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+
+/// Separates the model from the adapter in the `model` field.
+const ADAPTER_SEPARATOR: char = ':';
+
+/// A service with the rank and deadline that a request gets from it.
+pub(crate) struct ResolvedService<'a> {
+    pub(crate) spec: &'a ServiceSpec,
+    pub(crate) rank: RequestRank,
+    pub(crate) deadline: Instant,
+}
+
+/// The model and adapter that a generation request names.
+pub(crate) struct ResolvedModel {
+    pub(crate) model: ModelName,
+    pub(crate) adapter: Option<AdapterName>,
+    pub(crate) stream: bool,
+}
+
+/// Looks a request up in one revision of the text.
+pub(crate) struct CallerResolver<'a> {
+    pub(crate) text: &'a ServingText,
+}
+
+impl<'a> CallerResolver<'a> {
+    /// Names the caller, by header or bearer token as the text says.
+    pub(crate) fn caller(&self, headers: &HeaderMap) -> Result<CallerName, RequestRefusal> {
+        let refused = |message: &str| RequestRefusal::new(RefusalCode::UnknownCaller, message);
+        match &self.text.text.identity {
+            CallerIdentity::Header { name } => {
+                let value = headers.get(name).and_then(|value| value.to_str().ok());
+                let value =
+                    value.ok_or_else(|| refused("the header that names the caller is missing"))?;
+                let spec = self.text.caller(value).ok_or_else(|| refused("unknown caller"))?;
+                Ok(spec.name.clone())
+            }
+            CallerIdentity::Bearer => {
+                let value = headers.get(header::AUTHORIZATION);
+                let value = value.and_then(|value| value.to_str().ok());
+                let token = value.and_then(|value| value.strip_prefix("Bearer "));
+                let token = token.ok_or_else(|| refused("the bearer token is missing"))?;
+                let hash = blake3::hash(token.as_bytes());
+                let spec = self.text.text.callers.iter().find(|caller| {
+                    let wanted = caller.token_hash.as_deref().unwrap_or_default();
+                    // `Hash` compares in constant time.
+                    blake3::Hash::from_hex(wanted).is_ok_and(|wanted| wanted == hash)
+                });
+                Ok(spec.ok_or_else(|| refused("unknown bearer token"))?.name.clone())
+            }
+        }
+    }
+
+    /// Reads the model field of a generation request.
+    pub(crate) fn model(&self, body: &[u8]) -> Result<ResolvedModel, RequestRefusal> {
+        let body: GenerateBody = serde_json::from_slice(body).map_err(|error| {
+            let message = format!("the body isn't a generation request: {error}");
+            RequestRefusal::new(RefusalCode::BadRequest, message)
+        })?;
+        let unknown = || {
+            let message = format!("no model is named {:?}", body.model);
+            RequestRefusal::new(RefusalCode::NotFound, message)
+        };
+        let (model, adapter) = match body.model.split_once(ADAPTER_SEPARATOR) {
+            Some((model, adapter)) => (model, Some(adapter)),
+            None => (body.model.as_str(), None),
+        };
+        let spec = self.text.model(model).ok_or_else(unknown)?;
+        let adapter = match adapter.map(|name| self.text.adapter(name)) {
+            None => None,
+            Some(Some(adapter)) if adapter.model == spec.name => Some(adapter.name.clone()),
+            Some(_) => return Err(unknown()),
+        };
+        Ok(ResolvedModel { model: spec.name.clone(), adapter, stream: body.stream })
+    }
+
+    /// Chooses the service of a generation request: the first that has the model or the adapter
+    /// and that the caller may use.
+    pub(crate) fn generate_service(
+        &self,
+        caller: &CallerName,
+        wanted: &ResolvedModel,
+    ) -> Result<&'a ServiceSpec, RequestRefusal> {
+        let text = self.text;
+        let found = match &wanted.adapter {
+            Some(adapter) => {
+                text.services_of_adapter(adapter.as_str()).find(|service| may_use(service, caller))
+            }
+            None => text
+                .services_of_model(wanted.model.as_str())
+                .find(|service| may_use(service, caller)),
+        };
+        found.ok_or_else(|| {
+            let message = format!("caller {caller} may not use model {}", wanted.model);
+            RequestRefusal::new(RefusalCode::Forbidden, message)
+        })
+    }
+
+    /// Chooses the plain service at `path`.
+    pub(crate) fn plain_service(
+        &self,
+        caller: &CallerName,
+        path: &str,
+    ) -> Result<&'a ServiceSpec, RequestRefusal> {
+        let spec = self.text.service_at_path(path).ok_or_else(|| {
+            RequestRefusal::new(RefusalCode::NotFound, format!("no service is at {path:?}"))
+        })?;
+        match may_use(spec, caller) {
+            true => Ok(spec),
+            false => {
+                let message = format!("caller {caller} may not use service {}", spec.name);
+                Err(RequestRefusal::new(RefusalCode::Forbidden, message))
+            }
+        }
+    }
+
+    /// Works out rank and deadline.
+    pub(crate) fn resolve_service(
+        &self,
+        spec: &'a ServiceSpec,
+        headers: &HeaderMap,
+        arrival: Instant,
+    ) -> Result<ResolvedService<'a>, RequestRefusal> {
+        let (rank, rank_spec) = self.text.rank(&spec.rank).ok_or_else(|| {
+            let message = format!("service {} names an unknown rank", spec.name);
+            RequestRefusal::new(RefusalCode::Unavailable, message)
+        })?;
+        let span = match headers.get(header_names::DEADLINE_MS) {
+            None => Duration::from_millis(rank_spec.deadline_ms),
+            Some(value) => parse_deadline(value)?,
+        };
+        Ok(ResolvedService { spec, rank, deadline: arrival + span.min(MAX_DEADLINE) })
+    }
+}
+
+fn may_use(service: &ServiceSpec, caller: &CallerName) -> bool {
+    service.callers.is_empty() || service.callers.contains(caller)
+}
+
+fn parse_deadline(value: &http::HeaderValue) -> Result<Duration, RequestRefusal> {
+    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    match millis {
+        Some(millis) if millis > 0 => Ok(Duration::from_millis(millis)),
+        _ => Err(RequestRefusal::new(
+            RefusalCode::BadRequest,
+            "the header wheel-deadline-ms isn't a positive whole number of milliseconds",
+        )),
+    }
+}
+
+/// Methods that HTTP itself declares safe to repeat.
+pub(crate) fn is_safe_method(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
+}
--- /dev/null
+++ b/crates/wheel_entry/src/caller_service.rs
@@ -0,0 +1,253 @@
+//! Turns callers' HTTP requests into typed ones and their answers back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use rand::Rng;
+use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+use wheel_text::ServingText;
+use wheel_types::{CallerName, RequestId, RequestOutcome};
+
+use crate::caller_resolver::{CallerResolver, is_safe_method};
+use crate::{
+    AnswerBody, CallerAnswer, CallerRequest, GenerateTarget, HttpLimits, PlainTarget, RefusalCode,
+    RequestHandler, RequestMetrics, RequestRefusal, RequestTarget, TextSource, full_body,
+    header_names, read_body,
+};
+
+/// When a caller should come back after it met the bound on open requests.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
+
+/// The longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
+/// Headers that belong to one connection or that the system sets itself.
+const NOT_PASSED_ON: [&str; 12] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "authorization",
+    "wheel-request-id",
+];
+
+/// Settings of [`CallerService`].
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// Bounds on each request.
+    pub limits: HttpLimits,
+    /// Requests open at once in this instance; further ones are refused.
+    pub open_requests: usize,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        Self { limits: HttpLimits::default(), open_requests: 8_192 }
+    }
+}
+
+/// The callers' side of an instance.
+#[derive(Clone)]
+pub struct CallerService {
+    settings: CallerSettings,
+    source: Arc<dyn TextSource>,
+    handler: Arc<dyn RequestHandler>,
+    metrics: Arc<RequestMetrics>,
+    open: Arc<Semaphore>,
+}
+
+impl CallerService {
+    /// Serves callers under the texts of `source` by `handler`.
+    pub fn new(
+        settings: CallerSettings,
+        source: Arc<dyn TextSource>,
+        handler: Arc<dyn RequestHandler>,
+        metrics: Arc<RequestMetrics>,
+    ) -> Self {
+        let open = Arc::new(Semaphore::new(settings.open_requests));
+        Self { settings, source, handler, metrics, open }
+    }
+
+    /// Answers one HTTP request.
+    pub async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let arrival = Instant::now();
+        let id = new_request_id();
+        let answer = match self.try_answer(&id, arrival, request).await {
+            Ok(answer) => answer,
+            Err(refusal) => {
+                self.metrics.count_refusal(refusal.code);
+                refusal.into_answer()
+            }
+        };
+        into_response(&id, answer)
+    }
+
+    async fn try_answer(
+        &self,
+        id: &RequestId,
+        arrival: Instant,
+        request: Request<Incoming>,
+    ) -> Result<CallerAnswer, RequestRefusal> {
+        let permit = Arc::clone(&self.open).try_acquire_owned().map_err(|_| {
+            RequestRefusal::new(RefusalCode::Overloaded, "too many requests are open here")
+                .with_retry_after(BUSY_RETRY)
+        })?;
+        let text = self.source.current().ok_or_else(|| {
+            RequestRefusal::new(RefusalCode::NotReady, "no configuration is in force yet")
+                .with_retry_after(BUSY_RETRY)
+        })?;
+        let (parts, body) = request.into_parts();
+        let resolver = CallerResolver { text: &text };
+        let caller = resolver.caller(&parts.headers)?;
+        let typed = match (&parts.method, parts.uri.path()) {
+            (&Method::GET, "/v1/models") => return Ok(list_models(&text, &caller)),
+            (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+                let body = read_body(body, &self.settings.limits).await?;
+                generate_request(&resolver, id, caller, arrival, &parts, body)?
+            }
+            (_, "/v1/models" | "/v1/chat/completions" | "/v1/completions") => {
+                let message = format!("{} isn't allowed here", parts.method);
+                return Err(RequestRefusal::new(RefusalCode::MethodNotAllowed, message));
+            }
+            (_, path) => {
+                resolver.plain_service(&caller, path)?;
+                let body = read_body(body, &self.settings.limits).await?;
+                plain_request(&resolver, id, caller, arrival, &parts, body)?
+            }
+        };
+        let sample = self.metrics.begin(&typed, &text);
+        let answer = self.handler.serve(typed).await;
+        Ok(sample.watch(answer, permit))
+    }
+}
+
+fn generate_request(
+    resolver: &CallerResolver<'_>,
+    id: &RequestId,
+    caller: CallerName,
+    arrival: Instant,
+    parts: &Parts,
+    body: Bytes,
+) -> Result<CallerRequest, RequestRefusal> {
+    let wanted = resolver.model(&body)?;
+    let spec = resolver.generate_service(&caller, &wanted)?;
+    let service = resolver.resolve_service(spec, &parts.headers, arrival)?;
+    let target = GenerateTarget {
+        path: parts.uri.path().into(),
+        model: wanted.model,
+        adapter: wanted.adapter,
+        stream: wanted.stream,
+    };
+    Ok(CallerRequest {
+        id: id.clone(),
+        caller,
+        service: service.spec.name.clone(),
+        rank: service.rank,
+        target: RequestTarget::Generate(target),
+        idempotency_key: idempotency_key(&parts.headers)?,
+        arrival,
+        deadline: service.deadline,
+        body,
+    })
+}
+
+fn plain_request(
+    resolver: &CallerResolver<'_>,
+    id: &RequestId,
+    caller: CallerName,
+    arrival: Instant,
+    parts: &Parts,
+    body: Bytes,
+) -> Result<CallerRequest, RequestRefusal> {
+    let spec = resolver.plain_service(&caller, parts.uri.path())?;
+    let service = resolver.resolve_service(spec, &parts.headers, arrival)?;
+    let prefix_len = spec.path_prefix.as_deref().map_or(0, str::len);
+    let whole = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let path = match &whole[prefix_len..] {
+        "" => "/".to_owned(),
+        rest if rest.starts_with('?') => format!("/{rest}"),
+        rest => rest.to_owned(),
+    };
+    let target = PlainTarget {
+        method: parts.method.clone(),
+        path: path.into(),
+        headers: passed_headers(&parts.headers),
+        repeatable: spec.idempotent || is_safe_method(&parts.method),
+    };
+    Ok(CallerRequest {
+        id: id.clone(),
+        caller,
+        service: service.spec.name.clone(),
+        rank: service.rank,
+        target: RequestTarget::Plain(target),
+        idempotency_key: idempotency_key(&parts.headers)?,
+        arrival,
+        deadline: service.deadline,
+        body,
+    })
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, RequestRefusal> {
+    let Some(value) = headers.get(header_names::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(key) if (1..=MAX_KEY_BYTES).contains(&key.len()) => Ok(Some(key.into())),
+        _ => Err(RequestRefusal::new(
+            RefusalCode::BadRequest,
+            format!("the header idempotency-key isn't 1 to {MAX_KEY_BYTES} printable characters"),
+        )),
+    }
+}
+
+fn passed_headers(headers: &HeaderMap) -> HeaderMap {
+    let passed = headers.iter().filter(|(name, _)| !NOT_PASSED_ON.contains(&name.as_str()));
+    passed.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+fn list_models(text: &ServingText, caller: &CallerName) -> CallerAnswer {
+    let usable = |model: &&wheel_text::ModelSpec| {
+        text.services_of_model(model.name.as_str())
+            .any(|service| service.callers.is_empty() || service.callers.contains(caller))
+    };
+    let models: Vec<_> = text
+        .text
+        .models
+        .iter()
+        .filter(usable)
+        .map(|model| json!({ "id": model.name, "object": "model", "owned_by": "wisteriawheel" }))
+        .collect();
+    let body = json!({ "object": "list", "data": models }).to_string();
+    let mut answer = CallerAnswer::new(StatusCode::OK, RequestOutcome::Ran, full_body(body));
+    let json_type = HeaderValue::from_static("application/json");
+    answer.headers.insert(header::CONTENT_TYPE, json_type);
+    answer
+}
+
+fn into_response(id: &RequestId, answer: CallerAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    let headers = response.headers_mut();
+    headers.insert(header_names::OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        headers.insert(header_names::REQUEST_ID, value);
+    }
+    response
+}
+
+fn new_request_id() -> RequestId {
+    RequestId::new(format!("{:032x}", rand::rng().random::<u128>()))
+}
--- /dev/null
+++ b/crates/wheel_entry/src/http_server.rs
@@ -0,0 +1,145 @@
+//! A bounded HTTP/1.1 server that drains gracefully.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::{AnswerBody, HttpLimits};
+
+/// The pause after a failed accept, for example when file descriptors ran out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Why a server couldn't start.
+#[derive(Debug, Snafu)]
+pub enum HttpError {
+    /// The address can't be listened on.
+    #[snafu(display("can't listen on {address}: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+}
+
+/// A running server.
+#[derive(Clone, Debug)]
+pub struct HttpServer {
+    address: SocketAddr,
+    accepting: CancellationToken,
+    draining: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl HttpServer {
+    /// Listens on `address` and answers requests by `answer`.
+    ///
+    /// # Errors
+    /// [`HttpError::Bind`] if the address can't be listened on.
+    pub async fn bind<S, F>(
+        address: SocketAddr,
+        limits: HttpLimits,
+        answer: S,
+    ) -> Result<Self, HttpError>
+    where
+        S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await.context(BindSnafu { address })?;
+        let address = listener.local_addr().context(BindSnafu { address })?;
+        let server = Self {
+            address,
+            accepting: CancellationToken::new(),
+            draining: CancellationToken::new(),
+            connections: TaskTracker::new(),
+        };
+        tokio::spawn(server.clone().accept_loop(listener, limits, answer));
+        Ok(server)
+    }
+
+    /// The address that it listens on.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets requests in hand end, and closes connections as they become idle.
+    /// Returns true if all ended within `limit`.
+    pub async fn drain(&self, limit: Duration) -> bool {
+        self.accepting.cancel();
+        self.draining.cancel();
+        self.connections.close();
+        tokio::time::timeout(limit, self.connections.wait()).await.is_ok()
+    }
+
+    async fn accept_loop<S, F>(self, listener: TcpListener, limits: HttpLimits, answer: S)
+    where
+        S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        let permits = Arc::new(Semaphore::new(limits.connections));
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.accepting.cancelled() => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            };
+            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                metrics::counter!("wheel_connections_refused_total").increment(1);
+                continue;
+            };
+            let connection =
+                self.clone().serve_connection(stream, permit, limits.clone(), answer.clone());
+            self.connections.spawn(connection);
+        }
+    }
+
+    async fn serve_connection<S, F>(
+        self,
+        stream: TcpStream,
+        permit: OwnedSemaphorePermit,
+        limits: HttpLimits,
+        answer: S,
+    ) where
+        S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        // Small SSE events must leave at once.
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(move |request| {
+            let response = answer(request);
+            async move { Ok::<_, Infallible>(response.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.header_timeout)
+            .max_buf_size(limits.header_bytes)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = pin!(connection);
+        // An error here is the peer's: it went away or sent junk, and hyper has answered it.
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = self.draining.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+        }
+        drop(permit);
+    }
+}
--- a/crates/wheel_entry/src/lib.rs
+++ b/crates/wheel_entry/src/lib.rs
@@ -1,1 +1,37 @@
 //! The HTTP front for callers and operators.
+//!
+//! [`HttpServer`] accepts connections within [`HttpLimits`] and drains them gracefully.
+//! [`CallerService`] turns a caller's HTTP request into a typed [`CallerRequest`] for a
+//! [`RequestHandler`], which knows how it is served; [`AdminService`] does the same for operators.
+
+mod admin_handler;
+mod admin_service;
+mod answer_body;
+mod body_reader;
+mod caller_answer;
+mod caller_request;
+mod caller_resolver;
+mod caller_service;
+mod generate_body;
+mod http_limits;
+mod http_server;
+mod request_handler;
+mod request_metrics;
+mod request_refusal;
+mod text_source;
+
+pub mod header_names;
+
+pub use admin_handler::{AdminHandler, AdminReply, ApplyRequest};
+pub use admin_service::{AdminService, AdminSettings};
+pub use answer_body::{AnswerBody, AnswerError, empty_body, full_body};
+pub use body_reader::read_body;
+pub use caller_answer::CallerAnswer;
+pub use caller_request::{CallerRequest, GenerateTarget, PlainTarget, RequestTarget};
+pub use caller_service::{CallerService, CallerSettings};
+pub use http_limits::HttpLimits;
+pub use http_server::{HttpError, HttpServer};
+pub use request_handler::RequestHandler;
+pub use request_metrics::RequestMetrics;
+pub use request_refusal::{RefusalCode, RequestRefusal};
+pub use text_source::TextSource;
--- /dev/null
+++ b/crates/wheel_entry/src/request_metrics.rs
@@ -0,0 +1,135 @@
+//! Histograms by rank and by caller.
+
+use std::collections::HashSet;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use metrics::{counter, gauge, histogram};
+use parking_lot::Mutex;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
+use wheel_text::ServingText;
+use wheel_types::CallerName;
+
+use crate::{AnswerBody, AnswerError, CallerAnswer, CallerRequest, RefusalCode};
+
+/// Callers that get histograms of their own; the rest share the label `other`.
+const MAX_CALLER_LABELS: usize = 64;
+
+/// The label of callers beyond [`MAX_CALLER_LABELS`].
+const OTHER_CALLERS: &str = "other";
+
+/// Counts and times requests, with a bounded number of labels.
+#[derive(Debug, Default)]
+pub struct RequestMetrics {
+    labelled: Mutex<HashSet<CallerName>>,
+}
+
+impl RequestMetrics {
+    /// Counts a request that was refused before it had a rank.
+    pub fn count_refusal(&self, code: RefusalCode) {
+        counter!("wheel_requests_refused_total", "code" => code.as_str()).increment(1);
+    }
+
+    /// Begins to watch a request.
+    pub(crate) fn begin(&self, request: &CallerRequest, text: &ServingText) -> RequestSample {
+        let rank = text.text.ranks.get(request.rank.index());
+        gauge!("wheel_requests_open").increment(1.0);
+        RequestSample {
+            rank: rank.map_or_else(|| request.rank.to_string(), |rank| rank.name.clone()),
+            caller: self.caller_label(&request.caller),
+            arrival: request.arrival,
+            last_chunk: None,
+        }
+    }
+
+    fn caller_label(&self, caller: &CallerName) -> String {
+        let mut labelled = self.labelled.lock();
+        match labelled.contains(caller) {
+            true => caller.to_string(),
+            false if labelled.len() < MAX_CALLER_LABELS => {
+                labelled.insert(caller.clone());
+                caller.to_string()
+            }
+            false => OTHER_CALLERS.to_owned(),
+        }
+    }
+}
+
+/// One request under watch.
+#[derive(Debug)]
+pub(crate) struct RequestSample {
+    rank: String,
+    caller: String,
+    arrival: Instant,
+    last_chunk: Option<Instant>,
+}
+
+impl RequestSample {
+    /// Watches the answer until its body has been sent or dropped. The permit is held as long.
+    pub(crate) fn watch(self, answer: CallerAnswer, permit: OwnedSemaphorePermit) -> CallerAnswer {
+        let outcome = answer.outcome.as_str();
+        let status = answer.status.as_u16().to_string();
+        counter!("wheel_requests_total", "rank" => self.rank.clone(),
+            "caller" => self.caller.clone(), "outcome" => outcome, "status" => status)
+        .increment(1);
+        let body = WatchedBody { body: answer.body, sample: self, _permit: Arc::new(permit) };
+        CallerAnswer { body: body.boxed_unsync(), ..answer }
+    }
+
+    fn note_chunk(&mut self) {
+        let now = Instant::now();
+        match self.last_chunk.replace(now) {
+            None => self.record("wheel_first_token_seconds", now - self.arrival),
+            Some(last) => self.record("wheel_between_tokens_seconds", now - last),
+        }
+    }
+
+    fn record(&self, name: &'static str, span: Duration) {
+        let span = span.as_secs_f64();
+        histogram!(name, "rank" => self.rank.clone()).record(span);
+        histogram!(format!("{name}_by_caller"), "caller" => self.caller.clone()).record(span);
+    }
+}
+
+impl Drop for RequestSample {
+    fn drop(&mut self) {
+        gauge!("wheel_requests_open").decrement(1.0);
+        self.record("wheel_request_seconds", self.arrival.elapsed());
+    }
+}
+
+struct WatchedBody {
+    body: AnswerBody,
+    sample: RequestSample,
+    _permit: Arc<OwnedSemaphorePermit>,
+}
+
+impl Body for WatchedBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(_))) = &polled {
+            self.sample.note_chunk();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
