Decide queueing, routing and placement in wheel_policy

Engine queue: strict ranks with floors kept as slot-time credit, callers share by weight within a rank, refusal at once when the estimated wait passes the deadline, returns spaced by the drain rate. Floors by counting starts were ruled out: a digest holds a slot many times longer than a question, so a share of starts isn't a share of the engine.

Router: at most eight replicas of the model are weighed, sends since the last lagging report count. Planner: one load for a burst, value over expected time, eviction by expected loss, memory kept for a load until its victims are confirmed gone, bundles all or nothing, whole idle engines emptied.

--- /dev/null
+++ b/crates/wheel_policy/src/engine_queue.rs
@@ -0,0 +1,409 @@
+//! The owner's queue of one engine.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use wheel_types::{CallerName, MonotonicTime, RequestId, RequestRank};
+
+use crate::moving_average::MovingAverage;
+use crate::rank_credit::RankCredit;
+use crate::rank_queue::{FlowKey, RankQueue};
+use crate::{
+    OfferAnswer, QueueSettings, QueuedRequest, RefusalReason, RefusedRequest, SeededRandom,
+    ServiceSample,
+};
+
+/// Weight of a new sample in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// Time over which arriving work is averaged.
+const ARRIVAL_SPAN: Duration = Duration::from_secs(5);
+/// Share of `retry_after` that jitter may add.
+const JITTER_SHARE: f64 = 0.2;
+/// The shortest and the longest `retry_after`.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(600);
+/// Least share of the slots that an estimate grants a rank.
+const LEAST_SHARE: f64 = 0.01;
+
+/// Decides which request an engine works on next, and which are refused.
+///
+/// More urgent ranks go first, apart from the floors of the others; within a rank callers share by
+/// weight, and within a caller the earliest deadline goes first. Each step costs no more than the
+/// number of ranks and the logarithm of what waits. All tables are bounded by
+/// [`QueueSettings::rank_capacity`] and the number of slots; what doesn't fit is refused.
+#[derive(Clone, Debug)]
+pub struct EngineQueue {
+    settings: QueueSettings,
+    ranks: Vec<RankState>,
+    places: HashMap<RequestId, QueuePlace>,
+    due: BTreeMap<FlowKey, RequestId>,
+    running: HashMap<RequestId, RunningRequest>,
+    foreign: u32,
+    kv_used: u64,
+    expired: Vec<RefusedRequest>,
+    sequence: u64,
+    updated: MonotonicTime,
+    slot_time_s: MovingAverage,
+    cost_factor: MovingAverage,
+    first_byte_s: MovingAverage,
+    random: SeededRandom,
+}
+
+/// One rank's waiting requests, floor and load.
+#[derive(Clone, Debug, Default)]
+struct RankState {
+    queue: RankQueue,
+    credit: RankCredit,
+    running: u32,
+    arriving_s: f64,
+}
+
+/// Where a waiting request is.
+#[derive(Clone, Debug)]
+struct QueuePlace {
+    rank: RequestRank,
+    caller: CallerName,
+    flow_key: FlowKey,
+    due_key: FlowKey,
+}
+
+/// A request that holds a slot.
+#[derive(Clone, Debug)]
+struct RunningRequest {
+    rank: RequestRank,
+    kv_tokens: u64,
+    cost: Duration,
+}
+
+impl EngineQueue {
+    /// Makes an empty queue.
+    pub fn open(settings: QueueSettings) -> Self {
+        let mut queue = Self {
+            ranks: Vec::new(),
+            places: HashMap::new(),
+            due: BTreeMap::new(),
+            running: HashMap::new(),
+            foreign: 0,
+            kv_used: 0,
+            expired: Vec::new(),
+            sequence: 0,
+            updated: MonotonicTime::default(),
+            slot_time_s: MovingAverage::new(settings.first_slot_time.as_secs_f64(), SAMPLE_WEIGHT),
+            cost_factor: MovingAverage::new(1.0, SAMPLE_WEIGHT),
+            first_byte_s: MovingAverage::new(settings.first_byte.as_secs_f64(), SAMPLE_WEIGHT),
+            random: SeededRandom::new(settings.seed),
+            settings,
+        };
+        queue.ranks = queue.settings.ranks.iter().map(|_| RankState::default()).collect();
+        queue.reset_credit();
+        queue
+    }
+
+    /// Takes over a changed number of slots, for example after a change of the text.
+    pub fn set_slots(&mut self, slots: u32) {
+        if slots != self.settings.slots {
+            self.settings.slots = slots;
+            self.reset_credit();
+        }
+    }
+
+    /// Counts slots that the engine uses for requests of another owner.
+    pub fn set_foreign(&mut self, running: u32) {
+        self.foreign = running;
+    }
+
+    /// Requests that wait, of all ranks.
+    pub fn waiting(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Requests of `rank` that wait.
+    pub fn waiting_of(&self, rank: RequestRank) -> usize {
+        self.ranks.get(rank.index()).map_or(0, |state| state.queue.len())
+    }
+
+    /// Requests that hold a slot.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Whether a request waits or runs here.
+    pub fn contains(&self, id: &RequestId) -> bool {
+        self.places.contains_key(id) || self.running.contains_key(id)
+    }
+
+    /// Takes a request or refuses it at once.
+    pub fn offer(&mut self, now: MonotonicTime, request: QueuedRequest) -> OfferAnswer {
+        self.advance(now);
+        if let Some(reason) = self.misfit(&request) {
+            return self.refuse(now, &request, reason, Duration::ZERO);
+        }
+        let wait = self.estimate_wait(&request);
+        let ready = now + wait + self.first_byte();
+        match self.full(&request) {
+            Some(reason) => self.refuse(now, &request, reason, wait / 2),
+            None if ready > request.deadline => {
+                let excess = ready.since(request.deadline);
+                self.refuse(now, &request, RefusalReason::TooLate, excess)
+            }
+            None => {
+                let ahead = self.ahead(request.rank);
+                self.push(request);
+                OfferAnswer::Queued { wait, ahead }
+            }
+        }
+    }
+
+    /// Takes the request that the engine works on next, if a slot is free. Run [`Self::expire`]
+    /// afterwards: requests that are past hope are set aside here, not handed out.
+    pub fn take_next(&mut self, now: MonotonicTime) -> Option<QueuedRequest> {
+        self.advance(now);
+        self.set_expired_aside(now);
+        let index = self.next_rank()?;
+        let request = self.ranks[index].queue.peek()?;
+        if !self.kv_fits(request.kv_tokens) {
+            return None;
+        }
+        let (_, request) = self.ranks[index].queue.pop()?;
+        self.start(&request);
+        Some(request)
+    }
+
+    /// Frees the slot of a request, however it ended.
+    pub fn finish(&mut self, now: MonotonicTime, id: &RequestId, sample: ServiceSample) {
+        self.advance(now);
+        let Some(running) = self.running.remove(id) else { return };
+        self.kv_used = self.kv_used.saturating_sub(running.kv_tokens);
+        self.ranks[running.rank.index()].running -= 1;
+        self.learn(running.cost, sample);
+    }
+
+    /// Takes a waiting request out; false if it doesn't wait here, for example because it runs.
+    /// Only after true may it be answered as not run.
+    pub fn remove(&mut self, id: &RequestId) -> bool {
+        let Some(place) = self.forget(id) else { return false };
+        let queue = &mut self.ranks[place.rank.index()].queue;
+        queue.remove(&place.caller, place.flow_key).is_some()
+    }
+
+    /// Takes out all that can't be answered in time any more, to be refused.
+    pub fn expire(&mut self, now: MonotonicTime) -> Vec<RefusedRequest> {
+        self.advance(now);
+        self.set_expired_aside(now);
+        std::mem::take(&mut self.expired)
+    }
+
+    /// When [`Self::expire`] has something to do next.
+    pub fn next_deadline(&self) -> Option<MonotonicTime> {
+        match self.expired.first() {
+            Some(_) => Some(self.updated),
+            None => self.due.keys().next().map(|(due, _)| *due),
+        }
+    }
+
+    /// Takes out all that waits, for example because the engine was lost; in order of deadlines.
+    pub fn drain(&mut self) -> Vec<QueuedRequest> {
+        let ids: Vec<RequestId> = self.due.values().cloned().collect();
+        ids.iter().filter_map(|id| self.extract(id)).collect()
+    }
+
+    /// Expected time until a request would get a slot if it came now.
+    pub fn estimate_wait(&self, request: &QueuedRequest) -> Duration {
+        let Some(state) = self.ranks.get(request.rank.index()) else { return Duration::ZERO };
+        let own = state.queue.work_ahead(&request.caller, request.weight, request.cost);
+        let above = self.work_above(request.rank);
+        if self.free_slots(request.rank) > 0 && own + above == Duration::ZERO {
+            return Duration::ZERO;
+        }
+        let own_s = own.as_secs_f64() * self.cost_factor.value() + self.slot_time_s.value();
+        let above_s = above.as_secs_f64() * self.cost_factor.value();
+        let by_order = (own_s + above_s) / self.slots_left(request.rank);
+        let by_floor = match state.credit.floor_slots() {
+            floor if floor > 0.0 => own_s / floor,
+            _ => f64::INFINITY,
+        };
+        Duration::from_secs_f64(by_order.min(by_floor).min(MAX_RETRY_AFTER.as_secs_f64()))
+    }
+
+    fn reset_credit(&mut self) {
+        let slots = f64::from(self.settings.slots);
+        for (state, rank) in self.ranks.iter_mut().zip(&self.settings.ranks) {
+            state.credit = RankCredit::new(slots * f64::from(rank.floor_percent.min(100)) / 100.0);
+        }
+    }
+
+    fn advance(&mut self, now: MonotonicTime) {
+        let span = now.since(self.updated);
+        self.updated = self.updated.max(now);
+        let waiting_ranks = self.ranks.iter().filter(|state| !state.queue.is_empty()).count();
+        let decay = (-span.as_secs_f64() / ARRIVAL_SPAN.as_secs_f64()).exp();
+        for state in &mut self.ranks {
+            let waits = !state.queue.is_empty();
+            let others = waiting_ranks > usize::from(waits);
+            state.credit.advance(span, state.running, others);
+            state.arriving_s *= decay;
+        }
+    }
+
+    fn misfit(&self, request: &QueuedRequest) -> Option<RefusalReason> {
+        match request {
+            request if request.rank.index() >= self.ranks.len() => Some(RefusalReason::UnknownRank),
+            request if self.contains(&request.id) => Some(RefusalReason::Duplicate),
+            request if self.settings.kv_tokens == 0 || request.kv_tokens == 0 => None,
+            request if request.kv_tokens > self.settings.kv_tokens => Some(RefusalReason::TooLarge),
+            _ => None,
+        }
+    }
+
+    fn full(&self, request: &QueuedRequest) -> Option<RefusalReason> {
+        let queue = &self.ranks[request.rank.index()].queue;
+        match queue {
+            queue if queue.caller_len(&request.caller) >= self.settings.caller_capacity => {
+                Some(RefusalReason::CallerFull)
+            }
+            queue if queue.len() >= self.settings.rank_capacity => Some(RefusalReason::QueueFull),
+            _ => None,
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        now: MonotonicTime,
+        request: &QueuedRequest,
+        reason: RefusalReason,
+        excess: Duration,
+    ) -> OfferAnswer {
+        let retry_after = self.retry_after(now, request, excess);
+        OfferAnswer::Refused { reason, retry_after }
+    }
+
+    /// Spreads those who come back as far apart as the engine can serve their caller.
+    fn retry_after(
+        &mut self,
+        now: MonotonicTime,
+        request: &QueuedRequest,
+        excess: Duration,
+    ) -> Duration {
+        let jitter = 1.0 + JITTER_SHARE * self.random.next_unit();
+        let share = self.slots_left(request.rank);
+        let cost_s = request.cost.as_secs_f64() * self.cost_factor.value();
+        let Some(state) = self.ranks.get_mut(request.rank.index()) else { return MAX_RETRY_AFTER };
+        let rate = share.max(state.credit.floor_slots())
+            * state.queue.caller_share(&request.caller, request.weight);
+        let spacing = Duration::from_secs_f64((cost_s / rate).min(MAX_RETRY_AFTER.as_secs_f64()));
+        let booked = state.queue.book_return(&request.caller, now + excess, spacing);
+        booked.since(now).mul_f64(jitter).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    fn push(&mut self, request: QueuedRequest) {
+        self.sequence += 1;
+        let latest =
+            request.deadline.as_micros().saturating_sub(self.first_byte().as_micros() as u64);
+        let flow_key = (request.deadline, self.sequence);
+        let due_key = (MonotonicTime::from_micros(latest), self.sequence);
+        let place =
+            QueuePlace { rank: request.rank, caller: request.caller.clone(), flow_key, due_key };
+        self.due.insert(due_key, request.id.clone());
+        self.places.insert(request.id.clone(), place);
+        let state = &mut self.ranks[request.rank.index()];
+        state.arriving_s += request.cost.as_secs_f64();
+        state.queue.push(flow_key, request);
+    }
+
+    fn start(&mut self, request: &QueuedRequest) {
+        self.forget(&request.id);
+        self.kv_used += request.kv_tokens;
+        self.ranks[request.rank.index()].running += 1;
+        let running =
+            RunningRequest { rank: request.rank, kv_tokens: request.kv_tokens, cost: request.cost };
+        self.running.insert(request.id.clone(), running);
+    }
+
+    fn forget(&mut self, id: &RequestId) -> Option<QueuePlace> {
+        let place = self.places.remove(id)?;
+        self.due.remove(&place.due_key);
+        Some(place)
+    }
+
+    fn extract(&mut self, id: &RequestId) -> Option<QueuedRequest> {
+        let place = self.forget(id)?;
+        self.ranks[place.rank.index()].queue.remove(&place.caller, place.flow_key)
+    }
+
+    fn set_expired_aside(&mut self, now: MonotonicTime) {
+        while let Some((_, id)) = self.due.first_key_value().filter(|(key, _)| key.0 < now) {
+            let id = id.clone();
+            let Some(request) = self.extract(&id) else { return };
+            let wait = self.estimate_wait(&request);
+            let retry_after = self.retry_after(now, &request, wait);
+            self.expired.push(RefusedRequest {
+                request,
+                reason: RefusalReason::Expired,
+                retry_after,
+            });
+        }
+    }
+
+    /// The rank that goes next: one that is owed its floor, else the most urgent one that waits.
+    fn next_rank(&self) -> Option<usize> {
+        let may_start = |index: &usize| {
+            let rank = RequestRank(*index as u8);
+            !self.ranks[*index].queue.is_empty() && self.free_slots(rank) > 0
+        };
+        let is_owed = |index: &usize| {
+            let state = &self.ranks[*index];
+            state.credit.is_owed(state.running)
+        };
+        let mut waiting = (0..self.ranks.len()).filter(may_start);
+        let first = waiting.next()?;
+        match is_owed(&first) {
+            true => Some(first),
+            false => waiting.find(is_owed).or(Some(first)),
+        }
+    }
+
+    fn free_slots(&self, rank: RequestRank) -> u32 {
+        let used = self.running.len() as u32 + self.foreign;
+        let kept = if rank.index() == 0 { 0 } else { self.settings.urgent_slots };
+        self.settings.slots.saturating_sub(used + kept)
+    }
+
+    fn kv_fits(&self, kv_tokens: u64) -> bool {
+        self.settings.kv_tokens == 0 || self.kv_used + kv_tokens <= self.settings.kv_tokens
+    }
+
+    fn ahead(&self, rank: RequestRank) -> usize {
+        self.ranks.iter().take(rank.index() + 1).map(|state| state.queue.len()).sum()
+    }
+
+    fn work_above(&self, rank: RequestRank) -> Duration {
+        self.ranks.iter().take(rank.index()).map(|state| state.queue.work()).sum()
+    }
+
+    /// Slots that `rank` can count on: without what arrives above it and the floors below it.
+    fn slots_left(&self, rank: RequestRank) -> f64 {
+        let slots = f64::from(self.settings.slots);
+        let above = self.ranks.iter().take(rank.index());
+        let arriving: f64 = above.map(|state| state.arriving_s).sum();
+        let arriving = arriving * self.cost_factor.value() / ARRIVAL_SPAN.as_secs_f64();
+        let below = self.ranks.iter().skip(rank.index() + 1);
+        let owed = below.filter(|state| !state.queue.is_empty());
+        let floors: f64 = owed.map(|state| state.credit.floor_slots()).sum();
+        (slots - arriving - floors).max(slots * LEAST_SHARE)
+    }
+
+    fn first_byte(&self) -> Duration {
+        Duration::from_secs_f64(self.first_byte_s.value())
+    }
+
+    fn learn(&mut self, cost: Duration, sample: ServiceSample) {
+        let slot_time_s = sample.slot_time.as_secs_f64();
+        self.slot_time_s.add(slot_time_s);
+        if cost > Duration::ZERO {
+            self.cost_factor.add((slot_time_s / cost.as_secs_f64()).clamp(0.1, 10.0));
+        }
+        if let Some(first_byte) = sample.first_byte {
+            self.first_byte_s.add(first_byte.as_secs_f64());
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_policy/src/engine_router.rs
@@ -0,0 +1,243 @@
+//! Which replica a request goes to.
+
+use std::cmp::Ordering;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use lru::LruCache;
+use wheel_types::{LoadReport, ModelName, MonotonicTime, UpstreamName};
+
+use crate::moving_average::MovingAverage;
+use crate::upstream_load::UpstreamLoad;
+use crate::{
+    OutlierDetector, OutlierSettings, ReplicaView, RouteAnswer, RouteQuery, RouteReason,
+    SeededRandom,
+};
+
+/// Replicas that are weighed for one request; of more than these, as many are sampled.
+const MAX_CANDIDATES: usize = 8;
+/// Prompt prefixes that are remembered.
+const MAX_PREFIXES: usize = 16_384;
+/// Expected time in a slot, in milliseconds, where nothing was measured.
+const SLOT_TIME_MS: f64 = 2_000.0;
+/// Weight of a new sample in the average time in a slot.
+const SAMPLE_WEIGHT: f64 = 0.05;
+/// What a load of an adapter costs, in milliseconds.
+const ADAPTER_LOAD_MS: f64 = 10.0;
+/// What a cached prefix saves, in milliseconds.
+const PREFIX_SAVING_MS: f64 = 60.0;
+/// What one unit of link price counts, in milliseconds.
+const PRICE_MS: f64 = 10.0;
+/// What a full batch slows each of its requests, in milliseconds.
+const BATCH_MS: f64 = 20.0;
+
+/// Chooses among the replicas of one model by expected time to the answer.
+///
+/// Looks at no more than eight replicas, whatever the fleet's size. Reports lag, so what was sent
+/// since the last one counts as well. Cached prefixes are hints: a wrong one costs time only.
+#[derive(Debug)]
+pub struct EngineRouter {
+    replicas: HashMap<ModelName, Vec<ReplicaView>>,
+    loads: HashMap<UpstreamName, UpstreamLoad>,
+    prefixes: LruCache<u64, UpstreamName>,
+    outliers: OutlierDetector,
+    slot_time_ms: MovingAverage,
+    random: SeededRandom,
+}
+
+impl EngineRouter {
+    /// Makes a router that knows no replica yet.
+    pub fn open(outliers: OutlierSettings, seed: u64) -> Self {
+        let capacity =
+            std::num::NonZeroUsize::new(MAX_PREFIXES).unwrap_or(std::num::NonZeroUsize::MIN);
+        Self {
+            replicas: HashMap::new(),
+            loads: HashMap::new(),
+            prefixes: LruCache::new(capacity),
+            outliers: OutlierDetector::open(outliers),
+            slot_time_ms: MovingAverage::new(SLOT_TIME_MS, SAMPLE_WEIGHT),
+            random: SeededRandom::new(seed),
+        }
+    }
+
+    /// Replaces what is known of a model's replicas; an empty list forgets the model.
+    pub fn set_replicas(&mut self, model: &ModelName, replicas: Vec<ReplicaView>) {
+        for replica in &replicas {
+            self.loads.entry(replica.upstream.clone()).or_default();
+        }
+        match replicas.is_empty() {
+            true => self.replicas.remove(model),
+            false => self.replicas.insert(model.clone(), replicas),
+        };
+    }
+
+    /// The replicas of a model that are known.
+    pub fn replicas(&self, model: &ModelName) -> &[ReplicaView] {
+        self.replicas.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Forgets an upstream that left the text or the instance list.
+    pub fn forget_upstream(&mut self, upstream: &UpstreamName) {
+        self.loads.remove(upstream);
+        self.outliers.forget(upstream);
+        for replicas in self.replicas.values_mut() {
+            replicas.retain(|replica| &replica.upstream != upstream);
+        }
+        self.replicas.retain(|_, replicas| !replicas.is_empty());
+    }
+
+    /// Takes over a load report that came at `now`.
+    pub fn observe_load(
+        &mut self,
+        now: MonotonicTime,
+        upstream: &UpstreamName,
+        report: LoadReport,
+    ) {
+        self.loads.entry(upstream.clone()).or_default().observe(now, report);
+    }
+
+    /// Counts a request that was sent, and remembers its prefix.
+    pub fn record_sent(
+        &mut self,
+        now: MonotonicTime,
+        upstream: &UpstreamName,
+        prefix: Option<u64>,
+    ) {
+        self.loads.entry(upstream.clone()).or_default().sent(now);
+        if let Some(prefix) = prefix {
+            self.prefixes.put(prefix, upstream.clone());
+        }
+    }
+
+    /// Counts a request that ended after `span`, well or not.
+    pub fn record_end(
+        &mut self,
+        now: MonotonicTime,
+        upstream: &UpstreamName,
+        span: Duration,
+        succeeded: bool,
+    ) {
+        if let Some(load) = self.loads.get_mut(upstream) {
+            load.finished();
+        }
+        let span_ms = span.as_secs_f64() * 1_000.0;
+        if succeeded {
+            self.slot_time_ms.add(span_ms);
+        }
+        self.outliers.observe(now, upstream, span, succeeded);
+    }
+
+    /// Forgets a prefix that an engine dropped, as its cache events say.
+    pub fn forget_prefix(&mut self, prefix: u64) {
+        self.prefixes.pop(&prefix);
+    }
+
+    /// The detector that ejects failing upstreams.
+    pub fn outliers(&self) -> &OutlierDetector {
+        &self.outliers
+    }
+
+    /// Chooses the replica for a request.
+    pub fn choose(&mut self, now: MonotonicTime, query: &RouteQuery) -> RouteAnswer {
+        let all = self.replicas.get(&query.model).map_or(&[][..], Vec::as_slice);
+        let indexes = sample_indexes(all.len(), &mut self.random);
+        let sampled = indexes.iter().map(|index| &all[*index]);
+        let mut able: Vec<&ReplicaView> = sampled.filter(|replica| replica.takes_work).collect();
+        if able.is_empty() {
+            able = all.iter().filter(|replica| replica.takes_work).collect();
+        }
+        if able.is_empty() {
+            return RouteAnswer::Cold;
+        }
+        let fresh: Vec<&ReplicaView> =
+            able.into_iter().filter(|replica| !query.tried.contains(&replica.upstream)).collect();
+        let probe = fresh.iter().find(|replica| self.outliers.wants_probe(now, &replica.upstream));
+        if let Some(replica) = probe.map(|replica| (*replica).clone()) {
+            self.outliers.begin_probe(now, &replica.upstream);
+            return self.answer(&replica, RouteReason::Probe);
+        }
+        let healthy: Vec<&ReplicaView> = fresh
+            .into_iter()
+            .filter(|replica| !self.outliers.is_ejected(now, &replica.upstream))
+            .collect();
+        let hinted = query.prefix.and_then(|prefix| self.prefixes.peek(&prefix)).cloned();
+        let cost = |replica: &ReplicaView| self.cost_ms(replica, query, hinted.as_ref());
+        let best = healthy.iter().min_by(|left, right| compare(cost(left), cost(right)));
+        match best {
+            None => RouteAnswer::Exhausted,
+            Some(replica) => {
+                let reason = reason_for(replica, query, hinted.as_ref(), healthy.len());
+                self.answer(replica, reason)
+            }
+        }
+    }
+
+    fn answer(&self, replica: &ReplicaView, reason: RouteReason) -> RouteAnswer {
+        let wait_ms = self.wait_ms(replica) + 2.0 * replica.delay_ms;
+        RouteAnswer::Engine {
+            upstream: replica.upstream.clone(),
+            centre: replica.centre.clone(),
+            wait: Duration::from_secs_f64(wait_ms.max(0.0) / 1_000.0),
+            reason,
+        }
+    }
+
+    fn wait_ms(&self, replica: &ReplicaView) -> f64 {
+        let depth = self.loads.get(&replica.upstream).map_or(0, UpstreamLoad::depth);
+        let slots = replica.slots.max(1);
+        let ahead = (depth + 1).saturating_sub(slots);
+        f64::from(ahead) * self.slot_time_ms.value() / f64::from(slots)
+    }
+
+    fn cost_ms(
+        &self,
+        replica: &ReplicaView,
+        query: &RouteQuery,
+        hinted: Option<&UpstreamName>,
+    ) -> f64 {
+        let depth = self.loads.get(&replica.upstream).map_or(0, UpstreamLoad::depth);
+        let filled = f64::from(depth) / f64::from(replica.slots.max(1));
+        let adapter_ms = if has_adapter(replica, query) { 0.0 } else { ADAPTER_LOAD_MS };
+        let saving_ms = if hinted == Some(&replica.upstream) { PREFIX_SAVING_MS } else { 0.0 };
+        self.wait_ms(replica)
+            + BATCH_MS * filled.min(1.0)
+            + 2.0 * replica.delay_ms
+            + PRICE_MS * replica.price
+            + adapter_ms
+            - saving_ms
+    }
+}
+
+fn has_adapter(replica: &ReplicaView, query: &RouteQuery) -> bool {
+    query.adapter.as_ref().is_none_or(|adapter| replica.adapters.contains(adapter))
+}
+
+fn reason_for(
+    replica: &ReplicaView,
+    query: &RouteQuery,
+    hinted: Option<&UpstreamName>,
+    candidates: usize,
+) -> RouteReason {
+    match replica {
+        _ if candidates == 1 => RouteReason::OnlyReplica,
+        replica if hinted == Some(&replica.upstream) => RouteReason::CachedPrefix,
+        replica if query.adapter.is_some() && has_adapter(replica, query) => {
+            RouteReason::LoadedAdapter
+        }
+        _ => RouteReason::ShortestWait,
+    }
+}
+
+fn sample_indexes(len: usize, random: &mut SeededRandom) -> Vec<usize> {
+    if len <= MAX_CANDIDATES {
+        return (0..len).collect();
+    }
+    let mut indexes: Vec<usize> = (0..MAX_CANDIDATES).map(|_| random.next_below(len)).collect();
+    indexes.sort_unstable();
+    indexes.dedup();
+    indexes
+}
+
+fn compare(left: f64, right: f64) -> Ordering {
+    left.total_cmp(&right)
+}
--- a/crates/wheel_policy/src/lib.rs
+++ b/crates/wheel_policy/src/lib.rs
@@ -1,1 +1,64 @@
 //! Admission, queueing, routing, placement, load order and forecast: pure, with time passed in.
+//!
+//! Nothing here reads a clock, a socket or a file. The daemon and the replays drive the same types
+//! with the same calls, and the same inputs give the same outputs.
+//!
+//! - [`EngineQueue`] is the owner's queue of one engine.
+//! - [`EngineRouter`] picks the replica that a request goes to; [`OutlierDetector`],
+//!   [`RetryBudget`] and [`HedgePolicy`] bound what faults and retries cost.
+//! - [`PlacementPlanner`] decides what one data centre's engines load and unload.
+
+mod adapter_pass;
+mod checkpoint_source;
+mod demand_view;
+mod drain_pass;
+mod engine_queue;
+mod engine_router;
+mod eviction_choice;
+mod fleet_ledger;
+mod fleet_view;
+mod hedge_policy;
+mod idle_pass;
+mod load_candidate;
+mod load_pass;
+mod moving_average;
+mod offer_answer;
+mod outlier_detector;
+mod placement_planner;
+mod placement_settings;
+mod placement_step;
+mod placement_text;
+mod plan_round;
+mod queue_settings;
+mod queued_request;
+mod rank_credit;
+mod rank_queue;
+mod replica_view;
+mod retry_budget;
+mod route_answer;
+mod route_query;
+mod seeded_random;
+mod service_sample;
+mod store_gauge;
+mod upstream_load;
+
+pub use checkpoint_source::CheckpointSource;
+pub use demand_view::{AdapterDemand, DemandView, ModelDemand, RankDemand};
+pub use engine_queue::EngineQueue;
+pub use engine_router::EngineRouter;
+pub use fleet_view::{EngineView, FleetView, PlacedAdapter, PlacedModel};
+pub use hedge_policy::{HedgeAnswer, HedgePolicy, HedgeQuery};
+pub use offer_answer::{OfferAnswer, RefusalReason, RefusedRequest};
+pub use outlier_detector::{OutlierDetector, OutlierSettings};
+pub use placement_planner::PlacementPlanner;
+pub use placement_settings::PlacementSettings;
+pub use placement_step::{PlacementAction, PlacementReason, PlacementStep};
+pub use queue_settings::QueueSettings;
+pub use queued_request::QueuedRequest;
+pub use replica_view::ReplicaView;
+pub use retry_budget::{BudgetSettings, RetryBudget};
+pub use route_answer::{RouteAnswer, RouteReason};
+pub use route_query::RouteQuery;
+pub use seeded_random::SeededRandom;
+pub use service_sample::ServiceSample;
+pub use store_gauge::StoreGauge;
--- /dev/null
+++ b/crates/wheel_policy/src/moving_average.rs
@@ -0,0 +1,33 @@
+//! An exponential moving average.
+
+/// Follows a measured quantity; the first sample replaces the expectation it began with.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct MovingAverage {
+    value: f64,
+    weight: f64,
+    samples: u32,
+}
+
+impl MovingAverage {
+    /// Begins with an expectation; each later sample counts with `weight`, from 0 to 1.
+    pub(crate) fn new(expected: f64, weight: f64) -> Self {
+        Self { value: expected, weight, samples: 0 }
+    }
+
+    /// Takes a sample. Early samples weigh more, as in a plain mean.
+    pub(crate) fn add(&mut self, sample: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let weight = self.weight.max(1.0 / f64::from(self.samples));
+        self.value += weight * (sample - self.value);
+    }
+
+    /// The average.
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// Samples taken.
+    pub(crate) fn samples(&self) -> u32 {
+        self.samples
+    }
+}
--- /dev/null
+++ b/crates/wheel_policy/src/outlier_detector.rs
@@ -0,0 +1,183 @@
+//! Which upstreams fail or are slow beyond the others.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use wheel_types::{MonotonicTime, UpstreamName};
+
+use crate::moving_average::MovingAverage;
+
+/// Weight of a new sample in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// Samples before an upstream can be judged.
+const MIN_SAMPLES: u32 = 10;
+/// How much longer each further ejection lasts, up to this many times the first.
+const MAX_BACKOFF: u32 = 16;
+
+/// When an [`OutlierDetector`] ejects.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OutlierSettings {
+    /// Failures in a row that eject an upstream.
+    pub failures_in_row: u32,
+    /// Share of failures that ejects an upstream.
+    pub failure_share: f64,
+    /// An upstream this many times slower than the average of all is ejected.
+    pub slow_factor: f64,
+    /// Largest share of the upstreams that may be ejected at once.
+    pub max_ejected_share: f64,
+    /// How long the first ejection lasts before a probe.
+    pub ejection: Duration,
+}
+
+impl Default for OutlierSettings {
+    fn default() -> Self {
+        Self {
+            failures_in_row: 5,
+            failure_share: 0.5,
+            slow_factor: 5.0,
+            max_ejected_share: 0.3,
+            ejection: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Ejects upstreams by errors and latency, never more than a share of them, and probes them back in.
+///
+/// Its table grows with the upstreams that were used; [`Self::forget`] shrinks it.
+#[derive(Clone, Debug)]
+pub struct OutlierDetector {
+    settings: OutlierSettings,
+    records: BTreeMap<UpstreamName, UpstreamRecord>,
+    ejected: usize,
+    latency_s: MovingAverage,
+}
+
+/// What was seen of one upstream.
+#[derive(Clone, Debug)]
+struct UpstreamRecord {
+    failures_in_row: u32,
+    failure_share: MovingAverage,
+    latency_s: MovingAverage,
+    ejections: u32,
+    probe_at: Option<MonotonicTime>,
+    probing: bool,
+}
+
+impl OutlierDetector {
+    /// Makes a detector that has seen nothing.
+    pub fn open(settings: OutlierSettings) -> Self {
+        Self { settings, records: BTreeMap::new(), ejected: 0, latency_s: new_average() }
+    }
+
+    /// Counts the end of a call to an upstream.
+    pub fn observe(
+        &mut self,
+        now: MonotonicTime,
+        upstream: &UpstreamName,
+        latency: Duration,
+        succeeded: bool,
+    ) {
+        let record = self.records.entry(upstream.clone()).or_default();
+        record.observe(latency, succeeded);
+        if succeeded {
+            self.latency_s.add(latency.as_secs_f64());
+        }
+        let (ejected, probing) = (record.probe_at.is_some(), record.probing);
+        match ejected {
+            true if probing && succeeded => self.readmit(upstream),
+            true if probing => self.eject(now, upstream),
+            true => {}
+            false if self.is_outlier(upstream) && self.may_eject() => self.eject(now, upstream),
+            false => {}
+        }
+    }
+
+    /// Whether an upstream gets no ordinary requests now.
+    pub fn is_ejected(&self, _now: MonotonicTime, upstream: &UpstreamName) -> bool {
+        self.records.get(upstream).is_some_and(|record| record.probe_at.is_some())
+    }
+
+    /// Whether an ejected upstream should get one request to see whether it is well again.
+    pub fn wants_probe(&self, now: MonotonicTime, upstream: &UpstreamName) -> bool {
+        let record = self.records.get(upstream);
+        record.is_some_and(|record| record.probe_at.is_some_and(|probe_at| probe_at <= now))
+    }
+
+    /// Counts a probe that is sent; another one follows only if this one never ends.
+    pub fn begin_probe(&mut self, now: MonotonicTime, upstream: &UpstreamName) {
+        if let Some(record) = self.records.get_mut(upstream) {
+            record.probing = true;
+            record.probe_at = Some(now + self.settings.ejection);
+        }
+    }
+
+    /// Upstreams that are ejected.
+    pub fn ejected(&self) -> usize {
+        self.ejected
+    }
+
+    /// Forgets an upstream.
+    pub fn forget(&mut self, upstream: &UpstreamName) {
+        let record = self.records.remove(upstream);
+        self.ejected -= usize::from(record.is_some_and(|record| record.probe_at.is_some()));
+    }
+
+    fn is_outlier(&self, upstream: &UpstreamName) -> bool {
+        let Some(record) = self.records.get(upstream) else { return false };
+        let settings = &self.settings;
+        match record {
+            record if record.failures_in_row >= settings.failures_in_row => true,
+            record if record.failure_share.samples() < MIN_SAMPLES => false,
+            record if record.failure_share.value() >= settings.failure_share => true,
+            record => record.latency_s.value() > settings.slow_factor * self.latency_s.value(),
+        }
+    }
+
+    fn may_eject(&self) -> bool {
+        let share = (self.ejected + 1) as f64 / self.records.len() as f64;
+        share <= self.settings.max_ejected_share
+    }
+
+    fn eject(&mut self, now: MonotonicTime, upstream: &UpstreamName) {
+        let Some(record) = self.records.get_mut(upstream) else { return };
+        self.ejected += usize::from(record.probe_at.is_none());
+        let backoff = (1 << record.ejections.min(8)).min(MAX_BACKOFF);
+        record.ejections += 1;
+        record.probing = false;
+        record.probe_at = Some(now + self.settings.ejection * backoff);
+    }
+
+    fn readmit(&mut self, upstream: &UpstreamName) {
+        let Some(record) = self.records.get_mut(upstream) else { return };
+        let ejections = record.ejections.saturating_sub(1);
+        *record = UpstreamRecord { ejections, ..UpstreamRecord::default() };
+        self.ejected -= 1;
+    }
+}
+
+impl Default for UpstreamRecord {
+    fn default() -> Self {
+        Self {
+            failures_in_row: 0,
+            failure_share: new_average(),
+            latency_s: new_average(),
+            ejections: 0,
+            probe_at: None,
+            probing: false,
+        }
+    }
+}
+
+impl UpstreamRecord {
+    fn observe(&mut self, latency: Duration, succeeded: bool) {
+        self.failures_in_row = if succeeded { 0 } else { self.failures_in_row + 1 };
+        self.failure_share.add(if succeeded { 0.0 } else { 1.0 });
+        if succeeded {
+            self.latency_s.add(latency.as_secs_f64());
+        }
+    }
+}
+
+fn new_average() -> MovingAverage {
+    MovingAverage::new(0.0, SAMPLE_WEIGHT)
+}
--- /dev/null
+++ b/crates/wheel_policy/src/queued_request.rs
@@ -0,0 +1,49 @@
+//! A request as queues see it.
+
+use std::time::Duration;
+
+use wheel_types::{AdapterName, CallerName, ModelName, MonotonicTime, RequestId, RequestRank};
+
+/// A request that waits for a slot of an engine.
+///
+/// Work that is queued again after a fault keeps its first `arrival` and its `deadline`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QueuedRequest {
+    /// The request's id, unique in its queue.
+    pub id: RequestId,
+    /// Who sent it.
+    pub caller: CallerName,
+    /// The caller's weight among the callers of its rank; 0 counts as 1.
+    pub weight: u32,
+    /// Its rank.
+    pub rank: RequestRank,
+    /// The model that it asks for.
+    pub model: ModelName,
+    /// The adapter that it asks for.
+    pub adapter: Option<AdapterName>,
+    /// When it first arrived at any instance.
+    pub arrival: MonotonicTime,
+    /// When the first byte of its answer is due.
+    pub deadline: MonotonicTime,
+    /// Expected time in a slot, from its prompt and its limit of tokens.
+    pub cost: Duration,
+    /// KV cache that it may need, in tokens; 0 where that is unknown.
+    pub kv_tokens: u64,
+}
+
+impl Default for QueuedRequest {
+    fn default() -> Self {
+        Self {
+            id: RequestId::new(""),
+            caller: "".into(),
+            weight: 1,
+            rank: RequestRank::default(),
+            model: "".into(),
+            adapter: None,
+            arrival: MonotonicTime::default(),
+            deadline: MonotonicTime::default(),
+            cost: Duration::from_secs(1),
+            kv_tokens: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_policy/src/replica_view.rs
@@ -0,0 +1,36 @@
+//! A replica as the router sees it.
+
+use wheel_types::{AdapterName, CentreName, UpstreamName};
+
+/// One loaded replica of a model, in this data centre or another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReplicaView {
+    /// The engine.
+    pub upstream: UpstreamName,
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Adapters loaded beside the model.
+    pub adapters: Vec<AdapterName>,
+    /// One-way delay from here, in milliseconds.
+    pub delay_ms: f64,
+    /// Price of a gibibyte over the link from here.
+    pub price: f64,
+    /// False while it drains or its engine is leaving: it gets no new work.
+    pub takes_work: bool,
+}
+
+impl Default for ReplicaView {
+    fn default() -> Self {
+        Self {
+            upstream: "".into(),
+            centre: "".into(),
+            slots: 1,
+            adapters: Vec::new(),
+            delay_ms: 0.0,
+            price: 0.0,
+            takes_work: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_policy/tests/placement_planner.rs
@@ -0,0 +1,311 @@
+//! Placement: bounds, load order, eviction, bundles, rollover.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use wheel_policy::{
+    CheckpointSource, DemandView, EngineView, FleetView, ModelDemand, PlacedModel, PlacementAction,
+    PlacementPlanner, PlacementReason, PlacementSettings, PlacementStep, RankDemand,
+};
+use wheel_text::{ModelSpec, OperatorsText, RankSpec, ServiceSpec};
+use wheel_types::{ModelName, ModelPhase, MonotonicTime, RequestRank};
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(10_000_000);
+
+fn model(name: &str, memory_mib: u64) -> ModelSpec {
+    ModelSpec {
+        name: name.into(),
+        version: 1,
+        memory_mib,
+        load_ms: 20_000,
+        min_replicas: 0,
+        max_replicas: 2,
+    }
+}
+
+fn text(models: Vec<ModelSpec>) -> OperatorsText {
+    let rank = |name: &str, worth| RankSpec {
+        name: name.to_owned(),
+        deadline_ms: 60_000,
+        floor_percent: 0,
+        worth,
+    };
+    let ranks = vec![rank("question", 10.0), rank("digest", 1.0)];
+    OperatorsText { models, ranks, ..OperatorsText::default() }
+}
+
+fn planner(text: &OperatorsText) -> PlacementPlanner {
+    PlacementPlanner::open(PlacementSettings::default(), text)
+}
+
+fn engine(name: &str, models: Vec<PlacedModel>) -> EngineView {
+    EngineView { upstream: name.into(), memory_mib: 100, slots: 4, models, ..EngineView::default() }
+}
+
+fn fleet(engines: Vec<EngineView>) -> FleetView {
+    FleetView { engines, store_loads: 2, store_starts: 2, adapter_loads: 32 }
+}
+
+fn loaded(name: &str, memory_mib: u64) -> PlacedModel {
+    PlacedModel { model: name.into(), memory_mib, ..PlacedModel::default() }
+}
+
+fn waiting(name: &str, rank: u8, count: u32) -> ModelDemand {
+    let one = RankDemand {
+        rank: RequestRank(rank),
+        count,
+        oldest_arrival: NOW,
+        earliest_deadline: NOW + Duration::from_secs(60),
+    };
+    ModelDemand { model: name.into(), waiting: vec![one], ..ModelDemand::default() }
+}
+
+fn demand(models: Vec<ModelDemand>) -> DemandView {
+    DemandView { models }
+}
+
+fn loads(steps: &[PlacementStep]) -> Vec<String> {
+    let load = |step: &PlacementStep| match &step.action {
+        PlacementAction::Load { model, .. } => Some(format!("{model}@{}", step.upstream)),
+        _ => None,
+    };
+    steps.iter().filter_map(load).collect()
+}
+
+fn drains(steps: &[PlacementStep]) -> Vec<String> {
+    let drain = |step: &PlacementStep| match &step.action {
+        PlacementAction::Drain { model, .. } => Some(format!("{model}@{}", step.upstream)),
+        _ => None,
+    };
+    steps.iter().filter_map(drain).collect()
+}
+
+#[test]
+fn plan_burst_orders_one_load() {
+    let mut planner = planner(&text(vec![model("walks", 40)]));
+    let mut view = fleet(vec![engine("a", vec![]), engine("b", vec![])]);
+    let steps = planner.plan(NOW, &view, &demand(vec![waiting("walks", 0, 500)]));
+    assert_eq!(loads(&steps).len(), 1);
+    let loading = PlacedModel { phase: ModelPhase::Loading, since: NOW, ..loaded("walks", 40) };
+    view.engines[0].models.push(loading);
+    let later = NOW + Duration::from_secs(300);
+    let steps = planner.plan(later, &view, &demand(vec![waiting("walks", 0, 900)]));
+    assert_eq!(loads(&steps), Vec::<String>::new(), "a slow load isn't ordered twice");
+}
+
+#[test]
+fn plan_busy_model_stays_within_max_replicas() {
+    let mut planner = planner(&text(vec![model("walks", 40)]));
+    let busy = ModelDemand { queued: 100, ..waiting("walks", 0, 0) };
+    let used = || PlacedModel { in_use: 4, ..loaded("walks", 40) };
+    let drains = PlacedModel { draining: Some(NOW), ..used() };
+    let mut view = fleet(vec![engine("a", vec![used()]), engine("b", vec![])]);
+    assert_eq!(loads(&planner.plan(NOW, &view, &demand(vec![busy.clone()]))), ["walks@b"]);
+    view.engines[1].models.push(drains);
+    view.engines.push(engine("c", vec![]));
+    let steps = planner.plan(NOW, &view, &demand(vec![busy]));
+    assert_eq!(loads(&steps), Vec::<String>::new(), "a draining replica counts as well");
+}
+
+#[test]
+fn plan_store_slots_go_by_value_over_time() {
+    let models = ["digests", "walks", "tides"].map(|name| model(name, 10));
+    let mut planner = planner(&text(models.to_vec()));
+    let view = fleet(vec![engine("a", vec![])]);
+    let wants = vec![waiting("digests", 1, 3), waiting("walks", 0, 1), waiting("tides", 0, 2)];
+    let steps = planner.plan(NOW, &view, &demand(wants));
+    assert_eq!(loads(&steps), ["tides@a", "walks@a"]);
+}
+
+#[test]
+fn plan_nearer_checkpoint_is_chosen() {
+    let mut planner = planner(&text(vec![model("walks", 40)]));
+    let near = EngineView { memory_checkpoints: vec!["walks".into()], ..engine("b", vec![]) };
+    let view = fleet(vec![engine("a", vec![]), near]);
+    let steps = planner.plan(NOW, &view, &demand(vec![waiting("walks", 0, 1)]));
+    assert_eq!(loads(&steps), ["walks@b"]);
+    let PlacementAction::Load { source, .. } = &steps[0].action else { panic!("{steps:?}") };
+    assert_eq!(*source, CheckpointSource::Memory);
+}
+
+#[test]
+fn plan_eviction_drains_first_then_loads() {
+    let text = text(vec![model("walks", 60), model("old", 60)]);
+    let mut planner = planner(&text);
+    let mut view = fleet(vec![engine("a", vec![loaded("old", 60)])]);
+    let wants = demand(vec![waiting("walks", 0, 1)]);
+    let steps = planner.plan(NOW, &view, &wants);
+    assert_eq!((drains(&steps), loads(&steps).len()), (vec!["old@a".to_owned()], 0));
+    view.engines[0].models[0].draining = Some(NOW);
+    view.engines[0].models[0].in_use = 1;
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(planner.plan(later, &view, &wants), vec![], "a model in use stays");
+    view.engines[0].models[0].in_use = 0;
+    let steps = planner.plan(later, &view, &wants);
+    assert!(matches!(steps[0].action, PlacementAction::Unload { .. }), "{steps:?}");
+    view.engines[0].models[0].phase = ModelPhase::Unloading;
+    assert_eq!(planner.plan(later, &view, &wants), vec![], "memory isn't confirmed free");
+    view.engines[0].models.clear();
+    assert_eq!(loads(&planner.plan(later, &view, &wants)), ["walks@a"]);
+}
+
+#[test]
+fn plan_young_and_used_models_stay() {
+    let text = text(vec![model("walks", 60), model("young", 60), model("used", 60)]);
+    let mut planner = planner(&text);
+    let young = PlacedModel { since: NOW, ..loaded("young", 60) };
+    let used = PlacedModel { in_use: 1, ..loaded("used", 60) };
+    let view = fleet(vec![engine("a", vec![young]), engine("b", vec![used])]);
+    assert_eq!(planner.plan(NOW, &view, &demand(vec![waiting("walks", 0, 9)])), vec![]);
+}
+
+#[test]
+fn plan_reserved_memory_counts() {
+    let mut planner = planner(&text(vec![model("walks", 60)]));
+    let unknown = EngineView { reserved_mib: 50, ..engine("a", vec![]) };
+    let steps = planner.plan(NOW, &fleet(vec![unknown]), &demand(vec![waiting("walks", 0, 1)]));
+    assert_eq!(steps, vec![]);
+}
+
+#[test]
+fn plan_forecast_leaves_last_slot_and_waits_behind_demand() {
+    let models = ["walks", "tides", "dawn"].map(|name| model(name, 10));
+    let mut planner = planner(&text(models.to_vec()));
+    let hot = PlacedModel { in_use: 1, ..loaded("hot", 10) };
+    let view = fleet(vec![engine("a", vec![hot])]);
+    let soon = |name: &str| ModelDemand {
+        expected_soon: 1.0,
+        hourly_rate: 60.0,
+        ..ModelDemand { model: name.into(), ..ModelDemand::default() }
+    };
+    let steps = planner.plan(NOW, &view, &demand(vec![soon("dawn"), soon("tides")]));
+    assert_eq!(loads(&steps).len(), 1, "one of two slots stays free: {steps:?}");
+    let wants = vec![waiting("walks", 0, 1), soon("dawn"), soon("tides")];
+    let steps = planner.plan(NOW, &view, &demand(wants));
+    assert_eq!(loads(&steps), ["walks@a"]);
+}
+
+#[test]
+fn plan_bundle_is_all_or_nothing() {
+    let service = |name: &str, model: &str, depends_on: Vec<&str>| ServiceSpec {
+        name: name.into(),
+        rank: "question".to_owned(),
+        callers: vec![],
+        models: vec![model.into()],
+        adapters: vec![],
+        depends_on: depends_on.into_iter().map(Into::into).collect(),
+        time_zone: "UTC".to_owned(),
+        path_prefix: None,
+        idempotent: false,
+    };
+    let mut text = text(vec![model("walks", 60), model("embed", 60)]);
+    text.services =
+        vec![service("search", "embed", vec![]), service("desk", "walks", vec!["search"])];
+    let mut planner = planner(&text);
+    let wants = demand(vec![waiting("walks", 0, 1)]);
+    let small = fleet(vec![engine("a", vec![])]);
+    assert_eq!(planner.plan(NOW, &small, &wants), vec![], "half of a bundle is no use");
+    let large = fleet(vec![engine("a", vec![]), engine("b", vec![])]);
+    assert_eq!(loads(&planner.plan(NOW, &large, &wants)).len(), 2);
+}
+
+#[test]
+fn plan_rollover_loads_then_drains() {
+    let mut text = text(vec![model("walks", 60)]);
+    text.models[0].version = 2;
+    let mut planner = planner(&text);
+    let old = PlacedModel { in_use: 1, ..loaded("walks", 60) };
+    let mut view = fleet(vec![engine("a", vec![old]), engine("b", vec![])]);
+    let steps = planner.plan(NOW, &view, &DemandView::default());
+    assert_eq!((loads(&steps), drains(&steps)), (vec!["walks@b".to_owned()], vec![]));
+    view.engines[1].models.push(PlacedModel { version: 2, since: NOW, ..loaded("walks", 60) });
+    let steps = planner.plan(NOW, &view, &DemandView::default());
+    assert_eq!(drains(&steps), ["walks@a"]);
+}
+
+#[test]
+fn plan_idle_engine_is_emptied_as_a_whole() {
+    let mut planner = planner(&text(vec![model("walks", 10), model("tides", 10)]));
+    let used = PlacedModel { in_use: 1, ..loaded("walks", 10) };
+    let view = fleet(vec![
+        engine("a", vec![used, loaded("tides", 10)]),
+        engine("b", vec![loaded("walks", 10), loaded("tides", 10)]),
+    ]);
+    let steps = planner.plan(NOW, &view, &DemandView::default());
+    assert_eq!(drains(&steps), ["walks@b", "tides@b"]);
+    assert!(steps.iter().all(|step| step.reason == PlacementReason::Idle));
+}
+
+/// Carries out a step as an engine would, checking every bound.
+fn carry_out(view: &mut FleetView, step: &PlacementStep, now: MonotonicTime) {
+    let engine = view.engines.iter_mut().find(|engine| engine.upstream == step.upstream);
+    let Some(engine) = engine else { panic!("no such engine: {step:?}") };
+    let free_mib = engine.free_mib();
+    let model = step.action.model();
+    let placed = engine.models.iter_mut().find(|placed| &placed.model == model);
+    match (&step.action, placed) {
+        (PlacementAction::Load { memory_mib, .. }, None) => {
+            assert!(free_mib >= *memory_mib, "memory overcommitted: {step:?}");
+            let phase = ModelPhase::Loading;
+            let placed = loaded(model.as_str(), *memory_mib);
+            engine.models.push(PlacedModel { phase, since: now, ..placed });
+        }
+        (PlacementAction::Drain { .. }, Some(placed)) => placed.draining = Some(now),
+        (PlacementAction::Resume { .. }, Some(placed)) => placed.draining = None,
+        (PlacementAction::Unload { .. }, Some(placed)) => {
+            assert_eq!(placed.in_use, 0, "a model in use was unloaded");
+            assert!(placed.draining.is_some());
+            placed.phase = ModelPhase::Unloading;
+        }
+        _ => panic!("a step that doesn't fit the engine: {step:?}"),
+    }
+}
+
+/// One random event between two plans.
+fn disturb(view: &mut FleetView, roll: u64, now: MonotonicTime) {
+    let count = view.engines.len() as u64;
+    let engine = &mut view.engines[(roll % count) as usize];
+    let Some(placed) = engine.models.first_mut() else { return };
+    match (roll / count) % 4 {
+        0 if placed.phase == ModelPhase::Loading => {
+            placed.phase = ModelPhase::Loaded;
+            placed.since = now;
+        }
+        0 if placed.phase == ModelPhase::Unloading => {
+            engine.models.remove(0);
+        }
+        1 if placed.phase == ModelPhase::Loaded => placed.in_use = 1,
+        2 => placed.in_use = 0,
+        3 if roll.is_multiple_of(7) => engine.models.clear(),
+        _ => engine.models.rotate_left(1),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn plan_random_events_keep_every_bound(rolls in prop::collection::vec(any::<u64>(), 100..300)) {
+        let names: Vec<String> = (0..8).map(|n| format!("m{n}")).collect();
+        let models = names.iter().enumerate().map(|(n, name)| model(name, 20 + 10 * n as u64));
+        let text = text(models.collect());
+        let mut planner = planner(&text);
+        let mut view = fleet((0..4).map(|n| engine(&format!("e{n}"), vec![])).collect());
+        let mut now = NOW;
+        for roll in rolls {
+            now = now + Duration::from_secs(roll % 40);
+            disturb(&mut view, roll >> 8, now);
+            let wanted = &names[(roll >> 32) as usize % names.len()];
+            let wants = demand(vec![waiting(wanted, (roll >> 40) as u8 % 2, 3)]);
+            for step in planner.plan(now, &view, &wants) {
+                carry_out(&mut view, &step, now);
+            }
+            let mut replicas: HashMap<&ModelName, u32> = HashMap::new();
+            for placed in view.engines.iter().flat_map(|engine| &engine.models) {
+                *replicas.entry(&placed.model).or_default() += 1;
+            }
+            prop_assert!(replicas.values().all(|count| *count <= 2), "{replicas:?}");
+        }
+    }
+}
