Agree on text and claims through a replicated log

Control instances need one order of commands that outlives crashes, lost folders and cuts. GroupState is the state machine: compare-and-set of the text and claims on calls that must not run twice.

A vote among empty folders was ruled out: it would need empty folders to remember votes. - The leader replaces the lost folder of an instance by itself once the old identity was silent for replace_after, one committed change at a time; VoterChange::AddVoter does the same at once. - No BeginCall: it would cost a second commit on each call, and helps only a holder that dies between claim and send. Such a claim stays unknown. - Group time goes on from the state's by the leader's monotonic clock; a wall clock that jumps ahead would have ended claims early.

--- /dev/null
+++ b/crates/wheel_agreement/src/accepted_text.rs
@@ -0,0 +1,26 @@
+//! An accepted revision of the operators' text.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use wheel_text::TextHash;
+use wheel_types::TextRevision;
+
+/// A committed text with its revision and the hash that chains it to the one before.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct AcceptedText {
+    /// Its revision.
+    pub revision: TextRevision,
+    /// Its chained hash.
+    pub hash: TextHash,
+    /// The text itself.
+    pub source: Arc<str>,
+}
+
+impl Default for AcceptedText {
+    fn default() -> Self {
+        let (revision, hash) = Default::default();
+        Self { revision, hash, source: "".into() }
+    }
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/folder_identity.rs
@@ -0,0 +1,23 @@
+//! The identity of a data folder.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Tells one data folder of an instance from the next: drawn at random when the folder is made,
+/// and lost with it.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct FolderIdentity(pub u64);
+
+impl FolderIdentity {
+    /// Addresses whatever folder an instance has; no folder has this identity.
+    pub const ANY: Self = Self(0);
+}
+
+impl fmt::Display for FolderIdentity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/group_command.rs
@@ -0,0 +1,67 @@
+//! Commands of the replicated state machine.
+
+use serde::{Deserialize, Serialize};
+use wheel_text::TextDelta;
+use wheel_types::TextRevision;
+
+use crate::{CallAnswer, ClaimHolder, ClaimId, IdempotencyKey, RequestDigest};
+
+/// A command with the time at which the leader proposed it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct GroupCommand {
+    /// The group's time in milliseconds, from [`crate::GroupClock`]. The state machine never lets
+    /// it run back.
+    pub leader_ms: u64,
+    /// What to do.
+    pub action: GroupAction,
+}
+
+/// What a command does.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum GroupAction {
+    /// Replaces the operators' text, if nobody replaced it meanwhile.
+    ApplyText {
+        /// The revision that the text was edited from.
+        base: TextRevision,
+        /// Marks resends.
+        key: IdempotencyKey,
+        /// The digest of the operator's request.
+        digest: RequestDigest,
+        /// What changed since `base`.
+        delta: TextDelta,
+    },
+    /// Claims a call that must not run twice, before it goes out.
+    ClaimCall {
+        /// The call.
+        claim: ClaimId,
+        /// The digest of the caller's request.
+        digest: RequestDigest,
+        /// Who sends it.
+        holder: ClaimHolder,
+    },
+    /// Records the answer of a claimed call.
+    FinishCall {
+        /// The call.
+        claim: ClaimId,
+        /// Who claimed it; anyone else changes nothing.
+        holder: ClaimHolder,
+        /// The answer.
+        answer: CallAnswer,
+    },
+    /// Gives a claim up whose call provably never left and never will.
+    ReleaseCall {
+        /// The call.
+        claim: ClaimId,
+        /// Who claimed it; anyone else changes nothing.
+        holder: ClaimHolder,
+    },
+    /// Marks a claim whose outcome won't be learned: its holder died or lost the connection.
+    AbandonCall {
+        /// The call.
+        claim: ClaimId,
+        /// Who claimed it; another holder's claim isn't touched.
+        holder: ClaimHolder,
+    },
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/group_limits.rs
@@ -0,0 +1,35 @@
+//! Bounds of the replicated state machine.
+
+use serde::{Deserialize, Serialize};
+
+/// How much the state machine keeps. All instances of a group must use the same limits, or their
+/// states differ; a change of the defaults is a change of the protocol's version.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct GroupLimits {
+    /// The largest text, in bytes; larger ones are refused.
+    pub max_text_bytes: usize,
+    /// Answers to operators kept for resends, in number; the oldest go first.
+    pub max_text_answers: usize,
+    /// Claims kept, in number; further ones are refused.
+    pub max_claims: usize,
+    /// How long a claim is kept, in milliseconds of group time.
+    pub claim_life_ms: u64,
+    /// The largest answer kept of a call, in bytes; larger ones are recorded without their body.
+    pub max_answer_bytes: usize,
+    /// All answers kept of calls, in bytes; beyond it they are recorded without their body.
+    pub max_answers_bytes: usize,
+}
+
+impl Default for GroupLimits {
+    fn default() -> Self {
+        Self {
+            max_text_bytes: 4 << 20,
+            max_text_answers: 4_096,
+            max_claims: 16_384,
+            claim_life_ms: 24 * 60 * 60 * 1_000,
+            max_answer_bytes: 4 << 10,
+            max_answers_bytes: 8 << 20,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/log_entry.rs
@@ -0,0 +1,45 @@
+//! One entry of the replicated log.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::GroupMembers;
+
+/// What an entry holds.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum EntryPayload {
+    /// Nothing: a new leader's first entry, which commits those before it.
+    Noop,
+    /// A command for the state machine, encoded.
+    Command(Arc<[u8]>),
+    /// The members from this entry on.
+    Members(Arc<GroupMembers>),
+}
+
+/// An entry; index and term name it for good once it is committed.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct LogEntry {
+    /// Its place in the log; 1 stands for the forming of the group.
+    pub index: u64,
+    /// The term of the leader that appended it.
+    pub term: u64,
+    /// What it holds.
+    pub payload: EntryPayload,
+}
+
+/// Fixed share of an entry's size in a message or on disk, in bytes.
+const ENTRY_OVERHEAD_BYTES: usize = 24;
+
+impl LogEntry {
+    /// An estimate of its encoded size, in bytes.
+    pub fn size_bytes(&self) -> usize {
+        match &self.payload {
+            EntryPayload::Noop => ENTRY_OVERHEAD_BYTES,
+            EntryPayload::Command(command) => ENTRY_OVERHEAD_BYTES + command.len(),
+            EntryPayload::Members(members) => ENTRY_OVERHEAD_BYTES * (1 + members.nodes().count()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/peer_progress.rs
@@ -0,0 +1,116 @@
+//! The leader's view of one other member.
+
+use std::time::Duration;
+
+/// How entries are sent to a member.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum ProgressState {
+    /// One message at a time, until the logs agree.
+    Probe {
+        /// Whether one is on its way; the next heartbeat sends another.
+        paused: bool,
+    },
+    /// Entries are sent before earlier ones are confirmed.
+    Replicate,
+    /// A snapshot is on its way.
+    Snapshot {
+        /// Heartbeats left until it is sent again.
+        heartbeats_left: u32,
+    },
+}
+
+/// What a member holds, as far as its replies tell.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct PeerProgress {
+    pub(crate) state: ProgressState,
+    /// The last entry known to agree.
+    pub(crate) matched: u64,
+    /// The next entry to send.
+    pub(crate) next: u64,
+    /// The newest round of confirmations that it answered.
+    pub(crate) round: u64,
+    /// Whether it was heard since the last check of the quorum.
+    pub(crate) is_active: bool,
+    /// Time since it was heard; stops at [`crate::RaftSettings::replace_after`].
+    pub(crate) silence: Duration,
+}
+
+/// Heartbeats until a snapshot that wasn't confirmed is sent again.
+const SNAPSHOT_RETRY_HEARTBEATS: u32 = 20;
+
+impl PeerProgress {
+    pub(crate) fn open(last_index: u64) -> Self {
+        Self {
+            state: ProgressState::Probe { paused: false },
+            matched: 0,
+            next: last_index + 1,
+            round: 0,
+            is_active: false,
+            silence: Duration::ZERO,
+        }
+    }
+
+    /// Whether a message with entries may be sent now.
+    pub(crate) fn may_send(&self, max_inflight: u64) -> bool {
+        match self.state {
+            ProgressState::Probe { paused } => !paused,
+            ProgressState::Replicate => self.next <= self.matched + max_inflight,
+            ProgressState::Snapshot { .. } => false,
+        }
+    }
+
+    /// Notes that entries up to `last` were sent.
+    pub(crate) fn note_sent(&mut self, last: u64) {
+        match self.state {
+            ProgressState::Probe { .. } => self.state = ProgressState::Probe { paused: true },
+            ProgressState::Replicate => self.next = self.next.max(last + 1),
+            ProgressState::Snapshot { .. } => {}
+        }
+    }
+
+    /// Notes that a snapshot was sent.
+    pub(crate) fn note_snapshot(&mut self) {
+        self.state = ProgressState::Snapshot { heartbeats_left: SNAPSHOT_RETRY_HEARTBEATS };
+    }
+
+    /// Notes a heartbeat, after which a lost message is sent again.
+    pub(crate) fn note_heartbeat(&mut self) {
+        self.state = match self.state {
+            ProgressState::Snapshot { heartbeats_left: 0 } | ProgressState::Probe { .. } => {
+                ProgressState::Probe { paused: false }
+            }
+            ProgressState::Snapshot { heartbeats_left } => {
+                ProgressState::Snapshot { heartbeats_left: heartbeats_left - 1 }
+            }
+            ProgressState::Replicate => ProgressState::Replicate,
+        };
+    }
+
+    /// Notes that the member's log agrees up to `index`.
+    pub(crate) fn note_matched(&mut self, index: u64) {
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched + 1);
+        self.state = ProgressState::Replicate;
+    }
+
+    /// Notes that the member lacks the entry `prev`, and tries at `candidate` next. A reply that
+    /// later ones have overtaken changes nothing.
+    pub(crate) fn note_rejected(&mut self, prev: u64, candidate: u64) {
+        let is_stale = match self.state {
+            ProgressState::Probe { .. } => prev + 1 != self.next,
+            ProgressState::Replicate => prev <= self.matched,
+            ProgressState::Snapshot { .. } => true,
+        };
+        if is_stale {
+            return;
+        }
+        self.next = (candidate + 1).clamp(self.matched + 1, prev.max(self.matched + 1));
+        self.state = ProgressState::Probe { paused: false };
+    }
+
+    /// Notes that the member was heard.
+    pub(crate) fn note_heard(&mut self) {
+        self.is_active = true;
+        self.silence = Duration::ZERO;
+    }
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/raft_input.rs
@@ -0,0 +1,57 @@
+//! What happens to a participant.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{NodeId, RaftMessage, VoterChange};
+
+/// The driver's name for a proposal.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct ProposalId(pub u64);
+
+/// The driver's name for a read.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct ReadId(pub u64);
+
+/// An input of [`crate::RaftNode::step`].
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum RaftInput {
+    /// Time passed; due at [`crate::RaftNode::next_tick`].
+    Tick,
+    /// A message arrived.
+    Message {
+        /// Its authenticated sender.
+        from: NodeId,
+        /// The message.
+        message: RaftMessage,
+    },
+    /// A command for the state machine.
+    Propose {
+        /// Names the proposal in outputs.
+        proposal: ProposalId,
+        /// The command, encoded.
+        command: Vec<u8>,
+    },
+    /// A read that must see all that was committed before it.
+    Read {
+        /// Names the read in outputs.
+        read: ReadId,
+    },
+    /// An operator changes the members.
+    ChangeVoter {
+        /// Names the proposal in outputs.
+        proposal: ProposalId,
+        /// The change.
+        change: VoterChange,
+    },
+    /// The driver took a snapshot of the state machine.
+    Compacted {
+        /// The last applied entry that it holds.
+        index: u64,
+        /// The state, encoded; at most [`crate::RaftSnapshot::MAX_BYTES`].
+        snapshot: Vec<u8>,
+    },
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/raft_message.rs
@@ -0,0 +1,112 @@
+//! Messages between participants.
+
+use serde::{Deserialize, Serialize};
+use wheel_types::InstanceName;
+
+use crate::{FolderIdentity, GroupId, LogEntry, RaftSnapshot};
+
+/// A message with what every one carries.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RaftMessage {
+    /// The sender's group, or [`GroupId::NONE`].
+    pub group: GroupId,
+    /// The folder that it is meant for; one that reaches another folder is dropped.
+    pub target: FolderIdentity,
+    /// The sender's term.
+    pub term: u64,
+    /// What it says.
+    pub body: RaftBody,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum RaftBody {
+    /// The sender's folder is empty: it asks to form a group or to be taken into one.
+    Hello {
+        /// The voters that the sender's settings name, sorted.
+        configured: Vec<InstanceName>,
+    },
+    /// Answers [`RaftBody::Hello`]: the sender's folder is empty, too.
+    Empty {
+        /// The voters that the sender's settings name, sorted.
+        configured: Vec<InstanceName>,
+    },
+    /// Hands the group's state to a member whose folder is empty.
+    Welcome {
+        /// Where the member starts.
+        snapshot: RaftSnapshot,
+    },
+    /// Asks whether a vote in the next term would be granted.
+    PreVoteRequest {
+        /// The sender's last entry.
+        last_index: u64,
+        /// The term of that entry.
+        last_term: u64,
+    },
+    /// Answers [`RaftBody::PreVoteRequest`].
+    PreVoteReply {
+        /// Whether the vote would be granted.
+        granted: bool,
+    },
+    /// Asks for the vote in the sender's term.
+    VoteRequest {
+        /// The sender's last entry.
+        last_index: u64,
+        /// The term of that entry.
+        last_term: u64,
+    },
+    /// Answers [`RaftBody::VoteRequest`].
+    VoteReply {
+        /// Whether the vote is granted.
+        granted: bool,
+    },
+    /// Replicates entries; without any it is a heartbeat.
+    Append {
+        /// The entry just before `entries`.
+        prev_index: u64,
+        /// The term of that entry.
+        prev_term: u64,
+        /// Consecutive entries.
+        entries: Vec<LogEntry>,
+        /// The last committed entry.
+        commit: u64,
+        /// The leader's newest round of confirmations for reads.
+        round: u64,
+    },
+    /// Replaces a log that lacks entries which the leader no longer has.
+    InstallSnapshot {
+        /// The leader's snapshot.
+        snapshot: RaftSnapshot,
+        /// The leader's newest round of confirmations for reads.
+        round: u64,
+    },
+    /// Answers [`RaftBody::Append`] and [`RaftBody::InstallSnapshot`].
+    AppendReply {
+        /// The round of the message answered.
+        round: u64,
+        /// What became of its entries.
+        result: AppendResult,
+    },
+}
+
+/// What became of appended entries.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum AppendResult {
+    /// The log agrees with the leader's up to an entry.
+    Matched {
+        /// That entry.
+        index: u64,
+    },
+    /// The log lacks the entry before the appended ones.
+    Rejected {
+        /// That entry.
+        prev_index: u64,
+        /// Where the logs may agree at the earliest.
+        hint_index: u64,
+        /// The term of that entry.
+        hint_term: u64,
+    },
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/raft_node/joining.rs
@@ -0,0 +1,133 @@
+//! Empty folders: how a group forms and takes them in.
+
+use wheel_types::InstanceName;
+
+use crate::raft_role::{LeaderState, RaftRole};
+use crate::{
+    EntryPayload, FolderIdentity, GroupId, GroupMembers, NodeId, PersistRecord, RaftBody, RaftNode,
+    RaftSnapshot, VoterChange,
+};
+
+impl RaftNode {
+    /// Tells the configured voters that this folder is empty.
+    pub(super) fn say_hello(&mut self) {
+        self.timers.set_countdown(self.settings.election_timeout_min);
+        let configured = self.settings.voters.clone();
+        let own = self.settings.id.instance.clone();
+        for instance in configured.iter().filter(|instance| **instance != own) {
+            let body = RaftBody::Hello { configured: configured.clone() };
+            self.send(&NodeId::any(instance.clone()), body);
+        }
+        self.form_group();
+    }
+
+    pub(super) fn answer_hello(&mut self, from: NodeId, configured: &[InstanceName]) {
+        match &self.role {
+            RaftRole::Joining(_) if configured == self.settings.voters => {
+                self.send(&from, RaftBody::Empty { configured: configured.to_vec() });
+            }
+            RaftRole::Joining(_) => {}
+            _ if self.is_settled_member(&from) => self.welcome(&from),
+            RaftRole::Leader(_) => self.note_waiting(from),
+            _ => {}
+        }
+    }
+
+    /// Notes that a configured voter's folder is empty.
+    pub(super) fn note_empty(&mut self, from: NodeId, configured: &[InstanceName]) {
+        let voters = &self.settings.voters;
+        let RaftRole::Joining(empty) = &mut self.role else {
+            return;
+        };
+        if configured == voters && voters.contains(&from.instance) {
+            empty.insert(from.instance, from.identity);
+            self.form_group();
+        }
+    }
+
+    /// Starts from the state of the group that took this folder in. Its sender vouches that this
+    /// folder is a member: the snapshot may be older than that.
+    pub(super) fn join(&mut self, snapshot: RaftSnapshot) {
+        if self.is_joining() {
+            self.start_in_group(snapshot);
+        }
+    }
+
+    /// Forms a new group once every configured voter has said that its folder is empty. Only the
+    /// first of them does so, and it records the group before it tells anyone: a crash leaves
+    /// either no group or this one.
+    fn form_group(&mut self) {
+        let id = self.settings.id.clone();
+        let RaftRole::Joining(empty) = &self.role else {
+            return;
+        };
+        let identity_of = |instance: &InstanceName| match empty.get(instance) {
+            _ if *instance == id.instance => Some(id.identity),
+            identity => identity.copied(),
+        };
+        let voter_of = |instance: &InstanceName| {
+            let identity: FolderIdentity = identity_of(instance)?;
+            Some(NodeId { instance: instance.clone(), identity })
+        };
+        let is_first = self.settings.voters.first() == Some(&id.instance);
+        let voters: Option<Vec<NodeId>> = self.settings.voters.iter().map(voter_of).collect();
+        let Some(voters) = voters.filter(|_| is_first) else {
+            return;
+        };
+        let group = GroupId::of_voters(voters.iter());
+        let members = GroupMembers::of_voters(voters.iter().cloned());
+        let (index, members) = (RaftSnapshot::FIRST_INDEX, members.into());
+        let snapshot = RaftSnapshot { group, index, members, ..Default::default() };
+        self.start_in_group(snapshot);
+        voters.iter().filter(|voter| **voter != id).for_each(|voter| self.welcome(voter));
+        self.start_pre_vote();
+    }
+
+    fn start_in_group(&mut self, snapshot: RaftSnapshot) {
+        self.outbox.save(PersistRecord::Snapshot(snapshot.clone()));
+        self.commit = snapshot.index;
+        self.log.install(snapshot);
+        self.role = RaftRole::Follower;
+        self.timers.draw_countdown(&self.settings);
+        self.push_restore();
+    }
+
+    /// Whether a committed entry makes `node` a member. One that an entry makes so which is lost
+    /// again would belong to a group that doesn't know it.
+    fn is_settled_member(&self, node: &NodeId) -> bool {
+        let is_settled = self.log.members_index() <= self.commit;
+        self.log.snapshot().members.contains(node)
+            || is_settled && self.log.members().contains(node)
+    }
+
+    /// Hands the state to a member whose folder is empty. A follower leaves that to its leader,
+    /// which may have a newer one.
+    fn welcome(&mut self, member: &NodeId) {
+        let knows_leader = self.leader.as_ref().is_some_and(|leader| *leader != self.settings.id);
+        if !knows_leader {
+            let snapshot = self.log.snapshot().clone();
+            self.send(member, RaftBody::Welcome { snapshot });
+        }
+    }
+
+    /// Lists an empty folder that isn't a member. It replaces a voter of the same instance by
+    /// itself once that one has been silent for long; else an operator decides.
+    fn note_waiting(&mut self, from: NodeId) {
+        let members = self.members();
+        let RaftRole::Leader(state) = &mut self.role else {
+            return;
+        };
+        state.waiting.retain(|node| node.instance != from.instance);
+        if state.waiting.len() < LeaderState::MAX_WAITING {
+            state.waiting.insert(from.clone());
+        }
+        let replace_after = self.settings.replace_after;
+        let is_lost = members.rival_voter(&from).is_some_and(|rival| {
+            state.progress.get(rival).is_some_and(|progress| progress.silence >= replace_after)
+        });
+        if is_lost && self.may_change_members() {
+            let next = members.with_change(&VoterChange::AddVoter(from));
+            next.into_iter().for_each(|next| self.append_own(EntryPayload::Members(next.into())));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/raft_node/leading.rs
@@ -0,0 +1,299 @@
+//! A leader's side of replication, reads and changes of the members.
+
+use std::sync::Arc;
+
+use crate::peer_progress::{PeerProgress, ProgressState};
+use crate::raft_role::{LeaderState, PendingRead, RaftRole};
+use crate::{
+    AppendResult, EntryPayload, GroupMembers, LearnerGoal, LogEntry, NodeId, PersistRecord,
+    ProposalId, ProposalRefusal, RaftBody, RaftNode, RaftOutput, ReadId, VoterChange,
+};
+
+impl RaftNode {
+    pub(super) fn propose(&mut self, proposal: ProposalId, payload: EntryPayload) {
+        let max_pending = self.settings.max_pending;
+        match &mut self.role {
+            RaftRole::Leader(state) if state.proposals.len() < max_pending => {
+                state.proposals.insert(self.log.last_index() + 1, proposal);
+                self.append_own(payload);
+            }
+            RaftRole::Leader(_) => self.refuse(proposal, ProposalRefusal::Full),
+            _ => self.refuse(proposal, ProposalRefusal::NotLeader),
+        }
+    }
+
+    pub(super) fn refuse(&mut self, proposal: ProposalId, reason: ProposalRefusal) {
+        let leader = self.leader.clone();
+        self.outbox.push(RaftOutput::Refused { proposal, leader, reason });
+    }
+
+    pub(super) fn read(&mut self, read: ReadId) {
+        let max_pending = self.settings.max_pending;
+        match &mut self.role {
+            RaftRole::Leader(state) if state.reads.len() < max_pending => {
+                state.reads.push_back(PendingRead { read, round: state.round + 1 });
+                state.has_new_reads = true;
+            }
+            _ => {
+                let leader = self.leader.clone();
+                self.outbox.push(RaftOutput::ReadRefused { read, leader });
+            }
+        }
+    }
+
+    pub(super) fn change_voter(&mut self, proposal: ProposalId, change: &VoterChange) {
+        match self.log.members().with_change(change) {
+            _ if !self.is_leader() => self.refuse(proposal, ProposalRefusal::NotLeader),
+            _ if !self.may_change_members() => {
+                self.refuse(proposal, ProposalRefusal::ChangePending);
+            }
+            None => self.refuse(proposal, ProposalRefusal::NoChange),
+            Some(members) => self.propose(proposal, EntryPayload::Members(Arc::new(members))),
+        }
+    }
+
+    /// Appends an entry of the current term.
+    pub(super) fn append_own(&mut self, payload: EntryPayload) {
+        let (index, term) = (self.log.last_index() + 1, self.hard_state.term);
+        let entry = LogEntry { index, term, payload };
+        self.log.push(entry.clone());
+        self.outbox.save(PersistRecord::Append(vec![entry]));
+        if let RaftRole::Leader(state) = &mut self.role {
+            state.track(&self.settings.id, self.log.members(), index);
+        }
+    }
+
+    pub(super) fn accept_proposal(&mut self, index: u64) {
+        if let RaftRole::Leader(state) = &mut self.role
+            && let Some(proposal) = state.proposals.remove(&index)
+        {
+            self.outbox.push(RaftOutput::Accepted { proposal, index });
+        }
+    }
+
+    pub(super) fn tick_leader(&mut self) {
+        if self.timers.countdown_due() {
+            self.timers.set_countdown(self.settings.election_timeout_max);
+            self.check_quorum();
+        }
+        if self.timers.heartbeat_due() && self.is_leader() {
+            self.timers.set_heartbeat(self.settings.heartbeat_interval);
+            self.beat();
+        }
+    }
+
+    pub(super) fn note_reply(&mut self, from: &NodeId, round: u64, result: AppendResult) {
+        let RaftRole::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(from) else {
+            return;
+        };
+        progress.note_heard();
+        progress.round = progress.round.max(round);
+        match result {
+            AppendResult::Matched { index } => progress.note_matched(index),
+            AppendResult::Rejected { prev_index, hint_index, hint_term } => {
+                let candidate = self.log.find_agreement(hint_index, hint_term);
+                progress.note_rejected(prev_index, candidate);
+            }
+        }
+    }
+
+    /// Ends a step: commits what a quorum holds, confirms reads and sends what is due.
+    pub(super) fn finish_leading(&mut self) {
+        if !self.is_leader() {
+            return;
+        }
+        self.start_round();
+        self.advance_commit();
+        self.confirm_reads();
+        self.send_entries();
+        self.leave_if_removed();
+    }
+
+    fn start_round(&mut self) {
+        if let RaftRole::Leader(state) = &mut self.role
+            && state.has_new_reads
+        {
+            state.has_new_reads = false;
+            state.round += 1;
+            state.is_dirty = true;
+        }
+    }
+
+    fn advance_commit(&mut self) {
+        let last_index = self.log.last_index();
+        let held = self.quorum_value(last_index, |progress| progress.matched);
+        // An entry of an earlier term counts only once one of this term is committed after it.
+        let is_own = self.log.term_at(held) == Some(self.hard_state.term);
+        if held > self.commit && is_own {
+            self.commit_to(held);
+            if let RaftRole::Leader(state) = &mut self.role {
+                state.is_dirty = true;
+            }
+        }
+    }
+
+    fn confirm_reads(&mut self) {
+        let RaftRole::Leader(state) = &self.role else {
+            return;
+        };
+        let confirmed = self.quorum_value(state.round, |progress| progress.round);
+        let has_committed = self.has_committed_own();
+        let index = self.commit;
+        let RaftRole::Leader(state) = &mut self.role else {
+            return;
+        };
+        while let Some(pending) = state.reads.pop_front() {
+            if !has_committed || pending.round > confirmed {
+                state.reads.push_front(pending);
+                return;
+            }
+            self.outbox.push(RaftOutput::ReadReady { read: pending.read, index });
+        }
+    }
+
+    fn check_quorum(&mut self) {
+        let RaftRole::Leader(state) = &mut self.role else {
+            return;
+        };
+        if !state.check_quorum(&self.settings.id, self.log.members()) {
+            self.leader = None;
+            self.become_follower();
+        }
+    }
+
+    /// Sends a heartbeat to every member and goes on with a repair of the members.
+    fn beat(&mut self) {
+        if let RaftRole::Leader(state) = &mut self.role {
+            state.is_dirty = true;
+            state.progress.values_mut().for_each(PeerProgress::note_heartbeat);
+        }
+        self.repair_members();
+    }
+
+    fn send_entries(&mut self) {
+        let RaftRole::Leader(state) = &mut self.role else {
+            return;
+        };
+        let is_dirty = std::mem::take(&mut state.is_dirty);
+        let mut progresses = std::mem::take(&mut state.progress);
+        for (node, progress) in &mut progresses {
+            self.send_member(node, progress, is_dirty);
+        }
+        if let RaftRole::Leader(state) = &mut self.role {
+            state.progress = progresses;
+        }
+    }
+
+    /// Sends a member what it lacks, or just word of the commit and the round if `is_dirty`.
+    fn send_member(&mut self, node: &NodeId, progress: &mut PeerProgress, is_dirty: bool) {
+        let may_send = progress.may_send(self.settings.max_inflight_entries);
+        let lacks = progress.next <= self.log.last_index();
+        let Some(prev_term) = self.log.term_at(progress.next - 1) else {
+            return self.send_snapshot(node, progress, is_dirty);
+        };
+        let is_probing = progress.state == ProgressState::Probe { paused: false };
+        if !is_dirty && !(may_send && (lacks || is_probing)) {
+            return;
+        }
+        let entries = match may_send {
+            true => self.log.entries_from(progress.next, self.settings.max_append_bytes),
+            false => Vec::new(),
+        };
+        let prev_index = progress.next - 1;
+        progress.note_sent(prev_index + entries.len() as u64);
+        self.send_append(node, (prev_index, prev_term), entries);
+    }
+
+    fn send_snapshot(&mut self, node: &NodeId, progress: &mut PeerProgress, is_dirty: bool) {
+        let snapshot = self.log.snapshot().clone();
+        if matches!(progress.state, ProgressState::Snapshot { .. }) {
+            if is_dirty {
+                self.send_append(node, (snapshot.index, snapshot.term), Vec::new());
+            }
+            return;
+        }
+        progress.note_snapshot();
+        let round = self.round();
+        self.send(node, RaftBody::InstallSnapshot { snapshot, round });
+    }
+
+    fn send_append(&mut self, node: &NodeId, prev: (u64, u64), entries: Vec<LogEntry>) {
+        let (prev_index, prev_term) = prev;
+        let (commit, round) = (self.commit, self.round());
+        let body = RaftBody::Append { prev_index, prev_term, entries, commit, round };
+        self.send(node, body);
+    }
+
+    /// A leader that a committed entry removed has no vote any more and stops leading.
+    fn leave_if_removed(&mut self) {
+        let is_voter = self.log.members().voters.contains(&self.settings.id);
+        if !is_voter && self.log.members_index() <= self.commit {
+            self.leader = None;
+            self.become_follower();
+        }
+    }
+
+    /// Takes the next step towards the members that are wanted: a learner that has caught up
+    /// becomes a voter, after the lost voter of its instance was removed.
+    fn repair_members(&mut self) {
+        if !self.may_change_members() {
+            return;
+        }
+        let RaftRole::Leader(state) = &self.role else {
+            return;
+        };
+        let members = self.log.members();
+        if let Some(next) = next_members(members, state, self.commit, &self.settings.id) {
+            self.append_own(EntryPayload::Members(Arc::new(next)));
+        }
+    }
+
+    /// Whether no change of the members is under way and the commit is known to be the newest.
+    pub(super) fn may_change_members(&self) -> bool {
+        self.log.members_index() <= self.commit && self.has_committed_own()
+    }
+
+    fn has_committed_own(&self) -> bool {
+        self.log.term_at(self.commit) == Some(self.hard_state.term)
+    }
+
+    fn quorum_value(&self, own: u64, value: impl Fn(&PeerProgress) -> u64) -> u64 {
+        match &self.role {
+            RaftRole::Leader(state) => {
+                state.quorum_value(&self.settings.id, self.log.members(), own, value)
+            }
+            _ => 0,
+        }
+    }
+
+    fn round(&self) -> u64 {
+        match &self.role {
+            RaftRole::Leader(state) => state.round,
+            _ => 0,
+        }
+    }
+}
+
+/// The next members on the way of a learner to its vote, one voter changed at a time.
+fn next_members(
+    members: &GroupMembers,
+    state: &LeaderState,
+    commit: u64,
+    id: &NodeId,
+) -> Option<GroupMembers> {
+    let has_caught_up = |node: &NodeId| {
+        let progress = state.progress.get(node);
+        progress.is_some_and(|progress| progress.is_active && progress.matched >= commit)
+    };
+    let wants_vote =
+        |(node, goal): &(&NodeId, &LearnerGoal)| **goal == LearnerGoal::Vote && has_caught_up(node);
+    let (learner, _) = members.learners.iter().find(wants_vote)?;
+    match members.rival_voter(learner) {
+        Some(rival) if rival == id => None,
+        Some(rival) => members.with_change(&VoterChange::Remove(rival.clone())),
+        None => Some(members.with_voter(learner)),
+    }
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/raft_role.rs
@@ -0,0 +1,105 @@
+//! The part that a participant plays.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use wheel_types::InstanceName;
+
+use crate::peer_progress::PeerProgress;
+use crate::{FolderIdentity, GroupMembers, NodeId, ProposalId, ReadId, RoleName};
+
+/// A role with what only it needs.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum RaftRole {
+    /// The folder is empty. Holds the other configured voters known to be empty, too.
+    Joining(BTreeMap<InstanceName, FolderIdentity>),
+    Follower,
+    /// Holds who would grant the vote.
+    PreCandidate(BTreeSet<NodeId>),
+    /// Holds who granted the vote.
+    Candidate(BTreeSet<NodeId>),
+    Leader(LeaderState),
+}
+
+impl RaftRole {
+    pub(crate) fn name(&self) -> RoleName {
+        match self {
+            Self::Joining(_) => RoleName::Joining,
+            Self::Follower => RoleName::Follower,
+            Self::PreCandidate(_) => RoleName::PreCandidate,
+            Self::Candidate(_) => RoleName::Candidate,
+            Self::Leader(_) => RoleName::Leader,
+        }
+    }
+}
+
+/// A read that waits for a quorum to confirm the leader.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct PendingRead {
+    pub(crate) read: ReadId,
+    /// The round of confirmations that it waits for.
+    pub(crate) round: u64,
+}
+
+/// What a leader keeps of the other members and of its work in progress.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub(crate) struct LeaderState {
+    pub(crate) progress: BTreeMap<NodeId, PeerProgress>,
+    pub(crate) proposals: BTreeMap<u64, ProposalId>,
+    pub(crate) reads: VecDeque<PendingRead>,
+    /// The newest round of confirmations.
+    pub(crate) round: u64,
+    /// Whether reads arrived in this step, which share a new round.
+    pub(crate) has_new_reads: bool,
+    /// Whether the members must hear of the commit or the round before the next heartbeat.
+    pub(crate) is_dirty: bool,
+    /// Empty folders that ask to be taken in.
+    pub(crate) waiting: BTreeSet<NodeId>,
+}
+
+impl LeaderState {
+    /// The most empty folders that are listed; others are listed once these are taken in.
+    pub(crate) const MAX_WAITING: usize = 16;
+
+    /// Brings the list of other members in line with `members`.
+    pub(crate) fn track(&mut self, id: &NodeId, members: &GroupMembers, last_index: u64) {
+        self.progress.retain(|node, _| members.contains(node));
+        self.waiting.retain(|node| !members.contains(node));
+        for node in members.nodes().filter(|node| *node != id) {
+            let open = || PeerProgress::open(last_index);
+            self.progress.entry(node.clone()).or_insert_with(open);
+        }
+    }
+
+    /// Lets time pass for the other members.
+    pub(crate) fn advance(&mut self, elapsed: Duration, replace_after: Duration) {
+        for progress in self.progress.values_mut() {
+            progress.silence = (progress.silence + elapsed).min(replace_after);
+        }
+    }
+
+    /// The greatest value that a quorum of `members` has reached, `own` being the leader's.
+    pub(crate) fn quorum_value(
+        &self,
+        id: &NodeId,
+        members: &GroupMembers,
+        own: u64,
+        value: impl Fn(&PeerProgress) -> u64,
+    ) -> u64 {
+        let value_of = |voter: &NodeId| match self.progress.get(voter) {
+            _ if voter == id => own,
+            Some(progress) => value(progress),
+            None => 0,
+        };
+        let mut values: Vec<u64> = members.voters.iter().map(value_of).collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        values.get(members.quorum() - 1).copied().unwrap_or(0)
+    }
+
+    /// Whether a quorum of `members` was heard since the last call.
+    pub(crate) fn check_quorum(&mut self, id: &NodeId, members: &GroupMembers) -> bool {
+        let heard = self.quorum_value(id, members, 1, |progress| u64::from(progress.is_active));
+        self.progress.values_mut().for_each(|progress| progress.is_active = false);
+        heard > 0
+    }
+}
--- /dev/null
+++ b/crates/wheel_agreement/src/raft_snapshot.rs
@@ -0,0 +1,31 @@
+//! The applied state that stands for the first part of the log.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{GroupId, GroupMembers};
+
+/// The state machine's state after an entry. It travels in one message, so that the state must
+/// stay under [`RaftSnapshot::MAX_BYTES`]. A new group starts from one at [`RaftSnapshot::FIRST_INDEX`].
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RaftSnapshot {
+    /// The group that it belongs to.
+    pub group: GroupId,
+    /// The last entry that it stands for.
+    pub index: u64,
+    /// The term of that entry.
+    pub term: u64,
+    /// The members after that entry.
+    pub members: Arc<GroupMembers>,
+    /// The state machine's state, encoded; empty in a new group.
+    pub state: Arc<[u8]>,
+}
+
+impl RaftSnapshot {
+    /// The index of a new group's snapshot.
+    pub const FIRST_INDEX: u64 = 1;
+    /// The largest encoded state that a driver may hand in, in bytes.
+    pub const MAX_BYTES: usize = 32 << 20;
+}
--- /dev/null
+++ b/crates/wheel_agreement/tests/common/mod.rs
@@ -0,0 +1,183 @@
+//! A group in virtual time: nodes, their data folders and a network that can be cut.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use wheel_agreement::{
+    EntryPayload, GroupCommand, GroupState, LogEntry, NodeId, PersistRecord, ProposalId, RaftInput,
+    RaftMessage, RaftNode, RaftOutput, RaftSettings, RestoredRaft, RoleName, decode,
+};
+use wheel_types::{InstanceName, MonotonicTime};
+
+const DELAY: Duration = Duration::from_millis(4);
+
+/// One running participant with its folder.
+pub(crate) struct TestNode {
+    pub(crate) node: RaftNode,
+    pub(crate) records: Vec<PersistRecord>,
+    pub(crate) applied: Vec<LogEntry>,
+    pub(crate) state: GroupState,
+}
+
+/// A message on its way.
+struct Parcel {
+    due: MonotonicTime,
+    from: NodeId,
+    to: InstanceName,
+    message: RaftMessage,
+}
+
+/// The group.
+pub(crate) struct TestGroup {
+    pub(crate) now: MonotonicTime,
+    pub(crate) nodes: BTreeMap<InstanceName, TestNode>,
+    pub(crate) outputs: Vec<RaftOutput>,
+    pub(crate) cut: BTreeSet<InstanceName>,
+    parcels: VecDeque<Parcel>,
+    voters: Vec<InstanceName>,
+}
+
+impl TestGroup {
+    /// Starts empty folders of `voters`; the first identity of each is its place from 1.
+    pub(crate) fn open(voters: &[&str]) -> Self {
+        let names = voters.iter().map(|name| InstanceName::new(*name)).collect();
+        let mut group = Self {
+            now: MonotonicTime::from_millis(1),
+            nodes: BTreeMap::new(),
+            outputs: Vec::new(),
+            cut: BTreeSet::new(),
+            parcels: VecDeque::new(),
+            voters: names,
+        };
+        for (place, name) in voters.iter().enumerate() {
+            group.start(NodeId::new(*name, place as u64 + 1), Vec::new());
+        }
+        group
+    }
+
+    /// Starts a participant from its folder's records.
+    pub(crate) fn start(&mut self, id: NodeId, records: Vec<PersistRecord>) {
+        let settings = RaftSettings::new(id.clone(), self.voters.iter().cloned());
+        let restored = RestoredRaft::replay(records.iter().cloned());
+        let node = RaftNode::open(settings, restored, self.now, id.identity.0);
+        let (applied, state) = Default::default();
+        self.nodes.insert(id.instance, TestNode { node, records, applied, state });
+    }
+
+    /// Stops a participant and returns its folder.
+    pub(crate) fn stop(&mut self, name: &str) -> Vec<PersistRecord> {
+        self.nodes.remove(name).map(|stopped| stopped.records).unwrap_or_default()
+    }
+
+    /// Stops a participant and starts it again from its folder.
+    pub(crate) fn restart(&mut self, name: &str) {
+        let id = self.nodes[name].node.status().id;
+        let records = self.stop(name);
+        self.start(id, records);
+    }
+
+    /// Passes an input to a participant and carries its outputs out.
+    pub(crate) fn input(&mut self, name: &str, input: RaftInput) {
+        let Some(test) = self.nodes.get_mut(name) else {
+            return;
+        };
+        let from = test.node.status().id;
+        for output in test.node.step(self.now, input) {
+            match output {
+                RaftOutput::Persist(records) => test.records.extend(records),
+                RaftOutput::Send { to, message } => {
+                    let (due, to) = (self.now + DELAY, to.instance);
+                    self.parcels.push_back(Parcel { due, from: from.clone(), to, message });
+                }
+                RaftOutput::Restore { snapshot, .. } => {
+                    assert!(test.state.restore(&snapshot).is_ok());
+                }
+                RaftOutput::Apply { entry, .. } => test.apply(entry),
+                output => self.outputs.push(output),
+            }
+        }
+    }
+
+    /// Lets time pass, delivering messages and ticks when they are due.
+    pub(crate) fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(next) = self.next_due().filter(|next| *next <= end) {
+            self.now = self.now.max(next);
+            self.deliver_due();
+            self.tick_due();
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until one participant leads all that can be reached, and names it.
+    pub(crate) fn run_to_leader(&mut self) -> String {
+        for _ in 0..100 {
+            self.run(Duration::from_millis(100));
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+        }
+        panic!("no leader after 10 s");
+    }
+
+    /// The participant that leads in the newest term and isn't cut off.
+    pub(crate) fn leader(&self) -> Option<String> {
+        let statuses = self.nodes.values().map(|test| test.node.status());
+        let leads = statuses.filter(|status| status.role == RoleName::Leader);
+        let reached = leads.filter(|status| !self.cut.contains(&status.id.instance));
+        reached.max_by_key(|status| status.term).map(|status| status.id.instance.to_string())
+    }
+
+    /// Proposes a command at `name`.
+    pub(crate) fn propose(&mut self, name: &str, proposal: u64, command: &[u8]) {
+        let proposal = ProposalId(proposal);
+        self.input(name, RaftInput::Propose { proposal, command: command.to_vec() });
+    }
+
+    /// The commands that a participant applied, in order.
+    pub(crate) fn commands(&self, name: &str) -> Vec<Vec<u8>> {
+        let command_of = |entry: &LogEntry| match &entry.payload {
+            EntryPayload::Command(command) => Some(command.to_vec()),
+            EntryPayload::Noop | EntryPayload::Members(_) => None,
+        };
+        self.nodes[name].applied.iter().filter_map(command_of).collect()
+    }
+
+    fn next_due(&self) -> Option<MonotonicTime> {
+        let parcels = self.parcels.iter().map(|parcel| parcel.due);
+        let ticks = self.nodes.values().map(|test| test.node.next_tick());
+        parcels.chain(ticks).min()
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(parcel) = self.parcels.pop_front() {
+            if parcel.due > self.now {
+                self.parcels.push_front(parcel);
+                return;
+            }
+            let Parcel { from, to, message, .. } = parcel;
+            let is_cut = |name: &InstanceName| self.cut.contains(name);
+            if !is_cut(&from.instance) && !is_cut(&to) {
+                self.input(to.as_str(), RaftInput::Message { from, message });
+            }
+        }
+    }
+
+    fn tick_due(&mut self) {
+        let is_due = |test: &TestNode| test.node.next_tick() <= self.now;
+        let due = self.nodes.iter().filter(|(_, test)| is_due(test));
+        let names: Vec<InstanceName> = due.map(|(name, _)| name.clone()).collect();
+        names.iter().for_each(|name| self.input(name.as_str(), RaftInput::Tick));
+    }
+}
+
+impl TestNode {
+    fn apply(&mut self, entry: LogEntry) {
+        if let EntryPayload::Command(bytes) = &entry.payload
+            && let Ok(command) = decode::<GroupCommand>(bytes)
+        {
+            self.state.apply(entry.index, &command);
+        }
+        self.applied.push(entry);
+    }
+}
--- /dev/null
+++ b/crates/wheel_agreement/tests/raft_scenarios.rs
@@ -0,0 +1,238 @@
+//! Single courses of events in a group, in virtual time.
+
+mod common;
+
+use std::time::Duration;
+
+use common::TestGroup;
+use wheel_agreement::{
+    NodeId, ProposalId, ProposalRefusal, RaftInput, RaftOutput, ReadId, RoleName, VoterChange,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn accepted(group: &TestGroup, wanted: u64) -> bool {
+    let is_wanted = |output: &RaftOutput| matches!(output, RaftOutput::Accepted { proposal: ProposalId(id), .. } if *id == wanted);
+    group.outputs.iter().any(is_wanted)
+}
+
+fn others(leader: &str) -> Vec<String> {
+    ["a", "b", "c"].iter().filter(|name| **name != leader).map(|name| name.to_string()).collect()
+}
+
+#[test]
+fn form_single_voter_commits() {
+    let mut group = TestGroup::open(&["a"]);
+    assert_eq!(group.run_to_leader(), "a");
+    group.propose("a", 1, b"one");
+    assert!(accepted(&group, 1));
+    assert_eq!(group.commands("a"), [b"one"]);
+}
+
+#[test]
+fn form_three_empty_commits_everywhere() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let leader = group.run_to_leader();
+    group.propose(&leader, 1, b"one");
+    group.propose(&leader, 2, b"two");
+    group.run(SECOND / 10);
+    for name in ["a", "b", "c"] {
+        assert_eq!(group.commands(name), [b"one", b"two"], "at {name}");
+        assert_eq!(group.nodes[name].node.status().group, group.nodes["a"].node.status().group);
+    }
+}
+
+#[test]
+fn form_one_voter_missing_waits() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    group.stop("c");
+    group.run(SECOND * 30);
+    assert_eq!(group.leader(), None);
+    for name in ["a", "b"] {
+        assert_eq!(group.nodes[name].node.status().role, RoleName::Joining);
+    }
+}
+
+#[test]
+fn form_crash_after_first_record_forms_one_group() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    group.cut.extend(["b".into(), "c".into()]);
+    group.run(SECOND);
+    group.cut.clear();
+    while group.nodes["a"].records.is_empty() {
+        group.run(Duration::from_millis(1));
+    }
+    // The group is recorded at `a`, and no word of it has left.
+    group.cut.insert("a".into());
+    group.run(SECOND * 3);
+    assert_eq!(group.nodes["b"].node.status().role, RoleName::Joining);
+    group.restart("a");
+    group.cut.clear();
+    group.run_to_leader();
+    group.run(SECOND);
+    let formed = group.nodes["a"].node.status().group;
+    assert!(group.nodes.values().all(|test| test.node.status().group == formed));
+}
+
+#[test]
+fn restart_all_keeps_committed() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let leader = group.run_to_leader();
+    for number in 0..20_u8 {
+        group.propose(&leader, u64::from(number), &[number]);
+    }
+    group.run(SECOND);
+    ["a", "b", "c"].iter().for_each(|name| group.restart(name));
+    group.run_to_leader();
+    group.run(SECOND);
+    let commands: Vec<Vec<u8>> = (0..20_u8).map(|number| vec![number]).collect();
+    for name in ["a", "b", "c"] {
+        assert_eq!(group.commands(name), commands, "at {name}");
+    }
+}
+
+#[test]
+fn leader_dies_replaced_within_two_seconds() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    for round in 0..20 {
+        let leader = group.run_to_leader();
+        group.run(SECOND * 3);
+        let (id, stopped) = (group.nodes[&*leader].node.status().id, group.now);
+        let records = group.stop(&leader);
+        let next = group.run_to_leader();
+        assert!(group.now.since(stopped) < SECOND * 2, "round {round}");
+        group.propose(&next, round, b"x");
+        group.run(SECOND / 10);
+        assert!(accepted(&group, round));
+        group.start(id, records);
+    }
+}
+
+#[test]
+fn leader_cut_off_steps_down_and_refuses() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let old = group.run_to_leader();
+    group.cut.insert(old.as_str().into());
+    group.propose(&old, 1, b"lost");
+    let new = group.run_to_leader();
+    group.propose(&new, 2, b"kept");
+    group.run(SECOND * 3);
+    assert!(accepted(&group, 2) && !accepted(&group, 1));
+    group.propose(&old, 3, b"late");
+    let reason = ProposalRefusal::NotLeader;
+    let refused = RaftOutput::Refused { proposal: ProposalId(3), leader: None, reason };
+    assert_eq!(group.outputs.last(), Some(&refused));
+    let unresolved = RaftOutput::Unresolved { proposal: ProposalId(1), leader: None };
+    assert!(group.outputs.contains(&unresolved));
+
+    let term = group.nodes[&*new].node.status().term;
+    group.cut.clear();
+    group.run(SECOND * 3);
+    assert_eq!(group.commands(&old), [b"kept"]);
+    assert_eq!(group.nodes[&*new].node.status().term, term, "the return deposes nobody");
+}
+
+#[test]
+fn read_at_cut_off_leader_is_never_ready() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let leader = group.run_to_leader();
+    group.input(&leader, RaftInput::Read { read: ReadId(1) });
+    group.run(SECOND / 10);
+    let is_ready = |output: &RaftOutput, id| matches!(output, RaftOutput::ReadReady { read: ReadId(read), .. } if *read == id);
+    assert!(group.outputs.iter().any(|output| is_ready(output, 1)));
+
+    group.cut.insert(leader.as_str().into());
+    group.input(&leader, RaftInput::Read { read: ReadId(2) });
+    group.run(SECOND * 5);
+    assert!(!group.outputs.iter().any(|output| is_ready(output, 2)));
+    assert!(group.outputs.contains(&RaftOutput::ReadRefused { read: ReadId(2), leader: None }));
+}
+
+#[test]
+fn lost_folder_is_replaced_and_second_crash_loses_nothing() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let leader = group.run_to_leader();
+    let [first, second] = [&others(&leader)[0], &others(&leader)[1]];
+    // `second` misses the entry, which `first` and the leader commit.
+    group.cut.insert(second.as_str().into());
+    group.propose(&leader, 1, b"kept");
+    group.run(SECOND / 10);
+    assert!(accepted(&group, 1));
+
+    // `first` loses its folder, and the leader dies before it replaced the lost one.
+    group.stop(first);
+    group.start(NodeId::new(first.as_str(), 77), Vec::new());
+    let records = group.stop(&leader);
+    group.cut.clear();
+    group.run(SECOND * 30);
+    assert_eq!(group.leader(), None, "neither an empty folder nor a lagging log may lead");
+
+    let id = NodeId::new(
+        leader.as_str(),
+        if leader == "a" {
+            1
+        } else if leader == "b" {
+            2
+        } else {
+            3
+        },
+    );
+    group.start(id, records);
+    let leader = group.run_to_leader();
+    group.run(SECOND * 30);
+    for name in ["a", "b", "c"] {
+        assert_eq!(group.commands(name), [b"kept"], "at {name}");
+    }
+    let members = group.nodes[&*leader].node.status().members;
+    assert!(members.voters.contains(&NodeId::new(first.as_str(), 77)));
+    assert_eq!((members.voters.len(), members.learners.len()), (3, 0));
+}
+
+#[test]
+fn change_voter_adds_and_removes() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let leader = group.run_to_leader();
+    group.propose(&leader, 1, b"one");
+    let added = NodeId::new("d", 9);
+    group.start(added.clone(), Vec::new());
+    group.run(SECOND * 3);
+    assert_eq!(group.nodes[&*leader].node.status().waiting, std::slice::from_ref(&added));
+
+    let change = VoterChange::AddVoter(added.clone());
+    group.input(&leader, RaftInput::ChangeVoter { proposal: ProposalId(2), change });
+    group.run(SECOND * 3);
+    assert!(accepted(&group, 2));
+    assert!(group.nodes["d"].node.status().members.voters.contains(&added));
+    assert_eq!(group.commands("d"), [b"one"]);
+
+    let change = VoterChange::Remove(group.nodes[&*leader].node.status().id);
+    group.input(&leader, RaftInput::ChangeVoter { proposal: ProposalId(3), change });
+    group.run(SECOND * 5);
+    assert!(accepted(&group, 3));
+    let next = group.run_to_leader();
+    assert_ne!(next, leader);
+    assert_eq!(group.nodes[&*next].node.status().members.voters.len(), 3);
+}
+
+#[test]
+fn lagging_follower_gets_snapshot() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let leader = group.run_to_leader();
+    let lagging = others(&leader)[0].clone();
+    group.cut.insert(lagging.as_str().into());
+    for number in 0..300 {
+        group.propose(&leader, number, b"x");
+        group.run(Duration::from_millis(20));
+    }
+    let index = group.nodes[&*leader].node.status().commit;
+    let snapshot = group.nodes[&*leader].state.snapshot().unwrap();
+    group.input(&leader, RaftInput::Compacted { index, snapshot });
+    group.propose(&leader, 300, b"last");
+    group.cut.clear();
+    group.run(SECOND * 3);
+    assert_eq!(group.nodes[&*lagging].node.status().snapshot_index, index);
+    assert_eq!(group.commands(&lagging), [b"last"]);
+    group.restart(&lagging);
+    group.run(SECOND);
+    assert_eq!(group.commands(&lagging), [b"last"]);
+}
