--- a/crates/wheel_storage/src/lib.rs
+++ b/crates/wheel_storage/src/lib.rs
@@ -1,1 +1,44 @@
 //! Durable log, vote and snapshots under one data folder.
+//!
+//! [`LogStore`] keeps what a control instance must not forget. It deals in bytes and knows nothing
+//! of agreement. Whatever [`LogStore::append`] and [`LogStore::save_snapshot`] were given is
+//! synced when they return `Ok`; after a failed write or sync the store refuses everything.
+//!
+//! ```
+//! use wheel_storage::{LogRecord, LogStore, StoredEntry};
+//!
+//! let folder = std::env::temp_dir().join(format!("wheel_storage-doc-{}", std::process::id()));
+//! let (mut store, restored) = LogStore::open(&folder)?;
+//! assert!(restored.entries.is_empty());
+//! store.append(&[LogRecord::Entry(StoredEntry { index: 1, term: 1, bytes: b"change".to_vec() })])?;
+//! drop(store);
+//!
+//! let (_store, restored) = LogStore::open(&folder)?;
+//! assert_eq!(restored.entries[0].bytes, b"change");
+//! # std::fs::remove_dir_all(&folder).ok();
+//! # Ok::<(), wheel_storage::StorageError>(())
+//! ```
+
+mod log_frame;
+mod log_record;
+mod log_segment;
+mod log_store;
+mod repaired_tail;
+mod restored_folder;
+mod segment_header;
+mod snapshot_file;
+mod storage_error;
+mod stored_entry;
+mod stored_snapshot;
+mod stored_vote;
+mod sync_device;
+
+pub use log_record::LogRecord;
+pub use log_store::LogStore;
+pub use repaired_tail::{RepairedTail, TailFault};
+pub use restored_folder::RestoredFolder;
+pub use storage_error::StorageError;
+pub use stored_entry::StoredEntry;
+pub use stored_snapshot::StoredSnapshot;
+pub use stored_vote::StoredVote;
+pub use sync_device::{LocalDevice, SyncDevice};
--- /dev/null
+++ b/crates/wheel_storage/tests/folder_lock.rs
@@ -0,0 +1,28 @@
+//! One process at a time has a folder open. Alone in its file: a process that is just being started
+//! shares its parent's open locks for a moment, which would disturb tests beside it.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+use std::process::Command;
+
+use tempfile::tempdir;
+use wheel_storage::{LogStore, StorageError};
+
+#[test]
+fn open_used_folder_refuses_other_processes() {
+    const CHILD: &str = "WHEEL_STORAGE_TEST_FOLDER";
+    if let Some(folder) = std::env::var_os(CHILD) {
+        let opened = LogStore::open(Path::new(&folder));
+        assert!(matches!(opened, Err(StorageError::Locked { .. })));
+        return;
+    }
+    let folder = tempdir().unwrap();
+    let (store, _) = LogStore::open(folder.path()).unwrap();
+    let name = "open_used_folder_refuses_other_processes";
+    let mut child = Command::new(std::env::current_exe().unwrap());
+    let status = child.args([name, "--exact"]).env(CHILD, folder.path()).status().unwrap();
+    assert!(status.success(), "the second process opened the folder");
+    drop(store);
+    LogStore::open(folder.path()).unwrap();
+}
