--- /dev/null
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -0,0 +1,442 @@
+//! The fake engine.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use wheel_types::{
+    EngineOrder, EngineState, IncarnationId, LoadReport, ModelName, OrderAction, RequestId,
+    RequestRank,
+};
+
+use crate::engine_desk::EngineDesk;
+use crate::engine_stream::TokenRun;
+use crate::fake_server::{
+    FakeAbort, FakeBody, FakeHandler, FakeServer, full_body, json_answer, read_body,
+};
+use crate::{FakeStore, FaultPlan};
+
+/// How a fake engine behaves.
+#[derive(Clone, Debug)]
+pub struct FakeEngineSettings {
+    /// Where it listens; port 0 takes a free one.
+    pub address: SocketAddr,
+    /// Memory for models and adapters, in mebibytes.
+    pub memory_mib: u64,
+    /// Calls that run at once.
+    pub slots: usize,
+    /// Calls that may wait inside it.
+    pub max_waiting: usize,
+    /// Time for one token.
+    pub token_time: Duration,
+    /// Load time of a checkpoint in the host's memory.
+    pub memory_load: Duration,
+    /// Load time of a checkpoint on the local disk.
+    pub disk_load: Duration,
+    /// Load time of a checkpoint from the store, beside what the store itself takes.
+    pub store_load: Duration,
+    /// The weight store; without one only the times above count.
+    pub store: Option<SocketAddr>,
+    /// Load time of an adapter while no more than 32 are in flight.
+    pub adapter_load: Duration,
+    /// Whether it refuses old fencing numbers.
+    pub enforces_fencing: bool,
+    /// Whether it refuses loads that don't fit its memory.
+    pub checks_memory: bool,
+    /// Checkpoints on its disk from the start.
+    pub disk_checkpoints: Vec<ModelName>,
+    /// Age of a cache event when it is first shown.
+    pub event_delay: Duration,
+    /// Each cache event whose number this divides is lost; 0 loses none.
+    pub event_gap: u64,
+}
+
+impl Default for FakeEngineSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            memory_mib: 80 * 1024,
+            slots: 8,
+            max_waiting: 64,
+            token_time: Duration::from_millis(1),
+            memory_load: Duration::from_millis(20),
+            disk_load: Duration::from_millis(50),
+            store_load: Duration::from_millis(100),
+            store: None,
+            adapter_load: Duration::from_millis(5),
+            enforces_fencing: true,
+            checks_memory: true,
+            disk_checkpoints: Vec::new(),
+            event_delay: Duration::ZERO,
+            event_gap: 0,
+        }
+    }
+}
+
+/// A running fake engine.
+pub struct FakeEngine {
+    shared: Arc<EngineShared>,
+    server: tokio::sync::Mutex<FakeServer>,
+    address: SocketAddr,
+}
+
+struct EngineShared {
+    settings: FakeEngineSettings,
+    desk: Arc<Mutex<EngineDesk>>,
+    faults: Mutex<FaultPlan>,
+    adapters_in_flight: AtomicUsize,
+}
+
+const MAX_ADAPTERS_AT_FULL_SPEED: usize = 32;
+const DEFAULT_TOKENS: u64 = 16;
+
+impl FakeEngine {
+    /// Starts an engine.
+    pub async fn bind(settings: FakeEngineSettings) -> io::Result<Self> {
+        let mut desk = EngineDesk::default();
+        desk.state.incarnation = IncarnationId(1);
+        desk.state.memory_mib = settings.memory_mib;
+        desk.state.disk_checkpoints = settings.disk_checkpoints.clone();
+        let shared = Arc::new(EngineShared {
+            desk: Arc::new(Mutex::new(desk)),
+            faults: Mutex::default(),
+            adapters_in_flight: AtomicUsize::new(0),
+            settings,
+        });
+        let server = FakeServer::bind(shared.settings.address, shared.clone()).await?;
+        let address = server.address;
+        Ok(Self { shared, server: tokio::sync::Mutex::new(server), address })
+    }
+
+    /// Where it listens.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Replaces the faults that it shows.
+    pub fn set_faults(&self, faults: FaultPlan) {
+        *self.shared.faults.lock() = faults;
+    }
+
+    /// Makes it leave, or stay.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.desk.lock().state.leaving = leaving;
+    }
+
+    /// What `GET /engine/v1/state` shows.
+    pub fn state(&self) -> EngineState {
+        self.shared.state()
+    }
+
+    /// How often a request was run from its first token.
+    pub fn runs(&self, request: &RequestId) -> u64 {
+        self.shared.desk.lock().runs.get(request).copied().unwrap_or_default()
+    }
+
+    /// How often a request was resumed.
+    pub fn resumes(&self, request: &RequestId) -> u64 {
+        self.shared.desk.lock().resumes.get(request).copied().unwrap_or_default()
+    }
+
+    /// Orders that it carried out.
+    pub fn orders_carried(&self) -> u64 {
+        self.shared.desk.lock().orders_carried
+    }
+
+    /// The most memory that was ever taken, in mebibytes.
+    pub fn max_used_mib(&self) -> u64 {
+        self.shared.desk.lock().max_used_mib
+    }
+
+    /// Loads a model at once, without an order.
+    pub fn preload(&self, model: &str, memory_mib: u64) {
+        let model = ModelName::from(model);
+        let action = OrderAction::LoadModel { model, version: 1, memory_mib };
+        let mut desk = self.shared.desk.lock();
+        let order_id = RequestId::new(format!("preload-{:?}", action));
+        let (incarnation, fencing_number) = (desk.state.incarnation, desk.state.fencing_number);
+        let order = EngineOrder { order_id, fencing_number, incarnation, action };
+        desk.take_order(&order, false, false);
+        desk.finish(&order.action);
+    }
+
+    /// Dies: listener and connections close at once.
+    pub async fn kill(&self) {
+        self.server.lock().await.kill().await;
+    }
+
+    /// Dies and comes back on the same address, with empty memory and a new incarnation.
+    pub async fn restart(&self) -> io::Result<()> {
+        let mut server = self.server.lock().await;
+        server.kill().await;
+        self.shared.desk.lock().restart();
+        *server = FakeServer::bind(self.address, self.shared.clone()).await?;
+        Ok(())
+    }
+}
+
+impl FakeHandler for EngineShared {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Result<Response<FakeBody>, FakeAbort>> {
+        Box::pin(self.answer(request))
+    }
+
+    fn never_read(&self) -> bool {
+        self.faults.lock().never_read
+    }
+}
+
+impl EngineShared {
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<FakeBody>, FakeAbort> {
+        let (head, body) = request.into_parts();
+        let query = head.uri.query().unwrap_or_default().to_owned();
+        let body = read_body(body).await?;
+        let sent: Value = serde_json::from_slice(&body).unwrap_or_default();
+        match (&head.method, head.uri.path()) {
+            (&Method::POST, "/v1/chat/completions") => {
+                self.generate(&head.headers, body, true).await
+            }
+            (&Method::POST, "/v1/completions") => self.generate(&head.headers, body, false).await,
+            (&Method::POST, "/engine/v1/orders") => match serde_json::from_value(sent) {
+                Ok(order) => self.take_order(order).await,
+                Err(_) => Ok(json_answer(StatusCode::BAD_REQUEST, &json!({"accepted": false}))),
+            },
+            (&Method::POST, "/engine/v1/cancel") => Ok(self.cancel(&sent)),
+            (&Method::GET, "/engine/v1/state") => Ok(json_answer(StatusCode::OK, &self.state())),
+            (&Method::GET, "/engine/v1/load") => Ok(json_answer(StatusCode::OK, &self.load())),
+            (&Method::GET, "/engine/v1/cache-events") => Ok(self.cache_events(&query)),
+            (&Method::POST, "/engine/v1/kv/export") => Ok(self.export_prefix(&sent)),
+            (&Method::POST, "/engine/v1/kv/import") => Ok(self.import_prefix(&sent)),
+            (&Method::PUT, "/fake/faults") => {
+                *self.faults.lock() = serde_json::from_value(sent).unwrap_or_default();
+                Ok(json_answer(StatusCode::OK, &json!({})))
+            }
+            (&Method::GET, "/fake/counters") => Ok(self.counters()),
+            _ => Ok(json_answer(StatusCode::NOT_FOUND, &json!({"error": "no such path"}))),
+        }
+    }
+
+    fn state(&self) -> EngineState {
+        let desk = self.desk.lock();
+        let mut state = desk.state.clone();
+        state.running = desk.running.iter().map(|call| call.request.clone()).collect();
+        state
+    }
+
+    fn load(&self) -> LoadReport {
+        let desk = self.desk.lock();
+        let waiting = desk.waiting.len();
+        LoadReport {
+            incarnation: desk.state.incarnation,
+            running: (desk.running.len() - waiting) as u32,
+            waiting: waiting as u32,
+            ..Default::default()
+        }
+    }
+
+    async fn generate(
+        self: Arc<Self>,
+        headers: &HeaderMap,
+        body: bytes::Bytes,
+        chat: bool,
+    ) -> Result<Response<FakeBody>, FakeAbort> {
+        let sent: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let word = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let request = RequestId::new(word("wheel-request-id").unwrap_or_default());
+        let number = |name: &str| word(name).and_then(|word| word.parse::<u64>().ok());
+        let rank = RequestRank(number("wheel-priority").unwrap_or_default() as u8);
+        let resume_from = number("wheel-resume-from").unwrap_or_default();
+        let faults = self.faults.lock().clone();
+        let answered = faults.answer_id.clone().unwrap_or_else(|| request.clone());
+        let run = match self.start(&request, rank, resume_from, &sent, &faults) {
+            Ok((number, cancelled, turn)) => TokenRun {
+                desk: self.desk.clone(),
+                number,
+                cancelled,
+                turn: Some(turn),
+                request,
+                body,
+                chat,
+                next_index: resume_from,
+                max_tokens: sent["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
+                sent: 0,
+                done: false,
+                token_time: self.settings.token_time,
+                faults: faults.clone(),
+            },
+            Err(status) => return Ok(refusal(status, &answered)),
+        };
+        if faults.never_answer {
+            return std::future::pending().await;
+        }
+        let mut answer = answer_run(run, sent["stream"] == true).await?;
+        tokio::time::sleep(faults.answer_delay()).await;
+        if faults.close_before_answer {
+            return Err(FakeAbort);
+        }
+        set_request_id(&mut answer, &answered);
+        Ok(answer)
+    }
+
+    fn start(
+        &self,
+        request: &RequestId,
+        rank: RequestRank,
+        resume_from: u64,
+        sent: &Value,
+        faults: &FaultPlan,
+    ) -> Result<CallStart, StatusCode> {
+        let mut desk = self.desk.lock();
+        let model = sent["model"].as_str().unwrap_or_default();
+        match () {
+            () if faults.refuse || desk.state.leaving => Err(StatusCode::SERVICE_UNAVAILABLE),
+            () if !desk.serves(model) => Err(StatusCode::NOT_FOUND),
+            () if desk.waiting.len() >= self.settings.max_waiting => {
+                Err(StatusCode::SERVICE_UNAVAILABLE)
+            }
+            () => {
+                desk.cache_prefix(format!("{model}/{}", sent["messages"][0]["content"]));
+                Ok(desk.start_call(request, rank, resume_from > 0, self.settings.slots))
+            }
+        }
+    }
+
+    async fn take_order(
+        self: Arc<Self>,
+        order: EngineOrder,
+    ) -> Result<Response<FakeBody>, FakeAbort> {
+        let faults = self.faults.lock().clone();
+        let fenced = self.settings.enforces_fencing && !faults.ignore_fencing;
+        let checks_memory = self.settings.checks_memory;
+        let (reply, begun) = self.desk.lock().take_order(&order, fenced, checks_memory);
+        if begun {
+            tokio::spawn(self.clone().finish_order(order));
+        }
+        tokio::time::sleep(faults.answer_delay()).await;
+        match () {
+            () if faults.never_answer => std::future::pending().await,
+            () if faults.close_before_answer => Err(FakeAbort),
+            () if reply.accepted => Ok(json_answer(StatusCode::OK, &reply)),
+            () => Ok(json_answer(StatusCode::CONFLICT, &reply)),
+        }
+    }
+
+    async fn finish_order(self: Arc<Self>, order: EngineOrder) {
+        let state = self.state();
+        match &order.action {
+            OrderAction::LoadModel { model, .. } if state.memory_checkpoints.contains(model) => {
+                tokio::time::sleep(self.settings.memory_load).await;
+            }
+            OrderAction::LoadModel { model, .. } if state.disk_checkpoints.contains(model) => {
+                tokio::time::sleep(self.settings.disk_load).await;
+            }
+            OrderAction::LoadModel { model, version, .. } => {
+                if let Some(store) = self.settings.store {
+                    FakeStore::fetch(store, model, *version).await;
+                }
+                tokio::time::sleep(self.settings.store_load).await;
+            }
+            OrderAction::LoadAdapter { .. } => {
+                let in_flight = self.adapters_in_flight.fetch_add(1, Ordering::Relaxed) + 1;
+                let slower = in_flight as f64 / MAX_ADAPTERS_AT_FULL_SPEED as f64;
+                tokio::time::sleep(self.settings.adapter_load.mul_f64(slower.max(1.0))).await;
+                self.adapters_in_flight.fetch_sub(1, Ordering::Relaxed);
+            }
+            _ => {}
+        }
+        let mut desk = self.desk.lock();
+        if desk.state.incarnation == order.incarnation {
+            desk.finish(&order.action);
+        }
+    }
+
+    fn cancel(&self, sent: &Value) -> Response<FakeBody> {
+        let desk = self.desk.lock();
+        let named = |request: &RequestId| sent["request_id"].as_str() == Some(request.as_str());
+        let calls = desk.running.iter().filter(|call| named(&call.request));
+        let cancelled = calls.inspect(|call| call.cancelled.cancel()).count();
+        json_answer(StatusCode::OK, &json!({"cancelled": cancelled > 0}))
+    }
+
+    fn cache_events(&self, query: &str) -> Response<FakeBody> {
+        let after = query.strip_prefix("after=").and_then(|after| after.parse::<u64>().ok());
+        let (delay, gap) = (self.settings.event_delay, self.settings.event_gap);
+        let desk = self.desk.lock();
+        let shown = desk.events.iter().filter(|(at, note)| {
+            let lost = gap > 0 && note.sequence.is_multiple_of(gap);
+            at.elapsed() >= delay && !lost && note.sequence > after.unwrap_or_default()
+        });
+        let events: Vec<_> = shown.map(|(_, note)| note.clone()).collect();
+        json_answer(StatusCode::OK, &json!({"events": events}))
+    }
+
+    fn export_prefix(&self, sent: &Value) -> Response<FakeBody> {
+        let prefix_hash = sent["prefix_hash"].as_str().unwrap_or_default();
+        match self.desk.lock().prefixes.contains(prefix_hash) {
+            true => json_answer(StatusCode::OK, &json!({"prefix_hash": prefix_hash, "kv": "00"})),
+            false => json_answer(StatusCode::NOT_FOUND, &json!({"error": "no such prefix"})),
+        }
+    }
+
+    fn import_prefix(&self, sent: &Value) -> Response<FakeBody> {
+        let prefix_hash = sent["prefix_hash"].as_str().unwrap_or_default();
+        self.desk.lock().cache_prefix(prefix_hash.to_owned());
+        json_answer(StatusCode::OK, &json!({"imported": true}))
+    }
+
+    fn counters(&self) -> Response<FakeBody> {
+        let desk = self.desk.lock();
+        let runs: HashMap<_, _> = desk.runs.iter().map(|(id, runs)| (id.as_str(), runs)).collect();
+        let counters = json!({
+            "runs": runs,
+            "orders_carried": desk.orders_carried,
+            "max_used_mib": desk.max_used_mib,
+        });
+        json_answer(StatusCode::OK, &counters)
+    }
+}
+
+type CallStart = (u64, tokio_util::sync::CancellationToken, tokio::sync::oneshot::Receiver<()>);
+
+async fn answer_run(mut run: TokenRun, streamed: bool) -> Result<Response<FakeBody>, FakeAbort> {
+    if streamed {
+        let mut answer = Response::new(run.into_body());
+        let kind = http::HeaderValue::from_static("text/event-stream");
+        answer.headers_mut().insert("content-type", kind);
+        return Ok(answer);
+    }
+    let text = run.whole_text().await?;
+    let choice = match run.chat {
+        true => json!({"index": 0, "message": {"role": "assistant", "content": text}}),
+        false => json!({"index": 0, "text": text}),
+    };
+    let id = run.faults.answer_id.as_ref().unwrap_or(&run.request);
+    Ok(json_answer(StatusCode::OK, &json!({"id": id, "choices": [choice]})))
+}
+
+fn refusal(status: StatusCode, request: &RequestId) -> Response<FakeBody> {
+    let mut answer = Response::new(full_body(bytes::Bytes::new()));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert("wheel-outcome", http::HeaderValue::from_static("not-run"));
+    set_request_id(&mut answer, request);
+    answer
+}
+
+pub(crate) fn set_request_id(answer: &mut Response<FakeBody>, request: &RequestId) {
+    if let Ok(id) = http::HeaderValue::from_str(request.as_str()) {
+        answer.headers_mut().insert("wheel-request-id", id);
+    }
+}
--- a/crates/wheel_fakes/src/lib.rs
+++ b/crates/wheel_fakes/src/lib.rs
@@ -1,1 +1,21 @@
-//! Small stand-ins for an engine, a plain service, the weight store and the instance list, for tests and the quickstart.
+//! Small stand-ins for what surrounds the system, for tests and the quickstart: an engine, a plain
+//! service, the weight store and the instance list, as `docs/PROTOCOLS.md` describes them.
+//!
+//! Each `bind` returns a running handle with counters of what truly ran and switches for faults.
+//! [`FaultPlan`] can also be set over HTTP (`PUT /fake/faults`), for tests of whole processes.
+
+mod engine_desk;
+mod engine_stream;
+mod fake_engine;
+mod fake_list;
+mod fake_server;
+mod fake_service;
+mod fake_store;
+mod fault_plan;
+
+pub use engine_stream::token_text;
+pub use fake_engine::{FakeEngine, FakeEngineSettings};
+pub use fake_list::{FakeList, ListEntry};
+pub use fake_service::FakeService;
+pub use fake_store::{FakeStore, FakeStoreSettings};
+pub use fault_plan::FaultPlan;
--- a/crates/wheel_types/src/lib.rs
+++ b/crates/wheel_types/src/lib.rs
@@ -16,6 +16,7 @@
 mod monotonic_time;
 mod names;
 mod order_action;
+mod order_reply;
 mod request_id;
 mod request_outcome;
 mod request_rank;
@@ -36,6 +37,7 @@
     UpstreamName,
 };
 pub use order_action::OrderAction;
+pub use order_reply::{OrderReason, OrderReply};
 pub use request_id::RequestId;
 pub use request_outcome::RequestOutcome;
 pub use request_rank::RequestRank;
--- /dev/null
+++ b/crates/wheel_upstream/src/call_body.rs
@@ -0,0 +1,65 @@
+//! The body of a request.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use snafu::Snafu;
+
+use crate::OrderPermit;
+
+/// The permit of an order ended before its body left.
+#[derive(Debug, Snafu)]
+#[snafu(display("the permit ended before the order left"))]
+pub(crate) struct PermitEnded;
+
+/// Hands out its bytes once, and those of an order only while its permit is valid.
+pub(crate) struct CallBody {
+    bytes: Option<Bytes>,
+    permit: Option<Arc<dyn OrderPermit>>,
+    taken: Arc<AtomicBool>,
+}
+
+impl CallBody {
+    /// The body of a call.
+    pub(crate) fn new(bytes: Bytes) -> Self {
+        let bytes = Some(bytes).filter(|bytes| !bytes.is_empty());
+        Self { bytes, permit: None, taken: Arc::default() }
+    }
+
+    /// The body of an order, and a flag that is set when the bytes are handed out.
+    pub(crate) fn with_permit(
+        bytes: Bytes,
+        permit: Arc<dyn OrderPermit>,
+    ) -> (Self, Arc<AtomicBool>) {
+        let taken = Arc::<AtomicBool>::default();
+        (Self { bytes: Some(bytes), permit: Some(permit), taken: taken.clone() }, taken)
+    }
+}
+
+impl Body for CallBody {
+    type Data = Bytes;
+    type Error = PermitEnded;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, PermitEnded>>> {
+        if self.permit.as_ref().is_some_and(|permit| !permit.valid()) {
+            return Poll::Ready(Some(Err(PermitEnded)));
+        }
+        self.taken.store(true, Ordering::Release);
+        Poll::Ready(self.bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+    }
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/client_status.rs
@@ -0,0 +1,82 @@
+//! Counters of one client.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What became of one client's connections since it was opened, for metrics and logs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ClientStatus {
+    /// Calls open now.
+    pub open_calls: u64,
+    /// Idle connections now.
+    pub idle: u64,
+    /// Connections opened.
+    pub opened: u64,
+    /// Connections that couldn't be opened.
+    pub connect_failures: u64,
+    /// Probes of idle connections.
+    pub probes: u64,
+    /// Probes without an answer in time.
+    pub probe_failures: u64,
+    /// Calls on which nothing arrived for as long as a timeout.
+    pub silent_calls: u64,
+    /// Connections retired because an older one was silent and a fresher one answered.
+    pub retired: u64,
+    /// Answers that carried another call's id.
+    pub foreign_answers: u64,
+    /// Events that came twice and were dropped.
+    pub doubled_events: u64,
+    /// Cancels sent for streams that were given up.
+    pub cancels: u64,
+    /// Cancels left out because too many were under way; closing the connection had to do.
+    pub cancels_skipped: u64,
+}
+
+/// The counters behind [`ClientStatus`].
+#[derive(Debug, Default)]
+pub(crate) struct StatusCounters {
+    pub(crate) opened: StatusCounter,
+    pub(crate) connect_failures: StatusCounter,
+    pub(crate) probes: StatusCounter,
+    pub(crate) probe_failures: StatusCounter,
+    pub(crate) silent_calls: StatusCounter,
+    pub(crate) retired: StatusCounter,
+    pub(crate) foreign_answers: StatusCounter,
+    pub(crate) doubled_events: StatusCounter,
+    pub(crate) cancels: StatusCounter,
+    pub(crate) cancels_skipped: StatusCounter,
+}
+
+impl StatusCounters {
+    /// A copy of all counters.
+    pub(crate) fn snapshot(&self, open_calls: usize, idle: usize) -> ClientStatus {
+        ClientStatus {
+            open_calls: open_calls as u64,
+            idle: idle as u64,
+            opened: self.opened.get(),
+            connect_failures: self.connect_failures.get(),
+            probes: self.probes.get(),
+            probe_failures: self.probe_failures.get(),
+            silent_calls: self.silent_calls.get(),
+            retired: self.retired.get(),
+            foreign_answers: self.foreign_answers.get(),
+            doubled_events: self.doubled_events.get(),
+            cancels: self.cancels.get(),
+            cancels_skipped: self.cancels_skipped.get(),
+        }
+    }
+}
+
+/// One counter.
+#[derive(Debug, Default)]
+pub(crate) struct StatusCounter(AtomicU64);
+
+impl StatusCounter {
+    /// Counts one.
+    pub(crate) fn add_one(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/connection_limits.rs
@@ -0,0 +1,46 @@
+//! Bounds of one upstream's connections.
+
+use std::time::Duration;
+
+/// How many connections there are to one address, and how long they are trusted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionLimits {
+    /// Calls open at once; one more fails as [`FailureKind::TooManyOpen`](crate::FailureKind).
+    pub max_open: usize,
+    /// Idle connections kept; one more is closed.
+    pub max_idle: usize,
+    /// Idle time after which a connection is closed.
+    pub idle_limit: Duration,
+    /// Idle time after which a connection is probed before reuse, or closed where the dialect
+    /// has no probe.
+    pub probe_after: Duration,
+    /// The longest time that a probe may take.
+    pub probe_timeout: Duration,
+    /// Time without progress that a call on a retired connection is left, if it may be resent.
+    pub retired_grace: Duration,
+    /// Time without acknowledgement after which the operating system gives a connection up.
+    pub unacknowledged: Duration,
+    /// Idle time after which the operating system sends keepalive probes.
+    pub keepalive: Duration,
+    /// Size limit of an answer that isn't streamed, in bytes.
+    pub max_answer_bytes: usize,
+    /// Size limit of one event of a stream, in bytes.
+    pub max_event_bytes: usize,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self {
+            max_open: 1_024,
+            max_idle: 64,
+            idle_limit: Duration::from_secs(30),
+            probe_after: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(300),
+            retired_grace: Duration::from_millis(500),
+            unacknowledged: Duration::from_secs(10),
+            keepalive: Duration::from_secs(5),
+            max_answer_bytes: 8 * 1024 * 1024,
+            max_event_bytes: 256 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/engine_client.rs
@@ -0,0 +1,261 @@
+//! The client of one model engine.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use tokio::sync::{Mutex, Semaphore};
+use tokio::time::timeout;
+use wheel_types::{
+    EngineOrder, EngineState, LoadReport, OrderReason, RequestId, RequestOutcome, UpstreamName,
+};
+
+use crate::call_body::CallBody;
+use crate::cancel_guard::CancelGuard;
+use crate::connection_pool::{ConnectionChoice, ConnectionPool};
+use crate::pooled_call::PooledCall;
+use crate::upstream_connection::UpstreamConnection;
+use crate::{
+    AnswerBody, CacheEvents, CallFailure, ClientStatus, EngineDialect, EngineSettings, FailureKind,
+    GenerateCall, OrderAnswer, OrderPermit, TokenStream, WholeAnswer,
+};
+
+const MAX_CANCELS: usize = 32;
+
+/// Reaches one engine; clones share its connections.
+#[derive(Clone)]
+pub struct EngineClient {
+    core: Arc<EngineCore>,
+}
+
+/// What all clones share.
+pub(crate) struct EngineCore {
+    pub(crate) pool: Arc<ConnectionPool>,
+    pub(crate) dialect: Arc<dyn EngineDialect>,
+    pub(crate) cancels: Arc<Semaphore>,
+    settings: EngineSettings,
+    host: HeaderValue,
+    /// Held by the one order that is under way.
+    order_turn: Mutex<()>,
+}
+
+impl EngineClient {
+    /// Makes a client; connections are opened when they are needed.
+    pub fn open(settings: EngineSettings) -> Self {
+        let host = host_of(&settings.address);
+        let probe = with_host(settings.dialect.probe(), &host);
+        let pool = ConnectionPool::new(settings.address, settings.limits, Some(probe));
+        let core = EngineCore {
+            pool: Arc::new(pool),
+            dialect: settings.dialect.clone(),
+            cancels: Arc::new(Semaphore::new(MAX_CANCELS)),
+            host,
+            order_turn: Mutex::new(()),
+            settings,
+        };
+        Self { core: Arc::new(core) }
+    }
+
+    /// The engine's name.
+    pub fn name(&self) -> &UpstreamName {
+        &self.core.settings.name
+    }
+
+    /// Counters of its connections.
+    pub fn status(&self) -> ClientStatus {
+        self.core.pool.status()
+    }
+
+    /// Reads the engine's state.
+    pub async fn state(&self) -> Result<EngineState, CallFailure> {
+        let body = self.core.read(self.core.dialect.state()).await?;
+        self.core.dialect.read_state(&body).map_err(CallFailure::maybe_sent)
+    }
+
+    /// Reads the load report, which lags.
+    pub async fn load(&self) -> Result<LoadReport, CallFailure> {
+        let body = self.core.read(self.core.dialect.load()).await?;
+        self.core.dialect.read_load(&body).map_err(CallFailure::maybe_sent)
+    }
+
+    /// Reads the cache events after a sequence number.
+    pub async fn cache_events(&self, after: u64) -> Result<CacheEvents, CallFailure> {
+        let request = self.core.dialect.cache_events(after).map_err(CallFailure::not_sent)?;
+        let body = self.core.read(request).await?;
+        self.core.dialect.read_cache_events(&body).map_err(CallFailure::maybe_sent)
+    }
+
+    /// Asks the engine to end a request.
+    pub async fn cancel(&self, request: &RequestId) -> Result<(), CallFailure> {
+        self.core.cancel(request).await
+    }
+
+    /// Starts a generation whose body asks for a stream.
+    pub async fn generate(&self, call: GenerateCall) -> Result<TokenStream, CallFailure> {
+        let (answer, guard) = self.start(&call).await?;
+        Ok(TokenStream::new(answer.into_body(), guard, call.call.resume_from))
+    }
+
+    /// Runs a generation whose body doesn't ask for a stream.
+    pub async fn complete(&self, call: GenerateCall) -> Result<WholeAnswer, CallFailure> {
+        let (mut answer, mut guard) = self.start(&call).await?;
+        let body = answer.body_mut().collect(self.core.settings.limits.max_answer_bytes).await?;
+        guard.disarm();
+        match self.core.dialect.whole_id(&body) {
+            Ok(id) if id == call.call.request_id.as_str() => Ok(WholeAnswer { body }),
+            Ok(_) => Err(CallFailure::maybe_sent(self.core.foreign_answer())),
+            Err(kind) => Err(CallFailure::maybe_sent(kind)),
+        }
+    }
+
+    /// Gives an order, over a connection of its own and after any other order has ended.
+    ///
+    /// `permit` is asked when the order's bytes are about to leave. The order's bytes outlive the
+    /// call by no more than the order life of the settings.
+    pub async fn order(&self, order: &EngineOrder, permit: Arc<dyn OrderPermit>) -> OrderAnswer {
+        let _turn = self.core.order_turn.lock().await;
+        match self.core.dialect.order(order) {
+            Ok(request) if permit.valid() => self.core.send_order(order, request, permit).await,
+            _ => OrderAnswer::NotSent,
+        }
+    }
+
+    async fn start(
+        &self,
+        call: &GenerateCall,
+    ) -> Result<(Response<AnswerBody>, CancelGuard), CallFailure> {
+        let request = self.core.dialect.generate(call).map_err(CallFailure::not_sent)?;
+        let mut guard = CancelGuard::new(self.core.clone(), call.call.request_id.clone());
+        let sending = PooledCall::send(
+            self.core.pool.clone(),
+            ConnectionChoice::Pooled,
+            true,
+            call.timeouts,
+            with_host(request, &self.core.host),
+        );
+        let checked = match sending.await {
+            Ok(answer) => self.core.check_head(&call.call.request_id, answer).await,
+            Err(failure) => Err(failure),
+        };
+        match checked {
+            Ok(answer) => Ok((answer, guard)),
+            Err(failure) => {
+                guard.note_failure(&failure);
+                Err(failure)
+            }
+        }
+    }
+}
+
+impl EngineCore {
+    pub(crate) async fn cancel(&self, request: &RequestId) -> Result<(), CallFailure> {
+        let request = self.dialect.cancel(request).map_err(CallFailure::not_sent)?;
+        self.read(request).await.map(drop)
+    }
+
+    /// Sends a short call that may be repeated and reads its whole answer.
+    async fn read(&self, request: Request<Bytes>) -> Result<Bytes, CallFailure> {
+        let sending = PooledCall::send(
+            self.pool.clone(),
+            ConnectionChoice::Pooled,
+            true,
+            self.settings.timeouts,
+            with_host(request, &self.host),
+        );
+        let mut answer = sending.await?;
+        let body = answer.body_mut().collect(self.settings.limits.max_answer_bytes).await?;
+        match answer.status() {
+            status if status.is_success() => Ok(body),
+            status => Err(CallFailure::maybe_sent(FailureKind::Refused { status, body })),
+        }
+    }
+
+    /// Checks that an answer is the request's own and no refusal.
+    async fn check_head(
+        &self,
+        request: &RequestId,
+        mut answer: Response<AnswerBody>,
+    ) -> Result<Response<AnswerBody>, CallFailure> {
+        if self.dialect.answer_id(answer.headers()) != Some(request.as_str()) {
+            return Err(answer.body_mut().fail(self.foreign_answer()));
+        }
+        if answer.status().is_success() {
+            return Ok(answer);
+        }
+        let said = self.dialect.said_outcome(answer.headers());
+        let said_not_run = said == Some(RequestOutcome::NotRun);
+        let status = answer.status();
+        let limit = self.settings.limits.max_answer_bytes;
+        // The head alone decides; a body that is cut short only loses its text.
+        let body = answer.body_mut().collect(limit).await.unwrap_or_default();
+        let kind = FailureKind::Refused { status, body };
+        Err(CallFailure { said_not_run, ..CallFailure::maybe_sent(kind) })
+    }
+
+    async fn send_order(
+        &self,
+        order: &EngineOrder,
+        request: Request<Bytes>,
+        permit: Arc<dyn OrderPermit>,
+    ) -> OrderAnswer {
+        let (connect, life) = (self.settings.timeouts.connect, self.settings.order_life);
+        let opening = UpstreamConnection::open_for_order(
+            self.settings.address,
+            connect,
+            life,
+            permit.clone(),
+        );
+        let Ok(mut connection) = opening.await else { return OrderAnswer::NotSent };
+        let (head, body) = with_host(request, &self.host).into_parts();
+        let (body, taken) = CallBody::with_permit(body, permit);
+        let request = Request::from_parts(head, body);
+        let answer = timeout(life, self.exchange_order(&mut connection, request)).await;
+        let written = connection.gate.seal();
+        match answer {
+            Ok(Some((StatusCode::OK, reply))) if reply.order_id != order.order_id => {
+                OrderAnswer::Unknown
+            }
+            Ok(Some((StatusCode::OK, reply))) if reply.accepted => OrderAnswer::Accepted,
+            Ok(Some((StatusCode::CONFLICT, reply)))
+                if reply.order_id == order.order_id && !reply.accepted =>
+            {
+                OrderAnswer::Refused(reply.reason.unwrap_or(OrderReason::Other))
+            }
+            _ if written == 0 || !taken.load(Ordering::Acquire) => OrderAnswer::NotSent,
+            _ => OrderAnswer::Unknown,
+        }
+    }
+
+    async fn exchange_order(
+        &self,
+        connection: &mut UpstreamConnection,
+        request: Request<CallBody>,
+    ) -> Option<(StatusCode, wheel_types::OrderReply)> {
+        let answer = connection.send.send_request(request).await.ok()?;
+        let (head, body) = answer.into_parts();
+        let limited = Limited::new(body, self.settings.limits.max_answer_bytes);
+        let body = limited.collect().await.ok()?.to_bytes();
+        Some((head.status, self.dialect.order_reply(&body).ok()?))
+    }
+
+    fn foreign_answer(&self) -> FailureKind {
+        self.pool.counters.foreign_answers.add_one();
+        FailureKind::ForeignAnswer
+    }
+}
+
+/// The `Host` header of an address.
+pub(crate) fn host_of(address: &std::net::SocketAddr) -> HeaderValue {
+    let host = HeaderValue::try_from(address.to_string());
+    debug_assert!(host.is_ok(), "an address is made of visible characters");
+    host.unwrap_or_else(|_| HeaderValue::from_static("upstream"))
+}
+
+/// Adds the `Host` header.
+pub(crate) fn with_host(mut request: Request<Bytes>, host: &HeaderValue) -> Request<Bytes> {
+    request.headers_mut().insert(HOST, host.clone());
+    request
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/engine_settings.rs
@@ -0,0 +1,66 @@
+//! Settings of an engine's client.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wheel_types::UpstreamName;
+
+use crate::{CallTimeouts, ConnectionLimits, EngineDialect, WheelDialect};
+
+/// Where an engine is and how it is reached.
+#[derive(Clone)]
+pub struct EngineSettings {
+    /// Its name.
+    pub name: UpstreamName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Bounds of its connections.
+    pub limits: ConnectionLimits,
+    /// Timeouts of all calls but generations, which bring their own.
+    pub timeouts: CallTimeouts,
+    /// The longest time from an order's departure to its arrival or loss.
+    pub order_life: Duration,
+    /// What it speaks.
+    pub dialect: Arc<dyn EngineDialect>,
+}
+
+impl EngineSettings {
+    /// Settings with defaults for all but name and address.
+    pub fn new(name: UpstreamName, address: SocketAddr) -> Self {
+        Self {
+            name,
+            address,
+            limits: ConnectionLimits::default(),
+            timeouts: CallTimeouts::default()
+                .first_byte(Duration::from_secs(1))
+                .total(Duration::from_secs(2)),
+            order_life: Duration::from_secs(2),
+            dialect: Arc::new(WheelDialect),
+        }
+    }
+
+    /// Sets the bounds of its connections.
+    pub fn limits(mut self, limits: ConnectionLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Sets the timeouts of state, load, cache events and cancels.
+    pub fn timeouts(mut self, timeouts: CallTimeouts) -> Self {
+        self.timeouts = timeouts;
+        self
+    }
+
+    /// Sets the life of an order.
+    pub fn order_life(mut self, order_life: Duration) -> Self {
+        self.order_life = order_life;
+        self
+    }
+
+    /// Sets what it speaks.
+    pub fn dialect(mut self, dialect: Arc<dyn EngineDialect>) -> Self {
+        self.dialect = dialect;
+        self
+    }
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/guarded_stream.rs
@@ -0,0 +1,126 @@
+//! A socket that knows what left it.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::OrderPermit;
+
+/// A TCP stream whose written bytes are counted, and which can be sealed against further ones.
+///
+/// Counting and sealing share one lock with the write itself, so that a sealed stream's count is
+/// final: if it hasn't grown, no byte left and none will.
+pub(crate) struct GuardedStream {
+    stream: TcpStream,
+    gate: Arc<WriteGate>,
+}
+
+/// The part of a [`GuardedStream`] that its user keeps.
+#[derive(Default)]
+pub(crate) struct WriteGate {
+    state: Mutex<GateState>,
+    permit: Option<Arc<dyn OrderPermit>>,
+}
+
+#[derive(Default)]
+struct GateState {
+    written: u64,
+    sealed: bool,
+}
+
+impl GuardedStream {
+    /// Guards `stream` by `gate`.
+    pub(crate) fn new(stream: TcpStream, gate: Arc<WriteGate>) -> Self {
+        Self { stream, gate }
+    }
+}
+
+impl WriteGate {
+    /// A gate that also asks `permit` before each write.
+    pub(crate) fn with_permit(permit: Arc<dyn OrderPermit>) -> Self {
+        Self { permit: Some(permit), ..Self::default() }
+    }
+
+    /// Bytes written so far.
+    pub(crate) fn written(&self) -> u64 {
+        self.state.lock().written
+    }
+
+    /// Refuses every later write and makes the stream end by a reset; returns the final count.
+    pub(crate) fn seal(&self) -> u64 {
+        let mut state = self.state.lock();
+        state.sealed = true;
+        state.written
+    }
+
+    fn write(&self, write: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let mut state = self.state.lock();
+        let permitted = self.permit.as_ref().is_none_or(|permit| permit.valid());
+        if state.sealed || !permitted {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        let outcome = write();
+        if let Poll::Ready(Ok(written)) = &outcome {
+            state.written += *written as u64;
+        }
+        outcome
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        this.gate.write(|| Pin::new(&mut this.stream).poll_write(cx, buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        this.gate.write(|| Pin::new(&mut this.stream).poll_write_vectored(cx, bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl Drop for GuardedStream {
+    fn drop(&mut self) {
+        if self.gate.state.lock().sealed {
+            // Unsent bytes are thrown away, so that nothing arrives after the call was given up.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
--- a/crates/wheel_upstream/src/lib.rs
+++ b/crates/wheel_upstream/src/lib.rs
@@ -1,1 +1,56 @@
-//! The hyper client side: calls, streams, orders and connection health of upstreams.
+//! The client side of upstreams: calls, streams, orders and connection health, over hyper.
+//!
+//! Model engines are reached through an [`EngineClient`], plain services through a
+//! [`ServiceClient`]. Both keep a small pool of HTTP/1.1 connections to one address and never send
+//! a call twice: whether to try again is the caller's decision, made from the [`CallFailure`],
+//! which says truthfully whether a byte of the call may have left.
+//!
+//! What a real engine or service speaks is one type: [`EngineDialect`], [`ServiceDialect`].
+
+mod answer_body;
+mod cache_event;
+mod call_body;
+mod call_failure;
+mod call_timeouts;
+mod cancel_guard;
+mod client_status;
+mod connection_limits;
+mod connection_pool;
+mod engine_client;
+mod engine_dialect;
+mod engine_settings;
+mod generate_call;
+mod guarded_stream;
+mod order_answer;
+mod order_permit;
+mod pooled_call;
+mod service_answer;
+mod service_call;
+mod service_client;
+mod service_dialect;
+mod service_settings;
+mod token_stream;
+mod upstream_connection;
+mod wheel_dialect;
+mod whole_answer;
+
+pub use answer_body::AnswerBody;
+pub use cache_event::{CacheEvent, CacheEventKind, CacheEvents};
+pub use call_failure::{CallFailure, FailureKind, SentState};
+pub use call_timeouts::CallTimeouts;
+pub use client_status::ClientStatus;
+pub use connection_limits::ConnectionLimits;
+pub use engine_client::EngineClient;
+pub use engine_dialect::{EngineDialect, TokenMark};
+pub use engine_settings::EngineSettings;
+pub use generate_call::{GenerateCall, GeneratePath};
+pub use order_answer::OrderAnswer;
+pub use order_permit::OrderPermit;
+pub use service_answer::ServiceAnswer;
+pub use service_call::ServiceCall;
+pub use service_client::ServiceClient;
+pub use service_dialect::{PlainDialect, ServiceDialect};
+pub use service_settings::ServiceSettings;
+pub use token_stream::{StreamEvent, TokenEvent, TokenStream};
+pub use wheel_dialect::WheelDialect;
+pub use whole_answer::WholeAnswer;
--- /dev/null
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -0,0 +1,149 @@
+//! One call over a pooled connection.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Instant, sleep_until};
+
+use crate::call_body::CallBody;
+use crate::connection_pool::{ConnectionChoice, ConnectionPool};
+use crate::upstream_connection::UpstreamConnection;
+use crate::{AnswerBody, CallFailure, CallTimeouts, FailureKind, SentState};
+
+/// A call that holds its connection from the first byte to the last.
+///
+/// Dropped early, it closes the connection by a reset; ended well, it gives the connection back.
+pub(crate) struct PooledCall {
+    pool: Arc<ConnectionPool>,
+    connection: Option<UpstreamConnection>,
+    written_before: u64,
+    timeouts: CallTimeouts,
+    deadline: Option<Instant>,
+    resendable: bool,
+    slot: Option<OwnedSemaphorePermit>,
+}
+
+impl PooledCall {
+    /// Sends `request` and waits for the head of its answer. A call that isn't `resendable` is
+    /// never given up early because its connection was retired.
+    pub(crate) async fn send(
+        pool: Arc<ConnectionPool>,
+        choice: ConnectionChoice,
+        resendable: bool,
+        timeouts: CallTimeouts,
+        request: Request<Bytes>,
+    ) -> Result<Response<AnswerBody>, CallFailure> {
+        let deadline = timeouts.total.map(|total| Instant::now() + total);
+        let slot = pool.reserve()?;
+        let connection = pool.checkout(choice, timeouts.connect).await?;
+        let mut call = Self {
+            written_before: connection.gate.written(),
+            pool,
+            connection: Some(connection),
+            timeouts,
+            deadline,
+            resendable,
+            slot: Some(slot),
+        };
+        let answer = call.exchange(request.map(CallBody::new)).await?;
+        let (head, body) = answer.into_parts();
+        let body = AnswerBody::new(call, body, &head);
+        Ok(Response::from_parts(head, body))
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<CallBody>,
+    ) -> Result<Response<Incoming>, CallFailure> {
+        let Some(connection) = &mut self.connection else {
+            return Err(CallFailure::not_sent(FailureKind::CutShort));
+        };
+        let answering = connection.send.send_request(request);
+        match self.wait(self.timeouts.first_byte, answering).await {
+            Ok(Ok(answer)) => {
+                self.note_arrival();
+                Ok(answer)
+            }
+            Ok(Err(error)) => Err(self.fail(FailureKind::Closed { message: error.to_string() })),
+            Err(kind) => Err(self.fail(kind)),
+        }
+    }
+
+    /// Waits for a step that needs something to arrive.
+    pub(crate) async fn wait<F: Future>(
+        &self,
+        limit: Duration,
+        step: F,
+    ) -> Result<F::Output, FailureKind> {
+        let Some(connection) = &self.connection else { return Err(FailureKind::CutShort) };
+        let mark = connection.mark.clone();
+        let mut silent_at = Instant::now() + limit;
+        let mut watched = self.resendable;
+        tokio::pin!(step);
+        loop {
+            let ends_at = self.deadline.map_or(silent_at, |deadline| deadline.min(silent_at));
+            tokio::select! {
+                biased;
+                arrived = &mut step => return Ok(arrived),
+                () = sleep_until(ends_at) => return Err(self.expired(ends_at)),
+                () = mark.retired.cancelled(), if watched => {
+                    watched = false;
+                    let grace = self.pool.limits().retired_grace;
+                    silent_at = silent_at.min(Instant::now() + grace);
+                }
+            }
+        }
+    }
+
+    /// Notes that the upstream sent something.
+    pub(crate) fn note_arrival(&self) {
+        if let Some(connection) = &self.connection {
+            self.pool.note_answer(&connection.mark);
+        }
+    }
+
+    /// Ends the call without its connection; whatever wasn't written never will be.
+    pub(crate) fn fail(&mut self, kind: FailureKind) -> CallFailure {
+        self.slot = None;
+        let written = self.connection.take().map(|connection| connection.gate.seal());
+        let sent = match written {
+            Some(written) if written == self.written_before => SentState::NotSent,
+            _ => SentState::MaybeSent,
+        };
+        CallFailure { sent, said_not_run: false, kind }
+    }
+
+    /// Ends the call well.
+    pub(crate) fn finish(&mut self) {
+        self.slot = None;
+        if let Some(connection) = self.connection.take() {
+            self.pool.give_back(connection);
+        }
+    }
+
+    /// The step timeouts.
+    pub(crate) fn timeouts(&self) -> &CallTimeouts {
+        &self.timeouts
+    }
+
+    fn expired(&self, ends_at: Instant) -> FailureKind {
+        if self.deadline == Some(ends_at) {
+            return FailureKind::Deadline;
+        }
+        self.pool.note_silence();
+        FailureKind::Silent
+    }
+}
+
+impl Drop for PooledCall {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.gate.seal();
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/service_client.rs
@@ -0,0 +1,72 @@
+//! The client of one plain service.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use wheel_types::UpstreamName;
+
+use crate::answer_body::has_marked_end;
+use crate::connection_pool::{ConnectionChoice, ConnectionPool};
+use crate::engine_client::{host_of, with_host};
+use crate::pooled_call::PooledCall;
+use crate::service_dialect::without_hop_headers;
+use crate::{CallFailure, ClientStatus, FailureKind, ServiceAnswer, ServiceCall, ServiceSettings};
+
+/// Reaches one plain service; clones share its connections.
+#[derive(Clone)]
+pub struct ServiceClient {
+    settings: Arc<ServiceSettings>,
+    pool: Arc<ConnectionPool>,
+    host: HeaderValue,
+}
+
+impl ServiceClient {
+    /// Makes a client; connections are opened when they are needed.
+    pub fn open(settings: ServiceSettings) -> Self {
+        let host = host_of(&settings.address);
+        let probe = settings.dialect.probe().map(|probe| with_host(probe, &host));
+        let pool = ConnectionPool::new(settings.address, settings.limits, probe);
+        Self { settings: Arc::new(settings), pool: Arc::new(pool), host }
+    }
+
+    /// The service's name.
+    pub fn name(&self) -> &UpstreamName {
+        &self.settings.name
+    }
+
+    /// Counters of its connections.
+    pub fn status(&self) -> ClientStatus {
+        self.pool.status()
+    }
+
+    /// Makes a call and returns the head of its answer, with the body still to read.
+    ///
+    /// An answer whose end can't be told from a broken connection is a failure.
+    pub async fn call(&self, call: ServiceCall) -> Result<ServiceAnswer, CallFailure> {
+        let dialect = &self.settings.dialect;
+        let request = dialect.request(&call).map_err(CallFailure::not_sent)?;
+        let choice = match call.idempotent {
+            true => ConnectionChoice::Pooled,
+            false => ConnectionChoice::Fresh,
+        };
+        let sending = PooledCall::send(
+            self.pool.clone(),
+            choice,
+            call.idempotent,
+            call.timeouts,
+            with_host(request, &self.host),
+        );
+        let (head, mut body) = sending.await?.into_parts();
+        if dialect.answer_id(&head.headers) != Some(call.request_id.as_str()) {
+            self.pool.counters.foreign_answers.add_one();
+            return Err(body.fail(FailureKind::ForeignAnswer));
+        }
+        if call.method != http::Method::HEAD && !has_marked_end(head.status, &head.headers) {
+            let message = "neither a length nor chunks".to_owned();
+            return Err(body.fail(FailureKind::BadAnswer { message }));
+        }
+        let outcome = dialect.outcome(head.status, &head.headers);
+        let headers = without_hop_headers(head.headers);
+        Ok(ServiceAnswer { status: head.status, headers, outcome, body })
+    }
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/service_dialect.rs
@@ -0,0 +1,84 @@
+//! What a plain service speaks.
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
+use wheel_types::RequestOutcome;
+
+use crate::wheel_dialect::{OUTCOME, REQUEST_ID};
+use crate::{FailureKind, ServiceCall};
+
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Turns calls into a service's requests and reads what its answers say of themselves.
+pub trait ServiceDialect: Send + Sync + 'static {
+    /// A request that is answered at once by a live service; `None` if there is no such thing,
+    /// and idle connections are then closed instead of probed.
+    fn probe(&self) -> Option<Request<Bytes>>;
+
+    /// The request of a call.
+    fn request(&self, call: &ServiceCall) -> Result<Request<Bytes>, FailureKind>;
+
+    /// The id of the call that an answer belongs to.
+    fn answer_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
+    /// Whether the call ran, by its answer.
+    fn outcome(&self, status: StatusCode, headers: &HeaderMap) -> RequestOutcome;
+}
+
+/// Any HTTP service that repeats the request id, as `docs/PROTOCOLS.md` says.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlainDialect;
+
+impl ServiceDialect for PlainDialect {
+    fn probe(&self) -> Option<Request<Bytes>> {
+        None
+    }
+
+    fn request(&self, call: &ServiceCall) -> Result<Request<Bytes>, FailureKind> {
+        let mut request = Request::builder()
+            .method(call.method.clone())
+            .uri(Uri::from(call.path.clone()))
+            .header(REQUEST_ID, call.request_id.as_str())
+            .body(call.body.clone())
+            .map_err(|error| FailureKind::Malformed { message: error.to_string() })?;
+        let own_id = request.headers_mut().remove(REQUEST_ID);
+        *request.headers_mut() = without_hop_headers(call.headers.clone());
+        request.headers_mut().remove(HOST);
+        request.headers_mut().remove(CONTENT_LENGTH);
+        if let Some(own_id) = own_id {
+            request.headers_mut().insert(REQUEST_ID, own_id);
+        }
+        if let Some(key) = &call.idempotency_key {
+            request.headers_mut().insert(IDEMPOTENCY_KEY, key.clone());
+        }
+        Ok(request)
+    }
+
+    fn answer_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        headers.get(REQUEST_ID)?.to_str().ok()
+    }
+
+    fn outcome(&self, status: StatusCode, headers: &HeaderMap) -> RequestOutcome {
+        let said = headers.get(OUTCOME).and_then(|value| value.to_str().ok());
+        match said.and_then(RequestOutcome::parse) {
+            Some(outcome) => outcome,
+            None if status.is_server_error() => RequestOutcome::Unknown,
+            None => RequestOutcome::Ran,
+        }
+    }
+}
+
+/// Leaves out the headers that belong to one connection only.
+pub(crate) fn without_hop_headers(mut headers: HeaderMap) -> HeaderMap {
+    let listed = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    let named = listed.flat_map(|list| list.split(','));
+    let named: Vec<HeaderName> = named.filter_map(|name| name.trim().parse().ok()).collect();
+    let hop = [CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    for name in named.iter().chain(&hop) {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/token_stream.rs
@@ -0,0 +1,139 @@
+//! A streamed generation.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
+use tokio::runtime::Handle;
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, LinesCodec, LinesCodecError};
+
+use crate::cancel_guard::CancelGuard;
+use crate::{AnswerBody, CallFailure, FailureKind};
+
+const DONE: &str = "[DONE]";
+const DRAIN_LIMIT: Duration = Duration::from_secs(1);
+
+/// One token of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TokenEvent {
+    /// Its index; the first token of a request is 0.
+    pub index: u64,
+    /// The event's data: an OpenAI chunk in JSON.
+    pub data: Bytes,
+}
+
+/// What a stream yields.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamEvent {
+    /// The next token.
+    Token(TokenEvent),
+    /// The proper end: every token came.
+    End,
+}
+
+/// The tokens of one request, each exactly once and in order.
+///
+/// An event that came before is dropped. A missing one, one of another request, silence or an end
+/// without the engine's own end mark is a failure; [`TokenStream::next_index`] then tells from
+/// where to resume. A stream dropped before its end cancels the request at the engine.
+pub struct TokenStream {
+    body: Option<AnswerBody>,
+    lines: LinesCodec,
+    buffer: BytesMut,
+    next_index: u64,
+    guard: CancelGuard,
+}
+
+impl TokenStream {
+    pub(crate) fn new(body: AnswerBody, guard: CancelGuard, next_index: u64) -> Self {
+        let max_length = guard.core().pool.limits().max_event_bytes;
+        let lines = LinesCodec::new_with_max_length(max_length);
+        Self { body: Some(body), lines, buffer: BytesMut::new(), next_index, guard }
+    }
+
+    /// The index of the token that is due: every one before it has been yielded.
+    pub fn next_index(&self) -> u64 {
+        self.next_index
+    }
+
+    /// The next event. After an end or a failure there is nothing more to come, and the stream
+    /// fails as cut short.
+    pub async fn next(&mut self) -> Result<StreamEvent, CallFailure> {
+        match self.read_event().await {
+            Ok(event) => Ok(event),
+            Err(kind) => Err(self.fail(kind)),
+        }
+    }
+
+    async fn read_event(&mut self) -> Result<StreamEvent, FailureKind> {
+        loop {
+            match self.lines.decode(&mut self.buffer) {
+                Ok(Some(line)) => match self.read_line(line)? {
+                    Some(event) => return Ok(event),
+                    None => continue,
+                },
+                Ok(None) => {}
+                Err(LinesCodecError::MaxLineLengthExceeded) => return Err(FailureKind::TooLarge),
+                Err(error) => return Err(FailureKind::BadAnswer { message: error.to_string() }),
+            }
+            let Some(body) = &mut self.body else { return Err(FailureKind::CutShort) };
+            match body.next().await {
+                Ok(Some(piece)) => self.buffer.extend_from_slice(&piece),
+                Ok(None) => return Err(FailureKind::CutShort),
+                Err(failure) => return Err(failure.kind),
+            }
+        }
+    }
+
+    /// Reads one line of the event stream; comments, field names and blank lines carry nothing.
+    fn read_line(&mut self, line: String) -> Result<Option<StreamEvent>, FailureKind> {
+        let Some(data) = line.strip_prefix("data:").map(str::trim_start) else { return Ok(None) };
+        if data == DONE {
+            self.end();
+            return Ok(Some(StreamEvent::End));
+        }
+        let core = self.guard.core();
+        let mark = core.dialect.token_mark(data.as_bytes())?;
+        match mark.index {
+            _ if mark.id != self.guard.request().as_str() => {
+                core.pool.counters.foreign_answers.add_one();
+                Err(FailureKind::ForeignAnswer)
+            }
+            found if found > self.next_index => {
+                Err(FailureKind::TokenGap { expected: self.next_index, found })
+            }
+            found if found < self.next_index => {
+                core.pool.counters.doubled_events.add_one();
+                Ok(None)
+            }
+            index => {
+                self.next_index += 1;
+                let start = line.len() - data.len();
+                let data = Bytes::from(line).slice(start..);
+                Ok(Some(StreamEvent::Token(TokenEvent { index, data })))
+            }
+        }
+    }
+
+    fn end(&mut self) {
+        self.guard.disarm();
+        let Some(mut body) = self.body.take() else { return };
+        // The connection is free again only after the end of the body, which is mostly here.
+        let at_end = body.next().now_or_never().is_some();
+        match Handle::try_current() {
+            Ok(runtime) if !at_end => {
+                runtime.spawn(async move { timeout(DRAIN_LIMIT, body.next()).await.map(drop) });
+            }
+            _ => {}
+        }
+    }
+
+    fn fail(&mut self, kind: FailureKind) -> CallFailure {
+        self.buffer.clear();
+        match self.body.take() {
+            Some(mut body) => body.fail(kind),
+            None => CallFailure::maybe_sent(kind),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/upstream_connection.rs
@@ -0,0 +1,119 @@
+//! One connection to an upstream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::call_body::CallBody;
+use crate::guarded_stream::{GuardedStream, WriteGate};
+use crate::{CallFailure, ConnectionLimits, FailureKind, OrderPermit};
+
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 3;
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// An HTTP/1.1 connection with its driver task; dropping it closes it.
+pub(crate) struct UpstreamConnection {
+    pub(crate) send: SendRequest<CallBody>,
+    pub(crate) gate: Arc<WriteGate>,
+    pub(crate) mark: Arc<ConnectionMark>,
+    driver: AbortHandle,
+}
+
+/// The part of a connection that its pool keeps.
+pub(crate) struct ConnectionMark {
+    pub(crate) opened_at: Instant,
+    pub(crate) retired: CancellationToken,
+}
+
+impl UpstreamConnection {
+    /// Opens a connection for calls.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        limits: &ConnectionLimits,
+        connect: Duration,
+    ) -> Result<Self, CallFailure> {
+        let stream = open_stream(address, connect, limits.unacknowledged).await?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(limits.keepalive)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_RETRIES);
+        SockRef::from(&stream)
+            .set_tcp_keepalive(&keepalive)
+            .map_err(|error| connect_failure(&error))?;
+        Self::handshake(stream, WriteGate::default()).await
+    }
+
+    /// Opens a connection for one order: unacknowledged bytes live no longer than `order_life`,
+    /// and closing it, even by the process's death, throws unsent bytes away.
+    pub(crate) async fn open_for_order(
+        address: SocketAddr,
+        connect: Duration,
+        order_life: Duration,
+        permit: Arc<dyn OrderPermit>,
+    ) -> Result<Self, CallFailure> {
+        let stream = open_stream(address, connect, order_life).await?;
+        SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .map_err(|error| connect_failure(&error))?;
+        Self::handshake(stream, WriteGate::with_permit(permit)).await
+    }
+
+    async fn handshake(stream: TcpStream, gate: WriteGate) -> Result<Self, CallFailure> {
+        let gate = Arc::new(gate);
+        let opened_at = Instant::now();
+        let guarded = TokioIo::new(GuardedStream::new(stream, gate.clone()));
+        let (send, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(guarded)
+            .await
+            .map_err(|error| connect_failure(&error))?;
+        let driving = async move {
+            // Its error reaches the call through the answer.
+            let _ = connection.await;
+        };
+        let driver = tokio::spawn(driving).abort_handle();
+        let mark = Arc::new(ConnectionMark { opened_at, retired: CancellationToken::new() });
+        Ok(Self { send, gate, mark, driver })
+    }
+
+    /// True if the connection is neither closed nor retired.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.send.is_closed() && !self.mark.retired.is_cancelled()
+    }
+}
+
+impl Drop for UpstreamConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+async fn open_stream(
+    address: SocketAddr,
+    connect: Duration,
+    unacknowledged: Duration,
+) -> Result<TcpStream, CallFailure> {
+    let stream = match timeout(connect, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(connect_failure(&error)),
+        Err(_) => return Err(CallFailure::not_sent(FailureKind::ConnectTimeout)),
+    };
+    stream.set_nodelay(true).map_err(|error| connect_failure(&error))?;
+    SockRef::from(&stream)
+        .set_tcp_user_timeout(Some(unacknowledged))
+        .map_err(|error| connect_failure(&error))?;
+    Ok(stream)
+}
+
+fn connect_failure(error: &impl ToString) -> CallFailure {
+    CallFailure::not_sent(FailureKind::Connect { message: error.to_string() })
+}
--- /dev/null
+++ b/crates/wheel_upstream/src/wheel_dialect.rs
@@ -0,0 +1,144 @@
+//! The engine protocol of `docs/PROTOCOLS.md`.
+
+use std::borrow::Cow;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, Method, Request, Uri};
+use serde::{Deserialize, Serialize};
+use wheel_types::{EngineOrder, EngineState, LoadReport, OrderReply, RequestId, RequestOutcome};
+
+use crate::{CacheEvents, EngineDialect, FailureKind, GenerateCall, TokenMark};
+
+pub(crate) const REQUEST_ID: &str = "wheel-request-id";
+pub(crate) const OUTCOME: &str = "wheel-outcome";
+const PRIORITY: &str = "wheel-priority";
+const RESUME_FROM: &str = "wheel-resume-from";
+
+const CANCEL_PATH: &str = "/engine/v1/cancel";
+const ORDERS_PATH: &str = "/engine/v1/orders";
+const STATE_PATH: &str = "/engine/v1/state";
+const LOAD_PATH: &str = "/engine/v1/load";
+const EVENTS_PATH: &str = "/engine/v1/cache-events";
+
+/// The OpenAI shape with the project's headers, marks and orders.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WheelDialect;
+
+impl EngineDialect for WheelDialect {
+    fn probe(&self) -> Request<Bytes> {
+        get(LOAD_PATH)
+    }
+
+    fn generate(&self, call: &GenerateCall) -> Result<Request<Bytes>, FailureKind> {
+        Request::post(call.path.as_str())
+            .header(CONTENT_TYPE, "application/json")
+            .header(REQUEST_ID, call.call.request_id.as_str())
+            .header(PRIORITY, u16::from(call.call.rank.0))
+            .header(RESUME_FROM, call.call.resume_from)
+            .body(call.body.clone())
+            .map_err(|error| malformed(&error))
+    }
+
+    fn answer_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        headers.get(REQUEST_ID)?.to_str().ok()
+    }
+
+    fn said_outcome(&self, headers: &HeaderMap) -> Option<RequestOutcome> {
+        RequestOutcome::parse(headers.get(OUTCOME)?.to_str().ok()?)
+    }
+
+    fn token_mark<'a>(&self, event: &'a [u8]) -> Result<TokenMark<'a>, FailureKind> {
+        let chunk: MarkedChunk<'a> = read(event)?;
+        Ok(TokenMark { id: chunk.id, index: chunk.wheel.index })
+    }
+
+    fn whole_id<'a>(&self, body: &'a [u8]) -> Result<Cow<'a, str>, FailureKind> {
+        read::<WholeHead<'a>>(body).map(|head| head.id)
+    }
+
+    fn cancel(&self, request: &RequestId) -> Result<Request<Bytes>, FailureKind> {
+        post(CANCEL_PATH, &CancelBody { request_id: request })
+    }
+
+    fn order(&self, order: &EngineOrder) -> Result<Request<Bytes>, FailureKind> {
+        post(ORDERS_PATH, order)
+    }
+
+    fn order_reply(&self, body: &[u8]) -> Result<OrderReply, FailureKind> {
+        read(body)
+    }
+
+    fn state(&self) -> Request<Bytes> {
+        get(STATE_PATH)
+    }
+
+    fn read_state(&self, body: &[u8]) -> Result<EngineState, FailureKind> {
+        read(body)
+    }
+
+    fn load(&self) -> Request<Bytes> {
+        get(LOAD_PATH)
+    }
+
+    fn read_load(&self, body: &[u8]) -> Result<LoadReport, FailureKind> {
+        read(body)
+    }
+
+    fn cache_events(&self, after: u64) -> Result<Request<Bytes>, FailureKind> {
+        let uri = format!("{EVENTS_PATH}?after={after}");
+        Request::get(uri).body(Bytes::new()).map_err(|error| malformed(&error))
+    }
+
+    fn read_cache_events(&self, body: &[u8]) -> Result<CacheEvents, FailureKind> {
+        read(body)
+    }
+}
+
+#[derive(Deserialize)]
+struct MarkedChunk<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    wheel: ChunkMark,
+}
+
+#[derive(Deserialize)]
+struct ChunkMark {
+    index: u64,
+}
+
+#[derive(Deserialize)]
+struct WholeHead<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+}
+
+#[derive(Serialize)]
+struct CancelBody<'a> {
+    request_id: &'a RequestId,
+}
+
+fn get(path: &'static str) -> Request<Bytes> {
+    let mut request = Request::new(Bytes::new());
+    *request.uri_mut() = Uri::from_static(path);
+    request
+}
+
+fn post(path: &'static str, body: &impl Serialize) -> Result<Request<Bytes>, FailureKind> {
+    let body = serde_json::to_vec(body).map_err(|error| malformed(&error))?;
+    Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(CONTENT_TYPE, "application/json")
+        .body(body.into())
+        .map_err(|error| malformed(&error))
+}
+
+fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, FailureKind> {
+    serde_json::from_slice(body)
+        .map_err(|error| FailureKind::BadAnswer { message: error.to_string() })
+}
+
+fn malformed(error: &impl ToString) -> FailureKind {
+    FailureKind::Malformed { message: error.to_string() }
+}
--- /dev/null
+++ b/crates/wheel_upstream/tests/common/mod.rs
@@ -0,0 +1,162 @@
+//! Shared parts of this crate's tests.
+#![allow(dead_code, unreachable_pub, clippy::expect_used)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderValue, Method};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use wheel_fakes::{FakeEngine, FakeEngineSettings, FakeService, token_text};
+use wheel_types::{
+    EngineCall, EngineOrder, FencingNumber, IncarnationId, OrderAction, RequestId, RequestRank,
+};
+use wheel_upstream::{
+    CallFailure, CallTimeouts, EngineClient, EngineSettings, GenerateCall, GeneratePath,
+    OrderPermit, ServiceCall, ServiceClient, ServiceSettings, StreamEvent, TokenStream,
+};
+
+pub const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// Long enough for any step that is expected to end.
+pub const LONG: Duration = Duration::from_secs(20);
+/// Short enough to wait for a step that is expected to stay silent.
+pub const SHORT: Duration = Duration::from_millis(300);
+
+pub fn timeouts() -> CallTimeouts {
+    CallTimeouts::default().connect(LONG).first_byte(LONG).progress(LONG)
+}
+
+pub async fn engine() -> (FakeEngine, EngineClient) {
+    let engine = FakeEngine::bind(FakeEngineSettings::default()).await.expect("bind");
+    engine.preload("m", 10);
+    let client = engine_client(engine.local_addr());
+    (engine, client)
+}
+
+pub fn engine_client(address: SocketAddr) -> EngineClient {
+    let settings = EngineSettings::new("engine".into(), address);
+    EngineClient::open(settings.timeouts(timeouts()))
+}
+
+pub async fn service() -> (FakeService, ServiceClient) {
+    let service = FakeService::bind(ANY_PORT).await.expect("bind");
+    let client = service_client(service.local_addr());
+    (service, client)
+}
+
+pub fn service_client(address: SocketAddr) -> ServiceClient {
+    ServiceClient::open(ServiceSettings::new("service".into(), address))
+}
+
+pub fn generate(id: &str, tokens: u64) -> GenerateCall {
+    let body = format!(r#"{{"model":"m","stream":true,"max_tokens":{tokens}}}"#);
+    let request_id = RequestId::new(id);
+    let call = EngineCall { request_id, rank: RequestRank(1), resume_from: 0 };
+    let path = GeneratePath::ChatCompletions;
+    GenerateCall { call, path, body: body.into(), timeouts: timeouts() }
+}
+
+pub fn booking(id: &str) -> ServiceCall {
+    ServiceCall {
+        request_id: RequestId::new(id),
+        method: Method::POST,
+        path: PathAndQuery::from_static("/bookings?seats=2"),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"{}"),
+        idempotency_key: Some(HeaderValue::from_static("key-1")),
+        idempotent: false,
+        timeouts: timeouts(),
+    }
+}
+
+/// Reads a stream to its end or failure; `Ok` only after the proper end.
+pub async fn read_all(stream: &mut TokenStream) -> (Vec<Bytes>, Result<(), CallFailure>) {
+    let mut tokens = Vec::new();
+    loop {
+        match stream.next().await {
+            Ok(StreamEvent::Token(token)) => tokens.push(token.data),
+            Ok(StreamEvent::End) => return (tokens, Ok(())),
+            Err(failure) => return (tokens, Err(failure)),
+        }
+    }
+}
+
+/// True if `tokens` are those of `call` from index `first` on, each once and in order.
+pub fn are_tokens(tokens: &[Bytes], call: &GenerateCall, first: u64) -> bool {
+    tokens.iter().zip(first..).all(|(token, index)| {
+        let text = token_text(&call.call.request_id, &call.body, index);
+        std::str::from_utf8(token).is_ok_and(|token| token.contains(&format!("\"{text}\"")))
+    })
+}
+
+pub fn load_order(id: &str, model: &str) -> EngineOrder {
+    EngineOrder {
+        order_id: RequestId::new(id),
+        fencing_number: FencingNumber(7),
+        incarnation: IncarnationId(1),
+        action: OrderAction::LoadModel { model: model.into(), version: 1, memory_mib: 100 },
+    }
+}
+
+/// A permit that a test ends.
+#[derive(Default)]
+pub struct TestPermit {
+    pub ended: AtomicBool,
+}
+
+impl OrderPermit for TestPermit {
+    fn valid(&self) -> bool {
+        !self.ended.load(Ordering::Acquire)
+    }
+}
+
+/// Waits until `check` holds.
+pub async fn eventually(check: impl Fn() -> bool) {
+    let waiting = async {
+        while !check() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(LONG, waiting).await.expect("the condition holds in time");
+}
+
+/// Passes bytes between clients and `target`, until told to go silent: connections that are open
+/// then stay open and pass nothing more, while new ones work.
+pub struct SilencingRelay {
+    pub address: SocketAddr,
+    silenced: Arc<watch::Sender<u64>>,
+}
+
+impl SilencingRelay {
+    pub async fn bind(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(ANY_PORT).await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let silenced = Arc::new(watch::Sender::new(0));
+        let relay = Self { address, silenced: silenced.clone() };
+        tokio::spawn(async move {
+            while let Ok((inbound, _)) = listener.accept().await {
+                tokio::spawn(pass(inbound, target, silenced.subscribe()));
+            }
+        });
+        relay
+    }
+
+    pub fn silence(&self) {
+        self.silenced.send_modify(|count| *count += 1);
+    }
+}
+
+async fn pass(mut inbound: TcpStream, target: SocketAddr, mut silenced: watch::Receiver<u64>) {
+    let Ok(mut outbound) = TcpStream::connect(target).await else { return };
+    tokio::select! {
+        biased;
+        _ = silenced.changed() => std::future::pending().await,
+        _ = tokio::io::copy_bidirectional(&mut inbound, &mut outbound) => {}
+    }
+}
