Grant one lease per data centre and account for every order

Each data centre's engines are ordered by one instance. LeaseGrantor and LeaseHolder are pure; grants live in memory, and a restarted grantor waits out the longest lease plus the longest life of an order. Weighed for the fencing numbers: numbers from the replicated log (a cut-off data centre couldn't change holders), wall clocks (may run back), numbers read back from grantors and engines. The last is built: grantors grant only numbers above all they know, and a holder raises its number when an engine has seen an equal or higher one.

OrderLedger counts loaded, loading and every order whose outcome is unknown. An engine is trusted under a new holder only after a read that no earlier order can change: after the order life, or after a confirmed fence order where the engine enforces numbers. Reading alone isn't enough there, because an engine that hasn't seen the new number would still carry out a late order.

wheel_types: EngineState, ModelState and AdapterState derive Hash, for state exploration.

--- /dev/null
+++ b/crates/wheel_lease/src/holder_id.rs
@@ -0,0 +1,15 @@
+//! Who asks for a lease.
+
+use serde::{Deserialize, Serialize};
+use wheel_types::{IncarnationId, InstanceName};
+
+/// One life of an instance as a holder or candidate. A restarted instance is another one, so that
+/// it never takes its predecessor's lease for its own.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub struct HolderId {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its incarnation.
+    pub incarnation: IncarnationId,
+}
--- /dev/null
+++ b/crates/wheel_lease/src/lease_grantor.rs
@@ -0,0 +1,124 @@
+//! One of the instances that grant the lease.
+
+use std::time::Duration;
+
+use wheel_types::{FencingNumber, MonotonicTime};
+
+use crate::{
+    HolderId, LeaseObstacle, LeaseReply, LeaseRequest, LeaseSettings, LeaseVerdict, RequestKind,
+};
+
+/// Grants the lease to one holder at a time. Everything is kept in memory; after a restart it
+/// grants nothing for [`LeaseSettings::restart_wait`].
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct LeaseGrantor {
+    settings: LeaseSettings,
+    ready_at: MonotonicTime,
+    epoch: u64,
+    highest: FencingNumber,
+    grant: Option<LeaseGrant>,
+}
+
+/// The last grant; it may have ended.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct LeaseGrant {
+    holder: HolderId,
+    number: FencingNumber,
+    round: u64,
+    ends: MonotonicTime,
+}
+
+impl LeaseGrantor {
+    /// Starts a grantor that remembers nothing.
+    pub fn open(settings: LeaseSettings, now: MonotonicTime) -> Self {
+        let ready_at = now + settings.restart_wait();
+        Self { settings, ready_at, epoch: 0, highest: FencingNumber::default(), grant: None }
+    }
+
+    /// Takes note of a number that was seen elsewhere, so that it isn't granted again.
+    pub fn learn(&mut self, number: FencingNumber) {
+        self.highest = self.highest.max(number);
+    }
+
+    /// Takes note of the committed grantor set's epoch; requests by older sets are refused.
+    pub fn adopt(&mut self, epoch: u64) {
+        self.epoch = self.epoch.max(epoch);
+    }
+
+    /// Answers one request.
+    pub fn answer(&mut self, now: MonotonicTime, request: &LeaseRequest) -> LeaseReply {
+        let verdict = self.judge(now, request);
+        self.adopt(request.epoch);
+        let live = self.grant.as_ref().filter(|grant| now < grant.ends);
+        LeaseReply {
+            round: request.round,
+            verdict,
+            highest: self.highest,
+            holder: live.map(|grant| grant.holder.clone()),
+        }
+    }
+
+    fn judge(&mut self, now: MonotonicTime, request: &LeaseRequest) -> LeaseVerdict {
+        let own = self.grant.as_ref().filter(|grant| grant.holder == request.holder);
+        let held_by_other =
+            self.grant.as_ref().filter(|grant| grant.holder != request.holder && now < grant.ends);
+        let last_round = own.map_or(0, |grant| grant.round);
+        let same_number = own.is_some_and(|grant| grant.number == request.number);
+        let fresh_number = request.number > self.highest;
+        match request.kind {
+            RequestKind::Release => self.release(now, request),
+            _ if request.epoch < self.epoch => refuse(LeaseObstacle::SetChanged, Duration::ZERO),
+            _ if request.term > self.settings.longest_term => {
+                refuse(LeaseObstacle::TermTooLong, Duration::ZERO)
+            }
+            _ if now < self.ready_at => refuse(LeaseObstacle::Restarting, self.ready_at - now),
+            _ if request.round < last_round => refuse(LeaseObstacle::Stale, Duration::ZERO),
+            // A duplicate neither prolongs the grant nor revives a released one.
+            _ if request.round == last_round => self.repeat(now, request),
+            _ => match held_by_other {
+                Some(grant) => refuse(LeaseObstacle::Held, grant.ends - now),
+                None if fresh_number => self.grant(now, request),
+                None if same_number && request.kind == RequestKind::Renew => {
+                    self.grant(now, request)
+                }
+                None => refuse(LeaseObstacle::Stale, Duration::ZERO),
+            },
+        }
+    }
+
+    fn grant(&mut self, now: MonotonicTime, request: &LeaseRequest) -> LeaseVerdict {
+        debug_assert!(request.number >= self.highest, "numbers never fall");
+        self.highest = request.number;
+        self.grant = Some(LeaseGrant {
+            holder: request.holder.clone(),
+            number: request.number,
+            round: request.round,
+            ends: now + request.term,
+        });
+        LeaseVerdict::Granted
+    }
+
+    fn repeat(&self, now: MonotonicTime, request: &LeaseRequest) -> LeaseVerdict {
+        match &self.grant {
+            Some(grant) if grant.number == request.number && now < grant.ends => {
+                LeaseVerdict::Granted
+            }
+            _ => refuse(LeaseObstacle::Stale, Duration::ZERO),
+        }
+    }
+
+    fn release(&mut self, now: MonotonicTime, request: &LeaseRequest) -> LeaseVerdict {
+        match &mut self.grant {
+            Some(grant) if grant.holder == request.holder && grant.round < request.round => {
+                grant.round = request.round;
+                grant.ends = grant.ends.min(now);
+                LeaseVerdict::Granted
+            }
+            _ => refuse(LeaseObstacle::Stale, Duration::ZERO),
+        }
+    }
+}
+
+fn refuse(obstacle: LeaseObstacle, wait: Duration) -> LeaseVerdict {
+    LeaseVerdict::Refused { obstacle, wait }
+}
--- a/crates/wheel_lease/src/lib.rs
+++ b/crates/wheel_lease/src/lib.rs
@@ -1,1 +1,48 @@
-//! The data centre lease, fencing numbers and the accounts of engine orders, as pure step functions.
+//! The data centre lease, fencing numbers and the accounts of engine orders, as pure step
+//! functions.
+//!
+//! At most one instance of a data centre orders its engines: the one that a majority of
+//! [`LeaseGrantor`]s granted the lease. [`LeaseHolder`] claims, renews and releases it.
+//! [`OrderLedger`] decides which orders the holder may give, and [`StoreBudget`] how many loads
+//! its data centre may draw from the shared weight store. The README states the protocol, its
+//! assumptions and why fencing numbers grow.
+
+mod engine_account;
+mod engine_entry;
+mod grantor_set;
+mod holder_id;
+mod holder_input;
+mod holder_output;
+mod holder_phase;
+mod lease_authority;
+mod lease_grantor;
+mod lease_holder;
+mod lease_reply;
+mod lease_request;
+mod lease_settings;
+mod ledger_settings;
+mod order_ledger;
+mod order_limits;
+mod order_record;
+mod order_refusal;
+mod order_result;
+
+pub use engine_account::EngineAccount;
+pub use engine_entry::{EngineEntry, FencingMode};
+pub use grantor_set::GrantorSet;
+pub use holder_id::HolderId;
+pub use holder_input::HolderInput;
+pub use holder_output::HolderOutput;
+pub use holder_phase::{ClaimRound, HolderPhase, LeaseTenure};
+pub use lease_authority::LeaseAuthority;
+pub use lease_grantor::LeaseGrantor;
+pub use lease_holder::LeaseHolder;
+pub use lease_reply::{LeaseObstacle, LeaseReply, LeaseVerdict};
+pub use lease_request::{LeaseRequest, RequestKind};
+pub use lease_settings::LeaseSettings;
+pub use ledger_settings::LedgerSettings;
+pub use order_ledger::OrderLedger;
+pub use order_limits::OrderLimits;
+pub use order_record::{OrderPhase, OrderRecord};
+pub use order_refusal::OrderRefusal;
+pub use order_result::OrderResult;
--- a/crates/wheel_types/src/adapter_state.rs
+++ b/crates/wheel_types/src/adapter_state.rs
@@ -5,7 +5,7 @@
 use crate::{AdapterName, ModelPhase};
 
 /// An adapter that takes memory beside its model.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct AdapterState {
     /// The adapter.
--- a/crates/wheel_types/src/engine_state.rs
+++ b/crates/wheel_types/src/engine_state.rs
@@ -5,7 +5,7 @@
 use crate::{EngineRole, FencingNumber, IncarnationId, ModelName, ModelState, RequestId};
 
 /// The body of `GET /engine/v1/state`, read by owners and by the lease holder.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct EngineState {
     /// The engine process's incarnation; another one means that its memory was emptied.
--- a/crates/wheel_types/src/model_state.rs
+++ b/crates/wheel_types/src/model_state.rs
@@ -18,7 +18,7 @@
 }
 
 /// A model that takes memory on an engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct ModelState {
     /// The model.
