Forecast demand on local clocks; hold what waits for a load

Weekly profiles keep arrivals and the hours really seen for each quarter of an hour of local time, so the doubled and the missing hour of a clock change bend no rate. Counting arrivals per bin alone was ruled out: the doubled hour would look twice as busy a week later.

--- /dev/null
+++ b/crates/wheel_policy/src/cold_queue.rs
@@ -0,0 +1,201 @@
+//! Requests that wait for a model to be loaded.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use wheel_types::{ModelName, MonotonicTime, RequestId, RequestRank};
+
+use crate::{
+    AdapterDemand, ModelDemand, OfferAnswer, QueuedRequest, RankDemand, RefusalReason,
+    RefusedRequest, SeededRandom,
+};
+
+/// Share of `retry_after` that jitter may add.
+const JITTER_SHARE: f64 = 0.2;
+/// How long a caller that was asked to come back is counted as demand after its time.
+const RETURN_GRACE: Duration = Duration::from_secs(30);
+/// Least time between the loaded model and the first byte.
+const FIRST_BYTE: Duration = Duration::from_millis(100);
+
+/// Holds requests whose model has no replica that takes work, by model.
+///
+/// A request that can't be answered in time is refused at once, but its return counts as demand, so
+/// that the model is loaded when it comes back. At most `model_capacity` requests wait for a model
+/// and `capacity` in all; more are refused.
+#[derive(Clone, Debug)]
+pub struct ColdQueue {
+    capacity: usize,
+    model_capacity: usize,
+    models: BTreeMap<ModelName, ColdModel>,
+    due: BTreeMap<(MonotonicTime, RequestId), ModelName>,
+    random: SeededRandom,
+}
+
+/// What waits for one model.
+#[derive(Clone, Debug, Default)]
+struct ColdModel {
+    waiting: BTreeMap<RequestId, QueuedRequest>,
+    returning: BTreeMap<RequestRank, ReturnCount>,
+}
+
+/// Callers of one rank that were asked to come back.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReturnCount {
+    count: u32,
+    first: MonotonicTime,
+    last: MonotonicTime,
+}
+
+impl ColdQueue {
+    /// Makes an empty queue.
+    pub fn open(capacity: usize, model_capacity: usize, seed: u64) -> Self {
+        Self {
+            capacity,
+            model_capacity,
+            models: BTreeMap::new(),
+            due: BTreeMap::new(),
+            random: SeededRandom::new(seed),
+        }
+    }
+
+    /// Takes a request, or refuses it if the model, expected after `load_wait`, comes too late.
+    pub fn offer(
+        &mut self,
+        now: MonotonicTime,
+        request: QueuedRequest,
+        load_wait: Duration,
+    ) -> OfferAnswer {
+        let model = self.models.entry(request.model.clone()).or_default();
+        let ahead = model.waiting.len();
+        let reason = match &request {
+            request if model.waiting.contains_key(&request.id) => Some(RefusalReason::Duplicate),
+            request if now + load_wait + FIRST_BYTE > request.deadline => {
+                Some(RefusalReason::TooLate)
+            }
+            _ if ahead >= self.model_capacity => Some(RefusalReason::CallerFull),
+            _ if self.due.len() >= self.capacity => Some(RefusalReason::QueueFull),
+            _ => None,
+        };
+        if let Some(reason) = reason {
+            let jitter = 1.0 + JITTER_SHARE * self.random.next_unit();
+            let retry_after = load_wait.max(FIRST_BYTE).mul_f64(jitter);
+            model.returning.entry(request.rank).or_default().add(now, now + retry_after);
+            return OfferAnswer::Refused { reason, retry_after };
+        }
+        self.due.insert((request.deadline, request.id.clone()), request.model.clone());
+        model.waiting.insert(request.id.clone(), request);
+        OfferAnswer::Queued { wait: load_wait, ahead }
+    }
+
+    /// Takes out all that waits for a model that takes work now, earliest deadline first.
+    pub fn take_ready(&mut self, model: &ModelName) -> Vec<QueuedRequest> {
+        let Some(cold) = self.models.remove(model) else { return Vec::new() };
+        let mut requests: Vec<QueuedRequest> = cold.waiting.into_values().collect();
+        for request in &requests {
+            self.due.remove(&(request.deadline, request.id.clone()));
+        }
+        requests.sort_by_key(|request| (request.deadline, request.arrival));
+        requests
+    }
+
+    /// Takes out one request; false if it doesn't wait here.
+    pub fn remove(&mut self, model: &ModelName, id: &RequestId) -> bool {
+        let Some(cold) = self.models.get_mut(model) else { return false };
+        let Some(request) = cold.waiting.remove(id) else { return false };
+        self.due.remove(&(request.deadline, request.id));
+        true
+    }
+
+    /// Takes out all whose deadline can't be met any more, to be refused; they should come back
+    /// after `load_wait` of their model.
+    pub fn expire(
+        &mut self,
+        now: MonotonicTime,
+        load_wait: impl Fn(&ModelName) -> Duration,
+    ) -> Vec<RefusedRequest> {
+        let mut refused = Vec::new();
+        while let Some(entry) = self.due.first_entry().filter(|due| due.key().0 < now + FIRST_BYTE)
+        {
+            let ((_, id), name) = entry.remove_entry();
+            let Some(cold) = self.models.get_mut(&name) else { continue };
+            let Some(request) = cold.waiting.remove(&id) else { continue };
+            let jitter = 1.0 + JITTER_SHARE * self.random.next_unit();
+            let retry_after = load_wait(&name).max(FIRST_BYTE).mul_f64(jitter);
+            cold.returning.entry(request.rank).or_default().add(now, now + retry_after);
+            refused.push(RefusedRequest { request, reason: RefusalReason::Expired, retry_after });
+        }
+        refused
+    }
+
+    /// When [`Self::expire`] has something to do next.
+    pub fn next_deadline(&self) -> Option<MonotonicTime> {
+        let (deadline, _) = self.due.keys().next()?;
+        let micros = deadline.as_micros().saturating_sub(FIRST_BYTE.as_micros() as u64);
+        Some(MonotonicTime::from_micros(micros))
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.due.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.due.is_empty()
+    }
+
+    /// The demand of all that waits or was asked to come back, for the planner.
+    pub fn demands(&mut self, now: MonotonicTime) -> Vec<ModelDemand> {
+        for cold in self.models.values_mut() {
+            cold.returning.retain(|_, count| count.last + RETURN_GRACE > now);
+        }
+        self.models.retain(|_, cold| !cold.waiting.is_empty() || !cold.returning.is_empty());
+        self.models.iter().map(|(model, cold)| cold.demand(model)).collect()
+    }
+}
+
+impl ReturnCount {
+    fn add(&mut self, now: MonotonicTime, returns: MonotonicTime) {
+        self.first = if self.count == 0 { now } else { self.first };
+        self.count = self.count.saturating_add(1);
+        self.last = self.last.max(returns);
+    }
+}
+
+impl ColdModel {
+    fn demand(&self, model: &ModelName) -> ModelDemand {
+        let mut ranks: BTreeMap<RequestRank, RankDemand> = BTreeMap::new();
+        let mut adapters: BTreeMap<_, u32> = BTreeMap::new();
+        for request in self.waiting.values() {
+            add(&mut ranks, request.rank, 1, request.arrival, request.deadline);
+            if let Some(adapter) = &request.adapter {
+                *adapters.entry(adapter.clone()).or_default() += 1;
+            }
+        }
+        for (rank, count) in &self.returning {
+            add(&mut ranks, *rank, count.count, count.first, count.last + RETURN_GRACE);
+        }
+        let adapters =
+            adapters.into_iter().map(|(adapter, waiting)| AdapterDemand { adapter, waiting });
+        ModelDemand {
+            model: model.clone(),
+            waiting: ranks.into_values().collect(),
+            adapters: adapters.collect(),
+            ..ModelDemand::default()
+        }
+    }
+}
+
+fn add(
+    ranks: &mut BTreeMap<RequestRank, RankDemand>,
+    rank: RequestRank,
+    count: u32,
+    arrival: MonotonicTime,
+    deadline: MonotonicTime,
+) {
+    let first = RankDemand { rank, count: 0, oldest_arrival: arrival, earliest_deadline: deadline };
+    let demand = ranks.entry(rank).or_insert(first);
+    demand.count += count;
+    demand.oldest_arrival = demand.oldest_arrival.min(arrival);
+    demand.earliest_deadline = demand.earliest_deadline.min(deadline);
+}
--- a/crates/wheel_policy/src/lib.rs
+++ b/crates/wheel_policy/src/lib.rs
@@ -4,12 +4,18 @@
 //! with the same calls, and the same inputs give the same outputs.
 //!
 //! - [`EngineQueue`] is the owner's queue of one engine.
+//! - [`ColdQueue`] holds requests whose model isn't loaded anywhere.
 //! - [`EngineRouter`] picks the replica that a request goes to; [`OutlierDetector`],
 //!   [`RetryBudget`] and [`HedgePolicy`] bound what faults and retries cost.
-//! - [`PlacementPlanner`] decides what one data centre's engines load and unload.
+//! - [`PlacementPlanner`] decides what one data centre's engines load and unload;
+//!   [`DemandForecast`] tells it what is to come.
+//! - [`DecisionLog`] keeps what was decided and why.
 
 mod adapter_pass;
 mod checkpoint_source;
+mod cold_queue;
+mod decision_log;
+mod demand_forecast;
 mod demand_view;
 mod drain_pass;
 mod engine_queue;
@@ -41,8 +47,12 @@
 mod service_sample;
 mod store_gauge;
 mod upstream_load;
+mod weekly_profile;
 
 pub use checkpoint_source::CheckpointSource;
+pub use cold_queue::ColdQueue;
+pub use decision_log::{DecisionEntry, DecisionLog, DecisionSubject};
+pub use demand_forecast::DemandForecast;
 pub use demand_view::{AdapterDemand, DemandView, ModelDemand, RankDemand};
 pub use engine_queue::EngineQueue;
 pub use engine_router::EngineRouter;
