Added Cap'n Proto RPC between instances

wheel_peer gives the crates above one handle, PeerHub, and one trait, PeerHandler. capnp-rpc is single-threaded, so a hub owns a thread with a LocalSet; calls reach it by a bounded channel and handlers run on the daemon's runtime, many at once.

Bodies over 64 KiB therefore travel in pieces, four transfers at once per connection: a small call waits behind 256 KiB at most, and a message is bounded at 144 KiB. - Detecting silence by call timeouts alone mistakes a slow handler for a dead connection. A connection with a call in hand and no byte for 0.5 s is probed instead; the probe doesn't reach the handler. - Sending a lost call again was ruled out: only the crate above knows whether it is idempotent. PeerError::may_have_run tells it. - A proof that the client makes is none of the server's: the label of the side is part of the MAC, so that echoing it back fails.

--- /dev/null
+++ b/crates/wheel_peer/src/hub_worker.rs
@@ -0,0 +1,199 @@
+//! The thread that owns a hub's connections.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use capnp_rpc::new_client;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Runtime;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Duration, interval, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::counter_table::{CounterTable, count};
+use crate::hub_context::HubContext;
+use crate::outgoing_call::OutgoingCall;
+use crate::peer_capnp::gate;
+use crate::peer_gate::PeerGate;
+use crate::peer_link::PeerLink;
+use crate::stream_gauge::StreamGauge;
+use crate::{PeerAddress, PeerError, PeerHandler, PeerSettings};
+
+/// Time between two looks for idle connections.
+const SWEEP_PERIOD: Duration = Duration::from_secs(10);
+
+/// Pause after the listening socket failed, for example without file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for the last answers to leave.
+const FLUSH_LIMIT: Duration = Duration::from_secs(1);
+
+/// What handles ask of the hub's thread.
+pub(crate) enum HubCommand {
+    /// Make a call.
+    Call(OutgoingCall),
+    /// End; the sender is dropped when that is done.
+    Shutdown(oneshot::Sender<()>),
+}
+
+/// What the thread starts with.
+pub(crate) struct HubWorker {
+    pub(crate) settings: PeerSettings,
+    pub(crate) handler: Arc<dyn PeerHandler>,
+    pub(crate) counters: Arc<CounterTable>,
+    pub(crate) listener: StdListener,
+    pub(crate) queue: mpsc::Receiver<HubCommand>,
+}
+
+impl HubWorker {
+    /// Runs until the hub is shut down or no handle is left.
+    pub(crate) fn run(self, runtime: &Runtime) {
+        let local = LocalSet::new();
+        local.block_on(runtime, async {
+            let context = Rc::new(HubContext::new(self.settings, self.handler, self.counters));
+            if let Ok(listener) = TcpListener::from_std(self.listener) {
+                HubLoop::new(context).run(listener, self.queue).await;
+            }
+        });
+    }
+}
+
+/// The thread's state.
+struct HubLoop {
+    context: Rc<HubContext>,
+    links: RefCell<HashMap<PeerAddress, Rc<PeerLink>>>,
+    calls: TaskTracker,
+    connections: TaskTracker,
+    accepted: Arc<Semaphore>,
+    ending: CancellationToken,
+}
+
+impl HubLoop {
+    fn new(context: Rc<HubContext>) -> Self {
+        let accepted = Arc::new(Semaphore::new(context.settings.limits.max_accepted));
+        Self {
+            context,
+            links: RefCell::default(),
+            calls: TaskTracker::new(),
+            connections: TaskTracker::new(),
+            accepted,
+            ending: CancellationToken::new(),
+        }
+    }
+
+    async fn run(&self, listener: TcpListener, mut queue: mpsc::Receiver<HubCommand>) {
+        let mut sweep = interval(SWEEP_PERIOD);
+        loop {
+            tokio::select! {
+                command = queue.recv() => match command {
+                    Some(HubCommand::Call(call)) => self.start_call(call),
+                    Some(HubCommand::Shutdown(done)) => {
+                        drop(listener);
+                        return self.drain(queue, done).await;
+                    }
+                    None => return,
+                },
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, address)) => self.start_serving(stream, address),
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                },
+                _ = sweep.tick() => self.links.borrow_mut().retain(|_, link| !link.sweep()),
+            }
+        }
+    }
+
+    fn start_call(&self, call: OutgoingCall) {
+        match self.link(&call.peer) {
+            Some(link) => {
+                self.calls.spawn_local(link.call(call));
+            }
+            None => {
+                let _gone = call.reply.send(Err(PeerError::Overloaded));
+            }
+        }
+    }
+
+    fn link(&self, peer: &PeerAddress) -> Option<Rc<PeerLink>> {
+        let mut links = self.links.borrow_mut();
+        if let Some(link) = links.get(peer) {
+            return Some(link.clone());
+        }
+        if links.len() >= self.context.settings.limits.max_peers {
+            return None;
+        }
+        let link = Rc::new(PeerLink::new(self.context.clone(), peer.clone()));
+        links.insert(peer.clone(), link.clone());
+        Some(link)
+    }
+
+    fn start_serving(&self, stream: TcpStream, address: SocketAddr) {
+        let Ok(permit) = self.accepted.clone().try_acquire_owned() else {
+            return count(&self.context.counters.turned_away, 1);
+        };
+        let context = self.context.clone();
+        let ending = self.ending.clone();
+        self.connections.spawn_local(async move {
+            serve(context, stream, address, ending).await;
+            drop(permit);
+        });
+    }
+
+    /// Lets the calls in hand end, then the connections.
+    async fn drain(&self, mut queue: mpsc::Receiver<HubCommand>, _done: oneshot::Sender<()>) {
+        queue.close();
+        while let Ok(command) = queue.try_recv() {
+            if let HubCommand::Call(call) = command {
+                let _gone = call.reply.send(Err(PeerError::ShuttingDown));
+            }
+        }
+        self.context.draining.set(true);
+        self.calls.close();
+        let idle = async {
+            self.calls.wait().await;
+            self.context.ledger.wait_idle().await;
+        };
+        let _late = timeout(self.context.settings.limits.drain, idle).await;
+        self.ending.cancel();
+        self.connections.close();
+        let _late = timeout(FLUSH_LIMIT, self.connections.wait()).await;
+    }
+}
+
+/// Serves one accepted connection until it ends, isn't authenticated in time, or the hub ends.
+async fn serve(
+    context: Rc<HubContext>,
+    stream: TcpStream,
+    address: SocketAddr,
+    ending: CancellationToken,
+) {
+    let gauge = Rc::new(StreamGauge::new());
+    let entered = CancellationToken::new();
+    let gate = PeerGate::new(context.clone(), address, gauge.clone(), entered.clone());
+    let gate: gate::Client = new_client(gate);
+    let system = context.start_rpc(stream, Side::Server, &gauge, Some(gate.client));
+    let Ok(system) = system else { return count(&context.counters.turned_away, 1) };
+    let disconnect = system.get_disconnector();
+    let mut system = spawn_local(system);
+    let handshake = timeout(context.settings.limits.handshake, entered.cancelled());
+    let authenticated = tokio::select! {
+        entered = handshake => entered.is_ok(),
+        () = ending.cancelled() => false,
+        _ = &mut system => false,
+    };
+    if !authenticated {
+        system.abort();
+        return count(&context.counters.turned_away, 1);
+    }
+    tokio::select! {
+        _ = &mut system => return,
+        () = ending.cancelled() => {}
+    }
+    let _closed = disconnect.await;
+    let _ended = system.await;
+}
--- /dev/null
+++ b/crates/wheel_peer/src/peer_channel.rs
@@ -0,0 +1,76 @@
+//! What a call between instances is about.
+
+use crate::peer_capnp::Channel;
+
+/// Selects the part of an instance that a call is for, and the row of
+/// [`PeerCounters`](crate::PeerCounters) that counts it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum PeerChannel {
+    /// Messages of the replicated log.
+    Agreement,
+    /// Revisions of the operators' text.
+    Text,
+    /// The lease of a data centre.
+    Lease,
+    /// Heartbeats.
+    Membership,
+    /// Claims of calls that must run at most once.
+    Claim,
+    /// Models that are asked for but not loaded.
+    Demand,
+    /// Load and state reports.
+    Report,
+    /// Operators' calls that are passed on.
+    Admin,
+}
+
+impl PeerChannel {
+    /// Every channel, in the order of the schema.
+    pub const ALL: [Self; 8] = [
+        Self::Agreement,
+        Self::Text,
+        Self::Lease,
+        Self::Membership,
+        Self::Claim,
+        Self::Demand,
+        Self::Report,
+        Self::Admin,
+    ];
+
+    /// The channel's name, as a label of metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Agreement => "agreement",
+            Self::Text => "text",
+            Self::Lease => "lease",
+            Self::Membership => "membership",
+            Self::Claim => "claim",
+            Self::Demand => "demand",
+            Self::Report => "report",
+            Self::Admin => "admin",
+        }
+    }
+
+    /// The channel's place in [`PeerChannel::ALL`].
+    pub fn index(self) -> usize {
+        self as usize
+    }
+
+    pub(crate) fn to_wire(self) -> Channel {
+        match self {
+            Self::Agreement => Channel::Agreement,
+            Self::Text => Channel::Text,
+            Self::Lease => Channel::Lease,
+            Self::Membership => Channel::Membership,
+            Self::Claim => Channel::Claim,
+            Self::Demand => Channel::Demand,
+            Self::Report => Channel::Report,
+            Self::Admin => Channel::Admin,
+        }
+    }
+
+    /// The channel of a number from the wire, unless a newer schema gave it.
+    pub(crate) fn from_wire(number: u16) -> Option<Self> {
+        Self::ALL.into_iter().find(|channel| channel.to_wire() as u16 == number)
+    }
+}
--- /dev/null
+++ b/crates/wheel_peer/src/peer_download.rs
@@ -0,0 +1,37 @@
+//! An answer that leaves in pieces.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use capnp::Error;
+
+use crate::call_ledger::HeldCall;
+use crate::hub_context::PIECE_BYTES;
+use crate::peer_capnp::download;
+
+/// Hands out one answer piece by piece; its call counts as in hand until the caller lets go.
+pub(crate) struct PeerDownload {
+    bytes: Vec<u8>,
+    next: Cell<usize>,
+    _held: HeldCall,
+}
+
+impl PeerDownload {
+    pub(crate) fn new(bytes: Vec<u8>, held: HeldCall) -> Self {
+        Self { bytes, next: Cell::new(0), _held: held }
+    }
+}
+
+impl download::Server for PeerDownload {
+    async fn read(
+        self: Rc<Self>,
+        _: download::ReadParams,
+        mut results: download::ReadResults,
+    ) -> Result<(), Error> {
+        let start = self.next.get();
+        let end = self.bytes.len().min(start + PIECE_BYTES);
+        self.next.set(end);
+        results.get().set_piece(&self.bytes[start..end]);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/wheel_peer/src/peer_gate.rs
@@ -0,0 +1,91 @@
+//! The serving side of the handshake.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use capnp::Error;
+use capnp_rpc::new_client;
+use tokio_util::sync::CancellationToken;
+
+use crate::PROTOCOL_VERSION;
+use crate::counter_table::count;
+use crate::hub_context::HubContext;
+use crate::peer_capnp::gate;
+use crate::peer_proof::{PeerGreeting, PeerProof, ProofSide};
+use crate::peer_session::PeerSession;
+use crate::stream_gauge::StreamGauge;
+
+/// The first object of an accepted connection; hands out its session once the client is known.
+pub(crate) struct PeerGate {
+    context: Rc<HubContext>,
+    address: SocketAddr,
+    gauge: Rc<StreamGauge>,
+    entered: CancellationToken,
+    greetings: RefCell<Option<PeerProof>>,
+}
+
+impl PeerGate {
+    /// `entered` is cancelled when the client has proved itself.
+    pub(crate) fn new(
+        context: Rc<HubContext>,
+        address: SocketAddr,
+        gauge: Rc<StreamGauge>,
+        entered: CancellationToken,
+    ) -> Self {
+        Self { context, address, gauge, entered, greetings: RefCell::default() }
+    }
+}
+
+impl gate::Server for PeerGate {
+    async fn greet(
+        self: Rc<Self>,
+        params: gate::GreetParams,
+        mut results: gate::GreetResults,
+    ) -> Result<(), Error> {
+        let mut answer = results.get().init_answer();
+        let hello = params.get()?.get_hello()?;
+        if hello.get_protocol() != PROTOCOL_VERSION {
+            answer.set_wrong_version(PROTOCOL_VERSION);
+            return Ok(());
+        }
+        let client = PeerGreeting::read(hello)?;
+        let group = &self.context.settings.group;
+        if client.group.as_str() != &**group {
+            answer.set_wrong_group(&**group);
+            return Ok(());
+        }
+        if self.context.allows(self.address).is_err() {
+            answer.set_not_loopback(());
+            return Ok(());
+        }
+        let server = PeerGreeting::new(group, &self.context.identity());
+        server.write(answer.init_welcome());
+        self.greetings.replace(Some(PeerProof { client, server }));
+        Ok(())
+    }
+
+    async fn enter(
+        self: Rc<Self>,
+        params: gate::EnterParams,
+        mut results: gate::EnterResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let greetings = self.greetings.take();
+        let greetings = greetings.ok_or_else(|| Error::failed("not greeted".to_owned()))?;
+        let secret = self.context.settings.secret.as_ref();
+        let mut answer = results.get().init_answer();
+        if !greetings.check(ProofSide::Client, secret, params.get_proof()?) {
+            answer.set_wrong_secret(());
+            return Ok(());
+        }
+        self.gauge.trust();
+        self.entered.cancel();
+        count(&self.context.counters.accepted, 1);
+        let session = PeerSession::new(self.context.clone(), greetings.client.identity.clone());
+        let mut entered = answer.init_entered();
+        entered.set_session(new_client(session));
+        entered.set_proof(&greetings.make(ProofSide::Server, secret));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/wheel_peer/src/peer_link.rs
@@ -0,0 +1,228 @@
+//! The way to one other instance.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, Shared};
+use tokio::task::spawn_local;
+use tokio::time::{Duration, Instant, sleep, sleep_until};
+
+use crate::counter_table::count;
+use crate::hub_context::HubContext;
+use crate::outgoing_call::OutgoingCall;
+use crate::peer_connection::PeerConnection;
+use crate::{PeerAddress, PeerError};
+
+/// What an attempt to connect comes to.
+type OpenResult = Result<Rc<PeerConnection>, PeerError>;
+
+/// Where a link stands.
+enum LinkState {
+    /// Nothing is open.
+    Idle,
+    /// An attempt is under way; calls wait for it.
+    Opening(Shared<LocalBoxFuture<'static, OpenResult>>),
+    /// Calls use this connection.
+    Open(Rc<PeerConnection>),
+    /// The last attempt failed; calls fail until the next one is due.
+    Failed { error: PeerError, retry_at: Instant },
+}
+
+/// Keeps one connection to an address and replaces it when it fails or falls silent.
+pub(crate) struct PeerLink {
+    context: Rc<HubContext>,
+    peer: PeerAddress,
+    state: RefCell<LinkState>,
+    backoff: Cell<Duration>,
+    calls: Cell<usize>,
+    used: Cell<Instant>,
+}
+
+impl PeerLink {
+    pub(crate) fn new(context: Rc<HubContext>, peer: PeerAddress) -> Self {
+        let backoff = Cell::new(context.settings.limits.backoff);
+        Self {
+            context,
+            peer,
+            state: RefCell::new(LinkState::Idle),
+            backoff,
+            calls: Cell::new(0),
+            used: Cell::new(Instant::now()),
+        }
+    }
+
+    /// Carries out a call and sends its outcome back.
+    pub(crate) async fn call(self: Rc<Self>, mut call: OutgoingCall) {
+        if self.calls.get() >= self.context.settings.limits.max_calls_per_peer {
+            let _gone = call.reply.send(Err(PeerError::Overloaded));
+            return;
+        }
+        self.calls.set(self.calls.get() + 1);
+        let outcome = self.run(&mut call).await;
+        self.calls.set(self.calls.get() - 1);
+        self.used.set(Instant::now());
+        let row = self.context.counters.row(call.channel);
+        match &outcome {
+            Ok(answer) => count(&row.bytes_received, answer.len()),
+            Err(_) => count(&row.calls_failed, 1),
+        }
+        let _gone = call.reply.send(outcome);
+    }
+
+    async fn run(self: &Rc<Self>, call: &mut OutgoingCall) -> Result<Vec<u8>, PeerError> {
+        let sent = Cell::new(false);
+        // The reply leaves the call for the time of the exchange, to see whether its caller goes.
+        let (reply, _) = tokio::sync::oneshot::channel();
+        let mut reply = std::mem::replace(&mut call.reply, reply);
+        let outcome = tokio::select! {
+            outcome = self.exchange(call, &sent) => outcome,
+            () = sleep_until(call.deadline) => Err(PeerError::TimedOut { sent: sent.get() }),
+            () = reply.closed() => Err(PeerError::TimedOut { sent: sent.get() }),
+        };
+        call.reply = reply;
+        outcome
+    }
+
+    async fn exchange(
+        self: &Rc<Self>,
+        call: &OutgoingCall,
+        sent: &Cell<bool>,
+    ) -> Result<Vec<u8>, PeerError> {
+        let connection = self.connection().await?;
+        let row = self.context.counters.row(call.channel);
+        count(&row.calls_sent, 1);
+        count(&row.bytes_sent, call.body.len());
+        let _pending = connection.begin();
+        self.watch(&connection);
+        tokio::select! {
+            answer = call.exchange(&connection, self.context.settings.limits.max_body, sent) => answer,
+            () = connection.wait_closed() => Err(PeerError::Lost { sent: sent.get() }),
+        }
+    }
+
+    /// A connection that was heard a moment ago.
+    async fn connection(self: &Rc<Self>) -> OpenResult {
+        let limits = &self.context.settings.limits;
+        let connection = self.open().await?;
+        if connection.last_received().elapsed() < limits.idle_probe || connection.pending() > 0 {
+            return Ok(connection);
+        }
+        if connection.probe(limits.probe).await {
+            return Ok(connection);
+        }
+        self.detach(&connection);
+        count(&self.context.counters.retired, 1);
+        connection.close();
+        self.open().await
+    }
+
+    /// The open connection, or the outcome of the attempt to open one.
+    async fn open(self: &Rc<Self>) -> OpenResult {
+        let opening = match &*self.state.borrow() {
+            LinkState::Open(connection) if !connection.is_closed() => return Ok(connection.clone()),
+            LinkState::Opening(opening) => Some(opening.clone()),
+            LinkState::Failed { error, retry_at } if Instant::now() < *retry_at => {
+                return Err(error.clone());
+            }
+            LinkState::Idle | LinkState::Open(_) | LinkState::Failed { .. } => None,
+        };
+        match opening {
+            Some(opening) => opening.await,
+            None => self.start_opening().await,
+        }
+    }
+
+    fn start_opening(self: &Rc<Self>) -> Shared<LocalBoxFuture<'static, OpenResult>> {
+        let link = self.clone();
+        let opening = async move { link.attempt().await }.boxed_local().shared();
+        self.state.replace(LinkState::Opening(opening.clone()));
+        // Goes on when the calls that wait for it give up.
+        spawn_local(opening.clone());
+        opening
+    }
+
+    async fn attempt(&self) -> OpenResult {
+        let outcome = PeerConnection::open(&self.context, &self.peer).await;
+        let limits = &self.context.settings.limits;
+        let state = match &outcome {
+            Ok(connection) => {
+                self.backoff.set(limits.backoff);
+                LinkState::Open(connection.clone())
+            }
+            Err(error) => {
+                let pause = self.backoff.get();
+                self.backoff.set((pause * 2).min(limits.backoff_max));
+                let retry_at = Instant::now() + pause.mul_f64(rand::random_range(0.5..1.0));
+                LinkState::Failed { error: error.clone(), retry_at }
+            }
+        };
+        self.state.replace(state);
+        outcome
+    }
+
+    /// Probes the connection when it falls silent with a call in hand.
+    fn watch(self: &Rc<Self>, connection: &Rc<PeerConnection>) {
+        if connection.start_watch() {
+            let link = self.clone();
+            let connection = connection.clone();
+            spawn_local(async move { link.watch_silence(&connection).await });
+        }
+    }
+
+    async fn watch_silence(self: &Rc<Self>, connection: &Rc<PeerConnection>) {
+        let limits = &self.context.settings.limits;
+        while !connection.is_closed() {
+            let due = connection.quiet_since() + limits.silence;
+            match () {
+                () if Instant::now() < due => sleep_until(due).await,
+                () if connection.pending() == 0 && !connection.is_silent() => break,
+                () if connection.probe(limits.probe).await => {}
+                () => self.retire(connection).await,
+            }
+        }
+        connection.end_watch();
+    }
+
+    /// Has new calls use another connection than this one.
+    fn detach(&self, silent: &Rc<PeerConnection>) {
+        let current = match &*self.state.borrow() {
+            LinkState::Open(current) => Rc::ptr_eq(current, silent),
+            _ => false,
+        };
+        if current {
+            self.state.replace(LinkState::Idle);
+        }
+    }
+
+    /// Gives a silent connection up when a fresh one is open, or after a while without one.
+    async fn retire(self: &Rc<Self>, silent: &Rc<PeerConnection>) {
+        let limits = &self.context.settings.limits;
+        let give_up = Instant::now() + limits.suspect;
+        self.detach(silent);
+        while silent.is_silent() && self.open().await.is_err() && Instant::now() < give_up {
+            sleep(limits.backoff).await;
+        }
+        if silent.is_silent() {
+            count(&self.context.counters.retired, 1);
+            silent.close();
+        }
+    }
+
+    /// Closes the connection if it's idle; true if the link isn't needed any more.
+    pub(crate) fn sweep(&self) -> bool {
+        let idle = self.calls.get() == 0
+            && self.used.get().elapsed() >= self.context.settings.limits.idle_close;
+        if idle {
+            self.close();
+        }
+        idle
+    }
+
+    /// Closes the open connection.
+    pub(crate) fn close(&self) {
+        if let LinkState::Open(connection) = self.state.replace(LinkState::Idle) {
+            connection.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_peer/tests/junk_input.rs
@@ -0,0 +1,209 @@
+//! Peers that speak something else, an older version, or nothing.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+#[path = "../src/peer_capnp.rs"]
+#[allow(clippy::all, clippy::restriction, clippy::pedantic, dead_code, missing_docs, unreachable_pub)]
+#[rustfmt::skip]
+mod peer_capnp;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::{RpcSystem, new_client};
+use futures_util::future::join_all;
+use peer_capnp::{gate, greet_answer};
+use support::{LONG, address_of, bind, quick_limits, settings};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use wheel_peer::{PeerAddress, PeerChannel, PeerError, PeerHub, PeerLimits};
+
+/// A version that this instance doesn't speak.
+const OTHER_VERSION: u32 = 2;
+
+fn raw_system(
+    stream: TcpStream,
+    side: Side,
+    bootstrap: Option<capnp::capability::Client>,
+) -> RpcSystem<Side> {
+    let (reader, writer) = stream.into_split();
+    let network = VatNetwork::new(reader.compat(), writer.compat_write(), side, Default::default());
+    RpcSystem::new(Box::new(network), bootstrap)
+}
+
+async fn check_alive(server: &PeerHub) {
+    let client = bind(settings("isan-a1"));
+    let peer = address_of(server, "isan-b1");
+    let answer = client.call(&peer, PeerChannel::Admin, b"alive".to_vec(), LONG).await;
+    assert_eq!(answer, Ok(b"alive".to_vec()));
+}
+
+/// Writes `bytes` and waits until the server closes the connection.
+async fn send_junk(server: &PeerHub, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(server.local_addr()).await.unwrap();
+    let _refused = stream.write_all(bytes).await;
+    let closed = tokio::time::timeout(LONG, stream.read_to_end(&mut Vec::new())).await;
+    assert!(closed.is_ok(), "the connection stays open after {bytes:.4?}");
+}
+
+/// Waits until the server has counted the connections that it dropped.
+async fn wait_turned_away(server: &PeerHub, expected: u64) {
+    let counted = async {
+        while server.counters().turned_away < expected {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(LONG, counted).await.unwrap();
+    assert_eq!(server.counters().turned_away, expected);
+}
+
+#[tokio::test]
+async fn accept_junk_drops_connection() {
+    let server = bind(settings("isan-b1"));
+    let junk: Vec<u8> =
+        (0..200_000u32).map(|n| (n.wrapping_mul(2_654_435_761) >> 24) as u8).collect();
+    // Text, noise, one huge segment, half a message, endless empty messages.
+    let huge = [0, 0, 0, 0, 255, 255, 255, 127];
+    let half = [0, 0, 0, 0, 4, 0, 0, 0, 1];
+    let empty = vec![0; 1 << 20];
+    let samples: [&[u8]; 5] = [b"GET / HTTP/1.1\r\n\r\n", &junk, &huge, &half, &empty];
+    join_all(samples.map(|bytes| send_junk(&server, bytes))).await;
+    wait_turned_away(&server, 5).await;
+    assert!(server.counters().wire_received < 100_000, "{:?}", server.counters());
+    check_alive(&server).await;
+}
+
+#[tokio::test]
+async fn accept_full_table_turns_away_then_recovers() {
+    let limits = PeerLimits { max_accepted: 2, ..quick_limits() };
+    let server = bind(settings("isan-b1").limits(limits));
+    let idle = (0..3).map(|_| send_junk(&server, b""));
+    join_all(idle).await;
+    wait_turned_away(&server, 3).await;
+    check_alive(&server).await;
+}
+
+/// Greets with a version that the server doesn't speak, up to `times`; the versions in its answers.
+async fn greet_raw(server: &PeerHub, times: usize) -> Vec<u32> {
+    let address = server.local_addr();
+    let greets = async move {
+        let stream = TcpStream::connect(address).await.unwrap();
+        let mut system = raw_system(stream, Side::Client, None);
+        let gate: gate::Client = system.bootstrap(Side::Server);
+        spawn_local(system);
+        let mut versions = Vec::new();
+        while versions.len() < times {
+            let mut request = gate.greet_request();
+            request.get().init_hello().set_protocol(OTHER_VERSION);
+            let Ok(response) = request.send().promise.await else { break };
+            match response.get().unwrap().get_answer().unwrap().which().unwrap() {
+                greet_answer::WrongVersion(version) => versions.push(version),
+                _ => panic!("not refused"),
+            }
+        }
+        versions
+    };
+    LocalSet::new().run_until(greets).await
+}
+
+#[tokio::test]
+async fn greet_other_version_refused() {
+    let server = bind(settings("isan-b1"));
+    assert_eq!(greet_raw(&server, 1).await, [wheel_peer::PROTOCOL_VERSION]);
+    check_alive(&server).await;
+}
+
+#[tokio::test]
+async fn greet_again_and_again_drops_connection() {
+    let limits = PeerLimits { handshake: LONG, ..quick_limits() };
+    let server = bind(settings("isan-b1").limits(limits));
+    let answers = greet_raw(&server, 1_000).await.len();
+    assert!(answers < 200, "{answers} greetings were answered");
+    wait_turned_away(&server, 1).await;
+}
+
+/// A server of another version, or one that doesn't know the secret and lets everyone in.
+#[derive(Clone, Copy)]
+enum FakeGate {
+    OtherVersion,
+    NoSecret,
+}
+
+impl gate::Server for FakeGate {
+    async fn greet(
+        self: Rc<Self>,
+        _: gate::GreetParams,
+        mut results: gate::GreetResults,
+    ) -> Result<(), capnp::Error> {
+        let mut answer = results.get().init_answer();
+        if matches!(*self, Self::OtherVersion) {
+            answer.set_wrong_version(OTHER_VERSION);
+            return Ok(());
+        }
+        let mut hello = answer.init_welcome();
+        hello.set_protocol(wheel_peer::PROTOCOL_VERSION);
+        hello.set_group("isan");
+        hello.set_instance("isan-b1");
+        hello.set_challenge(&[7; 32]);
+        Ok(())
+    }
+
+    async fn enter(
+        self: Rc<Self>,
+        params: gate::EnterParams,
+        mut results: gate::EnterResults,
+    ) -> Result<(), capnp::Error> {
+        // The client's own proof is sent back: a proof of one side is none of the other.
+        let echo = params.get()?.get_proof()?;
+        results.get().init_answer().init_entered().set_proof(echo);
+        Ok(())
+    }
+}
+
+/// The outcome of a call to a fake.
+async fn call_fake(fake: FakeGate) -> Result<Vec<u8>, PeerError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = PeerAddress::new("isan-b1".into(), listener.local_addr().unwrap());
+    let outcome = async move {
+        spawn_local(async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            let gate: gate::Client = new_client(fake);
+            raw_system(stream, Side::Server, Some(gate.client)).await
+        });
+        let client = bind(settings("isan-a1"));
+        client.call(&peer, PeerChannel::Text, Vec::new(), LONG).await
+    };
+    LocalSet::new().run_until(outcome).await
+}
+
+#[tokio::test]
+async fn call_other_version_refused() {
+    let expected = Err(PeerError::WrongVersion { theirs: OTHER_VERSION });
+    assert_eq!(call_fake(FakeGate::OtherVersion).await, expected);
+}
+
+#[tokio::test]
+async fn call_server_without_secret_refused() {
+    assert_eq!(call_fake(FakeGate::NoSecret).await, Err(PeerError::WrongSecret));
+}
+
+#[tokio::test]
+async fn call_dead_address_fails_at_once_until_retry_is_due() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = PeerAddress::new("isan-b1".into(), listener.local_addr().unwrap());
+    drop(listener);
+    let backoff = Duration::from_secs(3_600);
+    let limits = PeerLimits { backoff, backoff_max: backoff, ..quick_limits() };
+    let client = bind(settings("isan-a1").limits(limits));
+    for _ in 0..3 {
+        let outcome = client.call(&peer, PeerChannel::Text, Vec::new(), LONG).await;
+        assert!(matches!(outcome, Err(PeerError::Unreachable { .. })), "{outcome:?}");
+        assert!(!outcome.unwrap_err().may_have_run());
+    }
+    assert_eq!(client.counters().channels[PeerChannel::Text.index()].calls_failed, 3);
+}
--- /dev/null
+++ b/crates/wheel_peer/tests/silent_connection.rs
@@ -0,0 +1,130 @@
+//! Connections that go silent while new ones work.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use support::{LONG, TestHandler, bind, quick_limits, settings};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use wheel_peer::{PeerAddress, PeerChannel, PeerError, PeerHub, PeerLimits};
+
+/// Forwards connections; those with a number below `muted` swallow what they read.
+struct TestRelay {
+    address: SocketAddr,
+    muted: Arc<AtomicUsize>,
+}
+
+impl TestRelay {
+    async fn bind(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let muted = Arc::new(AtomicUsize::new(0));
+        let muting = muted.clone();
+        tokio::spawn(async move {
+            for number in 0.. {
+                let (near, _) = listener.accept().await.unwrap();
+                let far = TcpStream::connect(target).await.unwrap();
+                let (near_reader, near_writer) = near.into_split();
+                let (far_reader, far_writer) = far.into_split();
+                tokio::spawn(forward(near_reader, far_writer, number, muting.clone()));
+                tokio::spawn(forward(far_reader, near_writer, number, muting.clone()));
+            }
+        });
+        Self { address, muted }
+    }
+
+    /// Silences the connections that were made so far, of which there are `made`.
+    fn mute(&self, made: usize) {
+        self.muted.store(made, Ordering::SeqCst);
+    }
+}
+
+async fn forward(
+    mut reader: OwnedReadHalf,
+    mut writer: OwnedWriteHalf,
+    number: usize,
+    muted: Arc<AtomicUsize>,
+) {
+    let mut buffer = [0; 4096];
+    while let Ok(bytes @ 1..) = reader.read(&mut buffer).await {
+        let silent = number < muted.load(Ordering::SeqCst);
+        if !silent && writer.write_all(&buffer[..bytes]).await.is_err() {
+            break;
+        }
+    }
+}
+
+async fn ask(client: &PeerHub, peer: &PeerAddress, body: &[u8]) -> Result<Vec<u8>, PeerError> {
+    client.call(peer, PeerChannel::Lease, body.to_vec(), LONG).await
+}
+
+/// A client, a held server and the relay between them, over which one call has gone.
+async fn relayed(limits: PeerLimits) -> (PeerHub, PeerHub, TestRelay, PeerAddress) {
+    let server = bind(settings("isan-b1"));
+    let client = bind(settings("isan-a1").limits(limits));
+    let relay = TestRelay::bind(server.local_addr()).await;
+    let peer = PeerAddress::new("isan-b1".into(), relay.address);
+    assert_eq!(ask(&client, &peer, b"first").await, Ok(b"first".to_vec()));
+    (client, server, relay, peer)
+}
+
+#[tokio::test]
+async fn call_silent_connection_replaced() {
+    let (client, _server, relay, peer) = relayed(quick_limits()).await;
+    relay.mute(1);
+    // Lost long before its own limit, and not sent again.
+    assert_eq!(ask(&client, &peer, b"swallowed").await, Err(PeerError::Lost { sent: true }));
+    assert_eq!(ask(&client, &peer, b"fresh").await, Ok(b"fresh".to_vec()));
+    assert_eq!((client.counters().retired, client.counters().opened), (1, 2));
+}
+
+#[tokio::test]
+async fn call_short_on_silent_connection_replaced_without_further_calls() {
+    let (client, _server, relay, peer) = relayed(quick_limits()).await;
+    relay.mute(1);
+    let short = quick_limits().silence / 5;
+    let outcome = client.call(&peer, PeerChannel::Lease, b"beat".to_vec(), short).await;
+    assert_eq!(outcome, Err(PeerError::TimedOut { sent: true }));
+    let replaced = async {
+        while client.counters().retired == 0 {
+            tokio::time::sleep(short).await;
+        }
+    };
+    tokio::time::timeout(LONG, replaced).await.unwrap();
+    assert_eq!(client.counters().opened, 2);
+}
+
+#[tokio::test]
+async fn call_idle_connection_probed_before_reuse() {
+    let limits = PeerLimits { idle_probe: Duration::ZERO, ..quick_limits() };
+    let (client, _server, relay, peer) = relayed(limits).await;
+    relay.mute(1);
+    // The probe finds the silence, so that the call itself isn't lost.
+    assert_eq!(ask(&client, &peer, b"kept").await, Ok(b"kept".to_vec()));
+    assert_eq!((client.counters().retired, client.counters().opened), (1, 2));
+}
+
+#[tokio::test]
+async fn call_long_handler_on_live_connection_kept() {
+    let handler = Arc::new(TestHandler::default());
+    let held = handler.held.clone();
+    let server = PeerHub::bind(settings("isan-b1"), handler).unwrap();
+    let client = bind(settings("isan-a1"));
+    let peer = support::address_of(&server, "isan-b1");
+    let release = async {
+        held.begun.acquire().await.unwrap().forget();
+        // Several times the silence after which a connection is probed.
+        tokio::time::sleep(6 * quick_limits().silence).await;
+        held.release.add_permits(1);
+    };
+    let (answer, ()) = tokio::join!(ask(&client, &peer, b"hold"), release);
+    assert_eq!(answer, Ok(b"held".to_vec()));
+    assert_eq!((client.counters().retired, client.counters().opened), (0, 1));
+}
--- /dev/null
+++ b/crates/wheel_peer/tests/support/mod.rs
@@ -0,0 +1,83 @@
+//! What the tests of the hub share.
+
+#![allow(clippy::unwrap_used, dead_code)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+use wheel_peer::{
+    PeerAddress, PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerLimits, PeerRefusal,
+    PeerSecret, PeerSettings,
+};
+
+/// Long enough that only a hang reaches it.
+pub(crate) const LONG: Duration = Duration::from_secs(20);
+
+/// Answers `echo` at once, refuses `refuse`, panics at `panic`, and holds `hold` until released.
+#[derive(Default)]
+pub(crate) struct TestHandler {
+    pub(crate) held: Arc<Held>,
+}
+
+pub(crate) struct Held {
+    pub(crate) begun: Semaphore,
+    pub(crate) release: Semaphore,
+}
+
+impl Default for Held {
+    fn default() -> Self {
+        Self { begun: Semaphore::new(0), release: Semaphore::new(0) }
+    }
+}
+
+impl PeerHandler for TestHandler {
+    fn handle(
+        &self,
+        peer: PeerIdentity,
+        _: PeerChannel,
+        body: Vec<u8>,
+    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
+        let held = self.held.clone();
+        async move {
+            match body.as_slice() {
+                b"refuse" => Err(PeerRefusal::new("not today")),
+                b"panic" => panic!("asked to"),
+                b"who" => Ok(peer.instance.as_str().as_bytes().to_vec()),
+                b"hold" => {
+                    held.begun.add_permits(1);
+                    held.release.acquire().await.unwrap().forget();
+                    Ok(b"held".to_vec())
+                }
+                _ => Ok(body),
+            }
+        }
+        .boxed()
+    }
+}
+
+pub(crate) fn settings(instance: &str) -> PeerSettings {
+    PeerSettings::new("isan", instance.into(), Handle::current())
+        .secret(PeerSecret::new(*b"a secret"))
+        .limits(quick_limits())
+}
+
+pub(crate) fn quick_limits() -> PeerLimits {
+    PeerLimits {
+        silence: Duration::from_millis(100),
+        probe: Duration::from_secs(1),
+        handshake: Duration::from_millis(1500),
+        ..PeerLimits::default()
+    }
+}
+
+pub(crate) fn bind(settings: PeerSettings) -> PeerHub {
+    PeerHub::bind(settings, Arc::new(TestHandler::default())).unwrap()
+}
+
+pub(crate) fn address_of(hub: &PeerHub, instance: &str) -> PeerAddress {
+    PeerAddress::new(instance.into(), hub.local_addr())
+}
