Prove the calls' outcomes under faults, and tell attempts apart

A stream that breaks is cancelled at the engine in the background. That cancel could arrive after the same request was resumed there and end the resumed stream, so each sending now carries an attempt id and the cancel names it. State, load and cancel answers must repeat an id as well: an answer that came twice on a kept connection must not pass for a newer state.

--- a/crates/wheel_fakes/src/engine_desk.rs
+++ b/crates/wheel_fakes/src/engine_desk.rs
@@ -31,6 +31,7 @@
 pub(crate) struct RunningCall {
     pub(crate) number: u64,
     pub(crate) request: RequestId,
+    pub(crate) attempt: String,
     pub(crate) cancelled: CancellationToken,
 }
 
@@ -180,6 +181,7 @@
     pub(crate) fn start_call(
         &mut self,
         request: &RequestId,
+        attempt: &str,
         rank: RequestRank,
         resumed: bool,
         slots: usize,
@@ -194,7 +196,8 @@
         } else {
             self.waiting.push(WaitingCall { rank, number, ready });
         }
-        let call = RunningCall { number, request: request.clone(), cancelled: cancelled.clone() };
+        let (request, attempt) = (request.clone(), attempt.to_owned());
+        let call = RunningCall { number, request, attempt, cancelled: cancelled.clone() };
         self.running.push(call);
         (number, cancelled, turn)
     }
--- a/crates/wheel_fakes/src/fake_engine.rs
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -204,8 +204,9 @@
         let (head, body) = request.into_parts();
         let query = head.uri.query().unwrap_or_default().to_owned();
         let body = read_body(body).await?;
+        let id = head.headers.get("wheel-request-id").cloned();
         let sent: Value = serde_json::from_slice(&body).unwrap_or_default();
-        match (&head.method, head.uri.path()) {
+        let answered = match (&head.method, head.uri.path()) {
             (&Method::POST, "/v1/chat/completions") => {
                 self.generate(&head.headers, body, true).await
             }
@@ -226,7 +227,13 @@
             }
             (&Method::GET, "/fake/counters") => Ok(self.counters()),
             _ => Ok(json_answer(StatusCode::NOT_FOUND, &json!({"error": "no such path"}))),
-        }
+        };
+        answered.map(|mut answer| {
+            if let Some(id) = id {
+                answer.headers_mut().entry("wheel-request-id").or_insert(id);
+            }
+            answer
+        })
     }
 
     fn state(&self) -> EngineState {
@@ -261,7 +268,8 @@
         let resume_from = number("wheel-resume-from").unwrap_or_default();
         let faults = self.faults.lock().clone();
         let answered = faults.answer_id.clone().unwrap_or_else(|| request.clone());
-        let run = match self.start(&request, rank, resume_from, &sent, &faults) {
+        let attempt = word("wheel-attempt-id").unwrap_or_default();
+        let run = match self.start(&request, attempt, rank, resume_from, &sent, &faults) {
             Ok((number, cancelled, turn)) => TokenRun {
                 desk: self.desk.clone(),
                 number,
@@ -294,6 +302,7 @@
     fn start(
         &self,
         request: &RequestId,
+        attempt: &str,
         rank: RequestRank,
         resume_from: u64,
         sent: &Value,
@@ -309,7 +318,7 @@
             }
             () => {
                 desk.cache_prefix(format!("{model}/{}", sent["messages"][0]["content"]));
-                Ok(desk.start_call(request, rank, resume_from > 0, self.settings.slots))
+                Ok(desk.start_call(request, attempt, rank, resume_from > 0, self.settings.slots))
             }
         }
     }
@@ -321,7 +330,8 @@
         let faults = self.faults.lock().clone();
         let fenced = self.settings.enforces_fencing && !faults.ignore_fencing;
         let checks_memory = self.settings.checks_memory;
-        let (reply, begun) = self.desk.lock().take_order(&order, fenced, checks_memory);
+        let (mut reply, begun) = self.desk.lock().take_order(&order, fenced, checks_memory);
+        reply.order_id = faults.answer_id.clone().unwrap_or(reply.order_id);
         if begun {
             tokio::spawn(self.clone().finish_order(order));
         }
@@ -365,8 +375,10 @@
 
     fn cancel(&self, sent: &Value) -> Response<FakeBody> {
         let desk = self.desk.lock();
-        let named = |request: &RequestId| sent["request_id"].as_str() == Some(request.as_str());
-        let calls = desk.running.iter().filter(|call| named(&call.request));
+        let calls = desk.running.iter().filter(|call| {
+            let attempt = sent["attempt_id"].as_str().unwrap_or(&call.attempt);
+            sent["request_id"].as_str() == Some(call.request.as_str()) && attempt == call.attempt
+        });
         let cancelled = calls.inspect(|call| call.cancelled.cancel()).count();
         json_answer(StatusCode::OK, &json!({"cancelled": cancelled > 0}))
     }
--- a/crates/wheel_fakes/src/fake_service.rs
+++ b/crates/wheel_fakes/src/fake_service.rs
@@ -4,10 +4,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use http::HeaderValue;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -22,6 +23,8 @@
     FakeAbort, FakeBody, FakeHandler, FakeServer, full_body, json_answer, read_body,
 };
 
+const CUT_PAUSE: Duration = Duration::from_millis(5);
+
 /// A running fake of a booking service: a `POST` is a booking, anything else a look-up.
 pub struct FakeService {
     shared: Arc<ServiceShared>,
@@ -147,6 +150,11 @@
 
 fn cut_body(whole: &Bytes, after: u64) -> FakeBody {
     let kept = whole.slice(..whole.len().min(after as usize));
-    let frames = stream::iter([Ok(Frame::data(kept)), Err(FakeAbort)]);
+    let cut = async {
+        // The server sends what it has only while it waits for more.
+        tokio::time::sleep(CUT_PAUSE).await;
+        Err(FakeAbort)
+    };
+    let frames = stream::iter([Ok(Frame::data(kept))]).chain(stream::once(cut));
     StreamBody::new(frames).boxed_unsync()
 }
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -14,12 +14,13 @@
 pub struct AnswerBody {
     call: PooledCall,
     body: Incoming,
+    begun: bool,
     ended: bool,
 }
 
 impl AnswerBody {
     pub(crate) fn new(call: PooledCall, body: Incoming, head: &Parts) -> Self {
-        let mut answer = Self { call, body, ended: false };
+        let mut answer = Self { call, body, begun: false, ended: false };
         if answer.body.is_end_stream() && has_marked_end(head.status, &head.headers) {
             answer.finish();
         }
@@ -29,10 +30,12 @@
     /// The next piece; `None` after the proper end. After a failure the body is over.
     pub async fn next(&mut self) -> Result<Option<Bytes>, CallFailure> {
         while !self.ended {
-            let limit = self.call.timeouts().progress;
+            let timeouts = self.call.timeouts();
+            let limit = if self.begun { timeouts.progress } else { timeouts.first_byte };
             match self.call.wait(limit, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     self.call.note_arrival();
+                    self.begun = true;
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
                     }
--- a/crates/wheel_upstream/src/call_timeouts.rs
+++ b/crates/wheel_upstream/src/call_timeouts.rs
@@ -7,7 +7,7 @@
 pub struct CallTimeouts {
     /// Opening a connection.
     pub connect: Duration,
-    /// From sending the call to the head of the answer.
+    /// From sending the call to the head of the answer, and from there to its first piece.
     pub first_byte: Duration,
     /// Between two pieces of the answer.
     pub progress: Duration,
--- a/crates/wheel_upstream/src/cancel_guard.rs
+++ b/crates/wheel_upstream/src/cancel_guard.rs
@@ -5,8 +5,8 @@
 use tokio::runtime::Handle;
 use wheel_types::RequestId;
 
-use crate::CallFailure;
 use crate::engine_client::EngineCore;
+use crate::{AttemptId, CallFailure, FailureKind, SentState};
 
 /// Cancels its request at the engine when it is dropped, unless the request has ended.
 ///
@@ -15,13 +15,14 @@
 pub(crate) struct CancelGuard {
     core: Arc<EngineCore>,
     request: RequestId,
+    attempt: AttemptId,
     armed: bool,
 }
 
 impl CancelGuard {
     /// Watches over `request`.
-    pub(crate) fn new(core: Arc<EngineCore>, request: RequestId) -> Self {
-        Self { core, request, armed: true }
+    pub(crate) fn new(core: Arc<EngineCore>, request: RequestId, attempt: AttemptId) -> Self {
+        Self { core, request, attempt, armed: true }
     }
 
     /// The request has ended.
@@ -29,9 +30,10 @@
         self.armed = false;
     }
 
-    /// The request has failed; one that never left or didn't run needs no cancel.
+    /// The request has failed; one that never left or that the engine refused needs no cancel.
     pub(crate) fn note_failure(&mut self, failure: &CallFailure) {
-        if failure.outcome() == wheel_types::RequestOutcome::NotRun {
+        let refused = matches!(failure.kind, FailureKind::Refused { .. });
+        if refused || failure.sent == SentState::NotSent {
             self.disarm();
         }
     }
@@ -58,9 +60,10 @@
             (Ok(slot), Ok(runtime)) => {
                 counters.cancels.add_one();
                 let (core, request) = (self.core.clone(), self.request.clone());
+                let attempt = self.attempt;
                 runtime.spawn(async move {
                     // The engine ends the request on its own if this is lost.
-                    let _ = core.cancel(&request).await;
+                    let _ = core.cancel(&request, Some(attempt)).await;
                     drop(slot);
                 });
             }
--- a/crates/wheel_upstream/src/connection_limits.rs
+++ b/crates/wheel_upstream/src/connection_limits.rs
@@ -36,7 +36,7 @@
             idle_limit: Duration::from_secs(30),
             probe_after: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(300),
-            retired_grace: Duration::from_millis(500),
+            retired_grace: Duration::from_secs(2),
             unacknowledged: Duration::from_secs(10),
             keepalive: Duration::from_secs(5),
             max_answer_bytes: 8 * 1024 * 1024,
--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -128,20 +128,21 @@
         self.suspicious.store(true, Ordering::Release);
     }
 
-    /// Notes that bytes arrived on a connection. If it was opened after one went silent, all that
-    /// were opened before it are retired.
+    /// Notes that bytes arrived on a connection. If it was opened after another was found silent, all
+    /// that were opened before that are retired.
     pub(crate) fn note_answer(&self, mark: &ConnectionMark) {
         if !self.suspicious.load(Ordering::Acquire) {
             return;
         }
         let mut table = self.table.lock();
-        if table.silent_at.is_none_or(|silent_at| mark.opened_at <= silent_at) {
-            return;
-        }
+        let silent_at = match table.silent_at {
+            Some(silent_at) if silent_at < mark.opened_at => silent_at,
+            _ => return,
+        };
         table.silent_at = None;
         self.suspicious.store(false, Ordering::Release);
         let older = table.marks.iter().filter_map(Weak::upgrade);
-        for older in older.filter(|older| older.opened_at < mark.opened_at) {
+        for older in older.filter(|older| older.opened_at <= silent_at) {
             older.retired.cancel();
             self.counters.retired.add_one();
         }
--- a/crates/wheel_upstream/src/engine_client.rs
+++ b/crates/wheel_upstream/src/engine_client.rs
@@ -13,14 +13,15 @@
     EngineOrder, EngineState, LoadReport, OrderReason, RequestId, RequestOutcome, UpstreamName,
 };
 
+use crate::attempt_id::AttemptSource;
 use crate::call_body::CallBody;
 use crate::cancel_guard::CancelGuard;
 use crate::connection_pool::{ConnectionChoice, ConnectionPool};
 use crate::pooled_call::PooledCall;
 use crate::upstream_connection::UpstreamConnection;
 use crate::{
-    AnswerBody, CacheEvents, CallFailure, ClientStatus, EngineDialect, EngineSettings, FailureKind,
-    GenerateCall, OrderAnswer, OrderPermit, TokenStream, WholeAnswer,
+    AnswerBody, AttemptId, CacheEvents, CallFailure, ClientStatus, EngineDialect, EngineSettings,
+    FailureKind, GenerateCall, OrderAnswer, OrderPermit, TokenStream, WholeAnswer,
 };
 
 const MAX_CANCELS: usize = 32;
@@ -38,6 +39,7 @@
     pub(crate) cancels: Arc<Semaphore>,
     settings: EngineSettings,
     host: HeaderValue,
+    attempts: AttemptSource,
     /// Held by the one order that is under way.
     order_turn: Mutex<()>,
 }
@@ -53,6 +55,7 @@
             dialect: settings.dialect.clone(),
             cancels: Arc::new(Semaphore::new(MAX_CANCELS)),
             host,
+            attempts: AttemptSource::new(),
             order_turn: Mutex::new(()),
             settings,
         };
@@ -90,7 +93,7 @@
 
     /// Asks the engine to end a request.
     pub async fn cancel(&self, request: &RequestId) -> Result<(), CallFailure> {
-        self.core.cancel(request).await
+        self.core.cancel(request, None).await
     }
 
     /// Starts a generation whose body asks for a stream.
@@ -127,8 +130,9 @@
         &self,
         call: &GenerateCall,
     ) -> Result<(Response<AnswerBody>, CancelGuard), CallFailure> {
-        let request = self.core.dialect.generate(call).map_err(CallFailure::not_sent)?;
-        let mut guard = CancelGuard::new(self.core.clone(), call.call.request_id.clone());
+        let attempt = self.core.attempts.next();
+        let request = self.core.dialect.generate(call, attempt).map_err(CallFailure::not_sent)?;
+        let mut guard = CancelGuard::new(self.core.clone(), call.call.request_id.clone(), attempt);
         let sending = PooledCall::send(
             self.core.pool.clone(),
             ConnectionChoice::Pooled,
@@ -151,13 +155,19 @@
 }
 
 impl EngineCore {
-    pub(crate) async fn cancel(&self, request: &RequestId) -> Result<(), CallFailure> {
-        let request = self.dialect.cancel(request).map_err(CallFailure::not_sent)?;
+    pub(crate) async fn cancel(
+        &self,
+        request: &RequestId,
+        attempt: Option<AttemptId>,
+    ) -> Result<(), CallFailure> {
+        let request = self.dialect.cancel(request, attempt).map_err(CallFailure::not_sent)?;
         self.read(request).await.map(drop)
     }
 
     /// Sends a short call that may be repeated and reads its whole answer.
-    async fn read(&self, request: Request<Bytes>) -> Result<Bytes, CallFailure> {
+    async fn read(&self, mut request: Request<Bytes>) -> Result<Bytes, CallFailure> {
+        let id = self.attempts.next().to_request_id();
+        self.dialect.set_id(request.headers_mut(), &id).map_err(CallFailure::not_sent)?;
         let sending = PooledCall::send(
             self.pool.clone(),
             ConnectionChoice::Pooled,
@@ -165,7 +175,7 @@
             self.settings.timeouts,
             with_host(request, &self.host),
         );
-        let mut answer = sending.await?;
+        let mut answer = self.check_id(&id, sending.await?)?;
         let body = answer.body_mut().collect(self.settings.limits.max_answer_bytes).await?;
         match answer.status() {
             status if status.is_success() => Ok(body),
@@ -177,11 +187,9 @@
     async fn check_head(
         &self,
         request: &RequestId,
-        mut answer: Response<AnswerBody>,
+        answer: Response<AnswerBody>,
     ) -> Result<Response<AnswerBody>, CallFailure> {
-        if self.dialect.answer_id(answer.headers()) != Some(request.as_str()) {
-            return Err(answer.body_mut().fail(self.foreign_answer()));
-        }
+        let mut answer = self.check_id(request, answer)?;
         if answer.status().is_success() {
             return Ok(answer);
         }
@@ -195,6 +203,17 @@
         Err(CallFailure { said_not_run, ..CallFailure::maybe_sent(kind) })
     }
 
+    fn check_id(
+        &self,
+        request: &RequestId,
+        mut answer: Response<AnswerBody>,
+    ) -> Result<Response<AnswerBody>, CallFailure> {
+        match self.dialect.answer_id(answer.headers()) {
+            Some(id) if id == request.as_str() => Ok(answer),
+            _ => Err(answer.body_mut().fail(self.foreign_answer())),
+        }
+    }
+
     async fn send_order(
         &self,
         order: &EngineOrder,
--- a/crates/wheel_upstream/src/engine_dialect.rs
+++ b/crates/wheel_upstream/src/engine_dialect.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use wheel_types::{EngineOrder, EngineState, LoadReport, OrderReply, RequestId, RequestOutcome};
 
-use crate::{CacheEvents, FailureKind, GenerateCall};
+use crate::{AttemptId, CacheEvents, FailureKind, GenerateCall};
 
 /// The part of a stream's event that tells whose it is and where it belongs.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -29,7 +29,14 @@
     fn probe(&self) -> Request<Bytes>;
 
     /// A generation.
-    fn generate(&self, call: &GenerateCall) -> Result<Request<Bytes>, FailureKind>;
+    fn generate(
+        &self,
+        call: &GenerateCall,
+        attempt: AttemptId,
+    ) -> Result<Request<Bytes>, FailureKind>;
+
+    /// Gives any other request the id that its answer has to repeat.
+    fn set_id(&self, headers: &mut HeaderMap, id: &RequestId) -> Result<(), FailureKind>;
 
     /// The id that an answer carries in its head.
     fn answer_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
@@ -43,8 +50,12 @@
     /// Reads the id in the body of an answer that isn't streamed.
     fn whole_id<'a>(&self, body: &'a [u8]) -> Result<Cow<'a, str>, FailureKind>;
 
-    /// Ends a request.
-    fn cancel(&self, request: &RequestId) -> Result<Request<Bytes>, FailureKind>;
+    /// Ends one attempt of a request, or all of them.
+    fn cancel(
+        &self,
+        request: &RequestId,
+        attempt: Option<AttemptId>,
+    ) -> Result<Request<Bytes>, FailureKind>;
 
     /// An order.
     fn order(&self, order: &EngineOrder) -> Result<Request<Bytes>, FailureKind>;
--- a/crates/wheel_upstream/src/lib.rs
+++ b/crates/wheel_upstream/src/lib.rs
@@ -8,6 +8,7 @@
 //! What a real engine or service speaks is one type: [`EngineDialect`], [`ServiceDialect`].
 
 mod answer_body;
+mod attempt_id;
 mod cache_event;
 mod call_body;
 mod call_failure;
@@ -35,6 +36,7 @@
 mod whole_answer;
 
 pub use answer_body::AnswerBody;
+pub use attempt_id::AttemptId;
 pub use cache_event::{CacheEvent, CacheEventKind, CacheEvents};
 pub use call_failure::{CallFailure, FailureKind, SentState};
 pub use call_timeouts::CallTimeouts;
--- a/crates/wheel_upstream/src/pooled_call.rs
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -40,7 +40,8 @@
     ) -> Result<Response<AnswerBody>, CallFailure> {
         let deadline = timeouts.total.map(|total| Instant::now() + total);
         let slot = pool.reserve()?;
-        let connection = pool.checkout(choice, timeouts.connect).await?;
+        let connect = timeouts.total.unwrap_or(timeouts.connect).min(timeouts.connect);
+        let connection = pool.checkout(choice, connect).await?;
         let mut call = Self {
             written_before: connection.gate.written(),
             pool,
--- a/crates/wheel_upstream/src/service_dialect.rs
+++ b/crates/wheel_upstream/src/service_dialect.rs
@@ -1,7 +1,9 @@
 //! What a plain service speaks.
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
 use wheel_types::RequestOutcome;
 
@@ -46,6 +48,7 @@
             .map_err(|error| FailureKind::Malformed { message: error.to_string() })?;
         let own_id = request.headers_mut().remove(REQUEST_ID);
         *request.headers_mut() = without_hop_headers(call.headers.clone());
+        request.headers_mut().remove(EXPECT);
         request.headers_mut().remove(HOST);
         request.headers_mut().remove(CONTENT_LENGTH);
         if let Some(own_id) = own_id {
--- a/crates/wheel_upstream/src/wheel_dialect.rs
+++ b/crates/wheel_upstream/src/wheel_dialect.rs
@@ -4,14 +4,15 @@
 
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
-use http::{HeaderMap, Method, Request, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 use serde::{Deserialize, Serialize};
 use wheel_types::{EngineOrder, EngineState, LoadReport, OrderReply, RequestId, RequestOutcome};
 
-use crate::{CacheEvents, EngineDialect, FailureKind, GenerateCall, TokenMark};
+use crate::{AttemptId, CacheEvents, EngineDialect, FailureKind, GenerateCall, TokenMark};
 
 pub(crate) const REQUEST_ID: &str = "wheel-request-id";
 pub(crate) const OUTCOME: &str = "wheel-outcome";
+const ATTEMPT_ID: &str = "wheel-attempt-id";
 const PRIORITY: &str = "wheel-priority";
 const RESUME_FROM: &str = "wheel-resume-from";
 
@@ -30,16 +31,27 @@
         get(LOAD_PATH)
     }
 
-    fn generate(&self, call: &GenerateCall) -> Result<Request<Bytes>, FailureKind> {
+    fn generate(
+        &self,
+        call: &GenerateCall,
+        attempt: AttemptId,
+    ) -> Result<Request<Bytes>, FailureKind> {
         Request::post(call.path.as_str())
             .header(CONTENT_TYPE, "application/json")
             .header(REQUEST_ID, call.call.request_id.as_str())
+            .header(ATTEMPT_ID, attempt.to_string())
             .header(PRIORITY, u16::from(call.call.rank.0))
             .header(RESUME_FROM, call.call.resume_from)
             .body(call.body.clone())
             .map_err(|error| malformed(&error))
     }
 
+    fn set_id(&self, headers: &mut HeaderMap, id: &RequestId) -> Result<(), FailureKind> {
+        let id = HeaderValue::from_str(id.as_str()).map_err(|error| malformed(&error))?;
+        headers.insert(REQUEST_ID, id);
+        Ok(())
+    }
+
     fn answer_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
         headers.get(REQUEST_ID)?.to_str().ok()
     }
@@ -57,8 +69,13 @@
         read::<WholeHead<'a>>(body).map(|head| head.id)
     }
 
-    fn cancel(&self, request: &RequestId) -> Result<Request<Bytes>, FailureKind> {
-        post(CANCEL_PATH, &CancelBody { request_id: request })
+    fn cancel(
+        &self,
+        request: &RequestId,
+        attempt: Option<AttemptId>,
+    ) -> Result<Request<Bytes>, FailureKind> {
+        let attempt_id = attempt.map(|attempt| attempt.to_string());
+        post(CANCEL_PATH, &CancelBody { request_id: request, attempt_id })
     }
 
     fn order(&self, order: &EngineOrder) -> Result<Request<Bytes>, FailureKind> {
@@ -116,6 +133,8 @@
 #[derive(Serialize)]
 struct CancelBody<'a> {
     request_id: &'a RequestId,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    attempt_id: Option<String>,
 }
 
 fn get(path: &'static str) -> Request<Bytes> {
--- a/crates/wheel_upstream/tests/common/mod.rs
+++ b/crates/wheel_upstream/tests/common/mod.rs
@@ -3,12 +3,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use wheel_fakes::{FakeEngine, FakeEngineSettings, FakeService, token_text};
@@ -152,6 +153,38 @@
     }
 }
 
+/// Answers the requests of each connection with scripted bytes, then closes it.
+pub struct ScriptedUpstream {
+    pub address: SocketAddr,
+    pub requests: Arc<AtomicU64>,
+}
+
+impl ScriptedUpstream {
+    pub async fn bind(answers: &[&'static str]) -> Self {
+        let listener = TcpListener::bind(ANY_PORT).await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let (requests, answers) = (Arc::<AtomicU64>::default(), answers.to_vec());
+        let upstream = Self { address, requests: requests.clone() };
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                for answer in &answers {
+                    // The tests' small requests arrive in one piece.
+                    if !matches!(stream.read(&mut [0; 65_536]).await, Ok(1..)) {
+                        break;
+                    }
+                    requests.fetch_add(1, Ordering::Relaxed);
+                    stream.write_all(answer.as_bytes()).await.expect("write");
+                }
+            }
+        });
+        upstream
+    }
+
+    pub fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
 async fn pass(mut inbound: TcpStream, target: SocketAddr, mut silenced: watch::Receiver<u64>) {
     let Ok(mut outbound) = TcpStream::connect(target).await else { return };
     tokio::select! {
--- /dev/null
+++ b/crates/wheel_upstream/tests/silent_connections.rs
@@ -0,0 +1,117 @@
+//! Open connections that go silent for good while new ones work.
+
+#![allow(clippy::expect_used)]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{LONG, SHORT, SilencingRelay, booking, engine, eventually, generate, read_all};
+use common::{service, service_client, timeouts};
+use http::Method;
+use wheel_types::RequestId;
+use wheel_upstream::{
+    ConnectionLimits, EngineClient, EngineSettings, FailureKind, StreamEvent, TokenStream,
+};
+
+fn client_of(relay: &SilencingRelay, limits: ConnectionLimits) -> EngineClient {
+    let settings = EngineSettings::new("engine".into(), relay.address);
+    EngineClient::open(settings.limits(limits).timeouts(timeouts()))
+}
+
+/// Starts a stream without an end and reads its first token.
+async fn endless(client: &EngineClient, id: &str) -> TokenStream {
+    let mut stream = client.generate(generate(id, 1_000_000)).await.expect("stream");
+    assert!(matches!(stream.next().await, Ok(StreamEvent::Token(_))));
+    stream
+}
+
+#[tokio::test]
+async fn generate_after_silence_retires_older_connections() {
+    let (_engine, direct) = engine().await;
+    let relay = SilencingRelay::bind(_engine.local_addr()).await;
+    let limits = ConnectionLimits { retired_grace: SHORT, ..ConnectionLimits::default() };
+    let client = client_of(&relay, ConnectionLimits { probe_after: LONG, ..limits });
+    let mut silent = endless(&client, "r-1").await;
+    let (mut first, mut second) = tokio::join!(endless(&client, "r-2"), endless(&client, "r-3"));
+    for (stream, id) in [(&mut first, "r-2"), (&mut second, "r-3")] {
+        direct.cancel(&RequestId::new(id)).await.expect("cancel");
+        assert!(read_all(stream).await.1.is_err());
+    }
+    // Two whole calls at once leave two idle connections behind.
+    let short = || async {
+        let mut stream = client.generate(generate("r-4", 3)).await.expect("stream");
+        assert!(read_all(&mut stream).await.1.is_ok());
+    };
+    tokio::join!(short(), short());
+    eventually(|| client.status().idle == 2).await;
+
+    relay.silence();
+    let mut call = generate("r-5", 2);
+    call.timeouts.first_byte = SHORT;
+    let failure = client.generate(call).await.err().expect("failure");
+    assert!(matches!(failure.kind, FailureKind::Silent));
+
+    let mut fresh = client.generate(generate("r-6", 2)).await.expect("a fresh connection");
+    assert!(read_all(&mut fresh).await.1.is_ok());
+    let (_, end) =
+        tokio::time::timeout(LONG / 2, read_all(&mut silent)).await.expect("moved early");
+    assert!(matches!(end.expect_err("failure").kind, FailureKind::Silent));
+    assert_eq!(client.status().retired, 2, "one idle connection and the older stream's");
+}
+
+#[tokio::test]
+async fn generate_retired_but_moving_stream_goes_on() {
+    let (engine, _) = engine().await;
+    let relay = SilencingRelay::bind(engine.local_addr()).await;
+    let limits = ConnectionLimits { retired_grace: SHORT, ..ConnectionLimits::default() };
+    let client = client_of(&relay, limits);
+    let moving = generate("r-1", 1_000);
+    let mut moving = client.generate(moving).await.expect("stream");
+    assert!(matches!(moving.next().await, Ok(StreamEvent::Token(_))));
+    // A call is taken for silent though the path works, and a fresh connection answers.
+    engine.set_faults(wheel_fakes::FaultPlan { never_answer: true, ..Default::default() });
+    let mut call = generate("r-2", 2);
+    call.timeouts.first_byte = Duration::from_millis(50);
+    assert!(client.generate(call).await.is_err());
+    engine.set_faults(wheel_fakes::FaultPlan::default());
+    client.state().await.expect("state");
+    eventually(|| client.status().retired > 0).await;
+    let (tokens, end) = read_all(&mut moving).await;
+    assert!(end.is_ok(), "{end:?}");
+    assert_eq!(tokens.len(), 999);
+}
+
+#[tokio::test]
+async fn generate_idle_connection_probed_before_reuse() {
+    let (engine, _) = engine().await;
+    let relay = SilencingRelay::bind(engine.local_addr()).await;
+    let limits = ConnectionLimits {
+        probe_after: Duration::ZERO,
+        probe_timeout: SHORT,
+        ..ConnectionLimits::default()
+    };
+    let client = client_of(&relay, limits);
+    client.state().await.expect("state");
+    client.state().await.expect("state");
+    assert_eq!((client.status().probes, client.status().opened), (1, 1));
+    relay.silence();
+    let mut stream = client.generate(generate("r-1", 2)).await.expect("a fresh connection");
+    assert!(read_all(&mut stream).await.1.is_ok());
+    assert_eq!((client.status().probe_failures, client.status().opened), (1, 2));
+    assert_eq!(engine.runs(&RequestId::new("r-1")), 1);
+}
+
+#[tokio::test]
+async fn call_booking_avoids_a_silent_connection() {
+    let (service, _) = service().await;
+    let relay = SilencingRelay::bind(service.local_addr()).await;
+    let client = service_client(relay.address);
+    let mut look_up = booking("r-1");
+    (look_up.method, look_up.idempotent) = (Method::GET, true);
+    client.call(look_up).await.expect("answer").body.collect(1_000).await.expect("body");
+    relay.silence();
+    let mut answer = client.call(booking("r-2")).await.expect("answer");
+    answer.body.collect(1_000).await.expect("body");
+    assert_eq!(service.runs(&RequestId::new("r-2")), 1);
+}
