--- a/crates/wheel_agreement/src/raft_node.rs
+++ b/crates/wheel_agreement/src/raft_node.rs
@@ -17,7 +17,7 @@
 use crate::{
     EntryPayload, GroupId, GroupMembers, HardState, LogEntry, NodeId, PeerStatus, PersistRecord,
     ProposalRefusal, RaftBody, RaftInput, RaftMessage, RaftOutput, RaftSettings, RaftSnapshot,
-    RaftStatus, RestoredRaft,
+    RaftStatus, RestoredRaft, RoleName,
 };
 
 /// A participant of the replicated log: Raft with pre-votes, a leader that steps down without a
@@ -95,6 +95,21 @@
         }
     }
 
+    /// This participant.
+    pub fn id(&self) -> &NodeId {
+        &self.settings.id
+    }
+
+    /// The part that it plays at the moment.
+    pub fn role(&self) -> RoleName {
+        self.role.name()
+    }
+
+    /// Its term.
+    pub fn term(&self) -> u64 {
+        self.hard_state.term
+    }
+
     /// The state for operators and metrics.
     pub fn status(&self) -> RaftStatus {
         let (peers, waiting) = match &self.role {
--- /dev/null
+++ b/crates/wheel_control/src/control_folder.rs
@@ -0,0 +1,105 @@
+//! The data folder of a control instance, in terms of the replicated log.
+
+use std::path::Path;
+
+use snafu::{ResultExt, Snafu};
+use wheel_agreement::{
+    CodecError, HardState, LogEntry, PersistRecord, RaftSnapshot, RestoredRaft, decode, encode,
+};
+use wheel_storage::{LogRecord, LogStore, StorageError, StoredEntry, StoredSnapshot, StoredVote};
+
+/// Why the folder can't be used.
+#[derive(Debug, Snafu)]
+pub enum FolderError {
+    /// The folder can't be opened, read or written.
+    #[snafu(display("{source}"))]
+    Storage {
+        /// The storage's error.
+        source: StorageError,
+    },
+    /// A record isn't in the encoding of this version.
+    #[snafu(display("a record of the data folder can't be read: {source}"))]
+    Record {
+        /// The codec's error.
+        source: CodecError,
+    },
+}
+
+/// Writes records of the replicated log, each synced before it counts.
+pub(crate) struct ControlFolder {
+    store: LogStore,
+}
+
+/// What a folder held when it was opened.
+pub(crate) struct OpenedFolder {
+    pub(crate) folder: ControlFolder,
+    pub(crate) identity: u64,
+    pub(crate) restored: RestoredRaft,
+    /// What was cut off an incomplete end, in words.
+    pub(crate) repaired: Option<String>,
+}
+
+impl ControlFolder {
+    /// Opens the folder at `path`.
+    pub(crate) fn open(path: &Path) -> Result<OpenedFolder, FolderError> {
+        let (store, held) = LogStore::open(path).context(StorageSnafu)?;
+        let mut restored = RestoredRaft::default();
+        if let Some(vote) = held.vote {
+            restored.hard_state = decode::<HardState>(&vote.voted_for).context(RecordSnafu)?;
+        }
+        if let Some(snapshot) = &held.snapshot {
+            restored.snapshot = decode::<RaftSnapshot>(&snapshot.bytes).context(RecordSnafu)?;
+        }
+        for entry in &held.entries {
+            restored.entries.push(decode::<LogEntry>(&entry.bytes).context(RecordSnafu)?);
+        }
+        let repaired = held.repaired.map(|tail| format!("{tail:?}"));
+        let folder = Self { store };
+        Ok(OpenedFolder { folder, identity: held.identity, restored, repaired })
+    }
+
+    /// Writes and syncs `records` in order.
+    pub(crate) fn persist(&mut self, records: &[PersistRecord]) -> Result<(), FolderError> {
+        let mut batch = Vec::new();
+        for record in records {
+            match record {
+                PersistRecord::HardState(hard_state) => batch.push(vote_record(hard_state)?),
+                PersistRecord::TruncateFrom(index) => batch.push(LogRecord::TruncateFrom(*index)),
+                PersistRecord::Append(entries) => push_entries(entries, &mut batch)?,
+                PersistRecord::Snapshot(snapshot) => {
+                    self.flush(&mut batch)?;
+                    self.save_snapshot(snapshot)?;
+                }
+            }
+        }
+        self.flush(&mut batch)
+    }
+
+    fn save_snapshot(&mut self, snapshot: &RaftSnapshot) -> Result<(), FolderError> {
+        let bytes = encode(snapshot).context(RecordSnafu)?;
+        let stored = StoredSnapshot { index: snapshot.index, term: snapshot.term, bytes };
+        self.store.save_snapshot(&stored).context(StorageSnafu)
+    }
+
+    fn flush(&mut self, batch: &mut Vec<LogRecord>) -> Result<(), FolderError> {
+        if !batch.is_empty() {
+            self.store.append(batch).context(StorageSnafu)?;
+            batch.clear();
+        }
+        Ok(())
+    }
+}
+
+fn push_entries(entries: &[LogEntry], batch: &mut Vec<LogRecord>) -> Result<(), FolderError> {
+    for entry in entries {
+        let bytes = encode(entry).context(RecordSnafu)?;
+        let stored = StoredEntry { index: entry.index, term: entry.term, bytes };
+        batch.push(LogRecord::Entry(stored));
+    }
+    Ok(())
+}
+
+fn vote_record(hard_state: &HardState) -> Result<LogRecord, FolderError> {
+    let voted_for = encode(hard_state).context(RecordSnafu)?;
+    Ok(LogRecord::Vote(StoredVote { term: hard_state.term, voted_for }))
+}
--- /dev/null
+++ b/crates/wheel_control/src/control_node.rs
@@ -0,0 +1,179 @@
+//! A control instance's part in the group.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::thread::JoinHandle;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use snafu::{ResultExt, Snafu};
+use spdlog::{info, warn};
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use wheel_agreement::{
+    GroupAction, GroupLimits, NodeId, RaftMessage, RaftNode, RaftSettings, RaftStatus, VoterChange,
+};
+use wheel_peer::PeerHub;
+use wheel_types::{InstanceName, MonotonicTime};
+
+use crate::control_folder::{ControlFolder, OpenedFolder};
+use crate::control_worker::{ControlWorker, WorkerInput};
+use crate::peer_sender::PeerSender;
+use crate::{AddressBook, FolderError, GroupCall, GroupReply, SubmitAnswer, TextState};
+
+/// Inputs that wait for the worker; further calls are refused and messages dropped.
+const MAX_INPUTS: usize = 4_096;
+
+/// Settings of a [`ControlNode`].
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// This instance.
+    pub instance: InstanceName,
+    /// The instances that form a new group.
+    pub voters: Vec<InstanceName>,
+    /// The data folder.
+    pub folder: PathBuf,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+    /// Where this process's [`MonotonicTime`] begins.
+    pub start: Instant,
+}
+
+/// Why a control instance couldn't start.
+#[derive(Debug, Snafu)]
+pub enum ControlError {
+    /// The data folder can't be used.
+    #[snafu(display("data folder {}: {source}", path.display()))]
+    Folder {
+        /// The folder.
+        path: PathBuf,
+        /// What is wrong with it.
+        source: FolderError,
+    },
+    /// The worker's thread couldn't be started.
+    #[snafu(display("can't start the thread of the replicated log: {source}"))]
+    Thread {
+        /// The system's error.
+        source: std::io::Error,
+    },
+}
+
+/// A running control instance.
+#[derive(Clone, Debug)]
+pub struct ControlNode {
+    inputs: SyncSender<WorkerInput>,
+    worker: Arc<Mutex<Option<JoinHandle<()>>>>,
+    id: NodeId,
+}
+
+impl ControlNode {
+    /// Opens the data folder and starts to take part in the group. Committed texts go to `text`.
+    ///
+    /// # Errors
+    /// [`ControlError`] if the folder can't be used or the thread can't be started.
+    pub fn spawn(
+        settings: ControlSettings,
+        hub: PeerHub,
+        book: Arc<dyn AddressBook>,
+        text: Arc<TextState>,
+    ) -> Result<Self, ControlError> {
+        let path = settings.folder;
+        let opened = ControlFolder::open(&path).context(FolderSnafu { path: &path })?;
+        let OpenedFolder { folder, identity, restored, repaired } = opened;
+        if let Some(cut) = repaired {
+            warn!("log_tail_cut", kv: { folder:? = path.display().to_string(), cut:? = cut });
+        }
+        let id = NodeId {
+            instance: settings.instance,
+            identity: wheel_agreement::FolderIdentity(identity),
+        };
+        info!("control_started", kv: {
+            identity = id.identity.to_string(),
+            term = restored.hard_state.term,
+            snapshot = restored.snapshot.index,
+            entries = restored.entries.len()
+        });
+        let now = MonotonicTime::between(settings.start, Instant::now());
+        let raft = RaftSettings::new(id.clone(), settings.voters);
+        let node = RaftNode::open(raft, restored, now, settings.seed);
+        let (inputs, receiver) = sync_channel(MAX_INPUTS);
+        let sender = PeerSender::new(hub, book, Handle::current());
+        let limits = GroupLimits::default();
+        let worker = ControlWorker::new(settings.start, node, folder, sender, text, limits);
+        let thread = std::thread::Builder::new()
+            .name("wheel-control".to_owned())
+            .spawn(move || worker.run(&receiver))
+            .context(ThreadSnafu)?;
+        Ok(Self { inputs, worker: Arc::new(Mutex::new(Some(thread))), id })
+    }
+
+    /// This participant.
+    pub fn id(&self) -> &NodeId {
+        &self.id
+    }
+
+    /// Takes in a message of the replicated log; dropped if too much waits.
+    pub fn note_message(&self, from: NodeId, to: &NodeId, message: RaftMessage) {
+        let is_meant =
+            to.identity == wheel_agreement::FolderIdentity::ANY || to.identity == self.id.identity;
+        if is_meant {
+            let _ = self.inputs.try_send(WorkerInput::Message { from, message });
+        }
+    }
+
+    /// Answers a call of any instance.
+    pub async fn answer(&self, call: GroupCall) -> GroupReply {
+        match call {
+            GroupCall::Submit(action) => GroupReply::Submitted(self.submit(action).await),
+            GroupCall::ChangeVoter(change) => {
+                GroupReply::Submitted(self.change_voter(change).await)
+            }
+            GroupCall::Status => match self.status().await {
+                Some(status) => GroupReply::Status(Box::new(status)),
+                None => GroupReply::Submitted(stopped()),
+            },
+        }
+    }
+
+    /// Has an action committed, if this instance leads.
+    pub async fn submit(&self, action: GroupAction) -> SubmitAnswer {
+        let (reply, answer) = oneshot::channel();
+        self.ask(WorkerInput::Submit { action, reply }, answer).await
+    }
+
+    /// The state of the group as this instance sees it; `None` once it has stopped.
+    pub async fn status(&self) -> Option<RaftStatus> {
+        let (reply, answer) = oneshot::channel();
+        self.inputs.try_send(WorkerInput::Status { reply }).ok()?;
+        answer.await.ok()
+    }
+
+    /// Stops taking part and waits for the worker to end.
+    pub fn stop(&self) {
+        let Some(worker) = self.worker.lock().take() else { return };
+        let _ = self.inputs.send(WorkerInput::Stop);
+        // A panic of the worker has been reported by the runtime already.
+        let _ = worker.join();
+    }
+
+    async fn change_voter(&self, change: VoterChange) -> SubmitAnswer {
+        let (reply, answer) = oneshot::channel();
+        self.ask(WorkerInput::ChangeVoter { change, reply }, answer).await
+    }
+
+    async fn ask(
+        &self,
+        input: WorkerInput,
+        answer: oneshot::Receiver<SubmitAnswer>,
+    ) -> SubmitAnswer {
+        match self.inputs.try_send(input) {
+            Ok(()) => answer.await.unwrap_or(SubmitAnswer::Unresolved),
+            Err(_) => SubmitAnswer::Refused { reason: "too many calls wait".to_owned() },
+        }
+    }
+}
+
+fn stopped() -> SubmitAnswer {
+    SubmitAnswer::Refused { reason: "the control instance has stopped".to_owned() }
+}
--- /dev/null
+++ b/crates/wheel_control/src/control_worker.rs
@@ -0,0 +1,253 @@
+//! The thread that carries out what the replicated log decides.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Instant;
+
+use spdlog::{critical, info};
+use tokio::sync::oneshot;
+use wheel_agreement::{
+    EntryPayload, GroupAction, GroupAnswer, GroupClock, GroupCommand, GroupLimits, GroupState,
+    LogEntry, NodeId, ProposalId, ProposalRefusal, RaftInput, RaftMessage, RaftNode, RaftOutput,
+    RaftStatus, RoleName, VoterChange, decode, encode,
+};
+use wheel_types::MonotonicTime;
+
+use crate::control_folder::ControlFolder;
+use crate::peer_sender::PeerSender;
+use crate::{SubmitAnswer, TextState};
+
+/// Inputs that are taken in with one sync.
+const MAX_BATCH: usize = 512;
+/// Applied entries after which a snapshot is taken.
+const SNAPSHOT_ENTRIES: u64 = 4_096;
+
+/// What the worker is asked to do.
+pub(crate) enum WorkerInput {
+    Message { from: NodeId, message: RaftMessage },
+    Submit { action: GroupAction, reply: oneshot::Sender<SubmitAnswer> },
+    ChangeVoter { change: VoterChange, reply: oneshot::Sender<SubmitAnswer> },
+    Status { reply: oneshot::Sender<RaftStatus> },
+    Stop,
+}
+
+/// Owns the log, its folder and the state machine.
+pub(crate) struct ControlWorker {
+    start: Instant,
+    node: RaftNode,
+    folder: ControlFolder,
+    sender: PeerSender,
+    text: Arc<TextState>,
+    limits: GroupLimits,
+    state: GroupState,
+    clock: GroupClock,
+    role: RoleName,
+    next_proposal: u64,
+    waiting: HashMap<ProposalId, oneshot::Sender<SubmitAnswer>>,
+    /// The proposal whose entry is applied next.
+    accepted: Option<(ProposalId, u64)>,
+    snapshot_index: u64,
+}
+
+impl ControlWorker {
+    pub(crate) fn new(
+        start: Instant,
+        node: RaftNode,
+        folder: ControlFolder,
+        sender: PeerSender,
+        text: Arc<TextState>,
+        limits: GroupLimits,
+    ) -> Self {
+        Self {
+            start,
+            role: RoleName::Joining,
+            node,
+            folder,
+            sender,
+            text,
+            state: GroupState::open(limits.clone()),
+            limits,
+            clock: GroupClock::open(0, MonotonicTime::default()),
+            next_proposal: 0,
+            waiting: HashMap::new(),
+            accepted: None,
+            snapshot_index: 0,
+        }
+    }
+
+    /// Runs until it is told to stop.
+    pub(crate) fn run(mut self, inputs: &Receiver<WorkerInput>) {
+        loop {
+            let wait = self.node.next_tick().since(self.now());
+            let batch = match inputs.recv_timeout(wait) {
+                Ok(first) => take_batch(first, inputs),
+                Err(RecvTimeoutError::Timeout) => Vec::new(),
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut steps = Vec::with_capacity(batch.len() + 1);
+            for input in batch {
+                match input {
+                    WorkerInput::Stop => return,
+                    WorkerInput::Status { reply } => drop(reply.send(self.node.status())),
+                    input => steps.extend(self.step_input(input)),
+                }
+            }
+            let now = self.now();
+            if self.node.next_tick() <= now {
+                steps.push(RaftInput::Tick);
+            }
+            let outputs = self.node.step_batch(now, steps);
+            self.carry_out(outputs);
+            self.note_role();
+            self.compact_if_due();
+        }
+    }
+
+    fn step_input(&mut self, input: WorkerInput) -> Option<RaftInput> {
+        match input {
+            WorkerInput::Message { from, message } => Some(RaftInput::Message { from, message }),
+            WorkerInput::Submit { action, reply } => {
+                let leader_ms = self.clock.leader_ms(self.now());
+                let Ok(command) = encode(&GroupCommand { leader_ms, action }) else {
+                    let reason = "the action has no encoding".to_owned();
+                    let _ = reply.send(SubmitAnswer::Refused { reason });
+                    return None;
+                };
+                Some(RaftInput::Propose { proposal: self.expect_answer(reply), command })
+            }
+            WorkerInput::ChangeVoter { change, reply } => {
+                Some(RaftInput::ChangeVoter { proposal: self.expect_answer(reply), change })
+            }
+            WorkerInput::Status { .. } | WorkerInput::Stop => None,
+        }
+    }
+
+    fn expect_answer(&mut self, reply: oneshot::Sender<SubmitAnswer>) -> ProposalId {
+        self.next_proposal += 1;
+        let proposal = ProposalId(self.next_proposal);
+        self.waiting.insert(proposal, reply);
+        proposal
+    }
+
+    fn carry_out(&mut self, outputs: Vec<RaftOutput>) {
+        for output in outputs {
+            match output {
+                RaftOutput::Persist(records) => {
+                    if let Err(error) = self.folder.persist(&records) {
+                        // Going on without a synced log would break what was promised to others.
+                        critical!("data_folder_failed", kv: { reason:? = error.to_string() });
+                        std::process::exit(1);
+                    }
+                }
+                RaftOutput::Send { to, message } => {
+                    self.sender.send(self.node.id(), &to, &message);
+                }
+                RaftOutput::Restore { index, snapshot } => self.restore(index, &snapshot),
+                RaftOutput::Accepted { proposal, index } => {
+                    self.accepted = Some((proposal, index));
+                }
+                RaftOutput::Apply { index, entry } => self.apply(index, &entry),
+                RaftOutput::Refused { proposal, leader, reason } => {
+                    let answer = match reason {
+                        ProposalRefusal::NotLeader => SubmitAnswer::not_leader(leader),
+                        reason => SubmitAnswer::Refused { reason: format!("{reason:?}") },
+                    };
+                    self.reply(proposal, answer);
+                }
+                RaftOutput::Unresolved { proposal, .. } => {
+                    self.reply(proposal, SubmitAnswer::Unresolved);
+                }
+                RaftOutput::ReadReady { .. } | RaftOutput::ReadRefused { .. } => {}
+            }
+        }
+    }
+
+    fn restore(&mut self, index: u64, snapshot: &[u8]) {
+        let mut state = GroupState::open(self.limits.clone());
+        match state.restore(snapshot) {
+            Ok(()) => self.state = state,
+            Err(error) => {
+                critical!("snapshot_unreadable", kv: { index, reason:? = error.to_string() });
+                std::process::exit(1);
+            }
+        }
+        self.snapshot_index = index;
+        self.text.replace(self.state.history());
+    }
+
+    fn apply(&mut self, index: u64, entry: &LogEntry) {
+        let proposal = self.accepted.take_if(|(_, accepted)| *accepted == index);
+        let answer = match &entry.payload {
+            EntryPayload::Command(bytes) => Some(self.apply_command(index, bytes)),
+            EntryPayload::Members(members) => {
+                info!("voters_changed", kv: { voters = members.voters.len(), index });
+                None
+            }
+            EntryPayload::Noop => None,
+        };
+        if let Some((proposal, _)) = proposal {
+            let answer = answer.map_or(SubmitAnswer::VoterChanged, SubmitAnswer::Answer);
+            self.reply(proposal, answer);
+        }
+    }
+
+    fn apply_command(&mut self, index: u64, bytes: &[u8]) -> GroupAnswer {
+        match decode::<GroupCommand>(bytes) {
+            Ok(command) => {
+                let answer = self.state.apply(index, &command);
+                self.text.replace(self.state.history());
+                answer
+            }
+            Err(error) => {
+                // Skipping it would let the states of the group drift apart.
+                critical!("command_unreadable", kv: { index, reason:? = error.to_string() });
+                std::process::exit(1);
+            }
+        }
+    }
+
+    fn reply(&mut self, proposal: ProposalId, answer: SubmitAnswer) {
+        if let Some(reply) = self.waiting.remove(&proposal) {
+            let _ = reply.send(answer);
+        }
+    }
+
+    /// Starts the group's time when leadership begins.
+    fn note_role(&mut self) {
+        let role = self.node.role();
+        if role == self.role {
+            return;
+        }
+        if role == RoleName::Leader {
+            self.clock = GroupClock::open(self.state.clock_ms(), self.now());
+        }
+        info!("control_role", kv: { role:? = role, term = self.node.term() });
+        self.role = role;
+    }
+
+    fn compact_if_due(&mut self) {
+        let applied = self.state.applied();
+        if applied < self.snapshot_index + SNAPSHOT_ENTRIES {
+            return;
+        }
+        if let Ok(snapshot) = self.state.snapshot() {
+            self.snapshot_index = applied;
+            let input = RaftInput::Compacted { index: applied, snapshot };
+            let outputs = self.node.step(self.now(), input);
+            self.carry_out(outputs);
+        }
+    }
+
+    fn now(&self) -> MonotonicTime {
+        MonotonicTime::between(self.start, Instant::now())
+    }
+}
+
+fn take_batch(first: WorkerInput, inputs: &Receiver<WorkerInput>) -> Vec<WorkerInput> {
+    let mut batch = vec![first];
+    while let Some(next) = (batch.len() < MAX_BATCH).then(|| inputs.try_recv().ok()).flatten() {
+        batch.push(next);
+    }
+    batch
+}
--- /dev/null
+++ b/crates/wheel_control/src/group_client.rs
@@ -0,0 +1,164 @@
+//! Has actions committed, from any instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use snafu::Snafu;
+use tokio::time::Instant;
+use wheel_agreement::{GroupAction, GroupAnswer, RaftStatus, VoterChange, decode, encode};
+use wheel_peer::{PeerChannel, PeerHub};
+use wheel_types::InstanceName;
+
+use crate::{AddressBook, ControlNode, GroupCall, GroupReply, SubmitAnswer};
+
+/// Time that one control instance gets to answer.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause after all control instances were asked in vain.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why an action has no answer.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum GroupError {
+    /// Nothing was appended anywhere.
+    #[snafu(display("no leader of the group could be reached"))]
+    Unavailable,
+    /// The action may be committed.
+    #[snafu(display("no answer from the group in time"))]
+    Unresolved,
+    /// The group refused it for good.
+    #[snafu(display("the group refused: {reason}"))]
+    Refused {
+        /// The reason.
+        reason: String,
+    },
+}
+
+/// Finds the leader and submits actions to it. Actions are idempotent by their keys, so that one
+/// whose answer was lost is submitted again.
+#[derive(Clone)]
+pub struct GroupClient {
+    hub: PeerHub,
+    book: Arc<dyn AddressBook>,
+    own: Option<ControlNode>,
+    control: Arc<[InstanceName]>,
+    leader: Arc<Mutex<Option<InstanceName>>>,
+}
+
+impl GroupClient {
+    /// Makes a client of the control instances `control`, of which `own` may be one.
+    pub fn new(
+        hub: PeerHub,
+        book: Arc<dyn AddressBook>,
+        own: Option<ControlNode>,
+        control: &[InstanceName],
+    ) -> Self {
+        Self { hub, book, own, control: control.into(), leader: Arc::default() }
+    }
+
+    /// Has `action` committed by the deadline.
+    ///
+    /// # Errors
+    /// [`GroupError`] if there is no answer; it tells whether the action may be committed.
+    pub async fn submit(
+        &self,
+        action: GroupAction,
+        deadline: Instant,
+    ) -> Result<GroupAnswer, GroupError> {
+        match self.commit(GroupCall::Submit(action), deadline).await? {
+            SubmitAnswer::Answer(answer) => Ok(answer),
+            _ => Err(GroupError::Unresolved),
+        }
+    }
+
+    /// Has a change of the voters committed by the deadline.
+    ///
+    /// # Errors
+    /// [`GroupError`] if there is no answer.
+    pub async fn change_voter(
+        &self,
+        change: VoterChange,
+        deadline: Instant,
+    ) -> Result<(), GroupError> {
+        self.commit(GroupCall::ChangeVoter(change), deadline).await.map(drop)
+    }
+
+    /// The state of the group as the first control instance that answers sees it, the leader
+    /// first.
+    pub async fn status(&self) -> Option<RaftStatus> {
+        for instance in self.candidates() {
+            if let Ok(GroupReply::Status(status)) = self.ask(&instance, &GroupCall::Status).await {
+                return Some(*status);
+            }
+        }
+        None
+    }
+
+    async fn commit(&self, call: GroupCall, deadline: Instant) -> Result<SubmitAnswer, GroupError> {
+        let mut may_be_committed = false;
+        loop {
+            for instance in self.candidates() {
+                let attempt = tokio::time::timeout_at(deadline, self.ask(&instance, &call));
+                match attempt.await {
+                    Ok(Ok(GroupReply::Submitted(SubmitAnswer::NotLeader { leader }))) => {
+                        self.note_leader(&instance, leader);
+                    }
+                    Ok(Ok(GroupReply::Submitted(SubmitAnswer::Unresolved))) => {
+                        may_be_committed = true;
+                    }
+                    Ok(Ok(GroupReply::Submitted(SubmitAnswer::Refused { reason }))) => {
+                        return Err(GroupError::Refused { reason });
+                    }
+                    Ok(Ok(GroupReply::Submitted(answer))) => {
+                        *self.leader.lock() = Some(instance);
+                        return Ok(answer);
+                    }
+                    Ok(Ok(GroupReply::Status(_))) => {}
+                    Ok(Err(AskError { may_have_run })) => may_be_committed |= may_have_run,
+                    Err(_) => return Err(GroupError::Unresolved),
+                }
+            }
+            if Instant::now() + ROUND_PAUSE >= deadline {
+                return Err(match may_be_committed {
+                    true => GroupError::Unresolved,
+                    false => GroupError::Unavailable,
+                });
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// The instances to ask, the likely leader first.
+    fn candidates(&self) -> Vec<InstanceName> {
+        let leader = self.leader.lock().clone();
+        let others = self.control.iter().filter(|name| Some(*name) != leader.as_ref()).cloned();
+        leader.iter().cloned().chain(others).collect()
+    }
+
+    /// A refusal names the leader, or clears a wrong belief.
+    fn note_leader(&self, asked: &InstanceName, leader: Option<InstanceName>) {
+        let mut held = self.leader.lock();
+        match leader {
+            Some(leader) => *held = Some(leader),
+            None if held.as_ref() == Some(asked) => *held = None,
+            None => {}
+        }
+    }
+
+    async fn ask(&self, instance: &InstanceName, call: &GroupCall) -> Result<GroupReply, AskError> {
+        if let Some(own) = self.own.as_ref().filter(|own| &own.id().instance == instance) {
+            return Ok(own.answer(call.clone()).await);
+        }
+        let unsent = AskError { may_have_run: false };
+        let address = self.book.peer(instance).ok_or(unsent)?;
+        let body = encode(call).map_err(|_| unsent)?;
+        let answer = self.hub.call(&address, PeerChannel::Claim, body, ATTEMPT_TIMEOUT).await;
+        let answer = answer.map_err(|error| AskError { may_have_run: error.may_have_run() })?;
+        decode(&answer).map_err(|_| AskError { may_have_run: true })
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct AskError {
+    may_have_run: bool,
+}
--- a/crates/wheel_control/src/lib.rs
+++ b/crates/wheel_control/src/lib.rs
@@ -1,1 +1,26 @@
 //! Drives the replicated log of a control instance and follows the accepted text at every instance.
+//!
+//! [`ControlNode`] carries out what [`wheel_agreement::RaftNode`] decides: it writes, sends and
+//! applies, on a thread of its own, for a sync blocks. [`GroupClient`] has commands committed from
+//! any instance. [`TextFollower`] keeps every instance at the newest committed text that it can
+//! reach.
+
+mod address_book;
+mod control_folder;
+mod control_node;
+mod control_worker;
+mod group_call;
+mod group_client;
+mod peer_sender;
+mod text_follower;
+mod text_poll;
+mod text_state;
+
+pub use address_book::AddressBook;
+pub use control_folder::FolderError;
+pub use control_node::{ControlError, ControlNode, ControlSettings};
+pub use group_call::{GroupCall, GroupReply, SubmitAnswer};
+pub use group_client::{GroupClient, GroupError};
+pub use text_follower::{FollowerSettings, ParentChoice, TextFollower, answer_poll};
+pub use text_poll::{TextPoll, TextReply};
+pub use text_state::TextState;
--- /dev/null
+++ b/crates/wheel_control/src/text_state.rs
@@ -0,0 +1,96 @@
+//! The committed text that this instance holds.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use spdlog::{error, info};
+use tokio::sync::watch;
+use wheel_agreement::{AcceptedText, TextHistory, TextUpdate, UpdateError};
+use wheel_text::{OperatorsText, ServingText, TextHash};
+use wheel_types::TextRevision;
+
+/// The newest committed text with its latest changes; it only goes up.
+///
+/// Lock order: the history's lock, then the channel's own.
+#[derive(Debug)]
+pub struct TextState {
+    history: Mutex<TextHistory>,
+    serving: watch::Sender<Option<Arc<ServingText>>>,
+}
+
+impl Default for TextState {
+    fn default() -> Self {
+        Self { history: Mutex::default(), serving: watch::Sender::new(None) }
+    }
+}
+
+impl TextState {
+    /// Takes a newer text in.
+    ///
+    /// # Errors
+    /// [`UpdateError`] if the update is older or doesn't follow the text held.
+    pub fn follow(&self, update: TextUpdate) -> Result<(), UpdateError> {
+        let mut history = self.history.lock();
+        history.follow(update)?;
+        self.publish(history.text());
+        Ok(())
+    }
+
+    /// Takes over the history of the group's state, if it is newer.
+    pub(crate) fn replace(&self, newer: &TextHistory) {
+        let mut history = self.history.lock();
+        if newer.text().revision > history.text().revision {
+            *history = newer.clone();
+            self.publish(history.text());
+        }
+    }
+
+    /// The revision and hash held.
+    pub fn held(&self) -> (TextRevision, TextHash) {
+        let history = self.history.lock();
+        (history.text().revision, history.text().hash)
+    }
+
+    /// The text held.
+    pub fn accepted(&self) -> AcceptedText {
+        self.history.lock().text().clone()
+    }
+
+    /// What leads from the revision that someone holds to the text held here.
+    pub fn changes_since(&self, revision: TextRevision, hash: TextHash) -> TextUpdate {
+        let history = self.history.lock();
+        match history.text().revision {
+            // Someone who is ahead gets nothing; the text never goes back.
+            held if held < revision => TextUpdate::Current,
+            _ => history.changes_since(revision, hash),
+        }
+    }
+
+    /// The text in force.
+    pub fn serving(&self) -> Option<Arc<ServingText>> {
+        self.serving.borrow().clone()
+    }
+
+    /// Follows the text in force.
+    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<ServingText>>> {
+        self.serving.subscribe()
+    }
+
+    fn publish(&self, text: &AcceptedText) {
+        match OperatorsText::parse(&text.source) {
+            Ok(parsed) => {
+                let source = Arc::clone(&text.source);
+                let serving = ServingText::new(text.revision, text.hash, source, parsed);
+                info!("text_in_force", kv: { revision = text.revision.0 });
+                self.serving.send_replace(Some(Arc::new(serving)));
+            }
+            // Every instance checks a text before it is proposed; one from a newer version may
+            // have keys that this version doesn't know. The text before stays in force.
+            Err(faults) => error!("text_not_understood", kv: {
+                revision = text.revision.0,
+                faults = faults.len(),
+                first:? = faults.first().map(ToString::to_string)
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_daemon/src/admin_operations.rs
@@ -0,0 +1,290 @@
+//! What operators can do at an instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::{BoxFuture, join_all};
+use http::StatusCode;
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use wheel_agreement::{
+    GroupAction, GroupAnswer, IdempotencyKey, NodeId, RequestDigest, TextAnswer, VoterChange,
+    decode,
+};
+use wheel_control::{AddressBook, GroupError};
+use wheel_entry::{AdminHandler, AdminReply, ApplyRequest};
+use wheel_peer::PeerChannel;
+use wheel_text::{ServingText, TextDelta};
+use wheel_types::{InstanceName, TextRevision};
+
+use crate::{DaemonParts, InstanceStatus};
+
+/// Time in which a text is accepted or refused.
+const APPLY_LIMIT: Duration = Duration::from_secs(8);
+/// Time in which the text here catches up with the revision that an edit started from.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(3);
+/// Time that other instances get to tell their state.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Carries out operators' calls.
+#[derive(Clone)]
+pub struct AdminOperations {
+    parts: Arc<DaemonParts>,
+    recorder: PrometheusHandle,
+    shutdown: CancellationToken,
+}
+
+impl AdminOperations {
+    /// Operations over `parts`; `shutdown` begins a graceful shutdown.
+    pub fn new(
+        parts: Arc<DaemonParts>,
+        recorder: PrometheusHandle,
+        shutdown: CancellationToken,
+    ) -> Self {
+        Self { parts, recorder, shutdown }
+    }
+
+    async fn apply_text(self, request: ApplyRequest) -> AdminReply {
+        let held = self.wait_for_revision(request.base).await;
+        if held.revision < request.base {
+            let message = format!(
+                "this instance holds revision {} and can't reach revision {} now",
+                held.revision, request.base
+            );
+            return AdminReply::error(StatusCode::SERVICE_UNAVAILABLE, &message);
+        }
+        let base = request.base.0.to_le_bytes();
+        let digest = RequestDigest::of_parts(&[&base, request.source.as_bytes()]);
+        // The group takes the difference only if the base is still the newest revision.
+        let delta = TextDelta::between(&held.source, &request.source);
+        let action = GroupAction::ApplyText {
+            base: request.base,
+            key: IdempotencyKey::new(request.key),
+            digest,
+            delta,
+        };
+        match self.parts.group.submit(action, Instant::now() + APPLY_LIMIT).await {
+            Ok(GroupAnswer::Text(answer)) => text_reply(answer),
+            Ok(GroupAnswer::Claim(_)) => unknown_reply(),
+            Err(error) => group_error_reply(&error),
+        }
+    }
+
+    async fn wait_for_revision(&self, base: TextRevision) -> wheel_agreement::AcceptedText {
+        let mut changes = self.parts.text.subscribe();
+        let limit = Instant::now() + CATCH_UP_LIMIT;
+        while self.parts.text.held().0 < base {
+            if tokio::time::timeout_at(limit, changes.changed()).await.is_err() {
+                break;
+            }
+        }
+        self.parts.text.accepted()
+    }
+
+    async fn gather_status(self) -> AdminReply {
+        let others = self.parts.book.listed();
+        let others = others.iter().filter(|peer| peer.instance != self.parts.settings.instance);
+        let asked = others.map(|peer| self.ask_status(&peer.instance));
+        let mut instances: Vec<Value> = join_all(asked).await;
+        let own = self.parts.status();
+        instances.push(status_json(&own));
+        instances.sort_by_key(|instance| instance["name"].as_str().map(str::to_owned));
+        let group = match &self.parts.control {
+            Some(control) => control.status().await,
+            None => self.parts.group.status().await,
+        };
+        let role = match (&self.parts.control, &group) {
+            (Some(_), Some(group)) => format!("control, {:?}", group.role).to_lowercase(),
+            _ => "entry".to_owned(),
+        };
+        let leader = group.as_ref().and_then(|group| group.leader.as_ref());
+        let engines: Vec<Value> = self.parts.directory.reports().iter().map(engine_json).collect();
+        AdminReply::ok(json!({
+            "instance": own.instance,
+            "data_centre": own.centre,
+            "revision": own.revision,
+            "role": role,
+            "leader": leader.map(|leader| &leader.instance),
+            "term": group.as_ref().map(|group| group.term),
+            "commit": group.as_ref().map(|group| group.commit),
+            "draining": own.draining,
+            "instances": instances,
+            "engines": engines,
+        }))
+    }
+
+    async fn ask_status(&self, instance: &InstanceName) -> Value {
+        let parts = &self.parts;
+        let unreachable = json!({ "name": instance, "reachable": false });
+        let Some(address) = parts.book.peer(instance) else { return unreachable };
+        let answer = parts.hub.call(&address, PeerChannel::Admin, Vec::new(), STATUS_TIMEOUT).await;
+        let status = answer.ok().and_then(|body| decode::<InstanceStatus>(&body).ok());
+        status.as_ref().map_or(unreachable, status_json)
+    }
+
+    async fn change_voters(self, change: Option<Value>) -> AdminReply {
+        let Some(status) = self.parts.group.status().await else {
+            let message = "no control instance answers";
+            return AdminReply::error(StatusCode::SERVICE_UNAVAILABLE, message);
+        };
+        let Some(change) = change else {
+            let voters: Vec<String> =
+                status.members.voters.iter().map(ToString::to_string).collect();
+            let learners: Vec<String> =
+                status.members.learners.keys().map(ToString::to_string).collect();
+            let waiting: Vec<String> = status.waiting.iter().map(ToString::to_string).collect();
+            return AdminReply::ok(json!({
+                "voters": voters, "learners": learners, "waiting": waiting,
+                "leader": status.leader.map(|leader| leader.instance),
+            }));
+        };
+        let known: Vec<NodeId> = status.members.nodes().chain(&status.waiting).cloned().collect();
+        let change = match parse_change(&change, &known) {
+            Ok(change) => change,
+            Err(message) => return AdminReply::error(StatusCode::BAD_REQUEST, &message),
+        };
+        match self.parts.group.change_voter(change, Instant::now() + APPLY_LIMIT).await {
+            Ok(()) => AdminReply::ok(json!({ "changed": true })),
+            Err(error) => group_error_reply(&error),
+        }
+    }
+}
+
+impl AdminHandler for AdminOperations {
+    fn text(&self) -> Option<Arc<ServingText>> {
+        self.parts.text.serving()
+    }
+
+    fn apply(&self, request: ApplyRequest) -> BoxFuture<'static, AdminReply> {
+        self.clone().apply_text(request).boxed()
+    }
+
+    fn status(&self) -> BoxFuture<'static, AdminReply> {
+        self.clone().gather_status().boxed()
+    }
+
+    fn drain(&self) -> AdminReply {
+        self.shutdown.cancel();
+        AdminReply::ok(json!({ "draining": true }))
+    }
+
+    fn explain(&self, query: &str) -> AdminReply {
+        let records = self.parts.decisions.find(query);
+        match records.is_empty() {
+            true => AdminReply::error(
+                StatusCode::NOT_FOUND,
+                "no decision about this model or request is recorded at this instance",
+            ),
+            false => AdminReply::ok(json!({ "decisions": records })),
+        }
+    }
+
+    fn voters(&self, change: Option<Value>) -> BoxFuture<'static, AdminReply> {
+        self.clone().change_voters(change).boxed()
+    }
+
+    /// Stays ready while cut off; unready before the first text and while draining.
+    fn ready(&self) -> bool {
+        !self.parts.is_draining() && self.parts.text.serving().is_some()
+    }
+
+    fn metrics(&self) -> String {
+        self.recorder.render()
+    }
+}
+
+/// Reads `{"add": "NAME"}` or `{"remove": "NAME"}`, where the name may carry an identity after a
+/// slash.
+fn parse_change(change: &Value, known: &[NodeId]) -> Result<VoterChange, String> {
+    let find = |name: &str| {
+        let matches = |node: &&NodeId| node.to_string() == name || node.instance.as_str() == name;
+        let found: Vec<&NodeId> = known.iter().filter(matches).collect();
+        match found[..] {
+            [node] => Ok(node.clone()),
+            [] => Err(format!("no member or waiting instance is named {name:?}")),
+            _ => Err(format!("{name:?} has several identities; name one as NAME/IDENTITY")),
+        }
+    };
+    match (change["add"].as_str(), change["remove"].as_str()) {
+        (Some(name), None) => find(name).map(VoterChange::AddVoter),
+        (None, Some(name)) => find(name).map(VoterChange::Remove),
+        _ => Err("expected {\"add\": NAME} or {\"remove\": NAME}".to_owned()),
+    }
+}
+
+fn text_reply(answer: TextAnswer) -> AdminReply {
+    match answer {
+        TextAnswer::Accepted { revision, hash } => {
+            AdminReply::ok(json!({ "revision": revision, "hash": hash.to_string() }))
+        }
+        TextAnswer::Conflict { revision, .. } => AdminReply {
+            status: StatusCode::PRECONDITION_FAILED,
+            body: json!({
+                "error": "another text was accepted since the revision that this one was edited from",
+                "revision": revision,
+            }),
+        },
+        TextAnswer::KeyReused => AdminReply::error(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the idempotency key belongs to another request",
+        ),
+        TextAnswer::TooLarge => {
+            AdminReply::error(StatusCode::PAYLOAD_TOO_LARGE, "the text or the key is too large")
+        }
+        TextAnswer::BrokenDelta => AdminReply::error(
+            StatusCode::CONFLICT,
+            "the text at this instance differs from the group's; try another instance",
+        ),
+    }
+}
+
+fn unknown_reply() -> AdminReply {
+    AdminReply::error(StatusCode::GATEWAY_TIMEOUT, "the text may have been accepted; resend it")
+}
+
+fn group_error_reply(error: &GroupError) -> AdminReply {
+    match error {
+        GroupError::Unresolved => unknown_reply(),
+        GroupError::Unavailable => {
+            AdminReply::error(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
+        }
+        GroupError::Refused { .. } => AdminReply::error(StatusCode::CONFLICT, &error.to_string()),
+    }
+}
+
+fn status_json(status: &InstanceStatus) -> Value {
+    json!({
+        "name": status.instance,
+        "data_centre": status.centre,
+        "reachable": true,
+        "revision": status.revision,
+        "age_ms": status.age_ms,
+        "holds_lease": status.holds_lease,
+        "draining": status.draining,
+    })
+}
+
+fn engine_json(report: &wheel_types::EngineReport) -> Value {
+    let state = match report {
+        report if !report.reachable => "unreachable",
+        report if report.leaving => "leaving",
+        _ => "live",
+    };
+    let models: Vec<Value> = report
+        .models
+        .iter()
+        .map(|held| json!({ "model": held.model, "version": held.version, "phase": held.phase }))
+        .collect();
+    json!({
+        "name": report.upstream,
+        "data_centre": report.centre,
+        "state": state,
+        "owner": report.owner,
+        "models": models,
+        "queued": report.queued,
+        "running": report.load.running,
+    })
+}
--- /dev/null
+++ b/crates/wheel_daemon/src/daemon_parts.rs
@@ -0,0 +1,89 @@
+//! The parts of a running daemon.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use wheel_control::{ControlNode, GroupClient, ParentChoice, TextState};
+use wheel_director::{CentreDirector, LeaseDriver};
+use wheel_entry::{RequestMetrics, TextSource};
+use wheel_peer::PeerHub;
+use wheel_serving::{DecisionLog, DemandBoard, OwnerTable, ReplicaDirectory};
+use wheel_text::ServingText;
+use wheel_types::{InstanceName, TextRevision};
+
+use crate::{DaemonSettings, InstanceBook, InstanceStatus, MemberDriver};
+
+/// Handles to everything that runs in this process.
+pub struct DaemonParts {
+    /// The settings.
+    pub settings: DaemonSettings,
+    /// Calls to other instances.
+    pub hub: PeerHub,
+    /// The known instances.
+    pub book: Arc<InstanceBook>,
+    /// The live instances.
+    pub members: Arc<MemberDriver>,
+    /// The committed text held here.
+    pub text: Arc<TextState>,
+    /// This instance's part in the replicated log.
+    pub control: Option<ControlNode>,
+    /// Calls to the group's leader.
+    pub group: GroupClient,
+    /// The data centre's lease.
+    pub lease: Arc<LeaseDriver>,
+    /// The data centre's engines, while this instance holds the lease.
+    pub director: Arc<CentreDirector>,
+    /// Where models are loaded.
+    pub directory: Arc<ReplicaDirectory>,
+    /// Upstreams that this instance owns.
+    pub owners: Arc<OwnerTable>,
+    /// Demand at this instance.
+    pub demand: Arc<DemandBoard>,
+    /// Recent decisions.
+    pub decisions: Arc<DecisionLog>,
+    /// Counters of requests.
+    pub metrics: Arc<RequestMetrics>,
+    /// True from the first sign of a shutdown on.
+    pub draining: AtomicBool,
+    /// When the text in force came into force here.
+    pub text_since: Mutex<(TextRevision, Instant)>,
+}
+
+impl DaemonParts {
+    /// Whether a shutdown has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// The instance from which the text is followed; `None` at a control instance.
+    pub fn text_parent(&self) -> Option<InstanceName> {
+        match &self.control {
+            Some(_) => None,
+            None => self.book.parents().into_iter().next(),
+        }
+    }
+
+    /// This instance's state, for others.
+    pub fn status(&self) -> InstanceStatus {
+        let (revision, since) = *self.text_since.lock();
+        InstanceStatus {
+            instance: self.settings.instance.clone(),
+            centre: self.settings.centre.clone(),
+            revision,
+            age_ms: since.elapsed().as_millis() as u64,
+            holds_lease: self.lease.authority().is_some(),
+            draining: self.is_draining(),
+        }
+    }
+}
+
+/// The front's view of the text in force.
+pub(crate) struct TextView(pub(crate) Arc<TextState>);
+
+impl TextSource for TextView {
+    fn current(&self) -> Option<Arc<ServingText>> {
+        self.0.serving()
+    }
+}
--- /dev/null
+++ b/crates/wheel_daemon/src/demand_sender.rs
@@ -0,0 +1,87 @@
+//! Tells the lease holder of the data centre about demand at this instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use wheel_agreement::{decode, encode};
+use wheel_control::AddressBook;
+use wheel_peer::PeerChannel;
+use wheel_types::{DemandReply, DemandReport, InstanceName};
+
+use crate::DaemonParts;
+
+/// Time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a report counts as lost.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Grantors that are asked for the holder in one round.
+const MAX_ASKED: usize = 6;
+
+/// Sends reports in a loop, and at once when a model is asked for that wasn't before.
+pub(crate) struct DemandSender {
+    parts: Arc<DaemonParts>,
+    holder: Option<InstanceName>,
+}
+
+impl DemandSender {
+    pub(crate) fn spawn(parts: Arc<DaemonParts>) {
+        let mut sender = Self { parts, holder: None };
+        tokio::spawn(async move {
+            loop {
+                let urgent = sender.parts.demand.urgent();
+                let _ = tokio::time::timeout(REPORT_INTERVAL, urgent).await;
+                let report = sender.parts.demand.take_report();
+                if !report.entries.is_empty() || sender.holder.is_some() {
+                    sender.deliver(&report).await;
+                }
+            }
+        });
+    }
+
+    /// Finds the holder by the hints of those who aren't it. A report that reaches nobody is lost;
+    /// what waits is in the next one again.
+    async fn deliver(&mut self, report: &DemandReport) {
+        let mut open: Vec<InstanceName> =
+            self.holder.iter().cloned().chain(self.grantors()).collect();
+        let mut asked: Vec<InstanceName> = Vec::new();
+        while let Some(instance) = open.first().cloned() {
+            open.retain(|name| name != &instance);
+            if asked.len() == MAX_ASKED {
+                break;
+            }
+            match self.send(&instance, report).await {
+                Some(DemandReply::Noted) => {
+                    self.holder = (!report.entries.is_empty()).then_some(instance);
+                    return;
+                }
+                Some(DemandReply::NotHolder { holder: Some(holder) })
+                    if !asked.contains(&holder) && holder != instance =>
+                {
+                    open.insert(0, holder);
+                }
+                Some(DemandReply::NotHolder { .. }) | None => {}
+            }
+            asked.push(instance);
+        }
+        self.holder = None;
+    }
+
+    fn grantors(&self) -> Vec<InstanceName> {
+        let text = self.parts.text.serving();
+        let centres = text.iter().flat_map(|text| &text.text.centres);
+        let own = centres.filter(|centre| centre.name == self.parts.settings.centre);
+        own.flat_map(|centre| centre.grantors.iter().cloned()).collect()
+    }
+
+    async fn send(&self, instance: &InstanceName, report: &DemandReport) -> Option<DemandReply> {
+        let own = &self.parts.settings.instance;
+        if instance == own {
+            return Some(self.parts.director.note_demand(own.clone(), report.clone()));
+        }
+        let address = self.parts.book.peer(instance)?;
+        let body = encode(report).ok()?;
+        let answer =
+            self.parts.hub.call(&address, PeerChannel::Demand, body, REPORT_TIMEOUT).await.ok()?;
+        decode(&answer).ok()
+    }
+}
--- /dev/null
+++ b/crates/wheel_daemon/src/group_keeper.rs
@@ -0,0 +1,47 @@
+//! Keeps claims in the group's replicated log.
+
+use std::sync::Arc;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use tokio::time::Instant;
+use wheel_agreement::{ClaimAnswer, GroupAction, GroupAnswer};
+use wheel_control::{GroupClient, GroupError};
+use wheel_serving::{ClaimKeeper, KeeperError};
+use wheel_types::{IncarnationId, InstanceName};
+
+use crate::InstanceBook;
+
+/// Submits claims through the group's leader.
+pub struct GroupKeeper {
+    /// Finds the leader.
+    pub client: GroupClient,
+    /// Knows which instances are alive.
+    pub book: Arc<InstanceBook>,
+}
+
+impl ClaimKeeper for GroupKeeper {
+    fn submit(
+        &self,
+        action: GroupAction,
+        deadline: Instant,
+    ) -> BoxFuture<'static, Result<ClaimAnswer, KeeperError>> {
+        let client = self.client.clone();
+        async move {
+            match client.submit(action, deadline).await {
+                Ok(GroupAnswer::Claim(answer)) => Ok(answer),
+                Ok(GroupAnswer::Text(_)) | Err(GroupError::Unresolved) => {
+                    Err(KeeperError::Unresolved)
+                }
+                Err(GroupError::Unavailable | GroupError::Refused { .. }) => {
+                    Err(KeeperError::Unavailable)
+                }
+            }
+        }
+        .boxed()
+    }
+
+    fn is_alive(&self, instance: &InstanceName, incarnation: IncarnationId) -> bool {
+        self.book.is_alive(instance, incarnation)
+    }
+}
--- /dev/null
+++ b/crates/wheel_daemon/src/instance_book.rs
@@ -0,0 +1,154 @@
+//! The instances that this one knows.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use parking_lot::RwLock;
+use wheel_control::{AddressBook, ParentChoice};
+use wheel_director::GrantorBook;
+use wheel_membership::{LiveMember, MemberView, OwnerMap};
+use wheel_peer::PeerAddress;
+use wheel_types::{CentreName, IncarnationId, InstanceName, UpstreamName};
+
+use crate::PeerEntry;
+
+/// Children of one instance in the tree by which texts travel within a data centre.
+const TREE_FANOUT: usize = 4;
+
+/// Addresses of all instances, and which of them are live.
+pub struct InstanceBook {
+    own: PeerEntry,
+    incarnation: IncarnationId,
+    control: Vec<InstanceName>,
+    /// Instances named by the settings, whether live or not.
+    listed: HashMap<InstanceName, PeerEntry>,
+    view: RwLock<Arc<MemberView>>,
+    rounds: AtomicUsize,
+}
+
+impl InstanceBook {
+    /// Starts with no instance counted as live.
+    pub fn open(
+        own: PeerEntry,
+        incarnation: IncarnationId,
+        peers: &[PeerEntry],
+        control: &[InstanceName],
+    ) -> Arc<Self> {
+        let listed = peers.iter().map(|peer| (peer.instance.clone(), peer.clone())).collect();
+        Arc::new(Self {
+            own,
+            incarnation,
+            control: control.to_vec(),
+            listed,
+            view: RwLock::default(),
+            rounds: AtomicUsize::new(0),
+        })
+    }
+
+    /// This instance.
+    pub fn own(&self) -> &PeerEntry {
+        &self.own
+    }
+
+    /// Replaces the live instances.
+    pub fn set_view(&self, view: Arc<MemberView>) {
+        *self.view.write() = view;
+    }
+
+    /// The live instances of this data centre and the contacts in others, without this one.
+    pub fn live_others(&self) -> Vec<LiveMember> {
+        let view = self.view();
+        let members = view.centres.values().flatten();
+        members.filter(|member| member.address.name != self.own.instance).cloned().collect()
+    }
+
+    /// All instances by name, whether live or not.
+    pub fn listed(&self) -> Vec<PeerEntry> {
+        let mut listed: Vec<PeerEntry> = self.listed.values().cloned().collect();
+        listed.sort_by(|left, right| left.instance.cmp(&right.instance));
+        listed
+    }
+
+    /// Whether that life of an instance may still be going on. Of instances in other data centres
+    /// only the name is known, so that they count as alive as long as they are listed.
+    pub fn is_alive(&self, instance: &InstanceName, incarnation: IncarnationId) -> bool {
+        if instance == &self.own.instance {
+            return incarnation == self.incarnation;
+        }
+        let view = self.view();
+        match view.find(instance) {
+            Some(member) => member.incarnation.is_none_or(|live| live <= incarnation),
+            None => self.listed.get(instance).is_some_and(|peer| peer.centre != self.own.centre),
+        }
+    }
+
+    /// Whether this instance owns an upstream of `centre`.
+    pub fn owns(&self, centre: &CentreName, upstream: &UpstreamName) -> bool {
+        let view = self.view();
+        let owner = OwnerMap::owner(&view, centre, upstream);
+        centre == &self.own.centre && owner == Some(&self.own.instance)
+    }
+
+    fn view(&self) -> Arc<MemberView> {
+        Arc::clone(&self.view.read())
+    }
+
+    /// The parent in the tree of this data centre, and the neighbours there.
+    fn neighbours(&self) -> (Option<InstanceName>, Vec<InstanceName>) {
+        let view = self.view();
+        let members = view.centre(&self.own.centre);
+        let names: Vec<InstanceName> =
+            members.iter().map(|member| member.address.name.clone()).collect();
+        let position = names.iter().position(|name| name == &self.own.instance);
+        let parent = match position {
+            Some(0) | None => None,
+            Some(position) => names.get((position - 1) / TREE_FANOUT).cloned(),
+        };
+        let others = names.into_iter().filter(|name| name != &self.own.instance).collect();
+        (parent, others)
+    }
+}
+
+impl AddressBook for InstanceBook {
+    fn peer(&self, instance: &InstanceName) -> Option<PeerAddress> {
+        let view = self.view();
+        let live = view.find(instance).map(|member| member.address.peer);
+        let address = live.or_else(|| self.listed.get(instance).map(|entry| entry.peer))?;
+        Some(PeerAddress::new(instance.clone(), address))
+    }
+}
+
+impl GrantorBook for InstanceBook {
+    fn grantor(&self, instance: &InstanceName) -> Option<PeerAddress> {
+        self.peer(instance)
+    }
+}
+
+impl ParentChoice for InstanceBook {
+    /// The tree's parent first, then control instances, those nearby first and the others by
+    /// turns, then neighbours.
+    fn parents(&self) -> Vec<InstanceName> {
+        let (parent, neighbours) = self.neighbours();
+        let others: Vec<&InstanceName> =
+            self.control.iter().filter(|name| *name != &self.own.instance).collect();
+        let is_near = |name: &InstanceName| {
+            self.listed.get(name).is_some_and(|entry| entry.centre == self.own.centre)
+        };
+        let (near, mut far): (Vec<&InstanceName>, Vec<&InstanceName>) =
+            others.into_iter().partition(|name| is_near(name));
+        let turn = self.rounds.fetch_add(1, Ordering::Relaxed);
+        if !far.is_empty() {
+            let offset = turn % far.len();
+            far.rotate_left(offset);
+        }
+        let mut parents: Vec<InstanceName> = Vec::new();
+        let control = near.into_iter().chain(far).cloned();
+        for name in parent.into_iter().chain(control).chain(neighbours) {
+            if !parents.contains(&name) {
+                parents.push(name);
+            }
+        }
+        parents
+    }
+}
--- a/crates/wheel_daemon/src/lib.rs
+++ b/crates/wheel_daemon/src/lib.rs
@@ -1,1 +1,39 @@
-//! The daemon wisteriawheeld: settings, wiring and signals.
+//! The daemon `wisteriawheeld`: settings, wiring and signals.
+//!
+//! [`DaemonSettings`] are read from flags and environment variables; [`RunningDaemon`] wires the
+//! libraries together and runs until it is drained.
+
+mod admin_operations;
+mod daemon_logs;
+mod daemon_parts;
+mod daemon_settings;
+mod demand_sender;
+mod director_bridge;
+mod exit_status;
+mod group_keeper;
+mod instance_book;
+mod instance_status;
+mod member_driver;
+mod peer_entry;
+mod peer_router;
+mod report_sender;
+mod running_daemon;
+mod setting_fault;
+mod setting_specs;
+mod settings_reader;
+
+pub use admin_operations::AdminOperations;
+pub use daemon_logs::start_logs;
+pub use daemon_parts::DaemonParts;
+pub use daemon_settings::DaemonSettings;
+pub use exit_status::ExitStatus;
+pub use group_keeper::GroupKeeper;
+pub use instance_book::InstanceBook;
+pub use instance_status::InstanceStatus;
+pub use member_driver::MemberDriver;
+pub use peer_entry::PeerEntry;
+pub use peer_router::PeerRouter;
+pub use report_sender::ReportSender;
+pub use running_daemon::{RunningDaemon, StartError};
+pub use setting_fault::SettingFault;
+pub use settings_reader::{SettingsReader, SettingsRequest};
--- /dev/null
+++ b/crates/wheel_daemon/src/peer_router.rs
@@ -0,0 +1,116 @@
+//! Answers calls of other instances.
+
+use std::sync::{Arc, OnceLock};
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wheel_agreement::{NodeId, RaftMessage, decode, encode};
+use wheel_control::{GroupCall, GroupReply, SubmitAnswer, TextPoll, answer_poll};
+use wheel_lease::LeaseRequest;
+use wheel_peer::{PeerChannel, PeerHandler, PeerIdentity, PeerRefusal};
+use wheel_serving::ReportMessage;
+use wheel_types::DemandReport;
+
+use crate::DaemonParts;
+
+/// Passes each channel's calls to the part that they concern. Calls before the parts are wired are
+/// refused.
+#[derive(Clone, Default)]
+pub struct PeerRouter {
+    parts: Arc<OnceLock<Arc<DaemonParts>>>,
+}
+
+impl PeerRouter {
+    /// Wires the router; calls are answered from now on.
+    pub fn wire(&self, parts: Arc<DaemonParts>) {
+        let _ = self.parts.set(parts);
+    }
+}
+
+impl PeerHandler for PeerRouter {
+    fn handle(
+        &self,
+        peer: PeerIdentity,
+        channel: PeerChannel,
+        body: Vec<u8>,
+    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
+        let parts = self.parts.get().cloned();
+        async move {
+            let parts = parts.ok_or_else(|| PeerRefusal::new("the instance is starting"))?;
+            answer(&parts, peer, channel, &body).await
+        }
+        .boxed()
+    }
+}
+
+async fn answer(
+    parts: &Arc<DaemonParts>,
+    peer: PeerIdentity,
+    channel: PeerChannel,
+    body: &[u8],
+) -> Result<Vec<u8>, PeerRefusal> {
+    match channel {
+        PeerChannel::Agreement => note_message(parts, &peer, body),
+        PeerChannel::Claim => {
+            let call: GroupCall = read(body)?;
+            write(&answer_group_call(parts, call).await)
+        }
+        PeerChannel::Text => {
+            let poll: TextPoll = read(body)?;
+            let parent = parts.text_parent();
+            write(&answer_poll(&parts.text, poll, parent).await)
+        }
+        PeerChannel::Lease => {
+            let request: LeaseRequest = read(body)?;
+            if request.holder.instance != peer.instance {
+                return Err(PeerRefusal::new("a lease is asked for in another's name"));
+            }
+            write(&parts.lease.answer(&request))
+        }
+        PeerChannel::Demand => {
+            let report: DemandReport = read(body)?;
+            write(&parts.director.note_demand(peer.instance, report))
+        }
+        PeerChannel::Report => {
+            match read(body)? {
+                ReportMessage::Engine(report) => parts.directory.note_report(report),
+                ReportMessage::Drain(notice) => parts.directory.note_drain(&notice),
+            }
+            Ok(Vec::new())
+        }
+        PeerChannel::Membership => parts.members.answer(&peer, body),
+        PeerChannel::Admin => write(&parts.status()),
+    }
+}
+
+fn note_message(
+    parts: &DaemonParts,
+    peer: &PeerIdentity,
+    body: &[u8],
+) -> Result<Vec<u8>, PeerRefusal> {
+    let (from, to, message): (NodeId, NodeId, RaftMessage) = read(body)?;
+    if from.instance != peer.instance {
+        return Err(PeerRefusal::new("a message is sent in another's name"));
+    }
+    if let Some(control) = &parts.control {
+        control.note_message(from, &to, message);
+    }
+    Ok(Vec::new())
+}
+
+async fn answer_group_call(parts: &DaemonParts, call: GroupCall) -> GroupReply {
+    match &parts.control {
+        Some(control) => control.answer(call).await,
+        None => GroupReply::Submitted(SubmitAnswer::NotLeader { leader: None }),
+    }
+}
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, PeerRefusal> {
+    decode(body).map_err(|error| PeerRefusal::new(error.to_string()))
+}
+
+fn write<T: Serialize>(answer: &T) -> Result<Vec<u8>, PeerRefusal> {
+    encode(answer).map_err(|error| PeerRefusal::new(error.to_string()))
+}
--- /dev/null
+++ b/crates/wheel_daemon/src/report_sender.rs
@@ -0,0 +1,83 @@
+//! Sends reports of upstreams to the other instances.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+use wheel_control::AddressBook;
+use wheel_peer::{PeerChannel, PeerHub};
+use wheel_serving::{ReplicaDirectory, ReportMessage, ReportSink};
+use wheel_types::{CentreName, InstanceName};
+
+use crate::InstanceBook;
+
+/// Reports on their way to one instance; further ones are dropped and made up for by the next.
+const MAX_IN_FLIGHT: usize = 64;
+/// Time after which a report counts as lost.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Publishes to this instance's own directory and to all others.
+pub struct ReportSender {
+    hub: PeerHub,
+    book: Arc<InstanceBook>,
+    directory: Weak<ReplicaDirectory>,
+    runtime: Handle,
+    in_flight: Mutex<HashMap<InstanceName, Arc<Semaphore>>>,
+}
+
+impl ReportSender {
+    /// Makes a sender; the directory is the one that routes here.
+    pub fn new(
+        hub: PeerHub,
+        book: Arc<InstanceBook>,
+        directory: &Arc<ReplicaDirectory>,
+    ) -> Arc<Self> {
+        let directory = Arc::downgrade(directory);
+        let in_flight = Mutex::default();
+        Arc::new(Self { hub, book, directory, runtime: Handle::current(), in_flight })
+    }
+
+    fn send(&self, to: &InstanceName, body: Vec<u8>) {
+        let permits = {
+            let mut in_flight = self.in_flight.lock();
+            let permits = in_flight.entry(to.clone());
+            Arc::clone(permits.or_insert_with(|| Arc::new(Semaphore::new(MAX_IN_FLIGHT))))
+        };
+        let (Ok(permit), Some(address)) = (permits.try_acquire_owned(), self.book.peer(to)) else {
+            return;
+        };
+        let hub = self.hub.clone();
+        self.runtime.spawn(async move {
+            let _ = hub.call(&address, PeerChannel::Report, body, REPORT_TIMEOUT).await;
+            drop(permit);
+        });
+    }
+
+    /// A drain concerns the data centre only; a replica's state concerns all.
+    fn concerns(message: &ReportMessage, own: &CentreName, other: &CentreName) -> bool {
+        match message {
+            ReportMessage::Engine(_) => true,
+            ReportMessage::Drain(_) => own == other,
+        }
+    }
+}
+
+impl ReportSink for ReportSender {
+    fn publish(&self, message: ReportMessage) {
+        if let Ok(body) = postcard::to_stdvec(&message) {
+            for peer in self.book.live_others() {
+                if Self::concerns(&message, &self.book.own().centre, &peer.address.centre) {
+                    self.send(&peer.address.name, body.clone());
+                }
+            }
+        }
+        let Some(directory) = self.directory.upgrade() else { return };
+        match message {
+            ReportMessage::Engine(report) => directory.note_report(report),
+            ReportMessage::Drain(notice) => directory.note_drain(&notice),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -0,0 +1,400 @@
+//! Wires the parts together and runs them until they are drained.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant, SystemTime};
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use parking_lot::Mutex;
+use rand::Rng;
+use snafu::{ResultExt, Snafu};
+use spdlog::info;
+use tokio::runtime::Handle;
+use tokio::time::MissedTickBehavior;
+use tokio_util::sync::CancellationToken;
+use wheel_control::{
+    AddressBook, ControlError, ControlNode, ControlSettings, FollowerSettings, GroupClient,
+    TextFollower, TextState,
+};
+use wheel_director::{CentreDirector, DirectorSettings, LeaseDriver};
+use wheel_entry::{
+    AdminService, AdminSettings, CallerService, CallerSettings, HttpError, HttpLimits, HttpServer,
+    RequestHandler, RequestMetrics, TextSource,
+};
+use wheel_lease::LeaseSettings;
+use wheel_peer::{PeerError, PeerHub, PeerSecret, PeerSettings};
+use wheel_serving::{
+    DecisionLog, OwnerSettings, OwnerTable, ProcessClock, RelayClients, RelayKey, RelayService,
+    ReplicaDirectory, ServingParts, ServingPath,
+};
+use wheel_text::ServingText;
+use wheel_types::{IncarnationId, TextRevision, UpstreamName};
+
+use crate::daemon_parts::TextView;
+use crate::demand_sender::DemandSender;
+use crate::director_bridge::DirectorBridge;
+use crate::{
+    AdminOperations, DaemonParts, DaemonSettings, ExitStatus, GroupKeeper, InstanceBook,
+    MemberDriver, PeerRouter, ReportSender,
+};
+
+/// Time between two looks for silent owners.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that other instances get to see that this one drains, before it takes no more work.
+const DRAIN_NOTICE: Duration = Duration::from_millis(300);
+/// Share of the lease's term by which the holder's authority ends before the grants do.
+const MARGIN_DIVISOR: u32 = 10;
+
+/// Why the daemon couldn't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[snafu(display("{source}"))]
+    Listen {
+        /// The server's error.
+        source: HttpError,
+    },
+    /// The port for other instances can't be listened on.
+    #[snafu(display("{source}"))]
+    Peer {
+        /// The hub's error.
+        source: PeerError,
+    },
+    /// The replicated log can't be opened.
+    #[snafu(display("{source}"))]
+    Control {
+        /// The log's error.
+        source: ControlError,
+    },
+    /// The recorder of metrics can't be installed.
+    #[snafu(display("metrics can't be recorded: {reason}"))]
+    Metrics {
+        /// The recorder's error.
+        reason: String,
+    },
+}
+
+/// A daemon that serves.
+pub struct RunningDaemon {
+    parts: Arc<DaemonParts>,
+    callers: HttpServer,
+    operators: HttpServer,
+    relay: HttpServer,
+    shutdown: CancellationToken,
+}
+
+impl RunningDaemon {
+    /// Starts every part.
+    ///
+    /// # Errors
+    /// [`StartError`] if one can't start.
+    pub async fn spawn(settings: DaemonSettings) -> Result<Self, StartError> {
+        let recorder = PrometheusBuilder::new()
+            .install_recorder()
+            .map_err(|error| StartError::Metrics { reason: error.to_string() })?;
+        let router = PeerRouter::default();
+        let incarnation = new_incarnation();
+        let hub = bind_hub(&settings, incarnation, &router)?;
+        let parts = wire_parts(settings, incarnation, hub)?;
+        router.wire(Arc::clone(&parts));
+        let shutdown = CancellationToken::new();
+        let relay = bind_relay(&parts).await?;
+        let callers = bind_callers(&parts, incarnation).await?;
+        let operations = AdminOperations::new(Arc::clone(&parts), recorder, shutdown.clone());
+        let admin = AdminService::new(
+            AdminSettings {
+                limits: limits_of(&parts.settings),
+                token_hash: parts.settings.admin_token_hash,
+            },
+            Arc::new(operations),
+        );
+        let operators = HttpServer::bind(
+            parts.settings.admin_listen,
+            limits_of(&parts.settings),
+            move |request| admin.clone().answer(request),
+        )
+        .await
+        .context(ListenSnafu)?;
+        spawn_loops(&parts);
+        info!("daemon_started", kv: {
+            instance = parts.settings.instance.as_str(),
+            data_centre = parts.settings.centre.as_str(),
+            callers = callers.local_addr().to_string(),
+            operators = operators.local_addr().to_string(),
+            control = parts.control.is_some()
+        });
+        Ok(Self { parts, callers, operators, relay, shutdown })
+    }
+
+    /// Where callers connect.
+    pub fn callers_addr(&self) -> SocketAddr {
+        self.callers.local_addr()
+    }
+
+    /// Where operators connect.
+    pub fn operators_addr(&self) -> SocketAddr {
+        self.operators.local_addr()
+    }
+
+    /// Completes when an operator asks for a shutdown.
+    pub async fn shutdown_asked(&self) {
+        self.shutdown.cancelled().await;
+    }
+
+    /// Shuts down gracefully: takes no new work, ends the work in hand, hands the rest over. A
+    /// second signal, `hard`, ends it at once.
+    pub async fn drain(self, hard: CancellationToken) -> ExitStatus {
+        let limit = self.parts.settings.drain_limit;
+        info!("drain_started", kv: { limit_s = limit.as_secs() });
+        self.parts.draining.store(true, Ordering::Release);
+        self.parts.members.drain();
+        self.parts.director.stop();
+        tokio::time::sleep(DRAIN_NOTICE).await;
+        // What waits here for a slot goes to the new owners, through the entry instances.
+        self.parts.owners.give_up_all();
+        let drained = async {
+            let (callers, relay) = tokio::join!(self.callers.drain(limit), self.relay.drain(limit));
+            callers && relay
+        };
+        let all_ended = tokio::select! {
+            all_ended = drained => all_ended,
+            () = hard.cancelled() => false,
+        };
+        self.parts.members.leave();
+        if let Some(control) = self.parts.control.clone() {
+            let _ = tokio::task::spawn_blocking(move || control.stop()).await;
+        }
+        tokio::time::sleep(DRAIN_NOTICE).await;
+        info!("drain_ended", kv: { all_ended });
+        match all_ended {
+            true => ExitStatus::Done,
+            false => ExitStatus::CutShort,
+        }
+    }
+}
+
+fn bind_hub(
+    settings: &DaemonSettings,
+    incarnation: IncarnationId,
+    router: &PeerRouter,
+) -> Result<PeerHub, StartError> {
+    let mut peer = PeerSettings::new(
+        Arc::clone(&settings.group),
+        settings.instance.clone(),
+        Handle::current(),
+    )
+    .incarnation(incarnation)
+    .listen(settings.peer_listen);
+    if let Some(secret) = &settings.secret {
+        peer = peer.secret(PeerSecret::new(Arc::clone(secret)));
+    }
+    PeerHub::bind(peer, Arc::new(router.clone())).context(PeerSnafu)
+}
+
+fn wire_parts(
+    settings: DaemonSettings,
+    incarnation: IncarnationId,
+    hub: PeerHub,
+) -> Result<Arc<DaemonParts>, StartError> {
+    let start = Instant::now();
+    let clock = ProcessClock::starting_at(start);
+    let seed = rand::rng().random();
+    let book =
+        InstanceBook::open(settings.own_entry(), incarnation, &settings.peers, &settings.control);
+    let members = MemberDriver::spawn(start, incarnation, hub.clone(), Arc::clone(&book), seed);
+    let text = Arc::new(TextState::default());
+    let control = spawn_control(&settings, start, seed, &hub, &book, &text)?;
+    let own_control = control.clone();
+    let address_book: Arc<dyn AddressBook> = book.clone();
+    let group = GroupClient::new(hub.clone(), address_book, own_control, &settings.control);
+    if control.is_none() {
+        let follower = FollowerSettings {
+            instance: settings.instance.clone(),
+            folder: settings.data_folder.clone(),
+        };
+        let text = Arc::clone(&text);
+        TextFollower::spawn(follower, hub.clone(), book.clone(), book.clone(), text);
+    }
+    let directory = ReplicaDirectory::open(clock, settings.centre.clone(), seed);
+    let sender = ReportSender::new(hub.clone(), Arc::clone(&book), &directory);
+    let owner_settings = OwnerSettings {
+        instance: settings.instance.clone(),
+        relay: settings.own_entry().relay,
+        order_life: settings.order_life,
+    };
+    let owners = OwnerTable::open(owner_settings, clock, sender.clone());
+    let decisions: Arc<DecisionLog> = Arc::default();
+    let director_settings = DirectorSettings {
+        instance: settings.instance.clone(),
+        incarnation,
+        centre: settings.centre.clone(),
+        lease: lease_settings(&settings),
+        start,
+        seed,
+    };
+    let lease = LeaseDriver::spawn(director_settings.clone(), hub.clone(), book.clone());
+    let bridge = DirectorBridge {
+        directory: Arc::clone(&directory),
+        sender,
+        decisions: Arc::clone(&decisions),
+    };
+    let director = CentreDirector::spawn(
+        director_settings,
+        Arc::clone(&lease),
+        Arc::new(bridge),
+        text.subscribe(),
+    );
+    Ok(Arc::new(DaemonParts {
+        settings,
+        hub,
+        book,
+        members,
+        text,
+        control,
+        group,
+        lease,
+        director,
+        directory,
+        owners,
+        demand: Arc::default(),
+        decisions,
+        metrics: Arc::new(RequestMetrics::default()),
+        draining: AtomicBool::new(false),
+        text_since: Mutex::new((TextRevision::default(), Instant::now())),
+    }))
+}
+
+fn spawn_control(
+    settings: &DaemonSettings,
+    start: Instant,
+    seed: u64,
+    hub: &PeerHub,
+    book: &Arc<InstanceBook>,
+    text: &Arc<TextState>,
+) -> Result<Option<ControlNode>, StartError> {
+    let Some(folder) = settings.data_folder.clone().filter(|_| settings.is_control()) else {
+        return Ok(None);
+    };
+    let control = ControlSettings {
+        instance: settings.instance.clone(),
+        voters: settings.control.clone(),
+        folder,
+        seed,
+        start,
+    };
+    let book: Arc<dyn AddressBook> = book.clone();
+    let node = ControlNode::spawn(control, hub.clone(), book, Arc::clone(text));
+    node.context(ControlSnafu).map(Some)
+}
+
+fn lease_settings(settings: &DaemonSettings) -> LeaseSettings {
+    LeaseSettings {
+        term: settings.lease_term,
+        longest_term: settings.lease_term,
+        margin: settings.lease_term / MARGIN_DIVISOR,
+        order_life: settings.order_life,
+        ..LeaseSettings::default()
+    }
+}
+
+async fn bind_relay(parts: &Arc<DaemonParts>) -> Result<HttpServer, StartError> {
+    let key = relay_key(&parts.settings);
+    let limits = limits_of(&parts.settings);
+    let service = RelayService::new(Arc::clone(&parts.owners), key, limits.clone());
+    HttpServer::bind(parts.settings.relay_listen, limits, move |request| {
+        service.clone().answer(request)
+    })
+    .await
+    .context(ListenSnafu)
+}
+
+async fn bind_callers(
+    parts: &Arc<DaemonParts>,
+    incarnation: IncarnationId,
+) -> Result<HttpServer, StartError> {
+    let source: Arc<dyn TextSource> = Arc::new(TextView(Arc::clone(&parts.text)));
+    let keeper = GroupKeeper { client: parts.group.clone(), book: Arc::clone(&parts.book) };
+    let path = ServingPath::new(ServingParts {
+        instance: parts.settings.instance.clone(),
+        incarnation,
+        source: Arc::clone(&source),
+        directory: Arc::clone(&parts.directory),
+        owners: Arc::clone(&parts.owners),
+        relays: RelayClients::open(),
+        key: relay_key(&parts.settings),
+        demand: Arc::clone(&parts.demand),
+        claims: Arc::new(keeper),
+        decisions: Arc::clone(&parts.decisions),
+    });
+    let handler: Arc<dyn RequestHandler> = Arc::new(path);
+    let settings = CallerSettings {
+        limits: limits_of(&parts.settings),
+        open_requests: parts.settings.open_requests,
+    };
+    let limits = settings.limits.clone();
+    let service = CallerService::new(settings, source, handler, Arc::clone(&parts.metrics));
+    HttpServer::bind(parts.settings.listen, limits, move |request| service.clone().answer(request))
+        .await
+        .context(ListenSnafu)
+}
+
+fn relay_key(settings: &DaemonSettings) -> Option<RelayKey> {
+    settings.secret.as_deref().map(RelayKey::derive)
+}
+
+fn limits_of(settings: &DaemonSettings) -> HttpLimits {
+    HttpLimits { body_bytes: settings.max_body, ..HttpLimits::default() }
+}
+
+/// Starts the tasks that let the parts follow the text and the live instances.
+fn spawn_loops(parts: &Arc<DaemonParts>) {
+    DemandSender::spawn(Arc::clone(parts));
+    tokio::spawn(follow_loop(Arc::clone(parts)));
+    tokio::spawn(expire_loop(Arc::clone(parts)));
+}
+
+async fn follow_loop(parts: Arc<DaemonParts>) {
+    let mut texts = parts.text.subscribe();
+    let mut views = parts.members.subscribe();
+    let mut followed = None;
+    loop {
+        let text = texts.borrow_and_update().clone();
+        views.mark_unchanged();
+        if let Some(text) = &text {
+            if followed != Some(text.revision) {
+                followed = Some(text.revision);
+                *parts.text_since.lock() = (text.revision, Instant::now());
+                parts.directory.follow_text(text);
+                parts.lease.follow_text(text);
+            }
+            if !parts.is_draining() {
+                parts.owners.follow(text, |name| owns_upstream(&parts, text, name));
+            }
+        }
+        tokio::select! {
+            changed = texts.changed() => if changed.is_err() { return },
+            changed = views.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+fn owns_upstream(parts: &DaemonParts, text: &ServingText, name: &UpstreamName) -> bool {
+    let spec = text.upstream(name.as_str());
+    spec.is_some_and(|spec| parts.book.owns(&spec.data_centre, name))
+}
+
+async fn expire_loop(parts: Arc<DaemonParts>) {
+    let mut ticks = tokio::time::interval(EXPIRE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        parts.directory.expire_reports();
+    }
+}
+
+/// Grows with each start of the process, as far as the machine's clock does.
+fn new_incarnation() -> IncarnationId {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    IncarnationId(since.as_micros() as u64)
+}
--- /dev/null
+++ b/crates/wheel_director/src/demand_table.rs
@@ -0,0 +1,193 @@
+//! Demand of a data centre, as its instances report it.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use wheel_policy::{AdapterDemand, DemandView, ModelDemand, RankDemand};
+use wheel_text::ServingText;
+use wheel_types::{
+    AdapterName, DemandReport, EngineReport, InstanceName, ModelName, MonotonicTime, RequestRank,
+};
+
+/// Time after which an instance's silence means that nothing waits there.
+const REPORT_LIFE: Duration = Duration::from_secs(3);
+/// Time over which arrivals are averaged.
+const RATE_SPAN: Duration = Duration::from_secs(900);
+/// Rates below this are dropped, in arrivals an hour.
+const LEAST_RATE: f64 = 0.05;
+/// Seconds of an hour.
+const HOUR_S: f64 = 3_600.0;
+
+/// Collects reports and turns them into the planner's view.
+///
+/// Bounded by the instances of the data centre and the models of the text, as each report is.
+#[derive(Debug, Default)]
+pub struct DemandTable {
+    state: Mutex<TableState>,
+    urgent: Notify,
+}
+
+#[derive(Debug, Default)]
+struct TableState {
+    reports: HashMap<InstanceName, HeldReport>,
+    rates: HashMap<ModelName, ArrivalRate>,
+}
+
+#[derive(Debug)]
+struct HeldReport {
+    report: DemandReport,
+    received: Instant,
+}
+
+/// Arrivals of one model, averaged with exponential decay.
+#[derive(Clone, Copy, Debug)]
+struct ArrivalRate {
+    hourly: f64,
+    updated: Instant,
+    rank: RequestRank,
+}
+
+impl DemandTable {
+    /// Takes over an instance's report.
+    pub fn note_report(&self, from: InstanceName, report: DemandReport) {
+        let mut state = self.state.lock();
+        let received = Instant::now();
+        for entry in report.entries.iter().filter(|entry| entry.arrivals > 0) {
+            let rate = state.rates.entry(entry.model.clone()).or_insert(ArrivalRate {
+                hourly: 0.0,
+                updated: received,
+                rank: entry.rank,
+            });
+            rate.decay(received);
+            rate.hourly += f64::from(entry.arrivals) * HOUR_S / RATE_SPAN.as_secs_f64();
+            rate.rank = entry.rank;
+        }
+        let waits = report.entries.iter().any(|entry| entry.waiting > 0);
+        state.reports.insert(from, HeldReport { report, received });
+        drop(state);
+        if waits {
+            self.urgent.notify_one();
+        }
+    }
+
+    /// Completes when something waits.
+    pub async fn urgent(&self) {
+        self.urgent.notified().await;
+    }
+
+    /// The planner's view at `now`, with what the owners' reports say of queues and replicas.
+    pub fn view<'a>(
+        &self,
+        now: MonotonicTime,
+        text: &ServingText,
+        own: impl Iterator<Item = &'a EngineReport>,
+        elsewhere: impl Iterator<Item = &'a EngineReport>,
+    ) -> DemandView {
+        let mut state = self.state.lock();
+        state.forget_old();
+        let mut models: HashMap<ModelName, ModelDemand> = HashMap::new();
+        for held in state.reports.values() {
+            for entry in &held.report.entries {
+                let age = held.received.elapsed();
+                let due = Duration::from_millis(entry.due_in_ms).saturating_sub(age);
+                let demand = model_demand(&mut models, &entry.model);
+                if let (Some(adapter), true) = (&entry.adapter, entry.waiting > 0) {
+                    add_adapter(demand, adapter, entry.waiting);
+                }
+                if entry.waiting > 0 {
+                    add_waiting(demand, entry.rank, entry.waiting, now, now + due);
+                }
+            }
+        }
+        for (model, rate) in &state.rates {
+            let demand = model_demand(&mut models, model);
+            demand.hourly_rate = rate.hourly;
+            let rank = text.text.ranks.get(rate.rank.index());
+            demand.worth = rank.map_or(1.0, |rank| rank.worth);
+        }
+        drop(state);
+        own.for_each(|report| add_use(&mut models, report));
+        elsewhere.for_each(|report| add_elsewhere(&mut models, report));
+        let mut models: Vec<ModelDemand> = models.into_values().collect();
+        models.sort_by(|left, right| left.model.cmp(&right.model));
+        DemandView { models }
+    }
+}
+
+impl TableState {
+    fn forget_old(&mut self) {
+        self.reports.retain(|_, held| held.received.elapsed() < REPORT_LIFE);
+        let now = Instant::now();
+        self.rates.values_mut().for_each(|rate| rate.decay(now));
+        self.rates.retain(|_, rate| rate.hourly >= LEAST_RATE);
+    }
+}
+
+impl ArrivalRate {
+    fn decay(&mut self, now: Instant) {
+        let span = now.saturating_duration_since(self.updated);
+        self.hourly *= (-span.as_secs_f64() / RATE_SPAN.as_secs_f64()).exp();
+        self.updated = now;
+    }
+}
+
+fn model_demand<'a>(
+    models: &'a mut HashMap<ModelName, ModelDemand>,
+    model: &ModelName,
+) -> &'a mut ModelDemand {
+    let fresh = || ModelDemand { model: model.clone(), ..ModelDemand::default() };
+    models.entry(model.clone()).or_insert_with(fresh)
+}
+
+fn add_adapter(demand: &mut ModelDemand, adapter: &AdapterName, waiting: u32) {
+    match demand.adapters.iter_mut().find(|held| &held.adapter == adapter) {
+        Some(held) => held.waiting += waiting,
+        None => demand.adapters.push(AdapterDemand { adapter: adapter.clone(), waiting }),
+    }
+}
+
+fn add_waiting(
+    demand: &mut ModelDemand,
+    rank: RequestRank,
+    count: u32,
+    now: MonotonicTime,
+    due: MonotonicTime,
+) {
+    match demand.waiting.iter_mut().find(|held| held.rank == rank) {
+        Some(held) => {
+            held.count += count;
+            held.earliest_deadline = held.earliest_deadline.min(due);
+        }
+        None => demand.waiting.push(RankDemand {
+            rank,
+            count,
+            oldest_arrival: now,
+            earliest_deadline: due,
+        }),
+    }
+}
+
+fn add_use(models: &mut HashMap<ModelName, ModelDemand>, report: &EngineReport) {
+    let loaded = report.loaded_models().count().max(1) as u32;
+    for state in report.loaded_models() {
+        let running: u32 = report
+            .usage
+            .iter()
+            .filter(|usage| usage.model == state.model)
+            .map(|usage| usage.in_use)
+            .sum();
+        let demand = model_demand(models, &state.model);
+        demand.running += running;
+        demand.queued += report.queued / loaded;
+    }
+}
+
+fn add_elsewhere(models: &mut HashMap<ModelName, ModelDemand>, report: &EngineReport) {
+    for state in report.loaded_models().filter(|_| report.takes_work()) {
+        if let Some(demand) = models.get_mut(&state.model) {
+            demand.elsewhere += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_director/src/fleet_builder.rs
@@ -0,0 +1,157 @@
+//! The planner's view of a data centre's engines.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use wheel_lease::OrderLedger;
+use wheel_policy::{EngineView, FleetView, PlacedAdapter, PlacedModel};
+use wheel_text::{ServingText, UpstreamSpec};
+use wheel_types::{
+    CentreName, EngineReport, EngineState, ModelName, ModelPhase, ModelState, ModelUsage,
+    MonotonicTime, OrderAction, UpstreamName,
+};
+
+use crate::engine_clients::engines_of;
+use crate::replica_tracks::{ReplicaKey, ReplicaTracks};
+
+/// Joins the text, the ledger's accounts and the owners' reports.
+pub(crate) struct FleetBuilder<'a> {
+    pub(crate) now: MonotonicTime,
+    pub(crate) centre: &'a CentreName,
+    pub(crate) text: &'a ServingText,
+    pub(crate) ledger: &'a OrderLedger,
+    pub(crate) reports: &'a HashMap<UpstreamName, EngineReport>,
+}
+
+impl FleetBuilder<'_> {
+    /// Builds the view without the store's figures, and forgets tracks of replicas that are gone.
+    pub(crate) fn build(&self, tracks: &mut ReplicaTracks) -> FleetView {
+        let engines: Vec<EngineView> =
+            engines_of(self.centre, self.text).map(|spec| self.engine_view(spec, tracks)).collect();
+        let present: HashSet<ReplicaKey> = engines
+            .iter()
+            .flat_map(|engine| {
+                engine.models.iter().map(|placed| ReplicaKey {
+                    upstream: engine.upstream.clone(),
+                    model: placed.model.clone(),
+                })
+            })
+            .collect();
+        tracks.retain(|key| present.contains(key));
+        FleetView { engines, store_loads: 0, store_starts: 0, adapter_loads: 0 }
+    }
+
+    fn engine_view(&self, spec: &UpstreamSpec, tracks: &mut ReplicaTracks) -> EngineView {
+        let state = self.ledger.account(&spec.name).and_then(|account| account.state.as_ref());
+        let report = self.reports.get(&spec.name);
+        let unknown = EngineView {
+            upstream: spec.name.clone(),
+            memory_mib: spec.memory_mib,
+            accelerators: spec.accelerators,
+            slots: spec.slots,
+            leaving: true,
+            ..EngineView::default()
+        };
+        let Some(state) = state else { return unknown };
+        let ordered: Vec<&OrderAction> = self
+            .ledger
+            .open_orders()
+            .iter()
+            .filter(|order| order.upstream == spec.name)
+            .map(|order| &order.action)
+            .collect();
+        let mut models: Vec<PlacedModel> =
+            state.models.iter().map(|held| self.placed_model(spec, held, report, tracks)).collect();
+        let missing = ordered.iter().filter_map(|action| loading_of(action, state));
+        models.extend(missing.map(|loading| self.placed_model(spec, &loading, report, tracks)));
+        let reserved = ordered.iter().filter(|action| is_missing_adapter(action, state));
+        EngineView {
+            memory_mib: spec.memory_mib.min(state.memory_mib),
+            reserved_mib: reserved.map(|action| action.takes_mib()).sum(),
+            role: state.role,
+            leaving: state.leaving || report.is_some_and(|report| !report.takes_work()),
+            models,
+            memory_checkpoints: state.memory_checkpoints.clone(),
+            disk_checkpoints: state.disk_checkpoints.clone(),
+            ..unknown
+        }
+    }
+
+    fn placed_model(
+        &self,
+        spec: &UpstreamSpec,
+        held: &ModelState,
+        report: Option<&EngineReport>,
+        tracks: &mut ReplicaTracks,
+    ) -> PlacedModel {
+        let key = ReplicaKey { upstream: spec.name.clone(), model: held.model.clone() };
+        let track = tracks.note(self.now, key, held.phase);
+        let usage = || report.into_iter().flat_map(|report| &report.usage);
+        let of_model = |usage: &&ModelUsage| usage.model == held.model;
+        let adapters = held.adapters.iter().map(|adapter| {
+            let own = usage().filter(of_model);
+            let own = own.filter(|usage| usage.adapter.as_ref() == Some(&adapter.adapter));
+            let (in_use, last_used) = self.sum_usage(own, track.since);
+            PlacedAdapter {
+                adapter: adapter.adapter.clone(),
+                phase: adapter.phase,
+                memory_mib: adapter.memory_mib,
+                in_use,
+                last_used,
+            }
+        });
+        let (in_use, last_used) = self.sum_usage(usage().filter(of_model), track.since);
+        PlacedModel {
+            model: held.model.clone(),
+            version: held.version,
+            phase: held.phase,
+            source: track.source,
+            memory_mib: held.memory_mib,
+            adapters: adapters.collect(),
+            in_use,
+            draining: track.draining,
+            since: track.since,
+            last_used,
+        }
+    }
+
+    /// Requests in use, and when the last one ended; a replica counts as used when it came.
+    fn sum_usage<'u>(
+        &self,
+        usage: impl Iterator<Item = &'u ModelUsage>,
+        since: MonotonicTime,
+    ) -> (u32, MonotonicTime) {
+        let fold = |(in_use, last): (u32, MonotonicTime), usage: &ModelUsage| {
+            let idle = Duration::from_millis(usage.idle_ms);
+            let ended = self.now.as_micros().saturating_sub(idle.as_micros() as u64);
+            (in_use + usage.in_use, last.max(MonotonicTime::from_micros(ended)))
+        };
+        usage.fold((0, since), fold)
+    }
+}
+
+/// The model that an open order loads and that the engine doesn't show yet.
+fn loading_of(action: &OrderAction, state: &EngineState) -> Option<ModelState> {
+    match action {
+        OrderAction::LoadModel { model, version, memory_mib } if state.find(model).is_none() => {
+            Some(ModelState {
+                model: model.clone(),
+                version: *version,
+                phase: ModelPhase::Loading,
+                memory_mib: *memory_mib,
+                adapters: Vec::new(),
+            })
+        }
+        _ => None,
+    }
+}
+
+fn is_missing_adapter(action: &OrderAction, state: &EngineState) -> bool {
+    let OrderAction::LoadAdapter { model, adapter, .. } = action else { return false };
+    let held = |model: &ModelName| {
+        state
+            .find(model)
+            .is_some_and(|held| held.adapters.iter().any(|state| &state.adapter == adapter))
+    };
+    !held(model)
+}
--- /dev/null
+++ b/crates/wheel_director/src/lease_permit.rs
@@ -0,0 +1,20 @@
+//! Checks the lease when an order leaves.
+
+use std::sync::Arc;
+
+use wheel_types::FencingNumber;
+use wheel_upstream::OrderPermit;
+
+use crate::LeaseDriver;
+
+/// Valid as long as the lease with the order's number is held.
+pub(crate) struct LeasePermit {
+    pub(crate) driver: Arc<LeaseDriver>,
+    pub(crate) number: FencingNumber,
+}
+
+impl OrderPermit for LeasePermit {
+    fn valid(&self) -> bool {
+        self.driver.authority().is_some_and(|authority| authority.number == self.number)
+    }
+}
--- a/crates/wheel_director/src/lib.rs
+++ b/crates/wheel_director/src/lib.rs
@@ -1,1 +1,25 @@
 //! Drives a data centre's lease, its placement and its orders to engines.
+//!
+//! Every grantor of a data centre runs a [`LeaseDriver`]; the one that holds the lease runs the
+//! placement through its [`CentreDirector`] and orders the engines.
+//!
+//! Lock order: [`DemandTable`]'s lock and [`LeaseDriver`]'s lock are never held together.
+
+mod centre_director;
+mod demand_table;
+mod director_settings;
+mod engine_clients;
+mod fleet_builder;
+mod lease_driver;
+mod lease_permit;
+mod order_sender;
+mod placement_round;
+mod replica_tracks;
+mod report_view;
+mod store_pace;
+
+pub use centre_director::CentreDirector;
+pub use demand_table::DemandTable;
+pub use director_settings::DirectorSettings;
+pub use lease_driver::{GrantorBook, LeaseDriver};
+pub use report_view::{DirectorLink, HeardReport};
--- /dev/null
+++ b/crates/wheel_director/src/order_sender.rs
@@ -0,0 +1,53 @@
+//! Sends admitted orders to engines.
+
+use std::sync::Arc;
+
+use spdlog::info;
+use tokio::sync::mpsc::UnboundedSender;
+use wheel_lease::OrderResult;
+use wheel_types::{EngineOrder, FencingNumber, RequestId, UpstreamName};
+use wheel_upstream::{EngineClient, OrderAnswer};
+
+use crate::LeaseDriver;
+use crate::lease_permit::LeasePermit;
+
+/// What became of an order that was sent.
+#[derive(Debug)]
+pub(crate) struct OrderEnd {
+    pub(crate) order_id: RequestId,
+    pub(crate) upstream: UpstreamName,
+    pub(crate) result: OrderResult,
+}
+
+/// Sends orders in tasks of their own; their number is bounded by the ledger.
+#[derive(Clone)]
+pub(crate) struct OrderSender {
+    pub(crate) driver: Arc<LeaseDriver>,
+    pub(crate) ends: UnboundedSender<OrderEnd>,
+}
+
+impl OrderSender {
+    /// Sends `order`; its end comes over the channel.
+    pub(crate) fn send(&self, upstream: &UpstreamName, client: EngineClient, order: EngineOrder) {
+        let number: FencingNumber = order.fencing_number;
+        let permit = Arc::new(LeasePermit { driver: Arc::clone(&self.driver), number });
+        let (sender, upstream) = (self.clone(), upstream.clone());
+        tokio::spawn(async move {
+            let answer = client.order(&order, permit).await;
+            info!("order_sent", kv: {
+                upstream = upstream.as_str(),
+                order = order.order_id.as_str(),
+                number = number.0,
+                action:? = order.action,
+                answer:? = answer
+            });
+            let result = match answer {
+                OrderAnswer::Accepted => OrderResult::Done,
+                OrderAnswer::Refused(_) | OrderAnswer::NotSent => OrderResult::Refused,
+                OrderAnswer::Unknown => OrderResult::Unknown,
+            };
+            // The director has ended if nobody listens.
+            let _ = sender.ends.send(OrderEnd { order_id: order.order_id, upstream, result });
+        });
+    }
+}
--- /dev/null
+++ b/crates/wheel_harness/src/child_process.rs
@@ -0,0 +1,137 @@
+//! A process that the harness started.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use snafu::ResultExt;
+
+use crate::harness_error::IoSnafu;
+use crate::{HarnessError, ProgramPath};
+
+/// Time between two looks whether a process has ended.
+const EXIT_POLL: Duration = Duration::from_millis(10);
+
+/// Signals that tests send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProcessSignal {
+    /// Asks for a graceful end.
+    Terminate,
+    /// Ends it at once.
+    Kill,
+    /// Freezes it.
+    Stop,
+    /// Lets it go on.
+    Continue,
+}
+
+/// Killed when it is dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    name: String,
+    child: Child,
+}
+
+impl ChildProcess {
+    /// Starts `program` with `arguments`; its standard error goes to `log`.
+    ///
+    /// # Errors
+    /// [`HarnessError::Io`] if it can't be started.
+    pub fn spawn(
+        program: &str,
+        name: &str,
+        arguments: &[String],
+        log: &Path,
+    ) -> Result<Self, HarnessError> {
+        let what = format!("start {program} as {name}");
+        let file = File::options().create(true).append(true).open(log);
+        let file = file.context(IoSnafu { what: what.clone() })?;
+        let child = Command::new(ProgramPath::find(program)?)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(file)
+            .spawn()
+            .context(IoSnafu { what })?;
+        Ok(Self { name: name.to_owned(), child })
+    }
+
+    /// The process's name within the harness.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Reads the line `listening ADDR` from its standard output.
+    ///
+    /// # Errors
+    /// [`HarnessError::Io`] if the process prints something else or ends.
+    pub fn read_listening(&mut self) -> Result<SocketAddr, HarnessError> {
+        let what = format!("read the address of {}", self.name);
+        let broken = || HarnessError::Io {
+            what: what.clone(),
+            source: std::io::ErrorKind::UnexpectedEof.into(),
+        };
+        let output = self.child.stdout.take().ok_or_else(broken)?;
+        let mut line = String::new();
+        let read = BufReader::new(output).read_line(&mut line);
+        read.context(IoSnafu { what: what.clone() })?;
+        let address = line.trim().strip_prefix("listening ").and_then(|text| text.parse().ok());
+        address.ok_or_else(broken)
+    }
+
+    /// Sends a signal; a process that has ended already isn't an error.
+    pub fn signal(&self, signal: ProcessSignal) {
+        let signal = match signal {
+            ProcessSignal::Terminate => Signal::TERM,
+            ProcessSignal::Kill => Signal::KILL,
+            ProcessSignal::Stop => Signal::STOP,
+            ProcessSignal::Continue => Signal::CONT,
+        };
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    /// [`HarnessError::Timeout`] if it goes on for longer than `limit`.
+    pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus, HarnessError> {
+        let what = format!("wait for {}", self.name);
+        let deadline = Instant::now() + limit;
+        loop {
+            let ended = self.child.try_wait().context(IoSnafu { what: what.clone() })?;
+            match ended {
+                Some(status) => return Ok(status),
+                None if Instant::now() >= deadline => {
+                    return Err(HarnessError::Timeout {
+                        what: format!("end of {}", self.name),
+                        limit,
+                    });
+                }
+                None => std::thread::sleep(EXIT_POLL),
+            }
+        }
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/wheel_harness/src/http_caller.rs
@@ -0,0 +1,118 @@
+//! A small HTTP client for tests and the quickstart.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+
+use crate::HarnessError;
+
+/// Time after which a call is given up.
+const CALL_LIMIT: Duration = Duration::from_secs(60);
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct HttpReply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Time to the first byte of the body.
+    pub first_byte: Duration,
+    /// Whether the body came to its proper end.
+    pub complete: bool,
+}
+
+impl HttpReply {
+    /// A header's value, or nothing.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+
+    /// The body as JSON; null if it isn't.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Calls HTTP servers on loopback.
+#[derive(Clone, Debug)]
+pub struct HttpCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpCaller {
+    fn default() -> Self {
+        let mut builder = Client::builder(TokioExecutor::new());
+        Self { client: builder.retry_canceled_requests(false).build_http() }
+    }
+}
+
+impl HttpCaller {
+    /// Calls and reads the whole answer.
+    ///
+    /// # Errors
+    /// [`HarnessError::Http`] if no answer begins. A body that breaks off is told in the reply.
+    pub async fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<HttpReply, HarnessError> {
+        let what = format!("{method} {address}{path}");
+        let failed = |reason: String| HarnessError::Http { what: what.clone(), reason };
+        let mut request = Request::builder().method(method).uri(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request =
+            request.body(Full::new(body.into())).map_err(|error| failed(error.to_string()))?;
+        let started = Instant::now();
+        let answer = tokio::time::timeout(CALL_LIMIT, self.client.request(request)).await;
+        let answer = answer.map_err(|_| failed("no answer in time".to_owned()))?;
+        let (parts, mut body) = answer.map_err(|error| failed(format!("{error:?}")))?.into_parts();
+        let mut whole = Vec::new();
+        let mut first_byte = None;
+        let mut complete = true;
+        while let Some(frame) = body.frame().await {
+            first_byte.get_or_insert_with(|| started.elapsed());
+            match frame.map(|frame| frame.into_data().unwrap_or_default()) {
+                Ok(data) => whole.extend_from_slice(&data),
+                Err(_) => {
+                    complete = false;
+                    break;
+                }
+            }
+        }
+        Ok(HttpReply {
+            status: parts.status,
+            headers: parts.headers,
+            body: whole.into(),
+            first_byte: first_byte.unwrap_or_else(|| started.elapsed()),
+            complete,
+        })
+    }
+
+    /// Gets a path.
+    ///
+    /// # Errors
+    /// [`HarnessError::Http`] if no answer begins.
+    pub async fn get(&self, address: SocketAddr, path: &str) -> Result<HttpReply, HarnessError> {
+        self.call(Method::GET, address, path, &[], Bytes::new()).await
+    }
+}
--- /dev/null
+++ b/crates/wheel_harness/src/lib.rs
@@ -0,0 +1,21 @@
+//! Starts whole systems on loopback: the daemons and the fakes, each as a process of its own.
+//!
+//! [`LocalCluster`] starts everything that a text lists, and ends it all when it is dropped.
+
+mod child_process;
+mod cluster_text;
+mod free_ports;
+mod harness_error;
+mod http_caller;
+mod local_cluster;
+mod local_instance;
+mod program_path;
+
+pub use child_process::{ChildProcess, ProcessSignal};
+pub use cluster_text::ClusterText;
+pub use free_ports::FreePorts;
+pub use harness_error::HarnessError;
+pub use http_caller::{HttpCaller, HttpReply};
+pub use local_cluster::{ClusterSettings, LocalCluster};
+pub use local_instance::{InstancePorts, LocalInstance};
+pub use program_path::ProgramPath;
--- /dev/null
+++ b/crates/wheel_harness/src/local_cluster.rs
@@ -0,0 +1,327 @@
+//! A whole system on loopback.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use serde_json::Value;
+use snafu::ResultExt;
+use tempfile::TempDir;
+use wheel_text::UpstreamKind;
+use wheel_types::{InstanceName, UpstreamName};
+
+use crate::harness_error::IoSnafu;
+use crate::{
+    ChildProcess, ClusterText, FreePorts, HarnessError, HttpCaller, HttpReply, InstancePorts,
+    LocalInstance,
+};
+
+/// Time between two looks for something that is waited for.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What is started.
+#[derive(Clone, Debug)]
+pub struct ClusterSettings {
+    /// How many of the instances are control instances, at most one a data centre first.
+    pub control: usize,
+    /// Further flags of each daemon.
+    pub daemon_flags: Vec<String>,
+    /// Further flags of each fake engine.
+    pub engine_flags: Vec<String>,
+    /// Models that fake engines hold from the start, as `UPSTREAM=MODEL`.
+    pub preload: Vec<String>,
+    /// The secret that the instances share.
+    pub secret: String,
+}
+
+impl Default for ClusterSettings {
+    fn default() -> Self {
+        let daemon_flags = ["--lease-term", "2", "--order-life", "0.5", "--workers", "2"];
+        Self {
+            control: 3,
+            daemon_flags: daemon_flags.map(str::to_owned).to_vec(),
+            engine_flags: ["--token-us", "2000", "--load-ms", "200"].map(str::to_owned).to_vec(),
+            preload: Vec::new(),
+            secret: "a secret for loopback".to_owned(),
+        }
+    }
+}
+
+/// Daemons and fakes; all are ended when it is dropped.
+#[derive(Debug)]
+pub struct LocalCluster {
+    /// The daemons.
+    pub instances: Vec<LocalInstance>,
+    /// The fakes of the upstreams.
+    pub upstreams: BTreeMap<UpstreamName, ChildProcess>,
+    /// Where the upstreams listen.
+    pub addresses: BTreeMap<UpstreamName, SocketAddr>,
+    /// The text with those addresses.
+    pub source: String,
+    /// Calls what runs.
+    pub caller: HttpCaller,
+    folder: TempDir,
+}
+
+impl LocalCluster {
+    /// Starts everything that `text` lists and waits until each daemon answers.
+    ///
+    /// # Errors
+    /// [`HarnessError`] if something can't be started; what was started is ended.
+    pub async fn start(
+        text: &ClusterText,
+        settings: &ClusterSettings,
+    ) -> Result<Self, HarnessError> {
+        let folder = TempDir::new().context(IoSnafu { what: "make a folder" })?;
+        let mut cluster = Self {
+            instances: Vec::new(),
+            upstreams: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            source: String::new(),
+            caller: HttpCaller::default(),
+            folder,
+        };
+        cluster.start_upstreams(text, settings)?;
+        cluster.source = text.source_at(&cluster.addresses);
+        cluster.prepare_instances(text, settings)?;
+        for instance in &mut cluster.instances {
+            instance.start()?;
+        }
+        cluster.wait_for_daemons().await?;
+        Ok(cluster)
+    }
+
+    /// The folder with logs and data folders.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// The daemon called `name`.
+    ///
+    /// # Panics
+    /// If there is none: a fault of the test.
+    pub fn instance(&mut self, name: &str) -> &mut LocalInstance {
+        let found = self.instances.iter_mut().find(|instance| instance.name.as_str() == name);
+        match found {
+            Some(instance) => instance,
+            None => panic!("no instance is named {name}"),
+        }
+    }
+
+    /// Applies a text edited from `base` at the first instance and returns the answer.
+    ///
+    /// # Errors
+    /// [`HarnessError::Http`] if there is no answer.
+    pub async fn apply(
+        &self,
+        at: SocketAddr,
+        source: &str,
+        base: u64,
+        key: &str,
+    ) -> Result<HttpReply, HarnessError> {
+        let base = format!("\"{base}\"");
+        let headers = [("if-match", base.as_str()), ("idempotency-key", key)];
+        self.caller.call(Method::PUT, at, "/admin/v1/text", &headers, source.to_owned()).await
+    }
+
+    /// Applies the text first of all, as soon as the group has a leader, and waits until every
+    /// instance follows it.
+    ///
+    /// # Errors
+    /// [`HarnessError::Timeout`] if that takes longer than `limit`.
+    pub async fn apply_first(&self, limit: Duration) -> Result<(), HarnessError> {
+        let deadline = Instant::now() + limit;
+        let at = self.instances[0].ports.operators;
+        loop {
+            let reply = self.apply(at, &self.source, 0, "first").await;
+            match reply {
+                Ok(reply) if reply.status == StatusCode::OK => break,
+                Ok(reply) if reply.status == StatusCode::UNPROCESSABLE_ENTITY => {
+                    return Err(HarnessError::Text { faults: reply.text() });
+                }
+                _ if Instant::now() >= deadline => {
+                    return Err(HarnessError::Timeout { what: "the first text".to_owned(), limit });
+                }
+                _ => tokio::time::sleep(POLL_INTERVAL).await,
+            }
+        }
+        self.wait_revision(1, limit).await
+    }
+
+    /// Waits until every running instance has at least this revision.
+    ///
+    /// # Errors
+    /// [`HarnessError::Timeout`] if that takes longer than `limit`.
+    pub async fn wait_revision(&self, revision: u64, limit: Duration) -> Result<(), HarnessError> {
+        for instance in self.instances.iter().filter(|instance| instance.process.is_some()) {
+            let operators = instance.ports.operators;
+            let what = format!("revision {revision} at {}", instance.name);
+            self.wait_until(&what, limit, || async {
+                let reply = self.caller.get(operators, "/admin/v1/text").await.ok()?;
+                let held = reply.header("etag").trim_matches('"').parse::<u64>().ok()?;
+                (held >= revision).then_some(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until `look` finds what it looks for.
+    ///
+    /// # Errors
+    /// [`HarnessError::Timeout`] if that takes longer than `limit`.
+    pub async fn wait_until<T, F>(
+        &self,
+        what: &str,
+        limit: Duration,
+        look: impl Fn() -> F,
+    ) -> Result<T, HarnessError>
+    where
+        F: Future<Output = Option<T>>,
+    {
+        let deadline = Instant::now() + limit;
+        loop {
+            if let Some(found) = look().await {
+                return Ok(found);
+            }
+            if Instant::now() >= deadline {
+                return Err(HarnessError::Timeout { what: what.to_owned(), limit });
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// What an instance says of itself and of the others.
+    ///
+    /// # Errors
+    /// [`HarnessError::Http`] if there is no answer.
+    pub async fn status(&self, operators: SocketAddr) -> Result<Value, HarnessError> {
+        Ok(self.caller.get(operators, "/admin/v1/status").await?.json())
+    }
+
+    fn start_upstreams(
+        &mut self,
+        text: &ClusterText,
+        settings: &ClusterSettings,
+    ) -> Result<(), HarnessError> {
+        for upstream in text.upstreams() {
+            let mut flags = match upstream.kind {
+                UpstreamKind::Engine => vec!["engine".to_owned()],
+                UpstreamKind::Service => vec!["service".to_owned()],
+            };
+            if upstream.kind == UpstreamKind::Engine {
+                flags.extend(["--memory-mib".to_owned(), upstream.memory_mib.to_string()]);
+                flags.extend(["--slots".to_owned(), upstream.slots.to_string()]);
+                flags.extend(settings.engine_flags.iter().cloned());
+                if !upstream.enforces_fencing {
+                    flags.push("--ignore-fencing".to_owned());
+                }
+                let prefix = format!("{}=", upstream.name);
+                for model in settings.preload.iter().filter_map(|item| item.strip_prefix(&prefix)) {
+                    flags.extend(["--preload".to_owned(), model.to_owned()]);
+                }
+            }
+            let name = upstream.name.as_str();
+            let log = self.log_path(name);
+            let mut process = ChildProcess::spawn("wheel_fake", name, &flags, &log)?;
+            self.addresses.insert(upstream.name.clone(), process.read_listening()?);
+            self.upstreams.insert(upstream.name.clone(), process);
+        }
+        Ok(())
+    }
+
+    fn prepare_instances(
+        &mut self,
+        text: &ClusterText,
+        settings: &ClusterSettings,
+    ) -> Result<(), HarnessError> {
+        let mut free = FreePorts::default();
+        let instances = text.instances();
+        let control = choose_control(&instances, settings.control);
+        let mut ports = Vec::new();
+        for _ in &instances {
+            ports.push(InstancePorts::take(&mut free)?);
+        }
+        let peers: Vec<String> = instances
+            .iter()
+            .zip(&ports)
+            .map(|((name, centre), ports)| {
+                format!("{name}@{centre}={}/{}", ports.peer, ports.relay)
+            })
+            .collect();
+        let secret = self.folder.path().join("secret");
+        std::fs::write(&secret, &settings.secret).context(IoSnafu { what: "write the secret" })?;
+        for ((name, centre), ports) in instances.into_iter().zip(ports) {
+            let is_control = control.contains(&name);
+            let folder = is_control.then(|| self.folder.path().join(format!("data-{name}")));
+            let mut arguments = vec![
+                format!("--instance={name}"),
+                format!("--data-centre={centre}"),
+                format!("--group={}", text.group()),
+                format!("--listen={}", ports.callers),
+                format!("--admin-listen={}", ports.operators),
+                format!("--peer-listen={}", ports.peer),
+                format!("--relay-listen={}", ports.relay),
+                format!("--peers={}", peers.join(",")),
+                format!("--control={}", join_names(&control)),
+                format!("--secret-file={}", secret.display()),
+            ];
+            arguments.extend(folder.iter().map(|path| format!("--data-folder={}", path.display())));
+            arguments.extend(settings.daemon_flags.iter().cloned());
+            let log = self.log_path(name.as_str());
+            let process = None;
+            self.instances.push(LocalInstance {
+                name,
+                centre,
+                ports,
+                folder,
+                arguments,
+                log,
+                process,
+            });
+        }
+        Ok(())
+    }
+
+    async fn wait_for_daemons(&self) -> Result<(), HarnessError> {
+        const START_LIMIT: Duration = Duration::from_secs(20);
+        for instance in &self.instances {
+            let operators = instance.ports.operators;
+            let what = format!("start of {}", instance.name);
+            self.wait_until(&what, START_LIMIT, || async {
+                let reply = self.caller.get(operators, "/healthz").await.ok()?;
+                (reply.status == StatusCode::OK).then_some(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    fn log_path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.log"))
+    }
+}
+
+/// Chooses control instances, one of each data centre before a second of any.
+fn choose_control(
+    instances: &[(InstanceName, wheel_types::CentreName)],
+    count: usize,
+) -> Vec<InstanceName> {
+    let mut chosen: Vec<InstanceName> = Vec::new();
+    while chosen.len() < count.min(instances.len()) {
+        let mut centres = Vec::new();
+        for (name, centre) in instances {
+            if chosen.len() < count && !chosen.contains(name) && !centres.contains(&centre) {
+                chosen.push(name.clone());
+                centres.push(centre);
+            }
+        }
+    }
+    chosen
+}
+
+fn join_names(names: &[InstanceName]) -> String {
+    names.iter().map(InstanceName::as_str).collect::<Vec<_>>().join(",")
+}
--- /dev/null
+++ b/crates/wheel_serving/src/claim_keeper.rs
@@ -0,0 +1,32 @@
+//! Who keeps the claims of calls that must not run twice.
+
+use futures_util::future::BoxFuture;
+use snafu::Snafu;
+use tokio::time::Instant;
+use wheel_agreement::{ClaimAnswer, GroupAction};
+use wheel_types::{IncarnationId, InstanceName};
+
+/// Why a claim couldn't be changed.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(visibility(pub))]
+pub enum KeeperError {
+    /// The group has no reachable majority, so nothing was decided and nothing will be.
+    #[snafu(display("the group's majority can't be reached"))]
+    Unavailable,
+    /// No answer came by the deadline; the change may still be made.
+    #[snafu(display("no answer from the group in time"))]
+    Unresolved,
+}
+
+/// Has changes of claims committed by the group.
+pub trait ClaimKeeper: Send + Sync + 'static {
+    /// Commits `action`, which concerns a claim, and tells its outcome.
+    fn submit(
+        &self,
+        action: GroupAction,
+        deadline: Instant,
+    ) -> BoxFuture<'static, Result<ClaimAnswer, KeeperError>>;
+
+    /// Whether that life of an instance is still going on, as far as is known here.
+    fn is_alive(&self, instance: &InstanceName, incarnation: IncarnationId) -> bool;
+}
--- /dev/null
+++ b/crates/wheel_serving/src/engine_watch.rs
@@ -0,0 +1,167 @@
+//! Follows the state of an owned upstream and reports it.
+
+use std::sync::{Arc, Weak};
+use std::time::{Duration, Instant, SystemTime};
+
+use wheel_types::{EngineReport, EngineState, IncarnationId, LoadReport, ModelPhase};
+
+use crate::{OwnedUpstream, OwnerSettings, ReportMessage, ReportSink};
+
+/// Time between two reads of an engine's state.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// The same while the engine is loading, when others wait for the end of it.
+const LOADING_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Time after which an unchanged state is reported again.
+const REPORT_INTERVAL: Duration = Duration::from_secs(4);
+/// Failed reads in a row after which an engine counts as unreachable.
+const MAX_FAILED_READS: u32 = 2;
+
+/// Polls one upstream while it is owned here.
+pub(crate) struct EngineWatch {
+    pub(crate) settings: OwnerSettings,
+    pub(crate) sink: Arc<dyn ReportSink>,
+    pub(crate) watches_engine: bool,
+}
+
+/// What was read last.
+#[derive(Default)]
+struct WatchState {
+    engine: EngineState,
+    load: LoadReport,
+    failed_reads: u32,
+    reported: Option<(Instant, EngineReport)>,
+    sequence: u64,
+}
+
+impl EngineWatch {
+    /// Watches `upstream` until it is disowned.
+    pub(crate) fn spawn(self, upstream: &Arc<OwnedUpstream>) {
+        let disowned = upstream.disowned.clone();
+        let weak = Arc::downgrade(upstream);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = disowned.cancelled() => {}
+                () = self.run(weak) => {}
+            }
+        });
+    }
+
+    async fn run(self, upstream: Weak<OwnedUpstream>) {
+        let mut state = WatchState { sequence: unix_micros(), ..WatchState::default() };
+        loop {
+            let Some(strong) = upstream.upgrade() else { return };
+            if self.watches_engine {
+                read_engine(&strong, &mut state).await;
+            }
+            self.report_change(&strong, &mut state);
+            drop(strong);
+            tokio::time::sleep(state.poll_interval()).await;
+        }
+    }
+
+    fn report_change(&self, upstream: &OwnedUpstream, state: &mut WatchState) {
+        let report = self.report(upstream, state);
+        let due = state
+            .reported
+            .as_ref()
+            .is_none_or(|(at, last)| at.elapsed() >= REPORT_INTERVAL || differs(last, &report));
+        if due {
+            state.sequence += 1;
+            state.reported = Some((Instant::now(), report.clone()));
+            self.sink.publish(ReportMessage::Engine(report));
+        }
+    }
+
+    fn report(&self, upstream: &OwnedUpstream, state: &WatchState) -> EngineReport {
+        let spec = upstream.spec();
+        let (queued, _) = upstream.queue().depth();
+        EngineReport {
+            upstream: spec.name.clone(),
+            centre: spec.data_centre.clone(),
+            owner: self.settings.instance.clone(),
+            relay: self.settings.relay,
+            sequence: state.sequence,
+            incarnation: state.engine.incarnation,
+            reachable: state.is_reachable(),
+            leaving: state.engine.leaving,
+            models: state.engine.models.clone(),
+            load: state.load,
+            queued: queued as u32,
+            usage: upstream.usage().usage(),
+            memory_checkpoints: state.engine.memory_checkpoints.clone(),
+            disk_checkpoints: state.engine.disk_checkpoints.clone(),
+        }
+    }
+}
+
+impl WatchState {
+    fn is_reachable(&self) -> bool {
+        self.failed_reads < MAX_FAILED_READS
+    }
+
+    fn poll_interval(&self) -> Duration {
+        let loading = self.engine.models.iter().any(|model| {
+            model.phase == ModelPhase::Loading
+                || model.adapters.iter().any(|adapter| adapter.phase == ModelPhase::Loading)
+        });
+        match loading {
+            true => LOADING_POLL_INTERVAL,
+            false => POLL_INTERVAL,
+        }
+    }
+}
+
+async fn read_engine(upstream: &OwnedUpstream, state: &mut WatchState) {
+    let Some(client) = upstream.engine() else { return };
+    let (engine, load) = tokio::join!(client.state(), client.load());
+    match engine {
+        Ok(engine) => {
+            state.failed_reads = 0;
+            note_foreign(upstream, &engine);
+            upstream.usage().retain_models(|model| engine.find(model).is_some());
+            if engine.leaving && !state.engine.leaving {
+                upstream.queue().refuse_waiting("the engine is leaving");
+            }
+            state.engine = engine;
+        }
+        Err(_) => {
+            state.failed_reads += 1;
+            if state.failed_reads == MAX_FAILED_READS {
+                // Its memory may be gone; what it holds is learned when it answers again.
+                state.engine =
+                    EngineState { incarnation: IncarnationId(0), ..EngineState::default() };
+                upstream.queue().refuse_waiting("the engine can't be reached");
+            }
+        }
+    }
+    if let Ok(load) = load {
+        state.load = load;
+    }
+}
+
+/// Requests of an earlier owner take slots until they end.
+fn note_foreign(upstream: &OwnedUpstream, engine: &EngineState) {
+    let foreign = engine.running.iter().filter(|id| !upstream.queue().contains(id)).count();
+    upstream.queue().set_foreign(foreign as u32);
+}
+
+/// Whether a report says something that routing or placement acts on.
+fn differs(last: &EngineReport, next: &EngineReport) -> bool {
+    last.incarnation != next.incarnation
+        || last.reachable != next.reachable
+        || last.leaving != next.leaving
+        || last.models != next.models
+        || load_class(last) != load_class(next)
+}
+
+/// A coarse class of load, so that reports are few: doublings of what runs and waits.
+fn load_class(report: &EngineReport) -> u32 {
+    let depth = report.load.running + report.load.waiting + report.queued;
+    u32::BITS - depth.leading_zeros()
+}
+
+/// A restarted owner of the same name goes on above its former sequence.
+fn unix_micros() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
+}
--- a/crates/wheel_serving/src/lib.rs
+++ b/crates/wheel_serving/src/lib.rs
@@ -1,1 +1,53 @@
 //! A request's way from the entry instance through the owner to the upstream.
+//!
+//! At the entry, [`ServingPath`] finds a replica in the [`ReplicaDirectory`], or asks for one
+//! through the [`DemandBoard`], and relays the request to the upstream's owner. At the owner, the
+//! [`OwnerTable`] queues it for a slot and calls the upstream; [`RelayService`] takes what other
+//! entries relay.
+//!
+//! Lock order: no lock of this crate is held while another is taken.
+
+mod call_cost;
+mod claim_keeper;
+mod claimed_call;
+mod decision_log;
+mod demand_board;
+mod engine_watch;
+mod generate_run;
+mod owned_answer;
+mod owned_upstream;
+mod owner_route;
+mod owner_table;
+mod plain_run;
+mod process_clock;
+mod relay_call;
+mod relay_clients;
+mod relay_headers;
+mod relay_key;
+mod relay_refusal;
+mod relay_service;
+mod replica_directory;
+mod report_message;
+mod serving_path;
+mod slot_guard;
+mod slot_queue;
+mod usage_table;
+
+pub use call_cost::CallCost;
+pub use claim_keeper::{ClaimKeeper, KeeperError};
+pub use decision_log::{DecisionLog, DecisionRecord};
+pub use demand_board::{DemandBoard, DemandGuard};
+pub use owned_upstream::OwnedUpstream;
+pub use owner_route::OwnerRoute;
+pub use owner_table::{OwnerSettings, OwnerTable};
+pub use process_clock::ProcessClock;
+pub use relay_call::RelayCall;
+pub use relay_clients::RelayClients;
+pub use relay_key::RelayKey;
+pub use relay_service::RelayService;
+pub use replica_directory::ReplicaDirectory;
+pub use report_message::{DrainNotice, ReportMessage, ReportSink};
+pub use serving_path::{ServingParts, ServingPath};
+pub use slot_guard::SlotGuard;
+pub use slot_queue::SlotQueue;
+pub use usage_table::{UsageGuard, UsageTable};
--- /dev/null
+++ b/crates/wheel_serving/src/owned_upstream.rs
@@ -0,0 +1,190 @@
+//! An upstream that this instance owns.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method};
+use tokio_util::sync::CancellationToken;
+use wheel_policy::{QueueSettings, QueuedRequest};
+use wheel_text::{ServingText, UpstreamKind, UpstreamSpec};
+use wheel_types::{EngineCall, ModelName, RequestOutcome};
+use wheel_upstream::{
+    CallTimeouts, EngineClient, EngineSettings, GenerateCall, GeneratePath, ServiceCall,
+    ServiceClient, ServiceSettings,
+};
+
+use crate::owned_answer::{OwnedAnswer, OwnedPlain, OwnedStream, OwnedWhole};
+use crate::relay_refusal::RelayRefusal;
+use crate::{ProcessClock, RelayCall, SlotGuard, SlotQueue, UsageTable};
+
+/// Slots of an engine that only the most urgent rank may take, as a divisor of all slots.
+const URGENT_DIVISOR: u32 = 8;
+
+/// How an upstream is called.
+pub(crate) enum UpstreamClient {
+    Engine(EngineClient),
+    Service(ServiceClient),
+}
+
+/// Queues requests for one upstream and calls it.
+pub struct OwnedUpstream {
+    spec: UpstreamSpec,
+    clock: ProcessClock,
+    queue: Arc<SlotQueue>,
+    usage: Arc<UsageTable>,
+    client: UpstreamClient,
+    /// Ends the tasks that watch the upstream once it is owned elsewhere.
+    pub(crate) disowned: CancellationToken,
+}
+
+impl OwnedUpstream {
+    /// Takes an upstream over.
+    pub(crate) fn spawn(
+        spec: UpstreamSpec,
+        clock: ProcessClock,
+        text: &ServingText,
+        settings: EngineSettings,
+        seed: u64,
+    ) -> Arc<Self> {
+        let urgent_slots = match spec.kind {
+            UpstreamKind::Engine => spec.slots / URGENT_DIVISOR,
+            UpstreamKind::Service => 0,
+        };
+        let queue_settings = QueueSettings { urgent_slots, ..QueueSettings::default() }
+            .with_slots(spec.slots)
+            .with_ranks(text.text.ranks.clone())
+            .with_seed(seed);
+        let client = match spec.kind {
+            UpstreamKind::Engine => UpstreamClient::Engine(EngineClient::open(settings)),
+            UpstreamKind::Service => {
+                let settings = ServiceSettings::new(spec.name.clone(), spec.address);
+                UpstreamClient::Service(ServiceClient::open(settings))
+            }
+        };
+        Arc::new(Self {
+            queue: SlotQueue::spawn(clock, queue_settings),
+            usage: Arc::default(),
+            disowned: CancellationToken::new(),
+            spec,
+            clock,
+            client,
+        })
+    }
+
+    /// Its specification.
+    pub fn spec(&self) -> &UpstreamSpec {
+        &self.spec
+    }
+
+    /// Its queue.
+    pub fn queue(&self) -> &Arc<SlotQueue> {
+        &self.queue
+    }
+
+    /// Which of its models are in use.
+    pub fn usage(&self) -> &Arc<UsageTable> {
+        &self.usage
+    }
+
+    /// Its client, if it is an engine.
+    pub fn engine(&self) -> Option<&EngineClient> {
+        match &self.client {
+            UpstreamClient::Engine(client) => Some(client),
+            UpstreamClient::Service(_) => None,
+        }
+    }
+
+    /// Runs a generation to the head of its answer, after a wait in the queue.
+    pub(crate) async fn generate(
+        &self,
+        call: &RelayCall,
+        path: GeneratePath,
+        stream: bool,
+        body: Bytes,
+    ) -> Result<OwnedAnswer, RelayRefusal> {
+        let UpstreamClient::Engine(client) = &self.client else {
+            return Err(RelayRefusal::elsewhere("the upstream isn't an engine"));
+        };
+        let model = call.model.clone().unwrap_or_else(|| ModelName::new(""));
+        let usage = self.usage.begin(model, call.adapter.clone());
+        let slot = self.acquire_slot(call).await?;
+        let engine_call = GenerateCall {
+            call: EngineCall {
+                request_id: call.request_id.clone(),
+                rank: call.rank,
+                resume_from: call.resume_from,
+            },
+            path,
+            headers: HeaderMap::new(),
+            body,
+            timeouts: CallTimeouts::default(),
+        };
+        if stream {
+            let stream = client.generate(engine_call).await.map_err(|failure| refused(&failure))?;
+            let stream = OwnedStream { slot, _usage: usage, stream };
+            return Ok(OwnedAnswer::Stream(Box::new(stream)));
+        }
+        let answer = client.complete(engine_call).await.map_err(|failure| refused(&failure))?;
+        Ok(OwnedAnswer::Whole(OwnedWhole { body: answer.body, _slot: slot, _usage: usage }))
+    }
+
+    /// Calls a plain service, after a wait in the queue.
+    pub(crate) async fn call_service(
+        &self,
+        call: &RelayCall,
+        method: Method,
+        path: http::uri::PathAndQuery,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<OwnedPlain, RelayRefusal> {
+        let UpstreamClient::Service(client) = &self.client else {
+            return Err(RelayRefusal::elsewhere("the upstream isn't a plain service"));
+        };
+        let slot = self.acquire_slot(call).await?;
+        let idempotency_key: Option<HeaderValue> =
+            headers.get(wheel_entry::header_names::IDEMPOTENCY_KEY).cloned();
+        let service_call = ServiceCall {
+            request_id: call.request_id.clone(),
+            method,
+            path,
+            headers,
+            body,
+            idempotency_key,
+            idempotent: call.repeatable,
+            timeouts: CallTimeouts::default(),
+        };
+        let answer = client.call(service_call).await.map_err(|failure| refused(&failure))?;
+        Ok(OwnedPlain { answer, slot })
+    }
+
+    async fn acquire_slot(&self, call: &RelayCall) -> Result<SlotGuard, RelayRefusal> {
+        let now = self.clock.at(Instant::now());
+        let age_us = call.age_ms.saturating_mul(1_000);
+        let arrival = now.as_micros().saturating_sub(age_us);
+        let request = QueuedRequest {
+            id: call.request_id.clone(),
+            caller: call.caller.clone(),
+            weight: call.weight,
+            rank: call.rank,
+            model: call.model.clone().unwrap_or_else(|| ModelName::new("")),
+            adapter: call.adapter.clone(),
+            arrival: wheel_types::MonotonicTime::from_micros(arrival),
+            deadline: now + call.remaining(),
+            cost: std::time::Duration::from_millis(call.cost_ms),
+            kv_tokens: 0,
+        };
+        self.queue.acquire(request).await.map_err(RelayRefusal::from)
+    }
+}
+
+impl Drop for OwnedUpstream {
+    fn drop(&mut self) {
+        self.disowned.cancel();
+    }
+}
+
+fn refused(failure: &wheel_upstream::CallFailure) -> RelayRefusal {
+    debug_assert!(failure.outcome() != RequestOutcome::Ran, "a failed call has no answer");
+    RelayRefusal::upstream_failed(failure.to_string(), failure.outcome())
+}
--- /dev/null
+++ b/crates/wheel_serving/src/owner_route.rs
@@ -0,0 +1,16 @@
+//! The way to an upstream through its owner.
+
+use std::net::SocketAddr;
+
+use wheel_types::{InstanceName, UpstreamName};
+
+/// Which instance owns an upstream and where it takes relayed requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnerRoute {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its owner.
+    pub owner: InstanceName,
+    /// The owner's relay address.
+    pub relay: SocketAddr,
+}
--- /dev/null
+++ b/crates/wheel_serving/src/owner_table.rs
@@ -0,0 +1,108 @@
+//! The upstreams that this instance owns.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::RwLock;
+use spdlog::info;
+use wheel_text::{ServingText, UpstreamKind};
+use wheel_types::{InstanceName, UpstreamName};
+use wheel_upstream::EngineSettings;
+
+use crate::engine_watch::EngineWatch;
+use crate::{OwnedUpstream, ProcessClock, ReportSink};
+
+/// What an owner needs to know of its own instance.
+#[derive(Clone, Debug)]
+pub struct OwnerSettings {
+    /// This instance.
+    pub instance: InstanceName,
+    /// Where it takes relayed requests.
+    pub relay: SocketAddr,
+    /// Time after which an order to an engine is dead.
+    pub order_life: Duration,
+}
+
+/// Takes upstreams over and hands them on as instances come and go.
+pub struct OwnerTable {
+    settings: OwnerSettings,
+    clock: ProcessClock,
+    sink: Arc<dyn ReportSink>,
+    owned: RwLock<HashMap<UpstreamName, Arc<OwnedUpstream>>>,
+}
+
+impl OwnerTable {
+    /// Makes a table that owns nothing yet.
+    pub fn open(
+        settings: OwnerSettings,
+        clock: ProcessClock,
+        sink: Arc<dyn ReportSink>,
+    ) -> Arc<Self> {
+        Arc::new(Self { settings, clock, sink, owned: RwLock::default() })
+    }
+
+    /// The upstream, if it is owned here.
+    pub fn get(&self, upstream: &UpstreamName) -> Option<Arc<OwnedUpstream>> {
+        self.owned.read().get(upstream).cloned()
+    }
+
+    /// All owned upstreams.
+    pub fn all(&self) -> Vec<Arc<OwnedUpstream>> {
+        self.owned.read().values().cloned().collect()
+    }
+
+    /// Owns exactly the upstreams of `text` for which `is_owner` is true. What waited for one that
+    /// is handed on is refused as not run and finds its new owner through the entry; what runs
+    /// there ends here.
+    pub fn follow(&self, text: &ServingText, is_owner: impl Fn(&UpstreamName) -> bool) {
+        let mut given_up = Vec::new();
+        {
+            let mut owned = self.owned.write();
+            owned.retain(|name, held| {
+                let keeps = text.upstream(name.as_str()) == Some(held.spec()) && is_owner(name);
+                if !keeps {
+                    given_up.push(Arc::clone(held));
+                }
+                keeps
+            });
+            for spec in &text.text.upstreams {
+                if is_owner(&spec.name) && !owned.contains_key(&spec.name) {
+                    let upstream = self.take_over(text, spec);
+                    owned.insert(spec.name.clone(), upstream);
+                }
+            }
+        }
+        for upstream in given_up {
+            info!("upstream_given_up", kv: { upstream = upstream.spec().name.as_str() });
+            upstream.disowned.cancel();
+            upstream.queue().refuse_waiting("the upstream has another owner now");
+        }
+    }
+
+    /// Gives up everything, when the instance drains.
+    pub fn give_up_all(&self) {
+        let given_up: Vec<_> = self.owned.write().drain().map(|(_, upstream)| upstream).collect();
+        for upstream in given_up {
+            upstream.disowned.cancel();
+            upstream.queue().refuse_waiting("the owner is draining");
+        }
+    }
+
+    fn take_over(&self, text: &ServingText, spec: &wheel_text::UpstreamSpec) -> Arc<OwnedUpstream> {
+        info!("upstream_taken_over", kv: { upstream = spec.name.as_str() });
+        let engine = EngineSettings::new(spec.name.clone(), spec.address)
+            .order_life(self.settings.order_life);
+        let seed = blake3::hash(spec.name.as_str().as_bytes()).as_bytes()[0];
+        let upstream =
+            OwnedUpstream::spawn(spec.clone(), self.clock, text, engine, u64::from(seed));
+        let watch = EngineWatch {
+            settings: self.settings.clone(),
+            sink: Arc::clone(&self.sink),
+            watches_engine: spec.kind == UpstreamKind::Engine,
+        };
+        watch.spawn(&upstream);
+        upstream
+    }
+}
--- /dev/null
+++ b/crates/wheel_serving/src/plain_run.rs
@@ -0,0 +1,230 @@
+//! One call of a plain service, from the entry's side.
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use spdlog::info;
+use tokio::time::Instant;
+use wheel_entry::{
+    AnswerError, CallerAnswer, CallerRequest, PlainTarget, RefusalCode, RequestRefusal,
+    RequestTarget, header_names,
+};
+use wheel_types::RequestOutcome;
+use wheel_upstream::{CallTimeouts, ServiceAnswer, ServiceCall};
+
+use crate::claimed_call::ClaimedCall;
+use crate::owned_answer::OwnedPlain;
+use crate::relay_headers::{RELAY_REFUSAL, relay_headers};
+use crate::relay_refusal::{RelayCode, RelayRefusal};
+use crate::serving_path::RouteWish;
+use crate::{CallCost, OwnerRoute, RelayCall, ReplicaDirectory, ServingPath, SlotGuard};
+
+/// Attempts at one call.
+const MAX_ATTEMPTS: u32 = 4;
+/// The largest body of an owner's refusal, in bytes.
+const MAX_REFUSAL_BYTES: usize = 16 * 1_024;
+/// Time that a call may run beyond its deadline before it counts as silent.
+const RUN_LIMIT: std::time::Duration = std::time::Duration::from_secs(30);
+
+/// Runs one call of a plain service.
+pub(crate) struct PlainRun {
+    path: ServingPath,
+    target: PlainTarget,
+    wish: RouteWish,
+}
+
+/// An answer, with the slot if the upstream is owned here.
+struct PlainHead {
+    answer: ServiceAnswer,
+    slot: Option<SlotGuard>,
+}
+
+impl PlainRun {
+    /// Serves a call, under a claim if it must not run twice and has a key.
+    pub(crate) async fn serve(
+        path: ServingPath,
+        request: CallerRequest,
+    ) -> Result<CallerAnswer, RequestRefusal> {
+        let RequestTarget::Plain(target) = request.target.clone() else {
+            return Err(RequestRefusal::new(RefusalCode::BadRequest, "not a plain call"));
+        };
+        let key = request.idempotency_key.clone();
+        let route_name = ReplicaDirectory::service_route(&request.service);
+        let wish = path.wish(request, route_name, None, None, false);
+        let run = Self { path: path.clone(), target, wish };
+        match key {
+            _ if run.target.repeatable => run.dispatch().await,
+            None => run_to_end(run.dispatch()).await,
+            Some(key) => {
+                let claim = ClaimedCall::new(&path, &run.wish.request, &run.target, key);
+                run_to_end(Box::pin(claim.run(run.dispatch()))).await
+            }
+        }
+    }
+
+    /// Sends the call. One that must not run twice goes out again only if it provably didn't run.
+    async fn dispatch(mut self) -> Result<CallerAnswer, RequestRefusal> {
+        let mut attempts = 0;
+        loop {
+            attempts += 1;
+            let route = self.path.locate(&mut self.wish).await?;
+            if attempts == 1 {
+                self.path.count_request(&route.upstream);
+            }
+            let started = Instant::now();
+            self.path.parts.directory.record_sent(&route.upstream, None);
+            let result = self.attempt(&route).await;
+            let healthy = match &result {
+                Ok(head) => !head.answer.status.is_server_error(),
+                Err(refusal) => {
+                    !matches!(refusal.code, RelayCode::Elsewhere | RelayCode::UpstreamFailed)
+                }
+            };
+            let directory = &self.path.parts.directory;
+            directory.record_end(&route.upstream, started.elapsed(), healthy);
+            let refusal = match result {
+                Ok(head) if head.answer.outcome != RequestOutcome::NotRun => {
+                    return Ok(plain_answer(head));
+                }
+                Ok(head) if attempts >= MAX_ATTEMPTS => return Ok(plain_answer(head)),
+                Ok(head) => RelayRefusal::elsewhere(&format!(
+                    "the upstream answered {} without running it",
+                    head.answer.status
+                )),
+                Err(refusal) => refusal,
+            };
+            info!("attempt_failed", kv: {
+                request = self.wish.request.id.as_str(),
+                upstream = route.upstream.as_str(),
+                owner = route.owner.as_str(),
+                reason:? = refusal.message
+            });
+            if !self.may_retry(&refusal, attempts, &route) {
+                return Err(refusal.into_refusal());
+            }
+        }
+    }
+
+    fn may_retry(&mut self, refusal: &RelayRefusal, attempts: u32, route: &OwnerRoute) -> bool {
+        let harmless = match refusal.code {
+            RelayCode::Elsewhere => refusal.outcome == RequestOutcome::NotRun,
+            RelayCode::UpstreamFailed => self.target.repeatable,
+            RelayCode::Overloaded | RelayCode::DeadlinePassed | RelayCode::BadRequest => false,
+        };
+        harmless && attempts < MAX_ATTEMPTS && self.path.may_retry(&mut self.wish, &route.upstream)
+    }
+
+    async fn attempt(&self, route: &OwnerRoute) -> Result<PlainHead, RelayRefusal> {
+        let call = self.relay_call(route);
+        let malformed = || RelayRefusal {
+            code: RelayCode::BadRequest,
+            ..RelayRefusal::elsewhere("the path can't be passed on")
+        };
+        let path: PathAndQuery = self.target.path.parse().map_err(|_| malformed())?;
+        let (method, body) = (self.target.method.clone(), self.wish.request.body.clone());
+        if route.owner == self.path.parts.instance {
+            let upstream = self
+                .path
+                .parts
+                .owners
+                .get(&call.upstream)
+                .ok_or_else(|| RelayRefusal::elsewhere("this instance gave the upstream up"))?;
+            let headers = self.target.headers.clone();
+            let OwnedPlain { answer, slot } =
+                upstream.call_service(&call, method, path, headers, body).await?;
+            return Ok(PlainHead { answer, slot: Some(slot) });
+        }
+        let service_call = ServiceCall {
+            request_id: call.request_id.clone(),
+            method,
+            path,
+            headers: self.relayed_headers(&call)?,
+            body,
+            idempotency_key: self.key_header(),
+            idempotent: self.target.repeatable,
+            timeouts: CallTimeouts::default().first_byte(call.remaining() + RUN_LIMIT),
+        };
+        let client = self.path.parts.relays.client(&route.owner, route.relay).service;
+        let answer = client.call(service_call).await.map_err(|failure| {
+            RelayRefusal::upstream_failed(failure.to_string(), failure.outcome())
+        })?;
+        read_relayed(answer).await
+    }
+
+    fn relayed_headers(&self, call: &RelayCall) -> Result<HeaderMap, RelayRefusal> {
+        let relay = relay_headers(call, self.path.parts.key.as_ref())
+            .ok_or_else(|| RelayRefusal::elsewhere("the call has no header form"))?;
+        let mut headers = self.target.headers.clone();
+        headers.extend(relay);
+        Ok(headers)
+    }
+
+    fn key_header(&self) -> Option<HeaderValue> {
+        let key = self.wish.request.idempotency_key.as_ref()?;
+        HeaderValue::from_str(key).ok()
+    }
+
+    fn relay_call(&self, route: &OwnerRoute) -> RelayCall {
+        let request = &self.wish.request;
+        let remaining = request.deadline.saturating_duration_since(Instant::now());
+        RelayCall {
+            request_id: request.id.clone(),
+            upstream: route.upstream.clone(),
+            caller: request.caller.clone(),
+            weight: self.path.weight(request),
+            rank: request.rank,
+            model: None,
+            adapter: None,
+            stream: false,
+            resume_from: 0,
+            repeatable: self.target.repeatable,
+            age_ms: request.arrival.elapsed().as_millis() as u64,
+            remaining_ms: remaining.as_millis() as u64,
+            cost_ms: CallCost::of_plain_call().as_millis() as u64,
+        }
+    }
+}
+
+/// Runs a call that must not be cut off in a task of its own: when the caller goes away, it ends all
+/// the same, and a resend finds its outcome.
+async fn run_to_end(
+    call: impl Future<Output = Result<CallerAnswer, RequestRefusal>> + Send + 'static,
+) -> Result<CallerAnswer, RequestRefusal> {
+    tokio::spawn(call).await.unwrap_or_else(|_| {
+        let message = "the call's task failed";
+        Err(RequestRefusal::new(RefusalCode::UpstreamFailed, message)
+            .with_outcome(RequestOutcome::Unknown))
+    })
+}
+
+/// Tells an owner's refusal from a service's answer that the owner passed on.
+async fn read_relayed(mut answer: ServiceAnswer) -> Result<PlainHead, RelayRefusal> {
+    if !answer.headers.contains_key(RELAY_REFUSAL) {
+        return Ok(PlainHead { answer, slot: None });
+    }
+    let outcome = answer.outcome;
+    let body = answer.body.collect(MAX_REFUSAL_BYTES).await.unwrap_or_default();
+    Err(RelayRefusal::read(&body).unwrap_or_else(|| {
+        RelayRefusal::upstream_failed("the owner's refusal was cut short".to_owned(), outcome)
+    }))
+}
+
+fn plain_answer(head: PlainHead) -> CallerAnswer {
+    let PlainHead { answer, slot } = head;
+    let status = StatusCode::from_u16(answer.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let (outcome, mut headers) = (answer.outcome, answer.headers);
+    headers.remove(header_names::OUTCOME);
+    headers.remove(header_names::REQUEST_ID);
+    let pieces = stream::try_unfold((answer.body, slot), |(mut body, slot)| async move {
+        match body.next().await {
+            Ok(Some(piece)) => Ok(Some((Frame::<Bytes>::data(piece), (body, slot)))),
+            Ok(None) => Ok(None),
+            Err(failure) => Err(AnswerError::BrokeOff { reason: failure.to_string() }),
+        }
+    });
+    let body = StreamBody::new(pieces).boxed_unsync();
+    CallerAnswer { status, outcome, headers, body }
+}
--- /dev/null
+++ b/crates/wheel_serving/src/relay_clients.rs
@@ -0,0 +1,51 @@
+//! Clients to the relay addresses of owners.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lru::LruCache;
+use parking_lot::Mutex;
+use wheel_types::{InstanceName, UpstreamName};
+use wheel_upstream::{EngineClient, EngineSettings, ServiceClient, ServiceSettings};
+
+/// Owners whose connections are kept; an owner beyond it, used longest ago, is connected to anew.
+const MAX_OWNERS: std::num::NonZeroUsize = std::num::NonZeroUsize::new(256).unwrap();
+
+/// The two clients to one owner. An owner's relay speaks the protocols of an engine and of a plain
+/// service, so that a relayed call gets the same guarantees as a direct one.
+#[derive(Clone)]
+pub(crate) struct RelayClient {
+    pub(crate) engine: EngineClient,
+    pub(crate) service: ServiceClient,
+}
+
+/// Keeps a bounded number of relay clients.
+pub struct RelayClients {
+    clients: Mutex<LruCache<SocketAddr, RelayClient>>,
+}
+
+impl Default for RelayClients {
+    fn default() -> Self {
+        Self { clients: Mutex::new(LruCache::new(MAX_OWNERS)) }
+    }
+}
+
+impl RelayClients {
+    /// Makes an empty set.
+    pub fn open() -> Arc<Self> {
+        Arc::default()
+    }
+
+    /// The client to `owner` at `relay`.
+    pub(crate) fn client(&self, owner: &InstanceName, relay: SocketAddr) -> RelayClient {
+        let mut clients = self.clients.lock();
+        let make = || {
+            let name = UpstreamName::new(format!("relay/{owner}"));
+            RelayClient {
+                engine: EngineClient::open(EngineSettings::new(name.clone(), relay)),
+                service: ServiceClient::open(ServiceSettings::new(name, relay)),
+            }
+        };
+        clients.get_or_insert(relay, make).clone()
+    }
+}
--- /dev/null
+++ b/crates/wheel_serving/src/relay_headers.rs
@@ -0,0 +1,38 @@
+//! Headers between entry instances and owners.
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+
+use crate::{RelayCall, RelayKey};
+
+/// Carries a [`RelayCall`] as JSON.
+pub(crate) const RELAY: HeaderName = HeaderName::from_static("wheel-relay");
+/// Carries the code of [`RELAY`], where the group has a secret.
+pub(crate) const RELAY_CODE: HeaderName = HeaderName::from_static("wheel-relay-code");
+/// Marks an answer as the owner's refusal, not the upstream's answer.
+pub(crate) const RELAY_REFUSAL: HeaderName = HeaderName::from_static("wheel-relay-refusal");
+
+/// Makes the headers of a relayed call; `None` if the call has no valid header form.
+pub(crate) fn relay_headers(call: &RelayCall, key: Option<&RelayKey>) -> Option<HeaderMap> {
+    let json = serde_json::to_vec(call).ok()?;
+    let mut headers = HeaderMap::new();
+    if let Some(key) = key {
+        headers.insert(RELAY_CODE, HeaderValue::from_str(&key.sign(&json)).ok()?);
+    }
+    headers.insert(RELAY, HeaderValue::from_bytes(&json).ok()?);
+    Some(headers)
+}
+
+/// Reads and checks the headers of a relayed call.
+pub(crate) fn read_relay_call(headers: &HeaderMap, key: Option<&RelayKey>) -> Option<RelayCall> {
+    let json = headers.get(RELAY)?.as_bytes();
+    let code = headers.get(RELAY_CODE).and_then(|code| code.to_str().ok()).unwrap_or_default();
+    let authentic = key.is_none_or(|key| key.check(json, code));
+    authentic.then(|| serde_json::from_slice(json).ok())?
+}
+
+/// Takes the relay's own headers off a call before it goes to an upstream.
+pub(crate) fn without_relay_headers(mut headers: HeaderMap) -> HeaderMap {
+    headers.remove(RELAY);
+    headers.remove(RELAY_CODE);
+    headers
+}
--- /dev/null
+++ b/crates/wheel_serving/src/relay_refusal.rs
@@ -0,0 +1,110 @@
+//! An owner's refusal on its way back to the entry instance.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use wheel_entry::{AnswerBody, RefusalCode, RequestRefusal, full_body, header_names};
+use wheel_types::{RequestId, RequestOutcome};
+
+use crate::relay_headers::RELAY_REFUSAL;
+
+/// The body of an owner's refusal.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct RelayRefusal {
+    pub(crate) code: RelayCode,
+    pub(crate) message: String,
+    pub(crate) outcome: RequestOutcome,
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+/// What an owner refuses for, as far as the entry acts on it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum RelayCode {
+    /// This instance doesn't own the upstream, or the upstream takes no work: try again elsewhere.
+    Elsewhere,
+    /// The queue refused it: final.
+    Overloaded,
+    /// The deadline passed in the queue: final.
+    DeadlinePassed,
+    /// The request itself is wrong: final.
+    BadRequest,
+    /// The upstream failed; the outcome says whether it may have run.
+    UpstreamFailed,
+}
+
+impl RelayRefusal {
+    pub(crate) fn elsewhere(message: &str) -> Self {
+        Self {
+            code: RelayCode::Elsewhere,
+            message: message.to_owned(),
+            outcome: RequestOutcome::NotRun,
+            retry_after_ms: None,
+        }
+    }
+
+    pub(crate) fn upstream_failed(message: String, outcome: RequestOutcome) -> Self {
+        let code = match outcome {
+            RequestOutcome::NotRun => RelayCode::Elsewhere,
+            RequestOutcome::Ran | RequestOutcome::Unknown => RelayCode::UpstreamFailed,
+        };
+        Self { code, message, outcome, retry_after_ms: None }
+    }
+
+    /// Reads the body of a refusal; `None` if it isn't one.
+    pub(crate) fn read(body: &[u8]) -> Option<Self> {
+        serde_json::from_slice(body).ok()
+    }
+
+    /// The answer that carries it over HTTP.
+    pub(crate) fn into_response(self, id: &RequestId) -> Response<AnswerBody> {
+        let body = serde_json::to_vec(&self).unwrap_or_default();
+        let mut response = Response::new(full_body(body));
+        *response.status_mut() = match self.code {
+            RelayCode::BadRequest => StatusCode::BAD_REQUEST,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let headers = response.headers_mut();
+        headers.insert(RELAY_REFUSAL, HeaderValue::from_static("1"));
+        let outcome = HeaderValue::from_static(self.outcome.as_str());
+        headers.insert(header_names::OUTCOME, outcome);
+        if let Ok(id) = HeaderValue::from_str(id.as_str()) {
+            headers.insert(header_names::REQUEST_ID, id);
+        }
+        response
+    }
+
+    /// The refusal that the caller gets.
+    pub(crate) fn into_refusal(self) -> RequestRefusal {
+        let code = match self.code {
+            RelayCode::Elsewhere => RefusalCode::Unavailable,
+            RelayCode::Overloaded => RefusalCode::Overloaded,
+            RelayCode::DeadlinePassed => RefusalCode::DeadlinePassed,
+            RelayCode::BadRequest => RefusalCode::BadRequest,
+            RelayCode::UpstreamFailed => RefusalCode::UpstreamFailed,
+        };
+        let refusal = RequestRefusal::new(code, self.message).with_outcome(self.outcome);
+        match self.retry_after_ms {
+            Some(millis) => refusal.with_retry_after(Duration::from_millis(millis)),
+            None => refusal,
+        }
+    }
+}
+
+impl From<RequestRefusal> for RelayRefusal {
+    fn from(refusal: RequestRefusal) -> Self {
+        let code = match refusal.code {
+            RefusalCode::Overloaded => RelayCode::Overloaded,
+            RefusalCode::DeadlinePassed => RelayCode::DeadlinePassed,
+            RefusalCode::BadRequest => RelayCode::BadRequest,
+            _ => RelayCode::Elsewhere,
+        };
+        Self {
+            code,
+            message: refusal.message,
+            outcome: refusal.outcome,
+            retry_after_ms: refusal.retry_after.map(|wait| wait.as_millis() as u64),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_serving/src/relay_service.rs
@@ -0,0 +1,171 @@
+//! Takes requests that other entry instances relay to this owner.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::uri::PathAndQuery;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use wheel_entry::{
+    AnswerBody, AnswerError, HttpLimits, empty_body, full_body, header_names, read_body,
+};
+use wheel_types::{LoadReport, RequestId, RequestOutcome};
+use wheel_upstream::{GeneratePath, StreamEvent};
+
+use crate::owned_answer::{OwnedAnswer, OwnedPlain, OwnedStream};
+use crate::relay_headers::{read_relay_call, without_relay_headers};
+use crate::relay_refusal::{RelayCode, RelayRefusal};
+use crate::{OwnerTable, RelayCall, RelayKey};
+
+/// The path by which clients probe a connection.
+const PROBE_PATH: &str = "/engine/v1/load";
+/// The path by which clients cancel; dropping the connection has cancelled already.
+const CANCEL_PATH: &str = "/engine/v1/cancel";
+
+/// The relay side of an owner: it looks like an engine and like a plain service.
+#[derive(Clone)]
+pub struct RelayService {
+    owners: Arc<OwnerTable>,
+    key: Option<RelayKey>,
+    limits: HttpLimits,
+}
+
+impl RelayService {
+    /// Serves the upstreams of `owners`.
+    pub fn new(owners: Arc<OwnerTable>, key: Option<RelayKey>, limits: HttpLimits) -> Self {
+        Self { owners, key, limits }
+    }
+
+    /// Answers one HTTP request.
+    pub async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let id = request.headers().get(header_names::REQUEST_ID).cloned();
+        let mut response = match (request.method(), request.uri().path()) {
+            (&Method::GET, PROBE_PATH) => probe_answer(),
+            (&Method::POST, CANCEL_PATH) => Response::new(empty_body()),
+            _ => self.relay(request).await,
+        };
+        // Clients take no answer that doesn't repeat the id of their call.
+        if let Some(id) = id {
+            response.headers_mut().insert(header_names::REQUEST_ID, id);
+        }
+        response
+    }
+
+    async fn relay(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let Some(call) = read_relay_call(request.headers(), self.key.as_ref()) else {
+            let mut response = Response::new(full_body("not a relayed call of this group\n"));
+            *response.status_mut() = StatusCode::FORBIDDEN;
+            return response;
+        };
+        let id = call.request_id.clone();
+        match self.relay_call(call, request).await {
+            Ok(response) => response,
+            Err(refusal) => refusal.into_response(&id),
+        }
+    }
+
+    async fn relay_call(
+        &self,
+        call: RelayCall,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, RelayRefusal> {
+        let upstream = self
+            .owners
+            .get(&call.upstream)
+            .ok_or_else(|| RelayRefusal::elsewhere("this instance doesn't own the upstream"))?;
+        let (parts, body) = request.into_parts();
+        let body = read_body(body, &self.limits).await.map_err(RelayRefusal::from)?;
+        if call.model.is_some() {
+            let path = generate_path(parts.uri.path())?;
+            let answer = upstream.generate(&call, path, call.stream, body).await?;
+            return Ok(generate_response(&call.request_id, answer));
+        }
+        let path = parts.uri.path_and_query().cloned();
+        let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+        let headers = without_relay_headers(parts.headers);
+        let answer = upstream.call_service(&call, parts.method, path, headers, body).await?;
+        Ok(plain_response(&call.request_id, answer))
+    }
+}
+
+fn probe_answer() -> Response<AnswerBody> {
+    let body = serde_json::to_vec(&LoadReport::default()).unwrap_or_default();
+    Response::new(full_body(body))
+}
+
+fn generate_path(path: &str) -> Result<GeneratePath, RelayRefusal> {
+    match path {
+        "/v1/chat/completions" => Ok(GeneratePath::ChatCompletions),
+        "/v1/completions" => Ok(GeneratePath::Completions),
+        _ => Err(RelayRefusal {
+            code: RelayCode::BadRequest,
+            ..RelayRefusal::elsewhere("not a path of generation")
+        }),
+    }
+}
+
+fn generate_response(id: &RequestId, answer: OwnedAnswer) -> Response<AnswerBody> {
+    let (content_type, body) = match answer {
+        OwnedAnswer::Whole(whole) => ("application/json", full_body(whole.body)),
+        OwnedAnswer::Stream(stream) => ("text/event-stream", stream_body(stream)),
+    };
+    let mut response = Response::new(body);
+    let content_type = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    set_relay_marks(&mut response, id, RequestOutcome::Ran);
+    response
+}
+
+fn plain_response(id: &RequestId, plain: OwnedPlain) -> Response<AnswerBody> {
+    let OwnedPlain { answer, slot } = plain;
+    let (status, outcome, headers) = (answer.status, answer.outcome, answer.headers);
+    let pieces = stream::try_unfold((answer.body, slot), |(mut body, mut slot)| async move {
+        slot.note_first_byte();
+        match body.next().await {
+            Ok(Some(piece)) => Ok(Some((Frame::data(piece), (body, slot)))),
+            Ok(None) => Ok(None),
+            Err(failure) => Err(AnswerError::BrokeOff { reason: failure.to_string() }),
+        }
+    });
+    let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    set_relay_marks(&mut response, id, outcome);
+    response
+}
+
+fn set_relay_marks(response: &mut Response<AnswerBody>, id: &RequestId, outcome: RequestOutcome) {
+    let headers = response.headers_mut();
+    headers.insert(header_names::OUTCOME, HeaderValue::from_static(outcome.as_str()));
+    if let Ok(id) = HeaderValue::from_str(id.as_str()) {
+        headers.insert(header_names::REQUEST_ID, id);
+    }
+}
+
+/// Passes the engine's events on; a broken stream breaks the body, so that the entry resumes it.
+fn stream_body(stream: Box<OwnedStream>) -> AnswerBody {
+    let events = stream::try_unfold(Some(stream), |stream| async move {
+        let Some(mut stream) = stream else { return Ok(None) };
+        match stream.next().await {
+            Ok(StreamEvent::Token(token)) => Ok(Some((event_frame(&token.data), Some(stream)))),
+            Ok(StreamEvent::End) => Ok(Some((done_frame(), None))),
+            Err(failure) => Err(AnswerError::BrokeOff { reason: failure.to_string() }),
+        }
+    });
+    StreamBody::new(events).boxed_unsync()
+}
+
+/// One server-sent event.
+pub(crate) fn event_frame(data: &[u8]) -> Frame<Bytes> {
+    const PREFIX: &[u8] = b"data: ";
+    const SUFFIX: &[u8] = b"\n\n";
+    Frame::data([PREFIX, data, SUFFIX].concat().into())
+}
+
+/// The event that ends a stream.
+pub(crate) fn done_frame() -> Frame<Bytes> {
+    event_frame(b"[DONE]")
+}
--- /dev/null
+++ b/crates/wheel_serving/src/report_message.rs
@@ -0,0 +1,32 @@
+//! What travels on the report channel between instances.
+
+use serde::{Deserialize, Serialize};
+use wheel_types::{EngineReport, ModelName, UpstreamName};
+
+/// Tells the instances of a data centre whether a replica gets new requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct DrainNotice {
+    /// The engine.
+    pub upstream: UpstreamName,
+    /// The model.
+    pub model: ModelName,
+    /// Whether the replica drains.
+    pub draining: bool,
+}
+
+/// A message about upstreams.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum ReportMessage {
+    /// An owner's report.
+    Engine(EngineReport),
+    /// The lease holder's word on a replica.
+    Drain(DrainNotice),
+}
+
+/// Sends reports to the other instances that need them.
+pub trait ReportSink: Send + Sync + 'static {
+    /// Sends a message; it may be lost, and is then repeated by the next report.
+    fn publish(&self, message: ReportMessage);
+}
--- a/crates/wheel_types/src/lib.rs
+++ b/crates/wheel_types/src/lib.rs
@@ -5,8 +5,10 @@
 //! this one agree on these types and on nothing else.
 
 mod adapter_state;
+mod demand_report;
 mod engine_call;
 mod engine_order;
+mod engine_report;
 mod engine_role;
 mod engine_state;
 mod fencing_number;
@@ -23,8 +25,10 @@
 mod text_revision;
 
 pub use adapter_state::AdapterState;
+pub use demand_report::{DemandEntry, DemandReply, DemandReport};
 pub use engine_call::EngineCall;
 pub use engine_order::EngineOrder;
+pub use engine_report::{EngineReport, ModelUsage};
 pub use engine_role::EngineRole;
 pub use engine_state::EngineState;
 pub use fencing_number::FencingNumber;
--- a/crates/wheel_types/src/monotonic_time.rs
+++ b/crates/wheel_types/src/monotonic_time.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::ops::{Add, Sub};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -36,6 +36,11 @@
         self.0
     }
 
+    /// The point at which the clock reads `now`, in a process that counts from `start`.
+    pub fn between(start: Instant, now: Instant) -> Self {
+        Self::default() + now.saturating_duration_since(start)
+    }
+
     /// The time since `earlier`, or zero if `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/wheel_upstream/src/generate_call.rs
+++ b/crates/wheel_upstream/src/generate_call.rs
@@ -1,6 +1,7 @@
 //! A generation call.
 
 use bytes::Bytes;
+use http::HeaderMap;
 use wheel_types::EngineCall;
 
 use crate::CallTimeouts;
@@ -31,6 +32,8 @@
     pub call: EngineCall,
     /// Where it goes.
     pub path: GeneratePath,
+    /// Headers beyond those of the protocol, for example an instance's to an owner.
+    pub headers: HeaderMap,
     /// The body, JSON.
     pub body: Bytes,
     /// Its timeouts.
--- a/crates/wheel_upstream/src/wheel_dialect.rs
+++ b/crates/wheel_upstream/src/wheel_dialect.rs
@@ -36,14 +36,17 @@
         call: &GenerateCall,
         attempt: AttemptId,
     ) -> Result<Request<Bytes>, FailureKind> {
-        Request::post(call.path.as_str())
+        let mut request = Request::post(call.path.as_str())
             .header(CONTENT_TYPE, "application/json")
             .header(REQUEST_ID, call.call.request_id.as_str())
             .header(ATTEMPT_ID, attempt.to_string())
             .header(PRIORITY, u16::from(call.call.rank.0))
             .header(RESUME_FROM, call.call.resume_from)
             .body(call.body.clone())
-            .map_err(|error| malformed(&error))
+            .map_err(|error| malformed(&error))?;
+        let extra = call.headers.iter().map(|(name, value)| (name.clone(), value.clone()));
+        request.headers_mut().extend(extra);
+        Ok(request)
     }
 
     fn set_id(&self, headers: &mut HeaderMap, id: &RequestId) -> Result<(), FailureKind> {
--- a/crates/wheel_upstream/tests/common/mod.rs
+++ b/crates/wheel_upstream/tests/common/mod.rs
@@ -60,7 +60,13 @@
     let request_id = RequestId::new(id);
     let call = EngineCall { request_id, rank: RequestRank(1), resume_from: 0 };
     let path = GeneratePath::ChatCompletions;
-    GenerateCall { call, path, body: body.into(), timeouts: timeouts() }
+    GenerateCall {
+        call,
+        path,
+        headers: Default::default(),
+        body: body.into(),
+        timeouts: timeouts(),
+    }
 }
 
 pub fn booking(id: &str) -> ServiceCall {
