Add the measuring program; keep as many upstream connections as slots

Cause: docs/CAPACITY.md must be worked out from slopes, each reproduced by one command. wheel_bench starts whole systems and writes a table per run: text, idle, polling, changes, requests, streams, claims, storm, failures. The daemon shows the counters of the calls between instances as metrics.

Seen in a trial run (machine busy with builds): at 512 open requests the 99th percentile was 1.03 s, at 64 it was 10 to 20 ms. A client kept 64 idle connections, so that 512 open ones were opened anew for each request; lost SYNs take 1 s. Ruled out: the listen backlog (1,024, above what was open). Now as many idle connections are kept as the upstream has slots; to be measured again with the rest.

--- a/crates/wheel_bench/src/lib.rs
+++ b/crates/wheel_bench/src/lib.rs
@@ -1,1 +1,41 @@
 //! Measures the slopes behind docs/CAPACITY.md and writes them as CSV.
+//!
+//! Each run starts a whole system with [`wheel_harness`], drives it, and writes one
+//! [`CsvTable`]. [`CapacityPage`] reads the tables, fits a [`LineFit`] to each slope and works the
+//! letter's size out.
+
+mod bench_error;
+mod bench_text;
+mod capacity_page;
+mod csv_table;
+mod line_fit;
+mod load_client;
+mod process_meter;
+mod run_changes;
+mod run_claims;
+mod run_failures;
+mod run_idle;
+mod run_polling;
+mod run_requests;
+mod run_storm;
+mod run_streams;
+mod run_text;
+mod scraped_counters;
+
+pub use bench_error::BenchError;
+pub use bench_text::BenchText;
+pub use capacity_page::CapacityPage;
+pub use csv_table::CsvTable;
+pub use line_fit::LineFit;
+pub use load_client::{LoadClient, LoadResult};
+pub use process_meter::{MeterReading, ProcessMeter};
+pub use run_changes::run_changes;
+pub use run_claims::run_claims;
+pub use run_failures::run_failures;
+pub use run_idle::run_idle;
+pub use run_polling::run_polling;
+pub use run_requests::run_requests;
+pub use run_storm::run_storm;
+pub use run_streams::run_streams;
+pub use run_text::run_text;
+pub use scraped_counters::ScrapedCounters;
--- /dev/null
+++ b/crates/wheel_bench/src/load_client.rs
@@ -0,0 +1,109 @@
+//! Drives callers' requests and measures them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use hdrhistogram::Histogram;
+use http::Method;
+use wheel_harness::HttpCaller;
+
+/// What a run of requests showed.
+#[derive(Clone, Debug)]
+pub struct LoadResult {
+    /// Requests answered with success.
+    pub succeeded: u64,
+    /// Requests answered otherwise or not at all.
+    pub failed: u64,
+    /// Wall time of the run.
+    pub span: Duration,
+    /// Time to the end of each answer, in microseconds.
+    pub total_us: Histogram<u64>,
+    /// Time to the first byte of each body, in microseconds.
+    pub first_us: Histogram<u64>,
+}
+
+impl LoadResult {
+    /// Successes each second.
+    pub fn rate(&self) -> f64 {
+        self.succeeded as f64 / self.span.as_secs_f64().max(1e-9)
+    }
+}
+
+/// One kind of request, sent over and over.
+#[derive(Clone, Debug)]
+pub struct LoadClient {
+    /// Where it is sent; several addresses are used in turn.
+    pub at: Vec<SocketAddr>,
+    /// The path.
+    pub path: String,
+    /// Headers beside `wheel-caller`.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: String,
+    /// Whether each request gets an idempotency key of its own, beginning with this.
+    pub key_prefix: Option<String>,
+}
+
+impl LoadClient {
+    /// Sends requests from `open` tasks at once, `each` from every task.
+    pub async fn run(&self, open: usize, each: usize) -> LoadResult {
+        let counter = Arc::new(AtomicU64::new(0));
+        let started = Instant::now();
+        let tasks = (0..open).map(|task| {
+            let (client, counter) = (self.clone(), Arc::clone(&counter));
+            tokio::spawn(async move { client.run_task(task, each, &counter).await })
+        });
+        let results = join_all(tasks).await;
+        let mut whole = empty_result();
+        for result in results.into_iter().flatten() {
+            whole.succeeded += result.succeeded;
+            whole.failed += result.failed;
+            let _ = whole.total_us.add(&result.total_us);
+            let _ = whole.first_us.add(&result.first_us);
+        }
+        whole.span = started.elapsed();
+        whole
+    }
+
+    async fn run_task(&self, task: usize, each: usize, counter: &AtomicU64) -> LoadResult {
+        let caller = HttpCaller::default();
+        let at = self.at[task % self.at.len()];
+        let mut result = empty_result();
+        for _ in 0..each {
+            let number = counter.fetch_add(1, Ordering::Relaxed);
+            let key = self.key_prefix.as_ref().map(|prefix| format!("{prefix}-{number}"));
+            let mut headers: Vec<(&str, &str)> = vec![("wheel-caller", "desk")];
+            headers
+                .extend(self.headers.iter().map(|(name, value)| (name.as_str(), value.as_str())));
+            headers.extend(key.as_deref().map(|key| ("idempotency-key", key)));
+            let started = Instant::now();
+            let reply =
+                caller.call(Method::POST, at, &self.path, &headers, self.body.clone()).await;
+            match reply {
+                Ok(reply) if reply.status.is_success() && reply.complete => {
+                    result.succeeded += 1;
+                    let total = started.elapsed().as_micros() as u64;
+                    let _ = result.total_us.record(total.max(1));
+                    let _ = result.first_us.record((reply.first_byte.as_micros() as u64).max(1));
+                }
+                _ => result.failed += 1,
+            }
+        }
+        result
+    }
+}
+
+fn empty_result() -> LoadResult {
+    // Three significant figures need no bounds to be given.
+    let histogram = || Histogram::new(3).unwrap_or_else(|_| unreachable!("3 is a valid precision"));
+    LoadResult {
+        succeeded: 0,
+        failed: 0,
+        span: Duration::ZERO,
+        total_us: histogram(),
+        first_us: histogram(),
+    }
+}
--- /dev/null
+++ b/crates/wheel_bench/src/run_changes.rs
@@ -0,0 +1,174 @@
+//! What a change of configuration costs at each instance, and how fast it is in force everywhere.
+
+use std::time::{Duration, Instant};
+
+use wheel_harness::{ClusterSettings, HarnessError, LocalCluster};
+
+use crate::bench_text::ABSENT_CENTRE;
+use crate::{BenchError, BenchText, CsvTable, MeterReading, ProcessMeter, ScrapedCounters};
+
+/// Changes in each measured span.
+const CHANGES: usize = 20;
+/// Time in which a change must be in force.
+const LIMIT: Duration = Duration::from_secs(20);
+/// Time that is watched without changes, to subtract what runs anyway.
+const QUIET: Duration = Duration::from_secs(4);
+
+/// One size of a system.
+#[derive(Clone, Copy, Debug)]
+struct ChangeSize {
+    /// Instances beyond the grantors, in one data centre.
+    extra: usize,
+    /// Engines in the text beside the one that runs.
+    engines: usize,
+}
+
+/// Measures 7, 20 and 60 instances with today's text, and 7 with texts up to the letter's size.
+///
+/// # Errors
+/// [`BenchError`] if a system can't be started or a change isn't followed.
+pub async fn run_changes() -> Result<CsvTable, BenchError> {
+    let columns = [
+        "instances",
+        "text_bytes",
+        "in_force_ms_median",
+        "in_force_ms_max",
+        "entry_cpu_ms_per_change",
+        "control_cpu_ms_per_change",
+        "entry_bytes_per_change",
+        "busiest_bytes_per_change",
+        "entry_rss_mib",
+    ];
+    let mut table = CsvTable::new("changes", &columns);
+    let sizes = [
+        ChangeSize { extra: 4, engines: 0 },
+        ChangeSize { extra: 17, engines: 0 },
+        ChangeSize { extra: 57, engines: 0 },
+        ChangeSize { extra: 4, engines: 1_000 },
+        ChangeSize { extra: 4, engines: 5_000 },
+        ChangeSize { extra: 4, engines: 10_000 },
+    ];
+    for size in sizes {
+        table.push(&measure(size).await?);
+    }
+    Ok(table)
+}
+
+async fn measure(size: ChangeSize) -> Result<[f64; 9], BenchError> {
+    let text = BenchText {
+        grantors: 3,
+        absent_engines: size.engines,
+        models: 20 + size.engines * 94 / 1_000,
+        adapters: size.engines * 36 / 100,
+        ..BenchText::default()
+    };
+    let settings = ClusterSettings {
+        extra_instances: size.extra,
+        absent_centres: vec![ABSENT_CENTRE.into()],
+        ..ClusterSettings::default()
+    };
+    let mut cluster = LocalCluster::start(&text.cluster_text()?, &settings).await?;
+    cluster.apply_first(LIMIT).await?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let meters: Vec<ProcessMeter> = cluster
+        .instances
+        .iter_mut()
+        .filter_map(|instance| instance.process().map(|process| ProcessMeter::open(process.id())))
+        .collect();
+    let before = snapshot(&cluster, &meters).await?;
+    tokio::time::sleep(QUIET).await;
+    let quiet = snapshot(&cluster, &meters).await?;
+    let mut times = Vec::new();
+    for change in 0..CHANGES {
+        times.push(apply_change(&cluster, change).await?);
+    }
+    let after = snapshot(&cluster, &meters).await?;
+    Ok(summarise(&cluster, &before, &quiet, &after, &mut times))
+}
+
+/// What every instance had used at one moment.
+struct ClusterSnapshot {
+    at: Instant,
+    readings: Vec<MeterReading>,
+    text_bytes: Vec<f64>,
+}
+
+async fn snapshot(
+    cluster: &LocalCluster,
+    meters: &[ProcessMeter],
+) -> Result<ClusterSnapshot, HarnessError> {
+    let mut text_bytes = Vec::new();
+    for instance in &cluster.instances {
+        let counters = ScrapedCounters::scrape(&cluster.caller, instance.ports.operators).await?;
+        text_bytes.push(counters.channel_bytes("text") + counters.channel_bytes("agreement"));
+    }
+    let readings = meters.iter().map(ProcessMeter::read).collect();
+    Ok(ClusterSnapshot { at: Instant::now(), readings, text_bytes })
+}
+
+/// Applies one changed line; returns the time until the last instance had it in force.
+async fn apply_change(cluster: &LocalCluster, change: usize) -> Result<f64, HarnessError> {
+    let weight = format!("weight = {}", change + 2);
+    let edited = cluster.source.replacen("weight = 1", &weight, 1);
+    let at = cluster.instances[0].ports.operators;
+    let revision = change as u64 + 2;
+    let started = Instant::now();
+    let key = format!("change-{change}");
+    cluster.apply(at, &edited, revision - 1, &key).await?;
+    cluster
+        .wait_until("the change everywhere", LIMIT, || async {
+            let status = cluster.status(at).await.ok()?;
+            let asked = Instant::now();
+            let instances = status["instances"].as_array()?;
+            let ages: Option<Vec<u64>> = instances
+                .iter()
+                .map(|instance| {
+                    let current = instance["revision"].as_u64() == Some(revision);
+                    current.then(|| instance["age_ms"].as_u64()).flatten()
+                })
+                .collect();
+            let youngest = ages?.into_iter().min()?;
+            let in_force = asked - Duration::from_millis(youngest);
+            Some(in_force.saturating_duration_since(started).as_secs_f64() * 1_000.0)
+        })
+        .await
+}
+
+fn summarise(
+    cluster: &LocalCluster,
+
+    before: &ClusterSnapshot,
+    quiet: &ClusterSnapshot,
+    after: &ClusterSnapshot,
+    times: &mut [f64],
+) -> [f64; 9] {
+    let busy_share = (after.at - quiet.at).as_secs_f64() / (quiet.at - before.at).as_secs_f64();
+    let changes = CHANGES as f64;
+    let net =
+        |quiet_use: f64, busy_use: f64| (busy_use - quiet_use * busy_share).max(0.0) / changes;
+    let cpu = |place: usize| {
+        let quiet_use = quiet.readings[place].cpu_since(&before.readings[place]);
+        let busy_use = after.readings[place].cpu_since(&quiet.readings[place]);
+        net(quiet_use, busy_use) * 1_000.0
+    };
+    let bytes = |place: usize| {
+        let quiet_use = quiet.text_bytes[place] - before.text_bytes[place];
+        net(quiet_use, after.text_bytes[place] - quiet.text_bytes[place])
+    };
+    let places = 0..cluster.instances.len();
+    let (control, entries): (Vec<usize>, Vec<usize>) =
+        places.clone().partition(|place| cluster.instances[*place].folder.is_some());
+    let mean = |values: Vec<f64>| values.iter().sum::<f64>() / values.len().max(1) as f64;
+    times.sort_by(f64::total_cmp);
+    [
+        cluster.instances.len() as f64,
+        cluster.source.len() as f64,
+        times[times.len() / 2],
+        times.last().copied().unwrap_or_default(),
+        mean(entries.iter().map(|place| cpu(*place)).collect()),
+        mean(control.iter().map(|place| cpu(*place)).collect()),
+        mean(entries.iter().map(|place| bytes(*place)).collect()),
+        places.map(bytes).fold(0.0, f64::max),
+        mean(entries.iter().map(|place| after.readings[*place].rss_mib).collect()),
+    ]
+}
--- /dev/null
+++ b/crates/wheel_bench/src/run_polling.rs
@@ -0,0 +1,80 @@
+//! What owning engines costs, and directing them.
+
+use std::time::Duration;
+
+use wheel_harness::{ClusterSettings, LocalCluster};
+
+use crate::{BenchError, BenchText, CsvTable, ProcessMeter, ScrapedCounters};
+
+/// Time that is watched.
+const SPAN: Duration = Duration::from_secs(8);
+/// Time for the lease to be acquired and engines to be settled.
+const SETTLE: Duration = Duration::from_secs(6);
+
+/// Measures a data centre of three instances with 0 to 48 engines.
+///
+/// # Errors
+/// [`BenchError`] if a system can't be started.
+pub async fn run_polling() -> Result<CsvTable, BenchError> {
+    let columns = [
+        "engines",
+        "engines_per_owner",
+        "holder_core_percent",
+        "other_core_percent",
+        "other_wire_bytes_per_s",
+        "report_bytes_per_s",
+        "other_rss_mib",
+    ];
+    let mut table = CsvTable::new("polling", &columns);
+    for engines in [0, 6, 24, 48] {
+        table.push(&measure(engines).await?);
+    }
+    Ok(table)
+}
+
+async fn measure(engines: usize) -> Result<[f64; 7], BenchError> {
+    let text = BenchText { grantors: 3, engines, ..BenchText::default() };
+    let settings = ClusterSettings { control: 1, ..ClusterSettings::default() };
+    let mut cluster = LocalCluster::start(&text.cluster_text()?, &settings).await?;
+    cluster.apply_first(Duration::from_secs(30)).await?;
+    tokio::time::sleep(SETTLE).await;
+    let at = cluster.instances[0].ports.operators;
+    let status = cluster.status(at).await?;
+    let holds = |name: &str| {
+        let instances = status["instances"].as_array().into_iter().flatten();
+        let mut named = instances.filter(|instance| instance["name"].as_str() == Some(name));
+        named.any(|instance| instance["holds_lease"].as_bool() == Some(true))
+    };
+    let mut watched = Vec::new();
+    for instance in &mut cluster.instances {
+        let id = instance.process().map_or(0, |process| process.id());
+        let is_control = instance.folder.is_some();
+        let is_holder = holds(instance.name.as_str());
+        watched.push((instance.ports.operators, is_holder, is_control, ProcessMeter::open(id)));
+    }
+    let mut before = Vec::new();
+    for (at, _, _, meter) in &watched {
+        before.push((ScrapedCounters::scrape(&cluster.caller, *at).await?, meter.read()));
+    }
+    tokio::time::sleep(SPAN).await;
+    let (mut holder_percent, mut others) = (0.0, Vec::new());
+    for ((at, is_holder, is_control, meter), (counters, reading)) in watched.iter().zip(&before) {
+        let now = meter.read();
+        let counted = ScrapedCounters::scrape(&cluster.caller, *at).await?;
+        let span = (now.at - reading.at).as_secs_f64();
+        let percent = now.core_percent_since(reading);
+        if *is_holder {
+            holder_percent = percent;
+        }
+        if !*is_holder && !*is_control {
+            let wire = (counted.wire_bytes() - counters.wire_bytes()) / span;
+            let reports =
+                (counted.channel_bytes("report") - counters.channel_bytes("report")) / span;
+            others.push([percent, wire, reports, now.rss_mib]);
+        }
+    }
+    let count = others.len().max(1) as f64;
+    let mean = |place: usize| others.iter().map(|other| other[place]).sum::<f64>() / count;
+    let per_owner = engines as f64 / cluster.instances.len() as f64;
+    Ok([engines as f64, per_owner, holder_percent, mean(0), mean(1), mean(2), mean(3)])
+}
--- /dev/null
+++ b/crates/wheel_bench/src/run_streams.rs
@@ -0,0 +1,81 @@
+//! What streams cost: processor time of a token and memory of an open stream.
+
+use std::time::Duration;
+
+use wheel_harness::{ClusterSettings, LocalCluster};
+
+use crate::run_requests::{find_owner, meter_of};
+use crate::{BenchError, BenchText, CsvTable, LoadClient};
+
+/// Tokens of each stream.
+const TOKENS: usize = 150;
+/// When memory is read: all streams are open by then.
+const SAMPLE_AFTER: Duration = Duration::from_secs(2);
+
+/// Measures 8, 64, 256 and 512 streams, through the owner and with the extra hop.
+///
+/// # Errors
+/// [`BenchError`] if a system can't be started.
+pub async fn run_streams() -> Result<CsvTable, BenchError> {
+    let columns = [
+        "relayed",
+        "streams",
+        "tokens_per_s",
+        "first_ms_median",
+        "owner_cpu_us_per_token",
+        "entry_cpu_us_per_token",
+        "owner_rss_mib",
+        "entry_rss_mib",
+        "failed",
+    ];
+    let mut table = CsvTable::new("streams", &columns);
+    for relayed in [false, true] {
+        for streams in [8, 64, 256, 512] {
+            table.push(&measure(relayed, streams).await?);
+        }
+    }
+    Ok(table)
+}
+
+async fn measure(relayed: bool, streams: usize) -> Result<[f64; 9], BenchError> {
+    let text = BenchText { grantors: 3, slots: 4_096, ..BenchText::default() };
+    let settings = ClusterSettings {
+        control: 1,
+        engine_flags: ["--token-us", "40000", "--load-ms", "50"].map(str::to_owned).to_vec(),
+        preload: vec!["c1-e1=busy".to_owned()],
+        ..ClusterSettings::default()
+    };
+    let mut cluster = LocalCluster::start(&text.cluster_text()?, &settings).await?;
+    cluster.apply_first(Duration::from_secs(30)).await?;
+    let owner = find_owner(&cluster).await?;
+    let entry = (owner + 1) % cluster.instances.len();
+    let place = if relayed { entry } else { owner };
+    let client = LoadClient {
+        at: vec![cluster.instances[place].ports.callers],
+        path: "/v1/chat/completions".to_owned(),
+        headers: Vec::new(),
+        body: format!(r#"{{"model":"busy","stream":true,"max_tokens":{TOKENS},"messages":[]}}"#),
+        key_prefix: None,
+    };
+    let (owner_meter, entry_meter) = (meter_of(&mut cluster, owner), meter_of(&mut cluster, entry));
+    let before = (owner_meter.read(), entry_meter.read());
+    let run = tokio::spawn(async move { client.run(streams, 1).await });
+    tokio::time::sleep(SAMPLE_AFTER).await;
+    let open = (owner_meter.read(), entry_meter.read());
+    let missing = || BenchError::Missing { what: "the streams' result".to_owned() };
+    let result = run.await.map_err(|_| missing())?;
+    let after = (owner_meter.read(), entry_meter.read());
+    let tokens = (result.succeeded as usize * TOKENS).max(1) as f64;
+    let per_token = |cpu_s: f64| cpu_s * 1e6 / tokens;
+    Ok([
+        f64::from(u8::from(relayed)),
+        streams as f64,
+        tokens / result.span.as_secs_f64(),
+        result.first_us.value_at_quantile(0.5) as f64 / 1_000.0,
+        per_token(after.0.cpu_since(&before.0)),
+        per_token(after.1.cpu_since(&before.1)),
+        open.0.rss_mib - before.0.rss_mib,
+        open.1.rss_mib - before.1.rss_mib,
+        result.failed as f64,
+    ])
+}
--- a/crates/wheel_daemon/src/admin_operations.rs
+++ b/crates/wheel_daemon/src/admin_operations.rs
@@ -20,6 +20,7 @@
 use wheel_text::{ServingText, TextDelta};
 use wheel_types::{InstanceName, TextRevision};
 
+use crate::peer_metrics::record_peer_metrics;
 use crate::{DaemonParts, InstanceStatus};
 
 /// Time in which a text is accepted or refused.
@@ -192,6 +193,7 @@
     }
 
     fn metrics(&self) -> String {
+        record_peer_metrics(&self.parts.hub.counters());
         self.recorder.render()
     }
 }
--- a/crates/wheel_daemon/src/lib.rs
+++ b/crates/wheel_daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod instance_status;
 mod member_driver;
 mod peer_entry;
+mod peer_metrics;
 mod peer_router;
 mod report_sender;
 mod running_daemon;
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -34,6 +34,7 @@
 use crate::daemon_parts::TextView;
 use crate::demand_sender::DemandSender;
 use crate::director_bridge::DirectorBridge;
+use crate::peer_metrics::describe_peer_metrics;
 use crate::{
     AdminOperations, DaemonParts, DaemonSettings, ExitStatus, GroupKeeper, InstanceBook,
     MemberDriver, PeerRouter, ReportSender,
@@ -93,6 +94,7 @@
         let recorder = PrometheusBuilder::new()
             .install_recorder()
             .map_err(|error| StartError::Metrics { reason: error.to_string() })?;
+        describe_peer_metrics();
         let router = PeerRouter::default();
         let incarnation = new_incarnation();
         let hub = bind_hub(&settings, incarnation, &router)?;
--- a/crates/wheel_harness/src/cluster_text.rs
+++ b/crates/wheel_harness/src/cluster_text.rs
@@ -54,13 +54,17 @@
         &self.text.upstreams
     }
 
-    /// The instances that grant leases, with their data centres.
-    pub fn instances(&self) -> Vec<(InstanceName, CentreName)> {
-        let centres = self.text.centres.iter();
-        centres
-            .flat_map(|centre| {
-                centre.grantors.iter().map(|name| (name.clone(), centre.name.clone()))
-            })
-            .collect()
+    /// The instances that grant leases and `extra` more in each data centre, with their data
+    /// centres.
+    pub fn instances(&self, extra: usize) -> Vec<(InstanceName, CentreName)> {
+        let mut instances = Vec::new();
+        for centre in &self.text.centres {
+            let grantors = centre.grantors.iter().cloned();
+            let others =
+                (1..=extra).map(|n| InstanceName::new(format!("{}-extra{n}", centre.name)));
+            let names = grantors.chain(others);
+            instances.extend(names.map(|name| (name, centre.name.clone())));
+        }
+        instances
     }
 }
--- a/crates/wheel_harness/src/local_cluster.rs
+++ b/crates/wheel_harness/src/local_cluster.rs
@@ -10,7 +10,7 @@
 use snafu::ResultExt;
 use tempfile::TempDir;
 use wheel_text::UpstreamKind;
-use wheel_types::{InstanceName, UpstreamName};
+use wheel_types::{CentreName, InstanceName, UpstreamName};
 
 use crate::harness_error::IoSnafu;
 use crate::{
@@ -26,6 +26,10 @@
 pub struct ClusterSettings {
     /// How many of the instances are control instances, at most one a data centre first.
     pub control: usize,
+    /// Instances of each data centre beyond its grantors.
+    pub extra_instances: usize,
+    /// Data centres of the text of which nothing is started.
+    pub absent_centres: Vec<CentreName>,
     /// Further flags of each daemon.
     pub daemon_flags: Vec<String>,
     /// Further flags of each fake engine.
@@ -41,6 +45,8 @@
         let daemon_flags = ["--lease-term", "2", "--order-life", "0.5", "--workers", "2"];
         Self {
             control: 3,
+            extra_instances: 0,
+            absent_centres: Vec::new(),
             daemon_flags: daemon_flags.map(str::to_owned).to_vec(),
             engine_flags: ["--token-us", "2000", "--load-ms", "200"].map(str::to_owned).to_vec(),
             preload: Vec::new(),
@@ -206,7 +212,8 @@
         text: &ClusterText,
         settings: &ClusterSettings,
     ) -> Result<(), HarnessError> {
-        for upstream in text.upstreams() {
+        let is_absent = |centre| settings.absent_centres.contains(centre);
+        for upstream in text.upstreams().iter().filter(|spec| !is_absent(&spec.data_centre)) {
             let mut flags = match upstream.kind {
                 UpstreamKind::Engine => vec!["engine".to_owned()],
                 UpstreamKind::Service => vec!["service".to_owned()],
@@ -238,7 +245,8 @@
         settings: &ClusterSettings,
     ) -> Result<(), HarnessError> {
         let mut free = FreePorts::default();
-        let instances = text.instances();
+        let mut instances = text.instances(settings.extra_instances);
+        instances.retain(|(_, centre)| !settings.absent_centres.contains(centre));
         let control = choose_control(&instances, settings.control);
         let mut ports = Vec::new();
         for _ in &instances {
@@ -305,10 +313,7 @@
 }
 
 /// Chooses control instances, one of each data centre before a second of any.
-fn choose_control(
-    instances: &[(InstanceName, wheel_types::CentreName)],
-    count: usize,
-) -> Vec<InstanceName> {
+fn choose_control(instances: &[(InstanceName, CentreName)], count: usize) -> Vec<InstanceName> {
     let mut chosen: Vec<InstanceName> = Vec::new();
     while chosen.len() < count.min(instances.len()) {
         let mut centres = Vec::new();
--- a/crates/wheel_serving/src/owned_upstream.rs
+++ b/crates/wheel_serving/src/owned_upstream.rs
@@ -58,7 +58,8 @@
         let client = match spec.kind {
             UpstreamKind::Engine => UpstreamClient::Engine(EngineClient::open(settings)),
             UpstreamKind::Service => {
-                let settings = ServiceSettings::new(spec.name.clone(), spec.address);
+                let settings =
+                    ServiceSettings::new(spec.name.clone(), spec.address).limits(settings.limits);
                 UpstreamClient::Service(ServiceClient::open(settings))
             }
         };
--- a/crates/wheel_serving/src/owner_table.rs
+++ b/crates/wheel_serving/src/owner_table.rs
@@ -9,11 +9,14 @@
 use spdlog::info;
 use wheel_text::{ServingText, UpstreamKind};
 use wheel_types::{InstanceName, UpstreamName};
-use wheel_upstream::EngineSettings;
+use wheel_upstream::{ConnectionLimits, EngineSettings};
 
 use crate::engine_watch::EngineWatch;
 use crate::{OwnedUpstream, ProcessClock, ReportSink};
 
+/// Connections to an upstream beyond its slots.
+const SPARE_CONNECTIONS: usize = 8;
+
 /// What an owner needs to know of its own instance.
 #[derive(Clone, Debug)]
 pub struct OwnerSettings {
@@ -92,7 +95,15 @@
 
     fn take_over(&self, text: &ServingText, spec: &wheel_text::UpstreamSpec) -> Arc<OwnedUpstream> {
         info!("upstream_taken_over", kv: { upstream = spec.name.as_str() });
+        // One connection a slot, kept open, and a few for readings.
+        let connections = spec.slots as usize + SPARE_CONNECTIONS;
+        let limits = ConnectionLimits {
+            max_open: connections,
+            max_idle: connections,
+            ..ConnectionLimits::default()
+        };
         let engine = EngineSettings::new(spec.name.clone(), spec.address)
+            .limits(limits)
             .order_life(self.settings.order_life);
         let seed = blake3::hash(spec.name.as_str().as_bytes()).as_bytes()[0];
         let upstream =
--- a/crates/wheel_serving/src/relay_clients.rs
+++ b/crates/wheel_serving/src/relay_clients.rs
@@ -6,11 +6,16 @@
 use lru::LruCache;
 use parking_lot::Mutex;
 use wheel_types::{InstanceName, UpstreamName};
-use wheel_upstream::{EngineClient, EngineSettings, ServiceClient, ServiceSettings};
+use wheel_upstream::{
+    ConnectionLimits, EngineClient, EngineSettings, ServiceClient, ServiceSettings,
+};
 
 /// Owners whose connections are kept; an owner beyond it, used longest ago, is connected to anew.
 const MAX_OWNERS: std::num::NonZeroUsize = std::num::NonZeroUsize::new(256).unwrap();
 
+/// Calls open at once to one owner.
+const MAX_OPEN: usize = 4_096;
+
 /// The two clients to one owner. An owner's relay speaks the protocols of an engine and of a plain
 /// service, so that a relayed call gets the same guarantees as a direct one.
 #[derive(Clone)]
@@ -19,6 +24,12 @@
     pub(crate) service: ServiceClient,
 }
 
+/// As many connections are kept as may be open, or a burst would open them anew each time.
+fn relay_limits() -> ConnectionLimits {
+    let limits = ConnectionLimits::default();
+    ConnectionLimits { max_open: MAX_OPEN, max_idle: MAX_OPEN, ..limits }
+}
+
 /// Keeps a bounded number of relay clients.
 pub struct RelayClients {
     clients: Mutex<LruCache<SocketAddr, RelayClient>>,
@@ -42,8 +53,12 @@
         let make = || {
             let name = UpstreamName::new(format!("relay/{owner}"));
             RelayClient {
-                engine: EngineClient::open(EngineSettings::new(name.clone(), relay)),
-                service: ServiceClient::open(ServiceSettings::new(name, relay)),
+                engine: EngineClient::open(
+                    EngineSettings::new(name.clone(), relay).limits(relay_limits()),
+                ),
+                service: ServiceClient::open(
+                    ServiceSettings::new(name, relay).limits(relay_limits()),
+                ),
             }
         };
         clients.get_or_insert(relay, make).clone()
