Know the live instances of a data centre at a flat cost

Each instance needs the others of its data centre, their addresses and incarnations, within 8 KB/s for all control traffic. Weighed: all-to-all heartbeats (about 11 KB/s at 55 members), heartbeats to relays (cheap, but the relays are special and carry the load), and random probes with indirect probes and piggybacked changes. The last is built, as its cost is the same for every member and size.

--- /dev/null
+++ b/crates/wheel_membership/src/member_entry.rs
@@ -0,0 +1,170 @@
+//! What the table knows of one other member.
+
+use wheel_types::{IncarnationId, MonotonicTime};
+
+use crate::{InstanceAddress, LiveMember, MemberNews, MemberRecord, MemberSettings, NewsKind};
+
+/// One other instance of the own data centre.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberEntry {
+    /// Its last record; from the platform's list until it speaks for itself.
+    pub(crate) record: MemberRecord,
+    /// How it fares.
+    pub(crate) phase: MemberPhase,
+    /// True if the platform's list shows it.
+    pub(crate) listed: bool,
+    /// The incarnation that was known when the list first showed it as leaving.
+    pub(crate) listed_leaving: Option<IncarnationId>,
+    /// How often it came back from the dead in one incarnation.
+    pub(crate) flaps: u32,
+    /// Out of the view until then.
+    pub(crate) held_until: MonotonicTime,
+    /// When the phase last changed.
+    pub(crate) since: MonotonicTime,
+}
+
+/// How a member fares.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum MemberPhase {
+    /// Only listed; it hasn't answered yet.
+    Unconfirmed,
+    /// It answers.
+    Alive,
+    /// It doesn't answer; dead unless it refutes by then.
+    Suspect(MonotonicTime),
+    /// It didn't refute.
+    Dead,
+    /// It shut down.
+    Left,
+}
+
+impl MemberEntry {
+    /// An instance known from the platform's list only.
+    pub(crate) fn listed(address: InstanceAddress, now: MonotonicTime) -> Self {
+        let record = MemberRecord {
+            address,
+            incarnation: IncarnationId::default(),
+            version: 0,
+            leaving: false,
+        };
+        Self { listed: true, ..Self::unconfirmed(record, now) }
+    }
+
+    /// An instance that hasn't been heard of before.
+    pub(crate) fn unconfirmed(record: MemberRecord, now: MonotonicTime) -> Self {
+        Self {
+            record,
+            phase: MemberPhase::Unconfirmed,
+            listed: false,
+            listed_leaving: None,
+            flaps: 0,
+            held_until: now,
+            since: now,
+        }
+    }
+
+    /// Takes the member's own word; true if it was new.
+    pub(crate) fn hear_alive(
+        &mut self,
+        now: MonotonicTime,
+        record: &MemberRecord,
+        settings: &MemberSettings,
+    ) -> bool {
+        let known = self.phase != MemberPhase::Unconfirmed;
+        let left = self.phase == MemberPhase::Left;
+        let restarted = record.incarnation > self.record.incarnation;
+        let newer = record.stamp() > self.record.stamp();
+        if known && (!newer || (left && !restarted)) {
+            return false;
+        }
+        match self.phase {
+            _ if restarted => self.forget_flaps(now),
+            MemberPhase::Dead => self.count_flap(now, settings),
+            _ => {}
+        }
+        self.record = record.clone();
+        self.enter(now, MemberPhase::Alive);
+        true
+    }
+
+    /// Takes what others say; true if it was new.
+    pub(crate) fn hear_other(
+        &mut self,
+        now: MonotonicTime,
+        stamp: (IncarnationId, u32),
+        kind: NewsKind,
+        settings: &MemberSettings,
+    ) -> bool {
+        let current = stamp >= self.record.stamp();
+        let incarnation = stamp.0 >= self.record.incarnation;
+        let next = match (kind, self.phase) {
+            (NewsKind::Left, phase) if incarnation && phase != MemberPhase::Left => {
+                MemberPhase::Left
+            }
+            (NewsKind::Suspect, MemberPhase::Alive) if current => {
+                MemberPhase::Suspect(now + settings.suspicion_time)
+            }
+            (NewsKind::Dead, MemberPhase::Alive | MemberPhase::Suspect(_)) if current => {
+                MemberPhase::Dead
+            }
+            _ => return false,
+        };
+        (self.record.incarnation, self.record.version) = stamp.max(self.record.stamp());
+        self.enter(now, next);
+        true
+    }
+
+    /// What others should be told of it; `None` for an instance that never answered.
+    pub(crate) fn news(&self) -> Option<MemberNews> {
+        let kind = match self.phase {
+            MemberPhase::Unconfirmed => return None,
+            MemberPhase::Alive => return Some(MemberNews::Alive(self.record.clone())),
+            MemberPhase::Suspect(_) => NewsKind::Suspect,
+            MemberPhase::Dead => NewsKind::Dead,
+            MemberPhase::Left => NewsKind::Left,
+        };
+        Some(MemberNews::Other {
+            name: self.record.address.name.clone(),
+            incarnation: self.record.incarnation,
+            version: self.record.version,
+            kind,
+        })
+    }
+
+    /// How it stands in the view; `None` if it doesn't.
+    pub(crate) fn live(&self, now: MonotonicTime) -> Option<LiveMember> {
+        let shown = self.is_active() && now >= self.held_until;
+        let by_list = self.listed_leaving == Some(self.record.incarnation);
+        shown.then(|| LiveMember {
+            address: self.record.address.clone(),
+            incarnation: Some(self.record.incarnation),
+            leaving: self.record.leaving || by_list,
+            suspect: matches!(self.phase, MemberPhase::Suspect(_)),
+        })
+    }
+
+    /// True if it takes part: alive, or suspected only.
+    pub(crate) fn is_active(&self) -> bool {
+        matches!(self.phase, MemberPhase::Alive | MemberPhase::Suspect(_))
+    }
+
+    /// Enters `phase`.
+    pub(crate) fn enter(&mut self, now: MonotonicTime, phase: MemberPhase) {
+        self.phase = phase;
+        self.since = now;
+    }
+
+    fn forget_flaps(&mut self, now: MonotonicTime) {
+        self.flaps = 0;
+        self.held_until = now;
+    }
+
+    fn count_flap(&mut self, now: MonotonicTime, settings: &MemberSettings) {
+        self.flaps += 1;
+        let doubled = settings.hold_time * 2_u32.pow(self.flaps.min(MAX_DOUBLINGS) - 1);
+        self.held_until = now + doubled;
+    }
+}
+
+/// The hold time is doubled at most this often, less one.
+const MAX_DOUBLINGS: u32 = 5;
--- /dev/null
+++ b/crates/wheel_membership/src/member_message.rs
@@ -0,0 +1,50 @@
+//! Messages between members.
+
+use serde::{Deserialize, Serialize};
+use wheel_types::InstanceName;
+
+use crate::{MemberNews, MemberRecord};
+
+/// A one-way message; it may be lost, doubled or late.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct MemberMessage {
+    /// The sender, so that a member that doesn't know it can answer.
+    pub sender: MemberRecord,
+    /// What it is about.
+    pub kind: MessageKind,
+    /// Changes that are passed on, bounded in number.
+    pub news: Vec<MemberNews>,
+}
+
+/// The kinds of [`MemberMessage`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum MessageKind {
+    /// Asks for an [`MessageKind::Ack`] with the same nonce.
+    Probe {
+        /// Tells this probe from others of the sender.
+        nonce: u64,
+    },
+    /// Asks the receiver to probe `target` and to pass on its acknowledgement.
+    ProbeFor {
+        /// Tells this probe from others of the sender.
+        nonce: u64,
+        /// The member that didn't answer.
+        target: InstanceName,
+    },
+    /// The probed member is alive.
+    Ack {
+        /// Nonce of the probe.
+        nonce: u64,
+    },
+    /// Asks for the whole table: the sender has just started.
+    Join {
+        /// Answered by an acknowledgement as well.
+        nonce: u64,
+    },
+    /// A part of the whole table.
+    Table,
+    /// Carries news only.
+    Notice,
+}
--- /dev/null
+++ b/crates/wheel_membership/src/member_news.rs
@@ -0,0 +1,47 @@
+//! A change that is passed on.
+
+use serde::{Deserialize, Serialize};
+use wheel_types::{IncarnationId, InstanceName};
+
+use crate::MemberRecord;
+
+/// One change of a member, carried by any message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum MemberNews {
+    /// The member is alive, in its own words.
+    Alive(MemberRecord),
+    /// Others say something of the member; only this incarnation and version is meant.
+    Other {
+        /// The member.
+        name: InstanceName,
+        /// Its incarnation.
+        incarnation: IncarnationId,
+        /// Its version.
+        version: u32,
+        /// What is said.
+        kind: NewsKind,
+    },
+}
+
+/// What others say of a member.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub enum NewsKind {
+    /// It doesn't answer; it may refute this with a higher version.
+    Suspect,
+    /// It hasn't refuted a suspicion in time.
+    Dead,
+    /// It has shut down gracefully; final for the incarnation.
+    Left,
+}
+
+impl MemberNews {
+    /// The member that the news is about.
+    pub fn name(&self) -> &InstanceName {
+        match self {
+            Self::Alive(record) => &record.address.name,
+            Self::Other { name, .. } => name,
+        }
+    }
+}
