--- a/crates/wheel_membership/src/lib.rs
+++ b/crates/wheel_membership/src/lib.rs
@@ -16,6 +16,7 @@
 mod member_news;
 mod member_output;
 mod member_record;
+mod member_roster;
 mod member_settings;
 mod member_table;
 mod member_view;
--- a/crates/wheel_membership/src/member_table.rs
+++ b/crates/wheel_membership/src/member_table.rs
@@ -1,16 +1,15 @@
 //! The table of members.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use wheel_types::{IncarnationId, InstanceName, MonotonicTime};
 
 use crate::contact_list::ContactList;
 use crate::member_entry::{MemberEntry, MemberPhase};
+use crate::member_roster::MemberRoster;
 use crate::news_queue::NewsQueue;
 use crate::own_member::OwnMember;
 use crate::probe_state::{OpenProbe, ProbeState};
-use crate::seeded_random::SeededRandom;
 use crate::{
     InstanceAddress, ListedInstance, MemberInput, MemberMessage, MemberNews, MemberOutput,
     MemberRecord, MemberSettings, MemberView, MessageKind, NewsKind,
@@ -22,16 +21,16 @@
 pub struct MemberTable {
     settings: MemberSettings,
     own: OwnMember,
-    members: BTreeMap<InstanceName, MemberEntry>,
+    roster: MemberRoster,
     contacts: ContactList,
     news: NewsQueue,
     probes: ProbeState,
-    random: SeededRandom,
     next_probe: MonotonicTime,
     /// While it lasts, this member asks others for their table and sends none.
     join_until: Option<MonotonicTime>,
     last_step: MonotonicTime,
-    periods: u64,
+    /// True if the view may have changed since it was made.
+    changed: bool,
     view: Arc<MemberView>,
 }
 
@@ -50,15 +49,14 @@
         let mut table = Self {
             settings,
             own: OwnMember::new(record),
-            members: BTreeMap::new(),
+            roster: MemberRoster::new(seed),
             contacts: ContactList::default(),
             news: NewsQueue::default(),
             probes: ProbeState::default(),
-            random: SeededRandom::new(seed),
             next_probe: now,
             join_until,
             last_step: now,
-            periods: 0,
+            changed: false,
             view: Arc::default(),
         };
         table.view = Arc::new(table.make_view(now));
@@ -75,6 +73,7 @@
             MemberInput::Listed(list) => self.join_list(now, list, &mut outputs),
             MemberInput::ContactFailed(name) => {
                 self.contacts.fail(name, now + self.settings.contact_retry);
+                self.changed = true;
             }
             MemberInput::Drain if self.own.drain() => {
                 self.announce_own(self.settings.leave_fanout, &mut outputs);
@@ -88,7 +87,9 @@
         if !self.own.left {
             self.advance(now, &mut outputs);
         }
-        self.update_view(now, &mut outputs);
+        if self.changed {
+            self.update_view(now, &mut outputs);
+        }
         outputs
     }
 
@@ -106,11 +107,8 @@
     pub fn next_tick(&self) -> MonotonicTime {
         let indirect = self.probes.open.as_ref().filter(|probe| !probe.indirect);
         let indirect = indirect.map(|probe| probe.sent + self.settings.ack_timeout);
-        let suspicions = self.members.values().filter_map(|entry| match entry.phase {
-            MemberPhase::Suspect(until) => Some(until),
-            _ => None,
-        });
-        suspicions.chain(indirect).fold(self.next_probe, MonotonicTime::min)
+        let suspicions = self.roster.next_settlement();
+        suspicions.into_iter().chain(indirect).fold(self.next_probe, MonotonicTime::min)
     }
 
     /// After a gap in the own steps, missing answers say nothing of others.
@@ -118,12 +116,7 @@
         if now.since(self.last_step) > self.settings.gap_limit {
             self.probes.open = None;
             self.next_probe = now;
-            let renewed = now + self.settings.suspicion_time;
-            for entry in self.members.values_mut() {
-                if let MemberPhase::Suspect(until) = &mut entry.phase {
-                    *until = renewed;
-                }
-            }
+            self.roster.renew_suspicions(now + self.settings.suspicion_time);
         }
         self.last_step = now;
     }
@@ -142,16 +135,17 @@
             return;
         }
         self.greet(now, &sender, outputs);
+        // A table holds what the others know already.
+        let spread = message.kind != MessageKind::Table;
         for news in message.news {
-            self.hear(now, news, outputs);
+            self.hear(now, news, spread, outputs);
         }
         match message.kind {
             MessageKind::Probe { nonce } => {
                 self.send(&sender.address, MessageKind::Ack { nonce }, outputs);
             }
             MessageKind::ProbeFor { nonce, target } => {
-                if let Some(entry) = self.members.get(&target) {
-                    let address = entry.record.address.clone();
+                if let Some(address) = self.roster.address(&target) {
                     let nonce = self.probes.relay(name, nonce);
                     self.send(&address, MessageKind::Probe { nonce }, outputs);
                 }
@@ -179,10 +173,10 @@
         outputs: &mut Vec<MemberOutput>,
     ) {
         let name = &sender.address.name;
-        let before = self.members.get(name);
+        let before = self.roster.members.get(name);
         let outlived = before.filter(|entry| entry.record.incarnation > sender.incarnation);
         let outlived = outlived.and_then(MemberEntry::news);
-        self.hear(now, MemberNews::Alive(sender.clone()), outputs);
+        self.hear(now, MemberNews::Alive(sender.clone()), true, outputs);
         if let Some(news) = outlived {
             self.send_news(&sender.address, MessageKind::Notice, vec![news], outputs);
         }
@@ -190,7 +184,7 @@
 
     /// Sends all that is known in messages of bounded size.
     fn send_table(&self, to: &InstanceAddress, outputs: &mut Vec<MemberOutput>) {
-        let others = self.members.iter().filter(|(name, _)| **name != to.name);
+        let others = self.roster.members.iter().filter(|(name, _)| **name != to.name);
         let news: Vec<_> = others.filter_map(|(_, entry)| entry.news()).collect();
         for chunk in news.chunks(self.settings.max_news) {
             self.send_news(to, MessageKind::Table, chunk.to_vec(), outputs);
@@ -211,54 +205,54 @@
     /// Passes an acknowledgement on to the member that asked for the probe.
     fn pass_ack(&mut self, nonce: u64, outputs: &mut Vec<MemberOutput>) {
         let Some((origin, nonce)) = self.probes.take_relayed(nonce) else { return };
-        let address = self.members.get(&origin).map(|entry| entry.record.address.clone());
-        if let Some(address) = address {
+        if let Some(address) = self.roster.address(&origin) {
             self.send(&address, MessageKind::Ack { nonce }, outputs);
         }
     }
 
-    /// Takes news of one member; true if it was new.
+    /// Takes news of one member, and passes them on if they are new here and to others.
     fn hear(
         &mut self,
         now: MonotonicTime,
         news: MemberNews,
+        spread: bool,
         outputs: &mut Vec<MemberOutput>,
-    ) -> bool {
+    ) {
         if news.name() == &self.own.record.address.name {
             if self.own.answer(&news) {
                 self.announce_own(self.settings.notice_fanout, outputs);
             }
-            return false;
+            return;
         }
         if let MemberNews::Alive(record) = &news {
             self.meet(now, record, outputs);
         }
-        let Some(entry) = self.members.get_mut(news.name()) else { return false };
+        let Some(entry) = self.roster.members.get_mut(news.name()) else { return };
         let changed = match &news {
             MemberNews::Alive(record) => entry.hear_alive(now, record, &self.settings),
             MemberNews::Other { incarnation, version, kind, .. } => {
                 entry.hear_other(now, (*incarnation, *version), *kind, &self.settings)
             }
         };
-        if changed {
-            self.news.push(news);
+        self.changed |= changed;
+        if changed && spread {
+            self.tell(news);
         }
-        changed
     }
 
     /// Adds an instance that wasn't known.
     fn meet(&mut self, now: MonotonicTime, record: &MemberRecord, outputs: &mut Vec<MemberOutput>) {
         let name = &record.address.name;
         let own_centre = record.address.centre == self.own.record.address.centre;
-        if !own_centre || self.members.contains_key(name) || !self.has_room(name, outputs) {
+        if !own_centre || self.roster.members.contains_key(name) || !self.has_room(name, outputs) {
             return;
         }
-        self.members.insert(name.clone(), MemberEntry::unconfirmed(record.clone(), now));
+        self.roster.members.insert(name.clone(), MemberEntry::unconfirmed(record.clone(), now));
     }
 
     fn has_room(&self, name: &InstanceName, outputs: &mut Vec<MemberOutput>) -> bool {
         // This instance itself takes a place.
-        let room = self.members.len() + 1 < self.settings.max_members;
+        let room = self.roster.members.len() + 1 < self.settings.max_members;
         if !room {
             outputs.push(MemberOutput::TableFull(name.clone()));
         }
@@ -271,7 +265,7 @@
         list: Vec<ListedInstance>,
         outputs: &mut Vec<MemberOutput>,
     ) {
-        self.members.values_mut().for_each(|entry| entry.listed = false);
+        self.roster.members.values_mut().for_each(|entry| entry.listed = false);
         let mut remote = Vec::new();
         for listed in list {
             let name = listed.address.name.clone();
@@ -283,6 +277,7 @@
             }
         }
         self.contacts.replace(now, remote);
+        self.changed = true;
     }
 
     fn join_member(
@@ -292,13 +287,15 @@
         outputs: &mut Vec<MemberOutput>,
     ) {
         let name = listed.address.name.clone();
-        if !self.members.contains_key(&name) {
+        if !self.roster.members.contains_key(&name) {
             if !self.has_room(&name, outputs) {
                 return;
             }
-            self.members.insert(name.clone(), MemberEntry::listed(listed.address.clone(), now));
+            self.roster
+                .members
+                .insert(name.clone(), MemberEntry::listed(listed.address.clone(), now));
         }
-        let Some(entry) = self.members.get_mut(&name) else { return };
+        let Some(entry) = self.roster.members.get_mut(&name) else { return };
         entry.listed = true;
         if entry.phase == MemberPhase::Unconfirmed {
             entry.record.address = listed.address;
@@ -309,24 +306,33 @@
         };
     }
 
+    /// Passes news on with the messages to come.
+    fn tell(&mut self, news: MemberNews) {
+        self.news.push(news);
+        self.changed = true;
+    }
+
     fn announce_own(&mut self, fanout: usize, outputs: &mut Vec<MemberOutput>) {
         self.announce(MemberNews::Alive(self.own.record.clone()), fanout, outputs);
     }
 
     /// Announces a change of this instance at once.
     fn announce(&mut self, news: MemberNews, fanout: usize, outputs: &mut Vec<MemberOutput>) {
-        self.news.push(news);
-        for address in self.pick(fanout, MemberEntry::is_active) {
-            self.send(&address, MessageKind::Notice, outputs);
+        for address in self.roster.pick(fanout, MemberEntry::is_active) {
+            self.send_news(&address, MessageKind::Notice, vec![news.clone()], outputs);
         }
+        self.tell(news);
     }
 
     fn advance(&mut self, now: MonotonicTime, outputs: &mut Vec<MemberOutput>) {
-        self.settle_suspicions(now);
+        for news in self.roster.settle(now, &self.settings) {
+            self.tell(news);
+        }
         self.probe_indirectly(now, outputs);
         if now >= self.next_probe {
             self.end_probe(now);
-            self.forget(now);
+            self.roster.forget(now, self.settings.forget_after);
+            self.changed = true;
             self.ask_tables(now, outputs);
             self.start_probe(now, outputs);
         }
@@ -339,28 +345,12 @@
         if self.join_until.is_none() {
             return;
         }
-        for address in self.pick(self.settings.join_fanout, unconfirmed) {
+        for address in self.roster.pick(self.settings.join_fanout, unconfirmed) {
             let nonce = self.probes.next_nonce();
             self.send(&address, MessageKind::Join { nonce }, outputs);
         }
     }
 
-    /// Declares dead whoever hasn't refuted in time.
-    fn settle_suspicions(&mut self, now: MonotonicTime) {
-        for entry in self.members.values_mut() {
-            match entry.phase {
-                MemberPhase::Suspect(until) if now >= until => {
-                    entry.enter(now, MemberPhase::Dead);
-                    entry.news().into_iter().for_each(|news| self.news.push(news));
-                }
-                MemberPhase::Alive if now.since(entry.since) >= self.settings.flap_memory => {
-                    entry.flaps = 0;
-                }
-                _ => {}
-            }
-        }
-    }
-
     fn probe_indirectly(&mut self, now: MonotonicTime, outputs: &mut Vec<MemberOutput>) {
         let Some(probe) = &mut self.probes.open else { return };
         if probe.indirect || now < probe.sent + self.settings.ack_timeout {
@@ -368,11 +358,10 @@
         }
         probe.indirect = true;
         let (nonce, target) = (probe.nonce, probe.target.clone());
-        let Some(entry) = self.members.get(&target) else { return };
-        let address = entry.record.address.clone();
+        let Some(address) = self.roster.address(&target) else { return };
         self.send(&address, MessageKind::Probe { nonce }, outputs);
         let helper = |entry: &MemberEntry| entry.is_active() && entry.record.address.name != target;
-        for address in self.pick(self.settings.indirect_probes, helper) {
+        for address in self.roster.pick(self.settings.indirect_probes, helper) {
             let kind = MessageKind::ProbeFor { nonce, target: target.clone() };
             self.send(&address, kind, outputs);
         }
@@ -381,72 +370,27 @@
     /// Suspects the member whose probe of the last period has no answer.
     fn end_probe(&mut self, now: MonotonicTime) {
         let Some(probe) = self.probes.open.take() else { return };
-        let Some(entry) = self.members.get_mut(&probe.target) else { return };
+        let Some(entry) = self.roster.members.get_mut(&probe.target) else { return };
         let stamp = entry.record.stamp();
         if entry.hear_other(now, stamp, NewsKind::Suspect, &self.settings) {
-            entry.news().into_iter().for_each(|news| self.news.push(news));
+            let news = entry.news();
+            news.into_iter().for_each(|news| self.tell(news));
         }
     }
 
-    /// Drops members that are gone and that the platform no longer lists.
-    fn forget(&mut self, now: MonotonicTime) {
-        let limit = self.settings.forget_after;
-        self.members
-            .retain(|_, entry| entry.is_active() || entry.listed || now.since(entry.since) < limit);
-    }
-
     fn start_probe(&mut self, now: MonotonicTime, outputs: &mut Vec<MemberOutput>) {
         self.next_probe = now + self.settings.probe_period;
-        self.periods += 1;
-        let Some(target) = self.next_target() else { return };
-        let Some(entry) = self.members.get(&target) else { return };
-        let address = entry.record.address.clone();
+        let Some(target) = self.roster.next_target() else { return };
+        let Some(address) = self.roster.address(&target) else { return };
         let nonce = self.probes.next_nonce();
         self.send(&address, MessageKind::Probe { nonce }, outputs);
         self.probes.open = Some(OpenProbe { target, nonce, sent: now, indirect: false });
     }
 
-    /// Each active member once per round, in random order; now and then one that isn't active, so
-    /// that members that were cut off from each other meet again.
-    fn next_target(&mut self) -> Option<InstanceName> {
-        let absent = |entry: &MemberEntry| {
-            matches!(entry.phase, MemberPhase::Unconfirmed | MemberPhase::Dead)
-        };
-        let names = self.members.iter().filter(|(_, entry)| absent(entry));
-        let absent: Vec<InstanceName> = names.map(|(name, _)| name.clone()).collect();
-        let alone = !self.members.values().any(MemberEntry::is_active);
-        if !absent.is_empty() && (alone || self.periods.is_multiple_of(ABSENT_EVERY)) {
-            let place = self.random.next() % absent.len() as u64;
-            return absent.get(place as usize).cloned();
-        }
-        if self.probes.order.is_empty() {
-            let active = self.members.iter().filter(|(_, entry)| entry.is_active());
-            self.probes.order = active.map(|(name, _)| name.clone()).collect();
-            self.random.shuffle(&mut self.probes.order);
-        }
-        let members = &self.members;
-        let order = &mut self.probes.order;
-        order.retain(|name| members.get(name).is_some_and(MemberEntry::is_active));
-        order.pop()
-    }
-
-    /// Addresses of up to `count` members that satisfy `wanted`, in random order.
-    fn pick(
-        &mut self,
-        count: usize,
-        wanted: impl Fn(&MemberEntry) -> bool,
-    ) -> Vec<InstanceAddress> {
-        let entries = self.members.values().filter(|entry| wanted(entry));
-        let mut picked: Vec<_> = entries.map(|entry| entry.record.address.clone()).collect();
-        self.random.shuffle(&mut picked);
-        picked.truncate(count);
-        picked
-    }
-
     fn send(&mut self, to: &InstanceAddress, kind: MessageKind, outputs: &mut Vec<MemberOutput>) {
-        let times = NewsQueue::times(self.members.len());
+        let times = NewsQueue::times(self.roster.members.len());
         let mut news = self.news.take(self.settings.max_news, times);
-        let entry = self.members.get(&to.name);
+        let entry = self.roster.members.get(&to.name);
         // Whoever is thought dead or suspect hears it with every message, so that it can refute.
         let doubt = entry.filter(|entry| entry.phase != MemberPhase::Alive);
         let doubt = doubt.and_then(MemberEntry::news);
@@ -457,6 +401,7 @@
     }
 
     fn update_view(&mut self, now: MonotonicTime, outputs: &mut Vec<MemberOutput>) {
+        self.changed = false;
         let view = self.make_view(now);
         if view != *self.view {
             self.view = Arc::new(view);
@@ -465,7 +410,7 @@
     }
 
     fn make_view(&self, now: MonotonicTime) -> MemberView {
-        let others = self.members.values().filter_map(|entry| entry.live(now));
+        let others = self.roster.members.values().filter_map(|entry| entry.live(now));
         let mut members: Vec<_> = others.chain([self.own.live()]).collect();
         members.sort_by(|one, other| one.address.name.cmp(&other.address.name));
         let mut view = MemberView::default();
@@ -475,6 +420,3 @@
         view
     }
 }
-
-/// Every so many periods an absent member is probed in place of an active one.
-const ABSENT_EVERY: u64 = 4;
--- a/crates/wheel_membership/src/probe_state.rs
+++ b/crates/wheel_membership/src/probe_state.rs
@@ -7,8 +7,6 @@
 /// This member's own probe and those that it makes for others.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ProbeState {
-    /// The members still to be probed in this round, in random order.
-    pub(crate) order: Vec<InstanceName>,
     /// The probe of this period.
     pub(crate) open: Option<OpenProbe>,
     /// Probes made for others, oldest first.
