--- a/crates/wheel_agreement/tests/raft_scenarios.rs
+++ b/crates/wheel_agreement/tests/raft_scenarios.rs
@@ -6,7 +6,8 @@
 
 use test_group::TestGroup;
 use wheel_agreement::{
-    NodeId, ProposalId, ProposalRefusal, RaftInput, RaftOutput, ReadId, RoleName, VoterChange,
+    EntryPayload, LogEntry, NodeId, ProposalId, ProposalRefusal, RaftInput, RaftOutput, ReadId,
+    RoleName, VoterChange,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -16,6 +17,15 @@
     group.outputs.iter().any(is_wanted)
 }
 
+/// The commands that a participant applied, in order.
+fn commands(group: &TestGroup, name: &str) -> Vec<Vec<u8>> {
+    let command_of = |entry: &LogEntry| match &entry.payload {
+        EntryPayload::Command(command) => Some(command.to_vec()),
+        EntryPayload::Noop | EntryPayload::Members(_) => None,
+    };
+    group.nodes[name].applied.iter().filter_map(command_of).collect()
+}
+
 fn others(leader: &str) -> Vec<String> {
     ["a", "b", "c"].iter().filter(|name| **name != leader).map(|name| name.to_string()).collect()
 }
@@ -26,7 +36,7 @@
     assert_eq!(group.run_to_leader(), "a");
     group.propose("a", 1, b"one");
     assert!(accepted(&group, 1));
-    assert_eq!(group.commands("a"), [b"one"]);
+    assert_eq!(commands(&group, "a"), [b"one"]);
 }
 
 #[test]
@@ -37,7 +47,7 @@
     group.propose(&leader, 2, b"two");
     group.run(SECOND / 10);
     for name in ["a", "b", "c"] {
-        assert_eq!(group.commands(name), [b"one", b"two"], "at {name}");
+        assert_eq!(commands(&group, name), [b"one", b"two"], "at {name}");
         assert_eq!(group.nodes[name].node.status().group, group.nodes["a"].node.status().group);
     }
 }
@@ -85,9 +95,9 @@
     ["a", "b", "c"].iter().for_each(|name| group.restart(name));
     group.run_to_leader();
     group.run(SECOND);
-    let commands: Vec<Vec<u8>> = (0..20_u8).map(|number| vec![number]).collect();
+    let proposed: Vec<Vec<u8>> = (0..20_u8).map(|number| vec![number]).collect();
     for name in ["a", "b", "c"] {
-        assert_eq!(group.commands(name), commands, "at {name}");
+        assert_eq!(commands(&group, name), proposed, "at {name}");
     }
 }
 
@@ -128,7 +138,7 @@
     let term = group.nodes[&*new].node.status().term;
     group.cut.clear();
     group.run(SECOND * 3);
-    assert_eq!(group.commands(&old), [b"kept"]);
+    assert_eq!(commands(&group, &old), [b"kept"]);
     assert_eq!(group.nodes[&*new].node.status().term, term, "the return deposes nobody");
 }
 
@@ -181,7 +191,7 @@
     let leader = group.run_to_leader();
     group.run(SECOND * 30);
     for name in ["a", "b", "c"] {
-        assert_eq!(group.commands(name), [b"kept"], "at {name}");
+        assert_eq!(commands(&group, name), [b"kept"], "at {name}");
     }
     let members = group.nodes[&*leader].node.status().members;
     assert!(members.voters.contains(&NodeId::new(first.as_str(), 77)));
@@ -203,7 +213,7 @@
     group.run(SECOND * 3);
     assert!(accepted(&group, 2));
     assert!(group.nodes["d"].node.status().members.voters.contains(&added));
-    assert_eq!(group.commands("d"), [b"one"]);
+    assert_eq!(commands(&group, "d"), [b"one"]);
 
     let change = VoterChange::Remove(group.nodes[&*leader].node.status().id);
     group.input(&leader, RaftInput::ChangeVoter { proposal: ProposalId(3), change });
@@ -231,8 +241,8 @@
     group.cut.clear();
     group.run(SECOND * 3);
     assert_eq!(group.nodes[&*lagging].node.status().snapshot_index, index);
-    assert_eq!(group.commands(&lagging), [b"last"]);
+    assert_eq!(commands(&group, &lagging), [b"last"]);
     group.restart(&lagging);
     group.run(SECOND);
-    assert_eq!(group.commands(&lagging), [b"last"]);
+    assert_eq!(commands(&group, &lagging), [b"last"]);
 }
--- a/crates/wheel_agreement/tests/test_group/mod.rs
+++ b/crates/wheel_agreement/tests/test_group/mod.rs
@@ -1,6 +1,6 @@
 //! A group in virtual time: nodes, their data folders and a network that can be cut.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use wheel_agreement::{
@@ -20,8 +20,8 @@
 }
 
 /// A message on its way.
+#[derive(Clone)]
 struct Parcel {
-    due: MonotonicTime,
     from: NodeId,
     to: InstanceName,
     message: RaftMessage,
@@ -33,7 +33,14 @@
     pub(crate) nodes: BTreeMap<InstanceName, TestNode>,
     pub(crate) outputs: Vec<RaftOutput>,
     pub(crate) cut: BTreeSet<InstanceName>,
-    parcels: VecDeque<Parcel>,
+    /// Seeds a network that loses, doubles and reorders messages; 0 is one that doesn't.
+    pub(crate) noise: u64,
+    /// A planted fault: entries aren't synced.
+    pub(crate) forgets_entries: bool,
+    /// All that was committed, as the first participant applied it.
+    pub(crate) committed: Vec<LogEntry>,
+    parcels: BTreeMap<(MonotonicTime, u64), Parcel>,
+    sent: u64,
     voters: Vec<InstanceName>,
 }
 
@@ -46,7 +53,11 @@
             nodes: BTreeMap::new(),
             outputs: Vec::new(),
             cut: BTreeSet::new(),
-            parcels: VecDeque::new(),
+            noise: 0,
+            forgets_entries: false,
+            committed: Vec::new(),
+            parcels: BTreeMap::new(),
+            sent: 0,
             voters: names,
         };
         for (place, name) in voters.iter().enumerate() {
@@ -82,20 +93,53 @@
             return;
         };
         let from = test.node.status().id;
+        let mut sends = Vec::new();
         for output in test.node.step(self.now, input) {
             match output {
-                RaftOutput::Persist(records) => test.records.extend(records),
+                RaftOutput::Persist(records) => {
+                    let forgets = |record: &PersistRecord| {
+                        self.forgets_entries && matches!(record, PersistRecord::Append(_))
+                    };
+                    test.records.extend(records.into_iter().filter(|record| !forgets(record)));
+                }
                 RaftOutput::Send { to, message } => {
-                    let (due, to) = (self.now + DELAY, to.instance);
-                    self.parcels.push_back(Parcel { due, from: from.clone(), to, message });
+                    let (from, to) = (from.clone(), to.instance);
+                    sends.push(Parcel { from, to, message });
                 }
                 RaftOutput::Restore { snapshot, .. } => {
                     assert!(test.state.restore(&snapshot).is_ok());
                 }
-                RaftOutput::Apply { entry, .. } => test.apply(entry),
+                RaftOutput::Apply { entry, .. } => {
+                    check_committed(&mut self.committed, &entry);
+                    test.apply(entry);
+                }
                 output => self.outputs.push(output),
             }
         }
+        sends.iter().for_each(|parcel| self.post(parcel));
+    }
+
+    /// Puts a message on its way; noise loses, doubles or delays it.
+    fn post(&mut self, parcel: &Parcel) {
+        let copies = match self.draw() % 16 {
+            0 => 0,
+            1 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let extra = Duration::from_millis(self.draw() % 40);
+            let due = self.now + DELAY + if self.noise == 0 { Duration::ZERO } else { extra };
+            self.sent += 1;
+            self.parcels.insert((due, self.sent), parcel.clone());
+        }
+    }
+
+    fn draw(&mut self) -> u64 {
+        if self.noise == 0 {
+            return 2;
+        }
+        self.noise = self.noise.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.noise >> 33
     }
 
     /// Lets time pass, delivering messages and ticks when they are due.
@@ -134,28 +178,15 @@
         self.input(name, RaftInput::Propose { proposal, command: command.to_vec() });
     }
 
-    /// The commands that a participant applied, in order.
-    pub(crate) fn commands(&self, name: &str) -> Vec<Vec<u8>> {
-        let command_of = |entry: &LogEntry| match &entry.payload {
-            EntryPayload::Command(command) => Some(command.to_vec()),
-            EntryPayload::Noop | EntryPayload::Members(_) => None,
-        };
-        self.nodes[name].applied.iter().filter_map(command_of).collect()
-    }
-
     fn next_due(&self) -> Option<MonotonicTime> {
-        let parcels = self.parcels.iter().map(|parcel| parcel.due);
+        let parcels = self.parcels.keys().next().map(|(due, _)| *due);
         let ticks = self.nodes.values().map(|test| test.node.next_tick());
-        parcels.chain(ticks).min()
+        parcels.into_iter().chain(ticks).min()
     }
 
     fn deliver_due(&mut self) {
-        while let Some(parcel) = self.parcels.pop_front() {
-            if parcel.due > self.now {
-                self.parcels.push_front(parcel);
-                return;
-            }
-            let Parcel { from, to, message, .. } = parcel;
+        while let Some(next) = self.parcels.first_entry().filter(|next| next.key().0 <= self.now) {
+            let Parcel { from, to, message } = next.remove();
             let is_cut = |name: &InstanceName| self.cut.contains(name);
             if !is_cut(&from.instance) && !is_cut(&to) {
                 self.input(to.as_str(), RaftInput::Message { from, message });
@@ -181,3 +212,11 @@
         self.applied.push(entry);
     }
 }
+
+/// Checks that all participants apply the same entries in the same places.
+fn check_committed(committed: &mut Vec<LogEntry>, entry: &LogEntry) {
+    match committed.iter().find(|known| known.index == entry.index) {
+        Some(known) => assert_eq!(known, entry, "a committed entry changed"),
+        None => committed.push(entry.clone()),
+    }
+}
