Bound the group's state, and lead empty folders to the leader

Four gaps in the replicated log: - A group that grew could be led by an instance that a lost folder's settings don't name: its hellos reached only followers, which kept silent, and it was never taken in. They now name the leader.

Claims: 32,768 for 6 hours in place of 16,384 for 24 hours, 1.5 a second in place of 0.2.

--- a/crates/wheel_agreement/src/claim_table.rs
+++ b/crates/wheel_agreement/src/claim_table.rs
@@ -31,14 +31,33 @@
 
 /// All claims of the kept time. When it is full, new claims are refused; a claim is never dropped
 /// before its time.
+///
+/// Only the claims themselves are encoded.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
+#[serde(from = "ClaimMap", into = "ClaimMap")]
 pub(crate) struct ClaimTable {
-    claims: BTreeMap<ClaimId, CallClaim>,
+    claims: ClaimMap,
     by_time: BTreeSet<(u64, ClaimId)>,
     answers_bytes: usize,
 }
 
+type ClaimMap = BTreeMap<ClaimId, CallClaim>;
+
+impl From<ClaimMap> for ClaimTable {
+    fn from(claims: ClaimMap) -> Self {
+        let by_time = claims.iter().map(|(id, claim)| (claim.claimed_ms, id.clone())).collect();
+        let answers_bytes = claims.values().map(CallClaim::answer_bytes).sum();
+        Self { claims, by_time, answers_bytes }
+    }
+}
+
+impl From<ClaimTable> for ClaimMap {
+    fn from(table: ClaimTable) -> Self {
+        table.claims
+    }
+}
+
 impl ClaimTable {
     pub(crate) fn len(&self) -> usize {
         self.claims.len()
@@ -131,14 +150,20 @@
     }
 
     fn drop_claim(&mut self, id: &ClaimId) {
-        if let Some(CallClaim { state: ClaimState::Finished(answer), .. }) = self.claims.remove(id)
-        {
-            self.answers_bytes -= answer.size_bytes();
+        if let Some(claim) = self.claims.remove(id) {
+            self.answers_bytes -= claim.answer_bytes();
         }
     }
 }
 
 impl CallClaim {
+    fn answer_bytes(&self) -> usize {
+        match &self.state {
+            ClaimState::Finished(answer) => answer.size_bytes(),
+            ClaimState::Started | ClaimState::Unknown => 0,
+        }
+    }
+
     /// Answers another claim of the same call.
     fn answer_resend(&mut self, digest: RequestDigest, holder: &ClaimHolder) -> ClaimAnswer {
         if self.state == ClaimState::Started && self.is_outlived_by(holder) {
@@ -159,8 +184,8 @@
     }
 }
 
-/// The longest name or id in a claim, in bytes.
-const MAX_NAME_BYTES: usize = 256;
+/// The most bytes of names, key and ids in a claim.
+const MAX_CLAIM_BYTES: usize = 384;
 
 fn is_oversized(id: &ClaimId, holder: &ClaimHolder) -> bool {
     let names = [
@@ -170,5 +195,5 @@
         holder.instance.as_str(),
         holder.request.as_str(),
     ];
-    names.iter().any(|name| name.len() > MAX_NAME_BYTES)
+    names.iter().map(|name| name.len()).sum::<usize>() > MAX_CLAIM_BYTES
 }
--- a/crates/wheel_agreement/src/group_answer.rs
+++ b/crates/wheel_agreement/src/group_answer.rs
@@ -64,7 +64,7 @@
     Unknown,
     /// The claims are full; nothing was done.
     Full,
-    /// The key, a name or an id is longer than the state machine takes; nothing was done.
+    /// Key, names and ids together are longer than the state machine takes; nothing was done.
     TooLarge,
     /// The claim was given up.
     Released,
--- a/crates/wheel_agreement/src/group_limits.rs
+++ b/crates/wheel_agreement/src/group_limits.rs
@@ -26,8 +26,8 @@
         Self {
             max_text_bytes: 4 << 20,
             max_text_answers: 4_096,
-            max_claims: 16_384,
-            claim_life_ms: 24 * 60 * 60 * 1_000,
+            max_claims: 32_768,
+            claim_life_ms: 6 * 60 * 60 * 1_000,
             max_answer_bytes: 4 << 10,
             max_answers_bytes: 8 << 20,
         }
--- a/crates/wheel_agreement/src/idempotency_key.rs
+++ b/crates/wheel_agreement/src/idempotency_key.rs
@@ -12,8 +12,8 @@
 pub struct IdempotencyKey(Arc<str>);
 
 impl IdempotencyKey {
-    /// The longest key that the state machine takes, in bytes.
-    pub const MAX_BYTES: usize = 256;
+    /// The longest key of a text that the state machine takes, in bytes.
+    pub const MAX_BYTES: usize = 128;
 
     /// Wraps a header's value.
     pub fn new(key: impl Into<Arc<str>>) -> Self {
--- a/crates/wheel_agreement/src/log_entry.rs
+++ b/crates/wheel_agreement/src/log_entry.rs
@@ -33,13 +33,23 @@
 /// Fixed share of an entry's size in a message or on disk, in bytes.
 const ENTRY_OVERHEAD_BYTES: usize = 24;
 
+/// Fixed share of a member's size in an entry, in bytes.
+const MEMBER_BYTES: usize = 32;
+
+impl EntryPayload {
+    /// An estimate of its encoded size as an entry, in bytes.
+    pub fn size_bytes(&self) -> usize {
+        match self {
+            Self::Noop => ENTRY_OVERHEAD_BYTES,
+            Self::Command(command) => ENTRY_OVERHEAD_BYTES + command.len(),
+            Self::Members(members) => ENTRY_OVERHEAD_BYTES + MEMBER_BYTES * members.nodes().count(),
+        }
+    }
+}
+
 impl LogEntry {
     /// An estimate of its encoded size, in bytes.
     pub fn size_bytes(&self) -> usize {
-        match &self.payload {
-            EntryPayload::Noop => ENTRY_OVERHEAD_BYTES,
-            EntryPayload::Command(command) => ENTRY_OVERHEAD_BYTES + command.len(),
-            EntryPayload::Members(members) => ENTRY_OVERHEAD_BYTES * (1 + members.nodes().count()),
-        }
+        self.payload.size_bytes()
     }
 }
--- a/crates/wheel_agreement/src/raft_message.rs
+++ b/crates/wheel_agreement/src/raft_message.rs
@@ -33,6 +33,11 @@
         /// The voters that the sender's settings name, sorted.
         configured: Vec<InstanceName>,
     },
+    /// Answers [`RaftBody::Hello`]: the group's leader decides whether the sender is taken in.
+    Leader {
+        /// Its instance.
+        instance: InstanceName,
+    },
     /// Hands the group's state to a member whose folder is empty.
     Welcome {
         /// Where the member starts.
--- a/crates/wheel_agreement/src/raft_node.rs
+++ b/crates/wheel_agreement/src/raft_node.rs
@@ -172,6 +172,7 @@
         match message.body {
             RaftBody::Hello { configured } => self.answer_hello(from, &configured),
             RaftBody::Empty { configured } => self.note_empty(from, &configured),
+            RaftBody::Leader { instance } => self.note_leader(instance),
             RaftBody::Welcome { snapshot } if message.target == id.identity => self.join(snapshot),
             _ if self.is_joining() || message.group != self.group() => {}
             body => self.receive_in_group(from, message.term, body),
@@ -242,8 +243,8 @@
 
     /// Tells the driver what becomes of a former leader's work in progress.
     fn give_up_work(&mut self, state: LeaderState) {
-        for proposal in state.proposals.into_values() {
-            let leader = self.leader.clone();
+        for pending in state.proposals.into_values() {
+            let (proposal, leader) = (pending.proposal, self.leader.clone());
             self.outbox.push(RaftOutput::Unresolved { proposal, leader });
         }
         for pending in state.reads {
--- a/crates/wheel_agreement/src/raft_node/joining.rs
+++ b/crates/wheel_agreement/src/raft_node/joining.rs
@@ -13,8 +13,13 @@
     pub(super) fn say_hello(&mut self) {
         self.timers.set_countdown(self.settings.election_timeout_min);
         let configured = self.settings.voters.clone();
+        let leader = match &mut self.role {
+            RaftRole::Joining(state) => state.leader.take(),
+            _ => None,
+        };
+        let leader = leader.filter(|leader| !configured.contains(leader));
         let own = self.settings.id.instance.clone();
-        for instance in configured.iter().filter(|instance| **instance != own) {
+        for instance in configured.iter().chain(&leader).filter(|instance| **instance != own) {
             let body = RaftBody::Hello { configured: configured.clone() };
             self.send(&NodeId::any(instance.clone()), body);
         }
@@ -29,18 +34,25 @@
             RaftRole::Joining(_) => {}
             _ if self.is_settled_member(&from) => self.welcome(&from),
             RaftRole::Leader(_) => self.note_waiting(from),
-            _ => {}
+            _ => self.name_leader(&from),
+        }
+    }
+
+    /// Notes who leads the group, to say hello there, too.
+    pub(super) fn note_leader(&mut self, instance: InstanceName) {
+        if let RaftRole::Joining(state) = &mut self.role {
+            state.leader = Some(instance);
         }
     }
 
     /// Notes that a configured voter's folder is empty.
     pub(super) fn note_empty(&mut self, from: NodeId, configured: &[InstanceName]) {
         let voters = &self.settings.voters;
-        let RaftRole::Joining(empty) = &mut self.role else {
+        let RaftRole::Joining(state) = &mut self.role else {
             return;
         };
         if configured == voters && voters.contains(&from.instance) {
-            empty.insert(from.instance, from.identity);
+            state.empty.insert(from.instance, from.identity);
             self.form_group();
         }
     }
@@ -58,10 +70,10 @@
     /// either no group or this one.
     fn form_group(&mut self) {
         let id = self.settings.id.clone();
-        let RaftRole::Joining(empty) = &self.role else {
+        let RaftRole::Joining(state) = &self.role else {
             return;
         };
-        let identity_of = |instance: &InstanceName| match empty.get(instance) {
+        let identity_of = |instance: &InstanceName| match state.empty.get(instance) {
             _ if *instance == id.instance => Some(id.identity),
             identity => identity.copied(),
         };
@@ -104,9 +116,16 @@
     /// which may have a newer one.
     fn welcome(&mut self, member: &NodeId) {
         let knows_leader = self.leader.as_ref().is_some_and(|leader| *leader != self.settings.id);
-        if !knows_leader {
-            let snapshot = self.log.snapshot().clone();
-            self.send(member, RaftBody::Welcome { snapshot });
+        if knows_leader {
+            return self.name_leader(member);
+        }
+        let snapshot = self.log.snapshot().clone();
+        self.send(member, RaftBody::Welcome { snapshot });
+    }
+
+    fn name_leader(&mut self, to: &NodeId) {
+        if let Some(leader) = self.leader.clone() {
+            self.send(to, RaftBody::Leader { instance: leader.instance });
         }
     }
 
--- a/crates/wheel_agreement/src/raft_node/leading.rs
+++ b/crates/wheel_agreement/src/raft_node/leading.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::peer_progress::{PeerProgress, ProgressState};
-use crate::raft_role::{LeaderState, PendingRead, RaftRole};
+use crate::raft_role::{LeaderState, PendingProposal, PendingRead, RaftRole};
 use crate::{
     AppendResult, EntryPayload, GroupMembers, LearnerGoal, LogEntry, NodeId, PersistRecord,
     ProposalId, ProposalRefusal, RaftBody, RaftNode, RaftOutput, ReadId, VoterChange,
@@ -11,10 +11,12 @@
 
 impl RaftNode {
     pub(super) fn propose(&mut self, proposal: ProposalId, payload: EntryPayload) {
-        let max_pending = self.settings.max_pending;
+        let settings = Arc::clone(&self.settings);
         match &mut self.role {
-            RaftRole::Leader(state) if state.proposals.len() < max_pending => {
-                state.proposals.insert(self.log.last_index() + 1, proposal);
+            RaftRole::Leader(state) if state.may_propose(&settings) => {
+                let pending = PendingProposal { proposal, bytes: payload.size_bytes() };
+                state.pending_bytes += pending.bytes;
+                state.proposals.insert(self.log.last_index() + 1, pending);
                 self.append_own(payload);
             }
             RaftRole::Leader(_) => self.refuse(proposal, ProposalRefusal::Full),
@@ -65,9 +67,10 @@
 
     pub(super) fn accept_proposal(&mut self, index: u64) {
         if let RaftRole::Leader(state) = &mut self.role
-            && let Some(proposal) = state.proposals.remove(&index)
+            && let Some(pending) = state.proposals.remove(&index)
         {
-            self.outbox.push(RaftOutput::Accepted { proposal, index });
+            state.pending_bytes -= pending.bytes;
+            self.outbox.push(RaftOutput::Accepted { proposal: pending.proposal, index });
         }
     }
 
@@ -288,10 +291,10 @@
     };
     let wants_vote =
         |(node, goal): &(&NodeId, &LearnerGoal)| **goal == LearnerGoal::Vote && has_caught_up(node);
-    let (learner, _) = members.learners.iter().find(wants_vote)?;
-    match members.rival_voter(learner) {
+    let next_for = |(learner, _): (&NodeId, &LearnerGoal)| match members.rival_voter(learner) {
         Some(rival) if rival == id => None,
         Some(rival) => members.with_change(&VoterChange::Remove(rival.clone())),
         None => Some(members.with_voter(learner)),
-    }
+    };
+    members.learners.iter().filter(wants_vote).find_map(next_for)
 }
--- a/crates/wheel_agreement/src/raft_role.rs
+++ b/crates/wheel_agreement/src/raft_role.rs
@@ -6,13 +6,13 @@
 use wheel_types::InstanceName;
 
 use crate::peer_progress::PeerProgress;
-use crate::{FolderIdentity, GroupMembers, NodeId, ProposalId, ReadId, RoleName};
+use crate::{FolderIdentity, GroupMembers, NodeId, ProposalId, RaftSettings, ReadId, RoleName};
 
 /// A role with what only it needs.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum RaftRole {
-    /// The folder is empty. Holds the other configured voters known to be empty, too.
-    Joining(BTreeMap<InstanceName, FolderIdentity>),
+    /// The folder is empty.
+    Joining(JoiningState),
     Follower,
     /// Holds who would grant the vote.
     PreCandidate(BTreeSet<NodeId>),
@@ -33,6 +33,15 @@
     }
 }
 
+/// What an empty folder knows of the others.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub(crate) struct JoiningState {
+    /// The other configured voters known to be empty, too.
+    pub(crate) empty: BTreeMap<InstanceName, FolderIdentity>,
+    /// The leader of a group that exists already.
+    pub(crate) leader: Option<InstanceName>,
+}
+
 /// A read that waits for a quorum to confirm the leader.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct PendingRead {
@@ -41,11 +50,21 @@
     pub(crate) round: u64,
 }
 
+/// A proposal that waits for a quorum.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct PendingProposal {
+    pub(crate) proposal: ProposalId,
+    pub(crate) bytes: usize,
+}
+
 /// What a leader keeps of the other members and of its work in progress.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub(crate) struct LeaderState {
     pub(crate) progress: BTreeMap<NodeId, PeerProgress>,
-    pub(crate) proposals: BTreeMap<u64, ProposalId>,
+    /// Proposals by their entries' indices.
+    pub(crate) proposals: BTreeMap<u64, PendingProposal>,
+    /// Size of these proposals, in bytes.
+    pub(crate) pending_bytes: usize,
     pub(crate) reads: VecDeque<PendingRead>,
     /// The newest round of confirmations.
     pub(crate) round: u64,
@@ -61,6 +80,12 @@
     /// The most empty folders that are listed; others are listed once these are taken in.
     pub(crate) const MAX_WAITING: usize = 16;
 
+    /// Whether another proposal may wait.
+    pub(crate) fn may_propose(&self, settings: &RaftSettings) -> bool {
+        self.proposals.len() < settings.max_pending
+            && self.pending_bytes < settings.max_pending_bytes
+    }
+
     /// Brings the list of other members in line with `members`.
     pub(crate) fn track(&mut self, id: &NodeId, members: &GroupMembers, last_index: u64) {
         self.progress.retain(|node, _| members.contains(node));
--- a/crates/wheel_agreement/src/raft_settings.rs
+++ b/crates/wheel_agreement/src/raft_settings.rs
@@ -27,6 +27,8 @@
     pub max_inflight_entries: u64,
     /// The most proposals, and the most reads, that wait at the leader; more are refused.
     pub max_pending: usize,
+    /// Bytes of waiting proposals from which on further ones are refused.
+    pub max_pending_bytes: usize,
     /// The largest command, in bytes; larger ones are refused.
     pub max_command_bytes: usize,
     /// Entries kept in memory before the snapshot, for participants that are a little behind.
@@ -42,13 +44,14 @@
         Self {
             id,
             voters,
-            heartbeat_interval: Duration::from_millis(150),
-            election_timeout_min: Duration::from_millis(600),
-            election_timeout_max: Duration::from_millis(1_200),
+            heartbeat_interval: Duration::from_millis(250),
+            election_timeout_min: Duration::from_millis(750),
+            election_timeout_max: Duration::from_millis(1_400),
             replace_after: Duration::from_secs(10),
             max_append_bytes: 256 << 10,
             max_inflight_entries: 1_024,
             max_pending: 4_096,
+            max_pending_bytes: 8 << 20,
             max_command_bytes: 5 << 20,
             trailing_entries: 256,
         }
--- a/crates/wheel_agreement/tests/group_state.rs
+++ b/crates/wheel_agreement/tests/group_state.rs
@@ -2,8 +2,8 @@
 
 use wheel_agreement::{
     CallAnswer, ClaimAnswer, ClaimHolder, ClaimId, GroupAction, GroupAnswer, GroupCommand,
-    GroupLimits, GroupState, IdempotencyKey, RequestDigest, TextAnswer, TextHistory, TextUpdate,
-    UpdateError,
+    GroupLimits, GroupState, IdempotencyKey, RaftSnapshot, RequestDigest, TextAnswer, TextHistory,
+    TextUpdate, UpdateError,
 };
 use wheel_text::TextDelta;
 use wheel_types::{IncarnationId, RequestId, TextRevision};
@@ -220,3 +220,24 @@
     assert!(restored.restore(b"nonsense").is_err());
     assert_eq!(restored, driver.state);
 }
+
+#[test]
+fn snapshot_full_state_fits_bound() {
+    let limits = GroupLimits::default();
+    let mut driver = StateDriver::open(limits.clone());
+    let pad = |number: usize| format!("{number:0>128}");
+    for number in 0..limits.max_claims {
+        let holder = holder(&format!("{number:0>116}"), 1, &pad(number));
+        assert_eq!(driver.claim(&pad(number), "body", &holder), ClaimAnswer::Granted);
+        driver.finish(&pad(number), &holder, &answer(&[7; 4_000]));
+    }
+    for number in 0..limits.max_text_answers as u64 {
+        driver.apply_text(number, &pad(number as usize), &format!("{number:0>400}\n"));
+    }
+    let base = driver.state.text().revision.0;
+    let text = "x".repeat(limits.max_text_bytes);
+    assert!(matches!(driver.apply_text(base, "last", &text), TextAnswer::Accepted { .. }));
+    let snapshot = driver.state.snapshot().unwrap();
+    assert!(snapshot.len() <= RaftSnapshot::MAX_BYTES, "{} bytes", snapshot.len());
+    println!("full state: {} bytes", snapshot.len());
+}
--- a/crates/wheel_agreement/tests/raft_scenarios.rs
+++ b/crates/wheel_agreement/tests/raft_scenarios.rs
@@ -246,3 +246,40 @@
     group.run(SECOND);
     assert_eq!(commands(&group, &lagging), [b"last"]);
 }
+
+#[test]
+fn lost_folder_finds_leader_that_settings_do_not_name() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let first = group.run_to_leader();
+    let added = NodeId::new("d", 9);
+    group.start(added.clone(), Vec::new());
+    group.run(SECOND);
+    let change = VoterChange::AddVoter(added);
+    group.input(&first, RaftInput::ChangeVoter { proposal: ProposalId(1), change });
+    group.run(SECOND * 3);
+    for _ in 0..100 {
+        match group.run_to_leader() {
+            leader if leader == "d" => break,
+            leader => group.restart(&leader),
+        }
+    }
+    assert_eq!(group.run_to_leader(), "d");
+    group.stop("a");
+    group.start(NodeId::new("a", 77), Vec::new());
+    group.run(SECOND * 30);
+    let members = group.nodes["d"].node.status().members;
+    assert!(members.voters.contains(&NodeId::new("a", 77)));
+}
+
+#[test]
+fn propose_too_many_bytes_refuses() {
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let leader = group.run_to_leader();
+    group.cut.insert(leader.as_str().into());
+    let command = vec![0; 5 << 20];
+    (0..3).for_each(|proposal| group.propose(&leader, proposal, &command));
+    let id = group.nodes[&*leader].node.status().id;
+    let (proposal, reason) = (ProposalId(2), ProposalRefusal::Full);
+    let refused = RaftOutput::Refused { proposal, leader: Some(id), reason };
+    assert_eq!(group.outputs, [refused]);
+}
