--- a/crates/wheel_agreement/src/raft_node/leading.rs
+++ b/crates/wheel_agreement/src/raft_node/leading.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::peer_progress::{PeerProgress, ProgressState};
-use crate::raft_role::{LeaderState, PendingRead, RaftRole};
+use crate::raft_role::{LeaderState, PendingProposal, PendingRead, RaftRole};
 use crate::{
     AppendResult, EntryPayload, GroupMembers, LearnerGoal, LogEntry, NodeId, PersistRecord,
     ProposalId, ProposalRefusal, RaftBody, RaftNode, RaftOutput, ReadId, VoterChange,
@@ -11,10 +11,12 @@
 
 impl RaftNode {
     pub(super) fn propose(&mut self, proposal: ProposalId, payload: EntryPayload) {
-        let max_pending = self.settings.max_pending;
+        let settings = Arc::clone(&self.settings);
         match &mut self.role {
-            RaftRole::Leader(state) if state.proposals.len() < max_pending => {
-                state.proposals.insert(self.log.last_index() + 1, proposal);
+            RaftRole::Leader(state) if state.may_propose(&settings) => {
+                let pending = PendingProposal { proposal, bytes: payload.size_bytes() };
+                state.pending_bytes += pending.bytes;
+                state.proposals.insert(self.log.last_index() + 1, pending);
                 self.append_own(payload);
             }
             RaftRole::Leader(_) => self.refuse(proposal, ProposalRefusal::Full),
@@ -65,9 +67,10 @@
 
     pub(super) fn accept_proposal(&mut self, index: u64) {
         if let RaftRole::Leader(state) = &mut self.role
-            && let Some(proposal) = state.proposals.remove(&index)
+            && let Some(pending) = state.proposals.remove(&index)
         {
-            self.outbox.push(RaftOutput::Accepted { proposal, index });
+            state.pending_bytes -= pending.bytes;
+            self.outbox.push(RaftOutput::Accepted { proposal: pending.proposal, index });
         }
     }
 
@@ -129,9 +132,6 @@
         let is_own = self.log.term_at(held) == Some(self.hard_state.term);
         if held > self.commit && is_own {
             self.commit_to(held);
-            if let RaftRole::Leader(state) = &mut self.role {
-                state.is_dirty = true;
-            }
         }
     }
 
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Sends a member what it lacks, or just word of the commit and the round if `is_dirty`.
+    /// Sends a member what it lacks, or just word of the commit and the round.
     fn send_member(&mut self, node: &NodeId, progress: &mut PeerProgress, is_dirty: bool) {
         let may_send = progress.may_send(self.settings.max_inflight_entries);
         let lacks = progress.next <= self.log.last_index();
@@ -195,7 +195,8 @@
             return self.send_snapshot(node, progress, is_dirty);
         };
         let is_probing = progress.state == ProgressState::Probe { paused: false };
-        if !is_dirty && !(may_send && (lacks || is_probing)) {
+        let is_due = is_dirty || progress.lacks_commit(self.commit);
+        if !is_due && !(may_send && (lacks || is_probing)) {
             return;
         }
         let entries = match may_send {
@@ -203,7 +204,7 @@
             false => Vec::new(),
         };
         let prev_index = progress.next - 1;
-        progress.note_sent(prev_index + entries.len() as u64);
+        progress.note_sent(prev_index + entries.len() as u64, self.commit);
         self.send_append(node, (prev_index, prev_term), entries);
     }
 
@@ -290,10 +291,10 @@
     };
     let wants_vote =
         |(node, goal): &(&NodeId, &LearnerGoal)| **goal == LearnerGoal::Vote && has_caught_up(node);
-    let (learner, _) = members.learners.iter().find(wants_vote)?;
-    match members.rival_voter(learner) {
+    let next_for = |(learner, _): (&NodeId, &LearnerGoal)| match members.rival_voter(learner) {
         Some(rival) if rival == id => None,
         Some(rival) => members.with_change(&VoterChange::Remove(rival.clone())),
         None => Some(members.with_voter(learner)),
-    }
+    };
+    members.learners.iter().filter(wants_vote).find_map(next_for)
 }
