Made the check of the operators' text whole, with places

OperatorsText::parse stopped at the first fault and knew types only. It now lists all faults with line, column, problem and remedy: unknown keys with the nearest known one, missing keys, types, names, duplicates, dangling names, circles of dependencies, models and adapters that fit no engine, limits of 0, floors, ranks, time zones, path prefixes, grantors, roles of upstreams and services. Places come from toml's own spans.

Weighed: reading each entry by serde and mapping its error was ruled out, for serde stops at an entry's first fault; each section has a table of its keys instead. Checks of meaning run on well-formed entries, but names of faulty ones count as defined, so that one fault brings forth no others. Suggestions are made for the first 32 misspelt names only, since each compares with up to 5,000.

A property test found that TextDelta gave a wrong difference for some texts: old "\n\n# x\ny\n", new "# x\na\na\na\n# x\ny\n". The diff library places common runs exactly, but not what it calls inserted or deleted; hunks are now the gaps between common runs. Lines are cut at line feeds on both sides; a lone carriage return was a line end on one side only.

OperatorsText::read_accepted reads a text without the check.

The bodies of wheel_peer may have 8 MiB now, for a text may have 4.

--- a/crates/wheel_peer/src/peer_limits.rs
+++ b/crates/wheel_peer/src/peer_limits.rs
@@ -43,7 +43,7 @@
 impl Default for PeerLimits {
     fn default() -> Self {
         Self {
-            max_body: 4 << 20,
+            max_body: 8 << 20,
             max_accepted: 256,
             max_peers: 256,
             max_calls_per_peer: 256,
--- /dev/null
+++ b/crates/wheel_text/src/fault_list.rs
@@ -0,0 +1,95 @@
+//! The faults that a check has found so far.
+
+use std::ops::Range;
+
+use crate::TextFault;
+use crate::near_name::near_name;
+
+/// Most faults that one check lists; a last one tells that there are more.
+pub const MAX_FAULTS: usize = 1_000;
+
+/// Most misspelt names of one check that are compared with the known ones.
+const MAX_SUGGESTIONS: usize = 32;
+
+/// Collects faults by byte offset and gives them back by line and column.
+pub(crate) struct FaultList<'a> {
+    source: &'a str,
+    line_starts: Vec<usize>,
+    faults: Vec<PlacedFault>,
+    more: bool,
+    suggestions: usize,
+}
+
+/// A fault whose line and column aren't worked out yet.
+struct PlacedFault {
+    offset: usize,
+    problem: String,
+    remedy: String,
+}
+
+impl<'a> FaultList<'a> {
+    pub(crate) fn new(source: &'a str) -> Self {
+        let newlines = source.match_indices('\n').map(|(offset, _)| offset + 1);
+        let line_starts = std::iter::once(0).chain(newlines).collect();
+        Self { source, line_starts, faults: Vec::new(), more: false, suggestions: 0 }
+    }
+
+    /// Adds a fault at the start of `span`.
+    pub(crate) fn add(
+        &mut self,
+        span: Range<usize>,
+        problem: impl Into<String>,
+        remedy: impl Into<String>,
+    ) {
+        if self.faults.len() == MAX_FAULTS {
+            self.more = true;
+            return;
+        }
+        let (problem, remedy) = (problem.into(), remedy.into());
+        self.faults.push(PlacedFault { offset: span.start, problem, remedy });
+    }
+
+    /// How to mend a name that isn't known: by the one that was probably meant, or by `otherwise`.
+    pub(crate) fn suggest<'n>(
+        &mut self,
+        name: &str,
+        known: impl IntoIterator<Item = &'n str>,
+        otherwise: impl Into<String>,
+    ) -> String {
+        self.suggestions += 1;
+        let near = match self.suggestions {
+            0..=MAX_SUGGESTIONS => near_name(name, known),
+            _ => None,
+        };
+        near.map_or_else(|| otherwise.into(), |near| format!("write `{near}` if that is meant"))
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.faults.is_empty()
+    }
+
+    /// The faults in the order of the text.
+    pub(crate) fn finish(mut self) -> Vec<TextFault> {
+        self.faults.sort_by_key(|fault| fault.offset);
+        let mut faults: Vec<_> = self.faults.iter().map(|fault| self.locate(fault)).collect();
+        if self.more {
+            let line = self.line_starts.len();
+            let problem = format!("more than {MAX_FAULTS} faults");
+            let remedy = "mend the listed ones and check again".to_owned();
+            faults.push(TextFault { line, column: 1, problem, remedy });
+        }
+        faults
+    }
+
+    fn locate(&self, fault: &PlacedFault) -> TextFault {
+        let line = self.line_starts.partition_point(|start| *start <= fault.offset);
+        let start = self.line_starts[line - 1];
+        let before = self.source.get(start..fault.offset).unwrap_or_default();
+        TextFault {
+            line,
+            column: before.chars().count() + 1,
+            problem: fault.problem.clone(),
+            remedy: fault.remedy.clone(),
+        }
+    }
+}
--- a/crates/wheel_text/src/lib.rs
+++ b/crates/wheel_text/src/lib.rs
@@ -1,34 +1,52 @@
 //! The operators' text: parsed, checked and compared.
 //!
-//! [`OperatorsText`] is the checked form that everything else reads; [`TextDelta`] is how a new
-//! revision travels to the instances.
+//! [`OperatorsText`] is the checked form that everything else reads, and [`TextIndex`] finds what it
+//! names; a text with faults gives a [`TextFault`] for each. [`TextDelta`] is how a new revision
+//! travels to the instances.
 
 mod adapter_spec;
 mod caller_identity;
 mod caller_spec;
 mod centre_spec;
+mod cycle_check;
+mod fault_list;
+mod field_rule;
+mod fit_check;
+mod limit_check;
 mod link_spec;
 mod model_spec;
+mod name_check;
+mod near_name;
 mod operators_text;
+mod path_check;
+mod placed_entry;
+mod placed_text;
 mod rank_spec;
+mod role_check;
 mod service_spec;
+mod shape_check;
 mod store_limits;
 mod text_delta;
 mod text_fault;
 mod text_hash;
+mod text_index;
 mod upstream_spec;
 
 pub use adapter_spec::AdapterSpec;
 pub use caller_identity::CallerIdentity;
 pub use caller_spec::CallerSpec;
 pub use centre_spec::CentreSpec;
+pub use fault_list::MAX_FAULTS;
+pub use limit_check::MAX_GRANTORS;
 pub use link_spec::LinkSpec;
 pub use model_spec::ModelSpec;
-pub use operators_text::OperatorsText;
+pub use operators_text::{MAX_TEXT_BYTES, OperatorsText};
 pub use rank_spec::RankSpec;
 pub use service_spec::ServiceSpec;
+pub use shape_check::MAX_NAME_BYTES;
 pub use store_limits::StoreLimits;
 pub use text_delta::{DeltaError, DeltaHunk, TextDelta};
 pub use text_fault::TextFault;
 pub use text_hash::TextHash;
+pub use text_index::TextIndex;
 pub use upstream_spec::{UpstreamKind, UpstreamSpec};
--- a/crates/wheel_text/src/text_delta.rs
+++ b/crates/wheel_text/src/text_delta.rs
@@ -50,14 +50,26 @@
 impl TextDelta {
     /// Finds a short delta from `old` to `new`.
     pub fn between(old: &str, new: &str) -> Self {
-        let diff = TextDiff::configure().algorithm(Algorithm::Patience).diff_lines(old, new);
-        let hunks = diff.ops().iter().filter(|op| !matches!(op, DiffOp::Equal { .. }));
-        let make_hunk = |op: &DiffOp| DeltaHunk {
-            start: op.old_range().start as u32,
-            removed: op.old_range().len() as u32,
-            added: diff.new_slices()[op.new_range()].concat(),
-        };
-        Self { hunks: hunks.map(make_hunk).collect() }
+        let old: Vec<&str> = split_lines(old).collect();
+        let new: Vec<&str> = split_lines(new).collect();
+        let diff = TextDiff::configure().algorithm(Algorithm::Patience).diff_slices(&old, &new);
+        let mut hunks = Vec::new();
+        let (mut next_old, mut next_new) = (0, 0);
+        // Only what the texts have in common is placed exactly on both sides; hunks lie between.
+        let end = DiffOp::Equal { old_index: old.len(), new_index: new.len(), len: 0 };
+        let common = diff.ops().iter().chain([&end]);
+        for op in common.filter(|op| matches!(op, DiffOp::Equal { .. })) {
+            let (old_range, new_range) = (op.old_range(), op.new_range());
+            if next_old < old_range.start || next_new < new_range.start {
+                hunks.push(DeltaHunk {
+                    start: next_old as u32,
+                    removed: (old_range.start - next_old) as u32,
+                    added: new[next_new..new_range.start].concat(),
+                });
+            }
+            (next_old, next_new) = (old_range.end, new_range.end);
+        }
+        Self { hunks }
     }
 
     /// Applies the delta to the text that it was made from.
@@ -65,7 +77,7 @@
     /// # Errors
     /// [`DeltaError`] if `old` is shorter than a place that the delta names.
     pub fn apply_to(&self, old: &str) -> Result<String, DeltaError> {
-        let lines: Vec<&str> = old.split_inclusive('\n').collect();
+        let lines: Vec<&str> = split_lines(old).collect();
         let mut text = String::with_capacity(old.len());
         let mut next = 0;
         for hunk in &self.hunks {
@@ -80,3 +92,8 @@
         Ok(text)
     }
 }
+
+/// Lines end with a line feed only, whatever stands before it.
+fn split_lines(text: &str) -> impl Iterator<Item = &str> {
+    text.split_inclusive('\n')
+}
--- a/crates/wheel_text/src/text_fault.rs
+++ b/crates/wheel_text/src/text_fault.rs
@@ -27,12 +27,6 @@
             remedy: remedy.to_owned(),
         }
     }
-
-    /// Takes over a syntax or type error of the TOML library.
-    pub(crate) fn from_toml(source: &str, error: &toml::de::Error) -> Self {
-        let offset = error.span().map_or(0, |span| span.start);
-        Self::at(source, offset, error.message(), "correct the TOML at this place")
-    }
 }
 
 impl fmt::Display for TextFault {
--- /dev/null
+++ b/crates/wheel_text/src/text_index.rs
@@ -0,0 +1,202 @@
+//! Look-ups in one revision of the text.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::sync::Arc;
+
+use wheel_types::{
+    AdapterName, CallerName, CentreName, ModelName, RequestRank, ServiceName, UpstreamName,
+};
+
+use crate::path_check::MAX_PREFIX_BYTES;
+use crate::{
+    AdapterSpec, CallerSpec, CentreSpec, LinkSpec, ModelSpec, OperatorsText, RankSpec, ServiceSpec,
+    UpstreamSpec,
+};
+
+/// Finds what a checked [`OperatorsText`] names, each in the time of a hash look-up. Built once for
+/// each revision.
+///
+/// ```
+/// use wheel_text::{OperatorsText, TextIndex};
+///
+/// let text = r#"
+/// group = "demo"
+/// rank = [{ name = "question", deadline_ms = 1400 }]
+/// data_centre = [{ name = "north", region = "isan", grantors = ["a1"] }]
+/// "#;
+/// let index = TextIndex::new(OperatorsText::parse(text).unwrap());
+/// assert_eq!(index.rank("question").unwrap().index(), 0);
+/// assert!(index.model("no-such-model").is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct TextIndex {
+    text: Arc<OperatorsText>,
+    ranks: HashMap<String, u32>,
+    centres: HashMap<CentreName, u32>,
+    callers: HashMap<CallerName, u32>,
+    tokens: HashMap<String, u32>,
+    upstreams: HashMap<UpstreamName, u32>,
+    models: HashMap<ModelName, u32>,
+    adapters: HashMap<AdapterName, u32>,
+    services: HashMap<ServiceName, u32>,
+    prefixes: HashMap<String, u32>,
+    links: HashMap<[CentreName; 2], u32>,
+    centre_upstreams: HashMap<CentreName, Vec<u32>>,
+    service_upstreams: HashMap<ServiceName, Vec<u32>>,
+    model_adapters: HashMap<ModelName, Vec<u32>>,
+    model_services: HashMap<ModelName, Vec<u32>>,
+}
+
+impl TextIndex {
+    /// Indexes a checked text.
+    pub fn new(text: impl Into<Arc<OperatorsText>>) -> Self {
+        let text = text.into();
+        let upstreams = &text.upstreams;
+        let services = &text.services;
+        Self {
+            ranks: positions(text.ranks.iter().map(|spec| Some(&spec.name))),
+            centres: positions(text.centres.iter().map(|spec| Some(&spec.name))),
+            callers: positions(text.callers.iter().map(|spec| Some(&spec.name))),
+            tokens: positions(text.callers.iter().map(|spec| spec.token_hash.as_ref())),
+            upstreams: positions(upstreams.iter().map(|spec| Some(&spec.name))),
+            models: positions(text.models.iter().map(|spec| Some(&spec.name))),
+            adapters: positions(text.adapters.iter().map(|spec| Some(&spec.name))),
+            services: positions(services.iter().map(|spec| Some(&spec.name))),
+            prefixes: positions(services.iter().map(|spec| spec.path_prefix.as_ref())),
+            links: positions(text.links.iter().map(|spec| Some(&spec.between))),
+            centre_upstreams: groups(upstreams.iter().map(|spec| [&spec.data_centre])),
+            service_upstreams: groups(upstreams.iter().map(|spec| &spec.services)),
+            model_adapters: groups(text.adapters.iter().map(|spec| [&spec.model])),
+            model_services: groups(services.iter().map(|spec| &spec.models)),
+            text,
+        }
+    }
+
+    /// The text.
+    pub fn text(&self) -> &Arc<OperatorsText> {
+        &self.text
+    }
+
+    /// The rank of a name.
+    pub fn rank(&self, name: &str) -> Option<RequestRank> {
+        let position = *self.ranks.get(name)?;
+        u8::try_from(position).ok().map(RequestRank)
+    }
+
+    /// What the text says of a rank.
+    pub fn rank_spec(&self, rank: RequestRank) -> Option<&RankSpec> {
+        self.text.ranks.get(rank.index())
+    }
+
+    /// The data centre of a name.
+    pub fn centre(&self, name: &str) -> Option<&CentreSpec> {
+        pick(&self.text.centres, self.centres.get(name))
+    }
+
+    /// The caller of a name.
+    pub fn caller(&self, name: &str) -> Option<&CallerSpec> {
+        pick(&self.text.callers, self.callers.get(name))
+    }
+
+    /// The caller whose token has this BLAKE3 hash, in hexadecimal.
+    pub fn caller_of_token(&self, token_hash: &str) -> Option<&CallerSpec> {
+        pick(&self.text.callers, self.tokens.get(token_hash))
+    }
+
+    /// The upstream of a name.
+    pub fn upstream(&self, name: &str) -> Option<&UpstreamSpec> {
+        pick(&self.text.upstreams, self.upstreams.get(name))
+    }
+
+    /// The upstreams of a data centre, in the order of the text.
+    pub fn upstreams_in(&self, centre: &str) -> impl Iterator<Item = &UpstreamSpec> {
+        pick_all(&self.text.upstreams, self.centre_upstreams.get(centre))
+    }
+
+    /// The upstreams that answer a plain service, in the order of the text.
+    pub fn upstreams_of(&self, service: &str) -> impl Iterator<Item = &UpstreamSpec> {
+        pick_all(&self.text.upstreams, self.service_upstreams.get(service))
+    }
+
+    /// The model of a name.
+    pub fn model(&self, name: &str) -> Option<&ModelSpec> {
+        pick(&self.text.models, self.models.get(name))
+    }
+
+    /// The models that a service answers with, in the order of its list.
+    pub fn models_of(&self, service: &str) -> impl Iterator<Item = &ModelSpec> {
+        let models = self.service(service).into_iter().flat_map(|spec| &spec.models);
+        models.filter_map(|name| self.model(name.as_str()))
+    }
+
+    /// The adapter that callers name as `MODEL:ADAPTER`.
+    pub fn adapter(&self, full_name: &str) -> Option<&AdapterSpec> {
+        let (model, adapter) = full_name.split_once(':')?;
+        let spec = pick(&self.text.adapters, self.adapters.get(adapter))?;
+        (spec.model.as_str() == model).then_some(spec)
+    }
+
+    /// The adapters of a model, in the order of the text.
+    pub fn adapters_of(&self, model: &str) -> impl Iterator<Item = &AdapterSpec> {
+        pick_all(&self.text.adapters, self.model_adapters.get(model))
+    }
+
+    /// The service of a name.
+    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        pick(&self.text.services, self.services.get(name))
+    }
+
+    /// The services that answer with a model, in the order of the text.
+    pub fn services_of(&self, model: &str) -> impl Iterator<Item = &ServiceSpec> {
+        pick_all(&self.text.services, self.model_services.get(model))
+    }
+
+    /// The plain service whose prefix is the longest that a path begins with, by whole names
+    /// between slashes. The path comes without its query.
+    pub fn service_at(&self, path: &str) -> Option<&ServiceSpec> {
+        let end = path.floor_char_boundary(MAX_PREFIX_BYTES + 1);
+        let cuts = path[..end].rmatch_indices('/').map(|(cut, _)| &path[..cut]);
+        let mut prefixes = std::iter::once(path).chain(cuts);
+        let position = prefixes.find_map(|prefix| self.prefixes.get(prefix));
+        pick(&self.text.services, position)
+    }
+
+    /// The link between two data centres, with the default's figures if the text has none.
+    pub fn link(&self, one: &CentreName, other: &CentreName) -> LinkSpec {
+        let between = [one.clone(), other.clone()];
+        let turned = [other.clone(), one.clone()];
+        let position = self.links.get(&between).or_else(|| self.links.get(&turned));
+        let default = || LinkSpec { between, ..LinkSpec::default() };
+        pick(&self.text.links, position).cloned().unwrap_or_else(default)
+    }
+}
+
+/// The position of each name; entries without one are left out.
+fn positions<'a, K: Clone + Eq + Hash + 'a>(
+    names: impl Iterator<Item = Option<&'a K>>,
+) -> HashMap<K, u32> {
+    let named = (0..).zip(names).filter_map(|(position, name)| Some((name?.clone(), position)));
+    named.collect()
+}
+
+/// The positions of the entries that list each name.
+fn groups<'a, K: Clone + Eq + Hash + 'a, L: IntoIterator<Item = &'a K>>(
+    lists: impl Iterator<Item = L>,
+) -> HashMap<K, Vec<u32>> {
+    let mut groups: HashMap<K, Vec<u32>> = HashMap::new();
+    for (position, list) in (0..).zip(lists) {
+        for name in list {
+            groups.entry(name.clone()).or_default().push(position);
+        }
+    }
+    groups
+}
+
+fn pick<'a, T>(specs: &'a [T], position: Option<&u32>) -> Option<&'a T> {
+    specs.get(*position? as usize)
+}
+
+fn pick_all<'a, T>(specs: &'a [T], positions: Option<&'a Vec<u32>>) -> impl Iterator<Item = &'a T> {
+    positions.into_iter().flatten().filter_map(|position| pick(specs, Some(position)))
+}
--- /dev/null
+++ b/crates/wheel_text/tests/bad_texts.rs
@@ -0,0 +1,21 @@
+//! Texts with faults: beside each `NAME.toml` stands `NAME.faults`, one fault a line.
+
+use std::path::Path;
+
+use wheel_text::OperatorsText;
+
+fn parse_bad_text(path: &Path) -> datatest_stable::Result<()> {
+    let source = std::fs::read_to_string(path)?;
+    let expected = std::fs::read_to_string(path.with_extension("faults"))?;
+    let faults = OperatorsText::parse(&source).err().ok_or("the text passed")?;
+    let found: String = faults.iter().map(|fault| format!("{fault}\n")).collect();
+    if found == expected {
+        Ok(())
+    } else {
+        Err(format!("expected:\n{expected}found:\n{found}").into())
+    }
+}
+
+datatest_stable::harness! {
+    { test = parse_bad_text, root = "tests/bad", pattern = r"\.toml$" },
+}
--- /dev/null
+++ b/crates/wheel_text/tests/operators_text.rs
@@ -0,0 +1,64 @@
+//! Good texts, and faults that don't depend on one small text.
+
+use wheel_text::{MAX_FAULTS, MAX_TEXT_BYTES, OperatorsText, UpstreamKind};
+
+const SRISAWAT: &str = include_str!("../../../examples/srisawat.toml");
+const ROTA: &str = include_str!("../../../examples/rota.toml");
+
+fn count_upstreams(text: &OperatorsText, kind: UpstreamKind) -> usize {
+    text.upstreams.iter().filter(|spec| spec.kind == kind).count()
+}
+
+#[test]
+fn parse_srisawat_has_its_sizes() {
+    let text = OperatorsText::parse(SRISAWAT).unwrap();
+    let sizes = [text.centres.len(), text.models.len(), text.adapters.len(), text.ranks.len()];
+    assert_eq!(sizes, [3, 105, 95, 3]);
+    assert_eq!(count_upstreams(&text, UpstreamKind::Engine), 18);
+    assert_eq!(count_upstreams(&text, UpstreamKind::Service), 3);
+    assert_eq!((text.store.loads_per_second, text.store.full_speed_loads), (10.0, 4));
+}
+
+#[test]
+fn parse_rota_has_its_sizes() {
+    let text = OperatorsText::parse(ROTA).unwrap();
+    let sizes = [text.centres.len(), text.models.len(), text.adapters.len(), text.ranks.len()];
+    assert_eq!(sizes, [3, 65, 75, 3]);
+    assert_eq!(count_upstreams(&text, UpstreamKind::Engine), 12);
+    assert_eq!(count_upstreams(&text, UpstreamKind::Service), 3);
+    assert!(text.services.iter().all(|spec| spec.time_zone == "Europe/Lisbon"));
+    assert_eq!(text.store.loads_per_second, 3.5);
+}
+
+#[test]
+fn parse_windows_line_ends_gives_the_same_text() {
+    let windows = ROTA.replace('\n', "\r\n");
+    assert_eq!(OperatorsText::parse(&windows), OperatorsText::parse(ROTA));
+}
+
+#[test]
+fn read_accepted_gives_what_the_check_gave() {
+    for source in [SRISAWAT, ROTA] {
+        assert_eq!(OperatorsText::read_accepted(source).ok(), OperatorsText::parse(source).ok());
+    }
+    let fault = OperatorsText::read_accepted("group = \"g\"\nrank = 7\n").unwrap_err();
+    assert_eq!((fault.line, fault.column), (2, 8));
+}
+
+#[test]
+fn parse_oversized_text_refused() {
+    let long = format!("{ROTA}#{}", " ".repeat(MAX_TEXT_BYTES));
+    let faults = OperatorsText::parse(&long).unwrap_err();
+    assert_eq!(faults.len(), 1);
+    assert!(faults[0].problem.contains("bytes"), "{}", faults[0]);
+    let longest = format!("{ROTA}#{}", " ".repeat(MAX_TEXT_BYTES - ROTA.len() - 1));
+    assert!(OperatorsText::parse(&longest).is_ok());
+}
+
+#[test]
+fn parse_countless_faults_lists_the_first_ones() {
+    let callers = "[[caller]]\nname = \"desk\"\nwieght = 0\n".repeat(2 * MAX_FAULTS);
+    let faults = OperatorsText::parse(&callers).unwrap_err();
+    assert_eq!(faults.len(), MAX_FAULTS + 1);
+    assert!(faults[MAX_FAULTS].problem.starts_with("more than"), "{}", faults[MAX_FAULTS]);
+}
