--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -382,7 +382,7 @@
 }
 
 fn owns_upstream(parts: &DaemonParts, text: &ServingText, name: &UpstreamName) -> bool {
-    let spec = text.upstream(name.as_str());
+    let spec = text.index.upstream(name.as_str());
     spec.is_some_and(|spec| parts.book.owns(&spec.data_centre, name))
 }
 
--- a/crates/wheel_director/src/engine_clients.rs
+++ b/crates/wheel_director/src/engine_clients.rs
@@ -17,7 +17,7 @@
 impl EngineClients {
     /// Takes over a text; clients of unchanged engines keep their connections.
     pub(crate) fn follow(&mut self, settings: &DirectorSettings, text: &ServingText) {
-        self.clients.retain(|name, (spec, _)| text.upstream(name.as_str()) == Some(spec));
+        self.clients.retain(|name, (spec, _)| text.index.upstream(name.as_str()) == Some(spec));
         for spec in engines_of(&settings.centre, text) {
             self.clients.entry(spec.name.clone()).or_insert_with(|| {
                 let engine = EngineSettings::new(spec.name.clone(), spec.address)
--- a/crates/wheel_director/src/placement_round.rs
+++ b/crates/wheel_director/src/placement_round.rs
@@ -229,7 +229,7 @@
             .accounts()
             .filter(|account| account.listed && !account.settled && account.fenced.is_none())
             .filter(|account| account.entry.fencing == FencingMode::Enforces)
-            .filter(|account| text.upstream(account.entry.upstream.as_str()).is_some())
+            .filter(|account| text.index.upstream(account.entry.upstream.as_str()).is_some())
             .map(|account| account.entry.upstream.clone())
             .collect();
         for upstream in unsettled {
@@ -331,7 +331,7 @@
 /// Replicas of the step's model that the text allows in one data centre. While a version is rolled
 /// over, the old and the new replica stand side by side.
 fn replica_limits(text: &ServingText, action: &PlacementAction) -> OrderLimits {
-    let spec = text.model(action.model().as_str());
+    let spec = text.index.model(action.model().as_str());
     OrderLimits { replicas: spec.map_or(0, |spec| spec.max_replicas as usize) }
 }
 
--- a/crates/wheel_entry/src/caller_resolver.rs
+++ b/crates/wheel_entry/src/caller_resolver.rs
@@ -44,7 +44,8 @@
                 let value = headers.get(name).and_then(|value| value.to_str().ok());
                 let value =
                     value.ok_or_else(|| refused("the header that names the caller is missing"))?;
-                let spec = self.text.caller(value).ok_or_else(|| refused("unknown caller"))?;
+                let spec =
+                    self.text.index.caller(value).ok_or_else(|| refused("unknown caller"))?;
                 Ok(spec.name.clone())
             }
             CallerIdentity::Bearer => {
@@ -52,12 +53,9 @@
                 let value = value.and_then(|value| value.to_str().ok());
                 let token = value.and_then(|value| value.strip_prefix("Bearer "));
                 let token = token.ok_or_else(|| refused("the bearer token is missing"))?;
-                let hash = blake3::hash(token.as_bytes());
-                let spec = self.text.text.callers.iter().find(|caller| {
-                    let wanted = caller.token_hash.as_deref().unwrap_or_default();
-                    // `Hash` compares in constant time.
-                    blake3::Hash::from_hex(wanted).is_ok_and(|wanted| wanted == hash)
-                });
+                // Looked up by hash: the time says nothing of the token itself.
+                let hash = blake3::hash(token.as_bytes()).to_hex();
+                let spec = self.text.index.caller_of_token(&hash);
                 Ok(spec.ok_or_else(|| refused("unknown bearer token"))?.name.clone())
             }
         }
@@ -69,20 +67,17 @@
             let message = format!("the body isn't a generation request: {error}");
             RequestRefusal::new(RefusalCode::BadRequest, message)
         })?;
+        let index = &self.text.index;
         let unknown = || {
             let message = format!("no model is named {:?}", body.model);
             RequestRefusal::new(RefusalCode::NotFound, message)
         };
-        let (model, adapter) = match body.model.split_once(ADAPTER_SEPARATOR) {
-            Some((model, adapter)) => (model, Some(adapter)),
-            None => (body.model.as_str(), None),
-        };
-        let spec = self.text.model(model).ok_or_else(unknown)?;
-        let adapter = match adapter.map(|name| self.text.adapter(name)) {
+        let model = body.model.split_once(ADAPTER_SEPARATOR).map(|(model, _)| model);
+        let adapter = match model {
             None => None,
-            Some(Some(adapter)) if adapter.model == spec.name => Some(adapter.name.clone()),
-            Some(_) => return Err(unknown()),
+            Some(_) => Some(index.adapter(&body.model).ok_or_else(unknown)?.name.clone()),
         };
+        let spec = index.model(model.unwrap_or(&body.model)).ok_or_else(unknown)?;
         Ok(ResolvedModel { model: spec.name.clone(), adapter, stream: body.stream })
     }
 
@@ -93,14 +88,14 @@
         caller: &CallerName,
         wanted: &ResolvedModel,
     ) -> Result<&'a ServiceSpec, RequestRefusal> {
-        let text = self.text;
+        let index = &self.text.index;
         let found = match &wanted.adapter {
             Some(adapter) => {
-                text.services_of_adapter(adapter.as_str()).find(|service| may_use(service, caller))
+                index.services_of_adapter(adapter.as_str()).find(|service| may_use(service, caller))
+            }
+            None => {
+                index.services_of(wanted.model.as_str()).find(|service| may_use(service, caller))
             }
-            None => text
-                .services_of_model(wanted.model.as_str())
-                .find(|service| may_use(service, caller)),
         };
         found.ok_or_else(|| {
             let message = format!("caller {caller} may not use model {}", wanted.model);
@@ -114,7 +109,7 @@
         caller: &CallerName,
         path: &str,
     ) -> Result<&'a ServiceSpec, RequestRefusal> {
-        let spec = self.text.service_at_path(path).ok_or_else(|| {
+        let spec = self.text.index.service_at(path).ok_or_else(|| {
             RequestRefusal::new(RefusalCode::NotFound, format!("no service is at {path:?}"))
         })?;
         match may_use(spec, caller) {
@@ -133,7 +128,10 @@
         headers: &HeaderMap,
         arrival: Instant,
     ) -> Result<ResolvedService<'a>, RequestRefusal> {
-        let (rank, rank_spec) = self.text.rank(&spec.rank).ok_or_else(|| {
+        let index = &self.text.index;
+        let rank = index.rank(&spec.rank);
+        let found = rank.and_then(|rank| Some((rank, index.rank_spec(rank)?)));
+        let (rank, rank_spec) = found.ok_or_else(|| {
             let message = format!("service {} names an unknown rank", spec.name);
             RequestRefusal::new(RefusalCode::Unavailable, message)
         })?;
--- a/crates/wheel_entry/src/caller_service.rs
+++ b/crates/wheel_entry/src/caller_service.rs
@@ -219,7 +219,8 @@
 
 fn list_models(text: &ServingText, caller: &CallerName) -> CallerAnswer {
     let usable = |model: &&wheel_text::ModelSpec| {
-        text.services_of_model(model.name.as_str())
+        text.index
+            .services_of(model.name.as_str())
             .any(|service| service.callers.is_empty() || service.callers.contains(caller))
     };
     let models: Vec<_> = text
--- a/crates/wheel_serving/src/replica_directory.rs
+++ b/crates/wheel_serving/src/replica_directory.rs
@@ -79,7 +79,7 @@
         let gone: Vec<UpstreamName> = state
             .reports
             .keys()
-            .filter(|name| text.upstream(name.as_str()).is_none())
+            .filter(|name| text.index.upstream(name.as_str()).is_none())
             .cloned()
             .collect();
         gone.iter().for_each(|name| state.forget(name));
--- a/crates/wheel_serving/src/serving_path.rs
+++ b/crates/wheel_serving/src/serving_path.rs
@@ -159,14 +159,14 @@
 
     fn load_time(&self, model: &ModelName) -> Duration {
         let text = self.parts.source.current();
-        let spec = text.as_ref().and_then(|text| text.model(model.as_str()));
+        let spec = text.as_ref().and_then(|text| text.index.model(model.as_str()));
         Duration::from_millis(spec.map_or(MIN_RETRY_MS, |spec| spec.load_ms.max(MIN_RETRY_MS)))
     }
 
     /// The caller's weight in the text in force.
     pub(crate) fn weight(&self, request: &CallerRequest) -> u32 {
         let text = self.parts.source.current();
-        let spec = text.as_ref().and_then(|text| text.caller(request.caller.as_str()));
+        let spec = text.as_ref().and_then(|text| text.index.caller(request.caller.as_str()));
         spec.map_or(1, |spec| spec.weight)
     }
 
--- a/crates/wheel_text/src/text_index.rs
+++ b/crates/wheel_text/src/text_index.rs
@@ -46,6 +46,7 @@
     service_upstreams: HashMap<ServiceName, Vec<u32>>,
     model_adapters: HashMap<ModelName, Vec<u32>>,
     model_services: HashMap<ModelName, Vec<u32>>,
+    adapter_services: HashMap<AdapterName, Vec<u32>>,
 }
 
 impl TextIndex {
@@ -69,6 +70,7 @@
             service_upstreams: groups(upstreams.iter().map(|spec| &spec.services)),
             model_adapters: groups(text.adapters.iter().map(|spec| [&spec.model])),
             model_services: groups(services.iter().map(|spec| &spec.models)),
+            adapter_services: groups(services.iter().map(|spec| &spec.adapters)),
             text,
         }
     }
@@ -152,6 +154,11 @@
         pick_all(&self.text.services, self.model_services.get(model))
     }
 
+    /// The services that answer with an adapter, in the order of the text.
+    pub fn services_of_adapter(&self, adapter: &str) -> impl Iterator<Item = &ServiceSpec> {
+        pick_all(&self.text.services, self.adapter_services.get(adapter))
+    }
+
     /// The plain service whose prefix is the longest that a path begins with, by whole names
     /// between slashes. The path comes without its query.
     pub fn service_at(&self, path: &str) -> Option<&ServiceSpec> {
