--- a/crates/wheel_agreement/src/peer_progress.rs
+++ b/crates/wheel_agreement/src/peer_progress.rs
@@ -13,10 +13,37 @@
     /// Entries are sent before earlier ones are confirmed.
     Replicate,
     /// A snapshot is on its way.
-    Snapshot {
-        /// Heartbeats left until it is sent again.
-        heartbeats_left: u32,
-    },
+    Snapshot(SnapshotProgress),
+}
+
+/// How much of a snapshot a member has.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct SnapshotProgress {
+    /// The snapshot's last entry.
+    pub(crate) index: u64,
+    /// Where the next part begins.
+    pub(crate) offset: u64,
+    /// Whether that part is to be sent.
+    pub(crate) is_due: bool,
+    /// Heartbeats left until it is sent again.
+    heartbeats_left: u32,
+}
+
+impl SnapshotProgress {
+    pub(crate) fn open(index: u64) -> Self {
+        Self { index, offset: 0, is_due: true, heartbeats_left: CHUNK_RETRY_HEARTBEATS }
+    }
+
+    /// Notes that the part was sent.
+    pub(crate) fn note_sent(&mut self) {
+        self.is_due = false;
+        self.heartbeats_left = CHUNK_RETRY_HEARTBEATS;
+    }
+
+    fn note_heartbeat(&mut self) {
+        self.heartbeats_left = self.heartbeats_left.saturating_sub(1);
+        self.is_due |= self.heartbeats_left == 0;
+    }
 }
 
 /// What a member holds, as far as its replies tell.
@@ -37,8 +64,8 @@
     pub(crate) silence: Duration,
 }
 
-/// Heartbeats until a snapshot that wasn't confirmed is sent again.
-const SNAPSHOT_RETRY_HEARTBEATS: u32 = 20;
+/// Heartbeats until a part of a snapshot that wasn't confirmed is sent again.
+const CHUNK_RETRY_HEARTBEATS: u32 = 8;
 
 impl PeerProgress {
     pub(crate) fn open(last_index: u64) -> Self {
@@ -58,7 +85,7 @@
         match self.state {
             ProgressState::Probe { paused } => !paused,
             ProgressState::Replicate => self.next <= self.matched + max_inflight,
-            ProgressState::Snapshot { .. } => false,
+            ProgressState::Snapshot(_) => false,
         }
     }
 
@@ -73,26 +100,28 @@
         match self.state {
             ProgressState::Probe { .. } => self.state = ProgressState::Probe { paused: true },
             ProgressState::Replicate => self.next = self.next.max(last + 1),
-            ProgressState::Snapshot { .. } => {}
+            ProgressState::Snapshot(_) => {}
         }
     }
 
-    /// Notes that a snapshot was sent.
-    pub(crate) fn note_snapshot(&mut self) {
-        self.state = ProgressState::Snapshot { heartbeats_left: SNAPSHOT_RETRY_HEARTBEATS };
+    /// Notes that a part of the snapshot `index` has arrived; the next begins at `offset`.
+    pub(crate) fn note_received(&mut self, index: u64, offset: u64) {
+        if let ProgressState::Snapshot(snapshot) = &mut self.state
+            && snapshot.index == index
+            && snapshot.offset != offset
+        {
+            snapshot.offset = offset;
+            snapshot.is_due = true;
+        }
     }
 
     /// Notes a heartbeat, after which a lost message is sent again.
     pub(crate) fn note_heartbeat(&mut self) {
-        self.state = match self.state {
-            ProgressState::Snapshot { heartbeats_left: 0 } | ProgressState::Probe { .. } => {
-                ProgressState::Probe { paused: false }
-            }
-            ProgressState::Snapshot { heartbeats_left } => {
-                ProgressState::Snapshot { heartbeats_left: heartbeats_left - 1 }
-            }
-            ProgressState::Replicate => ProgressState::Replicate,
-        };
+        match &mut self.state {
+            ProgressState::Probe { paused } => *paused = false,
+            ProgressState::Replicate => {}
+            ProgressState::Snapshot(snapshot) => snapshot.note_heartbeat(),
+        }
     }
 
     /// Notes that the member's log agrees up to `index`.
@@ -108,7 +137,7 @@
         let is_stale = match self.state {
             ProgressState::Probe { .. } => prev + 1 != self.next,
             ProgressState::Replicate => prev <= self.matched,
-            ProgressState::Snapshot { .. } => true,
+            ProgressState::Snapshot(_) => true,
         };
         if is_stale {
             return;
--- a/crates/wheel_agreement/src/raft_message.rs
+++ b/crates/wheel_agreement/src/raft_message.rs
@@ -1,9 +1,11 @@
 //! Messages between participants.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use wheel_types::InstanceName;
 
-use crate::{FolderIdentity, GroupId, LogEntry, RaftSnapshot};
+use crate::{FolderIdentity, GroupId, GroupMembers, LogEntry, SnapshotChunk};
 
 /// A message with what every one carries.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -38,10 +40,10 @@
         /// Its instance.
         instance: InstanceName,
     },
-    /// Hands the group's state to a member whose folder is empty.
+    /// Tells a member whose folder is empty to start in the sender's group, from the empty state.
     Welcome {
-        /// Where the member starts.
-        snapshot: RaftSnapshot,
+        /// The members.
+        members: Arc<GroupMembers>,
     },
     /// Asks whether a vote in the next term would be granted.
     PreVoteRequest {
@@ -82,8 +84,8 @@
     },
     /// Replaces a log that lacks entries which the leader no longer has.
     InstallSnapshot {
-        /// The leader's snapshot.
-        snapshot: RaftSnapshot,
+        /// A part of the leader's snapshot.
+        chunk: SnapshotChunk,
         /// The leader's newest round of confirmations for reads.
         round: u64,
     },
@@ -105,6 +107,13 @@
         /// That entry.
         index: u64,
     },
+    /// A part of a snapshot has arrived.
+    Received {
+        /// The snapshot's last entry.
+        index: u64,
+        /// Where the next part begins.
+        offset: u64,
+    },
     /// The log lacks the entry before the appended ones.
     Rejected {
         /// That entry.
--- a/crates/wheel_agreement/src/raft_node.rs
+++ b/crates/wheel_agreement/src/raft_node.rs
@@ -14,6 +14,7 @@
 use crate::raft_outbox::RaftOutbox;
 use crate::raft_role::{LeaderState, RaftRole};
 use crate::raft_timers::RaftTimers;
+use crate::snapshot_chunk::SnapshotAssembly;
 use crate::{
     EntryPayload, GroupId, GroupMembers, HardState, LogEntry, NodeId, PeerStatus, PersistRecord,
     ProposalRefusal, RaftBody, RaftInput, RaftMessage, RaftOutput, RaftSettings, RaftSnapshot,
@@ -34,6 +35,8 @@
     commit: u64,
     role: RaftRole,
     leader: Option<NodeId>,
+    /// A snapshot that is arriving.
+    assembly: Option<SnapshotAssembly>,
     timers: RaftTimers,
     outbox: RaftOutbox,
 }
@@ -54,6 +57,7 @@
             log: RaftLog::open(restored.snapshot, restored.entries),
             role: RaftRole::Follower,
             leader: None,
+            assembly: None,
             timers: RaftTimers::open(now, seed),
             outbox: RaftOutbox::default(),
         };
@@ -173,7 +177,9 @@
             RaftBody::Hello { configured } => self.answer_hello(from, &configured),
             RaftBody::Empty { configured } => self.note_empty(from, &configured),
             RaftBody::Leader { instance } => self.note_leader(instance),
-            RaftBody::Welcome { snapshot } if message.target == id.identity => self.join(snapshot),
+            RaftBody::Welcome { members } if message.target == id.identity => {
+                self.join(message.group, members);
+            }
             _ if self.is_joining() || message.group != self.group() => {}
             body => self.receive_in_group(from, message.term, body),
         }
@@ -208,9 +214,9 @@
                 self.follow(&from);
                 self.append(&from, (prev_index, prev_term), entries, commit, round);
             }
-            RaftBody::InstallSnapshot { snapshot, round } => {
+            RaftBody::InstallSnapshot { chunk, round } => {
                 self.follow(&from);
-                self.install(&from, snapshot, round);
+                self.install(&from, &chunk, round);
             }
             RaftBody::AppendReply { round, result } => self.note_reply(&from, round, result),
             _ => {}
--- a/crates/wheel_agreement/src/raft_node/joining.rs
+++ b/crates/wheel_agreement/src/raft_node/joining.rs
@@ -1,11 +1,13 @@
 //! Empty folders: how a group forms and takes them in.
 
+use std::sync::Arc;
+
 use wheel_types::InstanceName;
 
 use crate::raft_role::{LeaderState, RaftRole};
 use crate::{
-    EntryPayload, FolderIdentity, GroupId, GroupMembers, NodeId, PersistRecord, RaftBody, RaftNode,
-    RaftSnapshot, VoterChange,
+    EntryPayload, FolderIdentity, GroupId, GroupMembers, NodeId, RaftBody, RaftNode, RaftSnapshot,
+    VoterChange,
 };
 
 impl RaftNode {
@@ -57,11 +59,11 @@
         }
     }
 
-    /// Starts from the state of the group that took this folder in. Its sender vouches that this
-    /// folder is a member: the snapshot may be older than that.
-    pub(super) fn join(&mut self, snapshot: RaftSnapshot) {
-        if self.is_joining() {
-            self.start_in_group(snapshot);
+    /// Starts in the group that took this folder in. Its sender vouches that this folder is one of
+    /// the `members`, and that they are committed; the log or a snapshot follows.
+    pub(super) fn join(&mut self, group: GroupId, members: Arc<GroupMembers>) {
+        if self.is_joining() && group != GroupId::NONE {
+            self.start_in_group(group, members);
         }
     }
 
@@ -88,20 +90,17 @@
         };
         let group = GroupId::of_voters(voters.iter());
         let members = GroupMembers::of_voters(voters.iter().cloned());
-        let (index, members) = (RaftSnapshot::FIRST_INDEX, members.into());
-        let snapshot = RaftSnapshot { group, index, members, ..Default::default() };
-        self.start_in_group(snapshot);
+        self.start_in_group(group, members.into());
         voters.iter().filter(|voter| **voter != id).for_each(|voter| self.welcome(voter));
         self.start_pre_vote();
     }
 
-    fn start_in_group(&mut self, snapshot: RaftSnapshot) {
-        self.outbox.save(PersistRecord::Snapshot(snapshot.clone()));
-        self.commit = snapshot.index;
-        self.log.install(snapshot);
+    fn start_in_group(&mut self, group: GroupId, members: Arc<GroupMembers>) {
+        let index = RaftSnapshot::FIRST_INDEX;
+        let snapshot = RaftSnapshot { group, index, members, ..Default::default() };
         self.role = RaftRole::Follower;
         self.timers.draw_countdown(&self.settings);
-        self.push_restore();
+        self.replace_state(snapshot);
     }
 
     /// Whether a committed entry makes `node` a member. One that an entry makes so which is lost
@@ -112,15 +111,19 @@
             || is_settled && self.log.members().contains(node)
     }
 
-    /// Hands the state to a member whose folder is empty. A follower leaves that to its leader,
-    /// which may have a newer one.
+    /// Tells a member whose folder is empty to start. A follower leaves that to its leader, which
+    /// may know newer members.
     fn welcome(&mut self, member: &NodeId) {
         let knows_leader = self.leader.as_ref().is_some_and(|leader| *leader != self.settings.id);
         if knows_leader {
             return self.name_leader(member);
         }
-        let snapshot = self.log.snapshot().clone();
-        self.send(member, RaftBody::Welcome { snapshot });
+        let is_settled = self.log.members_index() <= self.commit;
+        let members = match is_settled {
+            true => self.members(),
+            false => Arc::clone(&self.log.snapshot().members),
+        };
+        self.send(member, RaftBody::Welcome { members });
     }
 
     fn name_leader(&mut self, to: &NodeId) {
--- a/crates/wheel_agreement/src/raft_node/leading.rs
+++ b/crates/wheel_agreement/src/raft_node/leading.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
-use crate::peer_progress::{PeerProgress, ProgressState};
+use crate::peer_progress::{PeerProgress, ProgressState, SnapshotProgress};
 use crate::raft_role::{LeaderState, PendingProposal, PendingRead, RaftRole};
 use crate::{
     AppendResult, EntryPayload, GroupMembers, LearnerGoal, LogEntry, NodeId, PersistRecord,
-    ProposalId, ProposalRefusal, RaftBody, RaftNode, RaftOutput, ReadId, VoterChange,
+    ProposalId, ProposalRefusal, RaftBody, RaftNode, RaftOutput, ReadId, SnapshotChunk,
+    VoterChange,
 };
 
 impl RaftNode {
@@ -96,6 +97,7 @@
         progress.round = progress.round.max(round);
         match result {
             AppendResult::Matched { index } => progress.note_matched(index),
+            AppendResult::Received { index, offset } => progress.note_received(index, offset),
             AppendResult::Rejected { prev_index, hint_index, hint_term } => {
                 let candidate = self.log.find_agreement(hint_index, hint_term);
                 progress.note_rejected(prev_index, candidate);
@@ -208,17 +210,23 @@
         self.send_append(node, (prev_index, prev_term), entries);
     }
 
+    /// Sends a member the next part of the snapshot if it is due, else just a heartbeat.
     fn send_snapshot(&mut self, node: &NodeId, progress: &mut PeerProgress, is_dirty: bool) {
         let snapshot = self.log.snapshot().clone();
-        if matches!(progress.state, ProgressState::Snapshot { .. }) {
-            if is_dirty {
-                self.send_append(node, (snapshot.index, snapshot.term), Vec::new());
-            }
-            return;
+        let mut sending = match progress.state {
+            ProgressState::Snapshot(sending) if sending.index == snapshot.index => sending,
+            _ => SnapshotProgress::open(snapshot.index),
+        };
+        if sending.is_due {
+            let max_bytes = self.settings.max_chunk_bytes;
+            let chunk = SnapshotChunk::of(&snapshot, sending.offset, max_bytes);
+            let round = self.round();
+            self.send(node, RaftBody::InstallSnapshot { chunk, round });
+            sending.note_sent();
+        } else if is_dirty {
+            self.send_append(node, (snapshot.index, snapshot.term), Vec::new());
         }
-        progress.note_snapshot();
-        let round = self.round();
-        self.send(node, RaftBody::InstallSnapshot { snapshot, round });
+        progress.state = ProgressState::Snapshot(sending);
     }
 
     fn send_append(&mut self, node: &NodeId, prev: (u64, u64), entries: Vec<LogEntry>) {
--- a/crates/wheel_agreement/src/raft_node/replication.rs
+++ b/crates/wheel_agreement/src/raft_node/replication.rs
@@ -1,9 +1,13 @@
 //! A follower's side of replication.
 
+use crate::snapshot_chunk::SnapshotAssembly;
 use crate::{
     AppendResult, LogEntry, NodeId, PersistRecord, RaftBody, RaftNode, RaftOutput, RaftSnapshot,
+    SnapshotChunk,
 };
 
+const MAX_STATE_BYTES: u64 = RaftSnapshot::MAX_BYTES as u64;
+
 impl RaftNode {
     /// Takes in a leader's entries after `prev`, an index and its term.
     pub(super) fn append(
@@ -36,15 +40,36 @@
         self.send(from, RaftBody::AppendReply { round, result });
     }
 
-    /// Replaces the state by the leader's, unless this one is as new.
-    pub(super) fn install(&mut self, from: &NodeId, snapshot: RaftSnapshot, round: u64) {
-        if snapshot.index > self.commit {
-            self.commit = snapshot.index;
-            self.outbox.save(PersistRecord::Snapshot(snapshot.clone()));
-            self.log.install(snapshot);
-            self.push_restore();
+    /// Takes in a part of the leader's snapshot, which replaces the state once it is whole, unless
+    /// the state is as new.
+    pub(super) fn install(&mut self, from: &NodeId, chunk: &SnapshotChunk, round: u64) {
+        let is_needed = chunk.index > self.commit && chunk.total <= MAX_STATE_BYTES;
+        let kept = self.assembly.take();
+        if !is_needed {
+            return self.confirm_append(from, self.commit, round);
+        }
+        let kept = kept.filter(|assembly| assembly.is_of(chunk));
+        let mut assembly = kept.unwrap_or_else(|| SnapshotAssembly::open(chunk));
+        match assembly.push(self.group(), chunk) {
+            Some(snapshot) => {
+                self.replace_state(snapshot);
+                self.confirm_append(from, self.commit, round);
+            }
+            None => {
+                let result =
+                    AppendResult::Received { index: chunk.index, offset: assembly.offset() };
+                self.assembly = Some(assembly);
+                self.send(from, RaftBody::AppendReply { round, result });
+            }
         }
-        self.confirm_append(from, self.commit, round);
+    }
+
+    /// Starts over from a snapshot.
+    pub(super) fn replace_state(&mut self, snapshot: RaftSnapshot) {
+        self.commit = snapshot.index;
+        self.outbox.save(PersistRecord::Snapshot(snapshot.clone()));
+        self.log.install(snapshot);
+        self.push_restore();
     }
 
     /// Hands entries up to `commit` to the state machine.
--- a/crates/wheel_agreement/src/raft_settings.rs
+++ b/crates/wheel_agreement/src/raft_settings.rs
@@ -23,6 +23,8 @@
     pub replace_after: Duration,
     /// The most bytes of entries in a message, unless one entry is larger.
     pub max_append_bytes: usize,
+    /// The most bytes of a snapshot in a message.
+    pub max_chunk_bytes: usize,
     /// The most entries sent to a participant before it confirms any.
     pub max_inflight_entries: u64,
     /// The most proposals, and the most reads, that wait at the leader; more are refused.
@@ -49,6 +51,7 @@
             election_timeout_max: Duration::from_millis(1_400),
             replace_after: Duration::from_secs(10),
             max_append_bytes: 256 << 10,
+            max_chunk_bytes: 1 << 20,
             max_inflight_entries: 1_024,
             max_pending: 4_096,
             max_pending_bytes: 8 << 20,
--- a/crates/wheel_agreement/src/raft_snapshot.rs
+++ b/crates/wheel_agreement/src/raft_snapshot.rs
@@ -6,8 +6,8 @@
 
 use crate::{GroupId, GroupMembers};
 
-/// The state machine's state after an entry. It travels in one message, so that the state must
-/// stay under [`RaftSnapshot::MAX_BYTES`]. A new group starts from one at [`RaftSnapshot::FIRST_INDEX`].
+/// The state machine's state after an entry, at most [`RaftSnapshot::MAX_BYTES`]. It travels in
+/// [`crate::SnapshotChunk`]s. A new group starts from one at [`RaftSnapshot::FIRST_INDEX`].
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct RaftSnapshot {
--- a/crates/wheel_agreement/tests/raft_model/mod.rs
+++ b/crates/wheel_agreement/tests/raft_model/mod.rs
@@ -183,6 +183,7 @@
         settings = settings.with_times(SPAN, [SPAN, SPAN]);
         settings.replace_after = SPAN;
         settings.trailing_entries = 0;
+        settings.max_chunk_bytes = 5;
         RaftNode::open(settings, disk.clone(), MonotonicTime::default(), 0)
     }
 
--- a/crates/wheel_agreement/tests/raft_model/planted_fault.rs
+++ b/crates/wheel_agreement/tests/raft_model/planted_fault.rs
@@ -62,8 +62,8 @@
             (RaftBody::AppendReply { result, .. }, Some(Fault::ConfirmRejected)) => {
                 confirm(result);
             }
-            (RaftBody::InstallSnapshot { snapshot, .. }, Some(Fault::ShiftSnapshot)) => {
-                snapshot.index += 1;
+            (RaftBody::InstallSnapshot { chunk, .. }, Some(Fault::ShiftSnapshot)) => {
+                chunk.index += 1;
             }
             _ => {}
         }
--- a/crates/wheel_agreement/tests/test_group/mod.rs
+++ b/crates/wheel_agreement/tests/test_group/mod.rs
@@ -68,7 +68,8 @@
 
     /// Starts a participant from its folder's records.
     pub(crate) fn start(&mut self, id: NodeId, records: Vec<PersistRecord>) {
-        let settings = RaftSettings::new(id.clone(), self.voters.iter().cloned());
+        let mut settings = RaftSettings::new(id.clone(), self.voters.iter().cloned());
+        settings.max_chunk_bytes = 100;
         let restored = RestoredRaft::replay(records.iter().cloned());
         let node = RaftNode::open(settings, restored, self.now, id.identity.0);
         let (applied, state) = Default::default();
