--- a/crates/wheel_agreement/tests/raft_model/mod.rs
+++ b/crates/wheel_agreement/tests/raft_model/mod.rs
@@ -47,6 +47,7 @@
     Read,
     Crash,
     LoseFolder,
+    Resign,
     Compact,
 }
 
@@ -183,6 +184,7 @@
         settings = settings.with_times(SPAN, [SPAN, SPAN]);
         settings.replace_after = SPAN;
         settings.trailing_entries = 0;
+        settings.max_chunk_bytes = 5;
         RaftNode::open(settings, disk.clone(), MonotonicTime::default(), 0)
     }
 
@@ -207,6 +209,7 @@
             (budget.reads > 0 && leads, ModelEvent::Read),
             (budget.crashes > 0, ModelEvent::Crash),
             (budget.losses > 0, ModelEvent::LoseFolder),
+            (budget.resigns > 0 && leads, ModelEvent::Resign),
             (may_compact, ModelEvent::Compact),
         ];
         let possible = events.into_iter().filter(|(is_possible, _)| *is_possible);
@@ -312,6 +315,7 @@
                 let (proposal, command) = (ProposalId(number.into()), vec![number]);
                 node.step(now, RaftInput::Propose { proposal, command })
             }
+            ModelEvent::Resign => node.step(now, RaftInput::Resign),
             ModelEvent::Read => node.step(now, RaftInput::Read { read: READ }),
             ModelEvent::Compact => {
                 let (index, snapshot) = (status.commit, status.commit.to_le_bytes().to_vec());
