--- a/crates/wheel_fakes/src/fake_engine.rs
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -291,7 +291,7 @@
             return std::future::pending().await;
         }
         let mut answer = answer_run(run, sent["stream"] == true).await?;
-        tokio::time::sleep(faults.answer_delay()).await;
+        faults.delay_answer().await;
         if faults.close_before_answer {
             return Err(FakeAbort);
         }
@@ -335,7 +335,7 @@
         if begun {
             tokio::spawn(self.clone().finish_order(order));
         }
-        tokio::time::sleep(faults.answer_delay()).await;
+        faults.delay_answer().await;
         match () {
             () if faults.never_answer => std::future::pending().await,
             () if faults.close_before_answer => Err(FakeAbort),
--- a/crates/wheel_fakes/src/fake_server.rs
+++ b/crates/wheel_fakes/src/fake_server.rs
@@ -15,10 +15,13 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use snafu::Snafu;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// Connections that may wait to be accepted; the runtime's own 128 overflow in a burst.
+const BACKLOG: u32 = 4_096;
+
 /// The body of a fake's answer.
 pub(crate) type FakeBody = UnsyncBoxBody<Bytes, FakeAbort>;
 
@@ -54,7 +57,10 @@
         address: SocketAddr,
         handler: Arc<H>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(BACKLOG)?;
         let address = listener.local_addr()?;
         let (ended, tasks) = (CancellationToken::new(), TaskTracker::new());
         let accepting = accept(listener, handler, tasks.clone(), ended.clone());
--- a/crates/wheel_fakes/src/fake_service.rs
+++ b/crates/wheel_fakes/src/fake_service.rs
@@ -120,7 +120,7 @@
         if faults.never_answer {
             return std::future::pending().await;
         }
-        tokio::time::sleep(faults.answer_delay()).await;
+        faults.delay_answer().await;
         if faults.close_before_answer {
             return Err(FakeAbort);
         }
--- a/crates/wheel_fakes/src/fault_plan.rs
+++ b/crates/wheel_fakes/src/fault_plan.rs
@@ -33,8 +33,11 @@
 }
 
 impl FaultPlan {
-    /// The time between run and answer.
-    pub fn answer_delay(&self) -> Duration {
-        Duration::from_millis(self.answer_delay_ms)
+    /// Lets the time between run and answer pass.
+    pub(crate) async fn delay_answer(&self) {
+        // Even a sleep of no time costs a tick of the timer.
+        if self.answer_delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(self.answer_delay_ms)).await;
+        }
     }
 }
--- /dev/null
+++ b/crates/wheel_upstream/examples/direct_latency.rs
@@ -0,0 +1,112 @@
+//! Measures what a direct call to the fake engine takes, through this crate's client, at 1, 64 and
+//! 512 open requests: the baseline for what the system adds.
+//!
+//! `cargo run --release -p wheel_upstream --example direct_latency [CALLS]` prints CSV. Engine and
+//! client share the process and its processor time.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use wheel_fakes::{FakeEngine, FakeEngineSettings};
+use wheel_types::{EngineCall, RequestId, RequestRank};
+use wheel_upstream::{
+    CallTimeouts, EngineClient, EngineSettings, GenerateCall, GeneratePath, StreamEvent,
+};
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+const OPEN_CALLS: [usize; 3] = [1, 64, 512];
+const TOKENS: u64 = 1;
+const WARM_UP_CALLS: u64 = 2_000;
+const DEFAULT_CALLS: u64 = 50_000;
+const HIGHEST_MICROS: u64 = 60_000_000;
+const DIGITS: u8 = 3;
+
+#[tokio::main]
+async fn main() -> Result<(), BoxError> {
+    let calls = match std::env::args().nth(1) {
+        Some(calls) => calls.parse()?,
+        None => DEFAULT_CALLS,
+    };
+    let settings = FakeEngineSettings {
+        slots: usize::MAX / 2,
+        token_time: Duration::ZERO,
+        ..FakeEngineSettings::default()
+    };
+    let engine = FakeEngine::bind(settings).await?;
+    engine.preload("m", 1);
+    let client = EngineClient::open(EngineSettings::new("engine".into(), engine.local_addr()));
+    println!("open_calls,calls,seconds,calls_per_s,p50_us,p95_us,p99_us,max_us,cpu_us_per_call");
+    for open_calls in OPEN_CALLS {
+        run(&client, open_calls, WARM_UP_CALLS).await?;
+        let (begun, cpu) = (Instant::now(), processor_time()?);
+        let latencies = run(&client, open_calls, calls).await?;
+        let (seconds, cpu) = (begun.elapsed().as_secs_f64(), processor_time()? - cpu);
+        println!(
+            "{open_calls},{},{seconds:.2},{:.0},{},{},{},{},{:.1}",
+            latencies.len(),
+            latencies.len() as f64 / seconds,
+            latencies.value_at_quantile(0.5),
+            latencies.value_at_quantile(0.95),
+            latencies.value_at_quantile(0.99),
+            latencies.max(),
+            cpu.as_secs_f64() * 1e6 / latencies.len() as f64,
+        );
+    }
+    Ok(())
+}
+
+/// Keeps `open_calls` calls open until `calls` are done; returns their times.
+async fn run(
+    client: &EngineClient,
+    open_calls: usize,
+    calls: u64,
+) -> Result<Histogram<u64>, BoxError> {
+    let next = Arc::new(AtomicU64::new(0));
+    let workers = (0..open_calls).map(|_| tokio::spawn(work(client.clone(), next.clone(), calls)));
+    let workers: Vec<_> = workers.collect();
+    let mut latencies = Histogram::new_with_max(HIGHEST_MICROS, DIGITS)?;
+    for worker in workers {
+        latencies.add(worker.await??)?;
+    }
+    Ok(latencies)
+}
+
+async fn work(
+    client: EngineClient,
+    next: Arc<AtomicU64>,
+    calls: u64,
+) -> Result<Histogram<u64>, BoxError> {
+    let mut latencies = Histogram::new_with_max(HIGHEST_MICROS, DIGITS)?;
+    loop {
+        let number = next.fetch_add(1, Ordering::Relaxed);
+        if number >= calls {
+            return Ok(latencies);
+        }
+        let begun = Instant::now();
+        let mut stream = client.generate(short_call(number)).await?;
+        while stream.next().await? != StreamEvent::End {}
+        latencies.record(begun.elapsed().as_micros() as u64)?;
+    }
+}
+
+fn short_call(number: u64) -> GenerateCall {
+    let request_id = RequestId::new(format!("r-{number}"));
+    GenerateCall {
+        call: EngineCall { request_id, rank: RequestRank(0), resume_from: 0 },
+        path: GeneratePath::ChatCompletions,
+        body: format!(r#"{{"model":"m","stream":true,"max_tokens":{TOKENS}}}"#).into(),
+        timeouts: CallTimeouts::default(),
+    }
+}
+
+/// User and system time of this process.
+fn processor_time() -> Result<Duration, BoxError> {
+    const TICKS_PER_SECOND: f64 = 100.0;
+    let stat = std::fs::read_to_string("/proc/self/stat")?;
+    let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+    let ticks: f64 = fields.skip(11).take(2).filter_map(|field| field.parse::<f64>().ok()).sum();
+    Ok(Duration::from_secs_f64(ticks / TICKS_PER_SECOND))
+}
--- a/crates/wheel_upstream/src/connection_limits.rs
+++ b/crates/wheel_upstream/src/connection_limits.rs
@@ -7,6 +7,8 @@
 pub struct ConnectionLimits {
     /// Calls open at once; one more fails as [`FailureKind::TooManyOpen`](crate::FailureKind).
     pub max_open: usize,
+    /// Connections being opened at once; one more waits, within its connect timeout.
+    pub max_connecting: usize,
     /// Idle connections kept; one more is closed.
     pub max_idle: usize,
     /// Idle time after which a connection is closed.
@@ -32,7 +34,8 @@
     fn default() -> Self {
         Self {
             max_open: 1_024,
-            max_idle: 64,
+            max_connecting: 64,
+            max_idle: 1_024,
             idle_limit: Duration::from_secs(30),
             probe_after: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(300),
--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -1,5 +1,6 @@
 //! The connections to one address.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
@@ -34,6 +35,7 @@
     limits: ConnectionLimits,
     probe: Option<Request<Bytes>>,
     calls: Arc<Semaphore>,
+    connecting: Semaphore,
     suspicious: AtomicBool,
     table: Mutex<PoolTable>,
     pub(crate) counters: StatusCounters,
@@ -41,7 +43,8 @@
 
 #[derive(Default)]
 struct PoolTable {
-    idle: Vec<IdleConnection>,
+    /// In the order of their idle times, longest first.
+    idle: VecDeque<IdleConnection>,
     marks: Vec<Weak<ConnectionMark>>,
     silent_at: Option<Instant>,
 }
@@ -63,6 +66,7 @@
             limits,
             probe,
             calls: Arc::new(Semaphore::new(limits.max_open)),
+            connecting: Semaphore::new(limits.max_connecting),
             suspicious: AtomicBool::new(false),
             table: Mutex::default(),
             counters: StatusCounters::default(),
@@ -97,7 +101,13 @@
         {
             return Ok(connection);
         }
-        let opened = UpstreamConnection::open(self.address, &self.limits, connect).await;
+        let opening = async {
+            let _turn = self.connecting.acquire().await;
+            UpstreamConnection::open(self.address, &self.limits, connect).await
+        };
+        let opened = timeout(connect, opening)
+            .await
+            .unwrap_or_else(|_| Err(CallFailure::not_sent(FailureKind::ConnectTimeout)));
         match &opened {
             Ok(connection) => {
                 self.counters.opened.add_one();
@@ -113,11 +123,12 @@
         let now = Instant::now();
         let mut table = self.table.lock();
         if connection.is_usable() && table.idle.len() < self.limits.max_idle {
-            table.idle.push(IdleConnection { connection, since: now });
+            table.idle.push_back(IdleConnection { connection, since: now });
+        }
+        let expired = |idle: &IdleConnection| now - idle.since >= self.limits.idle_limit;
+        while table.idle.front().is_some_and(expired) {
+            table.idle.pop_front();
         }
-        table.idle.retain(|idle| {
-            idle.connection.is_usable() && now - idle.since < self.limits.idle_limit
-        });
     }
 
     /// Notes that nothing arrived on a connection: older idle ones aren't used until a fresh one
@@ -180,7 +191,7 @@
             idle.connection.is_usable() && silent_at.is_none_or(|silent| mark.opened_at > silent)
         };
         let place = table.idle.iter().rposition(trusted)?;
-        Some(table.idle.remove(place))
+        table.idle.remove(place)
     }
 
     async fn probe_idle(&self, connection: &mut UpstreamConnection) -> bool {
--- a/crates/wheel_upstream/tests/engine_faults.rs
+++ b/crates/wheel_upstream/tests/engine_faults.rs
@@ -69,6 +69,18 @@
     assert!(matches!(kind, FailureKind::TokenGap { expected: 3, found: 4 }));
 }
 
+#[tokio::test]
+async fn generate_end_without_its_mark_is_cut_short() {
+    let upstream = ScriptedUpstream::bind(&["HTTP/1.1 200 OK\r\nwheel-request-id: r-1\r\n\
+         content-length: 40\r\n\r\ndata: {\"id\":\"r-1\",\"wheel\":{\"index\":0}}\n\n"])
+    .await;
+    let mut stream =
+        engine_client(upstream.address).generate(generate("r-1", 1)).await.expect("stream");
+    let (tokens, end) = read_all(&mut stream).await;
+    assert_eq!(tokens.len(), 1);
+    assert!(matches!(end.expect_err("failure").kind, FailureKind::CutShort));
+}
+
 #[tokio::test]
 async fn generate_cut_short_resumes_elsewhere() {
     let (first, client) = engine().await;
--- a/crates/wheel_upstream/tests/order_faults.rs
+++ b/crates/wheel_upstream/tests/order_faults.rs
@@ -1,12 +1,14 @@
 //! Orders whose lease ends, whose answer is lost, and which must not arrive late.
 
+#![allow(clippy::expect_used)]
+
 mod common;
 
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use common::{ANY_PORT, LONG, SHORT, TestPermit, engine, load_order};
+use common::{ANY_PORT, LONG, SHORT, TestPermit, engine, eventually, load_order};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use wheel_fakes::FaultPlan;
@@ -26,6 +28,13 @@
     }
 }
 
+/// How the next connection of `listener` ends: `None` for a close, else the error.
+async fn end_of_next(listener: &TcpListener) -> Option<ErrorKind> {
+    let (mut stream, _) = listener.accept().await.expect("accept");
+    let ended = tokio::time::timeout(LONG, stream.read_to_end(&mut Vec::new())).await;
+    ended.expect("in time").err().map(|error| error.kind())
+}
+
 fn hasty_client(address: std::net::SocketAddr) -> EngineClient {
     EngineClient::open(EngineSettings::new("engine".into(), address).order_life(SHORT))
 }
@@ -80,10 +89,20 @@
     let client = hasty_client(listener.local_addr().expect("address"));
     let permit = Arc::new(TestPermit::default());
     assert_eq!(client.order(&load_order("o-1", "n"), permit).await, OrderAnswer::Unknown);
-    let (mut stream, _) = listener.accept().await.expect("accept");
-    let ended = tokio::time::timeout(LONG, stream.read_to_end(&mut Vec::new())).await;
-    let error = ended.expect("in time").expect_err("a reset, not a close");
-    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    assert_eq!(end_of_next(&listener).await, Some(ErrorKind::ConnectionReset));
+}
+
+#[tokio::test]
+async fn order_dropped_is_reset() {
+    let listener = TcpListener::bind(ANY_PORT).await.expect("bind");
+    let client = hasty_client(listener.local_addr().expect("address"));
+    let (permit, order) =
+        (Arc::new(CountedPermit { left: AtomicU64::new(3) }), load_order("o-1", "n"));
+    tokio::select! {
+        _ = client.order(&order, permit.clone()) => panic!("no answer is due"),
+        () = eventually(|| permit.left.load(Ordering::Acquire) == 0) => {}
+    }
+    assert_eq!(end_of_next(&listener).await, Some(ErrorKind::ConnectionReset));
 }
 
 #[tokio::test]
--- a/crates/wheel_upstream/tests/service_faults.rs
+++ b/crates/wheel_upstream/tests/service_faults.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use common::{ANY_PORT, SHORT, ScriptedUpstream, booking, service, service_client};
 use http::{Method, StatusCode};
+use tokio::io::AsyncReadExt;
 use wheel_fakes::FaultPlan;
 use wheel_types::{RequestId, RequestOutcome};
 use wheel_upstream::{CallFailure, FailureKind, SentState, ServiceCall, ServiceClient};
@@ -145,6 +146,18 @@
     assert_eq!(client.status().opened, 1);
 }
 
+#[tokio::test]
+async fn call_given_up_is_reset() {
+    let listener = tokio::net::TcpListener::bind(ANY_PORT).await.expect("bind");
+    let client = service_client(listener.local_addr().expect("address"));
+    let mut call = booking("r-1");
+    call.timeouts.first_byte = SHORT;
+    assert!(matches!(failure_of(&client, call).await.kind, FailureKind::Silent));
+    let (mut stream, _) = listener.accept().await.expect("accept");
+    let error = stream.read_to_end(&mut Vec::new()).await.expect_err("a reset, not a close");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
 #[tokio::test]
 async fn call_without_listener_in_time_not_sent() {
     // A listener whose backlog is full answers no connection attempt.
