Added wisteriactl, and bounded the time of a difference

wisteriactl checks, applies and shows the text, prints status, drains, explains and changes voters, over the admin interface of an instance. Exit codes tell refused, usage, unknown outcome, faults and conflict apart.

apply makes one idempotency key and resends it, to the next endpoint, when an answer is lost. Weighed: a pooled HTTP client was ruled out, for it may resend on its own; each attempt has its own connection, so that it is known whether a byte may have left. A server error other than 503, or any after a lost answer, is an unknown outcome, not a refusal. Names of hosts aren't resolved: instances are known by IP numbers.

--- /dev/null
+++ b/crates/wheel_ctl/src/ctl_command.rs
@@ -0,0 +1,83 @@
+//! The commands of the tool.
+
+use crate::CtlFailure;
+
+/// What `apply` is asked for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ApplyArguments {
+    /// The file with the text; `-` is standard input.
+    pub file: String,
+    /// The revision that the text was edited from; none means the newest one.
+    pub base: Option<u64>,
+    /// The idempotency key; none means a random one.
+    pub key: Option<String>,
+    /// Whether to wait until the text is in force everywhere.
+    pub wait: bool,
+}
+
+/// A command with its arguments.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CtlCommand {
+    /// Check a text.
+    Check {
+        /// The file with the text.
+        file: String,
+    },
+    /// Put a text in force.
+    Apply(ApplyArguments),
+    /// Print the text in force.
+    Show,
+    /// Print the state of instances and engines.
+    Status,
+    /// Have an instance end.
+    Drain,
+    /// Explain a model or a request.
+    Explain {
+        /// A model's name or a request's id.
+        query: String,
+    },
+    /// Print the voters.
+    ListVoters,
+    /// Give an instance a vote.
+    AddVoter {
+        /// The instance.
+        instance: String,
+    },
+    /// Take an instance's vote away.
+    RemoveVoter {
+        /// The instance.
+        instance: String,
+    },
+}
+
+impl CtlCommand {
+    /// Reads a command from the words that aren't flags.
+    pub(crate) fn parse(words: &[String], apply: ApplyArguments) -> Result<Self, CtlFailure> {
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        let command = match words.as_slice() {
+            ["check", file] => Self::Check { file: (*file).to_owned() },
+            ["apply", file] => Self::Apply(ApplyArguments { file: (*file).to_owned(), ..apply }),
+            ["show"] => Self::Show,
+            ["status"] => Self::Status,
+            ["drain"] => Self::Drain,
+            ["explain", query] if is_plain(query) => Self::Explain { query: (*query).to_owned() },
+            ["explain", query] => return usage(format!("`{query}` is no model or request id")),
+            ["voter", "list"] => Self::ListVoters,
+            ["voter", "add", instance] => Self::AddVoter { instance: (*instance).to_owned() },
+            ["voter", "remove", instance] => Self::RemoveVoter { instance: (*instance).to_owned() },
+            [] => return usage("no command".to_owned()),
+            words => return usage(format!("wrong command `{}`", words.join(" "))),
+        };
+        Ok(command)
+    }
+}
+
+/// Whether a query has only characters that stand for themselves in a URL's query.
+fn is_plain(query: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-._~:/@".contains(c);
+    !query.is_empty() && query.chars().all(allowed)
+}
+
+fn usage<T>(reason: String) -> Result<T, CtlFailure> {
+    Err(CtlFailure::Usage { reason })
+}
--- /dev/null
+++ b/crates/wheel_ctl/src/ctl_output.rs
@@ -0,0 +1,51 @@
+//! What the tool prints to standard output.
+
+use serde::Serialize;
+
+use crate::FaultReport;
+
+/// Prints results in lines or in JSON. Notes go to standard error.
+#[derive(Clone, Copy, Debug)]
+pub struct CtlOutput {
+    json: bool,
+}
+
+impl CtlOutput {
+    /// Prints JSON or lines.
+    pub fn new(json: bool) -> Self {
+        Self { json }
+    }
+
+    /// Whether it prints JSON.
+    pub fn is_json(self) -> bool {
+        self.json
+    }
+
+    /// Prints a value: `line`, or the value in JSON.
+    pub fn print<T: Serialize>(self, line: &str, value: &T) {
+        match serde_json::to_string(value) {
+            Ok(json) if self.json => println!("{json}"),
+            Ok(_) | Err(_) => println!("{line}"),
+        }
+    }
+
+    /// Prints the body of an answer as it came, or indented if it is JSON and lines are wanted.
+    pub fn print_body(self, body: &str) {
+        let value = serde_json::from_str::<serde_json::Value>(body);
+        let pretty = value.and_then(|value| serde_json::to_string_pretty(&value));
+        match pretty {
+            Ok(pretty) if !self.json => println!("{pretty}"),
+            Ok(_) | Err(_) => println!("{}", body.trim_end()),
+        }
+    }
+
+    /// Prints the faults of a file, a line each.
+    pub fn print_faults(self, file: &str, faults: &[FaultReport]) {
+        if let (true, Ok(json)) = (self.json, serde_json::to_string(faults)) {
+            return println!("{json}");
+        }
+        for FaultReport { line, column, problem, remedy } in faults {
+            println!("{file}:{line}:{column}: {problem}; {remedy}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_ctl/src/ctl_run.rs
@@ -0,0 +1,173 @@
+//! Carrying out a command.
+
+use std::io::Read;
+
+use http::Method;
+use serde::Serialize;
+use wheel_text::OperatorsText;
+
+use crate::apply_run::ApplyRun;
+use crate::{
+    AdminClient, AdminRequest, CtlCommand, CtlFailure, CtlOutput, CtlSettings, FaultReport,
+    StatusReport,
+};
+
+/// One run of the tool.
+pub struct CtlRun<'a> {
+    settings: &'a CtlSettings,
+    client: AdminClient<'a>,
+    output: CtlOutput,
+}
+
+/// What `check` says of a good text.
+#[derive(Serialize)]
+struct CheckedText {
+    models: usize,
+    adapters: usize,
+    upstreams: usize,
+    services: usize,
+}
+
+/// What `show --json` prints.
+#[derive(Serialize)]
+struct ShownText {
+    revision: u64,
+    text: String,
+}
+
+/// A change of the voters.
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum VoterAction {
+    Add,
+    Remove,
+}
+
+/// The body of a change of the voters.
+#[derive(Serialize)]
+struct VoterBody<'a> {
+    action: VoterAction,
+    instance: &'a str,
+}
+
+impl<'a> CtlRun<'a> {
+    /// A run with these settings.
+    pub fn new(settings: &'a CtlSettings) -> Self {
+        let client = AdminClient::open(settings);
+        Self { settings, client, output: CtlOutput::new(settings.json) }
+    }
+
+    /// Carries the command out and prints its result.
+    ///
+    /// # Errors
+    /// Any [`CtlFailure`].
+    pub async fn run(&self) -> Result<(), CtlFailure> {
+        match &self.settings.command {
+            CtlCommand::Check { file } => self.check(file),
+            CtlCommand::Apply(arguments) => {
+                let source = self.check_quietly(&arguments.file)?;
+                ApplyRun::new(self.settings, arguments).run(&source).await
+            }
+            CtlCommand::Show => self.show().await,
+            CtlCommand::Status => self.status().await,
+            CtlCommand::Drain => {
+                self.print_answer(&AdminRequest::new(Method::POST, "/admin/v1/drain", "")).await
+            }
+            CtlCommand::Explain { query } => {
+                let path = format!("/admin/v1/explain?q={query}");
+                self.print_answer(&AdminRequest::get(path)).await
+            }
+            CtlCommand::ListVoters => {
+                self.print_answer(&AdminRequest::get("/admin/v1/voters")).await
+            }
+            CtlCommand::AddVoter { instance } => {
+                self.change_voter(VoterAction::Add, instance).await
+            }
+            CtlCommand::RemoveVoter { instance } => {
+                self.change_voter(VoterAction::Remove, instance).await
+            }
+        }
+    }
+
+    fn check(&self, file: &str) -> Result<(), CtlFailure> {
+        let text = self.parse(file, &read_file(file)?)?;
+        let checked = CheckedText {
+            models: text.models.len(),
+            adapters: text.adapters.len(),
+            upstreams: text.upstreams.len(),
+            services: text.services.len(),
+        };
+        let CheckedText { models, adapters, upstreams, services } = checked;
+        let line = format!(
+            "{file}: good, with {models} models, {adapters} adapters, {upstreams} upstreams, {services} services"
+        );
+        self.output.print(&line, &checked);
+        Ok(())
+    }
+
+    fn check_quietly(&self, file: &str) -> Result<String, CtlFailure> {
+        let source = read_file(file)?;
+        self.parse(file, &source)?;
+        Ok(source)
+    }
+
+    fn parse(&self, file: &str, source: &str) -> Result<OperatorsText, CtlFailure> {
+        OperatorsText::parse(source).map_err(|faults| {
+            let reports: Vec<_> = faults.iter().map(FaultReport::from).collect();
+            self.output.print_faults(file, &reports);
+            CtlFailure::Faults { count: faults.len() }
+        })
+    }
+
+    async fn show(&self) -> Result<(), CtlFailure> {
+        let answer = self.client.send(&AdminRequest::get("/admin/v1/text")).await?;
+        let answer = answer.into_success()?;
+        let revision = answer.revision.unwrap_or_default();
+        let text = answer.text();
+        if self.output.is_json() {
+            self.output.print("", &ShownText { revision, text });
+        } else {
+            eprintln!("revision={revision}");
+            print!("{text}");
+        }
+        Ok(())
+    }
+
+    async fn status(&self) -> Result<(), CtlFailure> {
+        let answer = self.client.send(&AdminRequest::get("/admin/v1/status")).await?;
+        let answer = answer.into_success()?;
+        match serde_json::from_slice::<StatusReport>(&answer.body) {
+            Ok(report) if !self.output.is_json() => print!("{}", report.to_lines()),
+            Ok(_) | Err(_) => self.output.print_body(&answer.text()),
+        }
+        Ok(())
+    }
+
+    async fn change_voter(&self, action: VoterAction, instance: &str) -> Result<(), CtlFailure> {
+        let body = serde_json::to_string(&VoterBody { action, instance });
+        let body = body.map_err(|error| CtlFailure::Local { reason: error.to_string() })?;
+        let request = AdminRequest::new(Method::POST, "/admin/v1/voters", body);
+        let key = format!("{:032x}", rand::random::<u128>());
+        self.print_answer(&request.key(&key)).await
+    }
+
+    async fn print_answer(&self, request: &AdminRequest) -> Result<(), CtlFailure> {
+        let answer = self.client.send(request).await?.into_success()?;
+        if !answer.body.is_empty() {
+            self.output.print_body(&answer.text());
+        }
+        Ok(())
+    }
+}
+
+fn read_file(file: &str) -> Result<String, CtlFailure> {
+    let read = match file {
+        "-" => {
+            let mut source = String::new();
+            std::io::stdin().read_to_string(&mut source).map(|_| source)
+        }
+        file => std::fs::read_to_string(file),
+    };
+    read.map_err(|error| CtlFailure::Local { reason: format!("{file}: {error}") })
+}
--- a/crates/wheel_ctl/src/lib.rs
+++ b/crates/wheel_ctl/src/lib.rs
@@ -1,1 +1,31 @@
-//! The operators' tool wisteriactl.
+//! The operators' tool `wisteriactl`: checks and applies the operators' text, shows what is in
+//! force, and asks instances for their state.
+//!
+//! [`CtlSettings::parse`] reads flags and environment, [`CtlRun`] carries the command out over the
+//! admin interface of an instance, and a [`CtlFailure`] tells why it couldn't, as an
+//! [`ExitStatus`].
+
+mod admin_client;
+mod admin_request;
+mod apply_run;
+mod ctl_command;
+mod ctl_failure;
+mod ctl_flag;
+mod ctl_output;
+mod ctl_run;
+mod ctl_settings;
+mod exit_status;
+mod fault_report;
+mod status_report;
+
+pub use admin_client::AdminClient;
+pub use admin_request::{AdminAnswer, AdminRequest};
+pub use ctl_command::{ApplyArguments, CtlCommand};
+pub use ctl_failure::CtlFailure;
+pub use ctl_flag::help_text;
+pub use ctl_output::CtlOutput;
+pub use ctl_run::CtlRun;
+pub use ctl_settings::{CtlSettings, ParsedLine};
+pub use exit_status::ExitStatus;
+pub use fault_report::FaultReport;
+pub use status_report::{EngineStatus, InstanceStatus, StatusReport};
--- /dev/null
+++ b/crates/wheel_ctl/tests/wisteriactl.rs
@@ -0,0 +1,245 @@
+//! Runs of the tool: what it sends, prints and exits with.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::Write;
+
+use support::{AdminState, OddAnswer, TestAdmin, run_tool};
+use tempfile::NamedTempFile;
+
+const ROTA: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/rota.toml");
+
+/// An address that refuses connections.
+const NOBODY: &str = "127.0.0.1:1";
+
+fn write_file(content: &str) -> NamedTempFile {
+    let mut file = NamedTempFile::new().unwrap();
+    file.write_all(content.as_bytes()).unwrap();
+    file
+}
+
+async fn bind_at(revision: u64, odd: &[OddAnswer]) -> TestAdmin {
+    let text = "group = \"old\"\n".to_owned();
+    TestAdmin::bind(AdminState { revision, text, odd: odd.to_vec(), ..Default::default() }).await
+}
+
+#[tokio::test]
+async fn check_needs_no_instance() {
+    let run = run_tool(NOBODY, &["check", ROTA]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    assert!(run.out.contains("65 models, 75 adapters"), "{run:?}");
+}
+
+#[tokio::test]
+async fn check_faults_names_places() {
+    let file = write_file("group = \"g\"\nrnak = 1\n");
+    let path = file.path().to_str().unwrap();
+    let run = run_tool(NOBODY, &["check", path]).await;
+    assert_eq!(run.code, 4, "{run:?}");
+    assert!(run.out.contains(&format!("{path}:2:1: unknown section or key `rnak`")), "{run:?}");
+    let run = run_tool(NOBODY, &["check", "--json", path]).await;
+    assert!(run.out.contains("\"line\":2,\"column\":1"), "{run:?}");
+}
+
+#[tokio::test]
+async fn apply_faulty_text_sends_nothing() {
+    let admin = bind_at(7, &[]).await;
+    let file = write_file("group = \"g\"\n");
+    let run = admin.run(&["apply", file.path().to_str().unwrap()]).await;
+    assert_eq!((run.code, admin.seen().len()), (4, 0), "{run:?}");
+}
+
+#[tokio::test]
+async fn apply_sends_newest_revision_and_key() {
+    let admin = bind_at(7, &[]).await;
+    let run = admin.run(&["apply", ROTA]).await;
+    assert_eq!((run.code, run.out.as_str()), (0, "revision=8 hash=abcd\n"), "{run:?}");
+    let puts = admin.puts();
+    assert_eq!(puts[0].base.as_deref(), Some("\"7\""));
+    assert_eq!(puts[0].body, std::fs::read_to_string(ROTA).unwrap());
+    assert!(run.err.contains(&format!("key={}", puts[0].key.as_ref().unwrap())), "{run:?}");
+}
+
+#[tokio::test]
+async fn apply_lost_answers_resends_the_same_key() {
+    let admin = bind_at(7, &[OddAnswer::Lost, OddAnswer::Lost]).await;
+    let run = admin.run(&["apply", ROTA]).await;
+    assert_eq!((run.code, run.out.as_str()), (0, "revision=8 hash=abcd\n"), "{run:?}");
+    let puts = admin.puts();
+    assert_eq!(puts.len(), 3);
+    assert!(puts.iter().all(|put| *put == puts[0]), "{puts:?}");
+}
+
+#[tokio::test]
+async fn apply_answers_all_lost_says_how_to_ask_again() {
+    let admin = bind_at(7, &[OddAnswer::Lost; 2]).await;
+    let run = admin.run(&["--retries", "1", "apply", ROTA]).await;
+    assert_eq!(run.code, 3, "{run:?}");
+    let key = admin.puts()[0].key.clone().unwrap();
+    assert!(run.err.contains(&format!("--base 7 --key {key}")), "{run:?}");
+    let again = admin.run(&["apply", ROTA, "--base", "7", "--key", &key]).await;
+    assert_eq!((again.code, again.out.as_str()), (0, "revision=8 hash=abcd\n"), "{again:?}");
+    assert_eq!(admin.state.lock().unwrap().revision, 8);
+}
+
+#[tokio::test]
+async fn apply_server_error_after_lost_answer_is_unknown() {
+    let odd = [OddAnswer::Lost, OddAnswer::Status(503, "busy")];
+    let run = bind_at(7, &odd).await.run(&["--retries", "1", "apply", ROTA]).await;
+    assert_eq!(run.code, 3, "{run:?}");
+    let failed = bind_at(7, &[OddAnswer::Status(500, "no")]).await.run(&["apply", ROTA]).await;
+    assert_eq!(failed.code, 3, "{failed:?}");
+}
+
+#[tokio::test]
+async fn apply_busy_server_tries_again_then_gives_up() {
+    let busy = OddAnswer::Status(503, "{\"error\":\"no leader\"}");
+    let admin = bind_at(7, &[busy]).await;
+    let run = admin.run(&["apply", ROTA]).await;
+    assert_eq!((run.code, admin.puts().len()), (0, 2), "{run:?}");
+    let run = bind_at(7, &[busy; 2]).await.run(&["--retries", "1", "apply", ROTA]).await;
+    assert_eq!(run.code, 1, "{run:?}");
+    assert!(run.err.contains("no leader"), "{run:?}");
+}
+
+#[tokio::test]
+async fn apply_old_base_tells_the_winner() {
+    let admin = bind_at(9, &[]).await;
+    let run = admin.run(&["apply", ROTA, "--base", "7"]).await;
+    assert_eq!(run.code, 5, "{run:?}");
+    assert!(run.err.contains("revision 9 is in force"), "{run:?}");
+    assert_eq!(admin.puts().len(), 1);
+}
+
+#[tokio::test]
+async fn apply_faults_of_the_server_printed() {
+    let body = r#"[{"line":3,"column":4,"problem":"wrong","remedy":"mend it"}]"#;
+    let run = bind_at(7, &[OddAnswer::Status(422, body)]).await.run(&["apply", ROTA]).await;
+    assert_eq!(run.code, 4, "{run:?}");
+    assert!(run.out.ends_with("rota.toml:3:4: wrong; mend it\n"), "{run:?}");
+}
+
+#[tokio::test]
+async fn apply_refused_by_server() {
+    let run = bind_at(7, &[OddAnswer::Status(403, "not you")]).await.run(&["apply", ROTA]).await;
+    assert_eq!(run.code, 1, "{run:?}");
+    assert!(run.err.contains("403: not you"), "{run:?}");
+}
+
+#[tokio::test]
+async fn apply_wait_ends_with_the_last_instance() {
+    let admin = bind_at(7, &[]).await;
+    admin.state.lock().unwrap().lag = 3;
+    let run = admin.run(&["apply", "--wait", ROTA]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    assert!(run.out.contains("revision=8 instances=2 in_force_ms="), "{run:?}");
+    let looks = admin.seen().iter().filter(|seen| seen.line.ends_with("status")).count();
+    assert_eq!(looks, 4);
+}
+
+#[tokio::test]
+async fn apply_wait_names_lagging_instances() {
+    let admin = bind_at(7, &[]).await;
+    admin.state.lock().unwrap().lag = usize::MAX;
+    let run = admin.run(&["apply", "--wait", "--wait-limit", "200", ROTA]).await;
+    assert_eq!(run.code, 3, "{run:?}");
+    assert!(run.err.contains("not yet in force at isan-b1"), "{run:?}");
+}
+
+#[tokio::test]
+async fn apply_dead_endpoint_takes_the_next() {
+    let admin = bind_at(7, &[]).await;
+    let both = format!("{NOBODY},{}", admin.address);
+    let run = run_tool(&both, &["apply", ROTA]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    let run = run_tool(NOBODY, &["--retries", "1", "apply", "--base", "7", ROTA]).await;
+    assert_eq!(run.code, 3, "{run:?}");
+    assert!(run.err.contains("not reached"), "{run:?}");
+}
+
+#[tokio::test]
+async fn token_from_file_sent_and_never_printed() {
+    let admin = bind_at(7, &[]).await;
+    let file = write_file("swordfish\n");
+    let run = admin.run(&["--token-file", file.path().to_str().unwrap(), "apply", ROTA]).await;
+    let bearer = Some("Bearer swordfish".to_owned());
+    assert!(admin.seen().iter().all(|seen| seen.authorization == bearer));
+    assert!(!format!("{run:?}").contains("swordfish"));
+}
+
+#[tokio::test]
+async fn show_prints_the_text_alone() {
+    let admin = bind_at(7, &[]).await;
+    let run = admin.run(&["show"]).await;
+    assert_eq!((run.out.as_str(), run.err.as_str()), ("group = \"old\"\n", "revision=7\n"));
+    let run = admin.run(&["show", "--json"]).await;
+    assert_eq!(run.out, "{\"revision\":7,\"text\":\"group = \\\"old\\\"\\n\"}\n");
+}
+
+#[tokio::test]
+async fn status_lists_instances_and_engines() {
+    let run = bind_at(7, &[]).await.run(&["status"]).await;
+    assert!(run.out.starts_with("instance=isan-a1 data_centre=isan-a revision=7 role=leader"));
+    assert!(run.out.contains("instance isan-b1 data_centre=isan-b revision=7 age=40ms\n"));
+    assert!(run.out.contains("engine   e1 state=up owner=isan-a1 models=guide\n"), "{run:?}");
+}
+
+#[tokio::test]
+async fn other_commands_send_their_requests() {
+    let admin = bind_at(7, &[]).await;
+    for arguments in [
+        &["drain"][..],
+        &["explain", "org/guide:thai"],
+        &["voter", "list"],
+        &["voter", "add", "isan-b1"],
+        &["voter", "remove", "isan-c1"],
+    ] {
+        let run = admin.run(arguments).await;
+        assert_eq!(run.code, 0, "{run:?}");
+    }
+    let seen = admin.seen();
+    let lines: Vec<_> = seen.iter().map(|seen| format!("{} {}", seen.line, seen.body)).collect();
+    let expected = [
+        "POST /admin/v1/drain ",
+        "GET /admin/v1/explain?q=org/guide:thai ",
+        "GET /admin/v1/voters ",
+        "POST /admin/v1/voters {\"action\":\"add\",\"instance\":\"isan-b1\"}",
+        "POST /admin/v1/voters {\"action\":\"remove\",\"instance\":\"isan-c1\"}",
+    ];
+    assert_eq!(lines, expected);
+}
+
+#[tokio::test]
+async fn wrong_usage_exits_with_2() {
+    for arguments in [
+        &[][..],
+        &["chekc", "x"],
+        &["--no-such-flag", "show"],
+        &["--timeout", "soon", "show"],
+        &["--endpoint", "localhost:80", "show"],
+        &["--endpoint", "127.0.0.1:1,127.0.0.1:2", "drain"],
+        &["--key", "", "apply", ROTA],
+        &["explain", "a b"],
+        &["check", "/no/such/file"],
+    ] {
+        let run = run_tool(NOBODY, arguments).await;
+        assert_eq!(run.code, 2, "{arguments:?} {run:?}");
+        assert!(run.err.starts_with("wisteriactl: "), "{run:?}");
+    }
+}
+
+#[tokio::test]
+async fn help_lists_flags_with_environment_and_default() {
+    let run = run_tool(NOBODY, &["--help"]).await;
+    assert_eq!(run.code, 0);
+    for part in [
+        "--endpoint ADDR[,ADDR]",
+        "[environment WISTERIAWHEEL_ENDPOINT, default 127.0.0.1:7070]",
+        "time for one answer, in milliseconds",
+        "  5  conflict",
+    ] {
+        assert!(run.out.contains(part), "{part} isn't in {}", run.out);
+    }
+}
--- a/crates/wheel_text/src/text_delta.rs
+++ b/crates/wheel_text/src/text_delta.rs
@@ -1,6 +1,7 @@
 //! The difference between two texts, line by line.
 
 use std::fmt;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use similar::{Algorithm, DiffOp, TextDiff};
@@ -32,6 +33,9 @@
     pub hunks: Vec<DeltaHunk>,
 }
 
+/// Time after which a difference is no longer made shorter; it stays right.
+const DIFF_LIMIT: Duration = Duration::from_millis(500);
+
 /// Why a delta doesn't fit a text: it was made from another one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DeltaError {
@@ -52,7 +56,10 @@
     pub fn between(old: &str, new: &str) -> Self {
         let old: Vec<&str> = split_lines(old).collect();
         let new: Vec<&str> = split_lines(new).collect();
-        let diff = TextDiff::configure().algorithm(Algorithm::Patience).diff_slices(&old, &new);
+        let diff = TextDiff::configure()
+            .algorithm(Algorithm::Patience)
+            .timeout(DIFF_LIMIT)
+            .diff_slices(&old, &new);
         let mut hunks = Vec::new();
         let (mut next_old, mut next_new) = (0, 0);
         // Only what the texts have in common is placed exactly on both sides; hunks lie between.
--- a/crates/wheel_text/tests/text_delta.rs
+++ b/crates/wheel_text/tests/text_delta.rs
@@ -1,5 +1,7 @@
 //! Differences between texts.
 
+use std::time::{Duration, Instant};
+
 use proptest::prelude::*;
 use wheel_text::{DeltaError, TextDelta};
 
@@ -52,3 +54,16 @@
     assert_eq!(delta.hunks.len(), 1);
     assert_eq!(delta.hunks[0].added.lines().count(), 1);
 }
+
+#[test]
+fn between_unlike_texts_ends_soon() {
+    let lines = |factor: u32, kinds: u32| -> String {
+        (0..30_000_u32).map(|n| format!("{}\n", n.wrapping_mul(factor) % kinds)).collect()
+    };
+    let (old, new) = (lines(2_654_435_761, 97), lines(40_503, 101));
+    let start = Instant::now();
+    let delta = TextDelta::between(&old, &new);
+    // Its shortest difference takes minutes in a debug build.
+    assert!(start.elapsed() < Duration::from_secs(15), "{:?}", start.elapsed());
+    assert_eq!(delta.apply_to(&old), Ok(new));
+}
