--- a/crates/wheel_upstream/examples/direct_latency.rs
+++ b/crates/wheel_upstream/examples/direct_latency.rs
@@ -97,6 +97,7 @@
     GenerateCall {
         call: EngineCall { request_id, rank: RequestRank(0), resume_from: 0 },
         path: GeneratePath::ChatCompletions,
+        headers: Default::default(),
         body: format!(r#"{{"model":"m","stream":true,"max_tokens":{TOKENS}}}"#).into(),
         timeouts: CallTimeouts::default(),
     }
