Lengthen the queue of connections that wait to be accepted

Cause: 1,000 more ms at the 99th percentile with 512 requests through one instance. The kernel counted 2,805 listen overflows: the runtime's listeners queue 128 connections, a burst beyond it loses its SYNs, and each is sent again after a second.

--- a/crates/wheel_entry/src/http_server.rs
+++ b/crates/wheel_entry/src/http_server.rs
@@ -13,13 +13,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::{AnswerBody, HttpLimits};
 
+/// Connections that wait to be accepted. A burst beyond it loses SYNs, which costs a second each;
+/// the system's own limit goes first where it is lower.
+const ACCEPT_BACKLOG: u32 = 4_096;
+
 /// The pause after a failed accept, for example when file descriptors ran out.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -36,6 +40,17 @@
     },
 }
 
+/// Like `TcpListener::bind`, with a longer queue.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_BACKLOG)
+}
+
 /// A running server.
 #[derive(Clone, Debug)]
 pub struct HttpServer {
@@ -59,7 +74,7 @@
         S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<AnswerBody>> + Send + 'static,
     {
-        let listener = TcpListener::bind(address).await.context(BindSnafu { address })?;
+        let listener = listen(address).context(BindSnafu { address })?;
         let address = listener.local_addr().context(BindSnafu { address })?;
         let server = Self {
             address,
