--- a/crates/wheel_lease/src/lease_grantor.rs
+++ b/crates/wheel_lease/src/lease_grantor.rs
@@ -49,6 +49,10 @@
     pub fn answer(&mut self, now: MonotonicTime, request: &LeaseRequest) -> LeaseReply {
         let verdict = self.judge(now, request);
         self.adopt(request.epoch);
+        // A number that is renewed was held; a claimed one may never be.
+        if request.kind == RequestKind::Renew {
+            self.learn(request.number);
+        }
         let live = self.grant.as_ref().filter(|grant| now < grant.ends);
         LeaseReply {
             round: request.round,
