--- a/crates/wheel_bench/src/run_idle.rs
+++ b/crates/wheel_bench/src/run_idle.rs
@@ -4,6 +4,7 @@
 
 use wheel_harness::{ClusterSettings, LocalCluster};
 
+use crate::bench_text::ABSENT_CENTRE;
 use crate::{BenchError, BenchText, CsvTable, MeterReading, ProcessMeter, ScrapedCounters};
 
 /// Time that is watched.
@@ -35,8 +36,12 @@
 }
 
 async fn measure(extra: usize) -> Result<[f64; 9], BenchError> {
-    let text = BenchText { grantors: 3, engines: 0, ..BenchText::default() };
-    let settings = ClusterSettings { extra_instances: extra, ..ClusterSettings::default() };
+    let text = BenchText { grantors: 3, engines: 0, absent_engines: 1, ..BenchText::default() };
+    let settings = ClusterSettings {
+        extra_instances: extra,
+        absent_centres: vec![ABSENT_CENTRE.into()],
+        ..ClusterSettings::default()
+    };
     let mut cluster = LocalCluster::start(&text.cluster_text()?, &settings).await?;
     cluster.apply_first(Duration::from_secs(30)).await?;
     tokio::time::sleep(SETTLE).await;
--- a/crates/wheel_bench/src/run_polling.rs
+++ b/crates/wheel_bench/src/run_polling.rs
@@ -4,6 +4,7 @@
 
 use wheel_harness::{ClusterSettings, LocalCluster};
 
+use crate::bench_text::ABSENT_CENTRE;
 use crate::{BenchError, BenchText, CsvTable, ProcessMeter, ScrapedCounters};
 
 /// Time that is watched.
@@ -33,8 +34,12 @@
 }
 
 async fn measure(engines: usize) -> Result<[f64; 7], BenchError> {
-    let text = BenchText { grantors: 3, engines, ..BenchText::default() };
-    let settings = ClusterSettings { control: 1, ..ClusterSettings::default() };
+    let text = BenchText { grantors: 3, engines, absent_engines: 1, ..BenchText::default() };
+    let settings = ClusterSettings {
+        control: 1,
+        absent_centres: vec![ABSENT_CENTRE.into()],
+        ..ClusterSettings::default()
+    };
     let mut cluster = LocalCluster::start(&text.cluster_text()?, &settings).await?;
     cluster.apply_first(Duration::from_secs(30)).await?;
     tokio::time::sleep(SETTLE).await;
