--- a/crates/wheel_fakes/src/engine_desk.rs
+++ b/crates/wheel_fakes/src/engine_desk.rs
@@ -128,7 +128,9 @@
             OrderAction::LoadAdapter { model, adapter, memory_mib } => {
                 let (adapter, memory_mib) = (adapter.clone(), *memory_mib);
                 let state = AdapterState { adapter, phase: ModelPhase::Loading, memory_mib };
-                self.adapters_mut(model).push(state);
+                for adapters in self.adapters_mut(model) {
+                    adapters.push(state.clone());
+                }
             }
             OrderAction::UnloadAdapter { .. } => {}
             OrderAction::SetRole { role } => self.state.role = *role,
@@ -151,14 +153,16 @@
                 self.state.models.retain(|state| &state.model != model);
             }
             OrderAction::LoadAdapter { model, adapter, .. } => {
-                for state in self.adapters_mut(model) {
+                for state in self.adapters_mut(model).flatten() {
                     if &state.adapter == adapter {
                         state.phase = ModelPhase::Loaded;
                     }
                 }
             }
             OrderAction::UnloadAdapter { model, adapter } => {
-                self.adapters_mut(model).retain(|state| &state.adapter != adapter);
+                for adapters in self.adapters_mut(model) {
+                    adapters.retain(|state| &state.adapter != adapter);
+                }
             }
             OrderAction::SetRole { .. } => {}
         }
@@ -253,9 +257,8 @@
         }
     }
 
-    fn adapters_mut(&mut self, model: &ModelName) -> &mut Vec<AdapterState> {
-        let place = self.state.models.iter().position(|state| &state.model == model);
-        debug_assert!(place.is_some(), "the model was there when the order was taken");
-        &mut self.state.models[place.unwrap_or_default()].adapters
+    fn adapters_mut(&mut self, model: &ModelName) -> impl Iterator<Item = &mut Vec<AdapterState>> {
+        let states = self.state.models.iter_mut().filter(move |state| &state.model == model);
+        states.map(|state| &mut state.adapters)
     }
 }
--- a/crates/wheel_fakes/src/fake_engine.rs
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -37,7 +37,7 @@
     pub max_waiting: usize,
     /// Time for one token.
     pub token_time: Duration,
-    /// Load time of a checkpoint in the host's memory.
+    /// Load time of a checkpoint in the host's memory, and time to unload a model.
     pub memory_load: Duration,
     /// Load time of a checkpoint on the local disk.
     pub disk_load: Duration,
@@ -359,6 +359,7 @@
                 }
                 tokio::time::sleep(self.settings.store_load).await;
             }
+            OrderAction::UnloadModel { .. } => tokio::time::sleep(self.settings.memory_load).await,
             OrderAction::LoadAdapter { .. } => {
                 let in_flight = self.adapters_in_flight.fetch_add(1, Ordering::Relaxed) + 1;
                 let slower = in_flight as f64 / MAX_ADAPTERS_AT_FULL_SPEED as f64;
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -27,7 +27,8 @@
         answer
     }
 
-    /// The next piece; `None` after the proper end. After a failure the body is over.
+    /// The next piece; `None` after the proper end. After a failure the body is over. Dropping the
+    /// future loses nothing.
     pub async fn next(&mut self) -> Result<Option<Bytes>, CallFailure> {
         while !self.ended {
             let timeouts = self.call.timeouts();
--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -29,7 +29,8 @@
 
 /// Keeps idle connections, bounds open ones and retires those that have gone silent.
 ///
-/// It never sends a call by itself and never sends one again: it only hands out connections.
+/// It never sends a call by itself and never sends one again: it only hands out connections. Its
+/// table is never locked across an await, nor together with a connection's write gate.
 pub(crate) struct ConnectionPool {
     address: SocketAddr,
     limits: ConnectionLimits,
--- a/crates/wheel_upstream/src/service_answer.rs
+++ b/crates/wheel_upstream/src/service_answer.rs
@@ -9,7 +9,7 @@
 pub struct ServiceAnswer {
     /// The status.
     pub status: StatusCode,
-    /// The headers, without those of the connection.
+    /// The headers, without those of the connection; the service's own outcome and id are in them.
     pub headers: HeaderMap,
     /// Whether the call ran: the service's own word, else `unknown` for a server error and `ran`
     /// for all else.
--- a/crates/wheel_upstream/src/token_stream.rs
+++ b/crates/wheel_upstream/src/token_stream.rs
@@ -57,7 +57,7 @@
         self.next_index
     }
 
-    /// The next event. After an end or a failure there is nothing more to come, and the stream
+    /// The next event. Dropping the future loses nothing: the next call goes on from there. After an end or a failure there is nothing more to come, and the stream
     /// fails as cut short.
     pub async fn next(&mut self) -> Result<StreamEvent, CallFailure> {
         match self.read_event().await {
--- a/crates/wheel_upstream/tests/service_faults.rs
+++ b/crates/wheel_upstream/tests/service_faults.rs
@@ -146,6 +146,20 @@
     assert_eq!(client.status().opened, 1);
 }
 
+#[tokio::test]
+async fn call_doubled_answer_reaches_no_later_call() {
+    let twice = "HTTP/1.1 200 OK\r\nwheel-request-id: r-1\r\ncontent-length: 0\r\n\r\n\
+                 HTTP/1.1 200 OK\r\nwheel-request-id: r-1\r\ncontent-length: 0\r\n\r\n";
+    let upstream = ScriptedUpstream::bind(&[twice, twice]).await;
+    let client = service_client(upstream.address);
+    for (id, answered) in [("r-1", true), ("r-2", false), ("r-3", false)] {
+        let mut call = booking(id);
+        (call.method, call.idempotent) = (Method::GET, true);
+        let answer = client.call(call).await;
+        assert_eq!(answer.is_ok(), answered, "{id}");
+    }
+}
+
 #[tokio::test]
 async fn call_given_up_is_reset() {
     let listener = tokio::net::TcpListener::bind(ANY_PORT).await.expect("bind");
