Let the fake engine hold several versions of a model

A version is rolled by loading the new one beside the old one; the fake refused that as already there. Calls that wait and calls that run are one list now.

--- a/crates/wheel_fakes/src/engine_desk.rs
+++ b/crates/wheel_fakes/src/engine_desk.rs
@@ -2,15 +2,17 @@
 
 use std::collections::{HashMap, HashSet};
 
-use serde::Serialize;
+use serde_json::{Value, json};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wheel_types::{
-    AdapterState, EngineOrder, EngineState, ModelName, ModelPhase, ModelState, OrderAction,
-    OrderReason, OrderReply, RequestId, RequestRank,
+    AdapterName, AdapterState, EngineOrder, EngineState, ModelName, ModelPhase, ModelState,
+    OrderAction, OrderReason, OrderReply, RequestId, RequestRank,
 };
 
+use crate::call_head::CallHead;
+
 /// State and counters of one fake engine, behind one lock.
 #[derive(Default)]
 pub(crate) struct EngineDesk {
@@ -20,35 +22,20 @@
     pub(crate) runs: HashMap<RequestId, u64>,
     pub(crate) resumes: HashMap<RequestId, u64>,
     pub(crate) running: Vec<RunningCall>,
-    pub(crate) waiting: Vec<WaitingCall>,
     pub(crate) prefixes: HashSet<String>,
-    pub(crate) events: Vec<(Instant, CacheNote)>,
+    pub(crate) events: Vec<(Instant, Value)>,
     replies: HashMap<RequestId, OrderReply>,
     next_number: u64,
 }
 
-/// A generation that holds a slot or waits for one.
+/// A generation that holds a slot, or waits for one while it has a `waiter`.
 pub(crate) struct RunningCall {
     pub(crate) number: u64,
     pub(crate) request: RequestId,
     pub(crate) attempt: String,
     pub(crate) cancelled: CancellationToken,
-}
-
-/// A generation that waits for a slot.
-pub(crate) struct WaitingCall {
     rank: RequestRank,
-    number: u64,
-    ready: oneshot::Sender<()>,
-}
-
-/// One cache event.
-#[derive(Clone)]
-#[derive(Serialize)]
-pub(crate) struct CacheNote {
-    pub(crate) sequence: u64,
-    pub(crate) kind: &'static str,
-    pub(crate) prefix_hash: String,
+    waiter: Option<oneshot::Sender<()>>,
 }
 
 impl EngineDesk {
@@ -91,17 +78,21 @@
                 Some(OrderReason::StaleFencingNumber)
             }
             _ if order.incarnation != self.state.incarnation => Some(OrderReason::WrongIncarnation),
-            OrderAction::LoadModel { model, .. } if self.state.find(model).is_some() => {
+            OrderAction::LoadModel { model, version, .. }
+                if self.find(model, *version).is_some() =>
+            {
                 Some(OrderReason::AlreadyThere)
             }
             OrderAction::LoadAdapter { model, adapter, .. } if self.has_adapter(model, adapter) => {
                 Some(OrderReason::AlreadyThere)
             }
-            OrderAction::LoadAdapter { model, .. } if !self.is_loaded(model) => {
+            OrderAction::LoadAdapter { model, .. } if self.serving(model.as_str()).is_none() => {
                 Some(OrderReason::UnknownModel)
             }
             action if checks_memory && action.takes_mib() > free_mib => Some(OrderReason::NoMemory),
-            OrderAction::UnloadModel { model, .. } if !self.is_loaded(model) => {
+            OrderAction::UnloadModel { model, version }
+                if self.phase(model, *version) != Some(ModelPhase::Loaded) =>
+            {
                 Some(OrderReason::UnknownModel)
             }
             OrderAction::UnloadAdapter { model, adapter } if !self.has_adapter(model, adapter) => {
@@ -122,14 +113,14 @@
                     adapters: Vec::new(),
                 });
             }
-            OrderAction::UnloadModel { model, .. } => {
-                self.set_phase(model, ModelPhase::Unloading);
+            OrderAction::UnloadModel { model, version } => {
+                self.set_phase(model, *version, ModelPhase::Unloading);
             }
             OrderAction::LoadAdapter { model, adapter, memory_mib } => {
                 let (adapter, memory_mib) = (adapter.clone(), *memory_mib);
                 let state = AdapterState { adapter, phase: ModelPhase::Loading, memory_mib };
-                for adapters in self.adapters_mut(model) {
-                    adapters.push(state.clone());
+                if let Some(place) = self.serving(model.as_str()) {
+                    self.state.models[place].adapters.push(state);
                 }
             }
             OrderAction::UnloadAdapter { .. } => {}
@@ -141,27 +132,28 @@
     /// Ends an action that takes time.
     pub(crate) fn finish(&mut self, action: &OrderAction) {
         match action {
-            OrderAction::LoadModel { model, .. } => {
-                self.set_phase(model, ModelPhase::Loaded);
+            OrderAction::LoadModel { model, version, .. } => {
+                self.set_phase(model, *version, ModelPhase::Loaded);
                 for held in [&mut self.state.memory_checkpoints, &mut self.state.disk_checkpoints] {
                     if !held.contains(model) {
                         held.push(model.clone());
                     }
                 }
             }
-            OrderAction::UnloadModel { model, .. } => {
-                self.state.models.retain(|state| &state.model != model);
+            OrderAction::UnloadModel { model, version } => {
+                let gone = self.find(model, *version);
+                gone.map(|place| self.state.models.remove(place));
             }
             OrderAction::LoadAdapter { model, adapter, .. } => {
-                for state in self.adapters_mut(model).flatten() {
+                for state in self.models_mut(model).flat_map(|state| &mut state.adapters) {
                     if &state.adapter == adapter {
                         state.phase = ModelPhase::Loaded;
                     }
                 }
             }
             OrderAction::UnloadAdapter { model, adapter } => {
-                for adapters in self.adapters_mut(model) {
-                    adapters.retain(|state| &state.adapter != adapter);
+                for state in self.models_mut(model) {
+                    state.adapters.retain(|state| &state.adapter != adapter);
                 }
             }
             OrderAction::SetRole { .. } => {}
@@ -171,62 +163,64 @@
     /// True if `name`, a model or `model:adapter`, answers requests.
     pub(crate) fn serves(&self, name: &str) -> bool {
         let (model, adapter) = name.split_once(':').unwrap_or((name, ""));
-        self.state.models.iter().any(|state| {
-            let ready = state
-                .adapters
-                .iter()
-                .any(|held| held.adapter.as_str() == adapter && held.phase == ModelPhase::Loaded);
-            let has_model = state.model.as_str() == model && state.phase == ModelPhase::Loaded;
-            has_model && (adapter.is_empty() || ready)
-        })
+        let Some(place) = self.serving(model) else { return false };
+        let adapters = &mut self.state.models[place].adapters.iter();
+        let is_ready = |held: &AdapterState| {
+            held.phase == ModelPhase::Loaded && held.adapter.as_str() == adapter
+        };
+        adapter.is_empty() || adapters.any(is_ready)
     }
 
     /// Counts a run and gives it a slot, at once or when the receiver fires.
     pub(crate) fn start_call(
         &mut self,
-        request: &RequestId,
-        attempt: &str,
-        rank: RequestRank,
-        resumed: bool,
+        head: &CallHead,
         slots: usize,
     ) -> (u64, CancellationToken, oneshot::Receiver<()>) {
-        let counts = if resumed { &mut self.resumes } else { &mut self.runs };
-        *counts.entry(request.clone()).or_default() += 1;
+        let counts = if head.resume_from > 0 { &mut self.resumes } else { &mut self.runs };
+        *counts.entry(head.request.clone()).or_default() += 1;
         self.next_number += 1;
-        let (number, cancelled) = (self.next_number, CancellationToken::new());
-        let (ready, turn) = oneshot::channel();
-        if self.running.len() - self.waiting.len() < slots {
-            let _ = ready.send(());
-        } else {
-            self.waiting.push(WaitingCall { rank, number, ready });
+        let (waiter, turn) = oneshot::channel();
+        let mut call = RunningCall {
+            number: self.next_number,
+            request: head.request.clone(),
+            attempt: head.attempt.clone(),
+            cancelled: CancellationToken::new(),
+            rank: head.rank,
+            waiter: Some(waiter),
+        };
+        if self.running.len() - self.waiting() < slots {
+            call.take_turn();
         }
-        let (request, attempt) = (request.clone(), attempt.to_owned());
-        let call = RunningCall { number, request, attempt, cancelled: cancelled.clone() };
+        let cancelled = call.cancelled.clone();
         self.running.push(call);
-        (number, cancelled, turn)
+        (self.next_number, cancelled, turn)
     }
 
-    /// Ends a run and passes its slot to the most urgent call that waits.
+    /// Ends a run and passes its slot, if it had one, to the most urgent call that waits.
     pub(crate) fn end_call(&mut self, number: u64) {
-        self.running.retain(|call| call.number != number);
-        let waited = self.waiting.iter().any(|call| call.number == number);
-        self.waiting.retain(|call| call.number != number);
-        let next = (0..self.waiting.len())
-            .min_by_key(|&index| (self.waiting[index].rank, self.waiting[index].number));
-        match next {
-            Some(index) if !waited => {
-                let _ = self.waiting.swap_remove(index).ready.send(());
-            }
+        let Some(place) = self.running.iter().position(|call| call.number == number) else {
+            return;
+        };
+        let waited = self.running.remove(place).waiter.is_some();
+        let waiting = self.running.iter_mut().filter(|call| call.waiter.is_some());
+        match waiting.min_by_key(|call| (call.rank, call.number)) {
+            Some(next) if !waited => next.take_turn(),
             _ => {}
         }
     }
 
+    /// Calls that wait for a slot.
+    pub(crate) fn waiting(&self) -> usize {
+        self.running.iter().filter(|call| call.waiter.is_some()).count()
+    }
+
     /// Notes that a prompt prefix is now in the KV cache.
-    pub(crate) fn cache_prefix(&mut self, prefix_hash: String) {
-        if self.prefixes.insert(prefix_hash.clone()) {
-            let sequence = self.events.len() as u64 + 1;
-            let note = CacheNote { sequence, kind: "stored", prefix_hash };
-            self.events.push((Instant::now(), note));
+    pub(crate) fn cache_prefix(&mut self, prefix_hash: &str) {
+        if self.prefixes.insert(prefix_hash.to_owned()) {
+            let sequence = self.events.len() + 1;
+            let event = json!({"sequence": sequence, "kind": "stored", "prefix_hash": prefix_hash});
+            self.events.push((Instant::now(), event));
         }
     }
 
@@ -238,27 +232,46 @@
         self.state.fencing_number = Default::default();
         self.replies.clear();
         self.running.clear();
-        self.waiting.clear();
         self.prefixes.clear();
     }
 
-    fn is_loaded(&self, model: &ModelName) -> bool {
-        self.state.find(model).is_some_and(|state| state.phase == ModelPhase::Loaded)
+    /// The place of the highest version of `model` that is loaded.
+    fn serving(&self, model: &str) -> Option<usize> {
+        let states = self.state.models.iter().enumerate();
+        states
+            .filter(|(_, state)| state.model.as_str() == model && state.phase == ModelPhase::Loaded)
+            .max_by_key(|(_, state)| state.version)
+            .map(|(place, _)| place)
     }
 
-    fn has_adapter(&self, model: &ModelName, adapter: &wheel_types::AdapterName) -> bool {
-        let state = self.state.find(model);
-        state.is_some_and(|state| state.adapters.iter().any(|held| &held.adapter == adapter))
+    fn find(&self, model: &ModelName, version: u32) -> Option<usize> {
+        let mut states = self.state.models.iter();
+        states.position(|state| &state.model == model && state.version == version)
     }
 
-    fn set_phase(&mut self, model: &ModelName, phase: ModelPhase) {
-        for state in self.state.models.iter_mut().filter(|state| &state.model == model) {
-            state.phase = phase;
+    fn phase(&self, model: &ModelName, version: u32) -> Option<ModelPhase> {
+        self.find(model, version).map(|place| self.state.models[place].phase)
+    }
+
+    fn set_phase(&mut self, model: &ModelName, version: u32, phase: ModelPhase) {
+        if let Some(place) = self.find(model, version) {
+            self.state.models[place].phase = phase;
         }
     }
 
-    fn adapters_mut(&mut self, model: &ModelName) -> impl Iterator<Item = &mut Vec<AdapterState>> {
-        let states = self.state.models.iter_mut().filter(move |state| &state.model == model);
-        states.map(|state| &mut state.adapters)
+    fn has_adapter(&self, model: &ModelName, adapter: &AdapterName) -> bool {
+        let states = self.state.models.iter().filter(|state| &state.model == model);
+        states.flat_map(|state| &state.adapters).any(|held| &held.adapter == adapter)
+    }
+
+    fn models_mut(&mut self, model: &ModelName) -> impl Iterator<Item = &mut ModelState> {
+        self.state.models.iter_mut().filter(move |state| &state.model == model)
+    }
+}
+
+impl RunningCall {
+    fn take_turn(&mut self) {
+        // A call that was dropped meanwhile gives its slot back by itself.
+        let _ = self.waiter.take().map(|waiter| waiter.send(()));
     }
 }
--- a/crates/wheel_fakes/src/fake_engine.rs
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -14,9 +14,9 @@
 use serde_json::{Value, json};
 use wheel_types::{
     EngineOrder, EngineState, IncarnationId, LoadReport, ModelName, OrderAction, RequestId,
-    RequestRank,
 };
 
+use crate::call_head::CallHead;
 use crate::engine_desk::EngineDesk;
 use crate::engine_stream::TokenRun;
 use crate::fake_server::{
@@ -245,7 +245,7 @@
 
     fn load(&self) -> LoadReport {
         let desk = self.desk.lock();
-        let waiting = desk.waiting.len();
+        let waiting = desk.waiting();
         LoadReport {
             incarnation: desk.state.incarnation,
             running: (desk.running.len() - waiting) as u32,
@@ -261,24 +261,19 @@
         chat: bool,
     ) -> Result<Response<FakeBody>, FakeAbort> {
         let sent: Value = serde_json::from_slice(&body).unwrap_or_default();
-        let word = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let request = RequestId::new(word("wheel-request-id").unwrap_or_default());
-        let number = |name: &str| word(name).and_then(|word| word.parse::<u64>().ok());
-        let rank = RequestRank(number("wheel-priority").unwrap_or_default() as u8);
-        let resume_from = number("wheel-resume-from").unwrap_or_default();
+        let head = CallHead::read(headers);
         let faults = self.faults.lock().clone();
-        let answered = faults.answer_id.clone().unwrap_or_else(|| request.clone());
-        let attempt = word("wheel-attempt-id").unwrap_or_default();
-        let run = match self.start(&request, attempt, rank, resume_from, &sent, &faults) {
+        let answered = faults.answer_id.clone().unwrap_or_else(|| head.request.clone());
+        let run = match self.start(&head, &sent, &faults) {
             Ok((number, cancelled, turn)) => TokenRun {
                 desk: self.desk.clone(),
                 number,
                 cancelled,
                 turn: Some(turn),
-                request,
+                request: head.request,
                 body,
                 chat,
-                next_index: resume_from,
+                next_index: head.resume_from,
                 max_tokens: sent["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
                 sent: 0,
                 done: false,
@@ -301,10 +296,7 @@
 
     fn start(
         &self,
-        request: &RequestId,
-        attempt: &str,
-        rank: RequestRank,
-        resume_from: u64,
+        head: &CallHead,
         sent: &Value,
         faults: &FaultPlan,
     ) -> Result<CallStart, StatusCode> {
@@ -313,12 +305,12 @@
         match () {
             () if faults.refuse || desk.state.leaving => Err(StatusCode::SERVICE_UNAVAILABLE),
             () if !desk.serves(model) => Err(StatusCode::NOT_FOUND),
-            () if desk.waiting.len() >= self.settings.max_waiting => {
+            () if desk.waiting() >= self.settings.max_waiting => {
                 Err(StatusCode::SERVICE_UNAVAILABLE)
             }
             () => {
-                desk.cache_prefix(format!("{model}/{}", sent["messages"][0]["content"]));
-                Ok(desk.start_call(request, attempt, rank, resume_from > 0, self.settings.slots))
+                desk.cache_prefix(&format!("{model}/{}", sent["messages"][0]["content"]));
+                Ok(desk.start_call(head, self.settings.slots))
             }
         }
     }
@@ -389,8 +381,9 @@
         let (delay, gap) = (self.settings.event_delay, self.settings.event_gap);
         let desk = self.desk.lock();
         let shown = desk.events.iter().filter(|(at, note)| {
-            let lost = gap > 0 && note.sequence.is_multiple_of(gap);
-            at.elapsed() >= delay && !lost && note.sequence > after.unwrap_or_default()
+            let sequence = note["sequence"].as_u64().unwrap_or_default();
+            let lost = gap > 0 && sequence.is_multiple_of(gap);
+            at.elapsed() >= delay && !lost && sequence > after.unwrap_or_default()
         });
         let events: Vec<_> = shown.map(|(_, note)| note.clone()).collect();
         json_answer(StatusCode::OK, &json!({"events": events}))
@@ -406,7 +399,7 @@
 
     fn import_prefix(&self, sent: &Value) -> Response<FakeBody> {
         let prefix_hash = sent["prefix_hash"].as_str().unwrap_or_default();
-        self.desk.lock().cache_prefix(prefix_hash.to_owned());
+        self.desk.lock().cache_prefix(prefix_hash);
         json_answer(StatusCode::OK, &json!({"imported": true}))
     }
 
--- a/crates/wheel_fakes/src/lib.rs
+++ b/crates/wheel_fakes/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each `bind` returns a running handle with counters of what truly ran and switches for faults.
 //! [`FaultPlan`] can also be set over HTTP (`PUT /fake/faults`), for tests of whole processes.
 
+mod call_head;
 mod engine_desk;
 mod engine_stream;
 mod fake_engine;
--- a/crates/wheel_upstream/tests/engine_calls.rs
+++ b/crates/wheel_upstream/tests/engine_calls.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use common::{TestPermit, are_tokens, engine, eventually, generate, load_order, read_all};
-use wheel_types::{ModelPhase, OrderReason, RequestId};
+use wheel_types::{EngineOrder, ModelPhase, OrderAction, OrderReason, RequestId};
 use wheel_upstream::{OrderAnswer, StreamEvent};
 
 #[tokio::test]
@@ -81,6 +81,22 @@
     assert_eq!(client.state().await.expect("state"), engine.state());
 }
 
+#[tokio::test]
+async fn order_versions_stand_side_by_side() {
+    let (engine, client) = engine().await;
+    let permit = Arc::new(TestPermit::default());
+    let action = OrderAction::LoadModel { model: "m".into(), version: 2, memory_mib: 5 };
+    let order = EngineOrder { action, ..load_order("o-1", "m") };
+    assert_eq!(client.order(&order, permit.clone()).await, OrderAnswer::Accepted);
+    let phases = || engine.state().models.iter().map(|model| model.phase).collect::<Vec<_>>();
+    eventually(|| phases() == [ModelPhase::Loaded; 2]).await;
+    let action = OrderAction::UnloadModel { model: "m".into(), version: 1 };
+    let order = EngineOrder { action, ..load_order("o-2", "m") };
+    assert_eq!(client.order(&order, permit).await, OrderAnswer::Accepted);
+    eventually(|| phases() == [ModelPhase::Loaded]).await;
+    assert_eq!((engine.state().models[0].version, engine.max_used_mib()), (2, 15));
+}
+
 #[tokio::test]
 async fn order_old_fencing_number_refused() {
     let (engine, client) = engine().await;
