Give each fake engine process its own incarnation, and let reports lag

A fake engine that was killed and started again on the same address had incarnation 1 again, so that a late order for its former life would have been taken.

--- a/crates/wheel_fakes/src/bin/wheel_fake.rs
+++ b/crates/wheel_fakes/src/bin/wheel_fake.rs
@@ -4,12 +4,13 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use getopts::{Matches, Options};
 use wheel_fakes::{
     FakeEngine, FakeEngineSettings, FakeList, FakeService, FakeStore, FakeStoreSettings, ListEntry,
 };
+use wheel_types::IncarnationId;
 
 type BoxError = Box<dyn std::error::Error>;
 
@@ -71,6 +72,7 @@
         .optopt("", "slots", "engine: calls at once (8)", "N")
         .optopt("", "token-us", "engine: time for a token (1000)", "MICROS")
         .optopt("", "load-ms", "engine, store: time of a load from the store (100)", "MILLIS")
+        .optopt("", "load-lag-ms", "engine: age of load reports (0)", "MILLIS")
         .optopt("", "store", "engine: address of the weight store", "ADDR")
         .optflag("", "ignore-fencing", "engine: take old fencing numbers")
         .optmulti("", "preload", "engine: model that is loaded from the start", "MODEL")
@@ -85,8 +87,10 @@
     let settings = FakeEngineSettings::default();
     Ok(FakeEngineSettings {
         address,
+        incarnation: IncarnationId(unix_millis()),
         memory_mib: flags.opt_get_default("memory-mib", settings.memory_mib)?,
         slots: flags.opt_get_default("slots", settings.slots)?,
+        load_lag: millis(flags, "load-lag-ms", 0)?,
         token_time: Duration::from_micros(flags.opt_get_default("token-us", 1_000)?),
         store_load: millis(flags, "load-ms", 100)?,
         store: flags.opt_get("store")?,
@@ -95,6 +99,12 @@
     })
 }
 
+/// A process that comes back has another incarnation.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
 fn store_settings(flags: &Matches, address: SocketAddr) -> Result<FakeStoreSettings, BoxError> {
     let settings = FakeStoreSettings::default();
     let (pace, full_speed) = (settings.loads_per_second, settings.full_speed_loads);
--- a/crates/wheel_fakes/src/engine_desk.rs
+++ b/crates/wheel_fakes/src/engine_desk.rs
@@ -7,8 +7,8 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wheel_types::{
-    AdapterName, AdapterState, EngineOrder, EngineState, ModelName, ModelPhase, ModelState,
-    OrderAction, OrderReason, OrderReply, RequestId, RequestRank,
+    AdapterName, AdapterState, EngineOrder, EngineState, LoadReport, ModelName, ModelPhase,
+    ModelState, OrderAction, OrderReason, OrderReply, RequestId, RequestRank,
 };
 
 use crate::call_head::CallHead;
@@ -23,6 +23,7 @@
     pub(crate) resumes: HashMap<RequestId, u64>,
     pub(crate) running: Vec<RunningCall>,
     pub(crate) prefixes: HashSet<String>,
+    pub(crate) load_report: Option<(Instant, LoadReport)>,
     pub(crate) events: Vec<(Instant, Value)>,
     replies: HashMap<RequestId, OrderReply>,
     next_number: u64,
@@ -231,6 +232,7 @@
         self.state.recent_orders.clear();
         self.state.fencing_number = Default::default();
         self.replies.clear();
+        self.load_report = None;
         self.running.clear();
         self.prefixes.clear();
     }
--- a/crates/wheel_fakes/src/fake_engine.rs
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -12,6 +12,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
+use tokio::time::Instant;
 use wheel_types::{
     EngineOrder, EngineState, IncarnationId, LoadReport, ModelName, OrderAction, RequestId,
 };
@@ -29,6 +30,8 @@
 pub struct FakeEngineSettings {
     /// Where it listens; port 0 takes a free one.
     pub address: SocketAddr,
+    /// Its first incarnation.
+    pub incarnation: IncarnationId,
     /// Memory for models and adapters, in mebibytes.
     pub memory_mib: u64,
     /// Calls that run at once.
@@ -53,6 +56,8 @@
     pub checks_memory: bool,
     /// Checkpoints on its disk from the start.
     pub disk_checkpoints: Vec<ModelName>,
+    /// Age at which a load report is renewed.
+    pub load_lag: Duration,
     /// Age of a cache event when it is first shown.
     pub event_delay: Duration,
     /// Each cache event whose number this divides is lost; 0 loses none.
@@ -63,6 +68,7 @@
     fn default() -> Self {
         Self {
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            incarnation: IncarnationId(1),
             memory_mib: 80 * 1024,
             slots: 8,
             max_waiting: 64,
@@ -75,6 +81,7 @@
             enforces_fencing: true,
             checks_memory: true,
             disk_checkpoints: Vec::new(),
+            load_lag: Duration::ZERO,
             event_delay: Duration::ZERO,
             event_gap: 0,
         }
@@ -102,7 +109,7 @@
     /// Starts an engine.
     pub async fn bind(settings: FakeEngineSettings) -> io::Result<Self> {
         let mut desk = EngineDesk::default();
-        desk.state.incarnation = IncarnationId(1);
+        desk.state.incarnation = settings.incarnation;
         desk.state.memory_mib = settings.memory_mib;
         desk.state.disk_checkpoints = settings.disk_checkpoints.clone();
         let shared = Arc::new(EngineShared {
@@ -128,7 +135,7 @@
 
     /// Makes it leave, or stay.
     pub fn set_leaving(&self, leaving: bool) {
-        self.shared.desk.lock().state.leaving = leaving;
+        self.shared.faults.lock().leaving = leaving;
     }
 
     /// What `GET /engine/v1/state` shows.
@@ -237,21 +244,29 @@
     }
 
     fn state(&self) -> EngineState {
+        let leaving = self.faults.lock().leaving;
         let desk = self.desk.lock();
         let mut state = desk.state.clone();
+        state.leaving = leaving;
         state.running = desk.running.iter().map(|call| call.request.clone()).collect();
         state
     }
 
     fn load(&self) -> LoadReport {
-        let desk = self.desk.lock();
+        let mut desk = self.desk.lock();
         let waiting = desk.waiting();
-        LoadReport {
+        let fresh = LoadReport {
             incarnation: desk.state.incarnation,
             running: (desk.running.len() - waiting) as u32,
             waiting: waiting as u32,
-            ..Default::default()
-        }
+            ..LoadReport::default()
+        };
+        let (at, report) = match desk.load_report {
+            Some((at, report)) if at.elapsed() < self.settings.load_lag => (at, report),
+            _ => (Instant::now(), fresh),
+        };
+        desk.load_report = Some((at, report));
+        LoadReport { age_ms: at.elapsed().as_millis() as u64, ..report }
     }
 
     async fn generate(
@@ -303,7 +318,7 @@
         let mut desk = self.desk.lock();
         let model = sent["model"].as_str().unwrap_or_default();
         match () {
-            () if faults.refuse || desk.state.leaving => Err(StatusCode::SERVICE_UNAVAILABLE),
+            () if faults.refuse || faults.leaving => Err(StatusCode::SERVICE_UNAVAILABLE),
             () if !desk.serves(model) => Err(StatusCode::NOT_FOUND),
             () if desk.waiting() >= self.settings.max_waiting => {
                 Err(StatusCode::SERVICE_UNAVAILABLE)
--- a/crates/wheel_fakes/src/fault_plan.rs
+++ b/crates/wheel_fakes/src/fault_plan.rs
@@ -28,6 +28,8 @@
     pub never_read: bool,
     /// Requests are refused as not run.
     pub refuse: bool,
+    /// It is leaving: it says so and refuses new work.
+    pub leaving: bool,
     /// Old fencing numbers are ignored.
     pub ignore_fencing: bool,
 }
--- a/crates/wheel_fakes/tests/fakes.rs
+++ b/crates/wheel_fakes/tests/fakes.rs
@@ -73,10 +73,13 @@
     let store = FakeProcess::spawn(&["store", "--full-speed-loads", "1", "--load-ms", "100"]);
     let store_address = store.address.to_string();
     let engine = FakeProcess::spawn(&["engine", "--load-ms", "0", "--store", &store_address]);
+    let state: serde_json::Value =
+        serde_json::from_str(&engine.ask("GET", "/engine/v1/state", "")).expect("json");
+    let incarnation = &state["incarnation"];
     let begun = Instant::now();
     for model in ["a", "b"] {
         let order = format!(
-            r#"{{"order_id":"load-{model}","fencing_number":1,"incarnation":1,"action":"load-model","model":"{model}","version":1,"memory_mib":1}}"#
+            r#"{{"order_id":"load-{model}","fencing_number":1,"incarnation":{incarnation},"action":"load-model","model":"{model}","version":1,"memory_mib":1}}"#
         );
         let answer = engine.ask("POST", "/engine/v1/orders", &order);
         assert!(answer.contains(r#""accepted":true"#), "{answer}");
