Ask an engine for a sign of life before it gets an order

Tried with a stopped fake engine process: an order sent while it was frozen was reported unknown, and 3 s after the reset of its connection the engine woke and loaded the model, since a reset doesn't empty the receiver's buffer. No socket option on the sender's side helps. The engine is now asked for its load report first, on the order's own connection: a frozen one gets no order and the answer is not-sent instead of unknown.

--- a/crates/wheel_upstream/src/engine_client.rs
+++ b/crates/wheel_upstream/src/engine_client.rs
@@ -1,24 +1,18 @@
 //! The client of one model engine.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http::{HeaderValue, Request, Response};
 use tokio::sync::{Mutex, Semaphore};
-use tokio::time::timeout;
-use wheel_types::{
-    EngineOrder, EngineState, LoadReport, OrderReason, RequestId, RequestOutcome, UpstreamName,
-};
+use wheel_types::{EngineOrder, EngineState, LoadReport, RequestId, RequestOutcome, UpstreamName};
 
 use crate::attempt_id::AttemptSource;
-use crate::call_body::CallBody;
 use crate::cancel_guard::CancelGuard;
 use crate::connection_pool::{ConnectionChoice, ConnectionPool};
+use crate::order_connection::OrderConnection;
 use crate::pooled_call::PooledCall;
-use crate::upstream_connection::UpstreamConnection;
 use crate::{
     AnswerBody, AttemptId, CacheEvents, CallFailure, ClientStatus, EngineDialect, EngineSettings,
     FailureKind, GenerateCall, OrderAnswer, OrderPermit, TokenStream, WholeAnswer,
@@ -116,8 +110,8 @@
 
     /// Gives an order, over a connection of its own and after any other order has ended.
     ///
-    /// `permit` is asked when the order's bytes are about to leave. The order's bytes outlive the
-    /// call by no more than the order life of the settings.
+    /// The engine is first asked for a sign of life on that connection. `permit` is asked whenever
+    /// bytes are about to leave; they outlive the call by no more than the settings' order life.
     pub async fn order(&self, order: &EngineOrder, permit: Arc<dyn OrderPermit>) -> OrderAnswer {
         let _turn = self.core.order_turn.lock().await;
         match self.core.dialect.order(order) {
@@ -220,44 +214,12 @@
         request: Request<Bytes>,
         permit: Arc<dyn OrderPermit>,
     ) -> OrderAnswer {
-        let (connect, life) = (self.settings.timeouts.connect, self.settings.order_life);
-        let opening = UpstreamConnection::open_for_order(
-            self.settings.address,
-            connect,
-            life,
-            permit.clone(),
-        );
+        let opening = OrderConnection::open(&self.settings, permit);
         let Ok(mut connection) = opening.await else { return OrderAnswer::NotSent };
-        let (head, body) = with_host(request, &self.host).into_parts();
-        let (body, taken) = CallBody::with_permit(body, permit);
-        let request = Request::from_parts(head, body);
-        let answer = timeout(life, self.exchange_order(&mut connection, request)).await;
-        let written = connection.gate.seal();
-        match answer {
-            Ok(Some((StatusCode::OK, reply))) if reply.order_id != order.order_id => {
-                OrderAnswer::Unknown
-            }
-            Ok(Some((StatusCode::OK, reply))) if reply.accepted => OrderAnswer::Accepted,
-            Ok(Some((StatusCode::CONFLICT, reply)))
-                if reply.order_id == order.order_id && !reply.accepted =>
-            {
-                OrderAnswer::Refused(reply.reason.unwrap_or(OrderReason::Other))
-            }
-            _ if written == 0 || !taken.load(Ordering::Acquire) => OrderAnswer::NotSent,
-            _ => OrderAnswer::Unknown,
+        if !connection.probe(with_host(self.dialect.probe(), &self.host)).await {
+            return OrderAnswer::NotSent;
         }
-    }
-
-    async fn exchange_order(
-        &self,
-        connection: &mut UpstreamConnection,
-        request: Request<CallBody>,
-    ) -> Option<(StatusCode, wheel_types::OrderReply)> {
-        let answer = connection.send.send_request(request).await.ok()?;
-        let (head, body) = answer.into_parts();
-        let limited = Limited::new(body, self.settings.limits.max_answer_bytes);
-        let body = limited.collect().await.ok()?.to_bytes();
-        Some((head.status, self.dialect.order_reply(&body).ok()?))
+        connection.send(order, with_host(request, &self.host)).await
     }
 
     fn foreign_answer(&self) -> FailureKind {
--- a/crates/wheel_upstream/src/lib.rs
+++ b/crates/wheel_upstream/src/lib.rs
@@ -23,6 +23,7 @@
 mod generate_call;
 mod guarded_stream;
 mod order_answer;
+mod order_connection;
 mod order_permit;
 mod pooled_call;
 mod service_answer;
--- /dev/null
+++ b/crates/wheel_upstream/src/order_connection.rs
@@ -0,0 +1,94 @@
+//! The connection of one order.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use tokio::time::timeout;
+use wheel_types::{EngineOrder, OrderReason, OrderReply};
+
+use crate::call_body::CallBody;
+use crate::upstream_connection::UpstreamConnection;
+use crate::{CallFailure, EngineDialect, EngineSettings, OrderAnswer, OrderPermit};
+
+/// Carries one order to an engine that has just shown that it is awake.
+pub(crate) struct OrderConnection<'a> {
+    connection: UpstreamConnection,
+    settings: &'a EngineSettings,
+    permit: Arc<dyn OrderPermit>,
+}
+
+impl<'a> OrderConnection<'a> {
+    /// Opens the connection. Nothing is written to it unless `permit` is valid.
+    pub(crate) async fn open(
+        settings: &'a EngineSettings,
+        permit: Arc<dyn OrderPermit>,
+    ) -> Result<Self, CallFailure> {
+        let connection = UpstreamConnection::open_for_order(
+            settings.address,
+            settings.timeouts.connect,
+            settings.order_life,
+            permit.clone(),
+        );
+        Ok(Self { connection: connection.await?, settings, permit })
+    }
+
+    /// True if the engine answers. A frozen engine would take the order from its socket when it
+    /// wakes, however late, so that none is sent before it has answered on this very connection.
+    pub(crate) async fn probe(&mut self, probe: Request<Bytes>) -> bool {
+        let limit = self.settings.limits.probe_timeout;
+        let answered = timeout(limit, self.exchange(probe.map(CallBody::new))).await;
+        let Ok(Some((status, _))) = answered else { return false };
+        let ready = timeout(limit, self.connection.send.ready()).await;
+        status.is_success() && matches!(ready, Ok(Ok(())))
+    }
+
+    /// Sends the order and waits for its answer, no longer than an order's life.
+    pub(crate) async fn send(
+        mut self,
+        order: &EngineOrder,
+        request: Request<Bytes>,
+    ) -> OrderAnswer {
+        let written_before = self.connection.gate.written();
+        let (head, body) = request.into_parts();
+        let (body, taken) = CallBody::with_permit(body, self.permit.clone());
+        let life = self.settings.order_life;
+        let answer = timeout(life, self.exchange(Request::from_parts(head, body))).await;
+        let has_left = self.connection.gate.seal() > written_before;
+        let reply = match answer {
+            Ok(Some((status, body))) => read_reply(&*self.settings.dialect, order, status, &body),
+            _ => None,
+        };
+        match reply {
+            Some(reply) if reply.accepted => OrderAnswer::Accepted,
+            Some(reply) => OrderAnswer::Refused(reply.reason.unwrap_or(OrderReason::Other)),
+            None if has_left && taken.load(Ordering::Acquire) => OrderAnswer::Unknown,
+            None => OrderAnswer::NotSent,
+        }
+    }
+
+    async fn exchange(&mut self, request: Request<CallBody>) -> Option<(StatusCode, Bytes)> {
+        let answer = self.connection.send.send_request(request).await.ok()?;
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, self.settings.limits.max_answer_bytes);
+        Some((head.status, body.collect().await.ok()?.to_bytes()))
+    }
+}
+
+/// The reply, if it is one to this very order.
+fn read_reply(
+    dialect: &dyn EngineDialect,
+    order: &EngineOrder,
+    status: StatusCode,
+    body: &[u8],
+) -> Option<OrderReply> {
+    let reply = dialect.order_reply(body).ok()?;
+    let status_fits = match status {
+        StatusCode::OK => reply.accepted,
+        StatusCode::CONFLICT => !reply.accepted,
+        _ => false,
+    };
+    Some(reply).filter(|reply| status_fits && reply.order_id == order.order_id)
+}
--- a/crates/wheel_upstream/tests/order_faults.rs
+++ b/crates/wheel_upstream/tests/order_faults.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use common::{ANY_PORT, LONG, SHORT, TestPermit, engine, eventually, load_order};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use wheel_fakes::FaultPlan;
 use wheel_types::RequestId;
@@ -28,9 +28,15 @@
     }
 }
 
-/// How the next connection of `listener` ends: `None` for a close, else the error.
-async fn end_of_next(listener: &TcpListener) -> Option<ErrorKind> {
+/// Accepts a connection and answers its first request, if told to, and nothing more; returns how
+/// it ends: `None` for a close, else the error.
+async fn stall(listener: TcpListener, awake: bool) -> Option<ErrorKind> {
     let (mut stream, _) = listener.accept().await.expect("accept");
+    if awake {
+        assert!(stream.read(&mut [0; 4_096]).await.expect("probe") > 0);
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(answer).await.expect("write");
+    }
     let ended = tokio::time::timeout(LONG, stream.read_to_end(&mut Vec::new())).await;
     ended.expect("in time").err().map(|error| error.kind())
 }
@@ -43,14 +49,15 @@
 async fn order_permit_ended_on_the_way_never_arrives() {
     let (engine, client) = engine().await;
     let carried = engine.orders_carried();
-    // Asked when the order is given, when its body is read and when it is written.
-    for left in 0..3 {
+    // Asked when the order is given, when the sign of life is asked for, when the order's body is
+    // read and when it is written.
+    for left in 0..4 {
         let permit = Arc::new(CountedPermit { left: AtomicU64::new(left) });
         let answer = client.order(&load_order(&format!("o-{left}"), "n"), permit).await;
         assert_eq!((answer, engine.orders_carried()), (OrderAnswer::NotSent, carried));
     }
-    let permit = Arc::new(CountedPermit { left: AtomicU64::new(3) });
-    let answer = client.order(&load_order("o-3", "n"), permit).await;
+    let permit = Arc::new(CountedPermit { left: AtomicU64::new(4) });
+    let answer = client.order(&load_order("o-4", "n"), permit).await;
     assert_eq!((answer, engine.orders_carried()), (OrderAnswer::Accepted, carried + 1));
 }
 
@@ -85,24 +92,36 @@
 
 #[tokio::test]
 async fn order_unanswered_is_reset_after_its_life() {
-    let listener = TcpListener::bind(ANY_PORT).await.expect("bind");
-    let client = hasty_client(listener.local_addr().expect("address"));
-    let permit = Arc::new(TestPermit::default());
-    assert_eq!(client.order(&load_order("o-1", "n"), permit).await, OrderAnswer::Unknown);
-    assert_eq!(end_of_next(&listener).await, Some(ErrorKind::ConnectionReset));
+    for (awake, expected) in [(true, OrderAnswer::Unknown), (false, OrderAnswer::NotSent)] {
+        let listener = TcpListener::bind(ANY_PORT).await.expect("bind");
+        let client = hasty_client(listener.local_addr().expect("address"));
+        let (permit, order) = (Arc::new(TestPermit::default()), load_order("o-1", "n"));
+        let (answer, end) = tokio::join!(client.order(&order, permit), stall(listener, awake));
+        assert_eq!((answer, end), (expected, Some(ErrorKind::ConnectionReset)));
+    }
 }
 
 #[tokio::test]
 async fn order_dropped_is_reset() {
     let listener = TcpListener::bind(ANY_PORT).await.expect("bind");
     let client = hasty_client(listener.local_addr().expect("address"));
-    let (permit, order) =
-        (Arc::new(CountedPermit { left: AtomicU64::new(3) }), load_order("o-1", "n"));
+    let order = load_order("o-1", "n");
+    let permit = Arc::new(CountedPermit { left: AtomicU64::new(4) });
+    let stalled = tokio::spawn(stall(listener, true));
     tokio::select! {
         _ = client.order(&order, permit.clone()) => panic!("no answer is due"),
         () = eventually(|| permit.left.load(Ordering::Acquire) == 0) => {}
     }
-    assert_eq!(end_of_next(&listener).await, Some(ErrorKind::ConnectionReset));
+    assert_eq!(stalled.await.expect("end"), Some(ErrorKind::ConnectionReset));
+}
+
+#[tokio::test]
+async fn order_to_a_frozen_engine_never_arrives() {
+    let (engine, client) = engine().await;
+    let (permit, carried) = (Arc::new(TestPermit::default()), engine.orders_carried());
+    engine.set_faults(FaultPlan { never_read: true, ..FaultPlan::default() });
+    let answer = client.order(&load_order("o-1", "n"), permit).await;
+    assert_eq!((answer, engine.orders_carried()), (OrderAnswer::NotSent, carried));
 }
 
 #[tokio::test]
