--- a/crates/wheel_fakes/src/fake_engine.rs
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -12,11 +12,12 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
+use tokio::time::Instant;
 use wheel_types::{
     EngineOrder, EngineState, IncarnationId, LoadReport, ModelName, OrderAction, RequestId,
-    RequestRank,
 };
 
+use crate::call_head::CallHead;
 use crate::engine_desk::EngineDesk;
 use crate::engine_stream::TokenRun;
 use crate::fake_server::{
@@ -29,6 +30,8 @@
 pub struct FakeEngineSettings {
     /// Where it listens; port 0 takes a free one.
     pub address: SocketAddr,
+    /// Its first incarnation.
+    pub incarnation: IncarnationId,
     /// Memory for models and adapters, in mebibytes.
     pub memory_mib: u64,
     /// Calls that run at once.
@@ -37,7 +40,7 @@
     pub max_waiting: usize,
     /// Time for one token.
     pub token_time: Duration,
-    /// Load time of a checkpoint in the host's memory.
+    /// Load time of a checkpoint in the host's memory, and time to unload a model.
     pub memory_load: Duration,
     /// Load time of a checkpoint on the local disk.
     pub disk_load: Duration,
@@ -53,6 +56,8 @@
     pub checks_memory: bool,
     /// Checkpoints on its disk from the start.
     pub disk_checkpoints: Vec<ModelName>,
+    /// Age at which a load report is renewed.
+    pub load_lag: Duration,
     /// Age of a cache event when it is first shown.
     pub event_delay: Duration,
     /// Each cache event whose number this divides is lost; 0 loses none.
@@ -63,6 +68,7 @@
     fn default() -> Self {
         Self {
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            incarnation: IncarnationId(1),
             memory_mib: 80 * 1024,
             slots: 8,
             max_waiting: 64,
@@ -75,6 +81,7 @@
             enforces_fencing: true,
             checks_memory: true,
             disk_checkpoints: Vec::new(),
+            load_lag: Duration::ZERO,
             event_delay: Duration::ZERO,
             event_gap: 0,
         }
@@ -102,7 +109,7 @@
     /// Starts an engine.
     pub async fn bind(settings: FakeEngineSettings) -> io::Result<Self> {
         let mut desk = EngineDesk::default();
-        desk.state.incarnation = IncarnationId(1);
+        desk.state.incarnation = settings.incarnation;
         desk.state.memory_mib = settings.memory_mib;
         desk.state.disk_checkpoints = settings.disk_checkpoints.clone();
         let shared = Arc::new(EngineShared {
@@ -128,7 +135,7 @@
 
     /// Makes it leave, or stay.
     pub fn set_leaving(&self, leaving: bool) {
-        self.shared.desk.lock().state.leaving = leaving;
+        self.shared.faults.lock().leaving = leaving;
     }
 
     /// What `GET /engine/v1/state` shows.
@@ -237,21 +244,29 @@
     }
 
     fn state(&self) -> EngineState {
+        let leaving = self.faults.lock().leaving;
         let desk = self.desk.lock();
         let mut state = desk.state.clone();
+        state.leaving = leaving;
         state.running = desk.running.iter().map(|call| call.request.clone()).collect();
         state
     }
 
     fn load(&self) -> LoadReport {
-        let desk = self.desk.lock();
-        let waiting = desk.waiting.len();
-        LoadReport {
+        let mut desk = self.desk.lock();
+        let waiting = desk.waiting();
+        let fresh = LoadReport {
             incarnation: desk.state.incarnation,
             running: (desk.running.len() - waiting) as u32,
             waiting: waiting as u32,
-            ..Default::default()
-        }
+            ..LoadReport::default()
+        };
+        let (at, report) = match desk.load_report {
+            Some((at, report)) if at.elapsed() < self.settings.load_lag => (at, report),
+            _ => (Instant::now(), fresh),
+        };
+        desk.load_report = Some((at, report));
+        LoadReport { age_ms: at.elapsed().as_millis() as u64, ..report }
     }
 
     async fn generate(
@@ -261,24 +276,19 @@
         chat: bool,
     ) -> Result<Response<FakeBody>, FakeAbort> {
         let sent: Value = serde_json::from_slice(&body).unwrap_or_default();
-        let word = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let request = RequestId::new(word("wheel-request-id").unwrap_or_default());
-        let number = |name: &str| word(name).and_then(|word| word.parse::<u64>().ok());
-        let rank = RequestRank(number("wheel-priority").unwrap_or_default() as u8);
-        let resume_from = number("wheel-resume-from").unwrap_or_default();
+        let head = CallHead::read(headers);
         let faults = self.faults.lock().clone();
-        let answered = faults.answer_id.clone().unwrap_or_else(|| request.clone());
-        let attempt = word("wheel-attempt-id").unwrap_or_default();
-        let run = match self.start(&request, attempt, rank, resume_from, &sent, &faults) {
+        let answered = faults.answer_id.clone().unwrap_or_else(|| head.request.clone());
+        let run = match self.start(&head, &sent, &faults) {
             Ok((number, cancelled, turn)) => TokenRun {
                 desk: self.desk.clone(),
                 number,
                 cancelled,
                 turn: Some(turn),
-                request,
+                request: head.request,
                 body,
                 chat,
-                next_index: resume_from,
+                next_index: head.resume_from,
                 max_tokens: sent["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
                 sent: 0,
                 done: false,
@@ -301,24 +311,21 @@
 
     fn start(
         &self,
-        request: &RequestId,
-        attempt: &str,
-        rank: RequestRank,
-        resume_from: u64,
+        head: &CallHead,
         sent: &Value,
         faults: &FaultPlan,
     ) -> Result<CallStart, StatusCode> {
         let mut desk = self.desk.lock();
         let model = sent["model"].as_str().unwrap_or_default();
         match () {
-            () if faults.refuse || desk.state.leaving => Err(StatusCode::SERVICE_UNAVAILABLE),
+            () if faults.refuse || faults.leaving => Err(StatusCode::SERVICE_UNAVAILABLE),
             () if !desk.serves(model) => Err(StatusCode::NOT_FOUND),
-            () if desk.waiting.len() >= self.settings.max_waiting => {
+            () if desk.waiting() >= self.settings.max_waiting => {
                 Err(StatusCode::SERVICE_UNAVAILABLE)
             }
             () => {
-                desk.cache_prefix(format!("{model}/{}", sent["messages"][0]["content"]));
-                Ok(desk.start_call(request, attempt, rank, resume_from > 0, self.settings.slots))
+                desk.cache_prefix(&format!("{model}/{}", sent["messages"][0]["content"]));
+                Ok(desk.start_call(head, self.settings.slots))
             }
         }
     }
@@ -359,6 +366,7 @@
                 }
                 tokio::time::sleep(self.settings.store_load).await;
             }
+            OrderAction::UnloadModel { .. } => tokio::time::sleep(self.settings.memory_load).await,
             OrderAction::LoadAdapter { .. } => {
                 let in_flight = self.adapters_in_flight.fetch_add(1, Ordering::Relaxed) + 1;
                 let slower = in_flight as f64 / MAX_ADAPTERS_AT_FULL_SPEED as f64;
@@ -388,8 +396,9 @@
         let (delay, gap) = (self.settings.event_delay, self.settings.event_gap);
         let desk = self.desk.lock();
         let shown = desk.events.iter().filter(|(at, note)| {
-            let lost = gap > 0 && note.sequence.is_multiple_of(gap);
-            at.elapsed() >= delay && !lost && note.sequence > after.unwrap_or_default()
+            let sequence = note["sequence"].as_u64().unwrap_or_default();
+            let lost = gap > 0 && sequence.is_multiple_of(gap);
+            at.elapsed() >= delay && !lost && sequence > after.unwrap_or_default()
         });
         let events: Vec<_> = shown.map(|(_, note)| note.clone()).collect();
         json_answer(StatusCode::OK, &json!({"events": events}))
@@ -405,7 +414,7 @@
 
     fn import_prefix(&self, sent: &Value) -> Response<FakeBody> {
         let prefix_hash = sent["prefix_hash"].as_str().unwrap_or_default();
-        self.desk.lock().cache_prefix(prefix_hash.to_owned());
+        self.desk.lock().cache_prefix(prefix_hash);
         json_answer(StatusCode::OK, &json!({"imported": true}))
     }
 
