--- a/crates/wheel_policy/src/engine_queue.rs
+++ b/crates/wheel_policy/src/engine_queue.rs
@@ -44,18 +44,19 @@
     sequence: u64,
     updated: MonotonicTime,
     slot_time_s: MovingAverage,
-    cost_factor: MovingAverage,
     first_byte_s: MovingAverage,
     random: SeededRandom,
 }
 
 /// One rank's waiting requests, floor and load.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct RankState {
     queue: RankQueue,
     credit: RankCredit,
     running: u32,
     arriving_s: f64,
+    /// Measured over expected slot time.
+    cost_factor: MovingAverage,
 }
 
 /// Where a waiting request is.
@@ -89,12 +90,11 @@
             sequence: 0,
             updated: MonotonicTime::default(),
             slot_time_s: MovingAverage::new(settings.first_slot_time.as_secs_f64(), SAMPLE_WEIGHT),
-            cost_factor: MovingAverage::new(1.0, SAMPLE_WEIGHT),
             first_byte_s: MovingAverage::new(settings.first_byte.as_secs_f64(), SAMPLE_WEIGHT),
             random: SeededRandom::new(settings.seed),
             settings,
         };
-        queue.ranks = queue.settings.ranks.iter().map(|_| RankState::default()).collect();
+        queue.ranks = queue.settings.ranks.iter().map(|_| RankState::new()).collect();
         queue.reset_credit();
         queue
     }
@@ -175,7 +175,7 @@
         let Some(running) = self.running.remove(id) else { return };
         self.kv_used = self.kv_used.saturating_sub(running.kv_tokens);
         self.ranks[running.rank.index()].running -= 1;
-        self.learn(running.cost, sample);
+        self.learn(&running, sample);
     }
 
     /// Takes a waiting request out; false if it doesn't wait here, for example because it runs.
@@ -211,12 +211,11 @@
     pub fn estimate_wait(&self, request: &QueuedRequest) -> Duration {
         let Some(state) = self.ranks.get(request.rank.index()) else { return Duration::ZERO };
         let own = state.queue.work_ahead(&request.caller, request.weight, request.cost);
-        let above = self.work_above(request.rank);
-        if self.free_slots(request.rank) > 0 && own + above == Duration::ZERO {
+        let above_s = self.work_above_s(request.rank);
+        if self.free_slots(request.rank) > 0 && own == Duration::ZERO && above_s == 0.0 {
             return Duration::ZERO;
         }
-        let own_s = own.as_secs_f64() * self.cost_factor.value() + self.slot_time_s.value();
-        let above_s = above.as_secs_f64() * self.cost_factor.value();
+        let own_s = state.slot_seconds(own) + self.slot_time_s.value();
         let by_order = (own_s + above_s) / self.slots_left(request.rank);
         let by_floor = match state.credit.floor_slots() {
             floor if floor > 0.0 => own_s / floor,
@@ -286,8 +285,8 @@
     ) -> Duration {
         let jitter = 1.0 + JITTER_SHARE * self.random.next_unit();
         let share = self.slots_left(request.rank);
-        let cost_s = request.cost.as_secs_f64() * self.cost_factor.value();
         let Some(state) = self.ranks.get_mut(request.rank.index()) else { return MAX_RETRY_AFTER };
+        let cost_s = state.slot_seconds(request.cost);
         let rate = share.max(state.credit.floor_slots())
             * state.queue.caller_share(&request.caller, request.weight);
         let spacing = Duration::from_secs_f64((cost_s / rate).min(MAX_RETRY_AFTER.as_secs_f64()));
@@ -376,16 +375,16 @@
         self.ranks.iter().take(rank.index() + 1).map(|state| state.queue.len()).sum()
     }
 
-    fn work_above(&self, rank: RequestRank) -> Duration {
-        self.ranks.iter().take(rank.index()).map(|state| state.queue.work()).sum()
+    fn work_above_s(&self, rank: RequestRank) -> f64 {
+        let above = self.ranks.iter().take(rank.index());
+        above.map(|state| state.slot_seconds(state.queue.work())).sum()
     }
 
     /// Slots that `rank` can count on: without what arrives above it and the floors below it.
     fn slots_left(&self, rank: RequestRank) -> f64 {
         let slots = f64::from(self.settings.slots);
         let above = self.ranks.iter().take(rank.index());
-        let arriving: f64 = above.map(|state| state.arriving_s).sum();
-        let arriving = arriving * self.cost_factor.value() / ARRIVAL_SPAN.as_secs_f64();
+        let arriving: f64 = above.map(RankState::arriving_slots).sum();
         let below = self.ranks.iter().skip(rank.index() + 1);
         let owed = below.filter(|state| !state.queue.is_empty());
         let floors: f64 = owed.map(|state| state.credit.floor_slots()).sum();
@@ -396,14 +395,37 @@
         Duration::from_secs_f64(self.first_byte_s.value())
     }
 
-    fn learn(&mut self, cost: Duration, sample: ServiceSample) {
+    fn learn(&mut self, running: &RunningRequest, sample: ServiceSample) {
         let slot_time_s = sample.slot_time.as_secs_f64();
         self.slot_time_s.add(slot_time_s);
-        if cost > Duration::ZERO {
-            self.cost_factor.add((slot_time_s / cost.as_secs_f64()).clamp(0.1, 10.0));
+        if running.cost > Duration::ZERO {
+            let ratio = slot_time_s / running.cost.as_secs_f64();
+            self.ranks[running.rank.index()].cost_factor.add(ratio.clamp(0.1, 10.0));
         }
         if let Some(first_byte) = sample.first_byte {
             self.first_byte_s.add(first_byte.as_secs_f64());
         }
     }
 }
+
+impl RankState {
+    fn new() -> Self {
+        Self {
+            queue: RankQueue::default(),
+            credit: RankCredit::default(),
+            running: 0,
+            arriving_s: 0.0,
+            cost_factor: MovingAverage::new(1.0, SAMPLE_WEIGHT),
+        }
+    }
+
+    /// Slot time that expected `work` really takes, in seconds.
+    fn slot_seconds(&self, work: Duration) -> f64 {
+        work.as_secs_f64() * self.cost_factor.value()
+    }
+
+    /// Slots that the rank's arrivals keep busy.
+    fn arriving_slots(&self) -> f64 {
+        self.arriving_s * self.cost_factor.value() / ARRIVAL_SPAN.as_secs_f64()
+    }
+}
--- a/crates/wheel_policy/src/engine_router.rs
+++ b/crates/wheel_policy/src/engine_router.rs
@@ -109,7 +109,12 @@
         }
     }
 
-    /// Counts a request that ended after `span`, well or not.
+    /// Counts how long the first byte of a request took in its slot, to find slow upstreams.
+    pub fn record_first_byte(&mut self, upstream: &UpstreamName, latency: Duration) {
+        self.outliers.observe_latency(upstream, latency);
+    }
+
+    /// Counts a request that ended after `span` in a slot, well or not.
     pub fn record_end(
         &mut self,
         now: MonotonicTime,
@@ -124,7 +129,7 @@
         if succeeded {
             self.slot_time_ms.add(span_ms);
         }
-        self.outliers.observe(now, upstream, span, succeeded);
+        self.outliers.observe_end(now, upstream, succeeded);
     }
 
     /// Forgets a prefix that an engine dropped, as its cache events say.
@@ -137,7 +142,8 @@
         &self.outliers
     }
 
-    /// Chooses the replica for a request.
+    /// Chooses the replica for a request. Where all replicas are ejected, an ejected one is better
+    /// than none.
     pub fn choose(&mut self, now: MonotonicTime, query: &RouteQuery) -> RouteAnswer {
         let all = self.replicas.get(&query.model).map_or(&[][..], Vec::as_slice);
         let indexes = sample_indexes(all.len(), &mut self.random);
@@ -156,10 +162,12 @@
             self.outliers.begin_probe(now, &replica.upstream);
             return self.answer(&replica, RouteReason::Probe);
         }
-        let healthy: Vec<&ReplicaView> = fresh
-            .into_iter()
-            .filter(|replica| !self.outliers.is_ejected(now, &replica.upstream))
-            .collect();
+        let is_healthy =
+            |replica: &&&ReplicaView| !self.outliers.is_ejected(now, &replica.upstream);
+        let mut healthy: Vec<&ReplicaView> = fresh.iter().filter(is_healthy).copied().collect();
+        if healthy.is_empty() {
+            healthy = fresh;
+        }
         let hinted = query.prefix.and_then(|prefix| self.prefixes.peek(&prefix)).cloned();
         let cost = |replica: &ReplicaView| self.cost_ms(replica, query, hinted.as_ref());
         let best = healthy.iter().min_by(|left, right| compare(cost(left), cost(right)));
--- a/crates/wheel_policy/src/outlier_detector.rs
+++ b/crates/wheel_policy/src/outlier_detector.rs
@@ -21,7 +21,7 @@
     pub failures_in_row: u32,
     /// Share of failures that ejects an upstream.
     pub failure_share: f64,
-    /// An upstream this many times slower than the average of all is ejected.
+    /// An upstream this many times slower than the average of the others is ejected.
     pub slow_factor: f64,
     /// Largest share of the upstreams that may be ejected at once.
     pub max_ejected_share: f64,
@@ -49,7 +49,8 @@
     settings: OutlierSettings,
     records: BTreeMap<UpstreamName, UpstreamRecord>,
     ejected: usize,
-    latency_s: MovingAverage,
+    /// Sum of the upstreams' average latencies.
+    latency_sum_s: f64,
 }
 
 /// What was seen of one upstream.
@@ -66,10 +67,10 @@
 impl OutlierDetector {
     /// Makes a detector that has seen nothing.
     pub fn open(settings: OutlierSettings) -> Self {
-        Self { settings, records: BTreeMap::new(), ejected: 0, latency_s: new_average() }
+        Self { settings, records: BTreeMap::new(), ejected: 0, latency_sum_s: 0.0 }
     }
 
-    /// Counts the end of a call to an upstream.
+    /// Counts the end of a call to an upstream, and how long its first byte took.
     pub fn observe(
         &mut self,
         now: MonotonicTime,
@@ -77,11 +78,25 @@
         latency: Duration,
         succeeded: bool,
     ) {
-        let record = self.records.entry(upstream.clone()).or_default();
-        record.observe(latency, succeeded);
         if succeeded {
-            self.latency_s.add(latency.as_secs_f64());
+            self.observe_latency(upstream, latency);
         }
+        self.observe_end(now, upstream, succeeded);
+    }
+
+    /// Counts how long the first byte of a call took; [`Self::observe_end`] judges it.
+    pub fn observe_latency(&mut self, upstream: &UpstreamName, latency: Duration) {
+        let record = self.records.entry(upstream.clone()).or_default();
+        let before_s = record.latency_s.value();
+        record.latency_s.add(latency.as_secs_f64());
+        self.latency_sum_s += record.latency_s.value() - before_s;
+    }
+
+    /// Counts the end of a call to an upstream.
+    pub fn observe_end(&mut self, now: MonotonicTime, upstream: &UpstreamName, succeeded: bool) {
+        let record = self.records.entry(upstream.clone()).or_default();
+        record.failures_in_row = if succeeded { 0 } else { record.failures_in_row + 1 };
+        record.failure_share.add(if succeeded { 0.0 } else { 1.0 });
         let (ejected, probing) = (record.probe_at.is_some(), record.probing);
         match ejected {
             true if probing && succeeded => self.readmit(upstream),
@@ -118,8 +133,9 @@
 
     /// Forgets an upstream.
     pub fn forget(&mut self, upstream: &UpstreamName) {
-        let record = self.records.remove(upstream);
-        self.ejected -= usize::from(record.is_some_and(|record| record.probe_at.is_some()));
+        let Some(record) = self.records.remove(upstream) else { return };
+        self.ejected -= usize::from(record.probe_at.is_some());
+        self.latency_sum_s -= record.latency_s.value();
     }
 
     fn is_outlier(&self, upstream: &UpstreamName) -> bool {
@@ -129,10 +145,17 @@
             record if record.failures_in_row >= settings.failures_in_row => true,
             record if record.failure_share.samples() < MIN_SAMPLES => false,
             record if record.failure_share.value() >= settings.failure_share => true,
-            record => record.latency_s.value() > settings.slow_factor * self.latency_s.value(),
+            record => self.is_slow(record.latency_s.value()),
         }
     }
 
+    /// Whether an average latency is far beyond that of the other upstreams.
+    fn is_slow(&self, latency_s: f64) -> bool {
+        let others = self.records.len().saturating_sub(1) as f64;
+        let others_sum_s = self.latency_sum_s - latency_s;
+        others > 0.0 && latency_s * others > self.settings.slow_factor * others_sum_s
+    }
+
     fn may_eject(&self) -> bool {
         let share = (self.ejected + 1) as f64 / self.records.len() as f64;
         share <= self.settings.max_ejected_share
@@ -150,6 +173,7 @@
     fn readmit(&mut self, upstream: &UpstreamName) {
         let Some(record) = self.records.get_mut(upstream) else { return };
         let ejections = record.ejections.saturating_sub(1);
+        self.latency_sum_s -= record.latency_s.value();
         *record = UpstreamRecord { ejections, ..UpstreamRecord::default() };
         self.ejected -= 1;
     }
@@ -168,16 +192,6 @@
     }
 }
 
-impl UpstreamRecord {
-    fn observe(&mut self, latency: Duration, succeeded: bool) {
-        self.failures_in_row = if succeeded { 0 } else { self.failures_in_row + 1 };
-        self.failure_share.add(if succeeded { 0.0 } else { 1.0 });
-        if succeeded {
-            self.latency_s.add(latency.as_secs_f64());
-        }
-    }
-}
-
 fn new_average() -> MovingAverage {
     MovingAverage::new(0.0, SAMPLE_WEIGHT)
 }
--- a/crates/wheel_policy/src/route_answer.rs
+++ b/crates/wheel_policy/src/route_answer.rs
@@ -20,7 +20,7 @@
     },
     /// No replica takes work: ask for the model to be loaded.
     Cold,
-    /// Replicas exist, but this request failed on all of them or all are ejected.
+    /// Replicas exist, but this request failed on all of them.
     Exhausted,
 }
 
--- a/crates/wheel_policy/tests/engine_router.rs
+++ b/crates/wheel_policy/tests/engine_router.rs
@@ -120,6 +120,38 @@
     assert_eq!(router.outliers().ejected(), 0);
 }
 
+#[test]
+fn choose_only_replica_ejected_is_used_still() {
+    let mut router = open_router(vec![replica("e0", 0.0)]);
+    let others = (1..4).map(|n| replica(&format!("e{n}"), 0.0)).collect();
+    router.set_replicas(&"other".into(), others);
+    let now = MonotonicTime::default();
+    let span = Duration::from_millis(100);
+    for n in 0..4 {
+        router.record_end(now, &format!("e{n}").as_str().into(), span, true);
+    }
+    for _ in 0..5 {
+        router.record_end(now, &"e0".into(), span, false);
+    }
+    assert!(router.outliers().is_ejected(now, &"e0".into()));
+    assert_eq!(chosen(&router.choose(now, &query())), "e0");
+}
+
+#[test]
+fn observe_slow_upstream_is_ejected() {
+    let mut router = open_router((0..4).map(|n| replica(&format!("e{n}"), 0.0)).collect());
+    let now = MonotonicTime::default();
+    for round in 0..80_u64 {
+        let name = format!("e{}", round % 4);
+        let latency = Duration::from_millis(if round % 4 == 0 { 5_000 } else { 50 });
+        router.record_first_byte(&name.as_str().into(), latency);
+        router.record_end(now, &name.as_str().into(), Duration::from_secs(1), true);
+    }
+    assert!(!router.outliers().is_ejected(now, &"e1".into()));
+    let slow = router.outliers().is_ejected(now, &"e0".into());
+    assert!(slow, "a hundred times slower than the others");
+}
+
 #[test]
 fn observe_all_failing_ejects_no_more_than_share() {
     let mut detector = OutlierDetector::open(OutlierSettings::default());
--- /dev/null
+++ b/crates/wheel_replay/src/call_flow.rs
@@ -0,0 +1,279 @@
+//! The part of a replay that carries requests.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use wheel_policy::{
+    OfferAnswer, QueuedRequest, RefusedRequest, RouteAnswer, RouteQuery, ServiceSample,
+};
+use wheel_types::{ModelName, ModelPhase, RequestId};
+
+use crate::call_record::CallEnding;
+use crate::replay_run::{PLAN_DELAY, ReplayEvent, ReplayRun};
+
+/// Time until a request that found no replica where it was sent looks again.
+const BOUNCE_DELAY: Duration = Duration::from_millis(5);
+/// Tokens of an answer that the daemon expects before it has measured.
+const EXPECTED_TOKENS: f64 = 200.0;
+/// Expected wait for a load where no engine is left.
+const NO_ENGINE_WAIT: Duration = Duration::from_secs(60);
+
+impl ReplayRun<'_> {
+    /// Sends a call to a replica, or to wait for a load.
+    pub(crate) fn dispatch(&mut self, index: usize) {
+        let call = &self.calls[index];
+        let (model, centre) = (call.arrival.model.clone(), call.centre);
+        let query = RouteQuery {
+            model: model.clone(),
+            adapter: call.arrival.adapter.clone(),
+            rank: call.rank,
+            ..RouteQuery::default()
+        };
+        match self.centres[centre].router.choose(self.now, &query) {
+            RouteAnswer::Engine { upstream, .. } => {
+                self.centres[centre].router.record_sent(self.now, &upstream, None);
+                let found = self.engines.iter().position(|one| one.view.upstream == upstream);
+                let Some(engine) = found else { return };
+                self.use_model(engine, &model, 1);
+                let at = self.now + self.delay(centre, self.engines[engine].centre);
+                self.schedule(at, ReplayEvent::Offer { call: index, engine });
+            }
+            RouteAnswer::Cold | RouteAnswer::Exhausted => {
+                let home = self.home(&model, centre);
+                let at = self.now + self.delay(centre, home);
+                self.calls[index].cold_since.get_or_insert(self.now);
+                self.schedule(at, ReplayEvent::ColdOffer { call: index, centre: home });
+            }
+        }
+    }
+
+    pub(crate) fn use_model(&mut self, engine: usize, model: &ModelName, change: i64) {
+        let now = self.now;
+        if let Some(placed) = self.engines[engine].placed(model) {
+            placed.in_use = placed.in_use.saturating_add_signed(change as i32);
+            placed.last_used = now;
+        }
+    }
+
+    fn queued_request(&self, index: usize) -> QueuedRequest {
+        let call = &self.calls[index];
+        let speed = &self.site.speed;
+        let cost_s = f64::from(call.arrival.tokens_in) / speed.prefill_rate
+            + EXPECTED_TOKENS / speed.decode_rate;
+        QueuedRequest {
+            id: RequestId::new(index.to_string()),
+            caller: call.arrival.caller.clone(),
+            rank: call.rank,
+            model: call.arrival.model.clone(),
+            adapter: call.arrival.adapter.clone(),
+            arrival: call.came,
+            deadline: call.deadline,
+            cost: Duration::from_secs_f64(cost_s),
+            ..QueuedRequest::default()
+        }
+    }
+
+    pub(crate) fn offer(&mut self, index: usize, engine: usize) {
+        let model = self.calls[index].arrival.model.clone();
+        let reachable = self.reaches(self.calls[index].centre, self.engines[engine].centre);
+        let able = self.engines[engine].alive && self.engines[engine].has_loaded(&model);
+        if !able || !reachable {
+            self.use_model(engine, &model, -1);
+            self.record_end(index, engine, Duration::ZERO, false);
+            self.schedule(self.now + BOUNCE_DELAY, ReplayEvent::Dispatch(index));
+            return;
+        }
+        self.warm_up(index);
+        let request = self.queued_request(index);
+        match self.engines[engine].queue.offer(self.now, request) {
+            OfferAnswer::Queued { .. } => {
+                self.demand.queued(&model, 1);
+                self.start(engine);
+                self.schedule_expiry(engine);
+                if self.demand.is_crowded(&model) {
+                    self.plan_soon(self.engines[engine].centre, Duration::from_secs(1));
+                }
+            }
+            OfferAnswer::Refused { retry_after, .. } => {
+                self.use_model(engine, &model, -1);
+                self.record_end(index, engine, Duration::ZERO, true);
+                self.refuse(index, retry_after);
+            }
+        }
+    }
+
+    /// Ends a call's wait for a load.
+    fn warm_up(&mut self, index: usize) {
+        let call = &mut self.calls[index];
+        if let Some(since) = call.cold_since.take() {
+            call.cold_wait += self.now.since(since);
+        }
+    }
+
+    fn record_end(&mut self, index: usize, engine: usize, span: Duration, succeeded: bool) {
+        let centre = self.calls[index].centre;
+        let upstream = self.engines[engine].view.upstream.clone();
+        self.centres[centre].router.record_end(self.now, &upstream, span, succeeded);
+    }
+
+    pub(crate) fn cold_offer(&mut self, index: usize, centre: usize) {
+        self.calls[index].centre = centre;
+        let model = self.calls[index].arrival.model.clone();
+        let ready = self.centres[centre].router.replicas(&model).iter().any(|one| one.takes_work);
+        if ready {
+            self.dispatch(index);
+            return;
+        }
+        let wait = self.load_wait(centre, &model);
+        let request = self.queued_request(index);
+        match self.centres[centre].cold.offer(self.now, request, wait) {
+            OfferAnswer::Queued { .. } => {
+                if let Some(due) = self.centres[centre].cold.next_deadline() {
+                    self.schedule(due + Duration::from_micros(1), ReplayEvent::ColdExpire(centre));
+                }
+            }
+            OfferAnswer::Refused { retry_after, .. } => self.refuse(index, retry_after),
+        }
+        self.plan_soon(centre, PLAN_DELAY);
+    }
+
+    /// Expected time until `model` is loaded in a data centre.
+    fn load_wait(&self, centre: usize, model: &ModelName) -> Duration {
+        let engines = self.engines.iter().filter(|one| one.centre == centre && one.alive);
+        let mut best: Option<Duration> = None;
+        for engine in engines {
+            let placed = engine.view.models.iter().find(|placed| &placed.model == model);
+            let source = placed.map_or_else(|| engine.view.source(model), |placed| placed.source);
+            let expected = self.centres[centre].placer.expected_load(model, source);
+            let wait = match placed {
+                Some(placed) if placed.phase == ModelPhase::Loading => {
+                    expected.saturating_sub(self.now.since(placed.since))
+                }
+                _ => expected,
+            };
+            best = Some(best.map_or(wait, |other| other.min(wait)));
+        }
+        best.unwrap_or(NO_ENGINE_WAIT)
+    }
+
+    fn start(&mut self, engine: usize) {
+        while let Some(request) = self.engines[engine].queue.take_next(self.now) {
+            let Ok(index) = request.id.as_str().parse::<usize>() else { return };
+            self.engines[engine].accrue(self.now);
+            self.engines[engine].running.insert(index);
+            self.demand.queued(&request.model, -1);
+            self.demand.running(&request.model, 1);
+            let adapter = self.adapter_wait(engine, index);
+            let arrival = &self.calls[index].arrival;
+            let speed = &self.site.speed;
+            let prefill_s = f64::from(arrival.tokens_in) / speed.prefill_rate;
+            let decode_s = f64::from(arrival.tokens_out) / speed.decode_rate;
+            let first = self.now + speed.base + adapter + Duration::from_secs_f64(prefill_s);
+            let end = first + Duration::from_secs_f64(decode_s);
+            self.calls[index].first_byte.get_or_insert(first);
+            let epoch = self.epochs[engine];
+            self.schedule(end, ReplayEvent::Finish { call: index, engine, epoch });
+        }
+        self.expire(engine);
+    }
+
+    /// Loads the call's adapter beside its model, if it isn't there.
+    fn adapter_wait(&mut self, engine: usize, index: usize) -> Duration {
+        let Some(adapter) = self.calls[index].arrival.adapter.clone() else {
+            return Duration::ZERO;
+        };
+        match self.demand.touch_adapter(engine, &adapter) {
+            true => Duration::ZERO,
+            false => {
+                self.counts.adapter_loads += 1;
+                self.site.speed.adapter_load
+            }
+        }
+    }
+
+    pub(crate) fn finish(&mut self, index: usize, engine: usize, epoch: u64) {
+        if epoch != self.epochs[engine] {
+            return;
+        }
+        let call = &mut self.calls[index];
+        call.ending = Some(CallEnding::Served);
+        let model = call.arrival.model.clone();
+        let speed = &self.site.speed;
+        let prefill_s = f64::from(call.arrival.tokens_in) / speed.prefill_rate;
+        let decode_s = f64::from(call.arrival.tokens_out) / speed.decode_rate;
+        let first = speed.base + Duration::from_secs_f64(prefill_s);
+        let slot_time = first + Duration::from_secs_f64(decode_s);
+        let sample = ServiceSample { slot_time, first_byte: Some(first) };
+        self.engines[engine].accrue(self.now);
+        self.engines[engine].running.remove(&index);
+        self.engines[engine].queue.finish(self.now, &RequestId::new(index.to_string()), sample);
+        self.use_model(engine, &model, -1);
+        self.demand.running(&model, -1);
+        let upstream = self.engines[engine].view.upstream.clone();
+        let centre = self.calls[index].centre;
+        self.centres[centre].router.record_first_byte(&upstream, first);
+        self.record_end(index, engine, slot_time, true);
+        self.start(engine);
+    }
+
+    fn schedule_expiry(&mut self, engine: usize) {
+        if let Some(due) = self.engines[engine].queue.next_deadline() {
+            self.schedule(due + Duration::from_micros(1), ReplayEvent::Expire(engine));
+        }
+    }
+
+    pub(crate) fn expire(&mut self, engine: usize) {
+        let expired = self.engines[engine].queue.expire(self.now);
+        if expired.is_empty() {
+            return;
+        }
+        for refused in expired {
+            self.demand.queued(&refused.request.model, -1);
+            self.use_model(engine, &refused.request.model, -1);
+            self.refuse_expired(&refused);
+        }
+        self.schedule_expiry(engine);
+    }
+
+    pub(crate) fn expire_cold(&mut self, centre: usize) {
+        let waits: BTreeMap<ModelName, Duration> = self
+            .demand
+            .models()
+            .map(|model| (model.clone(), self.load_wait(centre, model)))
+            .collect();
+        let wait = |model: &ModelName| waits.get(model).copied().unwrap_or_default();
+        for refused in self.centres[centre].cold.expire(self.now, wait) {
+            self.refuse_expired(&refused);
+        }
+    }
+
+    fn refuse_expired(&mut self, refused: &RefusedRequest) {
+        if let Ok(index) = refused.request.id.as_str().parse::<usize>() {
+            self.refuse(index, refused.retry_after);
+        }
+    }
+
+    /// Refuses a call; its caller comes back once, when it was asked to.
+    fn refuse(&mut self, index: usize, retry_after: Duration) {
+        self.calls[index].cold_refused = self.calls[index].cold_since.is_some();
+        self.warm_up(index);
+        let call = &mut self.calls[index];
+        debug_assert_eq!(call.ending, None, "one final answer");
+        call.ending = Some(CallEnding::Refused { at: self.now, retry_after });
+        let comes = self.now + retry_after;
+        if call.repeats.is_some() || comes > self.end {
+            return;
+        }
+        let mut again = call.clone();
+        again.repeats = Some(index);
+        again.deadline = comes + call.deadline.since(call.came);
+        again.came = comes;
+        again.centre = call.arrival.centre;
+        again.cold_wait = Duration::ZERO;
+        again.cold_refused = false;
+        again.ending = None;
+        self.calls.push(again);
+        let number = self.calls.len() - 1;
+        self.schedule(comes, ReplayEvent::Dispatch(number));
+    }
+}
--- /dev/null
+++ b/crates/wheel_replay/src/fault_flow.rs
@@ -0,0 +1,134 @@
+//! The part of a replay that fails.
+
+use std::time::Duration;
+
+use wheel_policy::ServiceSample;
+use wheel_types::{ModelName, ModelPhase, RequestId};
+
+use crate::call_record::CallEnding;
+use crate::replay_run::{PLAN_DELAY, ReplayEvent, ReplayRun};
+use crate::{FaultKind, TraceFault};
+
+/// Time over which the work of a lost engine is spread when it looks for another.
+const REQUEUE_SPREAD_MS: u64 = 200;
+/// Time until a fault that needs a load in flight looks for one again.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
+
+impl ReplayRun<'_> {
+    /// Takes an engine away with all that it holds.
+    pub(crate) fn lose_engine(&mut self, engine: usize, wiped: bool) {
+        let lost = &mut self.engines[engine];
+        lost.accrue(self.now);
+        lost.alive = false;
+        lost.view.leaving = true;
+        let models: Vec<_> = lost.view.models.drain(..).collect();
+        lost.view.memory_checkpoints.clear();
+        if wiped {
+            lost.view.disk_checkpoints.clear();
+        }
+        let running = std::mem::take(&mut lost.running);
+        let waiting = lost.queue.drain();
+        self.epochs[engine] += 1;
+        self.store.abort(self.now, engine);
+        self.demand.forget_adapters(engine);
+        let loading = models.iter().filter(|one| one.phase == ModelPhase::Loading).count();
+        self.counts.lost_loads += loading as u64;
+        for placed in &models {
+            self.announce(engine, &placed.model);
+        }
+        for request in waiting {
+            self.demand.queued(&request.model, -1);
+            if let Ok(index) = request.id.as_str().parse::<usize>() {
+                self.requeue(index);
+            }
+        }
+        for index in running {
+            self.interrupt(engine, index);
+        }
+        self.plan_soon(self.engines[engine].centre, PLAN_DELAY);
+    }
+
+    /// A running call of a lost engine: resumed if it may be repeated, else of unknown outcome.
+    fn interrupt(&mut self, engine: usize, index: usize) {
+        let model = self.calls[index].arrival.model.clone();
+        let sample = ServiceSample::default();
+        self.engines[engine].queue.finish(self.now, &RequestId::new(index.to_string()), sample);
+        self.demand.running(&model, -1);
+        match self.demand.is_idempotent(&model) {
+            true => self.requeue(index),
+            false => self.calls[index].ending = Some(CallEnding::Unknown),
+        }
+    }
+
+    fn requeue(&mut self, index: usize) {
+        let spread = Duration::from_millis(index as u64 * 37 % REQUEUE_SPREAD_MS);
+        self.schedule(self.now + spread, ReplayEvent::Dispatch(index));
+    }
+
+    pub(crate) fn begin_fault(&mut self, fault: &TraceFault) {
+        let span = Duration::from_secs(fault.for_s);
+        match &fault.kind {
+            FaultKind::StoreSlowed { factor } => {
+                self.store.set_factor(self.now, *factor);
+                self.schedule_loads();
+            }
+            FaultKind::CentreCut { centre } => self.set_cut(*centre, true),
+            FaultKind::EngineLost { upstream } => {
+                let found = self.engines.iter().position(|one| &one.view.upstream == upstream);
+                if let Some(engine) = found {
+                    self.lose_for(engine, Duration::ZERO, span, false);
+                }
+            }
+            FaultKind::LoadingEngineLost => match self.store.first_engine() {
+                Some(engine) => self.lose_for(engine, Duration::ZERO, span, false),
+                None if self.now < self.end => {
+                    let soon = self.now + LOOK_AGAIN;
+                    self.schedule(soon, ReplayEvent::Fault(fault.clone()));
+                    return;
+                }
+                None => {}
+            },
+            FaultKind::EnginesReclaimed { count, notice_s } => {
+                for engine in 0..*count {
+                    self.lose_for(engine, Duration::from_secs(*notice_s), span, true);
+                }
+            }
+        }
+        self.schedule(self.now + span, ReplayEvent::FaultEnd(fault.clone()));
+    }
+
+    pub(crate) fn end_fault(&mut self, fault: &TraceFault) {
+        match fault.kind {
+            FaultKind::StoreSlowed { .. } => {
+                self.store.set_factor(self.now, 1.0);
+                self.schedule_loads();
+            }
+            FaultKind::CentreCut { centre } => self.set_cut(centre, false),
+            _ => {}
+        }
+    }
+
+    fn lose_for(&mut self, engine: usize, notice: Duration, span: Duration, wiped: bool) {
+        self.engines[engine].view.leaving = true;
+        let models: Vec<ModelName> =
+            self.engines[engine].view.models.iter().map(|one| one.model.clone()).collect();
+        for model in models {
+            self.announce(engine, &model);
+        }
+        self.schedule(self.now + notice, ReplayEvent::Gone { engine, wiped });
+        self.schedule(self.now + notice + span, ReplayEvent::Back(engine));
+    }
+
+    fn set_cut(&mut self, centre: usize, cut: bool) {
+        self.centres[centre].cut = cut;
+        let models: Vec<ModelName> = self.demand.models().cloned().collect();
+        for model in models {
+            for place in 0..self.centres.len() {
+                self.schedule(
+                    self.now,
+                    ReplayEvent::Routes { centre: place, model: model.clone() },
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_replay/src/main.rs
@@ -0,0 +1,49 @@
+//! Replays traces under every policy and prints the reports side by side.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use wheel_replay::{ReplayPolicy, ReplaySetup, ReportTable, SitePlan, TraceFile};
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let mut options = getopts::Options::new();
+    options.optopt("", "csv", "write the reports as CSV into this folder", "FOLDER");
+    options.optopt("", "load-factor", "make every load take this many times as long", "FACTOR");
+    options.optopt("", "model-factor", "put this many times the models on the engines", "FACTOR");
+    options.optopt("", "policy", "replay only policies whose name begins so", "NAME");
+    options.optopt("", "idle-price", "price of an idle accelerator second, in worth", "PRICE");
+    options.optflag("h", "help", "print this");
+    let matches = match options.parse(&arguments) {
+        Ok(matches) => matches,
+        Err(error) => return fail(&error.to_string()),
+    };
+    if matches.opt_present("help") || matches.free.is_empty() {
+        println!("{}", options.usage("Usage: wheel_replay [options] TRACE..."));
+        return ExitCode::SUCCESS;
+    }
+    for path in &matches.free {
+        let trace = match TraceFile::open(Path::new(path)) {
+            Ok(trace) => trace,
+            Err(error) => return fail(&error.to_string()),
+        };
+        let factor = |name: &str| matches.opt_get_default(name, 1.0).unwrap_or(1.0);
+        let site = SitePlan::with_models(trace.header.site, factor("model-factor"));
+        let site = site.with_load_factor(factor("load-factor"));
+        let mut setup = ReplaySetup::with_site(&trace, site);
+        let price = setup.placement.idle_price;
+        setup.placement.idle_price = matches.opt_get_default("idle-price", price).unwrap_or(price);
+        let prefix = matches.opt_str("policy").unwrap_or_default();
+        let policies = ReplayPolicy::all().into_iter();
+        let chosen = policies.filter(|policy| policy.to_string().starts_with(&prefix));
+        let reports = chosen.map(|policy| setup.replay(policy)).collect();
+        let table = ReportTable { title: trace.header.title.clone(), reports };
+        println!("{}", table.to_text());
+    }
+    ExitCode::SUCCESS
+}
+
+fn fail(problem: &str) -> ExitCode {
+    eprintln!("wheel_replay: {problem}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/wheel_replay/src/virtual_engine.rs
@@ -0,0 +1,99 @@
+//! An engine in virtual time.
+
+use std::collections::BTreeSet;
+
+use wheel_policy::{EngineView, PlacedModel};
+use wheel_types::{ModelName, MonotonicTime};
+
+use crate::SiteSpeed;
+use crate::replay_queue::ReplayQueue;
+
+/// An engine: what it holds, what it runs, and how long its accelerators stood idle.
+#[derive(Debug)]
+pub(crate) struct VirtualEngine {
+    /// Index of its data centre.
+    pub(crate) centre: usize,
+    /// What the planner sees of it.
+    pub(crate) view: EngineView,
+    /// Its owner's queue.
+    pub(crate) queue: ReplayQueue,
+    /// Requests that run, by index.
+    pub(crate) running: BTreeSet<usize>,
+    /// False while it is gone.
+    pub(crate) alive: bool,
+    /// Seconds in which it held models and ran nothing.
+    pub(crate) idle_s: f64,
+    /// Seconds in which it held models.
+    pub(crate) held_s: f64,
+    updated: MonotonicTime,
+}
+
+impl VirtualEngine {
+    /// An engine that holds nothing.
+    pub(crate) fn new(
+        centre: usize,
+        view: EngineView,
+        queue: ReplayQueue,
+        now: MonotonicTime,
+    ) -> Self {
+        Self {
+            centre,
+            view,
+            queue,
+            running: BTreeSet::new(),
+            alive: true,
+            idle_s: 0.0,
+            held_s: 0.0,
+            updated: now,
+        }
+    }
+
+    /// Accounts for the time since the last call; run it before each change.
+    pub(crate) fn accrue(&mut self, now: MonotonicTime) {
+        let span_s = now.since(self.updated).as_secs_f64() * f64::from(self.view.accelerators);
+        self.updated = now;
+        if !self.view.models.is_empty() {
+            self.held_s += span_s;
+            self.idle_s += if self.running.is_empty() { span_s } else { 0.0 };
+        }
+    }
+
+    /// The entry of a model, in any phase.
+    pub(crate) fn placed(&mut self, model: &ModelName) -> Option<&mut PlacedModel> {
+        self.view.models.iter_mut().find(|placed| &placed.model == model)
+    }
+
+    /// Whether a model is loaded, draining or not.
+    pub(crate) fn has_loaded(&self, model: &ModelName) -> bool {
+        let mut models = self.view.models.iter();
+        models.any(|one| &one.model == model && one.phase == wheel_types::ModelPhase::Loaded)
+    }
+
+    /// Keeps a checkpoint on the disk, at the cost of the oldest ones.
+    pub(crate) fn keep_on_disk(&mut self, model: &ModelName, speed: &SiteSpeed, size: SizeOf<'_>) {
+        keep(&mut self.view.disk_checkpoints, model, speed.host_disk_mib, size);
+    }
+
+    /// Keeps a checkpoint in host memory, at the cost of the oldest ones.
+    pub(crate) fn keep_in_memory(
+        &mut self,
+        model: &ModelName,
+        speed: &SiteSpeed,
+        size: SizeOf<'_>,
+    ) {
+        keep(&mut self.view.memory_checkpoints, model, speed.host_memory_mib, size);
+    }
+}
+
+/// Looks up the size of a model, in mebibytes.
+pub(crate) type SizeOf<'a> = &'a dyn Fn(&ModelName) -> u64;
+
+/// Puts `model` last and drops from the front until all fit.
+fn keep(checkpoints: &mut Vec<ModelName>, model: &ModelName, limit_mib: u64, size: SizeOf<'_>) {
+    checkpoints.retain(|other| other != model);
+    checkpoints.push(model.clone());
+    let mut used_mib: u64 = checkpoints.iter().map(size).sum();
+    while used_mib > limit_mib && !checkpoints.is_empty() {
+        used_mib -= size(&checkpoints.remove(0));
+    }
+}
