--- a/crates/wheel_peer/src/hub_worker.rs
+++ b/crates/wheel_peer/src/hub_worker.rs
@@ -88,26 +88,42 @@
     }
 
     async fn run(&self, listener: TcpListener, mut queue: mpsc::Receiver<HubCommand>) {
+        let done = tokio::select! {
+            done = self.take_commands(&mut queue) => done,
+            () = self.accept_all(listener) => None,
+        };
+        if let Some(done) = done {
+            self.drain(queue, done).await;
+        }
+    }
+
+    /// Starts calls until the hub is to shut down or no handle is left.
+    async fn take_commands(
+        &self,
+        queue: &mut mpsc::Receiver<HubCommand>,
+    ) -> Option<oneshot::Sender<()>> {
         let mut sweep = interval(SWEEP_PERIOD);
         loop {
             tokio::select! {
-                command = queue.recv() => match command {
-                    Some(HubCommand::Call(call)) => self.start_call(call),
-                    Some(HubCommand::Shutdown(done)) => {
-                        drop(listener);
-                        return self.drain(queue, done).await;
-                    }
-                    None => return,
-                },
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, address)) => self.start_serving(stream, address),
-                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                command = queue.recv() => match command? {
+                    HubCommand::Call(call) => self.start_call(call),
+                    HubCommand::Shutdown(done) => return Some(done),
                 },
                 _ = sweep.tick() => self.links.borrow_mut().retain(|_, link| !link.sweep()),
             }
         }
     }
 
+    /// Accepts connections, for ever.
+    async fn accept_all(&self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, address)) => self.start_serving(stream, address),
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    }
+
     fn start_call(&self, call: OutgoingCall) {
         match self.link(&call.peer) {
             Some(link) => {
