--- a/crates/wheel_peer/src/peer_link.rs
+++ b/crates/wheel_peer/src/peer_link.rs
@@ -112,8 +112,7 @@
             return Ok(connection);
         }
         self.detach(&connection);
-        count(&self.context.counters.retired, 1);
-        connection.close();
+        self.give_up(&connection);
         self.open().await
     }
 
@@ -204,6 +203,13 @@
             sleep(limits.backoff).await;
         }
         if silent.is_silent() {
+            self.give_up(silent);
+        }
+    }
+
+    /// Closes a silent connection, unless a call or its watch has done so already.
+    fn give_up(&self, silent: &PeerConnection) {
+        if !silent.is_closed() {
             count(&self.context.counters.retired, 1);
             silent.close();
         }
