--- a/crates/wheel_ctl/src/admin_client.rs
+++ b/crates/wheel_ctl/src/admin_client.rs
@@ -41,8 +41,8 @@
         Self { settings }
     }
 
-    /// Sends a call, and sends it again, to the next instance, when the answer is lost or the server
-    /// is busy. The call must be one that may be repeated.
+    /// Sends a call, and sends it again, to the next instance, when the answer is lost, or the server
+    /// is busy or can't tell the outcome (status 504). The call must be one that may be repeated.
     ///
     /// # Errors
     /// [`CtlFailure::Unreachable`] if no attempt may have been carried out, else
@@ -55,7 +55,8 @@
         while let Some(endpoint) = attempts.next() {
             let last = attempts.peek().is_none();
             match self.attempt(*endpoint, request).await {
-                Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE && !last => {
+                Ok(answer) if is_passing(answer.status) && !last => {
+                    sent |= answer.status == StatusCode::GATEWAY_TIMEOUT;
                     sleep(answer.retry_after.unwrap_or(pause).clamp(pause, MAX_PAUSE)).await;
                 }
                 Ok(answer) if is_unclear(&answer, sent) => {
@@ -134,6 +135,11 @@
     Ok(AdminAnswer::new(parts.status, &parts.headers, body))
 }
 
+/// Whether a later attempt may go better.
+fn is_passing(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
+}
+
 /// Whether an error of the server leaves open what became of the call.
 fn is_unclear(answer: &AdminAnswer, sent: bool) -> bool {
     answer.status.is_server_error() && (sent || answer.status != StatusCode::SERVICE_UNAVAILABLE)
--- a/crates/wheel_ctl/src/ctl_flag.rs
+++ b/crates/wheel_ctl/src/ctl_flag.rs
@@ -16,7 +16,7 @@
     name: "endpoint",
     value: Some("ADDR[,ADDR]"),
     environment: Some("WISTERIAWHEEL_ENDPOINT"),
-    default: Some("127.0.0.1:7070"),
+    default: Some("127.0.0.1:8081"),
     help: "admin addresses of instances, IP:PORT; the next one is tried when one fails",
 };
 
--- a/crates/wheel_ctl/src/ctl_run.rs
+++ b/crates/wheel_ctl/src/ctl_run.rs
@@ -35,20 +35,12 @@
     text: String,
 }
 
-/// A change of the voters.
-#[derive(Clone, Copy, Debug)]
+/// A change of the voters, as the admin interface takes it.
 #[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
-enum VoterAction {
-    Add,
-    Remove,
-}
-
-/// The body of a change of the voters.
-#[derive(Serialize)]
-struct VoterBody<'a> {
-    action: VoterAction,
-    instance: &'a str,
+enum VoterChange<'a> {
+    Add(&'a str),
+    Remove(&'a str),
 }
 
 impl<'a> CtlRun<'a> {
@@ -82,10 +74,10 @@
                 self.print_answer(&AdminRequest::get("/admin/v1/voters")).await
             }
             CtlCommand::AddVoter { instance } => {
-                self.change_voter(VoterAction::Add, instance).await
+                self.change_voter(&VoterChange::Add(instance)).await
             }
             CtlCommand::RemoveVoter { instance } => {
-                self.change_voter(VoterAction::Remove, instance).await
+                self.change_voter(&VoterChange::Remove(instance)).await
             }
         }
     }
@@ -144,8 +136,8 @@
         Ok(())
     }
 
-    async fn change_voter(&self, action: VoterAction, instance: &str) -> Result<(), CtlFailure> {
-        let body = serde_json::to_string(&VoterBody { action, instance });
+    async fn change_voter(&self, change: &VoterChange<'_>) -> Result<(), CtlFailure> {
+        let body = serde_json::to_string(change);
         let body = body.map_err(|error| CtlFailure::Local { reason: error.to_string() })?;
         let request = AdminRequest::new(Method::POST, "/admin/v1/voters", body);
         let key = format!("{:032x}", rand::random::<u128>());
--- a/crates/wheel_ctl/src/lib.rs
+++ b/crates/wheel_ctl/src/lib.rs
@@ -28,4 +28,4 @@
 pub use ctl_settings::{CtlSettings, ParsedLine};
 pub use exit_status::ExitStatus;
 pub use fault_report::FaultReport;
-pub use status_report::{EngineStatus, InstanceStatus, StatusReport};
+pub use status_report::{EngineStatus, HeldModel, InstanceStatus, StatusReport};
--- a/crates/wheel_ctl/src/status_report.rs
+++ b/crates/wheel_ctl/src/status_report.rs
@@ -19,6 +19,19 @@
     pub age_ms: u64,
 }
 
+/// A model that an engine holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize)]
+#[serde(default)]
+pub struct HeldModel {
+    /// Its name.
+    pub model: String,
+    /// Its version.
+    pub version: u32,
+    /// How far it is: loading, loaded or unloading.
+    pub phase: String,
+}
+
 /// An engine as the answering instance sees it.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize)]
@@ -28,8 +41,8 @@
     pub name: String,
     /// Its state.
     pub state: String,
-    /// The models that it has loaded.
-    pub models: Vec<String>,
+    /// The models that it holds.
+    pub models: Vec<HeldModel>,
     /// The instance that owns its queue.
     pub owner: Option<String>,
 }
@@ -55,6 +68,12 @@
     pub engines: Vec<EngineStatus>,
 }
 
+impl HeldModel {
+    fn to_word(&self) -> String {
+        format!("{}@{}:{}", self.model, self.version, self.phase)
+    }
+}
+
 impl StatusReport {
     /// The instances that don't have a revision yet.
     pub fn lagging(&self, revision: u64) -> Vec<&InstanceStatus> {
@@ -85,6 +104,7 @@
         for engine in &self.engines {
             let EngineStatus { name, state, models, owner } = engine;
             let owner = owner.as_deref().unwrap_or("none");
+            let models: Vec<_> = models.iter().map(HeldModel::to_word).collect();
             let models = models.join(",");
             let _written = writeln!(
                 lines,
--- a/crates/wheel_ctl/tests/support/mod.rs
+++ b/crates/wheel_ctl/tests/support/mod.rs
@@ -176,7 +176,8 @@
             "leader":"isan-a1","instances":[
             {{"name":"isan-a1","data_centre":"isan-a","revision":{0},"age_ms":3}},
             {{"name":"isan-b1","data_centre":"isan-b","revision":{last},"age_ms":40}}],
-            "engines":[{{"name":"e1","state":"up","models":["guide"],"owner":"isan-a1"}}]}}"#,
+            "engines":[{{"name":"e1","state":"up","owner":"isan-a1",
+            "models":[{{"model":"guide","version":2,"phase":"loaded"}}]}}]}}"#,
             self.revision
         )
     }
--- a/crates/wheel_ctl/tests/wisteriactl.rs
+++ b/crates/wheel_ctl/tests/wisteriactl.rs
@@ -93,6 +93,19 @@
     assert_eq!(failed.code, 3, "{failed:?}");
 }
 
+#[tokio::test]
+async fn apply_outcome_unknown_to_the_server_asked_again() {
+    let unknown = OddAnswer::Status(504, "{\"error\":\"may have been accepted\"}");
+    let admin = bind_at(7, &[unknown]).await;
+    let run = admin.run(&["apply", ROTA]).await;
+    let puts = admin.puts();
+    assert_eq!((run.code, puts.len()), (0, 2), "{run:?}");
+    assert_eq!(puts[0], puts[1]);
+    let busy = OddAnswer::Status(503, "{\"error\":\"no leader\"}");
+    let run = bind_at(7, &[unknown, busy]).await.run(&["--retries", "1", "apply", ROTA]).await;
+    assert_eq!(run.code, 3, "{run:?}");
+}
+
 #[tokio::test]
 async fn apply_busy_server_tries_again_then_gives_up() {
     let busy = OddAnswer::Status(503, "{\"error\":\"no leader\"}");
@@ -115,10 +128,17 @@
 
 #[tokio::test]
 async fn apply_faults_of_the_server_printed() {
-    let body = r#"[{"line":3,"column":4,"problem":"wrong","remedy":"mend it"}]"#;
-    let run = bind_at(7, &[OddAnswer::Status(422, body)]).await.run(&["apply", ROTA]).await;
-    assert_eq!(run.code, 4, "{run:?}");
-    assert!(run.out.ends_with("rota.toml:3:4: wrong; mend it\n"), "{run:?}");
+    let list = r#"[{"line":3,"column":4,"problem":"wrong","remedy":"mend it"}]"#;
+    let wrapped =
+        r#"{"error":"f","faults":[{"line":3,"column":4,"problem":"wrong","remedy":"mend it"}]}"#;
+    for body in [list, wrapped] {
+        let run = bind_at(7, &[OddAnswer::Status(422, body)]).await.run(&["apply", ROTA]).await;
+        assert_eq!(run.code, 4, "{run:?}");
+        assert!(run.out.ends_with("rota.toml:3:4: wrong; mend it\n"), "{run:?}");
+    }
+    let reused = OddAnswer::Status(422, r#"{"error":"the key belongs to another request"}"#);
+    let run = bind_at(7, &[reused]).await.run(&["apply", ROTA]).await;
+    assert_eq!(run.code, 1, "{run:?}");
 }
 
 #[tokio::test]
@@ -183,7 +203,10 @@
     let run = bind_at(7, &[]).await.run(&["status"]).await;
     assert!(run.out.starts_with("instance=isan-a1 data_centre=isan-a revision=7 role=leader"));
     assert!(run.out.contains("instance isan-b1 data_centre=isan-b revision=7 age=40ms\n"));
-    assert!(run.out.contains("engine   e1 state=up owner=isan-a1 models=guide\n"), "{run:?}");
+    assert!(
+        run.out.contains("engine   e1 state=up owner=isan-a1 models=guide@2:loaded\n"),
+        "{run:?}"
+    );
 }
 
 #[tokio::test]
@@ -205,8 +228,8 @@
         "POST /admin/v1/drain ",
         "GET /admin/v1/explain?q=org/guide:thai ",
         "GET /admin/v1/voters ",
-        "POST /admin/v1/voters {\"action\":\"add\",\"instance\":\"isan-b1\"}",
-        "POST /admin/v1/voters {\"action\":\"remove\",\"instance\":\"isan-c1\"}",
+        "POST /admin/v1/voters {\"add\":\"isan-b1\"}",
+        "POST /admin/v1/voters {\"remove\":\"isan-c1\"}",
     ];
     assert_eq!(lines, expected);
 }
@@ -236,7 +259,7 @@
     assert_eq!(run.code, 0);
     for part in [
         "--endpoint ADDR[,ADDR]",
-        "[environment WISTERIAWHEEL_ENDPOINT, default 127.0.0.1:7070]",
+        "[environment WISTERIAWHEEL_ENDPOINT, default 127.0.0.1:8081]",
         "time for one answer, in milliseconds",
         "  5  conflict",
     ] {
