Read the platform's list; let restarted instances ask for reports

An upstream leaves by the first of: the list, its own word. - Reports of upstreams that aren't in the text yet are kept, bounded, and used when the text comes. - With its first text an instance asks a neighbour for all reports.

Failed first with these switched off: instance_restarted_knows_replicas_at_once, upstream_listed_as_leaving_gets_no_new_work_within_three_seconds.

--- a/crates/wheel_daemon/src/daemon_parts.rs
+++ b/crates/wheel_daemon/src/daemon_parts.rs
@@ -13,7 +13,7 @@
 use wheel_text::ServingText;
 use wheel_types::{InstanceName, TextRevision};
 
-use crate::{DaemonSettings, InstanceBook, InstanceStatus, MemberDriver};
+use crate::{DaemonSettings, InstanceBook, InstanceStatus, MemberDriver, ReportSender};
 
 /// Handles to everything that runs in this process.
 pub struct DaemonParts {
@@ -35,6 +35,8 @@
     pub lease: Arc<LeaseDriver>,
     /// The data centre's engines, while this instance holds the lease.
     pub director: Arc<CentreDirector>,
+    /// Reports to and from other instances.
+    pub reports: Arc<ReportSender>,
     /// Where models are loaded.
     pub directory: Arc<ReplicaDirectory>,
     /// Upstreams that this instance owns.
--- a/crates/wheel_daemon/src/lib.rs
+++ b/crates/wheel_daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod group_keeper;
 mod instance_book;
 mod instance_status;
+mod list_reader;
 mod member_driver;
 mod peer_entry;
 mod peer_metrics;
--- a/crates/wheel_daemon/src/peer_router.rs
+++ b/crates/wheel_daemon/src/peer_router.rs
@@ -10,7 +10,7 @@
 use wheel_control::{GroupCall, GroupReply, SubmitAnswer, TextPoll, answer_poll};
 use wheel_lease::LeaseRequest;
 use wheel_peer::{PeerChannel, PeerHandler, PeerIdentity, PeerRefusal};
-use wheel_serving::ReportMessage;
+use wheel_serving::{ReportList, ReportMessage};
 use wheel_types::DemandReport;
 
 use crate::DaemonParts;
@@ -77,6 +77,9 @@
             match read(body)? {
                 ReportMessage::Engine(report) => parts.directory.note_report(report),
                 ReportMessage::Drain(notice) => parts.directory.note_drain(&notice),
+                ReportMessage::Query => {
+                    return write(&ReportList { reports: parts.directory.reports() });
+                }
             }
             Ok(Vec::new())
         }
--- a/crates/wheel_daemon/src/report_sender.rs
+++ b/crates/wheel_daemon/src/report_sender.rs
@@ -9,13 +9,15 @@
 use tokio::sync::Semaphore;
 use wheel_control::AddressBook;
 use wheel_peer::{PeerChannel, PeerHub};
-use wheel_serving::{ReplicaDirectory, ReportMessage, ReportSink};
+use wheel_serving::{ReplicaDirectory, ReportList, ReportMessage, ReportSink};
 use wheel_types::{CentreName, InstanceName};
 
 use crate::InstanceBook;
 
 /// Reports on their way to one instance; further ones are dropped and made up for by the next.
 const MAX_IN_FLIGHT: usize = 64;
+/// Neighbours that are asked for their reports, one after the other.
+const MAX_ASKED: usize = 3;
 /// Time after which a report counts as lost.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -40,6 +42,25 @@
         Arc::new(Self { hub, book, directory, runtime: Handle::current(), in_flight })
     }
 
+    /// Asks neighbours for all reports, so that a restarted instance needn't wait for the owners to
+    /// repeat theirs. The first answer is enough.
+    pub async fn fetch_reports(&self) {
+        let Ok(body) = postcard::to_stdvec(&ReportMessage::Query) else { return };
+        let own = self.book.own().centre.clone();
+        let others = self.book.live_others();
+        let neighbours = others.iter().filter(|peer| peer.address.centre == own);
+        for neighbour in neighbours.take(MAX_ASKED) {
+            let Some(address) = self.book.peer(&neighbour.address.name) else { continue };
+            let call = self.hub.call(&address, PeerChannel::Report, body.clone(), REPORT_TIMEOUT);
+            let answer = call.await.ok();
+            let list = answer.and_then(|body| postcard::from_bytes::<ReportList>(&body).ok());
+            let Some(list) = list.filter(|list| !list.reports.is_empty()) else { continue };
+            let Some(directory) = self.directory.upgrade() else { return };
+            list.reports.into_iter().for_each(|report| directory.note_report(report));
+            return;
+        }
+    }
+
     fn send(&self, to: &InstanceName, body: Vec<u8>) {
         let permits = {
             let mut in_flight = self.in_flight.lock();
@@ -59,7 +80,7 @@
     /// A drain concerns the data centre only; a replica's state concerns all.
     fn concerns(message: &ReportMessage, own: &CentreName, other: &CentreName) -> bool {
         match message {
-            ReportMessage::Engine(_) => true,
+            ReportMessage::Engine(_) | ReportMessage::Query => true,
             ReportMessage::Drain(_) => own == other,
         }
     }
@@ -78,6 +99,7 @@
         match message {
             ReportMessage::Engine(report) => directory.note_report(report),
             ReportMessage::Drain(notice) => directory.note_drain(&notice),
+            ReportMessage::Query => {}
         }
     }
 }
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -34,6 +34,7 @@
 use crate::daemon_parts::TextView;
 use crate::demand_sender::DemandSender;
 use crate::director_bridge::DirectorBridge;
+use crate::list_reader::ListReader;
 use crate::peer_metrics::describe_peer_metrics;
 use crate::{
     AdminOperations, DaemonParts, DaemonSettings, ExitStatus, GroupKeeper, InstanceBook,
@@ -238,7 +239,7 @@
     let lease = LeaseDriver::spawn(director_settings.clone(), hub.clone(), book.clone());
     let bridge = DirectorBridge {
         directory: Arc::clone(&directory),
-        sender,
+        sender: Arc::clone(&sender),
         decisions: Arc::clone(&decisions),
     };
     let director = CentreDirector::spawn(
@@ -257,6 +258,7 @@
         group,
         lease,
         director,
+        reports: sender,
         directory,
         owners,
         demand: Arc::default(),
@@ -352,6 +354,9 @@
 /// Starts the tasks that let the parts follow the text and the live instances.
 fn spawn_loops(parts: &Arc<DaemonParts>) {
     DemandSender::spawn(Arc::clone(parts));
+    if let Some(address) = parts.settings.instance_list {
+        ListReader::spawn(Arc::clone(parts), address);
+    }
     tokio::spawn(follow_loop(Arc::clone(parts)));
     tokio::spawn(expire_loop(Arc::clone(parts)));
 }
@@ -364,6 +369,10 @@
         let text = texts.borrow_and_update().clone();
         views.mark_unchanged();
         if let Some(text) = &text {
+            if followed.is_none() {
+                let reports = Arc::clone(&parts.reports);
+                tokio::spawn(async move { reports.fetch_reports().await });
+            }
             if followed != Some(text.revision) {
                 followed = Some(text.revision);
                 *parts.text_since.lock() = (text.revision, Instant::now());
--- a/crates/wheel_harness/tests/request_path.rs
+++ b/crates/wheel_harness/tests/request_path.rs
@@ -250,3 +250,76 @@
         assert_whole(&ask(&cluster.caller, at, "guide", 3, 20_000).await, 3);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_restarted_knows_replicas_at_once() {
+    let settings = ClusterSettings {
+        preload: vec!["engine-a=guide".to_owned()],
+        ..ClusterSettings::default()
+    };
+    let mut cluster = start(settings).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    let owner = owner_of(&cluster, seen_at, "engine-a").await;
+    let entry = cluster
+        .instances
+        .iter()
+        .position(|one| one.centre.as_str() == "a" && one.name != cluster.instances[owner].name);
+    let entry = entry.expect("another instance");
+    cluster.instances[entry].kill();
+    cluster.instances[entry].start().expect("a restart");
+    let ports = cluster.instances[entry].ports;
+    cluster
+        .wait_until("readiness", LIMIT, || async {
+            let reply = cluster.caller.get(ports.operators, "/readyz").await.ok()?;
+            (reply.status == StatusCode::OK).then_some(())
+        })
+        .await
+        .expect("readiness");
+    let reply = ask(&cluster.caller, ports.callers, "guide", 3, 20_000).await;
+    assert_whole(&reply, 3);
+    // The owner repeats its reports every four seconds only.
+    assert!(reply.first_byte < Duration::from_secs(2), "after {:?}", reply.first_byte);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_listed_as_leaving_gets_no_new_work_within_three_seconds() {
+    let list = wheel_harness::ChildProcess::spawn(
+        "wheel_fake",
+        "list",
+        &["list".to_owned()],
+        &std::env::temp_dir().join(format!("wheel-list-{}.log", std::process::id())),
+    );
+    let mut list = list.expect("a fake list");
+    let list_at = list.read_listening().expect("its address");
+    let mut settings = ClusterSettings {
+        preload: ["engine-a=guide", "engine-b=guide"].map(str::to_owned).to_vec(),
+        ..ClusterSettings::default()
+    };
+    settings.daemon_flags.push(format!("--instance-list={list_at}"));
+    let cluster = start_text(&support::replicated_text(), settings).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    owner_of(&cluster, seen_at, "engine-a").await;
+    owner_of(&cluster, seen_at, "engine-b").await;
+    let line = json!([{
+        "name": "engine-a", "kind": "upstream", "data_centre": "a",
+        "address": cluster.addresses["engine-a"], "state": "leaving", "since_ms": 0,
+    }]);
+    let put = cluster.caller.call(Method::PUT, list_at, "/instances", &[], line.to_string()).await;
+    assert!(put.expect("the list answers").status.is_success());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let runs = |upstream: &'static str| {
+        let at = cluster.addresses[upstream];
+        let caller = cluster.caller.clone();
+        async move {
+            let counters = caller.get(at, "/fake/counters").await.expect("counters").json();
+            counters["runs"].as_object().map_or(0, serde_json::Map::len)
+        }
+    };
+    let before = runs("engine-a").await;
+    let at = cluster.instances[0].ports.callers;
+    for _ in 0..5 {
+        assert_whole(&ask(&cluster.caller, at, "guide", 3, 20_000).await, 3);
+    }
+    assert_eq!(runs("engine-a").await, before, "the leaving engine got work");
+    assert!(runs("engine-b").await >= 5);
+}
--- a/crates/wheel_serving/src/engine_watch.rs
+++ b/crates/wheel_serving/src/engine_watch.rs
@@ -5,7 +5,7 @@
 
 use wheel_types::{EngineReport, EngineState, IncarnationId, LoadReport, ModelPhase};
 
-use crate::{OwnedUpstream, OwnerSettings, ReportMessage, ReportSink};
+use crate::{LeavingSet, OwnedUpstream, OwnerSettings, ReportMessage, ReportSink};
 
 /// Time between two reads of an engine's state.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -20,6 +20,7 @@
 pub(crate) struct EngineWatch {
     pub(crate) settings: OwnerSettings,
     pub(crate) sink: Arc<dyn ReportSink>,
+    pub(crate) leaving: Arc<LeavingSet>,
     pub(crate) watches_engine: bool,
 }
 
@@ -27,6 +28,8 @@
 #[derive(Default)]
 struct WatchState {
     engine: EngineState,
+    /// By the engine's own word or by the platform's list.
+    leaving: bool,
     load: LoadReport,
     failed_reads: u32,
     reported: Option<(Instant, EngineReport)>,
@@ -53,12 +56,22 @@
             if self.watches_engine {
                 read_engine(&strong, &mut state).await;
             }
+            self.note_leaving(&strong, &mut state);
             self.report_change(&strong, &mut state);
             drop(strong);
             tokio::time::sleep(state.poll_interval()).await;
         }
     }
 
+    /// The first sign that the upstream leaves sends what waits elsewhere.
+    fn note_leaving(&self, upstream: &OwnedUpstream, state: &mut WatchState) {
+        let leaving = state.engine.leaving || self.leaving.contains(&upstream.spec().name);
+        if leaving && !state.leaving {
+            upstream.queue().refuse_waiting("the upstream is leaving");
+        }
+        state.leaving = leaving;
+    }
+
     fn report_change(&self, upstream: &OwnedUpstream, state: &mut WatchState) {
         let report = self.report(upstream, state);
         let due = state
@@ -83,7 +96,7 @@
             sequence: state.sequence,
             incarnation: state.engine.incarnation,
             reachable: state.is_reachable(),
-            leaving: state.engine.leaving,
+            leaving: state.leaving,
             models: state.engine.models.clone(),
             load: state.load,
             queued: queued as u32,
@@ -119,9 +132,6 @@
             state.failed_reads = 0;
             note_foreign(upstream, &engine);
             upstream.usage().retain_models(|model| engine.find(model).is_some());
-            if engine.leaving && !state.engine.leaving {
-                upstream.queue().refuse_waiting("the engine is leaving");
-            }
             state.engine = engine;
         }
         Err(_) => {
--- a/crates/wheel_serving/src/owner_table.rs
+++ b/crates/wheel_serving/src/owner_table.rs
@@ -12,7 +12,7 @@
 use wheel_upstream::{ConnectionLimits, EngineSettings};
 
 use crate::engine_watch::EngineWatch;
-use crate::{OwnedUpstream, ProcessClock, ReportSink};
+use crate::{LeavingSet, OwnedUpstream, ProcessClock, ReportSink};
 
 /// Connections to an upstream beyond its slots.
 const SPARE_CONNECTIONS: usize = 8;
@@ -33,6 +33,7 @@
     settings: OwnerSettings,
     clock: ProcessClock,
     sink: Arc<dyn ReportSink>,
+    leaving: Arc<LeavingSet>,
     owned: RwLock<HashMap<UpstreamName, Arc<OwnedUpstream>>>,
 }
 
@@ -43,7 +44,13 @@
         clock: ProcessClock,
         sink: Arc<dyn ReportSink>,
     ) -> Arc<Self> {
-        Arc::new(Self { settings, clock, sink, owned: RwLock::default() })
+        let leaving = Arc::default();
+        Arc::new(Self { settings, clock, sink, leaving, owned: RwLock::default() })
+    }
+
+    /// Upstreams that the platform's list shows as leaving.
+    pub fn leaving(&self) -> &LeavingSet {
+        &self.leaving
     }
 
     /// The upstream, if it is owned here.
@@ -112,6 +119,7 @@
         let watch = EngineWatch {
             settings: self.settings.clone(),
             sink: Arc::clone(&self.sink),
+            leaving: Arc::clone(&self.leaving),
             watches_engine: spec.kind == UpstreamKind::Engine,
         };
         watch.spawn(&upstream);
--- a/crates/wheel_serving/src/replica_directory.rs
+++ b/crates/wheel_serving/src/replica_directory.rs
@@ -17,6 +17,9 @@
 /// Time after which an upstream whose owner is silent gets no new work.
 const REPORT_LIFE: Duration = Duration::from_secs(15);
 
+/// Reports that are kept for a text to come; the owners repeat those beyond it.
+const MAX_EARLY: usize = 4_096;
+
 /// Prefix of the routing names of plain services; no model may have it, for the check of the text
 /// refuses slashes in names.
 const SERVICE_PREFIX: &str = "service/";
@@ -43,6 +46,8 @@
     draining: HashSet<(UpstreamName, ModelName)>,
     /// Owners that couldn't be reached since their last report.
     gone_owners: HashSet<InstanceName>,
+    /// Reports of upstreams that the text held here doesn't have yet.
+    early: HashMap<UpstreamName, EngineReport>,
 }
 
 #[derive(Debug)]
@@ -62,6 +67,7 @@
             loaded_at: HashMap::new(),
             draining: HashSet::new(),
             gone_owners: HashSet::new(),
+            early: HashMap::new(),
         };
         Arc::new(Self { clock, centre, state: Mutex::new(state), changed: Notify::new() })
     }
@@ -91,14 +97,21 @@
         state.place_services(&self.centre, text);
         let models: Vec<ModelName> = state.loaded_at.keys().cloned().collect();
         models.iter().for_each(|model| state.place_model(&self.centre, model));
+        let early = std::mem::take(&mut state.early);
         drop(state);
+        early.into_values().for_each(|report| self.note_report(report));
         self.changed.notify_waiters();
     }
 
     /// Takes over a report. One from an incarnation's past is ignored.
     pub fn note_report(&self, report: EngineReport) {
         let mut state = self.state.lock();
-        let Some(spec) = state.upstreams.get(&report.upstream) else { return };
+        let Some(spec) = state.upstreams.get(&report.upstream) else {
+            if state.early.len() < MAX_EARLY {
+                state.early.insert(report.upstream.clone(), report);
+            }
+            return;
+        };
         let is_service = spec.kind == UpstreamKind::Service;
         let stale = state.reports.get(&report.upstream).is_some_and(|held| {
             held.report.owner == report.owner && held.report.sequence >= report.sequence
--- a/crates/wheel_serving/src/report_message.rs
+++ b/crates/wheel_serving/src/report_message.rs
@@ -23,6 +23,16 @@
     Engine(EngineReport),
     /// The lease holder's word on a replica.
     Drain(DrainNotice),
+    /// Asks for all reports that the receiver holds, answered by a [`ReportList`].
+    Query,
+}
+
+/// All reports that an instance holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ReportList {
+    /// The reports.
+    pub reports: Vec<EngineReport>,
 }
 
 /// Sends reports to the other instances that need them.
