Keep released claims, so that a late claim is granted to nobody

A claim whose answer was lost is released by its entry. If the release was committed first and the claim after it, delayed in a connection, the claim stood for six hours in the name of a request that had been refused: every resend learned "unknown" of a call that never ran. A release is now kept like a claim, also before its claim; the late claim is answered Released, and any other request may claim the call. When the table is full, released claims go first.

A holder that was wrongly taken for dead may release, too: its word that it never sent the call is the truth, whatever others believed.

--- a/crates/wheel_agreement/src/claim_table.rs
+++ b/crates/wheel_agreement/src/claim_table.rs
@@ -16,8 +16,7 @@
     state: ClaimState,
 }
 
-/// How far a claimed call is. There is no way back to a call that may be sent, but for a release
-/// by its holder.
+/// How far a claimed call is.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
 enum ClaimState {
@@ -27,10 +26,13 @@
     Finished(CallAnswer),
     /// It may have run.
     Unknown,
+    /// The holder never sent it and never will; any other request may claim the call. Kept so that
+    /// a late claim of the same request isn't granted to nobody.
+    Released,
 }
 
-/// All claims of the kept time. When it is full, new claims are refused; a claim is never dropped
-/// before its time.
+/// All claims of the kept time. When it is full, claims that were released go first, and then new
+/// ones are refused; any other claim is never dropped before its time.
 ///
 /// Only the claims themselves are encoded.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
@@ -39,6 +41,7 @@
 pub(crate) struct ClaimTable {
     claims: ClaimMap,
     by_time: BTreeSet<(u64, ClaimId)>,
+    released: BTreeSet<(u64, ClaimId)>,
     answers_bytes: usize,
 }
 
@@ -46,9 +49,12 @@
 
 impl From<ClaimMap> for ClaimTable {
     fn from(claims: ClaimMap) -> Self {
-        let by_time = claims.iter().map(|(id, claim)| (claim.claimed_ms, id.clone())).collect();
+        let time_of = |(id, claim): (&ClaimId, &CallClaim)| (claim.claimed_ms, id.clone());
+        let is_released = |(_, claim): &(&ClaimId, &CallClaim)| claim.is_released();
+        let by_time = claims.iter().map(time_of).collect();
+        let released = claims.iter().filter(is_released).map(time_of).collect();
         let answers_bytes = claims.values().map(CallClaim::answer_bytes).sum();
-        Self { claims, by_time, answers_bytes }
+        Self { claims, by_time, released, answers_bytes }
     }
 }
 
@@ -68,7 +74,7 @@
         while let Some((claimed_ms, _)) = self.by_time.first()
             && claimed_ms.saturating_add(limits.claim_life_ms) <= clock_ms
         {
-            let Some((_, id)) = self.by_time.pop_first() else {
+            let Some((_, id)) = self.by_time.first().cloned() else {
                 return;
             };
             self.drop_claim(&id);
@@ -83,18 +89,20 @@
         clock_ms: u64,
         limits: &GroupLimits,
     ) -> ClaimAnswer {
-        if let Some(claim) = self.claims.get_mut(&id) {
-            return claim.answer_resend(digest, &holder);
+        match self.claims.get_mut(&id) {
+            Some(claim) if !claim.is_released() => return claim.answer_resend(digest, &holder),
+            Some(claim) if claim.holder == holder => return ClaimAnswer::Released,
+            Some(_) => self.drop_claim(&id),
+            None => {}
         }
         if is_oversized(&id, &holder) {
             return ClaimAnswer::TooLarge;
         }
-        if self.claims.len() >= limits.max_claims {
+        if !self.make_room(limits) {
             return ClaimAnswer::Full;
         }
-        self.by_time.insert((clock_ms, id.clone()));
         let state = ClaimState::Started;
-        self.claims.insert(id, CallClaim { digest, holder, claimed_ms: clock_ms, state });
+        self.insert(id, CallClaim { digest, holder, claimed_ms: clock_ms, state });
         ClaimAnswer::Granted
     }
 
@@ -120,16 +128,25 @@
         }
     }
 
-    pub(crate) fn release(&mut self, id: &ClaimId, holder: &ClaimHolder) -> ClaimAnswer {
-        match self.held(id, holder) {
-            Some(claim) if claim.state == ClaimState::Started => {
-                let claimed_ms = claim.claimed_ms;
-                self.by_time.remove(&(claimed_ms, id.clone()));
-                self.drop_claim(id);
-                ClaimAnswer::Released
-            }
-            _ => ClaimAnswer::NotHeld,
-        }
+    /// Gives a claim up, also one that is committed only later.
+    pub(crate) fn release(
+        &mut self,
+        id: ClaimId,
+        holder: ClaimHolder,
+        clock_ms: u64,
+        limits: &GroupLimits,
+    ) -> ClaimAnswer {
+        let held = self.claims.get(&id).map(|claim| (claim.is_open_for(&holder), claim.claimed_ms));
+        let claimed_ms = match held {
+            Some((true, claimed_ms)) => claimed_ms,
+            None if !is_oversized(&id, &holder) && self.make_room(limits) => clock_ms,
+            _ => return ClaimAnswer::NotHeld,
+        };
+        self.drop_claim(&id);
+        self.released.insert((claimed_ms, id.clone()));
+        let (digest, state) = (RequestDigest::default(), ClaimState::Released);
+        self.insert(id, CallClaim { digest, holder, claimed_ms, state });
+        ClaimAnswer::Released
     }
 
     pub(crate) fn abandon(&mut self, id: &ClaimId, holder: &ClaimHolder) -> ClaimAnswer {
@@ -144,13 +161,29 @@
 
     /// The claim, if it is `holder`'s and its outcome isn't known yet.
     fn held(&mut self, id: &ClaimId, holder: &ClaimHolder) -> Option<&mut CallClaim> {
-        let claim = self.claims.get_mut(id)?;
-        let is_open = !matches!(claim.state, ClaimState::Finished(_));
-        (is_open && claim.holder == *holder).then_some(claim)
+        self.claims.get_mut(id).filter(|claim| claim.is_open_for(holder))
+    }
+
+    /// Drops the oldest released claim if the table is full; false if there is none.
+    fn make_room(&mut self, limits: &GroupLimits) -> bool {
+        if self.claims.len() < limits.max_claims {
+            return true;
+        }
+        let oldest = self.released.first().map(|(_, id)| id.clone());
+        oldest.iter().for_each(|id| self.drop_claim(id));
+        oldest.is_some()
+    }
+
+    fn insert(&mut self, id: ClaimId, claim: CallClaim) {
+        self.by_time.insert((claim.claimed_ms, id.clone()));
+        self.claims.insert(id, claim);
     }
 
     fn drop_claim(&mut self, id: &ClaimId) {
         if let Some(claim) = self.claims.remove(id) {
+            let place = (claim.claimed_ms, id.clone());
+            self.by_time.remove(&place);
+            self.released.remove(&place);
             self.answers_bytes -= claim.answer_bytes();
         }
     }
@@ -160,10 +193,20 @@
     fn answer_bytes(&self) -> usize {
         match &self.state {
             ClaimState::Finished(answer) => answer.size_bytes(),
-            ClaimState::Started | ClaimState::Unknown => 0,
+            ClaimState::Started | ClaimState::Unknown | ClaimState::Released => 0,
         }
     }
 
+    fn is_released(&self) -> bool {
+        self.state == ClaimState::Released
+    }
+
+    /// Whether it is `holder`'s and its outcome isn't known yet.
+    fn is_open_for(&self, holder: &ClaimHolder) -> bool {
+        let is_open = matches!(self.state, ClaimState::Started | ClaimState::Unknown);
+        is_open && self.holder == *holder
+    }
+
     /// Answers another claim of the same call.
     fn answer_resend(&mut self, digest: RequestDigest, holder: &ClaimHolder) -> ClaimAnswer {
         if self.state == ClaimState::Started && self.is_outlived_by(holder) {
@@ -175,6 +218,7 @@
             ClaimState::Started => ClaimAnswer::InProgress { holder: self.holder.clone() },
             ClaimState::Finished(answer) => ClaimAnswer::Finished { answer: answer.clone() },
             ClaimState::Unknown => ClaimAnswer::Unknown,
+            ClaimState::Released => ClaimAnswer::Released,
         }
     }
 
--- a/crates/wheel_agreement/src/group_answer.rs
+++ b/crates/wheel_agreement/src/group_answer.rs
@@ -66,7 +66,7 @@
     Full,
     /// Key, names and ids together are longer than the state machine takes; nothing was done.
     TooLarge,
-    /// The claim was given up.
+    /// The claim was given up: the holder must not send the call under this request any more.
     Released,
     /// The claim isn't there or is another holder's; nothing was done.
     NotHeld,
--- a/crates/wheel_agreement/src/group_state.rs
+++ b/crates/wheel_agreement/src/group_state.rs
@@ -54,7 +54,7 @@
                 GroupAnswer::Claim(claims.finish(&claim, &holder, answer, limits))
             }
             GroupAction::ReleaseCall { claim, holder } => {
-                GroupAnswer::Claim(claims.release(&claim, &holder))
+                GroupAnswer::Claim(claims.release(claim, holder, *clock_ms, limits))
             }
             GroupAction::AbandonCall { claim, holder } => {
                 GroupAnswer::Claim(claims.abandon(&claim, &holder))
