--- a/crates/wheel_agreement/tests/raft_model/mod.rs
+++ b/crates/wheel_agreement/tests/raft_model/mod.rs
@@ -17,6 +17,7 @@
 use wheel_agreement::{
     FolderIdentity, GroupId, GroupMembers, LogEntry, NodeId, ProposalId, RaftInput, RaftMessage,
     RaftNode, RaftOutput, RaftSettings, RaftSnapshot, RaftStatus, ReadId, RestoredRaft, RoleName,
+    VoterChange,
 };
 use wheel_types::{InstanceName, MonotonicTime};
 
@@ -47,6 +48,8 @@
     Read,
     Crash,
     LoseFolder,
+    /// The voter of the instance at a place is removed.
+    Remove(usize),
     Resign,
     Compact,
 }
@@ -210,6 +213,9 @@
             (budget.crashes > 0, ModelEvent::Crash),
             (budget.losses > 0, ModelEvent::LoseFolder),
             (budget.resigns > 0 && leads, ModelEvent::Resign),
+            (budget.removals > 0 && leads, ModelEvent::Remove(0)),
+            (budget.removals > 0 && leads, ModelEvent::Remove(1)),
+            (budget.removals > 0 && leads, ModelEvent::Remove(2)),
             (may_compact, ModelEvent::Compact),
         ];
         let possible = events.into_iter().filter(|(is_possible, _)| *is_possible);
@@ -315,6 +321,10 @@
                 let (proposal, command) = (ProposalId(number.into()), vec![number]);
                 node.step(now, RaftInput::Propose { proposal, command })
             }
+            ModelEvent::Remove(at) => {
+                let change = VoterChange::Remove(self.id_at(at, 1));
+                node.step(now, RaftInput::ChangeVoter { proposal: ProposalId(0), change })
+            }
             ModelEvent::Resign => node.step(now, RaftInput::Resign),
             ModelEvent::Read => node.step(now, RaftInput::Read { read: READ }),
             ModelEvent::Compact => {
--- a/crates/wheel_agreement/tests/raft_model/model_state.rs
+++ b/crates/wheel_agreement/tests/raft_model/model_state.rs
@@ -23,6 +23,8 @@
     pub(crate) crashes: u8,
     /// Data folders lost.
     pub(crate) losses: u8,
+    /// Voters removed by an operator.
+    pub(crate) removals: u8,
     /// Leaders that hand over.
     pub(crate) resigns: u8,
     /// Snapshots taken.
@@ -96,6 +98,7 @@
             ModelEvent::Read => &mut budget.reads,
             ModelEvent::Crash => &mut budget.crashes,
             ModelEvent::LoseFolder => &mut budget.losses,
+            ModelEvent::Remove(_) => &mut budget.removals,
             ModelEvent::Resign => &mut budget.resigns,
             ModelEvent::Compact => &mut budget.snapshots,
         };
