Explore every course of events of the orders within bounds

Loads must stay within the decision and memory within capacity while answers are lost or late, readings come late, copies of orders arrive until the order's life ends, engines restart, and a new holder takes over engines that enforce or ignore fencing numbers, also when its number isn't higher. Planted and found: a lost answer taken for a refusal, a reading counted from its arrival, no wait for earlier orders, a fence trusted before it was confirmed.

What the exploration found in the ledger, mended here: a reading asked for at the very time of the engine's answer was taken to show the order's effect (comparisons are strict now), and of two readings asked for at one time the older could replace the newer. Also, an order that was settled is now remembered until its life ends, because a copy could reach the engine's next incarnation.

wheel_types: EngineOrder derives Hash.

--- a/crates/wheel_lease/src/engine_account.rs
+++ b/crates/wheel_lease/src/engine_account.rs
@@ -50,24 +50,27 @@
         self.ordered = None;
     }
 
-    /// Takes a reading; `quiet_from` is when no earlier holder's order can arrive any more.
+    /// Takes a reading; `quiet_from` is when no earlier holder's order can arrive any more. True
+    /// if the engine has restarted since the last one.
     pub(crate) fn read(
         &mut self,
         asked: MonotonicTime,
         state: &EngineState,
         quiet_from: Option<MonotonicTime>,
-    ) {
+    ) -> bool {
         let known = self.state.as_ref().map(|state| state.incarnation);
-        if known.is_some_and(|incarnation| incarnation != state.incarnation) {
+        let restarted = known.is_some_and(|incarnation| incarnation != state.incarnation);
+        if restarted {
             // A restarted engine has forgotten the numbers that it had seen.
             self.restart();
         }
         let quiet = quiet_from.is_some_and(|quiet_from| asked >= quiet_from);
-        let fenced = self.fenced.is_some_and(|fenced| asked >= fenced);
+        let fenced = self.fenced.is_some_and(|fenced| asked > fenced);
         self.settled |= quiet || (quiet_from.is_some() && fenced);
         self.asked = asked;
         self.state = Some(state.clone());
         self.gone = false;
+        restarted
     }
 
     /// The last reading, if orders may be based on it.
--- a/crates/wheel_lease/src/order_ledger.rs
+++ b/crates/wheel_lease/src/order_ledger.rs
@@ -86,12 +86,14 @@
     ) -> Option<FencingNumber> {
         let quiet_from = self.began.map(|began| began + self.settings.order_life);
         let account = self.accounts.get_mut(upstream)?;
-        if asked < account.asked {
+        // Of two that were asked for at one time, the later one to arrive may be the older one.
+        if account.state.is_some() && asked <= account.asked {
             return None;
         }
-        account.read(asked, state, quiet_from);
-        self.orders
-            .retain(|order| &order.upstream != upstream || !order.is_settled_by(asked, state));
+        let restarted = account.read(asked, state, quiet_from);
+        let orders = self.orders.iter_mut().filter(|order| &order.upstream == upstream);
+        orders.for_each(|order| order.settle(asked, state, restarted));
+        self.orders.retain(|order| !order.settled || asked < order.expires);
         match account.check_number(self.number) {
             Err(OrderRefusal::Behind(seen)) if self.began.is_some() => Some(seen),
             _ => None,
@@ -146,8 +148,9 @@
         order_id: &RequestId,
         result: OrderResult,
     ) -> bool {
-        let open =
-            |order: &OrderRecord| &order.order_id == order_id && order.phase == OrderPhase::Open;
+        let open = |order: &OrderRecord| {
+            &order.order_id == order_id && order.phase == OrderPhase::Open && !order.settled
+        };
         let Some(place) = self.orders.iter().position(open) else { return false };
         match result {
             OrderResult::Done => {
@@ -165,14 +168,14 @@
     pub fn replicas(&self, model: &ModelName) -> usize {
         let held: usize = self.accounts.values().map(|account| account.count(model)).sum();
         let loads = |order: &&OrderRecord| matches!(&order.action, OrderAction::LoadModel { model: loaded, .. } if loaded == model);
-        held + self.orders.iter().filter(loads).count()
+        held + self.open_orders().filter(loads).count()
     }
 
     /// Memory of an engine that is free for certain, in mebibytes; zero if it wasn't read.
     pub fn free_mib(&self, upstream: &UpstreamName) -> u64 {
         let Some(account) = self.accounts.get(upstream) else { return 0 };
         let Some(state) = &account.state else { return 0 };
-        let orders = self.orders.iter().filter(|order| &order.upstream == upstream);
+        let orders = self.open_orders().filter(|order| &order.upstream == upstream);
         let reserved: u64 = orders.map(|order| order.action.takes_mib()).sum();
         account.capacity_mib(state).saturating_sub(state.used_mib()).saturating_sub(reserved)
     }
@@ -188,8 +191,8 @@
     }
 
     /// The orders that aren't settled, oldest first.
-    pub fn open_orders(&self) -> &[OrderRecord] {
-        &self.orders
+    pub fn open_orders(&self) -> impl Iterator<Item = &OrderRecord> {
+        self.orders.iter().filter(|order| !order.settled)
     }
 
     fn enter(
@@ -221,7 +224,7 @@
         upstream: &UpstreamName,
         action: &OrderAction,
     ) -> Result<(), OrderRefusal> {
-        let mut orders = self.orders.iter().filter(|order| &order.upstream == upstream);
+        let mut orders = self.open_orders().filter(|order| &order.upstream == upstream);
         match orders.any(|order| order.conflicts(action)) {
             true => Err(OrderRefusal::Busy),
             false => Ok(()),
@@ -277,6 +280,7 @@
             began: authority.began,
             expires: now + self.settings.order_life,
             phase: OrderPhase::Open,
+            settled: false,
         });
         Ok(EngineOrder { order_id, fencing_number: authority.number, incarnation, action })
     }
@@ -297,7 +301,8 @@
     fn prune(&mut self, now: MonotonicTime) {
         let accounts = &self.accounts;
         let listed = |name: &UpstreamName| accounts.get(name).is_some_and(|found| found.listed);
-        self.orders.retain(|order| listed(&order.upstream) || now < order.expires);
+        self.orders
+            .retain(|order| now < order.expires || (!order.settled && listed(&order.upstream)));
         let orders = &self.orders;
         self.accounts.retain(|name, account| {
             account.listed || orders.iter().any(|order| &order.upstream == name)
--- a/crates/wheel_lease/src/order_record.rs
+++ b/crates/wheel_lease/src/order_record.rs
@@ -4,7 +4,7 @@
     AdapterName, EngineState, ModelName, MonotonicTime, OrderAction, RequestId, UpstreamName,
 };
 
-/// An order that was given and that no later reading has settled.
+/// An order that was given and isn't settled, or that could still arrive.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct OrderRecord {
     /// Its id.
@@ -21,6 +21,9 @@
     pub expires: MonotonicTime,
     /// What is known.
     pub phase: OrderPhase,
+    /// True once a reading has settled it. It is kept until it expires, because a copy of it could
+    /// still reach the engine's next incarnation.
+    pub settled: bool,
 }
 
 /// What is known of an [`OrderRecord`].
@@ -30,14 +33,20 @@
     Open,
     /// The engine said so at this time.
     Done(MonotonicTime),
+    /// It was given to an earlier incarnation; no answer tells about the present one.
+    Stale,
 }
 
 impl OrderRecord {
-    /// True if a reading asked for at `asked` shows whether and how the order was carried out.
-    pub(crate) fn is_settled_by(&self, asked: MonotonicTime, state: &EngineState) -> bool {
+    /// Settles the order if a reading asked for at `asked` shows whether it was carried out.
+    pub(crate) fn settle(&mut self, asked: MonotonicTime, state: &EngineState, restarted: bool) {
+        if restarted {
+            self.phase = OrderPhase::Stale;
+            self.settled = false;
+        }
         let shown = state.recent_orders.contains(&self.order_id);
-        let done = matches!(self.phase, OrderPhase::Done(at) if at <= asked);
-        shown || done || asked >= self.expires
+        let done = matches!(self.phase, OrderPhase::Done(at) if at < asked);
+        self.settled |= shown || done || asked >= self.expires;
     }
 
     /// True if carrying out both in either order could go wrong.
--- /dev/null
+++ b/crates/wheel_lease/tests/order_exploration.rs
@@ -0,0 +1,98 @@
+//! Explores every course of events of the orders within bounds.
+
+#![allow(clippy::unwrap_used)]
+
+mod order_spec;
+mod order_world;
+
+use pathfinding::directed::bfs::bfs_reach;
+use wheel_lease::FencingMode::{Enforces, Ignores};
+
+use crate::order_spec::PROMISES;
+use crate::order_world::{OrderBounds, OrderFault, OrderWorld};
+
+/// Two holders, each of which gives one order.
+const CHANGE: OrderBounds = OrderBounds {
+    fencing: [Ignores; 2],
+    orders: [1, 1],
+    readings: [0, 2],
+    restarts: 0,
+    life: 2,
+    first: 1,
+    second: 4,
+    forgotten: false,
+    fault: None,
+};
+
+/// One holder that gives two orders.
+const ALONE: OrderBounds =
+    OrderBounds { orders: [2, 0], readings: [2, 0], first: 4, second: 0, ..CHANGE };
+
+/// Visits all worlds; returns their number, or the name of the first broken promise.
+fn explore(bounds: OrderBounds) -> Result<usize, &'static str> {
+    let (mut count, mut reached) = (0, false);
+    for world in bfs_reach(OrderWorld::open(bounds), OrderWorld::successors) {
+        count += 1;
+        reached |= world.given == bounds.orders;
+        if let Some((name, _)) = PROMISES.iter().find(|(_, holds)| !holds(&world)) {
+            println!("{name} broken after {count} worlds, {bounds:?}");
+            return Err(name);
+        }
+    }
+    println!("{count} worlds, {bounds:?}");
+    assert!(reached, "the bounds never let all orders be given");
+    Ok(count)
+}
+
+#[test]
+fn explore_one_holder() {
+    explore(ALONE).unwrap();
+    explore(OrderBounds { restarts: 1, first: 3, ..ALONE }).unwrap();
+    explore(OrderBounds { orders: [3, 0], readings: [1, 0], first: 3, ..ALONE }).unwrap();
+}
+
+#[test]
+fn explore_new_holder_of_engines_that_ignore_numbers() {
+    explore(OrderBounds { readings: [0, 3], ..CHANGE }).unwrap();
+    explore(OrderBounds { orders: [2, 1], ..CHANGE }).unwrap();
+    explore(OrderBounds { restarts: 1, ..CHANGE }).unwrap();
+    explore(OrderBounds { forgotten: true, ..CHANGE }).unwrap();
+}
+
+#[test]
+fn explore_new_holder_of_engines_that_enforce_numbers() {
+    let bounds =
+        OrderBounds { fencing: [Enforces; 2], readings: [0, 4], life: 3, second: 2, ..CHANGE };
+    explore(bounds).unwrap();
+    explore(OrderBounds { readings: [0, 2], restarts: 1, ..bounds }).unwrap();
+    explore(OrderBounds { readings: [0, 3], forgotten: true, ..bounds }).unwrap();
+}
+
+#[test]
+fn explore_new_holder_of_both_kinds() {
+    let bounds =
+        OrderBounds { fencing: [Enforces, Ignores], readings: [0, 4], second: 3, ..CHANGE };
+    explore(bounds).unwrap();
+    explore(OrderBounds { forgotten: true, ..bounds }).unwrap();
+}
+
+#[test]
+fn explore_planted_faults_are_found() {
+    let enforcing =
+        OrderBounds { fencing: [Enforces; 2], readings: [0, 4], life: 3, second: 2, ..CHANGE };
+    let faults = [
+        (OrderFault::AssumesRefusal, ALONE, "replicas_bounded"),
+        (OrderFault::AssumesRefusal, ALONE, "memory_bounded"),
+        (OrderFault::TrustsLateReadings, ALONE, "replicas_bounded"),
+        (OrderFault::NoOrderWait, CHANGE, "replicas_bounded"),
+        (OrderFault::NoOrderWait, CHANGE, "numbers_grow"),
+        (OrderFault::TrustsUnconfirmedFence, enforcing, "replicas_bounded"),
+    ];
+    for (fault, bounds, promise) in faults {
+        let (_, holds) = PROMISES.iter().find(|(name, _)| *name == promise).unwrap();
+        let start = OrderWorld::open(OrderBounds { fault: Some(fault), ..bounds });
+        let found = bfs_reach(start, OrderWorld::successors).position(|world| !holds(&world));
+        println!("{fault:?} breaks {promise} after {found:?} worlds");
+        assert!(found.is_some(), "{fault:?} doesn't break {promise}");
+    }
+}
--- a/crates/wheel_types/src/engine_order.rs
+++ b/crates/wheel_types/src/engine_order.rs
@@ -5,7 +5,7 @@
 use crate::{FencingNumber, IncarnationId, OrderAction, RequestId};
 
 /// The body of `POST /engine/v1/orders`.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct EngineOrder {
     /// The order's own id; an engine carries out each id at most once.
