--- a/crates/wheel_upstream/tests/order_faults.rs
+++ b/crates/wheel_upstream/tests/order_faults.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use common::{ANY_PORT, LONG, SHORT, TestPermit, engine, eventually, load_order};
+use common::{ANY_PORT, LONG, SHORT, ScriptedUpstream, TestPermit, engine, eventually, load_order};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use wheel_fakes::FaultPlan;
@@ -82,6 +82,18 @@
     assert_eq!(client.order(&load_order("o-1", "n"), permit).await, OrderAnswer::Unknown);
 }
 
+#[tokio::test]
+async fn order_accepted_under_an_error_status_is_unknown() {
+    let upstream = ScriptedUpstream::bind(&[
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 502 Bad Gateway\r\ncontent-length: 34\r\n\r\n{\"order_id\":\"o-1\",\"accepted\":true}",
+    ])
+    .await;
+    let (client, permit) = (hasty_client(upstream.address), Arc::new(TestPermit::default()));
+    assert_eq!(client.order(&load_order("o-1", "n"), permit).await, OrderAnswer::Unknown);
+    assert_eq!(upstream.requests(), 2);
+}
+
 #[tokio::test]
 async fn order_dead_engine_not_sent() {
     let (engine, client) = engine().await;
