--- a/crates/wheel_fakes/src/lib.rs
+++ b/crates/wheel_fakes/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine_desk;
 mod engine_stream;
 mod fake_engine;
+mod fake_engine_settings;
 mod fake_list;
 mod fake_server;
 mod fake_service;
@@ -15,7 +16,8 @@
 mod fault_plan;
 
 pub use engine_stream::token_text;
-pub use fake_engine::{FakeEngine, FakeEngineSettings};
+pub use fake_engine::FakeEngine;
+pub use fake_engine_settings::FakeEngineSettings;
 pub use fake_list::{FakeList, ListEntry};
 pub use fake_service::FakeService;
 pub use fake_store::{FakeStore, FakeStoreSettings};
