--- a/crates/wheel_ctl/src/apply_run.rs
+++ b/crates/wheel_ctl/src/apply_run.rs
@@ -145,7 +145,12 @@
 }
 
 fn name_lagging(report: &StatusReport, revision: u64) -> String {
-    let names: Vec<_> =
-        report.lagging(revision).iter().map(|instance| instance.name.clone()).collect();
+    let lagging = report.lagging(revision).into_iter();
+    let names: Vec<_> = lagging
+        .map(|instance| match instance.reachable {
+            true => instance.name.clone(),
+            false => format!("{} (unreachable)", instance.name),
+        })
+        .collect();
     if names.is_empty() { "unknown instances".to_owned() } else { names.join(", ") }
 }
--- a/crates/wheel_ctl/src/status_report.rs
+++ b/crates/wheel_ctl/src/status_report.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 
 /// An instance as the answering one sees it.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize)]
 #[serde(default)]
 pub struct InstanceStatus {
@@ -15,8 +15,32 @@
     pub data_centre: String,
     /// The revision in force there.
     pub revision: u64,
-    /// How old this knowledge is, in milliseconds.
+    /// How long it has had that revision, in milliseconds.
     pub age_ms: u64,
+    /// Whether it answers; if not, the rest isn't known.
+    pub reachable: bool,
+}
+
+impl Default for InstanceStatus {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            data_centre: String::new(),
+            revision: 0,
+            age_ms: 0,
+            reachable: true,
+        }
+    }
+}
+
+impl InstanceStatus {
+    fn to_words(&self) -> String {
+        let Self { data_centre, revision, age_ms, .. } = self;
+        match self.reachable {
+            true => format!("data_centre={data_centre} revision={revision} age={age_ms}ms"),
+            false => "unreachable".to_owned(),
+        }
+    }
 }
 
 /// A model that an engine holds.
@@ -94,11 +118,8 @@
         );
         let width = column_width(self.instances.iter().map(|instance| &instance.name));
         for instance in &self.instances {
-            let InstanceStatus { name, data_centre, revision, age_ms } = instance;
-            let _written = writeln!(
-                lines,
-                "instance {name:width$} data_centre={data_centre} revision={revision} age={age_ms}ms"
-            );
+            let (name, words) = (&instance.name, instance.to_words());
+            let _written = writeln!(lines, "instance {name:width$} {words}");
         }
         let width = column_width(self.engines.iter().map(|engine| &engine.name));
         for engine in &self.engines {
--- a/crates/wheel_ctl/tests/support/mod.rs
+++ b/crates/wheel_ctl/tests/support/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) text: String,
     pub(crate) keys: HashMap<String, u64>,
     pub(crate) odd: Vec<OddAnswer>,
+    /// Whether the status lists an instance that doesn't answer.
+    pub(crate) dead: bool,
     /// Looks at the status after a change until the last instance has it.
     pub(crate) lag: usize,
     pub(crate) seen: Vec<SeenRequest>,
@@ -171,11 +173,12 @@
     fn status(&mut self) -> String {
         let last = if self.lag > 0 { self.revision - 1 } else { self.revision };
         self.lag = self.lag.saturating_sub(1);
+        let dead = if self.dead { r#",{"name":"isan-c1","reachable":false}"# } else { "" };
         format!(
             r#"{{"instance":"isan-a1","data_centre":"isan-a","revision":{0},"role":"leader",
             "leader":"isan-a1","instances":[
             {{"name":"isan-a1","data_centre":"isan-a","revision":{0},"age_ms":3}},
-            {{"name":"isan-b1","data_centre":"isan-b","revision":{last},"age_ms":40}}],
+            {{"name":"isan-b1","data_centre":"isan-b","revision":{last},"age_ms":40}}{dead}],
             "engines":[{{"name":"e1","state":"up","owner":"isan-a1",
             "models":[{{"model":"guide","version":2,"phase":"loaded"}}]}}]}}"#,
             self.revision
--- a/crates/wheel_ctl/tests/wisteriactl.rs
+++ b/crates/wheel_ctl/tests/wisteriactl.rs
@@ -168,6 +168,17 @@
     assert!(run.err.contains("not yet in force at isan-b1"), "{run:?}");
 }
 
+#[tokio::test]
+async fn status_and_wait_tell_unreachable_instances() {
+    let admin = bind_at(7, &[]).await;
+    admin.state.lock().unwrap().dead = true;
+    let run = admin.run(&["status"]).await;
+    assert!(run.out.contains("instance isan-c1 unreachable\n"), "{run:?}");
+    let run = admin.run(&["apply", "--wait", "--wait-limit", "2000", ROTA]).await;
+    assert_eq!(run.code, 3, "{run:?}");
+    assert!(run.err.ends_with("in force at isan-c1 (unreachable)\n"), "{run:?}");
+}
+
 #[tokio::test]
 async fn apply_dead_endpoint_takes_the_next() {
     let admin = bind_at(7, &[]).await;
