Follow the ledger's iterator of open orders; tell the first failure of a load run

Cause: OrderLedger::open_orders became an iterator on one side, its use in the director stayed on the other. A load run counted failures without saying what they were. Checked: clippy over all targets.

--- a/crates/wheel_bench/src/load_client.rs
+++ b/crates/wheel_bench/src/load_client.rs
@@ -8,7 +8,7 @@
 use futures_util::future::join_all;
 use hdrhistogram::Histogram;
 use http::Method;
-use wheel_harness::HttpCaller;
+use wheel_harness::{HarnessError, HttpCaller, HttpReply};
 
 /// What a run of requests showed.
 #[derive(Clone, Debug)]
@@ -17,6 +17,8 @@
     pub succeeded: u64,
     /// Requests answered otherwise or not at all.
     pub failed: u64,
+    /// The first answer that wasn't a success.
+    pub first_failure: Option<String>,
     /// Wall time of the run.
     pub span: Duration,
     /// Time to the end of each answer, in microseconds.
@@ -61,10 +63,14 @@
         for result in results.into_iter().flatten() {
             whole.succeeded += result.succeeded;
             whole.failed += result.failed;
+            whole.first_failure = whole.first_failure.or(result.first_failure);
             let _ = whole.total_us.add(&result.total_us);
             let _ = whole.first_us.add(&result.first_us);
         }
         whole.span = started.elapsed();
+        if let Some(failure) = &whole.first_failure {
+            println!("{} of {} failed, first: {failure}", whole.failed, open * each);
+        }
         whole
     }
 
@@ -89,19 +95,30 @@
                     let _ = result.total_us.record(total.max(1));
                     let _ = result.first_us.record((reply.first_byte.as_micros() as u64).max(1));
                 }
-                _ => result.failed += 1,
+                failure => {
+                    result.failed += 1;
+                    result.first_failure.get_or_insert_with(|| describe(failure));
+                }
             }
         }
         result
     }
 }
 
+fn describe(failure: Result<HttpReply, HarnessError>) -> String {
+    match failure {
+        Ok(reply) => format!("{} complete={} {}", reply.status, reply.complete, reply.text()),
+        Err(error) => error.to_string(),
+    }
+}
+
 fn empty_result() -> LoadResult {
     // Three significant figures need no bounds to be given.
     let histogram = || Histogram::new(3).unwrap_or_else(|_| unreachable!("3 is a valid precision"));
     LoadResult {
         succeeded: 0,
         failed: 0,
+        first_failure: None,
         span: Duration::ZERO,
         total_us: histogram(),
         first_us: histogram(),
--- a/crates/wheel_director/src/fleet_builder.rs
+++ b/crates/wheel_director/src/fleet_builder.rs
@@ -56,7 +56,6 @@
         let ordered: Vec<&OrderAction> = self
             .ledger
             .open_orders()
-            .iter()
             .filter(|order| order.upstream == spec.name)
             .map(|order| &order.action)
             .collect();
--- a/crates/wheel_director/src/placement_round.rs
+++ b/crates/wheel_director/src/placement_round.rs
@@ -80,7 +80,7 @@
                     || model.adapters.iter().any(|held| held.phase != ModelPhase::Loaded)
             })
         };
-        !self.ledger.open_orders().is_empty()
+        self.ledger.open_orders().next().is_some()
             || !self.unread.is_empty()
             || self.ledger.accounts().any(|account| account.state.as_ref().is_some_and(loading))
     }
@@ -155,7 +155,7 @@
         let now = self.settings.now();
         let full = self.last_full_read.is_none_or(|last| now.since(last) >= READ_INTERVAL);
         let mut due: BTreeSet<UpstreamName> = std::mem::take(&mut self.unread);
-        due.extend(self.ledger.open_orders().iter().map(|order| order.upstream.clone()));
+        due.extend(self.ledger.open_orders().map(|order| order.upstream.clone()));
         due.extend(self.unsettled_engines());
         if full {
             self.last_full_read = Some(now);
