--- a/crates/wheel_bench/src/bin/wheel_bench.rs
+++ b/crates/wheel_bench/src/bin/wheel_bench.rs
@@ -1,14 +1,17 @@
 //! Runs measurements and writes their tables.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use getopts::Options;
 use wheel_bench::{
-    BenchError, CsvTable, run_changes, run_claims, run_failures, run_idle, run_polling,
-    run_requests, run_storm, run_streams, run_text,
+    BenchError, CapacityPage, CsvTable, run_changes, run_claims, run_failures, run_idle,
+    run_polling, run_requests, run_storm, run_streams, run_text,
 };
 
+/// The page that is worked out.
+const PAGE: &str = "docs/CAPACITY.md";
+
 /// All runs, in the order of `all`.
 const RUNS: [&str; 9] =
     ["text", "idle", "polling", "changes", "requests", "streams", "claims", "storm", "failures"];
@@ -17,7 +20,7 @@
 async fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "out", "folder of the tables (docs/measurements)", "PATH");
-    let brief = format!("Usage: wheel_bench [--out PATH] all|{}", RUNS.join("|"));
+    let brief = format!("Usage: wheel_bench [--out PATH] all|page|{}", RUNS.join("|"));
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) if !matches.free.is_empty() => matches,
         _ => {
@@ -31,6 +34,15 @@
     if names == ["all"] {
         names = RUNS.map(str::to_owned).to_vec();
     }
+    if names == ["page"] {
+        return match fill_page(&folder) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("wheel_bench: {error}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     let mut failed = false;
     for name in names {
         let written = match run(&name).await {
@@ -45,6 +57,15 @@
     if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
 
+/// Works the tables of the page out of the measured ones.
+fn fill_page(folder: &Path) -> Result<(), BenchError> {
+    let tables = CapacityPage::read(folder)?;
+    let failed = |source| BenchError::File { path: PAGE.to_owned(), source };
+    let page = std::fs::read_to_string(PAGE).map_err(failed)?;
+    let filled = tables.blocks().iter().fold(page, |page, block| block.fill(&page));
+    std::fs::write(PAGE, filled).map_err(failed)
+}
+
 async fn run(name: &str) -> Result<CsvTable, BenchError> {
     match name {
         "text" => run_text(),
--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use spdlog::{critical, info};
 use tokio::sync::oneshot;
@@ -20,8 +20,13 @@
 
 /// Inputs that are taken in with one sync.
 const MAX_BATCH: usize = 512;
-/// Applied entries after which a snapshot is taken.
-const SNAPSHOT_ENTRIES: u64 = 4_096;
+/// Bytes of text that a restart may have to rewrite: each change costs as much as the text is long.
+const REPLAY_BYTES: u64 = 512 << 20;
+/// Applied entries after which a snapshot is taken, at the least and at the most.
+const MIN_SNAPSHOT_ENTRIES: u64 = 128;
+const MAX_SNAPSHOT_ENTRIES: u64 = 4_096;
+/// Time in which leadership is handed over before the worker stops.
+const RESIGN_LIMIT: Duration = Duration::from_millis(500);
 
 /// What the worker is asked to do.
 pub(crate) enum WorkerInput {
@@ -78,7 +83,12 @@
 
     /// Runs until it is told to stop.
     pub(crate) fn run(mut self, inputs: &Receiver<WorkerInput>) {
+        let mut stop_at = None;
         loop {
+            let leads = self.node.role() == RoleName::Leader;
+            if stop_at.is_some_and(|stop_at| !leads || Instant::now() >= stop_at) {
+                return;
+            }
             let wait = self.node.next_tick().since(self.now());
             let batch = match inputs.recv_timeout(wait) {
                 Ok(first) => take_batch(first, inputs),
@@ -88,7 +98,10 @@
             let mut steps = Vec::with_capacity(batch.len() + 1);
             for input in batch {
                 match input {
-                    WorkerInput::Stop => return,
+                    WorkerInput::Stop => {
+                        steps.push(RaftInput::Resign);
+                        stop_at.get_or_insert_with(|| Instant::now() + RESIGN_LIMIT);
+                    }
                     WorkerInput::Status { reply } => drop(reply.send(self.node.status())),
                     input => steps.extend(self.step_input(input)),
                 }
@@ -107,6 +120,12 @@
     fn step_input(&mut self, input: WorkerInput) -> Option<RaftInput> {
         match input {
             WorkerInput::Message { from, message } => Some(RaftInput::Message { from, message }),
+            // The group's time is known only once leadership has been taken note of: a command
+            // stamped before could age every claim.
+            WorkerInput::Submit { reply, .. } if self.role != RoleName::Leader => {
+                let _ = reply.send(SubmitAnswer::not_leader(self.node.status().leader));
+                None
+            }
             WorkerInput::Submit { action, reply } => {
                 let leader_ms = self.clock.leader_ms(self.now());
                 let Ok(command) = encode(&GroupCommand { leader_ms, action }) else {
@@ -228,7 +247,9 @@
 
     fn compact_if_due(&mut self) {
         let applied = self.state.applied();
-        if applied < self.snapshot_index + SNAPSHOT_ENTRIES {
+        let text_bytes = (self.state.text().source.len() as u64).max(1);
+        let entries = (REPLAY_BYTES / text_bytes).clamp(MIN_SNAPSHOT_ENTRIES, MAX_SNAPSHOT_ENTRIES);
+        if applied < self.snapshot_index + entries {
             return;
         }
         if let Ok(snapshot) = self.state.snapshot() {
--- a/crates/wheel_control/src/group_client.rs
+++ b/crates/wheel_control/src/group_client.rs
@@ -106,6 +106,12 @@
                     Ok(Ok(GroupReply::Submitted(SubmitAnswer::Unresolved))) => {
                         may_be_committed = true;
                     }
+                    // A refusal says nothing of an earlier attempt.
+                    Ok(Ok(GroupReply::Submitted(SubmitAnswer::Refused { .. })))
+                        if may_be_committed =>
+                    {
+                        return Err(GroupError::Unresolved);
+                    }
                     Ok(Ok(GroupReply::Submitted(SubmitAnswer::Refused { reason }))) => {
                         return Err(GroupError::Refused { reason });
                     }
--- a/crates/wheel_daemon/src/report_sender.rs
+++ b/crates/wheel_daemon/src/report_sender.rs
@@ -16,6 +16,8 @@
 
 /// Reports on their way to one instance; further ones are dropped and made up for by the next.
 const MAX_IN_FLIGHT: usize = 64;
+/// Pause before a lost report is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(300);
 /// Neighbours that are asked for their reports, one after the other.
 const MAX_ASKED: usize = 3;
 /// Time after which a report counts as lost.
@@ -72,7 +74,11 @@
         };
         let hub = self.hub.clone();
         self.runtime.spawn(async move {
-            let _ = hub.call(&address, PeerChannel::Report, body, REPORT_TIMEOUT).await;
+            let call = || hub.call(&address, PeerChannel::Report, body.clone(), REPORT_TIMEOUT);
+            if call().await.is_err() {
+                tokio::time::sleep(RESEND_PAUSE).await;
+                let _ = call().await;
+            }
             drop(permit);
         });
     }
--- a/crates/wheel_harness/tests/group.rs
+++ b/crates/wheel_harness/tests/group.rs
@@ -215,3 +215,17 @@
 async fn cut_links_silent_centre_serves_and_heals() {
     cut_centre_serves_and_heals(LinkState::Silent).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_leader_exits_with_zero_and_another_leads_within_two_seconds() {
+    let mut cluster = start(ClusterSettings::default()).await;
+    let first = leader(&cluster, place(&cluster, "a2")).await;
+    cluster.instances[first].signal(ProcessSignal::Terminate);
+    let process = cluster.instances[first].process().expect("a process");
+    assert_eq!(process.wait(LIMIT).expect("an end").code(), Some(0));
+    let ended = std::time::Instant::now();
+    let asked = (0..6).find(|n| *n != first).expect("another instance");
+    assert_eq!(apply_for_sure(&cluster, asked, 1, 1).await, 2);
+    let taken = ended.elapsed();
+    assert!(taken < Duration::from_secs(2), "accepted after {taken:?}");
+}
--- a/crates/wheel_serving/src/engine_watch.rs
+++ b/crates/wheel_serving/src/engine_watch.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant, SystemTime};
 
-use wheel_types::{EngineReport, EngineState, IncarnationId, LoadReport, ModelPhase};
+use wheel_types::{
+    AdapterName, EngineReport, EngineState, IncarnationId, LoadReport, ModelName, ModelPhase,
+};
 
 use crate::{LeavingSet, OwnedUpstream, OwnerSettings, ReportMessage, ReportSink};
 
@@ -11,8 +13,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// The same while the engine is loading, when others wait for the end of it.
 const LOADING_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Time after which an unchanged state is reported again.
-const REPORT_INTERVAL: Duration = Duration::from_secs(4);
+/// Time after which an unchanged state is reported again. A report that was lost is sent again at
+/// once, and a restarted instance asks, so that this only mends what nobody noticed.
+const REPORT_INTERVAL: Duration = Duration::from_secs(20);
 /// Failed reads in a row after which an engine counts as unreachable.
 const MAX_FAILED_READS: u32 = 2;
 
@@ -162,6 +165,15 @@
         || last.leaving != next.leaving
         || last.models != next.models
         || load_class(last) != load_class(next)
+        || !models_in_use(last).eq(models_in_use(next))
+}
+
+/// Placement unloads only what isn't in use, so that each change of it is told at once.
+fn models_in_use(
+    report: &EngineReport,
+) -> impl Iterator<Item = (&ModelName, Option<&AdapterName>)> {
+    let in_use = report.usage.iter().filter(|usage| usage.in_use > 0);
+    in_use.map(|usage| (&usage.model, usage.adapter.as_ref()))
 }
 
 /// A coarse class of load, so that reports are few: doublings of what runs and waits.
--- a/crates/wheel_serving/src/replica_directory.rs
+++ b/crates/wheel_serving/src/replica_directory.rs
@@ -15,7 +15,7 @@
 use crate::{DrainNotice, OwnerRoute, ProcessClock};
 
 /// Time after which an upstream whose owner is silent gets no new work.
-const REPORT_LIFE: Duration = Duration::from_secs(15);
+const REPORT_LIFE: Duration = Duration::from_secs(60);
 
 /// Reports that are kept for a text to come; the owners repeat those beyond it.
 const MAX_EARLY: usize = 4_096;
