--- a/crates/wheel_lease/tests/lease_world/mod.rs
+++ b/crates/wheel_lease/tests/lease_world/mod.rs
@@ -26,6 +26,8 @@
     pub(crate) freezes: u32,
     /// Candidates that give up the lease for good.
     pub(crate) releases: u32,
+    /// True if the grantor set changes; everyone learns of it at any time, or never.
+    pub(crate) changes: bool,
     /// The fault that is planted, if any.
     pub(crate) fault: Option<LeaseFault>,
 }
@@ -41,6 +43,8 @@
     ForgetsNumbers,
     /// A holder acts for a second after its authority has ended.
     ActsTooLong,
+    /// Two of three grantors are removed by one change.
+    RemovesTwo,
 }
 
 /// A lease that was held.
@@ -80,6 +84,8 @@
     restarts: u32,
     freezes: u32,
     releases: u32,
+    /// Grantors, then candidates, that know the changed set.
+    adopted: BTreeSet<usize>,
     /// The leases that were held, in order.
     pub(crate) leases: Vec<HeldLease>,
 }
@@ -122,6 +128,7 @@
             restarts: 0,
             freezes: 0,
             releases: 0,
+            adopted: BTreeSet::new(),
             leases: Vec::new(),
         }
     }
@@ -158,6 +165,10 @@
             let links = (0..6).map(|link| (link % 2, link / 2));
             next.extend(links.map(|link| self.change(|world| drop_link(world, link))));
         }
+        if self.bounds.changes {
+            let places = (0..5).filter(|place| !self.adopted.contains(place));
+            next.extend(places.map(|place| self.change(|world| world.adopt(place))));
+        }
         if self.releases < self.bounds.releases && self.frozen != Some(0) {
             next.push(self.change(Self::release));
         }
@@ -298,6 +309,19 @@
         self.step(place, HolderInput::Tick);
     }
 
+    fn adopt(&mut self, place: usize) {
+        self.adopted.insert(place);
+        let removed = if self.bounds.fault == Some(LeaseFault::RemovesTwo) { 2 } else { 1 };
+        let members = NAMES[removed..].iter().map(|name| InstanceName::from(*name)).collect();
+        match place.checked_sub(self.grantors.len()) {
+            None => self.grantors[place].adopt(2),
+            Some(place) if self.frozen == Some(place) => {}
+            Some(place) => {
+                self.step(place, HolderInput::SetChanged(GrantorSet { epoch: 2, members }));
+            }
+        }
+    }
+
     fn release(&mut self) {
         self.releases += 1;
         self.step(0, HolderInput::Release);
--- a/crates/wheel_lease/tests/random_walks.rs
+++ b/crates/wheel_lease/tests/random_walks.rs
@@ -25,6 +25,7 @@
     restarts: 6,
     freezes: 6,
     releases: 0,
+    changes: false,
     fault: None,
 };
 
