--- a/crates/wheel_policy/src/idle_pass.rs
+++ b/crates/wheel_policy/src/idle_pass.rs
@@ -26,9 +26,9 @@
     }
 
     fn may_empty(round: &PlanRound<'_>, engine: &EngineView) -> bool {
-        let since = round.residence_start();
+        let used_since = round.residence_start();
         let idle = |placed: &crate::PlacedModel| {
-            let old = placed.since <= since && placed.last_used <= since;
+            let old = placed.since <= used_since && placed.last_used <= used_since;
             placed.phase == ModelPhase::Loaded
                 && placed.in_use == 0
                 && old
--- a/crates/wheel_policy/src/load_pass.rs
+++ b/crates/wheel_policy/src/load_pass.rs
@@ -1,6 +1,6 @@
 //! The pass that orders loads.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::time::Duration;
 
 use wheel_types::{ModelName, ModelPhase};
@@ -8,12 +8,18 @@
 use crate::eviction_choice::EvictionChoice;
 use crate::load_candidate::{LoadCandidate, LoadKind, waiting_value};
 use crate::plan_round::{LoadPromise, PlanRound};
-use crate::{CheckpointSource, ModelDemand, PlacedModel, PlacementReason, RankDemand};
+use crate::{CheckpointSource, EngineView, ModelDemand, PlacementReason, RankDemand};
 
 /// Share of what waits at loaded replicas that another replica would save.
 const BUSY_SHARE: f64 = 0.5;
 /// Candidates that are placed in one round at most.
 const MAX_CANDIDATES: usize = 64;
+/// Forecast candidates among them.
+const MAX_FORECASTS: usize = 4;
+/// Requests expected within the span of a forecast below which nothing is loaded for them.
+const LEAST_EXPECTED: f64 = 0.05;
+/// How much more an engine must save than it costs for a forecast to count on it.
+const STAY_MARGIN: f64 = 1.2;
 /// Time that draining and unloading victims takes, in seconds.
 const EVICTION_S: f64 = 0.5;
 /// Weight of a tight fit against the other costs, in worth.
@@ -43,9 +49,11 @@
             left.kind.cmp(&right.kind).then(by_value).then(left.model.cmp(&right.model))
         });
         let mut demand_waits = false;
+        let mut forecasts = 0;
         for candidate in candidates.into_iter().take(MAX_CANDIDATES) {
             let barred = candidate.kind == LoadKind::Forecast && demand_waits;
-            if round.is_full() || barred {
+            forecasts += usize::from(candidate.kind == LoadKind::Forecast);
+            if round.is_full() || barred || forecasts > MAX_FORECASTS {
                 return;
             }
             let placed = match round.promises.contains_key(&candidate.model) {
@@ -61,7 +69,7 @@
         let mut models: Vec<&ModelDemand> = round.demands.values().copied().collect();
         models.sort_by(|left, right| left.model.cmp(&right.model));
         candidates.extend(models.into_iter().filter_map(|demand| Self::wanted(round, demand)));
-        candidates.extend(round.text.models().filter_map(|spec| Self::by_text(round, &spec.name)));
+        candidates.extend(Self::by_text(round));
         let known: HashSet<ModelName> =
             candidates.iter().map(|candidate| candidate.model.clone()).collect();
         let others = round.promises.iter().filter(|(model, _)| !known.contains(*model));
@@ -86,7 +94,9 @@
                 let reason = PlacementReason::Busy { queued: demand.queued };
                 Some(Self::candidate(demand, LoadKind::Demand, value, load_s, reason))
             }
-            demand if demand.expected_soon > 0.0 && count.ready + demand.elsewhere == 0 => {
+            demand
+                if demand.expected_soon > LEAST_EXPECTED && count.ready + demand.elsewhere == 0 =>
+            {
                 let value = demand.worth * demand.expected_soon.min(1.0) * load_s;
                 let reason = PlacementReason::Forecast { expected: demand.expected_soon };
                 Some(Self::candidate(demand, LoadKind::Forecast, value, load_s, reason))
@@ -104,22 +114,39 @@
         Self::candidate(demand, LoadKind::Demand, value, load_s, reason)
     }
 
-    /// A load that the text asks for: too few replicas, or another version.
-    fn by_text(round: &PlanRound<'_>, model: &ModelName) -> Option<LoadCandidate> {
-        let spec = round.text.model(model)?;
-        let count = round.ledger.replicas(model);
-        let reason = match count {
-            count if count.loading > 0 || round.promises.contains_key(model) => return None,
-            count if count.ready + count.loading < spec.min_replicas => {
-                PlacementReason::MinReplicas
-            }
-            count if count.ready > 0 && Self::is_outdated(round, model) => {
-                PlacementReason::Rollover
-            }
-            _ => return None,
+    /// Loads that the text asks for: too few replicas, or another version than the wanted one.
+    fn by_text(round: &PlanRound<'_>) -> Vec<LoadCandidate> {
+        let open = |model: &ModelName| {
+            round.ledger.replicas(model).loading == 0 && !round.promises.contains_key(model)
         };
+        let few = round.text.pinned().filter(|spec| {
+            open(&spec.name) && round.ledger.replicas(&spec.name).ready < spec.min_replicas
+        });
+        let few = few.map(|spec| Self::wanted_by_text(&spec.name, PlacementReason::MinReplicas));
+        let old = Self::outdated(round).into_iter().filter(|model| open(model));
+        let old = old.map(|model| Self::wanted_by_text(model, PlacementReason::Rollover));
+        few.chain(old).collect()
+    }
+
+    fn wanted_by_text(model: &ModelName, reason: PlacementReason) -> LoadCandidate {
         let model = model.clone();
-        Some(LoadCandidate { model, kind: LoadKind::Text, value: 1.0, value_rate: 1.0, reason })
+        LoadCandidate { model, kind: LoadKind::Text, value: 1.0, value_rate: 1.0, reason }
+    }
+
+    /// Models whose replicas all have another version than the text's.
+    fn outdated<'a>(round: &PlanRound<'a>) -> BTreeSet<&'a ModelName> {
+        let engines = round.fleet.engines.iter().filter(|engine| !engine.leaving);
+        let placed = engines.flat_map(|engine| &engine.models);
+        let mut old = BTreeSet::new();
+        let mut current = BTreeSet::new();
+        for one in placed.filter(|one| one.phase != ModelPhase::Unloading) {
+            match round.text.model(&one.model) {
+                Some(spec) if spec.version == one.version => current.insert(&one.model),
+                Some(_) if one.takes_work() => old.insert(&one.model),
+                _ => false,
+            };
+        }
+        old.difference(&current).copied().collect()
     }
 
     fn candidate(
@@ -201,10 +228,26 @@
         true
     }
 
-    /// Whether a forecast load gains more than it costs.
+    /// Whether a forecast load gains more than it costs. One from the store leaves its checkpoint
+    /// nearer for good; any other is worth it only where the engine then stays in use.
     fn pays(round: &PlanRound<'_>, candidate: &LoadCandidate, place: &LoadPlace) -> bool {
-        let cost = place.opening + place.choice.loss;
-        candidate.value > round.settings.forecast_margin * cost
+        let cost = place.opening + place.choice.loss + round.settings.load_price;
+        let gains = candidate.value > round.settings.forecast_margin * cost;
+        let stays = place.source == CheckpointSource::Store || Self::stays(round, candidate, place);
+        gains && stays
+    }
+
+    /// Whether an engine's models, with the candidate, save more than the engine costs.
+    fn stays(round: &PlanRound<'_>, candidate: &LoadCandidate, place: &LoadPlace) -> bool {
+        let engine = &round.fleet.engines[place.index];
+        let Some(demand) = round.demands.get(&candidate.model) else { return false };
+        let kept_s = round.load_time(&candidate.model, CheckpointSource::Memory).as_secs_f64();
+        let lies_s = round.load_time(&candidate.model, place.source).as_secs_f64();
+        let rate = demand.expected_soon / round.settings.open_span.as_secs_f64();
+        let own = demand.worth * rate * (kept_s + lies_s) / 2.0;
+        let others = engine.models.iter().map(|placed| round.saving_rate(engine, placed));
+        let cost = round.settings.idle_price * f64::from(engine.accelerators);
+        own + others.sum::<f64>() > STAY_MARGIN * cost
     }
 
     fn best_place(round: &PlanRound<'_>, candidate: &LoadCandidate) -> Option<LoadPlace> {
@@ -230,10 +273,13 @@
             false if round.has_promise(&engine.upstream) => return None,
             false => EvictionChoice::find(engine, free_mib, spec.memory_mib, round)?,
         };
+        if candidate.kind == LoadKind::Forecast && !Self::are_settled(round, engine, &choice) {
+            return None;
+        }
         let source = engine.source(model);
         let load_s = round.load_time(model, source).as_secs_f64();
         let wait_s = if choice.waits { EVICTION_S } else { 0.0 };
-        let opening = Self::opening_cost(round, index);
+        let opening = Self::opening_cost(round, candidate.kind, index);
         let left =
             free_mib.saturating_sub(spec.memory_mib) as f64 / engine.memory_mib.max(1) as f64;
         let delay = candidate.value.max(candidate.value_rate) * (load_s + wait_s);
@@ -241,14 +287,26 @@
         Some(LoadPlace { index, choice, source, cost, opening })
     }
 
+    /// Whether all victims have been here for as long as an engine is opened for: what a forecast
+    /// brought isn't taken away by the next one.
+    fn are_settled(round: &PlanRound<'_>, engine: &EngineView, choice: &EvictionChoice) -> bool {
+        let since = round.earlier(round.settings.open_span);
+        let victims = engine.models.iter().filter(|one| choice.victims.contains(&one.model));
+        victims.into_iter().all(|one| one.since <= since)
+    }
+
     /// What it costs to put an empty engine to use.
-    fn opening_cost(round: &PlanRound<'_>, index: usize) -> f64 {
+    fn opening_cost(round: &PlanRound<'_>, kind: LoadKind, index: usize) -> f64 {
         let engine = &round.fleet.engines[index];
         match engine.models.is_empty() && round.ledger.free_mib(index) == engine.free_mib() {
             false => 0.0,
             true => {
                 let price = round.settings.idle_price * f64::from(engine.accelerators);
-                price * round.settings.open_span.as_secs_f64()
+                let span = match kind {
+                    LoadKind::Forecast => round.settings.open_span,
+                    LoadKind::Demand | LoadKind::Text => round.settings.demand_span,
+                };
+                price * span.as_secs_f64()
             }
         }
     }
@@ -278,17 +336,6 @@
         f64::from(demand.queued) > round.settings.queue_per_slot * f64::from(slots) && slots > 0
     }
 
-    fn is_outdated(round: &PlanRound<'_>, model: &ModelName) -> bool {
-        let version = round.text.model(model).map(|spec| spec.version);
-        let engines = round.fleet.engines.iter().filter(|engine| !engine.leaving);
-        let placed = engines.flat_map(|engine| &engine.models);
-        let versions: HashSet<u32> = placed
-            .filter(|placed| &placed.model == model && placed.phase != ModelPhase::Unloading)
-            .map(|placed: &PlacedModel| placed.version)
-            .collect();
-        !versions.is_empty() && version.is_some_and(|version| !versions.contains(&version))
-    }
-
     fn best_load_s(round: &PlanRound<'_>, model: &ModelName) -> f64 {
         let engines = round.fleet.engines.iter().enumerate();
         let able = engines.filter(|(index, _)| round.ledger.may_load(*index, model));
--- a/crates/wheel_policy/src/placement_settings.rs
+++ b/crates/wheel_policy/src/placement_settings.rs
@@ -18,8 +18,12 @@
     /// What an idle accelerator costs, in worth for each second. A caller of worth 1 who waits one
     /// second for a load costs 1.
     pub idle_price: f64,
-    /// How long an engine is expected to stay in use once it is opened.
+    /// What a load for a forecast costs by itself, in worth.
+    pub load_price: f64,
+    /// Time for which a forecast looks ahead: what opening an engine for it is weighed with.
     pub open_span: Duration,
+    /// How long an engine is expected to stay open for requests that wait now.
+    pub demand_span: Duration,
     /// How much more a forecast load must gain than it costs.
     pub forecast_margin: f64,
     /// Requests waiting for each slot of the loaded replicas that ask for one more.
@@ -33,12 +37,14 @@
         Self {
             memory_share: 0.1,
             disk_share: 0.35,
-            min_residence: Duration::from_secs(60),
+            min_residence: Duration::from_secs(90),
             drain_grace: Duration::from_millis(200),
             promise_span: Duration::from_secs(30),
-            idle_price: 0.002,
+            idle_price: 0.05,
+            load_price: 0.5,
             open_span: Duration::from_secs(600),
-            forecast_margin: 1.5,
+            demand_span: Duration::from_secs(10),
+            forecast_margin: 2.0,
             queue_per_slot: 1.0,
             max_steps: 64,
         }
--- a/crates/wheel_policy/src/placement_text.rs
+++ b/crates/wheel_policy/src/placement_text.rs
@@ -8,7 +8,8 @@
 /// The text's models, adapters, worths and dependencies, indexed by name.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PlacementText {
-    models: BTreeMap<ModelName, ModelSpec>,
+    models: HashMap<ModelName, ModelSpec>,
+    pinned: Vec<ModelName>,
     adapters: HashMap<AdapterName, AdapterSpec>,
     worths: Vec<f64>,
     needs: HashMap<ModelName, Vec<ModelName>>,
@@ -19,8 +20,10 @@
     pub(crate) fn new(text: &OperatorsText) -> Self {
         let models = text.models.iter().map(|model| (model.name.clone(), model.clone()));
         let adapters = text.adapters.iter().map(|spec| (spec.name.clone(), spec.clone()));
+        let pinned = text.models.iter().filter(|model| model.min_replicas > 0);
         Self {
             models: models.collect(),
+            pinned: pinned.map(|model| model.name.clone()).collect(),
             adapters: adapters.collect(),
             worths: text.ranks.iter().map(|rank| rank.worth).collect(),
             needs: find_needs(&text.services),
@@ -32,9 +35,9 @@
         self.models.get(model)
     }
 
-    /// All models, by name.
-    pub(crate) fn models(&self) -> impl Iterator<Item = &ModelSpec> {
-        self.models.values()
+    /// Models that have replicas at all times, by name.
+    pub(crate) fn pinned(&self) -> impl Iterator<Item = &ModelSpec> {
+        self.pinned.iter().filter_map(|model| self.models.get(model))
     }
 
     /// An adapter's entry.
--- a/crates/wheel_policy/src/plan_round.rs
+++ b/crates/wheel_policy/src/plan_round.rs
@@ -157,6 +157,14 @@
         Duration::from_millis(load_ms).mul_f64(share)
     }
 
+    /// Expected time of a load of a placed model once it was unloaded. Hosts keep the checkpoints of
+    /// what they unload, but not for ever: the nearer half-way to the place where it lies now.
+    fn reload_time(&self, engine: &EngineView, placed: &PlacedModel) -> Duration {
+        let kept = self.load_time(&placed.model, CheckpointSource::Memory);
+        let lies = self.load_time(&placed.model, engine.source(&placed.model));
+        (kept + lies) / 2
+    }
+
     /// Requests an hour that a placed model is expected to get.
     pub(crate) fn hourly_rate(&self, placed: &PlacedModel) -> f64 {
         let known = self.demands.get(&placed.model).map_or(0.0, |demand| demand.hourly_rate);
@@ -169,7 +177,7 @@
     /// What each second of keeping a placed model saves, in worth.
     pub(crate) fn saving_rate(&self, engine: &EngineView, placed: &PlacedModel) -> f64 {
         let worth = self.demands.get(&placed.model).map_or(1.0, |demand| demand.worth);
-        let reload_s = self.load_time(&placed.model, engine.source(&placed.model)).as_secs_f64();
+        let reload_s = self.reload_time(engine, placed).as_secs_f64();
         let spare = if self.has_spare(placed) { SPARE_SHARE } else { 1.0 };
         worth * reload_s * spare * self.hourly_rate(placed) / 3_600.0
     }
@@ -195,8 +203,13 @@
 
     /// The moment before which a replica must have come to be old enough to go.
     pub(crate) fn residence_start(&self) -> MonotonicTime {
-        let residence_us = self.settings.min_residence.as_micros() as u64;
-        MonotonicTime::from_micros(self.now.as_micros().saturating_sub(residence_us))
+        self.earlier(self.settings.min_residence)
+    }
+
+    /// The moment `span` ago.
+    pub(crate) fn earlier(&self, span: Duration) -> MonotonicTime {
+        let span_us = span.as_micros() as u64;
+        MonotonicTime::from_micros(self.now.as_micros().saturating_sub(span_us))
     }
 }
 
@@ -209,7 +222,7 @@
 
     fn loss(&self, engine: &EngineView, placed: &PlacedModel) -> f64 {
         let worth = self.demands.get(&placed.model).map_or(1.0, |demand| demand.worth);
-        let reload_s = self.load_time(&placed.model, engine.source(&placed.model)).as_secs_f64();
+        let reload_s = self.reload_time(engine, placed).as_secs_f64();
         let spare = if self.has_spare(placed) { SPARE_SHARE } else { 1.0 };
         let chance = 1.0 - (-self.hourly_rate(placed) * LOSS_SPAN_H).exp();
         worth * reload_s * spare * chance
--- a/crates/wheel_replay/src/demand_board.rs
+++ b/crates/wheel_replay/src/demand_board.rs
@@ -1,6 +1,6 @@
 //! What a replay knows of each model's demand.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use jiff::Timestamp;
@@ -16,6 +16,10 @@
 const FORECAST_SPAN: Duration = Duration::from_secs(600);
 /// Adapters that fit beside the models of one engine.
 const ENGINE_ADAPTERS: usize = 16;
+/// Requests an hour below which a model isn't told to the planner.
+const LEAST_RATE: f64 = 0.02;
+/// What a model without any expected request is told to have, so that it counts as known.
+const NO_RATE: f64 = 1e-6;
 /// Waiting requests of a model that ask for a round of planning at once.
 const CROWD: u32 = 8;
 
@@ -130,19 +134,26 @@
         wall: Timestamp,
         forecast: &DemandForecast,
         cold: Vec<ModelDemand>,
+        placed: &HashSet<ModelName>,
     ) -> Vec<ModelDemand> {
         let mut cold: BTreeMap<ModelName, ModelDemand> =
             cold.into_iter().map(|demand| (demand.model.clone(), demand)).collect();
         let mut views = Vec::new();
         for (model, entry) in &mut self.models {
             entry.refresh(wall, model, forecast);
-            let mut demand = cold
-                .remove(model)
+            let waits = cold.remove(model);
+            let known = entry.hourly_rate > LEAST_RATE
+                || entry.queued + entry.running > 0
+                || placed.contains(model);
+            if waits.is_none() && !known {
+                continue;
+            }
+            let mut demand = waits
                 .unwrap_or_else(|| ModelDemand { model: model.clone(), ..ModelDemand::default() });
             demand.queued = entry.queued;
             demand.running = entry.running;
             demand.worth = entry.worth;
-            demand.hourly_rate = entry.hourly_rate;
+            demand.hourly_rate = entry.hourly_rate.max(NO_RATE);
             demand.expected_soon = if entry.home == centre { entry.expected } else { 0.0 };
             views.push(demand);
         }
--- a/crates/wheel_replay/src/on_demand_placer.rs
+++ b/crates/wheel_replay/src/on_demand_placer.rs
@@ -67,7 +67,9 @@
                 && !loading
                 && ((entry.waiting_count() > 0 && ready == 0) || (busy && ready > 0))
         };
-        let mut wanted: Vec<&ModelDemand> = demand.models.iter().filter(needs).collect();
+        let asked = |entry: &&ModelDemand| entry.queued + entry.waiting_count() > 0;
+        let mut wanted: Vec<&ModelDemand> =
+            demand.models.iter().filter(asked).filter(needs).collect();
         wanted.sort_by_key(|entry| entry.waiting.iter().map(|rank| rank.oldest_arrival).min());
         wanted
     }
--- a/crates/wheel_replay/src/placement_flow.rs
+++ b/crates/wheel_replay/src/placement_flow.rs
@@ -1,5 +1,6 @@
 //! The part of a replay that places models.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use wheel_policy::{
@@ -19,7 +20,6 @@
     /// Plans in a data centre and carries out the steps.
     pub(crate) fn plan(&mut self, centre: usize) {
         let fleet = self.fleet_view(centre);
-        self.check(centre, &fleet);
         let demand = self.demand_view(centre);
         for step in self.centres[centre].placer.plan(self.now, &fleet, &demand) {
             self.carry_out(centre, &step);
@@ -53,7 +53,10 @@
     fn demand_view(&mut self, centre: usize) -> DemandView {
         let (now, wall) = (self.now, self.wall_time());
         let cold = self.centres[centre].cold.demands(now);
-        let mut models = self.demand.view(centre, wall, &self.forecast, cold);
+        let own = self.engines.iter().filter(|one| one.centre == centre);
+        let placed: HashSet<ModelName> =
+            own.flat_map(|one| &one.view.models).map(|one| one.model.clone()).collect();
+        let mut models = self.demand.view(centre, wall, &self.forecast, cold, &placed);
         for entry in &mut models {
             entry.elsewhere = self.ready_elsewhere(centre, &entry.model);
         }
@@ -77,21 +80,20 @@
         jiff::Timestamp::from_second(self.start_s + offset_s).unwrap_or_default()
     }
 
-    /// Notes every bound that is broken.
-    fn check(&mut self, centre: usize, fleet: &FleetView) {
-        for engine in &fleet.engines {
-            let used: u64 = engine.models.iter().map(PlacedModel::total_mib).sum();
-            if used > engine.memory_mib {
-                self.counts.broken.push(format!("{}: memory overcommitted", engine.upstream));
-            }
+    /// Notes every bound that a load has broken.
+    fn check(&mut self, engine: usize, model: &ModelName) {
+        let host = &self.engines[engine];
+        let used: u64 = host.view.models.iter().map(PlacedModel::total_mib).sum();
+        if used > host.view.memory_mib {
+            self.counts.broken.push(format!("{}: memory overcommitted", host.view.upstream));
         }
-        for spec in &self.site.text.models {
-            let placed = fleet.engines.iter().flat_map(|engine| &engine.models);
-            let held = placed.filter(|one| one.model == spec.name).count();
-            if held > spec.max_replicas as usize {
-                let name = &self.site.text.centres[centre].name;
-                self.counts.broken.push(format!("{} in {name}: {held} replicas", spec.name));
-            }
+        let centre = host.centre;
+        let own = self.engines.iter().filter(|one| one.centre == centre);
+        let placed = own.flat_map(|one| &one.view.models);
+        let held = placed.filter(|one| &one.model == model).count();
+        let max = self.demand.spec(model).map_or(0, |spec| spec.max_replicas);
+        if held > max as usize {
+            self.counts.broken.push(format!("{model}: {held} replicas"));
         }
     }
 
@@ -142,6 +144,7 @@
             ..PlacedModel::default()
         };
         self.engines[engine].view.models.push(placed);
+        self.check(engine, model);
         let load_ms = self.demand.spec(model).map_or(0, |spec| spec.load_ms);
         let share = match source {
             CheckpointSource::Memory => self.site.speed.memory_share,
--- a/crates/wheel_replay/src/replay_report.rs
+++ b/crates/wheel_replay/src/replay_report.rs
@@ -129,7 +129,7 @@
     fn of(waits: impl Iterator<Item = Duration>) -> Self {
         let Ok(mut histogram) = Histogram::<u64>::new(3) else { return Self::default() };
         for wait in waits {
-            histogram.saturating_record(wait.as_micros() as u64);
+            let _ = histogram.record(wait.as_micros() as u64);
         }
         let at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
         Self { count: histogram.len(), p50: at(0.5), p95: at(0.95), p99: at(0.99), max: at(1.0) }
--- a/crates/wheel_replay/src/replay_run.rs
+++ b/crates/wheel_replay/src/replay_run.rs
@@ -15,7 +15,7 @@
 /// When the trace starts in monotonic time: late enough that nothing looks older than the start.
 pub(crate) const TRACE_START: MonotonicTime = MonotonicTime::from_millis(24 * 3_600 * 1_000);
 /// Time between two rounds of planning without a cause.
-pub(crate) const TICK: Duration = Duration::from_secs(15);
+pub(crate) const TICK: Duration = Duration::from_secs(30);
 /// Time after which the forecast is told that time has passed, in seconds.
 const ADVANCE_S: u64 = 900;
 /// Time between a cause and the round that it brings.
