--- a/crates/wheel_policy/src/engine_queue.rs
+++ b/crates/wheel_policy/src/engine_queue.rs
@@ -15,6 +15,8 @@
 
 /// Weight of a new sample in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Weight of a new sample in a maximum that fades.
+const FADE_WEIGHT: f64 = 0.005;
 /// Time over which arriving work is averaged.
 const ARRIVAL_SPAN: Duration = Duration::from_secs(5);
 /// Share of `retry_after` that jitter may add.
@@ -44,7 +46,6 @@
     sequence: u64,
     updated: MonotonicTime,
     slot_time_s: MovingAverage,
-    first_byte_s: MovingAverage,
     random: SeededRandom,
 }
 
@@ -57,6 +58,8 @@
     arriving_s: f64,
     /// Measured over expected slot time.
     cost_factor: MovingAverage,
+    /// The longest times to the first byte of late, so that what is promised holds.
+    first_byte_s: f64,
 }
 
 /// Where a waiting request is.
@@ -90,11 +93,15 @@
             sequence: 0,
             updated: MonotonicTime::default(),
             slot_time_s: MovingAverage::new(settings.first_slot_time.as_secs_f64(), SAMPLE_WEIGHT),
-            first_byte_s: MovingAverage::new(settings.first_byte.as_secs_f64(), SAMPLE_WEIGHT),
             random: SeededRandom::new(settings.seed),
             settings,
         };
-        queue.ranks = queue.settings.ranks.iter().map(|_| RankState::new()).collect();
+        queue.ranks = queue
+            .settings
+            .ranks
+            .iter()
+            .map(|_| RankState::new(queue.settings.first_byte))
+            .collect();
         queue.reset_credit();
         queue
     }
@@ -138,8 +145,10 @@
         if let Some(reason) = self.misfit(&request) {
             return self.refuse(now, &request, reason, Duration::ZERO);
         }
-        let wait = self.estimate_wait(&request);
-        let ready = now + wait + self.first_byte();
+        let queue = &mut self.ranks[request.rank.index()].queue;
+        let returns = queue.take_booking(now, &request.caller);
+        let wait = self.wait_for(&request, returns);
+        let ready = now + wait + self.ranks[request.rank.index()].first_byte();
         match self.full(&request) {
             Some(reason) => self.refuse(now, &request, reason, wait / 2),
             None if ready > request.deadline => {
@@ -209,8 +218,12 @@
 
     /// Expected time until a request would get a slot if it came now.
     pub fn estimate_wait(&self, request: &QueuedRequest) -> Duration {
+        self.wait_for(request, false)
+    }
+
+    fn wait_for(&self, request: &QueuedRequest, returns: bool) -> Duration {
         let Some(state) = self.ranks.get(request.rank.index()) else { return Duration::ZERO };
-        let own = state.queue.work_ahead(&request.caller, request.weight, request.cost);
+        let own = state.queue.work_ahead(&request.caller, request.weight, request.cost, returns);
         let above_s = self.work_above_s(request.rank);
         if self.free_slots(request.rank) > 0 && own == Duration::ZERO && above_s == 0.0 {
             return Duration::ZERO;
@@ -291,13 +304,17 @@
             * state.queue.caller_share(&request.caller, request.weight);
         let spacing = Duration::from_secs_f64((cost_s / rate).min(MAX_RETRY_AFTER.as_secs_f64()));
         let booked = state.queue.book_return(&request.caller, now + excess, spacing);
-        booked.since(now).mul_f64(jitter).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        let after = booked.since(now).mul_f64(jitter).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        state.queue.add_booking(&request.caller, now + after);
+        after
     }
 
     fn push(&mut self, request: QueuedRequest) {
         self.sequence += 1;
-        let latest =
-            request.deadline.as_micros().saturating_sub(self.first_byte().as_micros() as u64);
+        let latest = request
+            .deadline
+            .as_micros()
+            .saturating_sub(self.ranks[request.rank.index()].first_byte().as_micros() as u64);
         let flow_key = (request.deadline, self.sequence);
         let due_key = (MonotonicTime::from_micros(latest), self.sequence);
         let place =
@@ -391,10 +408,6 @@
         (slots - arriving - floors).max(slots * LEAST_SHARE)
     }
 
-    fn first_byte(&self) -> Duration {
-        Duration::from_secs_f64(self.first_byte_s.value())
-    }
-
     fn learn(&mut self, running: &RunningRequest, sample: ServiceSample) {
         let slot_time_s = sample.slot_time.as_secs_f64();
         self.slot_time_s.add(slot_time_s);
@@ -403,14 +416,15 @@
             self.ranks[running.rank.index()].cost_factor.add(ratio.clamp(0.1, 10.0));
         }
         if let Some(first_byte) = sample.first_byte {
-            self.first_byte_s.add(first_byte.as_secs_f64());
+            self.ranks[running.rank.index()].learn_first_byte(first_byte.as_secs_f64());
         }
     }
 }
 
 impl RankState {
-    fn new() -> Self {
+    fn new(first_byte: Duration) -> Self {
         Self {
+            first_byte_s: first_byte.as_secs_f64(),
             queue: RankQueue::default(),
             credit: RankCredit::default(),
             running: 0,
@@ -419,6 +433,16 @@
         }
     }
 
+    /// Time to the first byte to count with.
+    fn first_byte(&self) -> Duration {
+        Duration::from_secs_f64(self.first_byte_s)
+    }
+
+    fn learn_first_byte(&mut self, sample_s: f64) {
+        let faded_s = self.first_byte_s + FADE_WEIGHT * (sample_s - self.first_byte_s);
+        self.first_byte_s = faded_s.max(sample_s);
+    }
+
     /// Slot time that expected `work` really takes, in seconds.
     fn slot_seconds(&self, work: Duration) -> f64 {
         work.as_secs_f64() * self.cost_factor.value()
--- a/crates/wheel_policy/src/load_pass.rs
+++ b/crates/wheel_policy/src/load_pass.rs
@@ -97,7 +97,8 @@
             demand
                 if demand.expected_soon > LEAST_EXPECTED && count.ready + demand.elsewhere == 0 =>
             {
-                let value = demand.worth * demand.expected_soon.min(1.0) * load_s;
+                let gain = round.wait_cost(Duration::from_secs_f64(load_s));
+                let value = demand.worth * demand.expected_soon.min(1.0) * gain;
                 let reason = PlacementReason::Forecast { expected: demand.expected_soon };
                 Some(Self::candidate(demand, LoadKind::Forecast, value, load_s, reason))
             }
@@ -241,10 +242,8 @@
     fn stays(round: &PlanRound<'_>, candidate: &LoadCandidate, place: &LoadPlace) -> bool {
         let engine = &round.fleet.engines[place.index];
         let Some(demand) = round.demands.get(&candidate.model) else { return false };
-        let kept_s = round.load_time(&candidate.model, CheckpointSource::Memory).as_secs_f64();
-        let lies_s = round.load_time(&candidate.model, place.source).as_secs_f64();
         let rate = demand.expected_soon / round.settings.open_span.as_secs_f64();
-        let own = demand.worth * rate * (kept_s + lies_s) / 2.0;
+        let own = demand.worth * rate * round.reload_cost(&candidate.model, place.source);
         let others = engine.models.iter().map(|placed| round.saving_rate(engine, placed));
         let cost = round.settings.idle_price * f64::from(engine.accelerators);
         own + others.sum::<f64>() > STAY_MARGIN * cost
--- a/crates/wheel_policy/src/placement_settings.rs
+++ b/crates/wheel_policy/src/placement_settings.rs
@@ -18,6 +18,8 @@
     /// What an idle accelerator costs, in worth for each second. A caller of worth 1 who waits one
     /// second for a load costs 1.
     pub idle_price: f64,
+    /// The wait at which a second costs a caller one second; longer waits cost more for each.
+    pub fair_wait: Duration,
     /// What a load for a forecast costs by itself, in worth.
     pub load_price: f64,
     /// Time for which a forecast looks ahead: what opening an engine for it is weighed with.
@@ -40,7 +42,8 @@
             min_residence: Duration::from_secs(90),
             drain_grace: Duration::from_millis(200),
             promise_span: Duration::from_secs(30),
-            idle_price: 0.05,
+            idle_price: 0.2,
+            fair_wait: Duration::from_secs(2),
             load_price: 0.5,
             open_span: Duration::from_secs(600),
             demand_span: Duration::from_secs(10),
--- a/crates/wheel_policy/src/plan_round.rs
+++ b/crates/wheel_policy/src/plan_round.rs
@@ -157,12 +157,19 @@
         Duration::from_millis(load_ms).mul_f64(share)
     }
 
-    /// Expected time of a load of a placed model once it was unloaded. Hosts keep the checkpoints of
-    /// what they unload, but not for ever: the nearer half-way to the place where it lies now.
-    fn reload_time(&self, engine: &EngineView, placed: &PlacedModel) -> Duration {
-        let kept = self.load_time(&placed.model, CheckpointSource::Memory);
-        let lies = self.load_time(&placed.model, engine.source(&placed.model));
-        (kept + lies) / 2
+    /// What a caller of worth 1 loses by a wait: more for each second of a long one, since it is the
+    /// tail of the waits that counts.
+    pub(crate) fn wait_cost(&self, wait: Duration) -> f64 {
+        let wait_s = wait.as_secs_f64();
+        wait_s * wait_s / self.settings.fair_wait.as_secs_f64()
+    }
+
+    /// What the next caller loses once a placed model was unloaded. Hosts keep the checkpoints of
+    /// what they unload, but not for ever: half-way between there and where it lies now.
+    pub(crate) fn reload_cost(&self, model: &ModelName, lies: CheckpointSource) -> f64 {
+        let kept = self.wait_cost(self.load_time(model, CheckpointSource::Memory));
+        let lies = self.wait_cost(self.load_time(model, lies));
+        (kept + lies) / 2.0
     }
 
     /// Requests an hour that a placed model is expected to get.
@@ -177,9 +184,9 @@
     /// What each second of keeping a placed model saves, in worth.
     pub(crate) fn saving_rate(&self, engine: &EngineView, placed: &PlacedModel) -> f64 {
         let worth = self.demands.get(&placed.model).map_or(1.0, |demand| demand.worth);
-        let reload_s = self.reload_time(engine, placed).as_secs_f64();
+        let reload = self.reload_cost(&placed.model, engine.source(&placed.model));
         let spare = if self.has_spare(placed) { SPARE_SHARE } else { 1.0 };
-        worth * reload_s * spare * self.hourly_rate(placed) / 3_600.0
+        worth * reload * spare * self.hourly_rate(placed) / 3_600.0
     }
 
     /// Whether other replicas of the model take work, here or in another data centre.
@@ -222,9 +229,9 @@
 
     fn loss(&self, engine: &EngineView, placed: &PlacedModel) -> f64 {
         let worth = self.demands.get(&placed.model).map_or(1.0, |demand| demand.worth);
-        let reload_s = self.reload_time(engine, placed).as_secs_f64();
+        let reload = self.reload_cost(&placed.model, engine.source(&placed.model));
         let spare = if self.has_spare(placed) { SPARE_SHARE } else { 1.0 };
         let chance = 1.0 - (-self.hourly_rate(placed) * LOSS_SPAN_H).exp();
-        worth * reload_s * spare * chance
+        worth * reload * spare * chance
     }
 }
--- a/crates/wheel_policy/src/rank_queue.rs
+++ b/crates/wheel_policy/src/rank_queue.rs
@@ -10,6 +10,11 @@
 /// Idle callers that are remembered before those without a debt are forgotten.
 const IDLE_FLOWS: usize = 1_024;
 
+/// Returns that are remembered for one caller; later ones count as new requests.
+const MAX_BOOKINGS: usize = 512;
+/// How long after its time a return is expected still.
+const BOOKING_GRACE: Duration = Duration::from_secs(2);
+
 /// Where a request waits in its caller's flow: earliest deadline first, then first come.
 pub(crate) type FlowKey = (MonotonicTime, u64);
 
@@ -22,6 +27,8 @@
     active_weight: u64,
     waiting: usize,
     work: Duration,
+    booked: usize,
+    sequence: u64,
 }
 
 /// What one caller has waiting in one rank.
@@ -32,6 +39,7 @@
     requests: BTreeMap<FlowKey, QueuedRequest>,
     work: Duration,
     next_return: MonotonicTime,
+    bookings: BTreeSet<(MonotonicTime, u64)>,
 }
 
 impl RankQueue {
@@ -55,14 +63,52 @@
         self.flows.get(caller).map_or(0, |flow| flow.requests.len())
     }
 
-    /// Expected slot time of what goes before a new request of `caller` within this rank.
-    pub(crate) fn work_ahead(&self, caller: &CallerName, weight: u32, cost: Duration) -> Duration {
+    /// Expected slot time of what goes before a new request of `caller` within this rank: what
+    /// waits, and those who were asked to come back, unless the request is one of them.
+    pub(crate) fn work_ahead(
+        &self,
+        caller: &CallerName,
+        weight: u32,
+        cost: Duration,
+        returns: bool,
+    ) -> Duration {
         let weight = u64::from(weight.max(1));
-        let flow = self.flows.get(caller).filter(|flow| !flow.requests.is_empty());
+        let flow = self.flows.get(caller);
         let own = flow.map_or(Duration::ZERO, |flow| flow.work);
-        let others = self.active_weight - flow.map_or(0, |flow| u64::from(flow.weight));
+        let own_booked = flow.map_or(0, |flow| flow.bookings.len());
+        let (own_booked, booked) = if returns { (0, 0) } else { (own_booked, self.booked) };
+        let own = own + cost * own_booked as u32;
+        let active = flow.filter(|flow| !flow.requests.is_empty());
+        let others = self.active_weight - active.map_or(0, |flow| u64::from(flow.weight));
         let turns = (own + cost).mul_f64(others as f64 / weight as f64);
-        (own + turns).min(self.work)
+        (own + turns).min(self.work + cost * booked as u32)
+    }
+
+    /// Whether `caller` was asked to come back about now; one such return is used up.
+    pub(crate) fn take_booking(&mut self, now: MonotonicTime, caller: &CallerName) -> bool {
+        let Some(flow) = self.flows.get_mut(caller) else { return false };
+        while let Some((time, _)) = flow.bookings.first().copied() {
+            if time > now {
+                return false;
+            }
+            flow.bookings.pop_first();
+            self.booked -= 1;
+            if time + BOOKING_GRACE >= now {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Remembers that `caller` was asked to come back at `time`.
+    pub(crate) fn add_booking(&mut self, caller: &CallerName, time: MonotonicTime) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let Some(flow) = self.flows.get_mut(caller) else { return };
+        if flow.bookings.len() < MAX_BOOKINGS {
+            flow.bookings.insert((time, sequence));
+            self.booked += 1;
+        }
     }
 
     /// Share of the rank's service that `caller` gets while all who wait go on waiting.
@@ -156,5 +202,6 @@
         if self.flows.len() > self.order.len() + IDLE_FLOWS {
             self.flows.retain(|_, flow| !flow.requests.is_empty());
         }
+        self.booked = self.flows.values().map(|flow| flow.bookings.len()).sum();
     }
 }
--- a/crates/wheel_replay/src/call_flow.rs
+++ b/crates/wheel_replay/src/call_flow.rs
@@ -217,24 +217,32 @@
     }
 
     fn schedule_expiry(&mut self, engine: usize) {
-        if let Some(due) = self.engines[engine].queue.next_deadline() {
-            self.schedule(due + Duration::from_micros(1), ReplayEvent::Expire(engine));
+        let Some(due) = self.engines[engine].queue.next_deadline() else { return };
+        let due = (due + Duration::from_micros(1)).max(self.now);
+        let planned = self.engines[engine].expiry_due.filter(|planned| *planned > self.now);
+        if planned.is_none_or(|planned| due < planned) {
+            self.engines[engine].expiry_due = Some(due);
+            self.schedule(due, ReplayEvent::Expire(engine));
         }
     }
 
     pub(crate) fn expire(&mut self, engine: usize) {
-        let expired = self.engines[engine].queue.expire(self.now);
-        if expired.is_empty() {
-            return;
-        }
-        for refused in expired {
+        for refused in self.engines[engine].queue.expire(self.now) {
             self.demand.queued(&refused.request.model, -1);
             self.use_model(engine, &refused.request.model, -1);
-            self.refuse_expired(&refused);
+            self.record_refusal(engine, &refused);
         }
         self.schedule_expiry(engine);
     }
 
+    /// Refuses a request that its engine's queue gave up; the engine isn't to blame.
+    fn record_refusal(&mut self, engine: usize, refused: &RefusedRequest) {
+        if let Ok(index) = refused.request.id.as_str().parse::<usize>() {
+            self.record_end(index, engine, Duration::ZERO, true);
+            self.refuse(index, refused.retry_after);
+        }
+    }
+
     pub(crate) fn expire_cold(&mut self, centre: usize) {
         let waits: BTreeMap<ModelName, Duration> = self
             .demand
--- a/crates/wheel_replay/src/replay_report.rs
+++ b/crates/wheel_replay/src/replay_report.rs
@@ -119,6 +119,27 @@
         }
     }
 
+    /// A measure by its name: `broken`, `silent`, `late`, `idle_hours`, `loads`, `lost_loads`,
+    /// `return_share`, `wake_p95_ms`, `wake_p99_ms`, and for each rank `NAME.in_time`,
+    /// `NAME.on_target`, `NAME.p95_ms`, of those in floods with `flood.` before the name.
+    pub fn measure(&self, name: &str) -> Option<f64> {
+        match name {
+            "broken" => Some(self.broken.len() as f64),
+            "silent" => Some(self.silent as f64),
+            "late" => Some(self.late as f64),
+            "idle_hours" => Some(self.idle_hours),
+            "loads" => Some(self.loads as f64),
+            "lost_loads" => Some(self.lost_loads as f64),
+            "return_share" => Some(self.return_share()),
+            "wake_p95_ms" => Some(self.wake_wait.p95),
+            "wake_p99_ms" => Some(self.wake_wait.p99),
+            name => match name.strip_prefix("flood.") {
+                Some(name) => rank_measure(&self.flood_ranks, name),
+                None => rank_measure(&self.ranks, name),
+            },
+        }
+    }
+
     /// Share of returns that were answered in time; 1 without returns.
     pub fn return_share(&self) -> f64 {
         share(self.returns_in_time, self.returns)
@@ -199,3 +220,14 @@
 fn share(part: u64, whole: u64) -> f64 {
     if whole == 0 { 1.0 } else { part as f64 / whole as f64 }
 }
+
+fn rank_measure(ranks: &[RankReport], name: &str) -> Option<f64> {
+    let (rank, measure) = name.split_once('.')?;
+    let report = ranks.iter().find(|report| report.name == rank)?;
+    match measure {
+        "in_time" => Some(report.in_time_share()),
+        "on_target" => Some(share(report.on_target, report.offered)),
+        "p95_ms" => Some(report.first_byte.p95),
+        _ => None,
+    }
+}
--- a/crates/wheel_replay/src/virtual_engine.rs
+++ b/crates/wheel_replay/src/virtual_engine.rs
@@ -25,6 +25,8 @@
     pub(crate) idle_s: f64,
     /// Seconds in which it held models.
     pub(crate) held_s: f64,
+    /// When its queue is looked at for requests past hope.
+    pub(crate) expiry_due: Option<MonotonicTime>,
     updated: MonotonicTime,
 }
 
@@ -44,6 +46,7 @@
             alive: true,
             idle_s: 0.0,
             held_s: 0.0,
+            expiry_due: None,
             updated: now,
         }
     }
