Move what waits at a frozen owner within its deadline

Cause: a question relayed to an owner that froze waited for its head until the deadline, though the membership names the owner as dead after 2 to 3 s. Ruled out: retiring silent connections in the pool (a fresh one to a frozen process stays silent as well, so nothing tells them apart).

The directory now learns from the membership which owners are gone, and a relayed generation that still waits for its head goes to the next owner.

--- a/crates/wheel_daemon/src/daemon_parts.rs
+++ b/crates/wheel_daemon/src/daemon_parts.rs
@@ -67,6 +67,15 @@
         }
     }
 
+    /// Stops routing to owners of this data centre that aren't live any more.
+    pub fn forget_dead_owners(&self) {
+        for owner in self.directory.near_owners() {
+            if !self.book.is_live(&owner) {
+                self.directory.note_owner_gone(&owner);
+            }
+        }
+    }
+
     /// This instance's state, for others.
     pub fn status(&self) -> InstanceStatus {
         let (revision, since) = *self.text_since.lock();
--- a/crates/wheel_daemon/src/instance_book.rs
+++ b/crates/wheel_daemon/src/instance_book.rs
@@ -70,6 +70,11 @@
         listed
     }
 
+    /// Whether an instance of this data centre is live.
+    pub fn is_live(&self, instance: &InstanceName) -> bool {
+        instance == &self.own.instance || self.view().find(instance).is_some()
+    }
+
     /// Whether that life of an instance may still be going on. Of instances in other data centres
     /// only the name is known, so that they count as alive as long as they are listed.
     pub fn is_alive(&self, instance: &InstanceName, incarnation: IncarnationId) -> bool {
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -368,6 +368,7 @@
     loop {
         let text = texts.borrow_and_update().clone();
         views.mark_unchanged();
+        parts.forget_dead_owners();
         if let Some(text) = &text {
             if followed.is_none() {
                 let reports = Arc::clone(&parts.reports);
--- a/crates/wheel_harness/tests/request_path.rs
+++ b/crates/wheel_harness/tests/request_path.rs
@@ -205,6 +205,28 @@
     assert!(taken < Duration::from_secs(15), "moved after {taken:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn question_waiting_at_a_frozen_owner_moves_within_its_deadline() {
+    let settings = ClusterSettings {
+        preload: vec!["engine-a=guide".to_owned()],
+        ..ClusterSettings::default()
+    };
+    let cluster = start(settings).await;
+    let seen_at = cluster.instances[2].ports.operators;
+    let owner = owner_of(&cluster, seen_at, "engine-a").await;
+    let entry = cluster
+        .instances
+        .iter()
+        .find(|one| one.centre.as_str() == "a" && one.name != cluster.instances[owner].name);
+    let at = entry.expect("another instance").ports.callers;
+    assert_whole(&ask(&cluster.caller, at, "guide", 3, 20_000).await, 3);
+    cluster.instances[owner].signal(ProcessSignal::Stop);
+    // Sent while nobody knows yet that the owner is frozen.
+    let reply = ask(&cluster.caller, at, "guide", 3, 15_000).await;
+    cluster.instances[owner].signal(ProcessSignal::Continue);
+    assert_whole(&reply, 3);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn drain_long_stream_ends_whole_and_exits_with_zero() {
     let settings = ClusterSettings {
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -159,6 +159,20 @@
         let key = self.path.parts.key.as_ref();
         let headers = relay_headers(&call, key)
             .ok_or_else(|| RelayRefusal::elsewhere("the call has no header form"))?;
+        tokio::select! {
+            head = self.relay(route, headers) => head,
+            () = self.path.parts.directory.owner_gone(&route.owner) => {
+                let message = "the owner stopped answering";
+                Err(RelayRefusal { owner_gone: true, ..RelayRefusal::elsewhere(message) })
+            }
+        }
+    }
+
+    async fn relay(
+        &self,
+        route: &OwnerRoute,
+        headers: HeaderMap,
+    ) -> Result<AnswerHead, RelayRefusal> {
         let client = self.path.parts.relays.client(&route.owner, route.relay).engine;
         let generate = self.generate_call(headers);
         if self.target.stream {
--- a/crates/wheel_serving/src/replica_directory.rs
+++ b/crates/wheel_serving/src/replica_directory.rs
@@ -152,6 +152,29 @@
         let mut state = self.state.lock();
         if state.gone_owners.insert(owner.clone()) {
             state.place_all(&self.centre);
+            drop(state);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// The owners of this data centre's upstreams, as far as they have reported.
+    pub fn near_owners(&self) -> Vec<InstanceName> {
+        let state = self.state.lock();
+        let near = state.reports.values().filter(|held| held.report.centre == self.centre);
+        let mut owners: Vec<InstanceName> = near.map(|held| held.report.owner.clone()).collect();
+        owners.sort();
+        owners.dedup();
+        owners
+    }
+
+    /// Completes once `owner` can't be reached.
+    pub async fn owner_gone(&self, owner: &InstanceName) {
+        loop {
+            let changed = self.changed.notified();
+            if self.state.lock().gone_owners.contains(owner) {
+                return;
+            }
+            changed.await;
         }
     }
 
