Build relayed and typed requests in one place each

Cause: the head of a relayed call and of a typed request stood twice, for generations and for plain calls; the whole-process tests repeated their settings. Behaviour is unchanged.

--- a/crates/wheel_entry/src/caller_resolver.rs
+++ b/crates/wheel_entry/src/caller_resolver.rs
@@ -16,9 +16,8 @@
 /// Separates the model from the adapter in the `model` field.
 const ADAPTER_SEPARATOR: char = ':';
 
-/// A service with the rank and deadline that a request gets from it.
-pub(crate) struct ResolvedService<'a> {
-    pub(crate) spec: &'a ServiceSpec,
+/// The rank and deadline that a request gets from its service.
+pub(crate) struct ResolvedService {
     pub(crate) rank: RequestRank,
     pub(crate) deadline: Instant,
 }
@@ -124,10 +123,10 @@
     /// Works out rank and deadline.
     pub(crate) fn resolve_service(
         &self,
-        spec: &'a ServiceSpec,
+        spec: &ServiceSpec,
         headers: &HeaderMap,
         arrival: Instant,
-    ) -> Result<ResolvedService<'a>, RequestRefusal> {
+    ) -> Result<ResolvedService, RequestRefusal> {
         let index = &self.text.index;
         let rank = index.rank(&spec.rank);
         let found = rank.and_then(|rank| Some((rank, index.rank_spec(rank)?)));
@@ -139,7 +138,7 @@
             None => Duration::from_millis(rank_spec.deadline_ms),
             Some(value) => parse_deadline(value)?,
         };
-        Ok(ResolvedService { spec, rank, deadline: arrival + span.min(MAX_DEADLINE) })
+        Ok(ResolvedService { rank, deadline: arrival + span.min(MAX_DEADLINE) })
     }
 }
 
--- a/crates/wheel_entry/src/caller_service.rs
+++ b/crates/wheel_entry/src/caller_service.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
-use wheel_text::ServingText;
+use wheel_text::{ServiceSpec, ServingText};
 use wheel_types::{CallerName, RequestId, RequestOutcome};
 
 use crate::caller_resolver::{CallerResolver, is_safe_method};
@@ -111,11 +111,12 @@
         let (parts, body) = request.into_parts();
         let resolver = CallerResolver { text: &text };
         let caller = resolver.caller(&parts.headers)?;
+        let head = |caller| RequestHead { resolver: &resolver, id, caller, arrival, parts: &parts };
         let typed = match (&parts.method, parts.uri.path()) {
             (&Method::GET, "/v1/models") => return Ok(list_models(&text, &caller)),
             (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
                 let body = read_body(body, &self.settings.limits).await?;
-                generate_request(&resolver, id, caller, arrival, &parts, body)?
+                head(caller).generate_request(body)?
             }
             (_, "/v1/models" | "/v1/chat/completions" | "/v1/completions") => {
                 let message = format!("{} isn't allowed here", parts.method);
@@ -124,7 +125,7 @@
             (_, path) => {
                 resolver.plain_service(&caller, path)?;
                 let body = read_body(body, &self.settings.limits).await?;
-                plain_request(&resolver, id, caller, arrival, &parts, body)?
+                head(caller).plain_request(body)?
             }
         };
         let sample = self.metrics.begin(&typed, &text);
@@ -133,70 +134,67 @@
     }
 }
 
-fn generate_request(
-    resolver: &CallerResolver<'_>,
-    id: &RequestId,
+/// What is known of a request before its target.
+struct RequestHead<'a> {
+    resolver: &'a CallerResolver<'a>,
+    id: &'a RequestId,
     caller: CallerName,
     arrival: Instant,
-    parts: &Parts,
-    body: Bytes,
-) -> Result<CallerRequest, RequestRefusal> {
-    let wanted = resolver.model(&body)?;
-    let spec = resolver.generate_service(&caller, &wanted)?;
-    let service = resolver.resolve_service(spec, &parts.headers, arrival)?;
-    let target = GenerateTarget {
-        path: parts.uri.path().into(),
-        model: wanted.model,
-        adapter: wanted.adapter,
-        stream: wanted.stream,
-    };
-    Ok(CallerRequest {
-        id: id.clone(),
-        caller,
-        service: service.spec.name.clone(),
-        rank: service.rank,
-        target: RequestTarget::Generate(target),
-        idempotency_key: idempotency_key(&parts.headers)?,
-        arrival,
-        deadline: service.deadline,
-        body,
-    })
+    parts: &'a Parts,
 }
 
-fn plain_request(
-    resolver: &CallerResolver<'_>,
-    id: &RequestId,
-    caller: CallerName,
-    arrival: Instant,
-    parts: &Parts,
-    body: Bytes,
-) -> Result<CallerRequest, RequestRefusal> {
-    let spec = resolver.plain_service(&caller, parts.uri.path())?;
-    let service = resolver.resolve_service(spec, &parts.headers, arrival)?;
-    let prefix_len = spec.path_prefix.as_deref().map_or(0, str::len);
-    let whole = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let path = match &whole[prefix_len..] {
-        "" => "/".to_owned(),
-        rest if rest.starts_with('?') => format!("/{rest}"),
-        rest => rest.to_owned(),
-    };
-    let target = PlainTarget {
-        method: parts.method.clone(),
-        path: path.into(),
-        headers: passed_headers(&parts.headers),
-        repeatable: spec.idempotent || is_safe_method(&parts.method),
-    };
-    Ok(CallerRequest {
-        id: id.clone(),
-        caller,
-        service: service.spec.name.clone(),
-        rank: service.rank,
-        target: RequestTarget::Plain(target),
-        idempotency_key: idempotency_key(&parts.headers)?,
-        arrival,
-        deadline: service.deadline,
-        body,
-    })
+impl RequestHead<'_> {
+    fn generate_request(self, body: Bytes) -> Result<CallerRequest, RequestRefusal> {
+        let wanted = self.resolver.model(&body)?;
+        let spec = self.resolver.generate_service(&self.caller, &wanted)?;
+        let target = GenerateTarget {
+            path: self.parts.uri.path().into(),
+            model: wanted.model,
+            adapter: wanted.adapter,
+            stream: wanted.stream,
+        };
+        self.with_target(spec, RequestTarget::Generate(target), body)
+    }
+
+    fn plain_request(self, body: Bytes) -> Result<CallerRequest, RequestRefusal> {
+        let uri = &self.parts.uri;
+        let spec = self.resolver.plain_service(&self.caller, uri.path())?;
+        let prefix_len = spec.path_prefix.as_deref().map_or(0, str::len);
+        let whole = uri.path_and_query().map_or("/", |path| path.as_str());
+        let path = match &whole[prefix_len..] {
+            "" => "/".to_owned(),
+            rest if rest.starts_with('?') => format!("/{rest}"),
+            rest => rest.to_owned(),
+        };
+        let target = PlainTarget {
+            method: self.parts.method.clone(),
+            path: path.into(),
+            headers: passed_headers(&self.parts.headers),
+            repeatable: spec.idempotent || is_safe_method(&self.parts.method),
+        };
+        self.with_target(spec, RequestTarget::Plain(target), body)
+    }
+
+    fn with_target(
+        self,
+        spec: &ServiceSpec,
+        target: RequestTarget,
+        body: Bytes,
+    ) -> Result<CallerRequest, RequestRefusal> {
+        let headers = &self.parts.headers;
+        let service = self.resolver.resolve_service(spec, headers, self.arrival)?;
+        Ok(CallerRequest {
+            id: self.id.clone(),
+            caller: self.caller,
+            service: spec.name.clone(),
+            rank: service.rank,
+            target,
+            idempotency_key: idempotency_key(headers)?,
+            arrival: self.arrival,
+            deadline: service.deadline,
+            body,
+        })
+    }
 }
 
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, RequestRefusal> {
--- a/crates/wheel_harness/tests/support/mod.rs
+++ b/crates/wheel_harness/tests/support/mod.rs
@@ -6,7 +6,9 @@
 
 use http::Method;
 use serde_json::{Value, json};
-use wheel_harness::{ClusterSettings, ClusterText, HttpCaller, HttpReply, LocalCluster};
+use wheel_harness::{
+    ClusterSettings, ClusterText, HttpCaller, HttpReply, LocalCluster, LocalInstance,
+};
 
 /// Time in which anything that must happen happens, on a busy machine.
 pub(crate) const LIMIT: Duration = Duration::from_secs(30);
@@ -121,3 +123,19 @@
     let place = cluster.instances.iter().position(|one| one.name.as_str() == owner);
     place.expect("an owner that was started")
 }
+
+/// Settings with models that engines hold from the start, and their time for a token.
+pub(crate) fn preloaded(models: &[&str], token_us: &str) -> ClusterSettings {
+    ClusterSettings {
+        preload: models.iter().map(|model| (*model).to_owned()).collect(),
+        engine_flags: ["--token-us", token_us, "--load-ms", "100"].map(str::to_owned).to_vec(),
+        ..ClusterSettings::default()
+    }
+}
+
+/// The place of another instance in the data centre of the one at `place`.
+pub(crate) fn beside(cluster: &LocalCluster, place: usize) -> usize {
+    let own = &cluster.instances[place];
+    let is_beside = |one: &LocalInstance| one.centre == own.centre && one.name != own.name;
+    cluster.instances.iter().position(is_beside).expect("another instance")
+}
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -205,21 +205,13 @@
 
     fn relay_call(&self, route: &OwnerRoute) -> RelayCall {
         let request = &self.wish.request;
-        let remaining = request.deadline.saturating_duration_since(Instant::now());
         RelayCall {
-            request_id: request.id.clone(),
-            upstream: route.upstream.clone(),
-            caller: request.caller.clone(),
-            weight: self.path.weight(request),
-            rank: request.rank,
             model: Some(self.target.model.clone()),
             adapter: self.target.adapter.clone(),
             stream: self.target.stream,
             resume_from: self.next_index,
             repeatable: true,
-            age_ms: request.arrival.elapsed().as_millis() as u64,
-            remaining_ms: remaining.as_millis() as u64,
-            cost_ms: CallCost::of_generation(&request.body).as_millis() as u64,
+            ..self.path.relay_call(request, route, CallCost::of_generation(&request.body))
         }
     }
 
--- a/crates/wheel_serving/src/plain_run.rs
+++ b/crates/wheel_serving/src/plain_run.rs
@@ -173,23 +173,9 @@
     }
 
     fn relay_call(&self, route: &OwnerRoute) -> RelayCall {
-        let request = &self.wish.request;
-        let remaining = request.deadline.saturating_duration_since(Instant::now());
-        RelayCall {
-            request_id: request.id.clone(),
-            upstream: route.upstream.clone(),
-            caller: request.caller.clone(),
-            weight: self.path.weight(request),
-            rank: request.rank,
-            model: None,
-            adapter: None,
-            stream: false,
-            resume_from: 0,
-            repeatable: self.target.repeatable,
-            age_ms: request.arrival.elapsed().as_millis() as u64,
-            remaining_ms: remaining.as_millis() as u64,
-            cost_ms: CallCost::of_plain_call().as_millis() as u64,
-        }
+        let repeatable = self.target.repeatable;
+        let call = self.path.relay_call(&self.wish.request, route, CallCost::of_plain_call());
+        RelayCall { repeatable, ..call }
     }
 }
 
--- a/crates/wheel_serving/src/serving_path.rs
+++ b/crates/wheel_serving/src/serving_path.rs
@@ -19,8 +19,8 @@
 use crate::plain_run::PlainRun;
 use crate::relay_refusal::RelayRefusal;
 use crate::{
-    ClaimKeeper, DecisionLog, DemandBoard, OwnerRoute, OwnerTable, RelayClients, RelayKey,
-    ReplicaDirectory,
+    ClaimKeeper, DecisionLog, DemandBoard, OwnerRoute, OwnerTable, RelayCall, RelayClients,
+    RelayKey, ReplicaDirectory,
 };
 
 /// The least time between two looks at the directory while nothing changes.
@@ -180,8 +180,33 @@
         Duration::from_millis(spec.map_or(MIN_RETRY_MS, |spec| spec.load_ms.max(MIN_RETRY_MS)))
     }
 
+    /// What an owner is told of a plain call; a generation adds its model.
+    pub(crate) fn relay_call(
+        &self,
+        request: &CallerRequest,
+        route: &OwnerRoute,
+        cost: Duration,
+    ) -> RelayCall {
+        let remaining = request.deadline.saturating_duration_since(Instant::now());
+        RelayCall {
+            request_id: request.id.clone(),
+            upstream: route.upstream.clone(),
+            caller: request.caller.clone(),
+            weight: self.weight(request),
+            rank: request.rank,
+            model: None,
+            adapter: None,
+            stream: false,
+            resume_from: 0,
+            repeatable: false,
+            age_ms: request.arrival.elapsed().as_millis() as u64,
+            remaining_ms: remaining.as_millis() as u64,
+            cost_ms: cost.as_millis() as u64,
+        }
+    }
+
     /// The caller's weight in the text in force.
-    pub(crate) fn weight(&self, request: &CallerRequest) -> u32 {
+    fn weight(&self, request: &CallerRequest) -> u32 {
         let text = self.parts.source.current();
         let spec = text.as_ref().and_then(|text| text.index.caller(request.caller.as_str()));
         spec.map_or(1, |spec| spec.weight)
