Take changed floors over, and let cut-off control instances follow the text

Causes: an upstream whose specification didn't change kept its queue, so that changed ranks and floors never reached it; follow_unchanged_upstream_is_kept_and_changed_ranks_or_slots_are_taken_over failed first. And a control instance followed the text from its log only: one that is cut off from the group, or was removed from it, held an old text though its neighbours had the new one.

--- a/crates/wheel_daemon/src/daemon_parts.rs
+++ b/crates/wheel_daemon/src/daemon_parts.rs
@@ -59,7 +59,8 @@
         self.draining.load(Ordering::Acquire)
     }
 
-    /// The instance from which the text is followed; `None` at a control instance.
+    /// The instance from which the text is followed first; `None` at a control instance, which has
+    /// it from the log and follows others only while it is cut off from the group.
     pub fn text_parent(&self) -> Option<InstanceName> {
         match &self.control {
             Some(_) => None,
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -211,14 +211,13 @@
     let own_control = control.clone();
     let address_book: Arc<dyn AddressBook> = book.clone();
     let group = GroupClient::new(hub.clone(), address_book, own_control, &settings.control);
-    if control.is_none() {
-        let follower = FollowerSettings {
-            instance: settings.instance.clone(),
-            folder: settings.data_folder.clone(),
-        };
-        let text = Arc::clone(&text);
-        TextFollower::spawn(follower, hub.clone(), book.clone(), book.clone(), text);
-    }
+    let follower = FollowerSettings {
+        instance: settings.instance.clone(),
+        // A control instance has the text in its log.
+        folder: settings.data_folder.clone().filter(|_| control.is_none()),
+    };
+    let followed = Arc::clone(&text);
+    TextFollower::spawn(follower, hub.clone(), book.clone(), book.clone(), followed);
     let directory = ReplicaDirectory::open(clock, settings.centre.clone(), seed);
     let sender = ReportSender::new(hub.clone(), Arc::clone(&book), &directory);
     let owner_settings = OwnerSettings {
--- a/crates/wheel_serving/src/owned_upstream.rs
+++ b/crates/wheel_serving/src/owned_upstream.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderValue, Method};
 use tokio_util::sync::CancellationToken;
 use wheel_policy::{QueueSettings, QueuedRequest};
-use wheel_text::{ServingText, UpstreamKind, UpstreamSpec};
+use wheel_text::{RankSpec, ServingText, UpstreamKind, UpstreamSpec};
 use wheel_types::{EngineCall, ModelName, RequestOutcome};
 use wheel_upstream::{
     CallTimeouts, EngineClient, EngineSettings, GenerateCall, GeneratePath, ServiceCall,
@@ -30,6 +30,7 @@
 /// Queues requests for one upstream and calls it.
 pub struct OwnedUpstream {
     spec: UpstreamSpec,
+    ranks: Vec<RankSpec>,
     clock: ProcessClock,
     queue: Arc<SlotQueue>,
     usage: Arc<UsageTable>,
@@ -67,12 +68,19 @@
             queue: SlotQueue::spawn(clock, queue_settings),
             usage: Arc::default(),
             disowned: CancellationToken::new(),
+            ranks: text.text.ranks.clone(),
             spec,
             clock,
             client,
         })
     }
 
+    /// Whether a text asks for exactly this upstream and this queue.
+    pub(crate) fn fits(&self, text: &ServingText) -> bool {
+        text.index.upstream(self.spec.name.as_str()) == Some(&self.spec)
+            && text.text.ranks == self.ranks
+    }
+
     /// Its specification.
     pub fn spec(&self) -> &UpstreamSpec {
         &self.spec
--- a/crates/wheel_serving/src/owner_table.rs
+++ b/crates/wheel_serving/src/owner_table.rs
@@ -71,8 +71,7 @@
         {
             let mut owned = self.owned.write();
             owned.retain(|name, held| {
-                let keeps =
-                    text.index.upstream(name.as_str()) == Some(held.spec()) && is_owner(name);
+                let keeps = held.fits(text) && is_owner(name);
                 if !keeps {
                     given_up.push(Arc::clone(held));
                 }
