Noticed silence behind the answer of an older call

A call that is given up without an answer now leaves its connection in doubt, and only a probe's own answer settles that. A probe that goes unanswered while other bytes come doesn't retire the connection, but is sent again.

Weighed: requiring the probe's answer always was ruled out, for large bodies may hold it up on a link that works.

A new test brings the case about; it fails without the doubt, and with the doubt settled by any byte.

--- a/crates/wheel_peer/src/peer_connection.rs
+++ b/crates/wheel_peer/src/peer_connection.rs
@@ -23,17 +23,30 @@
     pub(crate) transfers: Semaphore,
     pending: Cell<usize>,
     watched: Cell<bool>,
+    doubted: Cell<bool>,
     asked: Cell<Instant>,
     gauge: Rc<StreamGauge>,
     closing: DropGuard,
 }
 
-/// Counts a call as in hand on its connection until it is dropped.
-pub(crate) struct PendingCall(Rc<PeerConnection>);
+/// Counts a call as in hand on its connection until it is dropped. A call that is given up without
+/// an answer leaves the connection in doubt.
+pub(crate) struct PendingCall {
+    connection: Rc<PeerConnection>,
+    answered: bool,
+}
+
+impl PendingCall {
+    pub(crate) fn finish(mut self) {
+        self.answered = true;
+    }
+}
 
 impl Drop for PendingCall {
     fn drop(&mut self) {
-        self.0.pending.set(self.0.pending.get() - 1);
+        let connection = &self.connection;
+        connection.pending.set(connection.pending.get() - 1);
+        connection.doubted.set(connection.doubted.get() || !self.answered);
     }
 }
 
@@ -76,6 +89,7 @@
             transfers: Semaphore::new(context.settings.limits.max_transfers),
             pending: Cell::new(0),
             watched: Cell::new(false),
+            doubted: Cell::new(false),
             asked: Cell::new(gauge.last_received()),
             gauge,
             closing,
@@ -118,7 +132,7 @@
     /// Counts a call as in hand.
     pub(crate) fn begin(self: &Rc<Self>) -> PendingCall {
         self.pending.set(self.pending.get() + 1);
-        PendingCall(self.clone())
+        PendingCall { connection: self.clone(), answered: false }
     }
 
     /// True if nothing watches the connection yet; from now on something does.
@@ -137,11 +151,22 @@
         }
     }
 
-    /// Whether the peer answers a probe in time.
+    /// Whether the watch may end: no call is in hand, and none was given up since the last probe
+    /// that was answered.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.pending() == 0 && !self.is_silent() && !self.doubted.get()
+    }
+
+    /// Whether anything of the peer is heard in time after a probe.
     pub(crate) async fn probe(&self, limit: Duration) -> bool {
+        self.doubted.set(false);
         self.ask();
+        let start = Instant::now();
         let answer = self.session.probe_request().send().promise;
-        matches!(timeout(limit, answer).await, Ok(Ok(_)))
+        let answered = matches!(timeout(limit, answer).await, Ok(Ok(_)));
+        // What is heard may answer an earlier call; only the probe's own answer settles a doubt.
+        self.doubted.set(self.doubted.get() || !answered);
+        answered || self.last_received() > start
     }
 }
 
--- a/crates/wheel_peer/src/peer_link.rs
+++ b/crates/wheel_peer/src/peer_link.rs
@@ -93,12 +93,15 @@
         let row = self.context.counters.row(call.channel);
         count(&row.calls_sent, 1);
         count(&row.bytes_sent, call.body.len());
-        let _pending = connection.begin();
+        let pending = connection.begin();
         self.watch(&connection);
-        tokio::select! {
-            answer = call.exchange(&connection, self.context.settings.limits.max_body, sent) => answer,
+        let max_body = self.context.settings.limits.max_body;
+        let answer = tokio::select! {
+            answer = call.exchange(&connection, max_body, sent) => answer,
             () = connection.wait_closed() => Err(PeerError::Lost { sent: sent.get() }),
-        }
+        };
+        pending.finish();
+        answer
     }
 
     /// A connection that was heard a moment ago.
@@ -175,7 +178,7 @@
             let due = connection.quiet_since() + limits.silence;
             match () {
                 () if Instant::now() < due => sleep_until(due).await,
-                () if connection.pending() == 0 && !connection.is_silent() => break,
+                () if connection.is_settled() => break,
                 () if connection.probe(limits.probe).await => {}
                 () => self.retire(connection).await,
             }
--- a/crates/wheel_peer/tests/junk_input.rs
+++ b/crates/wheel_peer/tests/junk_input.rs
@@ -16,6 +16,8 @@
 use capnp_rpc::{RpcSystem, new_client};
 use futures_util::future::join_all;
 use peer_capnp::{gate, greet_answer};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use support::{LONG, address_of, bind, quick_limits, settings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -23,6 +25,10 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use wheel_peer::{PeerAddress, PeerChannel, PeerError, PeerHub, PeerLimits};
 
+/// Greetings that are damaged at random, and how many of them are sent at once.
+const DAMAGED_GREETINGS: u64 = 960;
+const AT_ONCE: u64 = 240;
+
 /// A version that this instance doesn't speak.
 const OTHER_VERSION: u32 = 2;
 
@@ -78,6 +84,50 @@
     check_alive(&server).await;
 }
 
+/// What a client sends first: the bootstrap and its greeting.
+async fn record_greeting() -> Vec<u8> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = PeerAddress::new("isan-b1".into(), listener.local_addr().unwrap());
+    let client = bind(settings("isan-a1"));
+    let call = client.call(&peer, PeerChannel::Text, Vec::new(), quick_limits().handshake);
+    let record = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = vec![0; 4_096];
+        let mut end = 0;
+        // The greeting is the message that names the instance.
+        while !bytes.windows(7).any(|window| window == b"isan-a1") {
+            end += stream.read(&mut bytes[end..]).await.unwrap();
+        }
+        bytes.truncate(end);
+        bytes
+    };
+    tokio::join!(call, record).1
+}
+
+#[tokio::test]
+async fn accept_damaged_greetings_lives() {
+    let limits = PeerLimits { handshake: Duration::from_millis(800), ..quick_limits() };
+    let server = bind(settings("isan-b1").limits(limits));
+    let greeting = record_greeting().await;
+    let mut random = StdRng::seed_from_u64(11);
+    for _ in 0..DAMAGED_GREETINGS / AT_ONCE {
+        let damaged = (0..AT_ONCE).map(|_| damage(&greeting, &mut random)).collect::<Vec<_>>();
+        join_all(damaged.iter().map(|bytes| send_junk(&server, bytes))).await;
+    }
+    wait_turned_away(&server, DAMAGED_GREETINGS).await;
+    check_alive(&server).await;
+}
+
+/// Sets up to eight random bytes, half the time all within the first words of a message.
+fn damage(greeting: &[u8], random: &mut StdRng) -> Vec<u8> {
+    let mut bytes = greeting.to_vec();
+    let end = if random.random() { bytes.len() } else { bytes.len().min(64) };
+    for _ in 0..random.random_range(1..=8) {
+        bytes[random.random_range(0..end)] = random.random();
+    }
+    bytes
+}
+
 #[tokio::test]
 async fn accept_full_table_turns_away_then_recovers() {
     let limits = PeerLimits { max_accepted: 2, ..quick_limits() };
--- a/crates/wheel_peer/tests/silent_connection.rs
+++ b/crates/wheel_peer/tests/silent_connection.rs
@@ -15,34 +15,42 @@
 use tokio::net::{TcpListener, TcpStream};
 use wheel_peer::{PeerAddress, PeerChannel, PeerError, PeerHub, PeerLimits};
 
-/// Forwards connections; those with a number below `muted` swallow what they read.
+/// Forwards connections; those with a number below a mark swallow what they read.
 struct TestRelay {
     address: SocketAddr,
-    muted: Arc<AtomicUsize>,
+    muted_calls: Arc<AtomicUsize>,
+    muted_answers: Arc<AtomicUsize>,
 }
 
 impl TestRelay {
     async fn bind(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let muted = Arc::new(AtomicUsize::new(0));
-        let muting = muted.clone();
+        let muted_calls = Arc::new(AtomicUsize::new(0));
+        let muted_answers = Arc::new(AtomicUsize::new(0));
+        let (calls, answers) = (muted_calls.clone(), muted_answers.clone());
         tokio::spawn(async move {
             for number in 0.. {
                 let (near, _) = listener.accept().await.unwrap();
                 let far = TcpStream::connect(target).await.unwrap();
                 let (near_reader, near_writer) = near.into_split();
                 let (far_reader, far_writer) = far.into_split();
-                tokio::spawn(forward(near_reader, far_writer, number, muting.clone()));
-                tokio::spawn(forward(far_reader, near_writer, number, muting.clone()));
+                tokio::spawn(forward(near_reader, far_writer, number, calls.clone()));
+                tokio::spawn(forward(far_reader, near_writer, number, answers.clone()));
             }
         });
-        Self { address, muted }
+        Self { address, muted_calls, muted_answers }
     }
 
     /// Silences the connections that were made so far, of which there are `made`.
     fn mute(&self, made: usize) {
-        self.muted.store(made, Ordering::SeqCst);
+        self.mute_calls(made);
+        self.muted_answers.store(made, Ordering::SeqCst);
+    }
+
+    /// The same towards the server only.
+    fn mute_calls(&self, made: usize) {
+        self.muted_calls.store(made, Ordering::SeqCst);
     }
 }
 
@@ -67,7 +75,13 @@
 
 /// A client, a held server and the relay between them, over which one call has gone.
 async fn relayed(limits: PeerLimits) -> (PeerHub, PeerHub, TestRelay, PeerAddress) {
-    let server = bind(settings("isan-b1"));
+    relayed_to(bind(settings("isan-b1")), limits).await
+}
+
+async fn relayed_to(
+    server: PeerHub,
+    limits: PeerLimits,
+) -> (PeerHub, PeerHub, TestRelay, PeerAddress) {
     let client = bind(settings("isan-a1").limits(limits));
     let relay = TestRelay::bind(server.local_addr()).await;
     let peer = PeerAddress::new("isan-b1".into(), relay.address);
@@ -85,22 +99,56 @@
     assert_eq!((client.counters().retired, client.counters().opened), (1, 2));
 }
 
-#[tokio::test]
-async fn call_short_on_silent_connection_replaced_without_further_calls() {
-    let (client, _server, relay, peer) = relayed(quick_limits()).await;
-    relay.mute(1);
+/// Makes a call that is given up soon, after which the connection must be replaced.
+async fn give_up_call(client: &PeerHub, peer: &PeerAddress) {
     let short = quick_limits().silence / 5;
-    let outcome = client.call(&peer, PeerChannel::Lease, b"beat".to_vec(), short).await;
-    assert_eq!(outcome, Err(PeerError::TimedOut { sent: true }));
+    loop {
+        match client.call(peer, PeerChannel::Lease, b"beat".to_vec(), short).await {
+            Err(PeerError::TimedOut { sent: true }) => return,
+            // A slow machine didn't get it out in time.
+            Err(PeerError::TimedOut { sent: false }) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+async fn wait_replaced(client: &PeerHub) {
     let replaced = async {
         while client.counters().retired == 0 {
-            tokio::time::sleep(short).await;
+            tokio::time::sleep(quick_limits().silence / 5).await;
         }
     };
     tokio::time::timeout(LONG, replaced).await.unwrap();
     assert_eq!(client.counters().opened, 2);
 }
 
+#[tokio::test]
+async fn call_short_on_silent_connection_replaced_without_further_calls() {
+    let (client, _server, relay, peer) = relayed(quick_limits()).await;
+    relay.mute(1);
+    give_up_call(&client, &peer).await;
+    wait_replaced(&client).await;
+}
+
+#[tokio::test]
+async fn call_short_on_silent_connection_replaced_though_an_older_answer_comes() {
+    let handler = Arc::new(TestHandler::default());
+    let held = handler.held.clone();
+    let server = PeerHub::bind(settings("isan-b1"), handler).unwrap();
+    let (client, _server, relay, peer) = relayed_to(server, quick_limits()).await;
+    let short = async {
+        held.begun.acquire().await.unwrap().forget();
+        relay.mute_calls(1);
+        give_up_call(&client, &peer).await;
+        // By now a probe is on its way; the older answer must not pass for its own.
+        tokio::time::sleep(3 * quick_limits().silence).await;
+        held.release.add_permits(1);
+    };
+    let (older, ()) = tokio::join!(ask(&client, &peer, b"hold"), short);
+    assert_eq!(older, Ok(b"held".to_vec()));
+    wait_replaced(&client).await;
+}
+
 #[tokio::test]
 async fn call_idle_connection_probed_before_reuse() {
     let limits = PeerLimits { idle_probe: Duration::ZERO, ..quick_limits() };
