--- a/crates/wheel_replay/src/main.rs
+++ b/crates/wheel_replay/src/main.rs
@@ -3,12 +3,12 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use wheel_replay::{ReplayPolicy, ReplaySetup, ReportTable, SitePlan, TraceFile};
+use wheel_replay::{ReplayPolicy, ReplaySetup, ReportPlot, ReportTable, SitePlan, TraceFile};
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let mut options = getopts::Options::new();
-    options.optopt("", "csv", "write the reports as CSV into this folder", "FOLDER");
+    options.optopt("", "out", "write reports as CSV and SVG into this folder", "FOLDER");
     options.optopt("", "load-factor", "make every load take this many times as long", "FACTOR");
     options.optopt("", "model-factor", "put this many times the models on the engines", "FACTOR");
     options.optopt("", "policy", "replay only policies whose name begins so", "NAME");
@@ -39,10 +39,23 @@
         let reports = chosen.map(|policy| setup.replay(policy)).collect();
         let table = ReportTable { title: trace.header.title.clone(), reports };
         println!("{}", table.to_text());
+        if let Some(folder) = matches.opt_str("out")
+            && let Err(problem) = write_files(&table, Path::new(&folder), Path::new(path))
+        {
+            return fail(&problem);
+        }
     }
     ExitCode::SUCCESS
 }
 
+/// Writes a table beside its trace's name, as CSV and as SVG.
+fn write_files(table: &ReportTable, folder: &Path, trace: &Path) -> Result<(), String> {
+    let name = trace.file_stem().unwrap_or_default();
+    let csv = folder.join(name).with_extension("csv");
+    std::fs::write(&csv, table.to_csv()).map_err(|error| format!("{}: {error}", csv.display()))?;
+    ReportPlot { table }.write(&folder.join(name).with_extension("svg"))
+}
+
 fn fail(problem: &str) -> ExitCode {
     eprintln!("wheel_replay: {problem}");
     ExitCode::FAILURE
