--- a/crates/wheel_policy/src/load_candidate.rs
+++ b/crates/wheel_policy/src/load_candidate.rs
@@ -36,11 +36,12 @@
     pub(crate) reason: PlacementReason,
 }
 
-/// Worth of what waits for a model that is ready at `ready`.
+/// Worth of what waits for a model that is ready at `ready` and then serves `slots` at once.
 pub(crate) fn waiting_value(
     now: MonotonicTime,
     ready: MonotonicTime,
     demand: &ModelDemand,
+    slots: u32,
     worth: impl Fn(&RankDemand) -> f64,
 ) -> f64 {
     let values = demand.waiting.iter().map(|rank| {
@@ -50,7 +51,7 @@
             _ => 1.0 + 1.0 / (1.0 + slack_s),
         };
         let aging = 1.0 + now.since(rank.oldest_arrival).as_secs_f64() / AGING_S;
-        worth(rank) * f64::from(rank.count) * urgency * aging
+        worth(rank) * f64::from(rank.count.min(slots)) * urgency * aging
     });
     values.sum()
 }
--- a/crates/wheel_policy/src/load_pass.rs
+++ b/crates/wheel_policy/src/load_pass.rs
@@ -90,7 +90,8 @@
         match demand {
             _ if waiting > 0 && count.ready == 0 => Some(Self::waiting(round, demand, load_s)),
             demand if Self::is_busy(round, demand) => {
-                let value = BUSY_SHARE * demand.worth * f64::from(demand.queued);
+                let served = demand.queued.min(Self::engine_slots(round));
+                let value = BUSY_SHARE * demand.worth * f64::from(served);
                 let reason = PlacementReason::Busy { queued: demand.queued };
                 Some(Self::candidate(demand, LoadKind::Demand, value, load_s, reason))
             }
@@ -109,7 +110,8 @@
     fn waiting(round: &PlanRound<'_>, demand: &ModelDemand, load_s: f64) -> LoadCandidate {
         let ready = round.now + Duration::from_secs_f64(load_s);
         let worth = |rank: &RankDemand| round.text.worth(rank.rank);
-        let value = waiting_value(round.now, ready, demand, worth);
+        let slots = Self::engine_slots(round);
+        let value = waiting_value(round.now, ready, demand, slots, worth);
         let value_rate = value / load_s.max(f64::MIN_POSITIVE);
         let reason = PlacementReason::Waiting { count: demand.waiting_count(), value_rate };
         Self::candidate(demand, LoadKind::Demand, value, load_s, reason)
@@ -326,6 +328,12 @@
         }
     }
 
+    /// Requests that one more replica works on at once: a longer queue makes no load more pressing,
+    /// so that a flood doesn't crowd out the loads of other ranks.
+    fn engine_slots(round: &PlanRound<'_>) -> u32 {
+        round.fleet.engines.iter().map(|engine| engine.slots).max().unwrap_or(1)
+    }
+
     fn is_busy(round: &PlanRound<'_>, demand: &ModelDemand) -> bool {
         let engines = round.fleet.engines.iter();
         let ready = engines.filter(|engine| {
--- a/crates/wheel_policy/src/queue_settings.rs
+++ b/crates/wheel_policy/src/queue_settings.rs
@@ -37,7 +37,7 @@
             caller_capacity: 256,
             ranks: Vec::new(),
             first_slot_time: Duration::from_secs(2),
-            first_byte: Duration::from_millis(100),
+            first_byte: Duration::from_millis(500),
             seed: 0,
         }
     }
