--- a/crates/wheel_policy/src/engine_router.rs
+++ b/crates/wheel_policy/src/engine_router.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lru::LruCache;
-use wheel_types::{LoadReport, ModelName, MonotonicTime, UpstreamName};
+use wheel_types::{LoadReport, ModelName, MonotonicTime, RequestRank, UpstreamName};
 
 use crate::moving_average::MovingAverage;
 use crate::upstream_load::UpstreamLoad;
@@ -109,6 +109,14 @@
         }
     }
 
+    /// Tells of what rank a request is that was recorded as sent, or as ended: where ranks are told,
+    /// the less urgent ones that wait at an upstream don't keep more urgent ones away.
+    pub fn record_rank(&mut self, upstream: &UpstreamName, rank: RequestRank, sent: bool) {
+        if let Some(load) = self.loads.get_mut(upstream) {
+            load.count_rank(rank, if sent { 1 } else { -1 });
+        }
+    }
+
     /// Counts how long the first byte of a request took in its slot, to find slow upstreams.
     pub fn record_first_byte(&mut self, upstream: &UpstreamName, latency: Duration) {
         self.outliers.observe_latency(upstream, latency);
@@ -160,7 +168,7 @@
         let probe = fresh.iter().find(|replica| self.outliers.wants_probe(now, &replica.upstream));
         if let Some(replica) = probe.map(|replica| (*replica).clone()) {
             self.outliers.begin_probe(now, &replica.upstream);
-            return self.answer(&replica, RouteReason::Probe);
+            return self.answer(&replica, query.rank, RouteReason::Probe);
         }
         let is_healthy =
             |replica: &&&ReplicaView| !self.outliers.is_ejected(now, &replica.upstream);
@@ -175,13 +183,13 @@
             None => RouteAnswer::Exhausted,
             Some(replica) => {
                 let reason = reason_for(replica, query, hinted.as_ref(), healthy.len());
-                self.answer(replica, reason)
+                self.answer(replica, query.rank, reason)
             }
         }
     }
 
-    fn answer(&self, replica: &ReplicaView, reason: RouteReason) -> RouteAnswer {
-        let wait_ms = self.wait_ms(replica) + 2.0 * replica.delay_ms;
+    fn answer(&self, replica: &ReplicaView, rank: RequestRank, reason: RouteReason) -> RouteAnswer {
+        let wait_ms = self.wait_ms(replica, rank) + 2.0 * replica.delay_ms;
         RouteAnswer::Engine {
             upstream: replica.upstream.clone(),
             centre: replica.centre.clone(),
@@ -190,8 +198,13 @@
         }
     }
 
-    fn wait_ms(&self, replica: &ReplicaView) -> f64 {
-        let depth = self.loads.get(&replica.upstream).map_or(0, UpstreamLoad::depth);
+    fn depth(&self, replica: &ReplicaView, rank: RequestRank) -> u32 {
+        let load = self.loads.get(&replica.upstream);
+        load.map_or(0, |load| load.depth_for(rank, replica.slots))
+    }
+
+    fn wait_ms(&self, replica: &ReplicaView, rank: RequestRank) -> f64 {
+        let depth = self.depth(replica, rank);
         let slots = replica.slots.max(1);
         let ahead = (depth + 1).saturating_sub(slots);
         f64::from(ahead) * self.slot_time_ms.value() / f64::from(slots)
@@ -203,11 +216,11 @@
         query: &RouteQuery,
         hinted: Option<&UpstreamName>,
     ) -> f64 {
-        let depth = self.loads.get(&replica.upstream).map_or(0, UpstreamLoad::depth);
+        let depth = self.depth(replica, query.rank);
         let filled = f64::from(depth) / f64::from(replica.slots.max(1));
         let adapter_ms = if has_adapter(replica, query) { 0.0 } else { ADAPTER_LOAD_MS };
         let saving_ms = if hinted == Some(&replica.upstream) { PREFIX_SAVING_MS } else { 0.0 };
-        self.wait_ms(replica)
+        self.wait_ms(replica, query.rank)
             + BATCH_MS * filled.min(1.0)
             + 2.0 * replica.delay_ms
             + PRICE_MS * replica.price
--- a/crates/wheel_policy/src/load_pass.rs
+++ b/crates/wheel_policy/src/load_pass.rs
@@ -12,6 +12,10 @@
 
 /// Share of what waits at loaded replicas that another replica would save.
 const BUSY_SHARE: f64 = 0.5;
+/// Part of an engine's memory that further replicas of less worthy models leave free.
+const ROOM_PART: u64 = 2;
+/// Waiting requests of a busy model, for each slot of an engine.
+const BUSY_QUEUE: f64 = 0.25;
 /// Candidates that are placed in one round at most.
 const MAX_CANDIDATES: usize = 64;
 /// Forecast candidates among them.
@@ -277,6 +281,10 @@
         if candidate.kind == LoadKind::Forecast && !Self::are_settled(round, engine, &choice) {
             return None;
         }
+        let room_mib = free_mib.saturating_sub(spec.memory_mib);
+        if Self::must_leave_room(round, candidate) && room_mib < engine.memory_mib / ROOM_PART {
+            return None;
+        }
         let source = engine.source(model);
         let load_s = round.load_time(model, source).as_secs_f64();
         let wait_s = if choice.waits { EVICTION_S } else { 0.0 };
@@ -288,6 +296,14 @@
         Some(LoadPlace { index, choice, source, cost, opening })
     }
 
+    /// Whether a load must leave memory free: further replicas of less worthy models, which stay in
+    /// use for as long as their flood lasts, would keep the most worthy ones out.
+    fn must_leave_room(round: &PlanRound<'_>, candidate: &LoadCandidate) -> bool {
+        let busy = matches!(candidate.reason, PlacementReason::Busy { .. });
+        let worth = round.demands.get(&candidate.model).map_or(0.0, |demand| demand.worth);
+        busy && worth < round.text.top_worth()
+    }
+
     /// Whether all victims have been here for as long as an engine is opened for: what a forecast
     /// brought isn't taken away by the next one.
     fn are_settled(round: &PlanRound<'_>, engine: &EngineView, choice: &EvictionChoice) -> bool {
@@ -334,13 +350,20 @@
         round.fleet.engines.iter().map(|engine| engine.slots).max().unwrap_or(1)
     }
 
+    /// Whether requests wait for the model at all engines that have it, because these are full; the
+    /// engine's other models take their part of its slots.
     fn is_busy(round: &PlanRound<'_>, demand: &ModelDemand) -> bool {
-        let engines = round.fleet.engines.iter();
-        let ready = engines.filter(|engine| {
-            engine.models.iter().any(|placed| placed.model == demand.model && placed.takes_work())
-        });
-        let slots: u32 = ready.map(|engine| engine.slots).sum();
-        f64::from(demand.queued) > round.settings.queue_per_slot * f64::from(slots) && slots > 0
+        let has = |engine: &&EngineView| {
+            let mut models = engine.models.iter();
+            models.any(|placed| placed.model == demand.model && placed.takes_work())
+        };
+        let full = |engine: &EngineView| {
+            let in_use: u32 = engine.models.iter().map(|placed| placed.in_use).sum();
+            f64::from(in_use) > (1.0 + round.settings.queue_per_slot) * f64::from(engine.slots)
+        };
+        let mut ready = round.fleet.engines.iter().filter(has).peekable();
+        let waits = f64::from(demand.queued) > BUSY_QUEUE * f64::from(Self::engine_slots(round));
+        waits && ready.peek().is_some() && ready.all(full)
     }
 
     fn best_load_s(round: &PlanRound<'_>, model: &ModelName) -> f64 {
--- a/crates/wheel_policy/src/placement_settings.rs
+++ b/crates/wheel_policy/src/placement_settings.rs
@@ -28,7 +28,7 @@
     pub demand_span: Duration,
     /// How much more a forecast load must gain than it costs.
     pub forecast_margin: f64,
-    /// Requests waiting for each slot of the loaded replicas that ask for one more.
+    /// Requests waiting for each slot at all engines of a model that ask for one more replica.
     pub queue_per_slot: f64,
     /// Steps that one plan takes at most.
     pub max_steps: usize,
--- a/crates/wheel_policy/src/placement_text.rs
+++ b/crates/wheel_policy/src/placement_text.rs
@@ -50,6 +50,11 @@
         self.worths.get(rank.index()).copied().unwrap_or(1.0)
     }
 
+    /// The highest worth of all ranks.
+    pub(crate) fn top_worth(&self) -> f64 {
+        self.worths.iter().copied().fold(0.0, f64::max)
+    }
+
     /// Models without which the services that use `model` can't answer.
     pub(crate) fn needs(&self, model: &ModelName) -> &[ModelName] {
         self.needs.get(model).map_or(&[], Vec::as_slice)
--- a/crates/wheel_policy/src/upstream_load.rs
+++ b/crates/wheel_policy/src/upstream_load.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use wheel_types::{LoadReport, MonotonicTime};
+use wheel_types::{LoadReport, MonotonicTime, RequestRank};
 
 /// Sends that are remembered until a report covers them; older ones count on as one number.
 const MAX_SENDS: usize = 512;
@@ -14,6 +14,7 @@
     true_at: MonotonicTime,
     sends: VecDeque<MonotonicTime>,
     finished_since: u32,
+    by_rank: [u32; RequestRank::MAX_RANKS],
 }
 
 impl UpstreamLoad {
@@ -46,6 +47,20 @@
         self.finished_since += 1;
     }
 
+    /// Counts a request of `rank` among those that are under way from here.
+    pub(crate) fn count_rank(&mut self, rank: RequestRank, change: i32) {
+        if let Some(count) = self.by_rank.get_mut(rank.index()) {
+            *count = count.saturating_add_signed(change);
+        }
+    }
+
+    /// Requests that go before one of `rank` or run there already. Less urgent ones from here only
+    /// count as far as they may run.
+    pub(crate) fn depth_for(&self, rank: RequestRank, slots: u32) -> u32 {
+        let below: u32 = self.by_rank.iter().skip(rank.index() + 1).sum();
+        self.depth().saturating_sub(below.saturating_sub(slots / 2))
+    }
+
     /// Requests that run or wait there, as far as is known.
     pub(crate) fn depth(&self) -> u32 {
         let known = self.report.running + self.report.waiting + self.sends.len() as u32;
--- a/crates/wheel_policy/tests/engine_router.rs
+++ b/crates/wheel_policy/tests/engine_router.rs
@@ -69,6 +69,21 @@
     assert_eq!(chosen(&router.choose(now, &query())), "near");
 }
 
+#[test]
+fn choose_less_urgent_queue_keeps_no_urgent_away() {
+    let mut router = open_router(vec![replica("digests", 0.0), replica("questions", 0.0)]);
+    let now = MonotonicTime::default();
+    for (upstream, rank, count) in [("digests", 2, 100), ("questions", 0, 12)] {
+        for _ in 0..count {
+            router.record_sent(now, &upstream.into(), None);
+            router.record_rank(&upstream.into(), RequestRank(rank), true);
+        }
+    }
+    assert_eq!(chosen(&router.choose(now, &query())), "digests");
+    let digest = RouteQuery { rank: RequestRank(2), ..query() };
+    assert_eq!(chosen(&router.choose(now, &digest)), "questions");
+}
+
 #[test]
 fn choose_prefix_is_hint_only() {
     let mut router = open_router(vec![replica("a", 0.0), replica("b", 0.0)]);
--- a/crates/wheel_replay/src/call_flow.rs
+++ b/crates/wheel_replay/src/call_flow.rs
@@ -31,7 +31,9 @@
         };
         match self.centres[centre].router.choose(self.now, &query) {
             RouteAnswer::Engine { upstream, .. } => {
+                let rank = self.calls[index].rank;
                 self.centres[centre].router.record_sent(self.now, &upstream, None);
+                self.centres[centre].router.record_rank(&upstream, rank, true);
                 let found = self.engines.iter().position(|one| one.view.upstream == upstream);
                 let Some(engine) = found else { return };
                 self.use_model(engine, &model, 1);
@@ -113,7 +115,9 @@
     fn record_end(&mut self, index: usize, engine: usize, span: Duration, succeeded: bool) {
         let centre = self.calls[index].centre;
         let upstream = self.engines[engine].view.upstream.clone();
+        let rank = self.calls[index].rank;
         self.centres[centre].router.record_end(self.now, &upstream, span, succeeded);
+        self.centres[centre].router.record_rank(&upstream, rank, false);
     }
 
     pub(crate) fn cold_offer(&mut self, index: usize, centre: usize) {
