--- a/crates/wheel_policy/src/engine_queue.rs
+++ b/crates/wheel_policy/src/engine_queue.rs
@@ -7,7 +7,8 @@
 
 use crate::moving_average::MovingAverage;
 use crate::rank_credit::RankCredit;
-use crate::rank_queue::{FlowKey, RankQueue};
+use crate::rank_queue::FlowKey;
+use crate::rank_state::{ARRIVAL_SPAN, RankState};
 use crate::{
     OfferAnswer, QueueSettings, QueuedRequest, RefusalReason, RefusedRequest, SeededRandom,
     ServiceSample,
@@ -15,10 +16,6 @@
 
 /// Weight of a new sample in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
-/// Weight of a new sample in a maximum that fades.
-const FADE_WEIGHT: f64 = 0.005;
-/// Time over which arriving work is averaged.
-const ARRIVAL_SPAN: Duration = Duration::from_secs(5);
 /// Share of `retry_after` that jitter may add.
 const JITTER_SHARE: f64 = 0.2;
 /// The shortest and the longest `retry_after`.
@@ -49,19 +46,6 @@
     random: SeededRandom,
 }
 
-/// One rank's waiting requests, floor and load.
-#[derive(Clone, Debug)]
-struct RankState {
-    queue: RankQueue,
-    credit: RankCredit,
-    running: u32,
-    arriving_s: f64,
-    /// Measured over expected slot time.
-    cost_factor: MovingAverage,
-    /// The longest times to the first byte of late, so that what is promised holds.
-    first_byte_s: f64,
-}
-
 /// Where a waiting request is.
 #[derive(Clone, Debug)]
 struct QueuePlace {
@@ -420,36 +404,3 @@
         }
     }
 }
-
-impl RankState {
-    fn new(first_byte: Duration) -> Self {
-        Self {
-            first_byte_s: first_byte.as_secs_f64(),
-            queue: RankQueue::default(),
-            credit: RankCredit::default(),
-            running: 0,
-            arriving_s: 0.0,
-            cost_factor: MovingAverage::new(1.0, SAMPLE_WEIGHT),
-        }
-    }
-
-    /// Time to the first byte to count with.
-    fn first_byte(&self) -> Duration {
-        Duration::from_secs_f64(self.first_byte_s)
-    }
-
-    fn learn_first_byte(&mut self, sample_s: f64) {
-        let faded_s = self.first_byte_s + FADE_WEIGHT * (sample_s - self.first_byte_s);
-        self.first_byte_s = faded_s.max(sample_s);
-    }
-
-    /// Slot time that expected `work` really takes, in seconds.
-    fn slot_seconds(&self, work: Duration) -> f64 {
-        work.as_secs_f64() * self.cost_factor.value()
-    }
-
-    /// Slots that the rank's arrivals keep busy.
-    fn arriving_slots(&self) -> f64 {
-        self.arriving_s * self.cost_factor.value() / ARRIVAL_SPAN.as_secs_f64()
-    }
-}
--- a/crates/wheel_policy/src/lib.rs
+++ b/crates/wheel_policy/src/lib.rs
@@ -39,6 +39,7 @@
 mod queued_request;
 mod rank_credit;
 mod rank_queue;
+mod rank_state;
 mod replica_view;
 mod retry_budget;
 mod route_answer;
