Follow the text past a removed voter, and take it back by its identity

Cause: after `voter remove isan-b1` that instance and its neighbour, which follows it first, stayed at the old revision; and it could not be added again, for a removed voter is listed nowhere. Ruled out: the tree (a neighbour without a removed parent followed), the log (the other voters had the change).

A control instance follows others like any entry; each third round asks another parent than the best one, which may be cut off itself; `voter add NAME/IDENTITY` takes an identity that isn't listed.

voter_removed_still_follows_and_comes_back_by_its_identity failed first (no revision 2 at b1 within 30 s), passes now.

--- a/crates/wheel_control/src/text_follower.rs
+++ b/crates/wheel_control/src/text_follower.rs
@@ -16,6 +16,8 @@
 const POLL_WAIT: Duration = Duration::from_secs(4);
 /// Time beyond [`POLL_WAIT`] after which a parent counts as silent.
 const POLL_GRACE: Duration = Duration::from_millis(800);
+/// Rounds of which one asks another parent than the best one.
+const CHECK_ROUNDS: u64 = 3;
 /// Pause after a parent couldn't be asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The file in the data folder that holds the last text, for a restart while cut off.
@@ -64,8 +66,8 @@
     }
 
     async fn run(self) {
-        loop {
-            let round = self.follow_round();
+        for number in 0_u64.. {
+            let round = self.follow_round(number);
             tokio::select! {
                 () = self.stopped.cancelled() => return,
                 () = round => {}
@@ -73,10 +75,18 @@
         }
     }
 
-    /// Asks the parents in turn until one answers; a new round begins with the best one again.
-    async fn follow_round(&self) {
-        for parent in self.choice.parents() {
-            if let Some(reply) = self.poll(&parent).await {
+    /// Asks the parents in turn until one answers; a new round begins with the best one again. Now
+    /// and then another one is asked first: the best one may itself be cut off.
+    async fn follow_round(&self, number: u64) {
+        let mut parents = self.choice.parents();
+        let is_check = number % CHECK_ROUNDS == CHECK_ROUNDS - 1 && parents.len() > 1;
+        if is_check {
+            let others = parents.len() as u64 - 1;
+            parents.rotate_left(1 + (number / CHECK_ROUNDS % others) as usize);
+        }
+        let wait = if is_check { Duration::ZERO } else { POLL_WAIT };
+        for parent in parents {
+            if let Some(reply) = self.poll(&parent, wait).await {
                 // A parent that follows this very instance has nothing of its own to give.
                 if reply.parent.as_ref() == Some(&self.settings.instance) {
                     continue;
@@ -88,12 +98,12 @@
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 
-    async fn poll(&self, parent: &InstanceName) -> Option<TextReply> {
+    async fn poll(&self, parent: &InstanceName, wait: Duration) -> Option<TextReply> {
         let (revision, hash) = self.text.held();
-        let wait_ms = POLL_WAIT.as_millis() as u64;
+        let wait_ms = wait.as_millis() as u64;
         let address = self.book.peer(parent)?;
         let body = encode(&TextPoll { revision, hash, wait_ms }).ok()?;
-        let limit = POLL_WAIT + POLL_GRACE;
+        let limit = wait + POLL_GRACE;
         let answer = self.hub.call(&address, PeerChannel::Text, body, limit).await.ok()?;
         decode(&answer).ok()
     }
--- a/crates/wheel_control/src/text_state.rs
+++ b/crates/wheel_control/src/text_state.rs
@@ -77,19 +77,18 @@
     }
 
     fn publish(&self, text: &AcceptedText) {
-        match OperatorsText::parse(&text.source) {
+        match OperatorsText::read_accepted(&text.source) {
             Ok(parsed) => {
                 let source = Arc::clone(&text.source);
                 let serving = ServingText::new(text.revision, text.hash, source, parsed);
                 info!("text_in_force", kv: { revision = text.revision.0 });
                 self.serving.send_replace(Some(Arc::new(serving)));
             }
-            // Every instance checks a text before it is proposed; one from a newer version may
-            // have keys that this version doesn't know. The text before stays in force.
-            Err(faults) => error!("text_not_understood", kv: {
+            // Every text is checked before it is proposed, which isn't repeated here. One from a newer
+            // version may have keys that this one doesn't know: the text before stays in force.
+            Err(fault) => error!("text_not_understood", kv: {
                 revision = text.revision.0,
-                faults = faults.len(),
-                first:? = faults.first().map(ToString::to_string)
+                reason:? = fault.to_string()
             }),
         }
     }
--- a/crates/wheel_daemon/src/admin_operations.rs
+++ b/crates/wheel_daemon/src/admin_operations.rs
@@ -206,7 +206,9 @@
         let found: Vec<&NodeId> = known.iter().filter(matches).collect();
         match found[..] {
             [node] => Ok(node.clone()),
-            [] => Err(format!("no member or waiting instance is named {name:?}")),
+            // A voter that was removed isn't listed anywhere; its identity must be named.
+            [] => parse_node(name)
+                .ok_or_else(|| format!("no member or waiting instance is named {name:?}")),
             _ => Err(format!("{name:?} has several identities; name one as NAME/IDENTITY")),
         }
     };
@@ -217,6 +219,13 @@
     }
 }
 
+/// Reads `NAME/IDENTITY`, with the identity in hexadecimal as `voter list` shows it.
+fn parse_node(text: &str) -> Option<NodeId> {
+    let (instance, identity) = text.rsplit_once('/')?;
+    let identity = u64::from_str_radix(identity, 16).ok()?;
+    Some(NodeId::new(instance, identity))
+}
+
 fn text_reply(answer: TextAnswer) -> AdminReply {
     match answer {
         TextAnswer::Accepted { revision, hash } => {
--- a/crates/wheel_harness/tests/group.rs
+++ b/crates/wheel_harness/tests/group.rs
@@ -229,3 +229,31 @@
     let taken = ended.elapsed();
     assert!(taken < Duration::from_secs(2), "accepted after {taken:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn voter_removed_still_follows_and_comes_back_by_its_identity() {
+    let cluster = start(ClusterSettings::default()).await;
+    let at = cluster.instances[0].ports.operators;
+    let voters = cluster.caller.get(at, "/admin/v1/voters").await.expect("an answer").json();
+    let listed = voters["voters"].as_array().expect("voters").iter().filter_map(|v| v.as_str());
+    let removed = listed.into_iter().find(|name| name.starts_with("b1/")).expect("voter b1");
+    let change = |body: String| {
+        let caller = cluster.caller.clone();
+        async move { caller.call(http::Method::POST, at, "/admin/v1/voters", &[], body).await }
+    };
+    let reply = change(format!(r#"{{"remove":"{removed}"}}"#)).await.expect("an answer");
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    let revision = apply_for_sure(&cluster, place(&cluster, "a1"), 1, 1).await;
+    // The removed one and its neighbour, which follows it first, have the change as well.
+    cluster.wait_revision(revision, LIMIT).await.expect("a followed revision");
+    let reply = change(format!(r#"{{"add":"{removed}"}}"#)).await.expect("an answer");
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    cluster
+        .wait_until("the voter's return", LIMIT, || async {
+            let voters = cluster.caller.get(at, "/admin/v1/voters").await.ok()?.json();
+            let voters = voters["voters"].as_array()?.clone();
+            voters.iter().any(|voter| voter.as_str() == Some(removed)).then_some(())
+        })
+        .await
+        .expect("the voter's return");
+}
