Let a rank that is owed its floor take the kept slots

With one slot kept for the most urgent rank, a flood of that rank left the others without any start: slots came free one at a time and each counted as the kept one. The earlier test of floors freed all slots at once and couldn't see it.

--- a/crates/wheel_policy/src/engine_queue.rs
+++ b/crates/wheel_policy/src/engine_queue.rs
@@ -345,21 +345,22 @@
     }
 
     /// The rank that goes next: one that is owed its floor, else the most urgent one that waits.
+    /// What is owed may also take the slots that are kept for the most urgent rank.
     fn next_rank(&self) -> Option<usize> {
-        let may_start = |index: &usize| {
-            let rank = RequestRank(*index as u8);
-            !self.ranks[*index].queue.is_empty() && self.free_slots(rank) > 0
-        };
+        let most_urgent = RequestRank::default();
+        if self.free_slots(most_urgent) == 0 {
+            return None;
+        }
+        let waits = |index: &usize| !self.ranks[*index].queue.is_empty();
+        let mut waiting = (0..self.ranks.len()).filter(waits);
+        let first = waiting.next()?;
         let is_owed = |index: &usize| {
             let state = &self.ranks[*index];
             state.credit.is_owed(state.running)
         };
-        let mut waiting = (0..self.ranks.len()).filter(may_start);
-        let first = waiting.next()?;
-        match is_owed(&first) {
-            true => Some(first),
-            false => waiting.find(is_owed).or(Some(first)),
-        }
+        let owed = if is_owed(&first) { Some(first) } else { waiting.find(is_owed) };
+        let may_start = self.free_slots(RequestRank(first as u8)) > 0;
+        owed.or(may_start.then_some(first))
     }
 
     fn free_slots(&self, rank: RequestRank) -> u32 {
--- a/crates/wheel_policy/tests/engine_queue.rs
+++ b/crates/wheel_policy/tests/engine_queue.rs
@@ -1,6 +1,6 @@
 //! The owner's queue: ranks, floors, fairness, refusals.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use wheel_policy::{
@@ -16,8 +16,12 @@
 }
 
 fn open_queue(slots: u32) -> EngineQueue {
+    EngineQueue::open(settings(slots))
+}
+
+fn settings(slots: u32) -> QueueSettings {
     let ranks = vec![rank("question", 0), rank("booking", 20), rank("digest", 10)];
-    EngineQueue::open(QueueSettings::default().with_slots(slots).with_ranks(ranks))
+    QueueSettings::default().with_slots(slots).with_ranks(ranks)
 }
 
 fn request(id: usize, caller: &str, rank: u8, deadline_s: u64) -> QueuedRequest {
@@ -80,6 +84,28 @@
     assert!(f64::from(served["desk"]) >= 0.66 * total, "{served:?}");
 }
 
+#[test]
+fn take_next_one_free_slot_at_a_time_keeps_floors() {
+    let mut queue = EngineQueue::open(QueueSettings { urgent_slots: 1, ..settings(4) });
+    let mut running = VecDeque::new();
+    let mut digests = 0;
+    for step in 0..800_usize {
+        let now = MonotonicTime::from_millis(250 * step as u64);
+        for (caller, rank) in [("desk", 0), ("committee", 2)] {
+            let _ = queue.offer(now, request(step, caller, rank, 100_000));
+        }
+        if running.len() == 4 {
+            let id: RequestId = running.pop_front().expect("four run");
+            queue.finish(now, &id, sample());
+        }
+        if let Some(taken) = queue.take_next(now) {
+            digests += u32::from(taken.rank == RequestRank(2));
+            running.push_back(taken.id);
+        }
+    }
+    assert!((72..=90).contains(&digests), "{digests} of 800 starts, floor 10%");
+}
+
 #[test]
 fn take_next_lower_rank_alone_gets_all_slots() {
     let mut queue = open_queue(4);
