--- a/crates/wheel_daemon/src/admin_operations.rs
+++ b/crates/wheel_daemon/src/admin_operations.rs
@@ -12,16 +12,18 @@
 use tokio_util::sync::CancellationToken;
 use wheel_agreement::{
     GroupAction, GroupAnswer, IdempotencyKey, NodeId, RequestDigest, TextAnswer, VoterChange,
-    decode,
+    decode, encode,
 };
 use wheel_control::{AddressBook, GroupError};
 use wheel_entry::{AdminHandler, AdminReply, ApplyRequest};
+use wheel_lease::GrantorSet;
 use wheel_peer::PeerChannel;
-use wheel_text::{ServingText, TextDelta};
+use wheel_serving::DecisionRecord;
+use wheel_text::{CentreSpec, OperatorsText, ServingText, TextDelta};
 use wheel_types::{InstanceName, TextRevision};
 
 use crate::peer_metrics::record_peer_metrics;
-use crate::{DaemonParts, InstanceStatus};
+use crate::{AdminQuery, DaemonParts, InstanceStatus};
 
 /// Time in which a text is accepted or refused.
 const APPLY_LIMIT: Duration = Duration::from_secs(8);
@@ -57,6 +59,9 @@
             );
             return AdminReply::error(StatusCode::SERVICE_UNAVAILABLE, &message);
         }
+        if let Some(message) = self.refuse_grantors(&request, held.revision) {
+            return AdminReply::error(StatusCode::UNPROCESSABLE_ENTITY, &message);
+        }
         let base = request.base.0.to_le_bytes();
         let digest = RequestDigest::of_parts(&[&base, request.source.as_bytes()]);
         // The group takes the difference only if the base is still the newest revision.
@@ -74,6 +79,81 @@
         }
     }
 
+    /// Two grantor sets that differ by more than one member may have majorities without a common
+    /// member, so that two instances could hold one lease. Where another text has been accepted
+    /// meanwhile, the group tells what became of this one.
+    fn refuse_grantors(&self, request: &ApplyRequest, held: TextRevision) -> Option<String> {
+        let serving = self.parts.text.serving().filter(|text| text.revision == request.base)?;
+        let next = OperatorsText::parse(&request.source).ok().filter(|_| held == request.base)?;
+        let set = |centre: &CentreSpec, revision: u64| GrantorSet {
+            epoch: revision,
+            members: centre.grantors.iter().cloned().collect(),
+        };
+        let changed = next.centres.iter().find(|centre| {
+            let old = serving.text.centres.iter().find(|old| old.name == centre.name);
+            let (next, old) = (set(centre, held.0 + 1), old.map(|old| set(old, held.0)));
+            old.is_some_and(|old| !old.may_precede(&next))
+        })?;
+        Some(format!(
+            "data centre {}: more than one grantor changes; change one, wait until a lease is held \
+             again, then change the next",
+            changed.name
+        ))
+    }
+
+    /// Gathers the decisions of this instance and of the grantors of its data centre, of which one
+    /// holds the lease and others may have held it.
+    async fn gather_decisions(self, subject: String) -> AdminReply {
+        let settings = &self.parts.settings;
+        let text = self.parts.text.serving();
+        let centres = text.iter().flat_map(|text| &text.text.centres);
+        let own = centres.filter(|centre| centre.name == settings.centre);
+        let grantors = own.flat_map(|centre| &centre.grantors);
+        let others: Vec<&InstanceName> =
+            grantors.filter(|name| **name != settings.instance).collect();
+        let answers = join_all(others.iter().map(|name| self.ask_decisions(name, &subject))).await;
+        let mut decisions: Vec<Value> = Vec::new();
+        let mut silent: Vec<&InstanceName> = Vec::new();
+        let here = Some(self.parts.decisions.find(&subject));
+        let asked = others.into_iter().chain([&settings.instance]);
+        for (instance, records) in asked.zip(answers.into_iter().chain([here])) {
+            match records {
+                Some(records) => {
+                    let told = records.iter().map(|record| decision_json(instance, record));
+                    decisions.extend(told);
+                }
+                None => silent.push(instance),
+            }
+        }
+        decisions.sort_by_key(|decision| decision["unix_ms"].as_u64());
+        let body = json!({
+            "data_centre": settings.centre, "decisions": decisions, "not_reached": silent,
+        });
+        match decisions.is_empty() {
+            false => AdminReply::ok(body),
+            true => AdminReply::error(
+                StatusCode::NOT_FOUND,
+                &format!(
+                    "no decision about {subject:?} is recorded in data centre {}; ask an instance \
+                     of the data centre that it was made in",
+                    settings.centre
+                ),
+            ),
+        }
+    }
+
+    async fn ask_decisions(
+        &self,
+        instance: &InstanceName,
+        subject: &str,
+    ) -> Option<Vec<DecisionRecord>> {
+        let parts = &self.parts;
+        let address = parts.book.peer(instance)?;
+        let query = encode(&AdminQuery::Explain { subject: subject.to_owned() }).ok()?;
+        let answer = parts.hub.call(&address, PeerChannel::Admin, query, STATUS_TIMEOUT).await;
+        decode(&answer.ok()?).ok()
+    }
+
     async fn wait_for_revision(&self, base: TextRevision) -> wheel_agreement::AcceptedText {
         let mut changes = self.parts.text.subscribe();
         let limit = Instant::now() + CATCH_UP_LIMIT;
@@ -121,7 +201,8 @@
         let parts = &self.parts;
         let unreachable = json!({ "name": instance, "reachable": false });
         let Some(address) = parts.book.peer(instance) else { return unreachable };
-        let answer = parts.hub.call(&address, PeerChannel::Admin, Vec::new(), STATUS_TIMEOUT).await;
+        let Ok(query) = encode(&AdminQuery::Status) else { return unreachable };
+        let answer = parts.hub.call(&address, PeerChannel::Admin, query, STATUS_TIMEOUT).await;
         let status = answer.ok().and_then(|body| decode::<InstanceStatus>(&body).ok());
         status.as_ref().map_or(unreachable, status_json)
     }
@@ -172,15 +253,8 @@
         AdminReply::ok(json!({ "draining": true }))
     }
 
-    fn explain(&self, query: &str) -> AdminReply {
-        let records = self.parts.decisions.find(query);
-        match records.is_empty() {
-            true => AdminReply::error(
-                StatusCode::NOT_FOUND,
-                "no decision about this model or request is recorded at this instance",
-            ),
-            false => AdminReply::ok(json!({ "decisions": records })),
-        }
+    fn explain(&self, query: &str) -> BoxFuture<'static, AdminReply> {
+        self.clone().gather_decisions(query.to_owned()).boxed()
     }
 
     fn voters(&self, change: Option<Value>) -> BoxFuture<'static, AdminReply> {
@@ -257,6 +331,17 @@
     }
 }
 
+fn decision_json(instance: &InstanceName, record: &DecisionRecord) -> Value {
+    json!({
+        "instance": instance,
+        "unix_ms": record.unix_ms,
+        "request": record.request,
+        "subject": record.subject,
+        "decision": record.decision,
+        "reason": record.reason,
+    })
+}
+
 fn status_json(status: &InstanceStatus) -> Value {
     json!({
         "name": status.instance,
--- a/crates/wheel_daemon/src/daemon_settings.rs
+++ b/crates/wheel_daemon/src/daemon_settings.rs
@@ -45,6 +45,8 @@
     pub order_life: Duration,
     /// Length of a data centre's lease.
     pub lease_term: Duration,
+    /// Time that a model stays at least once it is loaded.
+    pub min_residence: Duration,
     /// Requests open at once.
     pub open_requests: usize,
     /// Largest body of a request, in bytes.
--- a/crates/wheel_daemon/src/director_bridge.rs
+++ b/crates/wheel_daemon/src/director_bridge.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use wheel_director::{DirectorLink, HeardReport};
-use wheel_serving::{DecisionLog, DrainNotice, ReplicaDirectory, ReportMessage, ReportSink};
+use wheel_serving::{
+    DecisionLog, DrainNotice, OwnerTable, ReplicaDirectory, ReportMessage, ReportSink,
+};
 use wheel_types::{ModelName, UpstreamName};
 
 use crate::ReportSender;
@@ -11,6 +13,7 @@
 /// The director's way to the directory, to other instances and to the decision log.
 pub(crate) struct DirectorBridge {
     pub(crate) directory: Arc<ReplicaDirectory>,
+    pub(crate) owners: Arc<OwnerTable>,
     pub(crate) sender: Arc<ReportSender>,
     pub(crate) decisions: Arc<DecisionLog>,
 }
@@ -23,6 +26,9 @@
 
     fn set_draining(&self, upstream: &UpstreamName, model: &ModelName, draining: bool) {
         let notice = DrainNotice { upstream: upstream.clone(), model: model.clone(), draining };
+        if let Some(owned) = self.owners.get(upstream) {
+            owned.note_drain(&notice);
+        }
         self.sender.publish(ReportMessage::Drain(notice));
     }
 
--- a/crates/wheel_daemon/src/lib.rs
+++ b/crates/wheel_daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! libraries together and runs until it is drained.
 
 mod admin_operations;
+mod admin_query;
 mod daemon_logs;
 mod daemon_parts;
 mod daemon_settings;
@@ -25,6 +26,7 @@
 mod settings_reader;
 
 pub use admin_operations::AdminOperations;
+pub use admin_query::AdminQuery;
 pub use daemon_logs::start_logs;
 pub use daemon_parts::DaemonParts;
 pub use daemon_settings::DaemonSettings;
--- a/crates/wheel_daemon/src/peer_router.rs
+++ b/crates/wheel_daemon/src/peer_router.rs
@@ -13,7 +13,7 @@
 use wheel_serving::{ReportList, ReportMessage};
 use wheel_types::DemandReport;
 
-use crate::DaemonParts;
+use crate::{AdminQuery, DaemonParts};
 
 /// Passes each channel's calls to the part that they concern. Calls before the parts are wired are
 /// refused.
@@ -75,8 +75,13 @@
         }
         PeerChannel::Report => {
             match read(body)? {
-                ReportMessage::Engine(report) => parts.directory.note_report(report),
-                ReportMessage::Drain(notice) => parts.directory.note_drain(&notice),
+                ReportMessage::Engine(report) => parts.directory.note_report(*report),
+                ReportMessage::Drain(notice) => {
+                    parts.directory.note_drain(&notice);
+                    if let Some(owned) = parts.owners.get(&notice.upstream) {
+                        owned.note_drain(&notice);
+                    }
+                }
                 ReportMessage::Query => {
                     return write(&ReportList { reports: parts.directory.reports() });
                 }
@@ -84,7 +89,10 @@
             Ok(Vec::new())
         }
         PeerChannel::Membership => parts.members.answer(&peer, body),
-        PeerChannel::Admin => write(&parts.status()),
+        PeerChannel::Admin => match read(body)? {
+            AdminQuery::Status => write(&parts.status()),
+            AdminQuery::Explain { subject } => write(&parts.decisions.find(&subject)),
+        },
     }
 }
 
--- a/crates/wheel_daemon/src/report_sender.rs
+++ b/crates/wheel_daemon/src/report_sender.rs
@@ -97,7 +97,7 @@
         }
         let Some(directory) = self.directory.upgrade() else { return };
         match message {
-            ReportMessage::Engine(report) => directory.note_report(report),
+            ReportMessage::Engine(report) => directory.note_report(*report),
             ReportMessage::Drain(notice) => directory.note_drain(&notice),
             ReportMessage::Query => {}
         }
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -24,6 +24,7 @@
 };
 use wheel_lease::LeaseSettings;
 use wheel_peer::{PeerError, PeerHub, PeerSecret, PeerSettings};
+use wheel_policy::PlacementSettings;
 use wheel_serving::{
     DecisionLog, OwnerSettings, OwnerTable, ProcessClock, RelayClients, RelayKey, RelayService,
     ReplicaDirectory, ServingParts, ServingPath,
@@ -233,12 +234,17 @@
         incarnation,
         centre: settings.centre.clone(),
         lease: lease_settings(&settings),
+        placement: PlacementSettings {
+            min_residence: settings.min_residence,
+            ..PlacementSettings::default()
+        },
         start,
         seed,
     };
     let lease = LeaseDriver::spawn(director_settings.clone(), hub.clone(), book.clone());
     let bridge = DirectorBridge {
         directory: Arc::clone(&directory),
+        owners: Arc::clone(&owners),
         sender: Arc::clone(&sender),
         decisions: Arc::clone(&decisions),
     };
--- a/crates/wheel_daemon/src/setting_specs.rs
+++ b/crates/wheel_daemon/src/setting_specs.rs
@@ -21,7 +21,7 @@
 }
 
 /// All settings, in the order of `--help`.
-pub(crate) const SETTING_SPECS: [SettingSpec; 20] = [
+pub(crate) const SETTING_SPECS: [SettingSpec; 21] = [
     spec("instance", "NAME", None, "this instance's name; needed"),
     spec("data-centre", "NAME", None, "the data centre that it stands in; needed"),
     spec("group", "NAME", None, "the group's name, as in the operators' text; needed"),
@@ -38,6 +38,7 @@
     spec("drain-limit", "SECONDS", Some("600"), "time for requests in hand after SIGTERM"),
     spec("order-life", "SECONDS", Some("5"), "time after which an order to an engine is dead"),
     spec("lease-term", "SECONDS", Some("6"), "length of a data centre's lease"),
+    spec("min-residence", "SECONDS", Some("60"), "time that a model stays at least once loaded"),
     spec("open-requests", "COUNT", Some("8192"), "requests open at once at this instance"),
     spec("max-body", "BYTES", Some("4194304"), "largest body of a request"),
     spec("workers", "COUNT", Some("0"), "worker threads; 0 takes one per processor, at most 8"),
--- a/crates/wheel_daemon/src/settings_reader.rs
+++ b/crates/wheel_daemon/src/settings_reader.rs
@@ -90,6 +90,7 @@
         let drain_limit = self.seconds("drain-limit");
         let order_life = self.seconds("order-life");
         let lease_term = self.seconds("lease-term");
+        let min_residence = self.seconds("min-residence");
         let open_requests = self.positive("open-requests");
         let max_body = self.positive("max-body");
         let workers = self.parsed::<usize>("workers");
@@ -111,6 +112,7 @@
             drain_limit: drain_limit?,
             order_life: order_life?,
             lease_term: lease_term?,
+            min_residence: min_residence?,
             open_requests: open_requests?,
             max_body: max_body?,
             workers: effective_workers(workers?),
--- a/crates/wheel_director/src/director_settings.rs
+++ b/crates/wheel_director/src/director_settings.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use wheel_lease::LeaseSettings;
+use wheel_policy::PlacementSettings;
 use wheel_types::{CentreName, IncarnationId, InstanceName, MonotonicTime};
 
 /// What the lease and the placement of a data centre need to know of this process.
@@ -18,6 +19,8 @@
     pub lease: LeaseSettings,
     /// Where this process's [`MonotonicTime`] begins.
     pub start: Instant,
+    /// What placement weighs with.
+    pub placement: PlacementSettings,
     /// Seed of the candidates' spread.
     pub seed: u64,
 }
--- a/crates/wheel_director/src/fleet_builder.rs
+++ b/crates/wheel_director/src/fleet_builder.rs
@@ -1,16 +1,17 @@
 //! The planner's view of a data centre's engines.
 
 use std::collections::{HashMap, HashSet};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use wheel_lease::OrderLedger;
-use wheel_policy::{EngineView, FleetView, PlacedAdapter, PlacedModel};
+use wheel_policy::{EngineView, FleetView, PlacedAdapter, PlacedModel, PlacementSettings};
 use wheel_text::{ServingText, UpstreamSpec};
 use wheel_types::{
-    CentreName, EngineReport, EngineState, ModelName, ModelPhase, ModelState, ModelUsage,
+    AdapterState, CentreName, EngineState, ModelName, ModelPhase, ModelState, ModelUsage,
     MonotonicTime, OrderAction, UpstreamName,
 };
 
+use crate::HeardReport;
 use crate::engine_clients::engines_of;
 use crate::replica_tracks::{ReplicaKey, ReplicaTracks};
 
@@ -20,7 +21,10 @@
     pub(crate) centre: &'a CentreName,
     pub(crate) text: &'a ServingText,
     pub(crate) ledger: &'a OrderLedger,
-    pub(crate) reports: &'a HashMap<UpstreamName, EngineReport>,
+    pub(crate) reports: &'a HashMap<UpstreamName, HeardReport>,
+    /// Where [`MonotonicTime`] begins.
+    pub(crate) start: Instant,
+    pub(crate) placement: &'a PlacementSettings,
 }
 
 impl FleetBuilder<'_> {
@@ -59,16 +63,17 @@
             .filter(|order| order.upstream == spec.name)
             .map(|order| &order.action)
             .collect();
-        let mut models: Vec<PlacedModel> =
-            state.models.iter().map(|held| self.placed_model(spec, held, report, tracks)).collect();
-        let missing = ordered.iter().filter_map(|action| loading_of(action, state));
-        models.extend(missing.map(|loading| self.placed_model(spec, &loading, report, tracks)));
-        let reserved = ordered.iter().filter(|action| is_missing_adapter(action, state));
+        let mut held = state.models.clone();
+        held.iter_mut().for_each(|held| expect_orders(held, &ordered));
+        held.extend(ordered.iter().filter_map(|action| loading_of(action, state)));
+        let models =
+            held.iter().map(|held| self.placed_model(spec, held, report, tracks)).collect();
+        let reserved = ordered.iter().filter(|action| is_adapter_without_model(action, state));
         EngineView {
             memory_mib: spec.memory_mib.min(state.memory_mib),
             reserved_mib: reserved.map(|action| action.takes_mib()).sum(),
             role: state.role,
-            leaving: state.leaving || report.is_some_and(|report| !report.takes_work()),
+            leaving: state.leaving || report.is_some_and(|heard| !heard.report.takes_work()),
             models,
             memory_checkpoints: state.memory_checkpoints.clone(),
             disk_checkpoints: state.disk_checkpoints.clone(),
@@ -80,17 +85,17 @@
         &self,
         spec: &UpstreamSpec,
         held: &ModelState,
-        report: Option<&EngineReport>,
+        heard: Option<&HeardReport>,
         tracks: &mut ReplicaTracks,
     ) -> PlacedModel {
         let key = ReplicaKey { upstream: spec.name.clone(), model: held.model.clone() };
         let track = tracks.note(self.now, key, held.phase);
-        let usage = || report.into_iter().flat_map(|report| &report.usage);
+        let usage = || heard.into_iter().flat_map(|heard| &heard.report.usage);
         let of_model = |usage: &&ModelUsage| usage.model == held.model;
         let adapters = held.adapters.iter().map(|adapter| {
             let own = usage().filter(of_model);
             let own = own.filter(|usage| usage.adapter.as_ref() == Some(&adapter.adapter));
-            let (in_use, last_used) = self.sum_usage(own, track.since);
+            let (in_use, last_used) = self.sum_usage(own, track.seen);
             PlacedAdapter {
                 adapter: adapter.adapter.clone(),
                 phase: adapter.phase,
@@ -99,7 +104,11 @@
                 last_used,
             }
         });
-        let (in_use, last_used) = self.sum_usage(usage().filter(of_model), track.since);
+        let (in_use, last_used) = self.sum_usage(usage().filter(of_model), track.seen);
+        // A report from before the drain can't tell that nothing uses the replica any more.
+        let is_outdated =
+            track.draining.is_some_and(|since| !self.tells_of_drain(since, &held.model, heard));
+        let in_use = in_use.max(u32::from(is_outdated));
         PlacedModel {
             model: held.model.clone(),
             version: held.version,
@@ -114,18 +123,34 @@
         }
     }
 
-    /// Requests in use, and when the last one ended; a replica counts as used when it came.
+    /// Whether a report tells the use of a draining replica: made after requests arrived that were
+    /// on their way, by an owner that takes no new ones, and without requests of an earlier owner.
+    fn tells_of_drain(
+        &self,
+        since: MonotonicTime,
+        model: &ModelName,
+        heard: Option<&HeardReport>,
+    ) -> bool {
+        let quiet = since + self.placement.drain_grace;
+        heard.is_some_and(|heard| {
+            MonotonicTime::between(self.start, heard.received) >= quiet
+                && heard.report.draining.contains(model)
+                && heard.report.foreign == 0
+        })
+    }
+
+    /// Requests in use, and when the last one ended; a replica counts as used when it was seen first.
     fn sum_usage<'u>(
         &self,
         usage: impl Iterator<Item = &'u ModelUsage>,
-        since: MonotonicTime,
+        seen: MonotonicTime,
     ) -> (u32, MonotonicTime) {
         let fold = |(in_use, last): (u32, MonotonicTime), usage: &ModelUsage| {
             let idle = Duration::from_millis(usage.idle_ms);
             let ended = self.now.as_micros().saturating_sub(idle.as_micros() as u64);
             (in_use + usage.in_use, last.max(MonotonicTime::from_micros(ended)))
         };
-        usage.fold((0, since), fold)
+        usage.fold((0, seen), fold)
     }
 }
 
@@ -145,12 +170,37 @@
     }
 }
 
-fn is_missing_adapter(action: &OrderAction, state: &EngineState) -> bool {
-    let OrderAction::LoadAdapter { model, adapter, .. } = action else { return false };
-    let held = |model: &ModelName| {
-        state
-            .find(model)
-            .is_some_and(|held| held.adapters.iter().any(|state| &state.adapter == adapter))
-    };
-    !held(model)
+/// Shows open orders as carried out, so that they aren't planned once more.
+fn expect_orders(held: &mut ModelState, ordered: &[&OrderAction]) {
+    for action in ordered {
+        match action {
+            OrderAction::UnloadModel { model, version }
+                if *model == held.model && *version == held.version =>
+            {
+                held.phase = ModelPhase::Unloading;
+            }
+            OrderAction::LoadAdapter { model, adapter, memory_mib }
+                if *model == held.model
+                    && held.adapters.iter().all(|state| &state.adapter != adapter) =>
+            {
+                held.adapters.push(AdapterState {
+                    adapter: adapter.clone(),
+                    phase: ModelPhase::Loading,
+                    memory_mib: *memory_mib,
+                });
+            }
+            OrderAction::UnloadAdapter { model, adapter } if *model == held.model => {
+                let adapters = held.adapters.iter_mut();
+                for state in adapters.filter(|state| &state.adapter == adapter) {
+                    state.phase = ModelPhase::Unloading;
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// An adapter that was ordered beside a model that the engine doesn't show.
+fn is_adapter_without_model(action: &OrderAction, state: &EngineState) -> bool {
+    matches!(action, OrderAction::LoadAdapter { model, .. } if state.find(model).is_none())
 }
--- a/crates/wheel_director/src/placement_round.rs
+++ b/crates/wheel_director/src/placement_round.rs
@@ -6,14 +6,15 @@
 
 use futures_util::future::join_all;
 use spdlog::{info, warn};
+use tokio::time::timeout;
 use wheel_lease::{
     EngineEntry, FencingMode, LeaseAuthority, LedgerSettings, OrderLedger, OrderLimits,
     OrderRefusal,
 };
-use wheel_policy::{PlacementAction, PlacementPlanner, PlacementSettings, PlacementStep};
+use wheel_policy::{PlacementAction, PlacementPlanner, PlacementStep};
 use wheel_text::ServingText;
 use wheel_types::{
-    EngineReport, EngineState, FencingNumber, ModelPhase, MonotonicTime, OrderAction, TextRevision,
+    EngineState, FencingNumber, ModelName, ModelPhase, MonotonicTime, OrderAction, TextRevision,
     UpstreamName,
 };
 
@@ -22,12 +23,19 @@
 use crate::order_sender::{OrderEnd, OrderSender};
 use crate::replica_tracks::{ReplicaKey, ReplicaTracks};
 use crate::store_pace::{StorePace, StoreShare};
-use crate::{DemandTable, DirectorLink, DirectorSettings};
+use crate::{DemandTable, DirectorLink, DirectorSettings, HeardReport};
 
 /// Orders whose effect isn't known; further ones wait.
 const MAX_OPEN_ORDERS: usize = 1_024;
 /// Time after which an engine without orders is read again.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that an engine gets to tell its state; a silent one mustn't hold up the others.
+const READ_LIMIT: Duration = Duration::from_millis(400);
+/// Time after which the instances are told again that a replica drains. It is well below the life
+/// of such a notice, which ends a drain whose holder is gone.
+const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time in which most drains end; a longer one is looked at less often.
+const SHORT_DRAIN: Duration = Duration::from_secs(1);
 
 /// Everything that the director remembers between rounds.
 pub(crate) struct PlacementRound {
@@ -42,6 +50,8 @@
     revision: Option<TextRevision>,
     /// Engines to read before anything else is planned.
     unread: BTreeSet<UpstreamName>,
+    /// The last refusal of each replica's order, so that each is recorded once.
+    refusals: HashMap<ReplicaKey, OrderRefusal>,
     last_full_read: Option<MonotonicTime>,
 }
 
@@ -68,6 +78,7 @@
             tracks: ReplicaTracks::default(),
             revision: None,
             unread: BTreeSet::new(),
+            refusals: HashMap::new(),
             last_full_read: None,
         }
     }
@@ -82,12 +93,14 @@
         };
         self.ledger.open_orders().next().is_some()
             || !self.unread.is_empty()
+            || self.tracks.drains_since(self.settings.now(), SHORT_DRAIN)
             || self.ledger.accounts().any(|account| account.state.as_ref().is_some_and(loading))
     }
 
     /// Takes note that another instance holds the lease.
     pub(crate) fn pause(&mut self) {
         self.last_full_read = None;
+        self.tracks.clear();
     }
 
     /// Takes note of what became of an order.
@@ -108,16 +121,17 @@
         self.ledger.begin(authority);
         let learned = self.read_engines(text).await;
         self.fence_engines(text, authority);
-        let reports: HashMap<UpstreamName, EngineReport> = self
+        let reports: HashMap<UpstreamName, HeardReport> = self
             .link
             .reports()
             .into_iter()
-            .map(|heard| (heard.report.upstream.clone(), heard.report))
+            .map(|heard| (heard.report.upstream.clone(), heard))
             .collect();
         let steps = self.plan(text, demand, &reports);
         for step in steps {
             self.take_step(text, authority, &step);
         }
+        self.repeat_notices();
         learned
     }
 
@@ -140,10 +154,11 @@
         self.ledger.set_engines(self.settings.now(), &entries);
         let (centre, centres) = (&self.settings.centre, &text.text.centres);
         self.pace.set_share(StoreShare::of(centre, centres, &text.text.store));
+        self.refusals.clear();
         match &mut self.planner {
             Some(planner) => planner.set_text(&text.text),
             None => {
-                let settings = PlacementSettings::default();
+                let settings = self.settings.placement.clone();
                 self.planner = Some(PlacementPlanner::open(settings, &text.text));
             }
         }
@@ -165,16 +180,17 @@
         let readings = due.iter().filter_map(|name| {
             let client = self.clients.get(name)?;
             let asked = self.settings.now();
-            Some(async move { (name, asked, client.state().await) })
+            Some(async move { (name, asked, timeout(READ_LIMIT, client.state()).await) })
         });
         let mut learned = None;
         for (name, asked, reading) in join_all(readings).await {
             match reading {
-                Ok(state) => learned = learned.max(self.observe(asked, name, &state)),
-                Err(error) => warn!("engine_not_read", kv: {
+                Ok(Ok(state)) => learned = learned.max(self.observe(asked, name, &state)),
+                Ok(Err(error)) => warn!("engine_not_read", kv: {
                     upstream = name.as_str(),
                     reason:? = error.to_string()
                 }),
+                Err(_) => warn!("engine_silent", kv: { upstream = name.as_str() }),
             }
         }
         learned
@@ -247,18 +263,21 @@
         &mut self,
         text: &ServingText,
         demand: &DemandTable,
-        reports: &HashMap<UpstreamName, EngineReport>,
+        reports: &HashMap<UpstreamName, HeardReport>,
     ) -> Vec<PlacementStep> {
         let now = self.settings.now();
         let centre = &self.settings.centre;
-        let builder = FleetBuilder { now, centre, text, ledger: &self.ledger, reports };
+        let (start, placement) = (self.settings.start, &self.settings.placement);
+        let builder =
+            FleetBuilder { now, centre, text, ledger: &self.ledger, reports, start, placement };
         let mut fleet = builder.build(&mut self.tracks);
         let share = self.pace.share();
         fleet.store_loads = share.loads;
         fleet.store_starts = self.pace.starts(now);
         fleet.adapter_loads = share.adapter_loads;
-        let own = reports.values().filter(|report| &report.centre == centre);
-        let elsewhere = reports.values().filter(|report| &report.centre != centre);
+        let all = || reports.values().map(|heard| &heard.report);
+        let own = all().filter(|report| &report.centre == centre);
+        let elsewhere = all().filter(|report| &report.centre != centre);
         let view = demand.view(now, text, own, elsewhere);
         self.planner.as_mut().map(|planner| planner.plan(now, &fleet, &view)).unwrap_or_default()
     }
@@ -279,18 +298,19 @@
                 self.record(step, "serves again");
             }
             action => {
-                let limits = replica_limits(text, action);
+                let limits = self.replica_limits(text, action);
                 let order = order_action(action);
                 let Some(order) = order else { return };
                 match self.ledger.admit(now, authority, &step.upstream, order, limits) {
                     Ok(order) => {
+                        self.refusals.remove(&key);
                         self.note_start(now, key, action);
                         self.record(step, "ordered");
                         if let Some(client) = self.clients.get(&step.upstream) {
                             self.sender.send(&step.upstream, client, order);
                         }
                     }
-                    Err(refusal) => self.note_refusal(step, &refusal),
+                    Err(refusal) => self.note_refusal(step, key, refusal),
                 }
             }
         }
@@ -306,7 +326,7 @@
     }
 
     /// A plan made on an old reading is mended by a new one.
-    fn note_refusal(&mut self, step: &PlacementStep, refusal: &OrderRefusal) {
+    fn note_refusal(&mut self, step: &PlacementStep, key: ReplicaKey, refusal: OrderRefusal) {
         let is_stale = matches!(
             refusal,
             OrderRefusal::AlreadyPresent
@@ -317,8 +337,39 @@
         if is_stale {
             self.unread.insert(step.upstream.clone());
         }
-        let subject = step.action.model().as_str();
-        self.link.record(subject, format!("not ordered: {:?}", step.action), refusal.to_string());
+        if self.refusals.insert(key, refusal) != Some(refusal) {
+            let subject = step.action.model().as_str();
+            let decision = format!("not ordered at {}: {:?}", step.upstream, step.action);
+            self.link.record(subject, decision, refusal.to_string());
+        }
+    }
+
+    /// Notices are lost, and instances restart.
+    fn repeat_notices(&mut self) {
+        let grace = self.settings.placement.drain_grace;
+        for key in self.tracks.take_due_notices(self.settings.now(), grace, NOTICE_INTERVAL) {
+            self.link.set_draining(&key.upstream, &key.model, true);
+        }
+    }
+
+    /// Replicas of the step's model that the text allows in one data centre, and one more while
+    /// the first replica of a new version is loaded beside the old ones.
+    fn replica_limits(&self, text: &ServingText, action: &PlacementAction) -> OrderLimits {
+        let spec = text.index.model(action.model().as_str());
+        let replicas = spec.map_or(0, |spec| spec.max_replicas as usize);
+        let rolls = matches!(action, PlacementAction::Load { model, version, .. }
+            if self.is_rolling(model, *version));
+        OrderLimits { replicas: replicas + usize::from(rolls) }
+    }
+
+    /// Whether old versions of a model are there and the wanted one is nowhere.
+    fn is_rolling(&self, model: &ModelName, version: u32) -> bool {
+        let states = self.ledger.accounts().filter_map(|account| account.state.as_ref());
+        let shown = states.flat_map(|state| &state.models).filter(|held| &held.model == model);
+        let mut versions = shown.map(|held| held.version).peekable();
+        let loads = |action: &OrderAction| matches!(action, OrderAction::LoadModel { model: loaded, .. } if loaded == model);
+        let is_ordered = self.ledger.open_orders().any(|order| loads(&order.action));
+        versions.peek().is_some() && versions.all(|held| held != version) && !is_ordered
     }
 
     fn record(&self, step: &PlacementStep, decision: &str) {
@@ -328,13 +379,6 @@
     }
 }
 
-/// Replicas of the step's model that the text allows in one data centre. While a version is rolled
-/// over, the old and the new replica stand side by side.
-fn replica_limits(text: &ServingText, action: &PlacementAction) -> OrderLimits {
-    let spec = text.index.model(action.model().as_str());
-    OrderLimits { replicas: spec.map_or(0, |spec| spec.max_replicas as usize) }
-}
-
 fn order_action(action: &PlacementAction) -> Option<OrderAction> {
     match action.clone() {
         PlacementAction::Load { model, version, memory_mib, .. } => {
--- a/crates/wheel_entry/src/admin_handler.rs
+++ b/crates/wheel_entry/src/admin_handler.rs
@@ -50,7 +50,7 @@
     /// Begins a graceful shutdown.
     fn drain(&self) -> AdminReply;
     /// Recorded decisions about a model or a request.
-    fn explain(&self, query: &str) -> AdminReply;
+    fn explain(&self, query: &str) -> BoxFuture<'static, AdminReply>;
     /// Lists or changes the group's voters; `None` lists.
     fn voters(&self, change: Option<Value>) -> BoxFuture<'static, AdminReply>;
     /// True once the instance can serve and until it drains.
--- a/crates/wheel_entry/src/admin_service.rs
+++ b/crates/wheel_entry/src/admin_service.rs
@@ -53,7 +53,7 @@
             (&Method::PUT, "/admin/v1/text") => self.apply_text(request).await,
             (&Method::GET, "/admin/v1/status") => reply(self.handler.status().await),
             (&Method::POST, "/admin/v1/drain") => reply(self.handler.drain()),
-            (&Method::GET, "/admin/v1/explain") => self.explain(request.uri().query()),
+            (&Method::GET, "/admin/v1/explain") => self.explain(request.uri().query()).await,
             (&Method::GET, "/admin/v1/voters") => reply(self.handler.voters(None).await),
             (&Method::POST, "/admin/v1/voters") => self.change_voters(request).await,
             _ => reply(AdminReply::error(StatusCode::NOT_FOUND, "no such operators' call")),
@@ -107,9 +107,9 @@
         reply(self.handler.apply(ApplyRequest { source, base, key }).await)
     }
 
-    fn explain(&self, query: Option<&str>) -> Response<AnswerBody> {
+    async fn explain(&self, query: Option<&str>) -> Response<AnswerBody> {
         match query.and_then(|query| query.strip_prefix("q=")) {
-            Some(subject) if !subject.is_empty() => reply(self.handler.explain(subject)),
+            Some(subject) if !subject.is_empty() => reply(self.handler.explain(subject).await),
             _ => reply(AdminReply::error(StatusCode::BAD_REQUEST, "the query q=... is missing")),
         }
     }
--- a/crates/wheel_fakes/src/bin/wheel_fake.rs
+++ b/crates/wheel_fakes/src/bin/wheel_fake.rs
@@ -75,6 +75,7 @@
         .optopt("", "load-lag-ms", "engine: age of load reports (0)", "MILLIS")
         .optopt("", "store", "engine: address of the weight store", "ADDR")
         .optflag("", "ignore-fencing", "engine: take old fencing numbers")
+        .optflag("", "overcommit", "engine: take loads that don't fit its memory")
         .optmulti("", "preload", "engine: model that is loaded from the start", "MODEL")
         .optopt("", "loads-per-second", "store: loads begun in a second (10)", "N")
         .optopt("", "full-speed-loads", "store: loads at full speed (4)", "N")
@@ -95,6 +96,7 @@
         store_load: millis(flags, "load-ms", 100)?,
         store: flags.opt_get("store")?,
         enforces_fencing: !flags.opt_present("ignore-fencing"),
+        checks_memory: !flags.opt_present("overcommit"),
         ..settings
     })
 }
--- a/crates/wheel_serving/src/decision_log.rs
+++ b/crates/wheel_serving/src/decision_log.rs
@@ -4,14 +4,15 @@
 use std::time::SystemTime;
 
 use parking_lot::Mutex;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use wheel_types::RequestId;
 
 /// Decisions that are kept; the oldest go first.
 const MAX_RECORDS: usize = 4_096;
 
 /// One decision.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct DecisionRecord {
     /// When it was made, in milliseconds since 1970.
     pub unix_ms: u64,
--- a/crates/wheel_serving/src/engine_watch.rs
+++ b/crates/wheel_serving/src/engine_watch.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant, SystemTime};
 
-use wheel_types::{EngineReport, EngineState, IncarnationId, LoadReport, ModelPhase};
+use wheel_types::{
+    AdapterName, EngineReport, EngineState, IncarnationId, LoadReport, ModelName, ModelPhase,
+};
 
 use crate::{LeavingSet, OwnedUpstream, OwnerSettings, ReportMessage, ReportSink};
 
@@ -31,6 +33,7 @@
     /// By the engine's own word or by the platform's list.
     leaving: bool,
     load: LoadReport,
+    foreign: u32,
     failed_reads: u32,
     reported: Option<(Instant, EngineReport)>,
     sequence: u64,
@@ -51,15 +54,19 @@
 
     async fn run(self, upstream: Weak<OwnedUpstream>) {
         let mut state = WatchState { sequence: unix_micros(), ..WatchState::default() };
+        let Some(due) = upstream.upgrade().map(|strong| Arc::clone(&strong.report_due)) else {
+            return;
+        };
+        let mut asked = false;
         loop {
             let Some(strong) = upstream.upgrade() else { return };
             if self.watches_engine {
                 read_engine(&strong, &mut state).await;
             }
             self.note_leaving(&strong, &mut state);
-            self.report_change(&strong, &mut state);
+            self.report_change(&strong, &mut state, asked);
             drop(strong);
-            tokio::time::sleep(state.poll_interval()).await;
+            asked = tokio::time::timeout(state.poll_interval(), due.notified()).await.is_ok();
         }
     }
 
@@ -72,16 +79,17 @@
         state.leaving = leaving;
     }
 
-    fn report_change(&self, upstream: &OwnedUpstream, state: &mut WatchState) {
+    fn report_change(&self, upstream: &OwnedUpstream, state: &mut WatchState, asked: bool) {
         let report = self.report(upstream, state);
-        let due = state
-            .reported
-            .as_ref()
-            .is_none_or(|(at, last)| at.elapsed() >= REPORT_INTERVAL || differs(last, &report));
+        let due = asked
+            || state
+                .reported
+                .as_ref()
+                .is_none_or(|(at, last)| at.elapsed() >= REPORT_INTERVAL || differs(last, &report));
         if due {
             state.sequence += 1;
             state.reported = Some((Instant::now(), report.clone()));
-            self.sink.publish(ReportMessage::Engine(report));
+            self.sink.publish(ReportMessage::Engine(Box::new(report)));
         }
     }
 
@@ -100,6 +108,9 @@
             models: state.engine.models.clone(),
             load: state.load,
             queued: queued as u32,
+            foreign: state.foreign,
+            // Read before the use: see OwnedUpstream::generate.
+            draining: upstream.drains().at(&spec.name),
             usage: upstream.usage().usage(),
             memory_checkpoints: state.engine.memory_checkpoints.clone(),
             disk_checkpoints: state.engine.disk_checkpoints.clone(),
@@ -130,8 +141,10 @@
     match engine {
         Ok(engine) => {
             state.failed_reads = 0;
-            note_foreign(upstream, &engine);
+            state.foreign = note_foreign(upstream, &engine);
             upstream.usage().retain_models(|model| engine.find(model).is_some());
+            let name = &upstream.spec().name;
+            upstream.drains().retain_models(name, |model| engine.find(model).is_some());
             state.engine = engine;
         }
         Err(_) => {
@@ -150,9 +163,10 @@
 }
 
 /// Requests of an earlier owner take slots until they end.
-fn note_foreign(upstream: &OwnedUpstream, engine: &EngineState) {
-    let foreign = engine.running.iter().filter(|id| !upstream.queue().contains(id)).count();
-    upstream.queue().set_foreign(foreign as u32);
+fn note_foreign(upstream: &OwnedUpstream, engine: &EngineState) -> u32 {
+    let foreign = engine.running.iter().filter(|id| !upstream.queue().contains(id)).count() as u32;
+    upstream.queue().set_foreign(foreign);
+    foreign
 }
 
 /// Whether a report says something that routing or placement acts on.
@@ -161,9 +175,18 @@
         || last.reachable != next.reachable
         || last.leaving != next.leaving
         || last.models != next.models
+        || last.draining != next.draining
+        || (last.foreign > 0) != (next.foreign > 0)
+        || used_models(last).ne(used_models(next))
         || load_class(last) != load_class(next)
 }
 
+/// The models that are in use; placement must not take an idle one for one that isn't.
+fn used_models(report: &EngineReport) -> impl Iterator<Item = (&ModelName, Option<&AdapterName>)> {
+    let used = report.usage.iter().filter(|usage| usage.in_use > 0);
+    used.map(|usage| (&usage.model, usage.adapter.as_ref()))
+}
+
 /// A coarse class of load, so that reports are few: doublings of what runs and waits.
 fn load_class(report: &EngineReport) -> u32 {
     let depth = report.load.running + report.load.waiting + report.queued;
--- a/crates/wheel_serving/src/lib.rs
+++ b/crates/wheel_serving/src/lib.rs
@@ -5,13 +5,15 @@
 //! [`OwnerTable`] queues it for a slot and calls the upstream; [`RelayService`] takes what other
 //! entries relay.
 //!
-//! Lock order: no lock of this crate is held while another is taken.
+//! Lock order: no lock of this crate is held while another is taken, but for that of [`DrainMarks`],
+//! which comes last.
 
 mod call_cost;
 mod claim_keeper;
 mod claimed_call;
 mod decision_log;
 mod demand_board;
+mod drain_marks;
 mod engine_watch;
 mod generate_run;
 mod leaving_set;
@@ -38,6 +40,7 @@
 pub use claim_keeper::{ClaimKeeper, KeeperError};
 pub use decision_log::{DecisionLog, DecisionRecord};
 pub use demand_board::{DemandBoard, DemandGuard};
+pub use drain_marks::DrainMarks;
 pub use leaving_set::LeavingSet;
 pub use owned_upstream::OwnedUpstream;
 pub use owner_route::OwnerRoute;
--- a/crates/wheel_serving/src/owned_upstream.rs
+++ b/crates/wheel_serving/src/owned_upstream.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wheel_policy::{QueueSettings, QueuedRequest};
 use wheel_text::{ServingText, UpstreamKind, UpstreamSpec};
@@ -16,7 +17,7 @@
 
 use crate::owned_answer::{OwnedAnswer, OwnedPlain, OwnedStream, OwnedWhole};
 use crate::relay_refusal::RelayRefusal;
-use crate::{ProcessClock, RelayCall, SlotGuard, SlotQueue, UsageTable};
+use crate::{DrainMarks, DrainNotice, ProcessClock, RelayCall, SlotGuard, SlotQueue, UsageTable};
 
 /// Slots of an engine that only the most urgent rank may take, as a divisor of all slots.
 const URGENT_DIVISOR: u32 = 8;
@@ -33,6 +34,9 @@
     clock: ProcessClock,
     queue: Arc<SlotQueue>,
     usage: Arc<UsageTable>,
+    drains: DrainMarks,
+    /// Asks for a report at once.
+    pub(crate) report_due: Arc<Notify>,
     client: UpstreamClient,
     /// Ends the tasks that watch the upstream once it is owned elsewhere.
     pub(crate) disowned: CancellationToken,
@@ -66,6 +70,8 @@
         Arc::new(Self {
             queue: SlotQueue::spawn(clock, queue_settings),
             usage: Arc::default(),
+            drains: DrainMarks::default(),
+            report_due: Arc::default(),
             disowned: CancellationToken::new(),
             spec,
             clock,
@@ -88,6 +94,17 @@
         &self.usage
     }
 
+    /// Its replicas that drain.
+    pub fn drains(&self) -> &DrainMarks {
+        &self.drains
+    }
+
+    /// Takes no new requests of a draining replica, or takes them again, and reports it at once.
+    pub fn note_drain(&self, notice: &DrainNotice) {
+        self.drains.note(notice);
+        self.report_due.notify_one();
+    }
+
     /// Its client, if it is an engine.
     pub fn engine(&self) -> Option<&EngineClient> {
         match &self.client {
@@ -108,7 +125,11 @@
             return Err(RelayRefusal::elsewhere("the upstream isn't an engine"));
         };
         let model = call.model.clone().unwrap_or_else(|| ModelName::new(""));
-        let usage = self.usage.begin(model, call.adapter.clone());
+        // Counted first: whoever sees no use after the mark can rely on it.
+        let usage = self.usage.begin(model.clone(), call.adapter.clone());
+        if self.drains.contains(&self.spec.name, &model) {
+            return Err(RelayRefusal::elsewhere("the replica drains"));
+        }
         let slot = self.acquire_slot(call).await?;
         let engine_call = GenerateCall {
             call: EngineCall {
--- a/crates/wheel_serving/src/replica_directory.rs
+++ b/crates/wheel_serving/src/replica_directory.rs
@@ -12,7 +12,7 @@
     CentreName, EngineReport, InstanceName, ModelName, ModelPhase, ServiceName, UpstreamName,
 };
 
-use crate::{DrainNotice, OwnerRoute, ProcessClock};
+use crate::{DrainMarks, DrainNotice, OwnerRoute, ProcessClock};
 
 /// Time after which an upstream whose owner is silent gets no new work.
 const REPORT_LIFE: Duration = Duration::from_secs(15);
@@ -43,7 +43,7 @@
     upstreams: HashMap<UpstreamName, UpstreamSpec>,
     links: HashMap<CentreName, LinkSpec>,
     loaded_at: HashMap<ModelName, Vec<UpstreamName>>,
-    draining: HashSet<(UpstreamName, ModelName)>,
+    draining: DrainMarks,
     /// Owners that couldn't be reached since their last report.
     gone_owners: HashSet<InstanceName>,
     /// Reports of upstreams that the text held here doesn't have yet.
@@ -65,7 +65,7 @@
             upstreams: HashMap::new(),
             links: HashMap::new(),
             loaded_at: HashMap::new(),
-            draining: HashSet::new(),
+            draining: DrainMarks::default(),
             gone_owners: HashSet::new(),
             early: HashMap::new(),
         };
@@ -136,11 +136,9 @@
     /// Stops routing to one replica, or starts again, as the lease holder says.
     pub fn note_drain(&self, notice: &DrainNotice) {
         let mut state = self.state.lock();
-        let replica = (notice.upstream.clone(), notice.model.clone());
-        match notice.draining {
-            true => state.draining.insert(replica),
-            false => state.draining.remove(&replica),
-        };
+        if !state.draining.note(notice) {
+            return;
+        }
         state.place_model(&self.centre, &notice.model);
         drop(state);
         self.changed.notify_waiters();
@@ -185,11 +183,31 @@
             let affected = state.remove_report(&name);
             affected.iter().for_each(|model| state.place_model(&self.centre, model));
         }
+        let resumed = state.draining.expire();
+        resumed.iter().for_each(|model| state.place_model(&self.centre, model));
+        drop(state);
+        if !resumed.is_empty() {
+            self.changed.notify_waiters();
+        }
     }
 
-    /// Chooses an upstream.
+    /// Chooses an upstream. One that lacks the adapter can't answer: where all do, the answer is
+    /// [`RouteAnswer::Cold`], as for a model that isn't loaded.
     pub fn choose(&self, query: &RouteQuery) -> RouteAnswer {
-        self.state.lock().router.choose(self.clock.now(), query)
+        let mut state = self.state.lock();
+        let now = self.clock.now();
+        let Some(adapter) = &query.adapter else { return state.router.choose(now, query) };
+        let replicas = state.router.replicas(&query.model);
+        let has = |replica: &&ReplicaView| replica.adapters.contains(adapter);
+        let any = replicas.iter().filter(has).any(|replica| replica.takes_work);
+        let lacking = replicas.iter().filter(|replica| !has(replica));
+        let lacking: Vec<UpstreamName> = lacking.map(|replica| replica.upstream.clone()).collect();
+        let mut narrowed = query.clone();
+        narrowed.tried.extend(lacking);
+        match any {
+            true => state.router.choose(now, &narrowed),
+            false => RouteAnswer::Cold,
+        }
     }
 
     /// Where the owner of an upstream takes requests.
@@ -239,9 +257,7 @@
     fn replace_report(&mut self, report: EngineReport) -> Vec<ModelName> {
         let mut affected = self.remove_report(&report.upstream);
         // A replica that is gone has drained; the next one there starts fresh.
-        self.draining.retain(|(upstream, model)| {
-            upstream != &report.upstream || report.loaded(model).is_some()
-        });
+        self.draining.retain_models(&report.upstream, |model| report.loaded(model).is_some());
         for state in report.loaded_models() {
             let upstreams = self.loaded_at.entry(state.model.clone()).or_default();
             upstreams.push(report.upstream.clone());
@@ -300,7 +316,9 @@
             .filter(|state| state.phase == ModelPhase::Loaded)
             .map(|state| state.adapter.clone())
             .collect();
-        let draining = self.draining.contains(&(upstream.clone(), model.clone()));
+        // The owner's word reaches other data centres and restarted instances.
+        let draining =
+            self.draining.contains(upstream, model) || held.report.draining.contains(model);
         Some(ReplicaView { adapters, takes_work: view.takes_work && !draining, ..view })
     }
 
--- a/crates/wheel_serving/src/report_message.rs
+++ b/crates/wheel_serving/src/report_message.rs
@@ -20,7 +20,7 @@
 #[derive(Deserialize, Serialize)]
 pub enum ReportMessage {
     /// An owner's report.
-    Engine(EngineReport),
+    Engine(Box<EngineReport>),
     /// The lease holder's word on a replica.
     Drain(DrainNotice),
     /// Asks for all reports that the receiver holds, answered by a [`ReportList`].
--- a/crates/wheel_types/src/engine_report.rs
+++ b/crates/wheel_types/src/engine_report.rs
@@ -51,6 +51,10 @@
     pub queued: u32,
     /// Use of its models since the owner took over.
     pub usage: Vec<ModelUsage>,
+    /// Requests that an earlier owner left running there; of which models isn't known.
+    pub foreign: u32,
+    /// Models of which the owner takes no new requests, because their replicas there drain.
+    pub draining: Vec<ModelName>,
     /// Checkpoints in its host's memory.
     pub memory_checkpoints: Vec<ModelName>,
     /// Checkpoints on its disk.
