--- a/crates/wheel_daemon/src/daemon_parts.rs
+++ b/crates/wheel_daemon/src/daemon_parts.rs
@@ -59,7 +59,8 @@
         self.draining.load(Ordering::Acquire)
     }
 
-    /// The instance from which the text is followed; `None` at a control instance.
+    /// The instance from which the text is followed first; `None` at a control instance, which has
+    /// it from the log and follows others only while it is cut off from the group.
     pub fn text_parent(&self) -> Option<InstanceName> {
         match &self.control {
             Some(_) => None,
@@ -67,6 +68,15 @@
         }
     }
 
+    /// Stops routing to owners of this data centre that aren't live any more.
+    pub fn forget_dead_owners(&self) {
+        for owner in self.directory.near_owners() {
+            if !self.book.is_live(&owner) {
+                self.directory.note_owner_gone(&owner);
+            }
+        }
+    }
+
     /// This instance's state, for others.
     pub fn status(&self) -> InstanceStatus {
         let (revision, since) = *self.text_since.lock();
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -159,6 +159,20 @@
         let key = self.path.parts.key.as_ref();
         let headers = relay_headers(&call, key)
             .ok_or_else(|| RelayRefusal::elsewhere("the call has no header form"))?;
+        tokio::select! {
+            head = self.relay(route, headers) => head,
+            () = self.path.parts.directory.owner_gone(&route.owner) => {
+                let message = "the owner stopped answering";
+                Err(RelayRefusal { owner_gone: true, ..RelayRefusal::elsewhere(message) })
+            }
+        }
+    }
+
+    async fn relay(
+        &self,
+        route: &OwnerRoute,
+        headers: HeaderMap,
+    ) -> Result<AnswerHead, RelayRefusal> {
         let client = self.path.parts.relays.client(&route.owner, route.relay).engine;
         let generate = self.generate_call(headers);
         if self.target.stream {
@@ -191,21 +205,13 @@
 
     fn relay_call(&self, route: &OwnerRoute) -> RelayCall {
         let request = &self.wish.request;
-        let remaining = request.deadline.saturating_duration_since(Instant::now());
         RelayCall {
-            request_id: request.id.clone(),
-            upstream: route.upstream.clone(),
-            caller: request.caller.clone(),
-            weight: self.path.weight(request),
-            rank: request.rank,
             model: Some(self.target.model.clone()),
             adapter: self.target.adapter.clone(),
             stream: self.target.stream,
             resume_from: self.next_index,
             repeatable: true,
-            age_ms: request.arrival.elapsed().as_millis() as u64,
-            remaining_ms: remaining.as_millis() as u64,
-            cost_ms: CallCost::of_generation(&request.body).as_millis() as u64,
+            ..self.path.relay_call(request, route, CallCost::of_generation(&request.body))
         }
     }
 
