Count a request at its upstream until it ends, whatever ends it

Cause: the router was told that a request was sent, but not that it ended when its caller went away in mid-stream or its owner couldn't be reached: with counts by rank these would have added up for good. A guard now ends the count when it is dropped.

Run: wheel_harness and wheel_serving tests pass.

--- a/crates/wheel_harness/src/http_caller.rs
+++ b/crates/wheel_harness/src/http_caller.rs
@@ -16,6 +16,9 @@
 /// Time after which a call is given up.
 const CALL_LIMIT: Duration = Duration::from_secs(60);
 
+/// Time after which an idle connection isn't used again; servers close theirs later.
+const IDLE_LIMIT: Duration = Duration::from_secs(3);
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct HttpReply {
@@ -57,7 +60,8 @@
 impl Default for HttpCaller {
     fn default() -> Self {
         let mut builder = Client::builder(TokioExecutor::new());
-        Self { client: builder.retry_canceled_requests(false).build_http() }
+        builder.retry_canceled_requests(false).pool_idle_timeout(IDLE_LIMIT);
+        Self { client: builder.build_http() }
     }
 }
 
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -24,6 +24,7 @@
 use crate::relay_headers::relay_headers;
 use crate::relay_refusal::{RelayCode, RelayRefusal};
 use crate::relay_service::{done_frame, event_frame};
+use crate::sent_request::SentRequest;
 use crate::serving_path::RouteWish;
 use crate::{CallCost, OwnerRoute, RelayCall, ServingPath};
 
@@ -71,7 +72,8 @@
     run: GenerateRun,
     source: Box<TokenSource>,
     route: OwnerRoute,
-    started: Instant,
+    /// Until the stream ends or breaks.
+    sent: Option<SentRequest>,
     phase: StreamPhase,
 }
 
@@ -97,21 +99,23 @@
         let (model, adapter) = (target.model.clone(), target.adapter.clone());
         let wish = path.wish(request, model, adapter, Some(prefix), true);
         let mut run = Self { path, target, wish, next_index: 0 };
-        let (route, head, started) = run.reach_head().await?;
+        let (route, head, sent) = run.reach_head().await?;
         Ok(match head {
             AnswerHead::Whole(body) => {
-                run.record_end(&route, started, true);
+                drop(sent);
                 whole_answer(body)
             }
             AnswerHead::Stream(source) => {
                 let phase = StreamPhase::Running;
-                stream_answer(RunningStream { run, source, route, started, phase })
+                stream_answer(RunningStream { run, source, route, sent: Some(sent), phase })
             }
         })
     }
 
     /// Gets the head of an answer, trying other upstreams as the retry budget allows.
-    async fn reach_head(&mut self) -> Result<(OwnerRoute, AnswerHead, Instant), RequestRefusal> {
+    async fn reach_head(
+        &mut self,
+    ) -> Result<(OwnerRoute, AnswerHead, SentRequest), RequestRefusal> {
         let mut attempts = 0;
         loop {
             attempts += 1;
@@ -119,11 +123,14 @@
             if attempts == 1 {
                 self.path.count_request(&route.upstream);
             }
-            let started = Instant::now();
-            let directory = &self.path.parts.directory;
-            directory.record_sent(&route.upstream, self.wish.query.prefix);
+            let sent = SentRequest::begin(
+                &self.path.parts.directory,
+                &route.upstream,
+                self.wish.request.rank,
+                self.wish.query.prefix,
+            );
             let refusal = match self.attempt(&route).await {
-                Ok(head) => return Ok((route, head, started)),
+                Ok(head) => return Ok((route, head, sent)),
                 Err(refusal) => refusal,
             };
             if self.path.note_owner(&route, &refusal) {
@@ -133,7 +140,9 @@
             let is_final =
                 !matches!(refusal.code, RelayCode::Elsewhere | RelayCode::UpstreamFailed);
             // A queue's refusal says nothing of the upstream's health.
-            self.record_end(&route, started, is_final);
+            if !is_final {
+                sent.fail();
+            }
             info!("attempt_failed", kv: {
                 request = self.wish.request.id.as_str(),
                 upstream = route.upstream.as_str(),
@@ -237,11 +246,6 @@
             _ => GeneratePath::ChatCompletions,
         }
     }
-
-    fn record_end(&self, route: &OwnerRoute, started: Instant, succeeded: bool) {
-        let directory = &self.path.parts.directory;
-        directory.record_end(&route.upstream, started.elapsed(), succeeded);
-    }
 }
 
 impl RunningStream {
@@ -260,11 +264,13 @@
                     return Some(Ok(event_frame(&token.data)));
                 }
                 Ok(StreamEvent::End) => {
-                    self.run.record_end(&self.route, self.started, true);
+                    self.sent = None;
                     return Some(Ok(done_frame()));
                 }
                 Err(failure) => {
-                    self.run.record_end(&self.route, self.started, false);
+                    if let Some(sent) = self.sent.take() {
+                        sent.fail();
+                    }
                     if let Err(refusal) = self.resume(&failure).await {
                         return Some(Ok(self.fail(&refusal)));
                     }
@@ -284,7 +290,7 @@
         });
         self.run.wish.request.deadline = Instant::now() + RESUME_LIMIT;
         self.run.wish.query.tried = vec![self.route.upstream.clone()];
-        let (route, head, started) = self.run.reach_head().await?;
+        let (route, head, sent) = self.run.reach_head().await?;
         match head {
             AnswerHead::Stream(source) => {
                 info!("stream_resumed", kv: {
@@ -292,7 +298,7 @@
                     upstream = route.upstream.as_str(),
                     next_token = self.run.next_index
                 });
-                (self.source, self.route, self.started) = (source, route, started);
+                (self.source, self.route, self.sent) = (source, route, Some(sent));
                 Ok(())
             }
             AnswerHead::Whole(_) => {
--- a/crates/wheel_serving/src/lib.rs
+++ b/crates/wheel_serving/src/lib.rs
@@ -31,6 +31,7 @@
 mod relay_service;
 mod replica_directory;
 mod report_message;
+mod sent_request;
 mod serving_path;
 mod slot_guard;
 mod slot_queue;
--- a/crates/wheel_serving/src/plain_run.rs
+++ b/crates/wheel_serving/src/plain_run.rs
@@ -7,7 +7,6 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use spdlog::info;
-use tokio::time::Instant;
 use wheel_entry::{
     AnswerError, CallerAnswer, CallerRequest, PlainTarget, RefusalCode, RequestRefusal,
     RequestTarget, header_names,
@@ -19,6 +18,7 @@
 use crate::owned_answer::OwnedPlain;
 use crate::relay_headers::{RELAY_REFUSAL, relay_headers};
 use crate::relay_refusal::{RelayCode, RelayRefusal};
+use crate::sent_request::SentRequest;
 use crate::serving_path::RouteWish;
 use crate::{CallCost, OwnerRoute, RelayCall, ReplicaDirectory, ServingPath, SlotGuard};
 
@@ -74,8 +74,9 @@
             if attempts == 1 {
                 self.path.count_request(&route.upstream);
             }
-            let started = Instant::now();
-            self.path.parts.directory.record_sent(&route.upstream, None);
+            let directory = &self.path.parts.directory;
+            let rank = self.wish.request.rank;
+            let sent = SentRequest::begin(directory, &route.upstream, rank, None);
             let result = self.attempt(&route).await;
             if let Err(refusal) = &result
                 && self.path.note_owner(&route, refusal)
@@ -89,8 +90,9 @@
                     !matches!(refusal.code, RelayCode::Elsewhere | RelayCode::UpstreamFailed)
                 }
             };
-            let directory = &self.path.parts.directory;
-            directory.record_end(&route.upstream, started.elapsed(), healthy);
+            if !healthy {
+                sent.fail();
+            }
             let refusal = match result {
                 Ok(head) if head.answer.outcome != RequestOutcome::NotRun => {
                     return Ok(plain_answer(head));
--- a/crates/wheel_serving/src/replica_directory.rs
+++ b/crates/wheel_serving/src/replica_directory.rs
@@ -9,7 +9,8 @@
 use wheel_policy::{EngineRouter, OutlierSettings, ReplicaView, RouteAnswer, RouteQuery};
 use wheel_text::{LinkSpec, ServingText, UpstreamKind, UpstreamSpec};
 use wheel_types::{
-    CentreName, EngineReport, InstanceName, ModelName, ModelPhase, ServiceName, UpstreamName,
+    CentreName, EngineReport, InstanceName, ModelName, ModelPhase, RequestRank, ServiceName,
+    UpstreamName,
 };
 
 use crate::{DrainMarks, DrainNotice, OwnerRoute, ProcessClock};
@@ -245,13 +246,23 @@
     }
 
     /// Counts a request that was sent.
-    pub fn record_sent(&self, upstream: &UpstreamName, prefix: Option<u64>) {
-        self.state.lock().router.record_sent(self.clock.now(), upstream, prefix);
+    pub fn record_sent(&self, upstream: &UpstreamName, rank: RequestRank, prefix: Option<u64>) {
+        let mut state = self.state.lock();
+        state.router.record_sent(self.clock.now(), upstream, prefix);
+        state.router.record_rank(upstream, rank, true);
     }
 
     /// Counts a request that ended.
-    pub fn record_end(&self, upstream: &UpstreamName, span: Duration, succeeded: bool) {
-        self.state.lock().router.record_end(self.clock.now(), upstream, span, succeeded);
+    pub fn record_end(
+        &self,
+        upstream: &UpstreamName,
+        rank: RequestRank,
+        span: Duration,
+        succeeded: bool,
+    ) {
+        let mut state = self.state.lock();
+        state.router.record_end(self.clock.now(), upstream, span, succeeded);
+        state.router.record_rank(upstream, rank, false);
     }
 
     /// Completes at the next change. Create it before looking, so that no change is missed.
