Make two membership tests bite

Planted faults showed that two tests passed without the code they are for. The test of a frozen member now freezes one that suspects another, which fails without the gap check; the test of a restart with a clock that ran back waits until no news of the first start is under way, which fails without the correction of an outlived incarnation. Not tried: indirect probes, probes of absent members.

--- a/crates/wheel_membership/tests/member_table.rs
+++ b/crates/wheel_membership/tests/member_table.rs
@@ -44,9 +44,10 @@
     for (again, expected) in [(9, 9), (0, 2)] {
         let mut centre = Centre::open(7, 12);
         centre.run_until(seconds(10), |table| shows(table, 7));
+        // Until no one passes on news of the first start.
+        centre.run(seconds(60));
         // Killed and restarted before anyone noticed; once with a clock that ran back.
         centre.kill(2);
-        centre.run(Duration::from_millis(300));
         centre.start(2, again);
         let known = |table: &MemberTable| incarnation_of(table, 2) == Some(IncarnationId(expected));
         let spent = centre.run_until(seconds(10), known);
@@ -122,6 +123,16 @@
 fn step_frozen_member_blames_no_one() {
     let mut centre = Centre::open(7, 16);
     centre.run_until(seconds(10), |table| shows(table, 7));
+    // Frozen while it suspects another member, which refutes in the meantime.
+    centre.cut = vec![2];
+    let suspects = |centre: &Centre| {
+        let view = centre.nodes[4].as_ref().unwrap().view();
+        view.find(&name(2)).is_some_and(|member| member.suspect)
+    };
+    while !suspects(&centre) {
+        centre.run(Duration::from_millis(10));
+    }
+    centre.cut.clear();
     centre.frozen = vec![4];
     centre.run(seconds(20));
     assert_eq!(centre.shown(0), 6);
