Expect demand by the weekly forecast; give each data centre a turn at the store; sharpen the tests

- The director feeds DemandForecast with the arrivals of each service in its zone and gives the planner hourly_rate, expected_soon and worth from it.
Kept in the lease holder's memory, bounded by the text; a new holder begins without a history.
- With more data centres than loads at full speed, some had no share of the store and never loaded.
Each has one load now, in its turn by the clock; only the first quarter of a turn may begin a load, so that the sum stays within the whole while a load takes less than three quarters of a turn.
The price: up to a whole cycle of waiting (22 data centres, 4 loads, a longest load of 2 s: 6 turns of 8 s).
Weighed: shares below one load can't be held without turns or loans; loans through the group are still to come.

--- a/crates/wheel_director/src/centre_director.rs
+++ b/crates/wheel_director/src/centre_director.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jiff::Timestamp;
 use spdlog::debug;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
@@ -49,7 +50,7 @@
         if self.driver.authority().is_none() {
             return DemandReply::NotHolder { holder: self.driver.known_holder() };
         }
-        self.demand.note_report(from, report);
+        self.demand.note_report(Timestamp::now(), from, report);
         DemandReply::Noted
     }
 
--- a/crates/wheel_director/src/demand_table.rs
+++ b/crates/wheel_director/src/demand_table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use jiff::Timestamp;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use wheel_policy::{AdapterDemand, DemandView, ModelDemand, RankDemand};
@@ -11,6 +12,8 @@
     AdapterName, DemandReport, EngineReport, InstanceName, ModelName, MonotonicTime, RequestRank,
 };
 
+use crate::forecast_keeper::ForecastKeeper;
+
 /// Time after which an instance's silence means that nothing waits there.
 const REPORT_LIFE: Duration = Duration::from_secs(3);
 /// Time over which arrivals are averaged.
@@ -33,6 +36,7 @@
 struct TableState {
     reports: HashMap<InstanceName, HeldReport>,
     rates: HashMap<ModelName, ArrivalRate>,
+    forecast: ForecastKeeper,
 }
 
 #[derive(Debug)]
@@ -50,8 +54,13 @@
 }
 
 impl DemandTable {
-    /// Takes over an instance's report.
-    pub fn note_report(&self, from: InstanceName, report: DemandReport) {
+    /// Takes over a text, for the forecast.
+    pub fn follow_text(&self, text: &ServingText) {
+        self.state.lock().forecast.follow_text(text);
+    }
+
+    /// Takes over an instance's report that came at `at`.
+    pub fn note_report(&self, at: Timestamp, from: InstanceName, report: DemandReport) {
         let mut state = self.state.lock();
         let received = Instant::now();
         for entry in report.entries.iter().filter(|entry| entry.arrivals > 0) {
@@ -63,6 +72,7 @@
             rate.decay(received);
             rate.hourly += f64::from(entry.arrivals) * HOUR_S / RATE_SPAN.as_secs_f64();
             rate.rank = entry.rank;
+            state.forecast.record(at, &entry.model, entry.rank, entry.arrivals);
         }
         let waits = report.entries.iter().any(|entry| entry.waiting > 0);
         state.reports.insert(from, HeldReport { report, received });
@@ -77,10 +87,11 @@
         self.urgent.notified().await;
     }
 
-    /// The planner's view at `now`, with what the owners' reports say of queues and replicas.
+    /// The planner's view at `now`, which is `at` on the callers' clocks, with what the owners' reports say of queues and replicas.
     pub fn view<'a>(
         &self,
         now: MonotonicTime,
+        at: Timestamp,
         text: &ServingText,
         own: impl Iterator<Item = &'a EngineReport>,
         elsewhere: impl Iterator<Item = &'a EngineReport>,
@@ -104,8 +115,15 @@
         for (model, rate) in &state.rates {
             let demand = model_demand(&mut models, model);
             demand.hourly_rate = rate.hourly;
-            let rank = text.text.ranks.get(rate.rank.index());
-            demand.worth = rank.map_or(1.0, |rank| rank.worth);
+            demand.worth = worth(text, rate.rank);
+        }
+        for forecast in state.forecast.expectations(at) {
+            if forecast.hourly_rate >= LEAST_RATE {
+                let demand = model_demand(&mut models, &forecast.model);
+                demand.hourly_rate = demand.hourly_rate.max(forecast.hourly_rate);
+                demand.expected_soon = forecast.expected_soon;
+                demand.worth = worth(text, forecast.rank);
+            }
         }
         drop(state);
         own.for_each(|report| add_use(&mut models, report));
@@ -133,6 +151,10 @@
     }
 }
 
+fn worth(text: &ServingText, rank: RequestRank) -> f64 {
+    text.text.ranks.get(rank.index()).map_or(1.0, |rank| rank.worth)
+}
+
 fn model_demand<'a>(
     models: &'a mut HashMap<ModelName, ModelDemand>,
     model: &ModelName,
--- a/crates/wheel_director/src/placement_round.rs
+++ b/crates/wheel_director/src/placement_round.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use futures_util::future::join_all;
+use jiff::Timestamp;
 use spdlog::{info, warn};
 use tokio::time::timeout;
 use wheel_lease::{
@@ -118,6 +119,7 @@
         demand: &DemandTable,
     ) -> Option<FencingNumber> {
         self.follow_text(text);
+        demand.follow_text(text);
         self.ledger.begin(authority);
         let learned = self.read_engines(text).await;
         self.fence_engines(text, authority);
@@ -153,7 +155,9 @@
             .collect();
         self.ledger.set_engines(self.settings.now(), &entries);
         let (centre, centres) = (&self.settings.centre, &text.text.centres);
-        self.pace.set_share(StoreShare::of(centre, centres, &text.text.store));
+        let longest = text.text.models.iter().map(|model| model.load_ms).max().unwrap_or(0);
+        let longest = Duration::from_millis(longest);
+        self.pace.set_share(StoreShare::of(centre, centres, &text.text.store, longest));
         self.refusals.clear();
         match &mut self.planner {
             Some(planner) => planner.set_text(&text.text),
@@ -273,12 +277,12 @@
         let mut fleet = builder.build(&mut self.tracks);
         let share = self.pace.share();
         fleet.store_loads = share.loads;
-        fleet.store_starts = self.pace.starts(now);
+        fleet.store_starts = self.pace.starts(now, SystemTime::now());
         fleet.adapter_loads = share.adapter_loads;
         let all = || reports.values().map(|heard| &heard.report);
         let own = all().filter(|report| &report.centre == centre);
         let elsewhere = all().filter(|report| &report.centre != centre);
-        let view = demand.view(now, text, own, elsewhere);
+        let view = demand.view(now, Timestamp::now(), text, own, elsewhere);
         self.planner.as_mut().map(|planner| planner.plan(now, &fleet, &view)).unwrap_or_default()
     }
 
--- a/crates/wheel_fakes/src/engine_desk.rs
+++ b/crates/wheel_fakes/src/engine_desk.rs
@@ -19,6 +19,8 @@
     pub(crate) state: EngineState,
     pub(crate) orders_carried: u64,
     pub(crate) max_used_mib: u64,
+    /// Calls that still ran, or waited, when their model's unload began.
+    pub(crate) calls_unloaded: u64,
     pub(crate) runs: HashMap<RequestId, u64>,
     pub(crate) resumes: HashMap<RequestId, u64>,
     pub(crate) running: Vec<RunningCall>,
@@ -35,6 +37,7 @@
     pub(crate) request: RequestId,
     pub(crate) attempt: String,
     pub(crate) cancelled: CancellationToken,
+    model: ModelName,
     rank: RequestRank,
     waiter: Option<oneshot::Sender<()>>,
 }
@@ -115,6 +118,8 @@
                 });
             }
             OrderAction::UnloadModel { model, version } => {
+                let calls = self.running.iter().filter(|call| &call.model == model);
+                self.calls_unloaded += calls.count() as u64;
                 self.set_phase(model, *version, ModelPhase::Unloading);
             }
             OrderAction::LoadAdapter { model, adapter, memory_mib } => {
@@ -176,6 +181,7 @@
     pub(crate) fn start_call(
         &mut self,
         head: &CallHead,
+        name: &str,
         slots: usize,
     ) -> (u64, CancellationToken, oneshot::Receiver<()>) {
         let counts = if head.resume_from > 0 { &mut self.resumes } else { &mut self.runs };
@@ -187,6 +193,7 @@
             request: head.request.clone(),
             attempt: head.attempt.clone(),
             cancelled: CancellationToken::new(),
+            model: ModelName::from(name.split_once(':').map_or(name, |(model, _)| model)),
             rank: head.rank,
             waiter: Some(waiter),
         };
--- a/crates/wheel_fakes/src/fake_engine.rs
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -259,7 +259,7 @@
             }
             () => {
                 desk.cache_prefix(&format!("{model}/{}", sent["messages"][0]["content"]));
-                Ok(desk.start_call(head, self.settings.slots))
+                Ok(desk.start_call(head, model, self.settings.slots))
             }
         }
     }
@@ -359,6 +359,7 @@
             "runs": runs,
             "orders_carried": desk.orders_carried,
             "max_used_mib": desk.max_used_mib,
+            "calls_unloaded": desk.calls_unloaded,
         });
         json_answer(StatusCode::OK, &counters)
     }
