Refuse a text of another group

Cause: nothing compared the text's group with the daemons'; a text of another system would have been accepted and put in force. It is refused with 422 before it is proposed.

--- a/crates/wheel_daemon/src/admin_operations.rs
+++ b/crates/wheel_daemon/src/admin_operations.rs
@@ -19,7 +19,7 @@
 use wheel_lease::GrantorSet;
 use wheel_peer::PeerChannel;
 use wheel_serving::DecisionRecord;
-use wheel_text::{CentreSpec, OperatorsText, ServingText, TextDelta};
+use wheel_text::{CentreSpec, ServingText, TextDelta};
 use wheel_types::{InstanceName, TextRevision};
 
 use crate::peer_metrics::record_peer_metrics;
@@ -51,6 +51,12 @@
     }
 
     async fn apply_text(self, request: ApplyRequest) -> AdminReply {
+        let group = &self.parts.settings.group;
+        if request.text.group != **group {
+            let message =
+                format!("the text is of group {:?}, this one is {group:?}", request.text.group);
+            return AdminReply::error(StatusCode::UNPROCESSABLE_ENTITY, &message);
+        }
         let held = self.wait_for_revision(request.base).await;
         if held.revision < request.base {
             let message = format!(
@@ -84,12 +90,14 @@
     /// meanwhile, the group tells what became of this one.
     fn refuse_grantors(&self, request: &ApplyRequest, held: TextRevision) -> Option<String> {
         let serving = self.parts.text.serving().filter(|text| text.revision == request.base)?;
-        let next = OperatorsText::parse(&request.source).ok().filter(|_| held == request.base)?;
+        if held != request.base {
+            return None;
+        }
         let set = |centre: &CentreSpec, revision: u64| GrantorSet {
             epoch: revision,
             members: centre.grantors.iter().cloned().collect(),
         };
-        let changed = next.centres.iter().find(|centre| {
+        let changed = request.text.centres.iter().find(|centre| {
             let old = serving.text.centres.iter().find(|old| old.name == centre.name);
             let (next, old) = (set(centre, held.0 + 1), old.map(|old| set(old, held.0)));
             old.is_some_and(|old| !old.may_precede(&next))
--- a/crates/wheel_entry/src/admin_handler.rs
+++ b/crates/wheel_entry/src/admin_handler.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::BoxFuture;
 use serde_json::Value;
-use wheel_text::ServingText;
+use wheel_text::{OperatorsText, ServingText};
 use wheel_types::TextRevision;
 
 /// A text that an operator wants accepted.
@@ -12,6 +12,8 @@
 pub struct ApplyRequest {
     /// The whole text.
     pub source: String,
+    /// Its checked form.
+    pub text: OperatorsText,
     /// The revision that it was edited from.
     pub base: TextRevision,
     /// The key by which a resend is known.
--- a/crates/wheel_entry/src/admin_service.rs
+++ b/crates/wheel_entry/src/admin_service.rs
@@ -101,10 +101,10 @@
         let Ok(source) = String::from_utf8(body.to_vec()) else {
             return bad("the text isn't UTF-8");
         };
-        if let Err(faults) = OperatorsText::parse(&source) {
-            return reply(faults_reply(&faults));
+        match OperatorsText::parse(&source) {
+            Err(faults) => reply(faults_reply(&faults)),
+            Ok(text) => reply(self.handler.apply(ApplyRequest { source, text, base, key }).await),
         }
-        reply(self.handler.apply(ApplyRequest { source, base, key }).await)
     }
 
     async fn explain(&self, query: Option<&str>) -> Response<AnswerBody> {
--- a/crates/wheel_harness/tests/bad_input.rs
+++ b/crates/wheel_harness/tests/bad_input.rs
@@ -74,3 +74,15 @@
     let reply = ask(&cluster.caller, ports.callers, "guide", 3, 20_000).await;
     support::assert_whole(&reply, 3);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_text_of_another_group_is_refused() {
+    let cluster = start(ClusterSettings::default()).await;
+    let at = cluster.instances[0].ports.operators;
+    let source = cluster.source.replacen("group = \"minimal\"", "group = \"other\"", 1);
+    let reply = cluster.apply(at, &source, 1, "other-group").await.expect("an answer");
+    assert_eq!(reply.status, StatusCode::UNPROCESSABLE_ENTITY, "{}", reply.text());
+    assert!(reply.text().contains("other"), "{}", reply.text());
+    let held = cluster.caller.get(at, "/admin/v1/text").await.expect("an answer");
+    assert_eq!(held.header("etag"), "\"1\"");
+}
