--- a/crates/wheel_serving/src/serving_path.rs
+++ b/crates/wheel_serving/src/serving_path.rs
@@ -5,6 +5,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use metrics::histogram;
 use parking_lot::Mutex;
 use spdlog::info;
 use tokio::time::{Instant, timeout_at};
@@ -77,6 +78,7 @@
     /// Finds the owner of a replica, waiting for a load if there is none.
     pub(crate) async fn locate(&self, wish: &mut RouteWish) -> Result<OwnerRoute, RequestRefusal> {
         let mut waiting = None;
+        let started = Instant::now();
         loop {
             let changed = self.parts.directory.changed();
             let mut changed = std::pin::pin!(changed);
@@ -85,6 +87,10 @@
                 RouteAnswer::Engine { upstream, reason, .. } => {
                     if let Some(route) = self.parts.directory.owner_of(&upstream) {
                         self.note(wish, format!("routed to {upstream}"), format!("{reason:?}"));
+                        if waiting.is_some() {
+                            let span = started.elapsed().as_secs_f64();
+                            histogram!("wheel_cold_wait_seconds").record(span);
+                        }
                         return Ok(route);
                     }
                 }
--- a/crates/wheel_serving/src/slot_queue.rs
+++ b/crates/wheel_serving/src/slot_queue.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Weak};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use metrics::histogram;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use wheel_entry::{RefusalCode, RequestRefusal};
@@ -47,13 +48,15 @@
     /// # Errors
     /// A refusal, at once when the wait is hopeless; the request can't run any more then.
     pub async fn acquire(self: &Arc<Self>, request: QueuedRequest) -> SlotAnswer {
-        let id = request.id.clone();
+        let (id, rank) = (request.id.clone(), request.rank.to_string());
+        let started = Instant::now();
         let (sender, receiver) = oneshot::channel();
         self.offer(request, sender)?;
         let waiting = WaitGuard { queue: Arc::clone(self), id };
         self.grant_slots();
         let answer = receiver.await;
         drop(waiting);
+        histogram!("wheel_queue_seconds", "rank" => rank).record(started.elapsed().as_secs_f64());
         answer.unwrap_or_else(|_| Err(closed_refusal()))
     }
 
@@ -178,7 +181,7 @@
         let Some(strong) = queue.upgrade() else { return };
         let due = strong.next_deadline().map(|due| strong.clock.instant(due));
         let wait = match due {
-            Some(due) => due.saturating_duration_since(std::time::Instant::now()),
+            Some(due) => due.saturating_duration_since(Instant::now()),
             None => IDLE_CHECK,
         };
         // A little later than due, so that the entry is past its time when it is looked at.
