Show histograms with buckets

Cause: the recorder showed quantiles, which can't be added up over instances. Buckets from 1 ms to 60 s, with the targets of 64 ms and 1.4 s among them.

--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -42,6 +42,9 @@
     MemberDriver, PeerRouter, ReportSender,
 };
 
+/// Upper ends of the histograms' buckets, in seconds.
+const HISTOGRAM_BUCKETS_S: [f64; 12] =
+    [0.001, 0.003, 0.01, 0.03, 0.064, 0.1, 0.3, 1.0, 1.4, 3.0, 10.0, 60.0];
 /// Time between two looks for silent owners.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time that other instances get to see that this one drains, before it takes no more work.
@@ -94,7 +97,8 @@
     /// [`StartError`] if one can't start.
     pub async fn spawn(settings: DaemonSettings) -> Result<Self, StartError> {
         let recorder = PrometheusBuilder::new()
-            .install_recorder()
+            .set_buckets(&HISTOGRAM_BUCKETS_S)
+            .and_then(PrometheusBuilder::install_recorder)
             .map_err(|error| StartError::Metrics { reason: error.to_string() })?;
         describe_peer_metrics();
         let router = PeerRouter::default();
