Take a drain back whose holder died; report use without flapping

- New test: the holder is killed while a replica drains and the text is taken back; the replica serves again.
With a notice that never dies it fails (504 after 20 s).
- Reports of use at each begin and end would be sent at every request of a steadily used model.
A model counts as used until a second after its last request, but for one that drains, where the end of the last request counts.
Weighed: reporting use only while draining; then an idle model looks used for up to 4 s and can't be evicted.

--- a/crates/wheel_harness/tests/placement.rs
+++ b/crates/wheel_harness/tests/placement.rs
@@ -306,6 +306,37 @@
     assert_drained(&cluster, &["engine-a"]).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_whose_holder_was_killed_is_taken_back() {
+    let mut cluster = start_text(&one_centre_text(), one_centre(100)).await;
+    let first = holder(&cluster, None).await;
+    let ports = cluster.instances[(first + 1) % 3].ports;
+    assert_whole(&ask(&cluster.caller, ports.callers, "guide", 2, 20_000).await, 2);
+    // The drain can't end while this runs.
+    let (caller, at) = (cluster.caller.clone(), ports.callers);
+    let long = tokio::spawn(async move { ask(&caller, at, "guide", 8_000, 20_000).await });
+    let rolled =
+        cluster.source.replacen("name = \"guide\"\n", "name = \"guide\"\nversion = 2\n", 1);
+    let applied = cluster.apply(ports.operators, &rolled, 1, "roll").await;
+    assert_eq!(applied.expect("an answer").status, StatusCode::OK);
+    let look = || async {
+        let reply = cluster.caller.get(ports.operators, "/admin/v1/explain?q=guide").await.ok()?;
+        reply.text().contains("drains at engine-a").then_some(())
+    };
+    cluster.wait_until("a drain", LIMIT, look).await.expect("a drain");
+    cluster.instances[first].kill();
+    let look = || async {
+        let back = cluster.apply(ports.operators, &cluster.source, 2, "back").await.ok()?;
+        (back.status == StatusCode::OK).then_some(())
+    };
+    cluster.wait_until("the old text", LIMIT, look).await.expect("the old text");
+    assert_whole(&ask(&cluster.caller, ports.callers, "guide", 2, 20_000).await, 2);
+    long.abort();
+    let held = state(&cluster, "engine-a").await;
+    assert_eq!(versions(&held, "guide", &["loaded"]), [1], "{held}");
+    assert_drained(&cluster, &["engine-a"]).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn adapter_asked_on_warm_model_is_loaded_once_beside_it() {
     let cluster = start_text(&one_centre_text(), one_centre(100)).await;
--- a/crates/wheel_serving/src/engine_watch.rs
+++ b/crates/wheel_serving/src/engine_watch.rs
@@ -5,6 +5,7 @@
 
 use wheel_types::{
     AdapterName, EngineReport, EngineState, IncarnationId, LoadReport, ModelName, ModelPhase,
+    ModelUsage,
 };
 
 use crate::{LeavingSet, OwnedUpstream, OwnerSettings, ReportMessage, ReportSink};
@@ -15,6 +16,8 @@
 const LOADING_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Time after which an unchanged state is reported again.
 const REPORT_INTERVAL: Duration = Duration::from_secs(4);
+/// Time after its last request in which a model still counts as used, in milliseconds.
+const RECENT_USE_MS: u64 = 1_000;
 /// Failed reads in a row after which an engine counts as unreachable.
 const MAX_FAILED_READS: u32 = 2;
 
@@ -181,9 +184,14 @@
         || load_class(last) != load_class(next)
 }
 
-/// The models that are in use; placement must not take an idle one for one that isn't.
+/// The models that are in use, or were a moment ago, so that steady use isn't reported at each
+/// request. Of those that drain the placement waits for the end of the last request.
 fn used_models(report: &EngineReport) -> impl Iterator<Item = (&ModelName, Option<&AdapterName>)> {
-    let used = report.usage.iter().filter(|usage| usage.in_use > 0);
+    let is_used = |usage: &&ModelUsage| {
+        let recent = usage.idle_ms < RECENT_USE_MS && !report.draining.contains(&usage.model);
+        usage.in_use > 0 || recent
+    };
+    let used = report.usage.iter().filter(is_used);
     used.map(|usage| (&usage.model, usage.adapter.as_ref()))
 }
 
