--- a/crates/wheel_serving/src/engine_watch.rs
+++ b/crates/wheel_serving/src/engine_watch.rs
@@ -5,6 +5,7 @@
 
 use wheel_types::{
     AdapterName, EngineReport, EngineState, IncarnationId, LoadReport, ModelName, ModelPhase,
+    ModelUsage,
 };
 
 use crate::{LeavingSet, OwnedUpstream, OwnerSettings, ReportMessage, ReportSink};
@@ -16,6 +17,8 @@
 /// Time after which an unchanged state is reported again. A report that was lost is sent again at
 /// once, and a restarted instance asks, so that this only mends what nobody noticed.
 const REPORT_INTERVAL: Duration = Duration::from_secs(20);
+/// Time after its last request in which a model still counts as used, in milliseconds.
+const RECENT_USE_MS: u64 = 1_000;
 /// Failed reads in a row after which an engine counts as unreachable.
 const MAX_FAILED_READS: u32 = 2;
 
@@ -180,20 +183,16 @@
         || (last.foreign > 0) != (next.foreign > 0)
         || used_models(last).ne(used_models(next))
         || load_class(last) != load_class(next)
-        || !models_in_use(last).eq(models_in_use(next))
 }
 
-/// Placement unloads only what isn't in use, so that each change of it is told at once.
-fn models_in_use(
-    report: &EngineReport,
-) -> impl Iterator<Item = (&ModelName, Option<&AdapterName>)> {
-    let in_use = report.usage.iter().filter(|usage| usage.in_use > 0);
-    in_use.map(|usage| (&usage.model, usage.adapter.as_ref()))
-}
-
-/// The models that are in use; placement must not take an idle one for one that isn't.
+/// The models that are in use, or were a moment ago, so that steady use isn't reported at each
+/// request. Of those that drain the placement waits for the end of the last request.
 fn used_models(report: &EngineReport) -> impl Iterator<Item = (&ModelName, Option<&AdapterName>)> {
-    let used = report.usage.iter().filter(|usage| usage.in_use > 0);
+    let is_used = |usage: &&ModelUsage| {
+        let recent = usage.idle_ms < RECENT_USE_MS && !report.draining.contains(&usage.model);
+        usage.in_use > 0 || recent
+    };
+    let used = report.usage.iter().filter(is_used);
     used.map(|usage| (&usage.model, usage.adapter.as_ref()))
 }
 
