Own nothing before the neighbours are known; mend stale owners at once

Cause: an instance that had just started knew nobody in its data centre, took itself for the only owner and reported so. Others, and itself, then sent requests to an owner that no longer owned, until the real one repeated its report after up to 20 s. Ruled out: the retry itself (it asked the same stale report again), the membership (complete within a second).

An instance now owns nothing until it sees a neighbour, or 1.5 s have passed, or the settings name none; it forgets its own report of what it hands on; and owners repeat their reports when the live instances change. The age of a report now counts in when a replica was used last.

--- a/crates/wheel_daemon/src/daemon_parts.rs
+++ b/crates/wheel_daemon/src/daemon_parts.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use wheel_control::{ControlNode, GroupClient, ParentChoice, TextState};
@@ -11,10 +11,13 @@
 use wheel_peer::PeerHub;
 use wheel_serving::{DecisionLog, DemandBoard, OwnerTable, ReplicaDirectory};
 use wheel_text::ServingText;
-use wheel_types::{InstanceName, TextRevision};
+use wheel_types::{InstanceName, TextRevision, UpstreamName};
 
 use crate::{DaemonSettings, InstanceBook, InstanceStatus, MemberDriver, ReportSender};
 
+/// Time after the start in which neighbours answer, if there are any.
+pub(crate) const NEIGHBOUR_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Handles to everything that runs in this process.
 pub struct DaemonParts {
     /// The settings.
@@ -68,6 +71,24 @@
         }
     }
 
+    /// Whether it is known who else is live in this data centre, `running` after the start. An
+    /// instance that has just started knows nobody and would take itself for the only owner.
+    pub fn knows_neighbours(&self, running: Duration) -> bool {
+        running >= NEIGHBOUR_LIMIT || self.book.is_alone() || self.book.sees_neighbours()
+    }
+
+    /// Owns exactly what falls to this instance among the live ones.
+    pub fn follow_ownership(&self, text: &ServingText) {
+        let owns = |name: &UpstreamName| {
+            let spec = text.index.upstream(name.as_str());
+            spec.is_some_and(|spec| self.book.owns(&spec.data_centre, name))
+        };
+        for upstream in self.owners.follow(text, owns) {
+            self.directory.forget_report(&upstream, &self.settings.instance);
+        }
+        self.owners.repeat_reports();
+    }
+
     /// Stops routing to owners of this data centre that aren't live any more.
     pub fn forget_dead_owners(&self) {
         for owner in self.directory.near_owners() {
--- a/crates/wheel_daemon/src/instance_book.rs
+++ b/crates/wheel_daemon/src/instance_book.rs
@@ -70,6 +70,20 @@
         listed
     }
 
+    /// Whether the settings name no other instance of this data centre.
+    pub fn is_alone(&self) -> bool {
+        let own = &self.own;
+        let is_neighbour =
+            |peer: &PeerEntry| peer.centre == own.centre && peer.instance != own.instance;
+        !self.listed.values().any(is_neighbour)
+    }
+
+    /// Whether another instance of this data centre is seen as live.
+    pub fn sees_neighbours(&self) -> bool {
+        let view = self.view();
+        view.centre(&self.own.centre).iter().any(|member| member.address.name != self.own.instance)
+    }
+
     /// Whether an instance of this data centre is live.
     pub fn is_live(&self, instance: &InstanceName) -> bool {
         instance == &self.own.instance || self.view().find(instance).is_some()
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -29,9 +29,9 @@
     DecisionLog, OwnerSettings, OwnerTable, ProcessClock, RelayClients, RelayKey, RelayService,
     ReplicaDirectory, ServingParts, ServingPath,
 };
-use wheel_text::ServingText;
-use wheel_types::{IncarnationId, TextRevision, UpstreamName};
+use wheel_types::{IncarnationId, TextRevision};
 
+use crate::daemon_parts::NEIGHBOUR_LIMIT;
 use crate::daemon_parts::TextView;
 use crate::demand_sender::DemandSender;
 use crate::director_bridge::DirectorBridge;
@@ -374,6 +374,7 @@
     let mut texts = parts.text.subscribe();
     let mut views = parts.members.subscribe();
     let mut followed = None;
+    let started = Instant::now();
     loop {
         let text = texts.borrow_and_update().clone();
         views.mark_unchanged();
@@ -389,22 +390,18 @@
                 parts.directory.follow_text(text);
                 parts.lease.follow_text(text);
             }
-            if !parts.is_draining() {
-                parts.owners.follow(text, |name| owns_upstream(&parts, text, name));
+            if !parts.is_draining() && parts.knows_neighbours(started.elapsed()) {
+                parts.follow_ownership(text);
             }
         }
         tokio::select! {
             changed = texts.changed() => if changed.is_err() { return },
             changed = views.changed() => if changed.is_err() { return },
+            () = tokio::time::sleep(NEIGHBOUR_LIMIT), if started.elapsed() < NEIGHBOUR_LIMIT => {}
         }
     }
 }
 
-fn owns_upstream(parts: &DaemonParts, text: &ServingText, name: &UpstreamName) -> bool {
-    let spec = text.index.upstream(name.as_str());
-    spec.is_some_and(|spec| parts.book.owns(&spec.data_centre, name))
-}
-
 async fn expire_loop(parts: Arc<DaemonParts>) {
     let mut ticks = tokio::time::interval(EXPIRE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/wheel_director/src/fleet_builder.rs
+++ b/crates/wheel_director/src/fleet_builder.rs
@@ -91,11 +91,13 @@
         let key = ReplicaKey { upstream: spec.name.clone(), model: held.model.clone() };
         let track = tracks.note(self.now, key, held.phase);
         let usage = || heard.into_iter().flat_map(|heard| &heard.report.usage);
+        let told_at =
+            heard.map_or(self.now, |heard| MonotonicTime::between(self.start, heard.received));
         let of_model = |usage: &&ModelUsage| usage.model == held.model;
         let adapters = held.adapters.iter().map(|adapter| {
             let own = usage().filter(of_model);
             let own = own.filter(|usage| usage.adapter.as_ref() == Some(&adapter.adapter));
-            let (in_use, last_used) = self.sum_usage(own, track.seen);
+            let (in_use, last_used) = sum_usage(own, told_at, track.seen);
             PlacedAdapter {
                 adapter: adapter.adapter.clone(),
                 phase: adapter.phase,
@@ -104,7 +106,7 @@
                 last_used,
             }
         });
-        let (in_use, last_used) = self.sum_usage(usage().filter(of_model), track.seen);
+        let (in_use, last_used) = sum_usage(usage().filter(of_model), told_at, track.seen);
         // A report from before the drain can't tell that nothing uses the replica any more.
         let is_outdated =
             track.draining.is_some_and(|since| !self.tells_of_drain(since, &held.model, heard));
@@ -138,20 +140,21 @@
                 && heard.report.foreign == 0
         })
     }
+}
 
-    /// Requests in use, and when the last one ended; a replica counts as used when it was seen first.
-    fn sum_usage<'u>(
-        &self,
-        usage: impl Iterator<Item = &'u ModelUsage>,
-        seen: MonotonicTime,
-    ) -> (u32, MonotonicTime) {
-        let fold = |(in_use, last): (u32, MonotonicTime), usage: &ModelUsage| {
-            let idle = Duration::from_millis(usage.idle_ms);
-            let ended = self.now.as_micros().saturating_sub(idle.as_micros() as u64);
-            (in_use + usage.in_use, last.max(MonotonicTime::from_micros(ended)))
-        };
-        usage.fold((0, seen), fold)
-    }
+/// Requests in use, and when the last one ended, from a report that came at `told_at`; a replica
+/// counts as used when it was seen first.
+fn sum_usage<'u>(
+    usage: impl Iterator<Item = &'u ModelUsage>,
+    told_at: MonotonicTime,
+    seen: MonotonicTime,
+) -> (u32, MonotonicTime) {
+    let fold = |(in_use, last): (u32, MonotonicTime), usage: &ModelUsage| {
+        let idle = Duration::from_millis(usage.idle_ms);
+        let ended = told_at.as_micros().saturating_sub(idle.as_micros() as u64);
+        (in_use + usage.in_use, last.max(MonotonicTime::from_micros(ended)))
+    };
+    usage.fold((0, seen), fold)
 }
 
 /// The model that an open order loads and that the engine doesn't show yet.
--- a/crates/wheel_director/src/placement_round.rs
+++ b/crates/wheel_director/src/placement_round.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future::join_all;
 use jiff::Timestamp;
+use metrics::histogram;
 use spdlog::{info, warn};
 use tokio::time::timeout;
 use wheel_lease::{
@@ -232,6 +233,8 @@
             if let Some(track) = track.filter(|track| track.phase == ModelPhase::Loading) {
                 let taken = now.since(track.since);
                 planner.observe_load(&held.model, track.source, taken);
+                let source = format!("{:?}", track.source).to_lowercase();
+                histogram!("wheel_load_seconds", "source" => source).record(taken.as_secs_f64());
                 info!("model_loaded", kv: {
                     upstream = upstream.as_str(),
                     model = held.model.as_str(),
--- a/crates/wheel_serving/src/owned_upstream.rs
+++ b/crates/wheel_serving/src/owned_upstream.rs
@@ -107,6 +107,11 @@
         &self.drains
     }
 
+    /// Has its state reported at once.
+    pub(crate) fn report_soon(&self) {
+        self.report_due.notify_one();
+    }
+
     /// Takes no new requests of a draining replica, or takes them again, and reports it at once.
     pub fn note_drain(&self, notice: &DrainNotice) {
         self.drains.note(notice);
--- a/crates/wheel_serving/src/owner_table.rs
+++ b/crates/wheel_serving/src/owner_table.rs
@@ -65,8 +65,12 @@
 
     /// Owns exactly the upstreams of `text` for which `is_owner` is true. What waited for one that
     /// is handed on is refused as not run and finds its new owner through the entry; what runs
-    /// there ends here.
-    pub fn follow(&self, text: &ServingText, is_owner: impl Fn(&UpstreamName) -> bool) {
+    /// there ends here. Returns what was handed on.
+    pub fn follow(
+        &self,
+        text: &ServingText,
+        is_owner: impl Fn(&UpstreamName) -> bool,
+    ) -> Vec<UpstreamName> {
         let mut given_up = Vec::new();
         {
             let mut owned = self.owned.write();
@@ -84,11 +88,18 @@
                 }
             }
         }
-        for upstream in given_up {
+        for upstream in &given_up {
             info!("upstream_given_up", kv: { upstream = upstream.spec().name.as_str() });
             upstream.disowned.cancel();
             upstream.queue().refuse_waiting("the upstream has another owner now");
         }
+        given_up.iter().map(|upstream| upstream.spec().name.clone()).collect()
+    }
+
+    /// Reports everything that is owned here again, because the live instances changed: another one
+    /// may have taken itself for the owner for a moment.
+    pub fn repeat_reports(&self) {
+        self.owned.read().values().for_each(|upstream| upstream.report_soon());
     }
 
     /// Gives up everything, when the instance drains.
--- a/crates/wheel_serving/src/replica_directory.rs
+++ b/crates/wheel_serving/src/replica_directory.rs
@@ -145,6 +145,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Forgets an owner's report of an upstream that it doesn't own any more.
+    pub fn forget_report(&self, upstream: &UpstreamName, owner: &InstanceName) {
+        let mut state = self.state.lock();
+        if state.reports.get(upstream).is_some_and(|held| &held.report.owner == owner) {
+            let affected = state.remove_report(upstream);
+            affected.iter().for_each(|model| state.place_model(&self.centre, model));
+            state.refresh_services(&self.centre);
+        }
+    }
+
     /// Stops routing to the upstreams of an owner that can't be reached, until it or another owner
     /// reports.
     pub fn note_owner_gone(&self, owner: &InstanceName) {
