--- a/crates/wheel_daemon/tests/settings.rs
+++ b/crates/wheel_daemon/tests/settings.rs
@@ -54,6 +54,7 @@
     assert_eq!(settings.drain_limit, Duration::from_secs(600));
     assert_eq!(settings.order_life, Duration::from_secs(5));
     assert_eq!(settings.lease_term, Duration::from_secs(6));
+    assert_eq!(settings.min_residence, Duration::from_secs(60));
     assert_eq!(settings.open_requests, 8_192);
     assert_eq!(settings.max_body, 4_194_304);
     assert!((1..=8).contains(&settings.workers));
