Keep no connections that nothing reuses; tell those beyond the bound that nothing ran

Cause: wheel_bench claims, 1,161 of 2,048 bookings "connection closed before message completed", outcome unknown, after some 4,000 bookings. A call that isn't idempotent takes a fresh connection only, and gave it to the idle ones afterwards, where nothing took it: they piled up to the 4,096 that a relay accepts, which then closed new ones without a word. Ruled out: the claims (committed), the service (never called).

Such connections are closed after their call (call_bookings_pile_no_connections_up fails without it: 20 idle ones). A server beyond its bound now answers 503 with outcome not-run, for up to 256 connections, before it closes (accept_connection_beyond_the_bound_is_told_that_nothing_ran: before, no answer came).

Also split: the group client's attempts from its loop, the measured slopes from the page. Run: wheel_upstream, wheel_entry, wheel_control and wheel_bench tests pass, clippy over all targets.

--- a/crates/wheel_bench/src/capacity_page.rs
+++ b/crates/wheel_bench/src/capacity_page.rs
@@ -7,28 +7,19 @@
     CONTROL_CORE_PERCENT, CONTROL_MIB, DAY_S, HOURLY_SHARE, IN_FORCE_S, NODES, OWNER_ENGINES,
     REQUESTS_PER_S, RESTARTS_PER_DAY, TOKEN_GAP_S, TOKENS_PER_S,
 };
+use crate::measured_slopes::mean;
 use crate::page_block::shown;
-use crate::{BenchError, CsvTable, LineFit, PageBlock};
+use crate::{BenchError, CsvTable, MeasuredSlopes, PageBlock};
 
-/// Instances of the runs in which the text grows.
-const TEXT_RUN_INSTANCES: f64 = 7.0;
 /// Children of one instance in the tree of texts.
 const TREE_FANOUT: f64 = 4.0;
 /// Bytes of a kibibyte and of a mebibyte.
 const KIB: f64 = 1_024.0;
 
-/// The measured tables and what follows from them.
+/// The blocks of docs/CAPACITY.md.
 #[derive(Clone, Debug, Default)]
 pub struct CapacityPage {
-    text: CsvTable,
-    idle: CsvTable,
-    polling: CsvTable,
-    changes: CsvTable,
-    requests: CsvTable,
-    streams: CsvTable,
-    claims: CsvTable,
-    storm: CsvTable,
-    failures: CsvTable,
+    measured: MeasuredSlopes,
 }
 
 impl CapacityPage {
@@ -37,18 +28,7 @@
     /// # Errors
     /// [`BenchError`] if one is missing.
     pub fn read(folder: &Path) -> Result<Self, BenchError> {
-        let table = |name| CsvTable::read(folder, name);
-        Ok(Self {
-            text: table("text")?,
-            idle: table("idle")?,
-            polling: table("polling")?,
-            changes: table("changes")?,
-            requests: table("requests")?,
-            streams: table("streams")?,
-            claims: table("claims")?,
-            storm: table("storm")?,
-            failures: table("failures")?,
-        })
+        Ok(Self { measured: MeasuredSlopes::read(folder)? })
     }
 
     /// All blocks of docs/CAPACITY.md.
@@ -69,41 +49,46 @@
         let headings = ["slope", "unit", "each", "base", "points", "worst point off the line"];
         let mut block = PageBlock::table("slopes", &headings);
         let slopes = [
-            ("entry: processor time of a change", "ms", "MiB of text", self.change_cpu()),
-            ("control: processor time of a change", "ms", "MiB of text", self.control_change_cpu()),
-            ("entry: resident memory", "MiB", "MiB of text", self.entry_memory()),
-            ("parse and check of a text", "ms", "MiB of text", self.parse_time()),
+            ("entry: processor time of a change", "ms", "MiB of text", self.measured.change_cpu()),
+            (
+                "control: processor time of a change",
+                "ms",
+                "MiB of text",
+                self.measured.control_change_cpu(),
+            ),
+            ("entry: resident memory", "MiB", "MiB of text", self.measured.entry_memory()),
+            ("parse and check of a text", "ms", "MiB of text", self.measured.parse_time()),
             (
                 "entry: heartbeat bodies",
                 "bytes/s",
                 "instance of the data centre",
-                self.heartbeats(),
+                self.measured.heartbeats(),
             ),
             (
                 "entry: idle processor time",
                 "% of a core",
                 "instance of the data centre",
-                self.idle_core(),
+                self.measured.idle_core(),
             ),
             (
                 "owner: processor time of polling",
                 "% of a core",
                 "owned engine",
-                self.polling_core(),
+                self.measured.polling_core(),
             ),
             (
                 "instance: reports received and sent",
                 "bytes/s",
                 "engine of the data centre",
-                self.report_bytes(),
+                self.measured.report_bytes(),
             ),
             (
                 "lease holder: processor time",
                 "% of a core",
                 "engine of the data centre",
-                self.holder_core(),
+                self.measured.holder_core(),
             ),
-            ("owner: memory of an open stream", "MiB", "stream", self.stream_memory()),
+            ("owner: memory of an open stream", "MiB", "stream", self.measured.stream_memory()),
         ];
         for (what, unit, each, fit) in slopes {
             block.row(&[
@@ -128,13 +113,13 @@
             let cells = [role.to_owned(), part.to_owned(), formula.to_owned(), core, bytes, mib];
             block.row(&cells);
         };
-        let text_mib = self.letter_text_mib();
-        let change_core = self.change_cpu().at(text_mib) / 1_000.0 * CHANGES_PER_S * 100.0;
-        let change_bytes = self.entry_change_bytes() * CHANGES_PER_S;
-        let idle = self.idle_core().at(CENTRE_NODES);
-        let heartbeats = self.heartbeats().at(CENTRE_NODES);
-        let memory = self.entry_memory().at(text_mib);
-        let reports = self.report_bytes().slope.max(0.0) * CENTRE_ENGINES;
+        let text_mib = self.measured.letter_text_mib();
+        let change_core = self.measured.change_cpu().at(text_mib) / 1_000.0 * CHANGES_PER_S * 100.0;
+        let change_bytes = self.measured.entry_change_bytes() * CHANGES_PER_S;
+        let idle = self.measured.idle_core().at(CENTRE_NODES);
+        let heartbeats = self.measured.heartbeats().at(CENTRE_NODES);
+        let memory = self.measured.entry_memory().at(text_mib);
+        let reports = self.measured.report_bytes().slope.max(0.0) * CENTRE_ENGINES;
         row("entry", "idle, heartbeats", "lines at 54.5 instances", idle, heartbeats, 0.0);
         row(
             "entry",
@@ -152,11 +137,11 @@
             reports,
             0.0,
         );
-        let polling = self.polling_core().slope * OWNER_ENGINES;
+        let polling = self.measured.polling_core().slope * OWNER_ENGINES;
         row("owner", "polling", "% an engine x 8.3 engines", polling, 0.0, 0.0);
-        let relay = self.busiest_change_bytes() * CHANGES_PER_S * TREE_FANOUT;
+        let relay = self.measured.busiest_change_bytes() * CHANGES_PER_S * TREE_FANOUT;
         row("relay of texts", "4 children", "bytes a change x 4 x 0.174/s", 0.0, relay, 0.0);
-        let holder = self.holder_core().slope * CENTRE_ENGINES;
+        let holder = self.measured.holder_core().slope * CENTRE_ENGINES;
         row(
             "lease holder",
             "engines read and planned",
@@ -165,8 +150,9 @@
             0.0,
             0.0,
         );
-        let control_core = self.control_change_cpu().at(text_mib) / 1_000.0 * CHANGES_PER_S * 100.0;
-        let control_bytes = self.busiest_change_bytes() * CHANGES_PER_S;
+        let control_core =
+            self.measured.control_change_cpu().at(text_mib) / 1_000.0 * CHANGES_PER_S * 100.0;
+        let control_bytes = self.measured.busiest_change_bytes() * CHANGES_PER_S;
         row(
             "control voter",
             "changes",
@@ -186,10 +172,10 @@
     fn breaks(&self) -> PageBlock {
         let headings = ["part", "allowed", "at the letter's size", "passes it at"];
         let mut block = PageBlock::table("breaks", &headings);
-        let text_mib = self.letter_text_mib();
+        let text_mib = self.measured.letter_text_mib();
         let per_engine_mib = text_mib / (NODES * OWNER_ENGINES);
-        let change = self.change_cpu();
-        let core_left = CONTROL_CORE_PERCENT - self.idle_core().at(CENTRE_NODES);
+        let change = self.measured.change_cpu();
+        let core_left = CONTROL_CORE_PERCENT - self.measured.idle_core().at(CENTRE_NODES);
         let allowed_ms = core_left / 100.0 / CHANGES_PER_S * 1_000.0;
         let core_mib = (allowed_ms - change.base) / change.slope;
         block.row(&[
@@ -202,7 +188,7 @@
                 shown(core_mib / per_engine_mib)
             ),
         ]);
-        let memory = self.entry_memory();
+        let memory = self.measured.entry_memory();
         let memory_mib = (CONTROL_MIB - memory.base) / memory.slope;
         block.row(&[
             "memory of an entry".to_owned(),
@@ -214,16 +200,17 @@
                 shown(memory_mib / per_engine_mib)
             ),
         ]);
-        let reports = self.report_bytes();
-        let heartbeats = self.heartbeats().at(CENTRE_NODES);
-        let left = CONTROL_BYTES_PER_S - heartbeats - self.entry_change_bytes() * CHANGES_PER_S;
+        let reports = self.measured.report_bytes();
+        let heartbeats = self.measured.heartbeats().at(CENTRE_NODES);
+        let left =
+            CONTROL_BYTES_PER_S - heartbeats - self.measured.entry_change_bytes() * CHANGES_PER_S;
         block.row(&[
             "bytes of reports at each instance".to_owned(),
             format!("{} bytes/s", shown(left)),
             format!("{} bytes/s", shown(reports.slope * CENTRE_ENGINES)),
             format!("{} engines in a data centre", shown(left / reports.slope.max(1e-9))),
         ]);
-        let holder = self.holder_core();
+        let holder = self.measured.holder_core();
         block.row(&[
             "processor time of the lease holder".to_owned(),
             format!("{} % of a core", shown(CONTROL_CORE_PERCENT)),
@@ -233,7 +220,7 @@
                 shown(CONTROL_CORE_PERCENT / holder.slope.max(1e-9))
             ),
         ]);
-        let polling = self.polling_core();
+        let polling = self.measured.polling_core();
         block.row(&[
             "processor time of polling at an owner".to_owned(),
             format!("{} % of a core", shown(core_left)),
@@ -246,7 +233,7 @@
     fn data_plane(&self) -> PageBlock {
         let headings = ["what", "formula", "at the letter's size"];
         let mut block = PageBlock::table("data-plane", &headings);
-        let busiest = self.streams.only("relayed", 1.0).only("streams", 512.0);
+        let busiest = self.measured.streams.only("relayed", 1.0).only("streams", 512.0);
         let owner_us = mean(&busiest.column("owner_cpu_us_per_token"));
         let entry_us = mean(&busiest.column("entry_cpu_us_per_token"));
         let token_cores = TOKENS_PER_S * (owner_us + entry_us) / 1e6;
@@ -263,7 +250,7 @@
             format!("1e6 / ({} + {})", shown(owner_us), shown(entry_us)),
             shown(1e6 / (owner_us + entry_us)),
         );
-        let relayed = self.requests.only("way", 2.0).only("open", 64.0);
+        let relayed = self.measured.requests.only("way", 2.0).only("open", 64.0);
         let request_us = mean(&relayed.column("owner_cpu_us_per_request"))
             + mean(&relayed.column("entry_cpu_us_per_request"));
         let request_cores = REQUESTS_PER_S * request_us / 1e6;
@@ -273,7 +260,7 @@
             format!("{} cores, {} a node", shown(request_cores), shown(request_cores / NODES)),
         );
         let open = TOKENS_PER_S * TOKEN_GAP_S / NODES;
-        let stream_kib = self.stream_memory().slope * KIB;
+        let stream_kib = self.measured.stream_memory().slope * KIB;
         row(
             "memory of open streams, at the entry and again at the owner",
             format!("32e6/s x 64 ms / 1,200 x {} KiB x 2", shown(stream_kib)),
@@ -289,7 +276,7 @@
                 shown(placement / crate::letter_size::CENTRES)
             ),
         );
-        let restart_bytes = self.letter_text_mib() * KIB * KIB;
+        let restart_bytes = self.measured.letter_text_mib() * KIB * KIB;
         row(
             "texts for restarted instances",
             "750 a day x the whole text".to_owned(),
@@ -322,7 +309,7 @@
             "leader_cpu_us_per_booking",
             "failed",
         ];
-        push_rows(&mut block, &self.claims, &columns);
+        push_rows(&mut block, &self.measured.claims, &columns);
         block
     }
 
@@ -332,7 +319,7 @@
         let mut block = PageBlock::table("storm", &headings);
         push_rows(
             &mut block,
-            &self.storm,
+            &self.measured.storm,
             &["refused", "open", "requests_per_s", "cpu_us_per_request"],
         );
         block
@@ -349,7 +336,8 @@
         let mut block =
             PageBlock::table("failures", &["failure", "runs", "fastest ms", "slowest ms"]);
         for (number, name) in NAMES.iter().enumerate() {
-            let times = self.failures.only("failure", number as f64).column("recovered_ms");
+            let times =
+                self.measured.failures.only("failure", number as f64).column("recovered_ms");
             let fastest = times.iter().copied().fold(f64::INFINITY, f64::min);
             let slowest = times.iter().copied().fold(0.0, f64::max);
             let cells = [name.to_string(), times.len().to_string(), shown(fastest), shown(slowest)];
@@ -368,7 +356,7 @@
         ];
         let mut block = PageBlock::table("in-force", &headings);
         let columns = ["instances", "text_bytes", "in_force_ms_median", "in_force_ms_max"];
-        let values = columns.map(|column| self.changes.column(column));
+        let values = columns.map(|column| self.measured.changes.column(column));
         for place in 0..values[0].len() {
             let mut cells: Vec<String> = values.iter().map(|column| shown(column[place])).collect();
             cells.push(shown(IN_FORCE_S * 1_000.0));
@@ -376,75 +364,6 @@
         }
         block
     }
-
-    /// The letter's text, from the last row of the run over texts, in mebibytes.
-    fn letter_text_mib(&self) -> f64 {
-        self.text.column("text_bytes").last().copied().unwrap_or_default() / KIB / KIB
-    }
-
-    fn text_fit(&self, column: &str) -> LineFit {
-        let rows = self.changes.only("instances", TEXT_RUN_INSTANCES);
-        let sizes = mebibytes(&rows.column("text_bytes"));
-        LineFit::through(&sizes, &rows.column(column))
-    }
-
-    fn change_cpu(&self) -> LineFit {
-        self.text_fit("entry_cpu_ms_per_change")
-    }
-
-    fn control_change_cpu(&self) -> LineFit {
-        self.text_fit("control_cpu_ms_per_change")
-    }
-
-    fn entry_memory(&self) -> LineFit {
-        self.text_fit("entry_rss_mib")
-    }
-
-    fn parse_time(&self) -> LineFit {
-        LineFit::through(&mebibytes(&self.text.column("text_bytes")), &self.text.column("parse_ms"))
-    }
-
-    fn heartbeats(&self) -> LineFit {
-        LineFit::through(&self.idle.column("instances"), &self.idle.column("member_bytes_per_s"))
-    }
-
-    fn idle_core(&self) -> LineFit {
-        LineFit::through(&self.idle.column("instances"), &self.idle.column("entry_core_percent"))
-    }
-
-    fn polling_core(&self) -> LineFit {
-        let engines = self.polling.column("engines_per_owner");
-        LineFit::through(&engines, &self.polling.column("other_core_percent"))
-    }
-
-    fn report_bytes(&self) -> LineFit {
-        LineFit::through(
-            &self.polling.column("engines"),
-            &self.polling.column("report_bytes_per_s"),
-        )
-    }
-
-    /// The holder is an owner, too: only what it uses beyond another instance counts.
-    fn holder_core(&self) -> LineFit {
-        let holder = self.polling.column("holder_core_percent");
-        let other = self.polling.column("other_core_percent");
-        let beyond: Vec<f64> =
-            holder.iter().zip(&other).map(|(holder, other)| holder - other).collect();
-        LineFit::through(&self.polling.column("engines"), &beyond)
-    }
-
-    fn stream_memory(&self) -> LineFit {
-        let direct = self.streams.only("relayed", 0.0);
-        LineFit::through(&direct.column("streams"), &direct.column("owner_rss_mib"))
-    }
-
-    fn entry_change_bytes(&self) -> f64 {
-        mean(&self.changes.column("entry_bytes_per_change"))
-    }
-
-    fn busiest_change_bytes(&self) -> f64 {
-        mean(&self.changes.column("busiest_bytes_per_change"))
-    }
 }
 
 fn push_rows(block: &mut PageBlock, table: &CsvTable, columns: &[&str]) {
@@ -455,11 +374,3 @@
         block.row(&cells);
     }
 }
-
-fn mebibytes(bytes: &[f64]) -> Vec<f64> {
-    bytes.iter().map(|bytes| bytes / KIB / KIB).collect()
-}
-
-fn mean(values: &[f64]) -> f64 {
-    values.iter().sum::<f64>() / values.len().max(1) as f64
-}
--- a/crates/wheel_control/src/group_client.rs
+++ b/crates/wheel_control/src/group_client.rs
@@ -94,34 +94,18 @@
         None
     }
 
+    /// Asks one instance after another until one answers for the group, or the time is over.
     async fn commit(&self, call: GroupCall, deadline: Instant) -> Result<SubmitAnswer, GroupError> {
         let mut may_be_committed = false;
         loop {
             for instance in self.candidates() {
-                let attempt = tokio::time::timeout_at(deadline, self.ask(&instance, &call));
-                match attempt.await {
-                    Ok(Ok(GroupReply::Submitted(SubmitAnswer::NotLeader { leader }))) => {
-                        self.note_leader(&instance, leader);
-                    }
-                    Ok(Ok(GroupReply::Submitted(SubmitAnswer::Unresolved))) => {
-                        may_be_committed = true;
-                    }
+                match self.attempt(&instance, &call, deadline).await {
+                    Attempt::Answered(answer) => return Ok(answer),
+                    Attempt::NotAppended => {}
+                    Attempt::Unresolved => may_be_committed = true,
                     // A refusal says nothing of an earlier attempt.
-                    Ok(Ok(GroupReply::Submitted(SubmitAnswer::Refused { .. })))
-                        if may_be_committed =>
-                    {
-                        return Err(GroupError::Unresolved);
-                    }
-                    Ok(Ok(GroupReply::Submitted(SubmitAnswer::Refused { reason }))) => {
-                        return Err(GroupError::Refused { reason });
-                    }
-                    Ok(Ok(GroupReply::Submitted(answer))) => {
-                        *self.leader.lock() = Some(instance);
-                        return Ok(answer);
-                    }
-                    Ok(Ok(GroupReply::Status(_))) => {}
-                    Ok(Err(AskError { may_have_run })) => may_be_committed |= may_have_run,
-                    Err(_) => return Err(GroupError::Unresolved),
+                    Attempt::Refused(_) if may_be_committed => return Err(GroupError::Unresolved),
+                    Attempt::Refused(reason) => return Err(GroupError::Refused { reason }),
                 }
             }
             if Instant::now() + ROUND_PAUSE >= deadline {
@@ -134,6 +118,33 @@
         }
     }
 
+    async fn attempt(
+        &self,
+        instance: &InstanceName,
+        call: &GroupCall,
+        deadline: Instant,
+    ) -> Attempt {
+        let asked = tokio::time::timeout_at(deadline, self.ask(instance, call)).await;
+        let answer = match asked {
+            Ok(Ok(GroupReply::Submitted(answer))) => answer,
+            Ok(Ok(GroupReply::Status(_))) => return Attempt::NotAppended,
+            Ok(Err(AskError { may_have_run: false })) => return Attempt::NotAppended,
+            Ok(Err(AskError { may_have_run: true })) | Err(_) => return Attempt::Unresolved,
+        };
+        match answer {
+            SubmitAnswer::NotLeader { leader } => {
+                self.note_leader(instance, leader);
+                Attempt::NotAppended
+            }
+            SubmitAnswer::Unresolved => Attempt::Unresolved,
+            SubmitAnswer::Refused { reason } => Attempt::Refused(reason),
+            answer => {
+                *self.leader.lock() = Some(instance.clone());
+                Attempt::Answered(answer)
+            }
+        }
+    }
+
     /// The instances to ask, the likely leader first.
     fn candidates(&self) -> Vec<InstanceName> {
         let leader = self.leader.lock().clone();
@@ -164,6 +175,17 @@
     }
 }
 
+/// What one attempt to have a call committed came to.
+enum Attempt {
+    Answered(SubmitAnswer),
+    /// Nothing was appended by this attempt, and nothing will be.
+    NotAppended,
+    /// It may have been appended.
+    Unresolved,
+    Refused(String),
+}
+
+/// Why an instance gave no answer.
 #[derive(Clone, Copy, Debug)]
 struct AskError {
     may_have_run: bool,
--- a/crates/wheel_entry/src/http_server.rs
+++ b/crates/wheel_entry/src/http_server.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::{AnswerBody, HttpLimits};
+use crate::{AnswerBody, HttpLimits, RefusalCode, RequestRefusal, header_names};
 
 /// Connections that wait to be accepted. A burst beyond it loses SYNs, which costs a second each;
 /// the system's own limit goes first where it is lower.
@@ -40,6 +40,31 @@
     },
 }
 
+/// Connections beyond the bound that are told so.
+const BUSY_CONNECTIONS: usize = 256;
+/// Time in which such a connection must send its request.
+const BUSY_TIMEOUT: Duration = Duration::from_secs(1);
+/// When a caller should come back that met the bound.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
+
+/// Refuses a request that came over a connection beyond the bound, and closes the connection.
+async fn answer_busy(request: Request<Incoming>) -> Response<AnswerBody> {
+    let message = "too many connections are open here";
+    let refusal = RequestRefusal::new(RefusalCode::Unavailable, message);
+    let answer = refusal.with_retry_after(BUSY_RETRY).into_answer();
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    let headers = response.headers_mut();
+    headers.insert(header_names::OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    // A relaying instance takes no answer that doesn't repeat its id.
+    if let Some(id) = request.headers().get(header_names::REQUEST_ID) {
+        headers.insert(header_names::REQUEST_ID, id.clone());
+    }
+    response
+}
+
 /// Like `TcpListener::bind`, with a longer queue.
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = match address {
@@ -106,6 +131,7 @@
         F: Future<Output = Response<AnswerBody>> + Send + 'static,
     {
         let permits = Arc::new(Semaphore::new(limits.connections));
+        let busy_permits = Arc::new(Semaphore::new(BUSY_CONNECTIONS));
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -115,13 +141,19 @@
                 tokio::time::sleep(ACCEPT_RETRY).await;
                 continue;
             };
-            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-                metrics::counter!("wheel_connections_refused_total").increment(1);
+            if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
+                let connection =
+                    self.clone().serve_connection(stream, permit, limits.clone(), answer.clone());
+                self.connections.spawn(connection);
                 continue;
-            };
-            let connection =
-                self.clone().serve_connection(stream, permit, limits.clone(), answer.clone());
-            self.connections.spawn(connection);
+            }
+            metrics::counter!("wheel_connections_refused_total").increment(1);
+            // Told that nothing ran, as long as there is room for that; closed at once beyond it.
+            if let Ok(permit) = Arc::clone(&busy_permits).try_acquire_owned() {
+                let limits = HttpLimits { header_timeout: BUSY_TIMEOUT, ..limits.clone() };
+                let connection = self.clone().serve_connection(stream, permit, limits, answer_busy);
+                self.connections.spawn(connection);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/wheel_entry/tests/http_server.rs
@@ -0,0 +1,52 @@
+//! The bound on connections.
+#![allow(clippy::expect_used)]
+
+use std::net::SocketAddr;
+
+use http::Response;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use wheel_entry::{HttpLimits, HttpServer, full_body};
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: h\r\nwheel-request-id: r-1\r\n\r\n";
+
+async fn bind(connections: usize) -> HttpServer {
+    let limits = HttpLimits { connections, ..HttpLimits::default() };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::bind(address, limits, |_| async { Response::new(full_body("here")) });
+    server.await.expect("a server")
+}
+
+/// Sends a request and reads the answer up to `end`.
+async fn exchange(stream: &mut TcpStream, end: &str) -> String {
+    stream.write_all(REQUEST).await.expect("a sent request");
+    let mut answer = Vec::new();
+    while !String::from_utf8_lossy(&answer).contains(end) {
+        let read = stream.read_buf(&mut answer).await.expect("an answer");
+        assert!(read > 0, "ended after {:?}", String::from_utf8_lossy(&answer));
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn accept_connection_beyond_the_bound_is_told_that_nothing_ran() {
+    let server = bind(1).await;
+    let mut first = TcpStream::connect(server.local_addr()).await.expect("a connection");
+    assert!(exchange(&mut first, "here").await.starts_with("HTTP/1.1 200"));
+    let mut second = TcpStream::connect(server.local_addr()).await.expect("a connection");
+    let refusal = exchange(&mut second, "}}").await;
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    for header in ["wheel-outcome: not-run", "wheel-request-id: r-1", "retry-after: 1"] {
+        assert!(refusal.contains(header), "{header} is missing in {refusal}");
+    }
+    assert_eq!(second.read(&mut [0; 16]).await.expect("an end"), 0, "closed after it");
+    // The first one goes on, and its end makes room.
+    assert!(exchange(&mut first, "here").await.starts_with("HTTP/1.1 200"));
+    drop(first);
+    loop {
+        let mut third = TcpStream::connect(server.local_addr()).await.expect("a connection");
+        if exchange(&mut third, "\r\n\r\n").await.starts_with("HTTP/1.1 200") {
+            break;
+        }
+    }
+}
--- a/crates/wheel_upstream/src/pooled_call.rs
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -25,6 +25,9 @@
     timeouts: CallTimeouts,
     deadline: Option<Instant>,
     resendable: bool,
+    /// Whether the connection is kept afterwards. Those of calls that never take a kept one would
+    /// only pile up.
+    keeps_connection: bool,
     slot: Option<OwnedSemaphorePermit>,
 }
 
@@ -49,6 +52,7 @@
             timeouts,
             deadline,
             resendable,
+            keeps_connection: choice == ConnectionChoice::Pooled,
             slot: Some(slot),
         };
         let answer = call.exchange(request.map(CallBody::new)).await?;
@@ -122,8 +126,9 @@
     /// Ends the call well.
     pub(crate) fn finish(&mut self) {
         self.slot = None;
-        if let Some(connection) = self.connection.take() {
-            self.pool.give_back(connection);
+        match self.connection.take() {
+            Some(connection) if self.keeps_connection => self.pool.give_back(connection),
+            _ => {}
         }
     }
 
--- a/crates/wheel_upstream/tests/service_calls.rs
+++ b/crates/wheel_upstream/tests/service_calls.rs
@@ -32,3 +32,14 @@
     }
     assert_eq!(client.status().opened, 3, "one for both look-ups, one for each booking");
 }
+
+#[tokio::test]
+async fn call_bookings_pile_no_connections_up() {
+    let (_service, client) = service().await;
+    for number in 0..20 {
+        let mut answer = client.call(booking(&format!("r-{number}"))).await.expect("answer");
+        answer.body.collect(1_000).await.expect("body");
+    }
+    eventually(|| client.status().open_calls == 0).await;
+    assert_eq!(client.status().idle, 0, "nothing would ever use them");
+}
