--- a/crates/wheel_bench/src/capacity_page.rs
+++ b/crates/wheel_bench/src/capacity_page.rs
@@ -2,6 +2,8 @@
 
 use std::path::Path;
 
+use wheel_agreement::GroupLimits;
+
 use crate::letter_size::{
     ARTIFACTS, CENTRE_ENGINES, CENTRE_NODES, CHANGES_PER_S, CONTROL_BYTES_PER_S,
     CONTROL_CORE_PERCENT, CONTROL_MIB, DAY_S, HOURLY_SHARE, IN_FORCE_S, NODES, OWNER_ENGINES,
@@ -64,6 +66,18 @@
                 "instance of the data centre",
                 self.measured.heartbeats(),
             ),
+            (
+                "entry: bytes on the sockets, idle",
+                "bytes/s",
+                "instance of the data centre",
+                self.measured.idle_wire(),
+            ),
+            (
+                "control voter: bytes on the sockets, idle",
+                "bytes/s",
+                "instance of the data centre",
+                self.measured.control_idle_wire(),
+            ),
             (
                 "entry: idle processor time",
                 "% of a core",
@@ -117,10 +131,17 @@
         let change_core = self.measured.change_cpu().at(text_mib) / 1_000.0 * CHANGES_PER_S * 100.0;
         let change_bytes = self.measured.entry_change_bytes() * CHANGES_PER_S;
         let idle = self.measured.idle_core().at(CENTRE_NODES);
-        let heartbeats = self.measured.heartbeats().at(CENTRE_NODES);
+        let idle_bytes = self.measured.idle_wire().at(CENTRE_NODES);
         let memory = self.measured.entry_memory().at(text_mib);
         let reports = self.measured.report_bytes().slope.max(0.0) * CENTRE_ENGINES;
-        row("entry", "idle, heartbeats", "lines at 54.5 instances", idle, heartbeats, 0.0);
+        row(
+            "entry",
+            "idle: heartbeats and polls, with framing",
+            "lines at 54.5 instances",
+            idle,
+            idle_bytes,
+            0.0,
+        );
         row(
             "entry",
             "changes",
@@ -162,7 +183,7 @@
             memory,
         );
         let core = idle + change_core + polling;
-        let bytes = heartbeats + change_bytes + reports;
+        let bytes = idle_bytes + change_bytes + reports;
         row("**an ordinary node**", "sum of entry and owner", "", core, bytes, memory);
         row("**allowed**", "", "", CONTROL_CORE_PERCENT, CONTROL_BYTES_PER_S, CONTROL_MIB);
         block
@@ -201,9 +222,9 @@
             ),
         ]);
         let reports = self.measured.report_bytes();
-        let heartbeats = self.measured.heartbeats().at(CENTRE_NODES);
+        let idle_bytes = self.measured.idle_wire().at(CENTRE_NODES);
         let left =
-            CONTROL_BYTES_PER_S - heartbeats - self.measured.entry_change_bytes() * CHANGES_PER_S;
+            CONTROL_BYTES_PER_S - idle_bytes - self.measured.entry_change_bytes() * CHANGES_PER_S;
         block.row(&[
             "bytes of reports at each instance".to_owned(),
             format!("{} bytes/s", shown(left)),
@@ -276,6 +297,13 @@
                 shown(placement / crate::letter_size::CENTRES)
             ),
         );
+        let limits = GroupLimits::default();
+        let life_s = limits.claim_life_ms as f64 / 1_000.0;
+        row(
+            "claims that one group keeps",
+            format!("{} claims for {} s", shown(limits.max_claims as f64), shown(life_s)),
+            format!("{} a second in the long run", shown(limits.max_claims as f64 / life_s)),
+        );
         let restart_bytes = self.measured.letter_text_mib() * KIB * KIB;
         row(
             "texts for restarted instances",
--- a/crates/wheel_bench/src/measured_slopes.rs
+++ b/crates/wheel_bench/src/measured_slopes.rs
@@ -74,6 +74,19 @@
         LineFit::through(&self.idle.column("instances"), &self.idle.column("member_bytes_per_s"))
     }
 
+    /// With all framing, and with the polls for texts.
+    pub(crate) fn idle_wire(&self) -> LineFit {
+        LineFit::through(
+            &self.idle.column("instances"),
+            &self.idle.column("entry_wire_bytes_per_s"),
+        )
+    }
+
+    pub(crate) fn control_idle_wire(&self) -> LineFit {
+        let bytes = self.idle.column("control_wire_bytes_per_s");
+        LineFit::through(&self.idle.column("instances"), &bytes)
+    }
+
     pub(crate) fn idle_core(&self) -> LineFit {
         LineFit::through(&self.idle.column("instances"), &self.idle.column("entry_core_percent"))
     }
