--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// An answer that has begun, and where.
+struct ReachedHead {
+    route: OwnerRoute,
+    head: AnswerHead,
+    sent: SentRequest,
+}
+
 /// A stream under way.
 struct RunningStream {
     run: GenerateRun,
@@ -99,7 +106,7 @@
         let (model, adapter) = (target.model.clone(), target.adapter.clone());
         let wish = path.wish(request, model, adapter, Some(prefix), true);
         let mut run = Self { path, target, wish, next_index: 0 };
-        let (route, head, sent) = run.reach_head().await?;
+        let ReachedHead { route, head, sent } = run.reach_head().await?;
         Ok(match head {
             AnswerHead::Whole(body) => {
                 drop(sent);
@@ -113,9 +120,7 @@
     }
 
     /// Gets the head of an answer, trying other upstreams as the retry budget allows.
-    async fn reach_head(
-        &mut self,
-    ) -> Result<(OwnerRoute, AnswerHead, SentRequest), RequestRefusal> {
+    async fn reach_head(&mut self) -> Result<ReachedHead, RequestRefusal> {
         let mut attempts = 0;
         loop {
             attempts += 1;
@@ -130,7 +135,7 @@
                 self.wish.query.prefix,
             );
             let refusal = match self.attempt(&route).await {
-                Ok(head) => return Ok((route, head, sent)),
+                Ok(head) => return Ok(ReachedHead { route, head, sent }),
                 Err(refusal) => refusal,
             };
             if self.path.note_owner(&route, &refusal) {
@@ -290,7 +295,7 @@
         });
         self.run.wish.request.deadline = Instant::now() + RESUME_LIMIT;
         self.run.wish.query.tried = vec![self.route.upstream.clone()];
-        let (route, head, sent) = self.run.reach_head().await?;
+        let ReachedHead { route, head, sent } = self.run.reach_head().await?;
         match head {
             AnswerHead::Stream(source) => {
                 info!("stream_resumed", kv: {
