Look a stream's histograms up once; set warm engines up in one place

Each token of a stream looked two histograms up by freshly made labels; the handles are now kept with the request. A permit was wrapped in an Arc that nothing shared. Three measured runs repeated the same settings.

Seen and left: an owner's refusal counts against its upstream in the outlier detector, which is the wrong depth.

--- a/crates/wheel_bench/src/run_requests.rs
+++ b/crates/wheel_bench/src/run_requests.rs
@@ -42,12 +42,7 @@
     ];
     let mut table = CsvTable::new("requests", &columns);
     let text = BenchText { grantors: 3, slots: 4_096, ..BenchText::default() };
-    let settings = ClusterSettings {
-        control: 1,
-        engine_flags: ["--token-us", "0", "--load-ms", "50"].map(str::to_owned).to_vec(),
-        preload: vec!["c1-e1=busy".to_owned()],
-        ..ClusterSettings::default()
-    };
+    let settings = warm_engine("0");
     let mut cluster = LocalCluster::start(&text.cluster_text()?, &settings).await?;
     cluster.apply_first(Duration::from_secs(30)).await?;
     let owner = find_owner(&cluster).await?;
@@ -59,6 +54,16 @@
     Ok(table)
 }
 
+/// Settings with one control instance and an engine that holds the model from the start.
+pub(crate) fn warm_engine(token_us: &str) -> ClusterSettings {
+    ClusterSettings {
+        control: 1,
+        engine_flags: ["--token-us", token_us, "--load-ms", "50"].map(str::to_owned).to_vec(),
+        preload: vec!["c1-e1=busy".to_owned()],
+        ..ClusterSettings::default()
+    }
+}
+
 /// The place of the instance that owns the engine.
 pub(crate) async fn find_owner(cluster: &LocalCluster) -> Result<usize, BenchError> {
     let at = cluster.instances[0].ports.operators;
--- a/crates/wheel_bench/src/run_storm.rs
+++ b/crates/wheel_bench/src/run_storm.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use wheel_harness::{ClusterSettings, LocalCluster};
+use wheel_harness::LocalCluster;
 
-use crate::run_requests::{find_owner, meter_of};
+use crate::run_requests::{find_owner, meter_of, warm_engine};
 use crate::{BenchError, BenchText, CsvTable, LoadClient};
 
 /// Requests in each measured span.
@@ -19,12 +19,7 @@
     let columns = ["refused", "open", "requests_per_s", "cpu_us_per_request"];
     let mut table = CsvTable::new("storm", &columns);
     let text = BenchText { slots: 4_096, ..BenchText::default() };
-    let settings = ClusterSettings {
-        control: 1,
-        engine_flags: ["--token-us", "0", "--load-ms", "50"].map(str::to_owned).to_vec(),
-        preload: vec!["c1-e1=busy".to_owned()],
-        ..ClusterSettings::default()
-    };
+    let settings = warm_engine("0");
     let mut cluster = LocalCluster::start(&text.cluster_text()?, &settings).await?;
     cluster.apply_first(Duration::from_secs(30)).await?;
     let owner = find_owner(&cluster).await?;
--- a/crates/wheel_bench/src/run_streams.rs
+++ b/crates/wheel_bench/src/run_streams.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use wheel_harness::{ClusterSettings, LocalCluster};
+use wheel_harness::LocalCluster;
 
-use crate::run_requests::{find_owner, meter_of};
+use crate::run_requests::{find_owner, meter_of, warm_engine};
 use crate::{BenchError, BenchText, CsvTable, LoadClient};
 
 /// Tokens of each stream.
@@ -39,12 +39,7 @@
 
 async fn measure(relayed: bool, streams: usize) -> Result<[f64; 9], BenchError> {
     let text = BenchText { grantors: 3, slots: 4_096, ..BenchText::default() };
-    let settings = ClusterSettings {
-        control: 1,
-        engine_flags: ["--token-us", "40000", "--load-ms", "50"].map(str::to_owned).to_vec(),
-        preload: vec!["c1-e1=busy".to_owned()],
-        ..ClusterSettings::default()
-    };
+    let settings = warm_engine("40000");
     let mut cluster = LocalCluster::start(&text.cluster_text()?, &settings).await?;
     cluster.apply_first(Duration::from_secs(30)).await?;
     let owner = find_owner(&cluster).await?;
--- a/crates/wheel_entry/src/request_metrics.rs
+++ b/crates/wheel_entry/src/request_metrics.rs
@@ -2,14 +2,13 @@
 
 use std::collections::HashSet;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
-use metrics::{counter, gauge, histogram};
+use metrics::{Histogram, counter, gauge, histogram};
 use parking_lot::Mutex;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
@@ -45,6 +44,7 @@
             caller: self.caller_label(&request.caller),
             arrival: request.arrival,
             last_chunk: None,
+            between_tokens: None,
         }
     }
 
@@ -68,6 +68,22 @@
     caller: String,
     arrival: Instant,
     last_chunk: Option<Instant>,
+    /// Looked up once: a stream records into it with every token.
+    between_tokens: Option<TimePair>,
+}
+
+/// One time by rank and by caller.
+#[derive(Debug)]
+struct TimePair {
+    by_rank: Histogram,
+    by_caller: Histogram,
+}
+
+impl TimePair {
+    fn record(&self, span: Duration) {
+        self.by_rank.record(span.as_secs_f64());
+        self.by_caller.record(span.as_secs_f64());
+    }
 }
 
 impl RequestSample {
@@ -78,36 +94,44 @@
         counter!("wheel_requests_total", "rank" => self.rank.clone(),
             "caller" => self.caller.clone(), "outcome" => outcome, "status" => status)
         .increment(1);
-        let body = WatchedBody { body: answer.body, sample: self, _permit: Arc::new(permit) };
+        let body = WatchedBody { body: answer.body, sample: self, _permit: permit };
         CallerAnswer { body: body.boxed_unsync(), ..answer }
     }
 
     fn note_chunk(&mut self) {
         let now = Instant::now();
         match self.last_chunk.replace(now) {
-            None => self.record("wheel_first_token_seconds", now - self.arrival),
-            Some(last) => self.record("wheel_between_tokens_seconds", now - last),
+            None => self.times("wheel_first_token_seconds").record(now - self.arrival),
+            Some(last) => {
+                let times = match self.between_tokens.take() {
+                    Some(times) => times,
+                    None => self.times("wheel_between_tokens_seconds"),
+                };
+                times.record(now - last);
+                self.between_tokens = Some(times);
+            }
         }
     }
 
-    fn record(&self, name: &'static str, span: Duration) {
-        let span = span.as_secs_f64();
-        histogram!(name, "rank" => self.rank.clone()).record(span);
-        histogram!(format!("{name}_by_caller"), "caller" => self.caller.clone()).record(span);
+    fn times(&self, name: &'static str) -> TimePair {
+        TimePair {
+            by_rank: histogram!(name, "rank" => self.rank.clone()),
+            by_caller: histogram!(format!("{name}_by_caller"), "caller" => self.caller.clone()),
+        }
     }
 }
 
 impl Drop for RequestSample {
     fn drop(&mut self) {
         gauge!("wheel_requests_open").decrement(1.0);
-        self.record("wheel_request_seconds", self.arrival.elapsed());
+        self.times("wheel_request_seconds").record(self.arrival.elapsed());
     }
 }
 
 struct WatchedBody {
     body: AnswerBody,
     sample: RequestSample,
-    _permit: Arc<OwnedSemaphorePermit>,
+    _permit: OwnedSemaphorePermit,
 }
 
 impl Body for WatchedBody {
