--- a/crates/wheel_agreement/src/group_answer.rs
+++ b/crates/wheel_agreement/src/group_answer.rs
@@ -12,10 +12,27 @@
 pub enum GroupAnswer {
     /// Of [`crate::GroupAction::ApplyText`].
     Text(TextAnswer),
+    /// Of [`crate::GroupAction::AdoptDocument`].
+    Document(DocumentAnswer),
     /// Of all other actions.
     Claim(ClaimAnswer),
 }
 
+/// What became of a configuration document.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum DocumentAnswer {
+    /// It is the newest.
+    Adopted,
+    /// One with the same or a higher version was there before; nothing was done.
+    Kept {
+        /// The version that stays.
+        version: u64,
+    },
+    /// It is larger than the state machine takes; nothing was done.
+    TooLarge,
+}
+
 /// What became of a text. Operators are told the same again when they resend it.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/wheel_agreement/src/group_command.rs
+++ b/crates/wheel_agreement/src/group_command.rs
@@ -1,5 +1,7 @@
 //! Commands of the replicated state machine.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use wheel_text::TextDelta;
 use wheel_types::TextRevision;
@@ -32,6 +34,13 @@
         /// What changed since `base`.
         delta: TextDelta,
     },
+    /// Takes a whole configuration document over, if its version is the highest so far.
+    AdoptDocument {
+        /// The document's version.
+        version: u64,
+        /// The document as its operator sent it.
+        bytes: Arc<[u8]>,
+    },
     /// Claims a call that must not run twice, before it goes out.
     ClaimCall {
         /// The call.
--- a/crates/wheel_agreement/src/group_state.rs
+++ b/crates/wheel_agreement/src/group_state.rs
@@ -1,5 +1,7 @@
 //! The replicated state machine.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use wheel_text::TextHash;
 use wheel_types::TextRevision;
@@ -7,8 +9,8 @@
 use crate::claim_table::ClaimTable;
 use crate::text_register::TextRegister;
 use crate::{
-    AcceptedText, CodecError, GroupAction, GroupAnswer, GroupCommand, GroupLimits, TextHistory,
-    TextUpdate, decode, encode,
+    AcceptedText, CodecError, DocumentAnswer, GroupAction, GroupAnswer, GroupCommand, GroupLimits,
+    StoredDocument, TextHistory, TextUpdate, decode, encode,
 };
 
 /// What the group agrees on: the operators' text and the claims on calls that must not run twice.
@@ -27,6 +29,7 @@
     clock_ms: u64,
     register: TextRegister,
     claims: ClaimTable,
+    document: Option<StoredDocument>,
 }
 
 impl GroupState {
@@ -41,12 +44,15 @@
         self.kept.applied = index;
         self.kept.clock_ms = self.kept.clock_ms.max(command.leader_ms);
         let Self { limits, kept } = self;
-        let KeptState { clock_ms, register, claims, .. } = kept;
+        let KeptState { clock_ms, register, claims, document, .. } = kept;
         claims.expire(*clock_ms, limits);
         match command.action.clone() {
             GroupAction::ApplyText { base, key, digest, delta } => {
                 GroupAnswer::Text(register.apply(base, &key, digest, delta, limits))
             }
+            GroupAction::AdoptDocument { version, bytes } => {
+                GroupAnswer::Document(adopt_document(document, version, bytes, limits))
+            }
             GroupAction::ClaimCall { claim, digest, holder } => {
                 GroupAnswer::Claim(claims.claim(claim, digest, holder, *clock_ms, limits))
             }
@@ -77,6 +83,11 @@
         self.history().changes_since(revision, hash)
     }
 
+    /// The configuration document with the highest version, if there is one.
+    pub fn document(&self) -> Option<&StoredDocument> {
+        self.kept.document.as_ref()
+    }
+
     /// The last applied entry that held a command.
     pub fn applied(&self) -> u64 {
         self.kept.applied
@@ -112,3 +123,20 @@
         Ok(())
     }
 }
+
+/// The highest version wins; an equal one changes nothing, whatever it holds.
+fn adopt_document(
+    held: &mut Option<StoredDocument>,
+    version: u64,
+    bytes: Arc<[u8]>,
+    limits: &GroupLimits,
+) -> DocumentAnswer {
+    match held {
+        Some(held) if held.version >= version => DocumentAnswer::Kept { version: held.version },
+        _ if bytes.len() > limits.max_text_bytes => DocumentAnswer::TooLarge,
+        _ => {
+            *held = Some(StoredDocument { version, bytes });
+            DocumentAnswer::Adopted
+        }
+    }
+}
--- a/crates/wheel_agreement/src/raft_node.rs
+++ b/crates/wheel_agreement/src/raft_node.rs
@@ -84,7 +84,8 @@
     ) -> Vec<RaftOutput> {
         let elapsed = self.timers.advance(now, &self.settings);
         if let RaftRole::Leader(state) = &mut self.role {
-            state.advance(elapsed, self.settings.replace_after);
+            let longest = self.settings.replace_after.max(self.settings.exchange_after);
+            state.advance(elapsed, longest);
         }
         inputs.into_iter().for_each(|input| self.take_input(input));
         self.finish_leading();
@@ -190,6 +191,10 @@
         let asks_vote =
             matches!(body, RaftBody::PreVoteRequest { .. } | RaftBody::VoteRequest { .. });
         if asks_vote && self.hears_leader() {
+            // A voter whose place was taken while it was cut off asks for votes that it has no part in.
+            if self.settings.target_voters.is_some() && !self.members().contains(&from) {
+                self.note_waiting(from);
+            }
             return;
         }
         if term > self.hard_state.term {
--- a/crates/wheel_agreement/src/raft_node/joining.rs
+++ b/crates/wheel_agreement/src/raft_node/joining.rs
@@ -83,7 +83,7 @@
             let identity: FolderIdentity = identity_of(instance)?;
             Some(NodeId { instance: instance.clone(), identity })
         };
-        let is_first = self.settings.voters.first() == Some(&id.instance);
+        let is_first = self.settings.may_form && self.settings.voters.first() == Some(&id.instance);
         let voters: Option<Vec<NodeId>> = self.settings.voters.iter().map(voter_of).collect();
         let Some(voters) = voters.filter(|_| is_first) else {
             return;
@@ -134,7 +134,7 @@
 
     /// Lists an empty folder that isn't a member. It replaces a voter of the same instance by
     /// itself once that one has been silent for long; else an operator decides.
-    fn note_waiting(&mut self, from: NodeId) {
+    pub(super) fn note_waiting(&mut self, from: NodeId) {
         let members = self.members();
         let RaftRole::Leader(state) = &mut self.role else {
             return;
@@ -147,8 +147,16 @@
         let is_lost = members.rival_voter(&from).is_some_and(|rival| {
             state.progress.get(rival).is_some_and(|progress| progress.silence >= replace_after)
         });
-        if is_lost && self.may_change_members() {
-            let next = members.with_change(&VoterChange::AddVoter(from));
+        let has_rival = members.rival_voter(&from).is_some();
+        let change = match () {
+            () if is_lost => VoterChange::AddVoter(from),
+            () if self.settings.target_voters.is_some() && !has_rival => {
+                VoterChange::AddLearner(from)
+            }
+            () => return,
+        };
+        if self.may_change_members() {
+            let next = members.with_change(&change);
             next.into_iter().for_each(|next| self.append_own(EntryPayload::Members(next.into())));
         }
     }
--- a/crates/wheel_agreement/src/raft_node/leading.rs
+++ b/crates/wheel_agreement/src/raft_node/leading.rs
@@ -255,11 +255,39 @@
             return;
         };
         let members = self.log.members();
-        if let Some(next) = next_members(members, state, self.commit, &self.settings.id) {
+        let next = next_members(members, state, self.commit, &self.settings.id)
+            .or_else(|| self.next_exchange(state));
+        if let Some(next) = next {
             self.append_own(EntryPayload::Members(Arc::new(next)));
         }
     }
 
+    /// The next step that keeps the wanted number of live voters: fill a free place, let a learner
+    /// take the place of a silent voter, or remove the silent one that is over the number.
+    fn next_exchange(&self, state: &LeaderState) -> Option<GroupMembers> {
+        let target = self.settings.target_voters?;
+        let members = self.log.members();
+        let is_silent = |voter: &&NodeId| {
+            let progress = state.progress.get(*voter);
+            let silent = |progress: &PeerProgress| progress.silence >= self.settings.exchange_after;
+            **voter != self.settings.id && progress.is_some_and(silent)
+        };
+        let silent = members.voters.iter().find(is_silent);
+        let has_caught_up = |learner: &&NodeId| {
+            let progress = state.progress.get(*learner);
+            progress.is_some_and(|progress| progress.is_active && progress.matched >= self.commit)
+        };
+        let learner = members.learners.keys().find(has_caught_up);
+        match (members.voters.len(), silent, learner) {
+            (count, Some(silent), _) if count > target => {
+                members.with_change(&VoterChange::Remove(silent.clone()))
+            }
+            (count, _, Some(learner)) if count < target => Some(members.with_voter(learner)),
+            (count, Some(_), Some(learner)) if count == target => Some(members.with_voter(learner)),
+            _ => None,
+        }
+    }
+
     /// Whether no change of the members is under way and the commit is known to be the newest.
     pub(super) fn may_change_members(&self) -> bool {
         self.log.members_index() <= self.commit && self.has_committed_own()
--- a/crates/wheel_agreement/src/raft_role.rs
+++ b/crates/wheel_agreement/src/raft_role.rs
@@ -97,9 +97,9 @@
     }
 
     /// Lets time pass for the other members.
-    pub(crate) fn advance(&mut self, elapsed: Duration, replace_after: Duration) {
+    pub(crate) fn advance(&mut self, elapsed: Duration, longest: Duration) {
         for progress in self.progress.values_mut() {
-            progress.silence = (progress.silence + elapsed).min(replace_after);
+            progress.silence = (progress.silence + elapsed).min(longest);
         }
     }
 
--- a/crates/wheel_agreement/src/raft_settings.rs
+++ b/crates/wheel_agreement/src/raft_settings.rs
@@ -19,6 +19,14 @@
     pub election_timeout_min: Duration,
     /// The longest such time; also how long a leader goes on without a quorum's word.
     pub election_timeout_max: Duration,
+    /// Whether this participant may form a group. One that belongs to a group which exists must not:
+    /// an empty folder of it waits to be taken in.
+    pub may_form: bool,
+    /// How many voters the group keeps by itself. Any other participant that asks becomes a learner,
+    /// and a learner takes the place of a voter that has gone silent. `None` leaves this to operators.
+    pub target_voters: Option<usize>,
+    /// How long a voter must be silent before a learner of another instance takes its place.
+    pub exchange_after: Duration,
     /// How long a voter must be silent before an empty folder of the same instance replaces it.
     pub replace_after: Duration,
     /// The most bytes of entries in a message, unless one entry is larger.
@@ -49,6 +57,9 @@
             heartbeat_interval: Duration::from_millis(250),
             election_timeout_min: Duration::from_millis(750),
             election_timeout_max: Duration::from_millis(1_400),
+            may_form: true,
+            target_voters: None,
+            exchange_after: Duration::from_secs(10),
             replace_after: Duration::from_secs(10),
             max_append_bytes: 256 << 10,
             max_chunk_bytes: 1 << 20,
--- /dev/null
+++ b/crates/wheel_agreement/src/stored_document.rs
@@ -0,0 +1,15 @@
+//! A configuration document as the group keeps it.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// The bytes of a configuration document, exactly as they were sent, with its version.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct StoredDocument {
+    /// The version; the highest one is in force.
+    pub version: u64,
+    /// The document. Its meaning is known only to whoever reads it.
+    pub bytes: Arc<[u8]>,
+}
--- a/crates/wheel_agreement/tests/group_state.rs
+++ b/crates/wheel_agreement/tests/group_state.rs
@@ -32,14 +32,14 @@
         let (base, key) = (TextRevision(base), IdempotencyKey::new(key));
         match self.apply(GroupAction::ApplyText { base, key, digest, delta }) {
             GroupAnswer::Text(answer) => answer,
-            GroupAnswer::Claim(answer) => panic!("a claim's answer: {answer:?}"),
+            answer => panic!("another answer: {answer:?}"),
         }
     }
 
     fn apply_claim(&mut self, action: GroupAction) -> ClaimAnswer {
         match self.apply(action) {
             GroupAnswer::Claim(answer) => answer,
-            GroupAnswer::Text(answer) => panic!("a text's answer: {answer:?}"),
+            answer => panic!("another answer: {answer:?}"),
         }
     }
 
--- a/crates/wheel_control/src/control_node.rs
+++ b/crates/wheel_control/src/control_node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::thread::JoinHandle;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use snafu::{ResultExt, Snafu};
@@ -20,11 +20,19 @@
 use crate::control_folder::{ControlFolder, OpenedFolder};
 use crate::control_worker::{ControlWorker, WorkerInput};
 use crate::peer_sender::PeerSender;
-use crate::{AddressBook, FolderError, GroupCall, GroupReply, SubmitAnswer, TextState};
+use crate::{
+    AddressBook, DocumentState, FolderError, GroupCall, GroupReply, ReadAnswer, SubmitAnswer,
+    TextState,
+};
 
 /// Inputs that wait for the worker; further calls are refused and messages dropped.
 const MAX_INPUTS: usize = 4_096;
 
+/// Silence after which a voter is replaced by an empty folder of the same instance, where the group
+/// keeps its voters by itself: the empty folder shows that the old one is gone, and messages of the
+/// old process have arrived by then.
+const REPLACE_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Settings of a [`ControlNode`].
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -38,6 +46,12 @@
     pub seed: u64,
     /// Where this process's [`MonotonicTime`] begins.
     pub start: Instant,
+    /// Whether it may form a new group; see [`RaftSettings::may_form`].
+    pub may_form: bool,
+    /// The number of voters that the group keeps by itself; see [`RaftSettings::target_voters`].
+    pub target_voters: Option<usize>,
+    /// How long a voter is silent before another takes its place, by itself.
+    pub exchange_after: Duration,
 }
 
 /// Why a control instance couldn't start.
@@ -68,7 +82,8 @@
 }
 
 impl ControlNode {
-    /// Opens the data folder and starts to take part in the group. Committed texts go to `text`.
+    /// Opens the data folder and starts to take part in the group. Committed texts go to `text`,
+    /// configuration documents to `documents`.
     ///
     /// # Errors
     /// [`ControlError`] if the folder can't be used or the thread can't be started.
@@ -77,6 +92,7 @@
         hub: PeerHub,
         book: Arc<dyn AddressBook>,
         text: Arc<TextState>,
+        documents: Arc<DocumentState>,
     ) -> Result<Self, ControlError> {
         let path = settings.folder;
         let opened = ControlFolder::open(&path).context(FolderSnafu { path: &path })?;
@@ -95,12 +111,19 @@
             entries = restored.entries.len()
         });
         let now = MonotonicTime::between(settings.start, Instant::now());
-        let raft = RaftSettings::new(id.clone(), settings.voters);
+        let mut raft = RaftSettings::new(id.clone(), settings.voters);
+        raft.may_form = settings.may_form;
+        raft.target_voters = settings.target_voters;
+        if settings.target_voters.is_some() {
+            raft.exchange_after = settings.exchange_after;
+            raft.replace_after = REPLACE_AFTER;
+        }
         let node = RaftNode::open(raft, restored, now, settings.seed);
         let (inputs, receiver) = sync_channel(MAX_INPUTS);
         let sender = PeerSender::new(hub, book, Handle::current());
         let limits = GroupLimits::default();
-        let worker = ControlWorker::new(settings.start, node, folder, sender, text, limits);
+        let worker =
+            ControlWorker::new(settings.start, node, folder, sender, (text, documents), limits);
         let thread = std::thread::Builder::new()
             .name("wheel-control".to_owned())
             .spawn(move || worker.run(&receiver))
@@ -129,6 +152,7 @@
             GroupCall::ChangeVoter(change) => {
                 GroupReply::Submitted(self.change_voter(change).await)
             }
+            GroupCall::Read => GroupReply::Read(self.read().await),
             GroupCall::Status => match self.status().await {
                 Some(status) => GroupReply::Status(Box::new(status)),
                 None => GroupReply::Submitted(stopped()),
@@ -149,6 +173,13 @@
         answer.await.ok()
     }
 
+    /// Reads what is certainly the newest; `None` if this instance doesn't lead.
+    pub async fn read(&self) -> Option<ReadAnswer> {
+        let (reply, answer) = oneshot::channel();
+        self.inputs.try_send(WorkerInput::Read { reply }).ok()?;
+        answer.await.ok().flatten()
+    }
+
     /// Stops taking part and waits for the worker to end.
     pub fn stop(&self) {
         let Some(worker) = self.worker.lock().take() else { return };
--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -10,13 +10,13 @@
 use wheel_agreement::{
     EntryPayload, GroupAction, GroupAnswer, GroupClock, GroupCommand, GroupLimits, GroupState,
     LogEntry, NodeId, ProposalId, ProposalRefusal, RaftInput, RaftMessage, RaftNode, RaftOutput,
-    RaftStatus, RoleName, VoterChange, decode, encode,
+    RaftStatus, ReadId, RoleName, VoterChange, decode, encode,
 };
 use wheel_types::MonotonicTime;
 
 use crate::control_folder::ControlFolder;
 use crate::peer_sender::PeerSender;
-use crate::{SubmitAnswer, TextState};
+use crate::{DocumentState, ReadAnswer, SubmitAnswer, TextState};
 
 /// Inputs that are taken in with one sync.
 const MAX_BATCH: usize = 512;
@@ -33,6 +33,7 @@
     Message { from: NodeId, message: RaftMessage },
     Submit { action: GroupAction, reply: oneshot::Sender<SubmitAnswer> },
     ChangeVoter { change: VoterChange, reply: oneshot::Sender<SubmitAnswer> },
+    Read { reply: oneshot::Sender<Option<ReadAnswer>> },
     Status { reply: oneshot::Sender<RaftStatus> },
     Stop,
 }
@@ -44,12 +45,14 @@
     folder: ControlFolder,
     sender: PeerSender,
     text: Arc<TextState>,
+    documents: Arc<DocumentState>,
     limits: GroupLimits,
     state: GroupState,
     clock: GroupClock,
     role: RoleName,
     next_proposal: u64,
     waiting: HashMap<ProposalId, oneshot::Sender<SubmitAnswer>>,
+    reading: HashMap<ReadId, oneshot::Sender<Option<ReadAnswer>>>,
     /// The proposal whose entry is applied next.
     accepted: Option<(ProposalId, u64)>,
     snapshot_index: u64,
@@ -61,7 +64,7 @@
         node: RaftNode,
         folder: ControlFolder,
         sender: PeerSender,
-        text: Arc<TextState>,
+        (text, documents): (Arc<TextState>, Arc<DocumentState>),
         limits: GroupLimits,
     ) -> Self {
         Self {
@@ -71,11 +74,13 @@
             folder,
             sender,
             text,
+            documents,
             state: GroupState::open(limits.clone()),
             limits,
             clock: GroupClock::open(0, MonotonicTime::default()),
             next_proposal: 0,
             waiting: HashMap::new(),
+            reading: HashMap::new(),
             accepted: None,
             snapshot_index: 0,
         }
@@ -138,6 +143,12 @@
             WorkerInput::ChangeVoter { change, reply } => {
                 Some(RaftInput::ChangeVoter { proposal: self.expect_answer(reply), change })
             }
+            WorkerInput::Read { reply } => {
+                self.next_proposal += 1;
+                let read = ReadId(self.next_proposal);
+                self.reading.insert(read, reply);
+                Some(RaftInput::Read { read })
+            }
             WorkerInput::Status { .. } | WorkerInput::Stop => None,
         }
     }
@@ -177,7 +188,12 @@
                 RaftOutput::Unresolved { proposal, .. } => {
                     self.reply(proposal, SubmitAnswer::Unresolved);
                 }
-                RaftOutput::ReadReady { .. } | RaftOutput::ReadRefused { .. } => {}
+                RaftOutput::ReadReady { read, .. } => {
+                    let document = self.state.document().cloned().map(Arc::new);
+                    let answer = ReadAnswer { term: self.node.term(), document };
+                    self.answer_read(read, Some(answer));
+                }
+                RaftOutput::ReadRefused { read, .. } => self.answer_read(read, None),
             }
         }
     }
@@ -192,7 +208,7 @@
             }
         }
         self.snapshot_index = index;
-        self.text.replace(self.state.history());
+        self.publish();
     }
 
     fn apply(&mut self, index: u64, entry: &LogEntry) {
@@ -215,7 +231,7 @@
         match decode::<GroupCommand>(bytes) {
             Ok(command) => {
                 let answer = self.state.apply(index, &command);
-                self.text.replace(self.state.history());
+                self.publish();
                 answer
             }
             Err(error) => {
@@ -226,6 +242,22 @@
         }
     }
 
+    fn answer_read(&mut self, read: ReadId, answer: Option<ReadAnswer>) {
+        if let Some(reply) = self.reading.remove(&read) {
+            let _ = reply.send(answer);
+        }
+    }
+
+    /// Shows what the state machine holds to the rest of the instance.
+    fn publish(&self) {
+        self.text.replace(self.state.history());
+        if let Some(document) = self.state.document()
+            && self.documents.adopt(document)
+        {
+            info!("document_committed", kv: { version = document.version });
+        }
+    }
+
     fn reply(&mut self, proposal: ProposalId, answer: SubmitAnswer) {
         if let Some(reply) = self.waiting.remove(&proposal) {
             let _ = reply.send(answer);
@@ -247,7 +279,8 @@
 
     fn compact_if_due(&mut self) {
         let applied = self.state.applied();
-        let text_bytes = (self.state.text().source.len() as u64).max(1);
+        let document_bytes = self.state.document().map_or(0, |document| document.bytes.len());
+        let text_bytes = (self.state.text().source.len() + document_bytes).max(1) as u64;
         let entries = (REPLAY_BYTES / text_bytes).clamp(MIN_SNAPSHOT_ENTRIES, MAX_SNAPSHOT_ENTRIES);
         if applied < self.snapshot_index + entries {
             return;
--- a/crates/wheel_control/src/group_call.rs
+++ b/crates/wheel_control/src/group_call.rs
@@ -4,6 +4,8 @@
 use wheel_agreement::{GroupAction, GroupAnswer, NodeId, RaftStatus, VoterChange};
 use wheel_types::InstanceName;
 
+use crate::ReadAnswer;
+
 /// What an instance asks of a control instance.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
@@ -12,6 +14,8 @@
     Submit(GroupAction),
     /// Commit a change of the voters.
     ChangeVoter(VoterChange),
+    /// Read what is certainly the newest.
+    Read,
     /// Tell the state of the group.
     Status,
 }
@@ -22,6 +26,8 @@
 pub enum GroupReply {
     /// What became of the call.
     Submitted(SubmitAnswer),
+    /// The answer to a read; `None` where this instance doesn't lead, or can't be sure of it.
+    Read(Option<ReadAnswer>),
     /// The state of the group as this instance sees it.
     Status(Box<RaftStatus>),
 }
--- a/crates/wheel_control/src/group_client.rs
+++ b/crates/wheel_control/src/group_client.rs
@@ -10,7 +10,7 @@
 use wheel_peer::{PeerChannel, PeerHub};
 use wheel_types::InstanceName;
 
-use crate::{AddressBook, ControlNode, GroupCall, GroupReply, SubmitAnswer};
+use crate::{AddressBook, ControlNode, GroupCall, GroupReply, ReadAnswer, SubmitAnswer};
 
 /// Time that one control instance gets to answer.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -41,7 +41,7 @@
     hub: PeerHub,
     book: Arc<dyn AddressBook>,
     own: Option<ControlNode>,
-    control: Arc<[InstanceName]>,
+    control: Arc<Mutex<Vec<InstanceName>>>,
     leader: Arc<Mutex<Option<InstanceName>>>,
 }
 
@@ -53,7 +53,13 @@
         own: Option<ControlNode>,
         control: &[InstanceName],
     ) -> Self {
-        Self { hub, book, own, control: control.into(), leader: Arc::default() }
+        Self {
+            hub,
+            book,
+            own,
+            control: Arc::new(Mutex::new(control.to_vec())),
+            leader: Arc::default(),
+        }
     }
 
     /// Has `action` committed by the deadline.
@@ -94,6 +100,30 @@
         None
     }
 
+    /// What is certainly the newest, from the leader; `None` if no leader can be sure by `deadline`.
+    pub async fn read(&self, deadline: Instant) -> Option<ReadAnswer> {
+        while Instant::now() < deadline {
+            for instance in self.candidates() {
+                let asked = self.ask(&instance, &GroupCall::Read);
+                match tokio::time::timeout_at(deadline, asked).await {
+                    Ok(Ok(GroupReply::Read(Some(answer)))) => {
+                        *self.leader.lock() = Some(instance);
+                        return Some(answer);
+                    }
+                    Ok(_) => self.note_leader(&instance, None),
+                    Err(_) => return None,
+                }
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+        None
+    }
+
+    /// Takes over which control instances there are.
+    pub fn set_members(&self, control: &[InstanceName]) {
+        *self.control.lock() = control.into();
+    }
+
     /// Asks one instance after another until one answers for the group, or the time is over.
     async fn commit(&self, call: GroupCall, deadline: Instant) -> Result<SubmitAnswer, GroupError> {
         let mut may_be_committed = false;
@@ -127,7 +157,7 @@
         let asked = tokio::time::timeout_at(deadline, self.ask(instance, call)).await;
         let answer = match asked {
             Ok(Ok(GroupReply::Submitted(answer))) => answer,
-            Ok(Ok(GroupReply::Status(_))) => return Attempt::NotAppended,
+            Ok(Ok(GroupReply::Status(_) | GroupReply::Read(_))) => return Attempt::NotAppended,
             Ok(Err(AskError { may_have_run: false })) => return Attempt::NotAppended,
             Ok(Err(AskError { may_have_run: true })) | Err(_) => return Attempt::Unresolved,
         };
@@ -148,7 +178,8 @@
     /// The instances to ask, the likely leader first.
     fn candidates(&self) -> Vec<InstanceName> {
         let leader = self.leader.lock().clone();
-        let others = self.control.iter().filter(|name| Some(*name) != leader.as_ref()).cloned();
+        let control = self.control.lock().clone();
+        let others = control.into_iter().filter(|name| Some(name) != leader.as_ref());
         leader.iter().cloned().chain(others).collect()
     }
 
--- /dev/null
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -0,0 +1,263 @@
+//! A control instance of a discovered fleet.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use rand::Rng;
+use snafu::ResultExt;
+use spdlog::{error, info};
+use tokio::sync::watch;
+use wheel_control::{
+    AddressBook, ControlNode, ControlSettings, DocumentState, GroupClient, TextState,
+};
+use wheel_entry::{AnswerBody, HttpLimits, HttpServer, full_body, read_body};
+use wheel_peer::{PeerAddress, PeerHub};
+use wheel_placement::{
+    ConfigDesk, ConfigDialect, DirectingRight, DirectorParts, FleetBoard, FleetDirector,
+    ListSettings, ListWatch, ParentSync, PutEnd, RightTimes, SyncEnd, SyncSettings,
+};
+use wheel_route::{ControlPlace, FleetConfig};
+use wheel_types::InstanceName;
+
+use crate::fleet_entry::{follow_seeds, status_answer};
+use crate::fleet_parts::{LIST_INTERVAL, bind_fleet_hub};
+use crate::fleet_router::{FleetRouter, RouterParts};
+use crate::running_fleet::{ControlSnafu, FleetStartError};
+use crate::{FleetDialects, FleetRole, FleetSettings, OperatorCall, OperatorDialect};
+
+/// Time between two syncs with the leader.
+const SYNC_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a confirmation of the leader carries. Confirmations come each quarter of a second.
+const RIGHT_SPAN: Duration = Duration::from_millis(1_000);
+
+/// Names of control instances are their addresses.
+struct NamedAddresses;
+
+impl AddressBook for NamedAddresses {
+    fn peer(&self, instance: &InstanceName) -> Option<PeerAddress> {
+        let address: SocketAddr = instance.as_str().parse().ok()?;
+        Some(PeerAddress::new(instance.clone(), address))
+    }
+}
+
+/// A running control instance.
+pub(crate) struct FleetControl {
+    control: ControlNode,
+    right: Arc<DirectingRight>,
+    operators: HttpServer,
+}
+
+impl FleetControl {
+    pub(crate) async fn spawn(
+        settings: &FleetSettings,
+        dialects: &FleetDialects,
+    ) -> Result<Self, FleetStartError> {
+        let FleetRole::Control { operators, folder, may_form, voters } = &settings.role else {
+            return Err(FleetStartError::WrongRole);
+        };
+        let router = FleetRouter::default();
+        let hub = bind_fleet_hub(settings, router.clone())?;
+        let documents: Arc<DocumentState> = Arc::default();
+        let seeds: Vec<InstanceName> = settings.seeds.borrow().iter().map(name_of).collect();
+        let control_settings = ControlSettings {
+            instance: name_of(&settings.peer),
+            voters: seeds.clone(),
+            folder: folder.clone(),
+            seed: rand::rng().random(),
+            start: Instant::now(),
+            may_form: *may_form,
+            target_voters: Some(*voters),
+            exchange_after: settings.bounds.contact,
+        };
+        let book: Arc<dyn AddressBook> = Arc::new(NamedAddresses);
+        let text: Arc<TextState> = Arc::default();
+        let control = ControlNode::spawn(
+            control_settings,
+            hub.clone(),
+            Arc::clone(&book),
+            text,
+            Arc::clone(&documents),
+        )
+        .context(ControlSnafu)?;
+        let group = GroupClient::new(hub.clone(), book, Some(control.clone()), &seeds);
+        let list = ListSettings { address: settings.list, interval: LIST_INTERVAL };
+        let list = ListWatch::spawn(list, Arc::clone(&dialects.fleet), || true);
+        let board = FleetBoard::open(Arc::clone(&list));
+        let own = ControlPlace { address: settings.peer, centre: Arc::clone(&settings.centre) };
+        board.add_control(own.clone());
+        let times = RightTimes { span: RIGHT_SPAN, pause: settings.bounds.holder_pause };
+        let right = DirectingRight::spawn(times, control.clone());
+        FleetDirector::spawn(DirectorParts {
+            holder: settings.label.to_string(),
+            right: Arc::clone(&right),
+            list,
+            board: Arc::clone(&board),
+            dialect: Arc::clone(&dialects.fleet),
+            config: follow_documents(&documents, Arc::clone(&dialects.config)),
+            store_window: settings.bounds.store_window,
+        });
+        router.wire(RouterParts {
+            own: own.clone(),
+            control: control.clone(),
+            documents: Arc::clone(&documents),
+            board: Arc::clone(&board),
+        });
+        spawn_leader_sync(settings, hub, &control, &group, board, own);
+        let desk = Arc::new(ConfigDesk::new(group, Arc::clone(&dialects.config)));
+        let operators = bind_operators(*operators, desk, Arc::clone(&dialects.operator)).await?;
+        Ok(Self { control, right, operators })
+    }
+
+    /// Gives leadership and the right to order up, and ends.
+    pub(crate) async fn drain(self) {
+        self.right.release();
+        let control = self.control.clone();
+        let _ = tokio::task::spawn_blocking(move || control.stop()).await;
+        self.operators.drain(Duration::from_millis(500)).await;
+    }
+}
+
+fn name_of(address: &SocketAddr) -> InstanceName {
+    InstanceName::from(address.to_string().as_str())
+}
+
+/// Reads committed documents into configurations.
+fn follow_documents(
+    documents: &DocumentState,
+    dialect: Arc<dyn ConfigDialect>,
+) -> watch::Receiver<Option<Arc<FleetConfig>>> {
+    let (sender, receiver) = watch::channel(None);
+    let mut held = documents.subscribe();
+    tokio::spawn(async move {
+        loop {
+            let document = held.borrow_and_update().clone();
+            if let Some(document) = document {
+                match dialect.read(&document.bytes) {
+                    Ok(config) => drop(sender.send_replace(Some(Arc::new(config)))),
+                    Err(fault) => error!("config_not_understood", kv: {
+                        version = document.version, reason:? = fault.to_string()
+                    }),
+                }
+            }
+            if held.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+    receiver
+}
+
+/// Tells the leader what the instances below tell, and takes its view over.
+fn spawn_leader_sync(
+    settings: &FleetSettings,
+    hub: PeerHub,
+    control: &ControlNode,
+    group: &GroupClient,
+    board: Arc<FleetBoard>,
+    own: ControlPlace,
+) {
+    let sync_settings = SyncSettings {
+        own: settings.peer,
+        centre: Arc::clone(&settings.centre),
+        interval: SYNC_INTERVAL,
+    };
+    let sync = ParentSync::open(sync_settings, hub, &[]);
+    follow_seeds(settings, Arc::clone(&sync));
+    let (control, group) = (control.clone(), group.clone());
+    let instance: Arc<str> = settings.peer.to_string().into();
+    let seeds = settings.seeds.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(SYNC_INTERVAL) => {}
+                () = board.told_urgent() => {}
+            }
+            group.set_members(&known_control(&board, &seeds));
+            let Some(status) = control.status().await else { return };
+            let leader = status.leader.filter(|leader| leader.instance != status.id.instance);
+            let Some(leader) = leader.and_then(|leader| leader.instance.as_str().parse().ok())
+            else {
+                continue;
+            };
+            let mut ask = board.prepare_ask(Arc::clone(&instance), 0);
+            ask.version = u64::MAX;
+            ask.control = Some(own.clone());
+            if let SyncEnd::Replied(reply) = sync.call(leader, &ask).await
+                && let Some(view) = reply.fleet
+            {
+                board.set_led(view, &reply.control);
+            }
+        }
+    });
+}
+
+fn known_control(
+    board: &FleetBoard,
+    seeds: &watch::Receiver<Vec<SocketAddr>>,
+) -> Vec<InstanceName> {
+    let known = board.control();
+    let known = known.iter().map(|place| name_of(&place.address));
+    let mut all: Vec<InstanceName> = seeds.borrow().iter().map(name_of).chain(known).collect();
+    all.sort();
+    all.dedup();
+    all
+}
+
+async fn bind_operators(
+    address: SocketAddr,
+    desk: Arc<ConfigDesk>,
+    dialect: Arc<dyn OperatorDialect>,
+) -> Result<HttpServer, FleetStartError> {
+    let limits = HttpLimits::default();
+    let server = HttpServer::bind(address, limits.clone(), move |request| {
+        answer_operator(Arc::clone(&desk), Arc::clone(&dialect), limits.clone(), request)
+    });
+    Ok(server.await?)
+}
+
+async fn answer_operator(
+    desk: Arc<ConfigDesk>,
+    dialect: Arc<dyn OperatorDialect>,
+    limits: HttpLimits,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (head, body) = request.into_parts();
+    match dialect.read(&head) {
+        OperatorCall::PutConfig => match read_body(body, &limits).await {
+            Ok(bytes) => put_answer(desk.put(&bytes).await),
+            Err(fault) => status_answer(fault.code.status()),
+        },
+        OperatorCall::GetConfig => match desk.read().await {
+            Ok(Some(document)) => json_answer(Bytes::copy_from_slice(&document.bytes)),
+            Ok(None) => status_answer(StatusCode::NOT_FOUND),
+            Err(()) => {
+                info!("config_read_unsure");
+                status_answer(StatusCode::SERVICE_UNAVAILABLE)
+            }
+        },
+        _ => status_answer(StatusCode::NOT_FOUND),
+    }
+}
+
+fn put_answer(end: PutEnd) -> Response<AnswerBody> {
+    match end {
+        PutEnd::Accepted => status_answer(StatusCode::OK),
+        PutEnd::Invalid(fault) => {
+            let mut response = Response::new(full_body(format!("{fault}\n")));
+            *response.status_mut() = StatusCode::BAD_REQUEST;
+            response
+        }
+        PutEnd::Unresolved => status_answer(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn json_answer(bytes: Bytes) -> Response<AnswerBody> {
+    let mut response = Response::new(full_body(bytes));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/wheel_daemon/src/fleet_parts.rs
@@ -0,0 +1,33 @@
+//! What both roles of a discovered fleet share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use snafu::ResultExt;
+use tokio::runtime::Handle;
+use wheel_peer::{PeerHub, PeerSecret, PeerSettings};
+use wheel_types::{IncarnationId, InstanceName};
+
+use crate::FleetSettings;
+use crate::fleet_router::FleetRouter;
+use crate::running_fleet::{FleetStartError, PeerSnafu};
+
+/// Time between two readings of the list of upstreams: with its lag and the way to the entries it stays
+/// well under the time in which a leaving upstream must get no more work.
+pub(crate) const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The name that instances of one fleet share.
+const FLEET_GROUP: &str = "fleet";
+
+/// Listens for other instances.
+pub(crate) fn bind_fleet_hub(
+    settings: &FleetSettings,
+    router: FleetRouter,
+) -> Result<PeerHub, FleetStartError> {
+    let name = InstanceName::from(settings.peer.to_string().as_str());
+    let peer = PeerSettings::new(FLEET_GROUP, name, Handle::current())
+        .incarnation(IncarnationId(rand::rng().random()))
+        .secret(PeerSecret::new(Arc::clone(&settings.secret)))
+        .listen(settings.peer);
+    PeerHub::bind(peer, Arc::new(router)).context(PeerSnafu)
+}
--- /dev/null
+++ b/crates/wheel_daemon/src/fleet_router.rs
@@ -0,0 +1,96 @@
+//! Answers other instances of a discovered fleet.
+
+use std::sync::{Arc, OnceLock};
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wheel_agreement::{NodeId, RaftMessage, decode, encode};
+use wheel_control::{ControlNode, DocumentState, GroupCall};
+use wheel_peer::{PeerChannel, PeerHandler, PeerIdentity, PeerRefusal};
+use wheel_placement::FleetBoard;
+use wheel_route::{ControlPlace, SyncAsk, SyncReply};
+
+/// What a control instance answers from.
+pub(crate) struct RouterParts {
+    pub(crate) own: ControlPlace,
+    pub(crate) control: ControlNode,
+    pub(crate) documents: Arc<DocumentState>,
+    pub(crate) board: Arc<FleetBoard>,
+}
+
+/// Passes calls to the part that they concern; an entry answers none.
+#[derive(Clone, Default)]
+pub(crate) struct FleetRouter {
+    parts: Arc<OnceLock<RouterParts>>,
+}
+
+impl FleetRouter {
+    pub(crate) fn wire(&self, parts: RouterParts) {
+        let _ = self.parts.set(parts);
+    }
+}
+
+impl PeerHandler for FleetRouter {
+    fn handle(
+        &self,
+        peer: PeerIdentity,
+        channel: PeerChannel,
+        body: Vec<u8>,
+    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
+        let parts = Arc::clone(&self.parts);
+        async move {
+            let parts =
+                parts.get().ok_or_else(|| PeerRefusal::new("nothing is served here yet"))?;
+            answer(parts, &peer, channel, &body).await
+        }
+        .boxed()
+    }
+}
+
+async fn answer(
+    parts: &RouterParts,
+    peer: &PeerIdentity,
+    channel: PeerChannel,
+    body: &[u8],
+) -> Result<Vec<u8>, PeerRefusal> {
+    match channel {
+        PeerChannel::Agreement => {
+            let (from, to, message): (NodeId, NodeId, RaftMessage) = read(body)?;
+            if from.instance != peer.instance {
+                return Err(PeerRefusal::new("a message is sent in another's name"));
+            }
+            parts.control.note_message(from, &to, message);
+            Ok(Vec::new())
+        }
+        PeerChannel::Claim => {
+            let call: GroupCall = read(body)?;
+            write(&parts.control.answer(call).await)
+        }
+        PeerChannel::Report => {
+            let ask: SyncAsk = read(body)?;
+            write(&sync(parts, ask))
+        }
+        _ => Err(PeerRefusal::new("nothing is served on this channel")),
+    }
+}
+
+fn sync(parts: &RouterParts, ask: SyncAsk) -> SyncReply {
+    let held = parts.documents.current().filter(|held| held.version > ask.version);
+    let document = held.map(|held| (held.version, Arc::clone(&held.bytes)));
+    parts.board.note(ask);
+    let mut control = parts.board.control();
+    if !control.contains(&parts.own) {
+        control.push(parts.own.clone());
+    }
+    SyncReply { document, fleet: parts.board.view(), control }
+}
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, PeerRefusal> {
+    decode(body).map_err(|error| PeerRefusal::new(error.to_string()))
+}
+
+fn write<T: Serialize>(answer: &T) -> Result<Vec<u8>, PeerRefusal> {
+    encode(answer).map_err(|error| PeerRefusal::new(error.to_string()))
+}
--- a/crates/wheel_daemon/src/group_keeper.rs
+++ b/crates/wheel_daemon/src/group_keeper.rs
@@ -30,9 +30,8 @@
         async move {
             match client.submit(action, deadline).await {
                 Ok(GroupAnswer::Claim(answer)) => Ok(answer),
-                Ok(GroupAnswer::Text(_)) | Err(GroupError::Unresolved) => {
-                    Err(KeeperError::Unresolved)
-                }
+                Ok(GroupAnswer::Text(_) | GroupAnswer::Document(_))
+                | Err(GroupError::Unresolved) => Err(KeeperError::Unresolved),
                 Err(GroupError::Unavailable | GroupError::Refused { .. }) => {
                     Err(KeeperError::Unavailable)
                 }
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -43,7 +43,7 @@
 };
 
 /// Upper ends of the histograms' buckets, in seconds.
-const HISTOGRAM_BUCKETS_S: [f64; 12] =
+pub(crate) const HISTOGRAM_BUCKETS_S: [f64; 12] =
     [0.001, 0.003, 0.01, 0.03, 0.064, 0.1, 0.3, 1.0, 1.4, 3.0, 10.0, 60.0];
 /// Time between two looks for silent owners.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
@@ -295,9 +295,12 @@
         folder,
         seed,
         start,
+        may_form: true,
+        target_voters: None,
+        exchange_after: Duration::MAX,
     };
     let book: Arc<dyn AddressBook> = book.clone();
-    let node = ControlNode::spawn(control, hub.clone(), book, Arc::clone(text));
+    let node = ControlNode::spawn(control, hub.clone(), book, Arc::clone(text), Arc::default());
     node.context(ControlSnafu).map(Some)
 }
 
--- a/crates/wheel_entry/src/http_server.rs
+++ b/crates/wheel_entry/src/http_server.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, header};
@@ -82,6 +83,8 @@
     address: SocketAddr,
     accepting: CancellationToken,
     draining: CancellationToken,
+    /// Whether each answer ends its connection.
+    closing: Arc<AtomicBool>,
     connections: TaskTracker,
 }
 
@@ -105,6 +108,7 @@
             address,
             accepting: CancellationToken::new(),
             draining: CancellationToken::new(),
+            closing: Arc::default(),
             connections: TaskTracker::new(),
         };
         tokio::spawn(server.clone().accept_loop(listener, limits, answer));
@@ -116,6 +120,11 @@
         self.address
     }
 
+    /// Goes on accepting, and tells each caller with its answer that the connection ends.
+    pub fn close_after_answers(&self) {
+        self.closing.store(true, Ordering::Release);
+    }
+
     /// Stops accepting, lets requests in hand end, and closes connections as they become idle.
     /// Returns true if all ended within `limit`.
     pub async fn drain(&self, limit: Duration) -> bool {
@@ -169,9 +178,18 @@
     {
         // Small SSE events must leave at once.
         let _ = stream.set_nodelay(true);
+        let closing = Arc::clone(&self.closing);
         let service = service_fn(move |request| {
             let response = answer(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            let closing = Arc::clone(&closing);
+            async move {
+                let mut response = response.await;
+                if closing.load(Ordering::Acquire) {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- /dev/null
+++ b/crates/wheel_gateway/src/event_splitter.rs
@@ -0,0 +1,53 @@
+//! Cuts a stream of events at their ends.
+
+use bytes::{Bytes, BytesMut};
+
+/// The end of an event: a blank line.
+const EVENT_END: &[u8] = b"\n\n";
+/// Field that carries an event's id.
+const ID_FIELD: &[u8] = b"id:";
+
+/// Collects bytes and hands out whole events with their ids.
+///
+/// ```
+/// use wheel_gateway::EventSplitter;
+///
+/// let mut splitter = EventSplitter::default();
+/// splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+/// assert_eq!(splitter.next_event().map(|(id, _)| id), Some(Some(1)));
+/// assert_eq!(splitter.next_event(), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+}
+
+impl EventSplitter {
+    /// Adds bytes that arrived.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole event, with its id if it has one.
+    pub fn next_event(&mut self) -> Option<(Option<u64>, Bytes)> {
+        let end = self.buffer.windows(EVENT_END.len()).position(|bytes| bytes == EVENT_END)?;
+        let event = self.buffer.split_to(end + EVENT_END.len()).freeze();
+        Some((event_id(&event), event))
+    }
+
+    /// Forgets the beginning of an event that won't end.
+    pub fn clear(&mut self) {
+        self.buffer.clear();
+    }
+
+    /// What follows the last whole event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(ID_FIELD))?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/wheel_gateway/src/load_guard.rs
@@ -0,0 +1,28 @@
+//! Counts a request at its upstream for as long as it is under way.
+
+use std::sync::Arc;
+
+use wheel_route::EngineId;
+
+use crate::FleetState;
+
+/// Counts one request at one upstream until it is dropped.
+pub struct LoadGuard {
+    state: Arc<FleetState>,
+    engine: EngineId,
+    tokens: u64,
+}
+
+impl LoadGuard {
+    /// Begins to count.
+    pub fn begin(state: Arc<FleetState>, engine: EngineId, tokens: u64) -> Self {
+        state.count_load(&engine, 1, tokens as i64);
+        Self { state, engine, tokens }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.state.count_load(&self.engine, -1, -(self.tokens as i64));
+    }
+}
--- /dev/null
+++ b/crates/wheel_gateway/src/request_log.rs
@@ -0,0 +1,109 @@
+//! One line and one sample for each request.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use metrics::{counter, histogram};
+use spdlog::info;
+use tokio::time::Instant;
+use wheel_route::RouteSpec;
+use wheel_types::RequestId;
+
+/// What became of a request, written when it ends, however it ends.
+pub(crate) struct RequestLog {
+    id: RequestId,
+    route: Arc<RouteSpec>,
+    arrival: Instant,
+    version: u64,
+    view_age_ms: u128,
+    engine: Arc<str>,
+    sends: u32,
+    events: u64,
+    status: Option<StatusCode>,
+    first_ms: Option<u128>,
+    reason: &'static str,
+    is_written: bool,
+}
+
+impl RequestLog {
+    pub(crate) fn begin(
+        id: RequestId,
+        route: Arc<RouteSpec>,
+        arrival: Instant,
+        version: u64,
+        view_age_ms: u128,
+    ) -> Self {
+        Self {
+            id,
+            route,
+            arrival,
+            version,
+            view_age_ms,
+            engine: "-".into(),
+            sends: 0,
+            events: 0,
+            status: None,
+            first_ms: None,
+            reason: "caller_left",
+            is_written: false,
+        }
+    }
+
+    /// Notes that the request was sent to an upstream.
+    pub(crate) fn sent(&mut self, engine: &Arc<str>) {
+        self.engine = Arc::clone(engine);
+        self.sends += 1;
+    }
+
+    /// Notes the status that the caller gets, and why.
+    pub(crate) fn answered(&mut self, status: StatusCode, reason: &'static str) {
+        self.status = Some(status);
+        self.reason = reason;
+    }
+
+    /// Notes an event that is passed on.
+    pub(crate) fn passed_event(&mut self) {
+        self.events += 1;
+        if self.first_ms.is_none() {
+            self.first_ms = Some(self.arrival.elapsed().as_millis());
+            let rank = self.route.rank.to_string();
+            histogram!("wheel_first_event_seconds", "rank" => rank)
+                .record(self.arrival.elapsed().as_secs_f64());
+        }
+    }
+
+    /// Why the answer ends as it does.
+    pub(crate) fn set_reason(&mut self, reason: &'static str) {
+        self.reason = reason;
+    }
+
+    /// Notes something on the way that decides what follows.
+    pub(crate) fn step(&self, event: &str, reason: &str) {
+        info!("request_step", kv: {
+            id = self.id.as_str(), step = event, upstream = self.engine.to_string(),
+            reason = reason, sends = self.sends,
+            ms = self.arrival.elapsed().as_millis()
+        });
+    }
+}
+
+impl Drop for RequestLog {
+    fn drop(&mut self) {
+        if std::mem::replace(&mut self.is_written, true) {
+            return;
+        }
+        let status = self.status.map_or(0, |status| status.as_u16());
+        let took = self.arrival.elapsed();
+        let rank = self.route.rank.to_string();
+        counter!("wheel_requests_total", "status" => status.to_string(), "reason" => self.reason)
+            .increment(1);
+        histogram!("wheel_request_seconds", "rank" => rank).record(took.as_secs_f64());
+        info!("request_ended", kv: {
+            id = self.id.as_str(), route = self.route.name.to_string(),
+            upstream = self.engine.to_string(), sends = self.sends,
+            status = status, reason = self.reason, events = self.events,
+            first_ms = self.first_ms.unwrap_or_default(),
+            ms = took.as_millis(), version = self.version, view_age_ms = self.view_age_ms
+        });
+    }
+}
--- /dev/null
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -0,0 +1,125 @@
+//! The stream that a caller gets, whatever becomes of the engines behind it.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use wheel_entry::{AnswerBody, AnswerError};
+
+use crate::request_run::RequestRun;
+use crate::{EventSplitter, LoadGuard};
+
+/// Passes a stream on. One that may be resumed is passed on in whole events, and goes on at another
+/// engine after the last of them when its engine fails.
+pub(crate) struct ResumedStream {
+    run: RequestRun,
+    body: Option<wheel_upstream::AnswerBody>,
+    guard: Option<LoadGuard>,
+    splitter: EventSplitter,
+    ready: VecDeque<Bytes>,
+    is_resumable: bool,
+    last: Option<u64>,
+}
+
+impl ResumedStream {
+    pub(crate) fn begin(
+        run: RequestRun,
+        body: wheel_upstream::AnswerBody,
+        guard: LoadGuard,
+        is_resumable: bool,
+        last: Option<u64>,
+    ) -> Self {
+        Self {
+            run,
+            body: Some(body),
+            guard: Some(guard),
+            splitter: EventSplitter::default(),
+            ready: VecDeque::new(),
+            is_resumable,
+            last,
+        }
+    }
+
+    /// The body of the caller's answer.
+    pub(crate) fn into_body(self) -> AnswerBody {
+        let pieces = stream::unfold(self, |mut stream| async move {
+            let piece = stream.next().await?;
+            Some((piece.map(Frame::data), stream))
+        });
+        StreamBody::new(pieces).boxed_unsync()
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, AnswerError>> {
+        loop {
+            if let Some(event) = self.ready.pop_front() {
+                self.run.log.passed_event();
+                return Some(Ok(event));
+            }
+            let piece = match &mut self.body {
+                Some(body) => body.next().await,
+                None => return None,
+            };
+            match piece {
+                Ok(Some(piece)) => self.take_piece(piece),
+                Ok(None) => {
+                    self.end("stream_ended");
+                    let rest = self.splitter.take_rest();
+                    if !rest.is_empty() {
+                        self.ready.push_back(rest);
+                    }
+                }
+                Err(failure) => {
+                    self.run.log.step("stream_broke", &failure.to_string());
+                    if !self.resume().await {
+                        self.end("stream_broke");
+                        return Some(Err(AnswerError::BrokeOff { reason: failure.to_string() }));
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_piece(&mut self, piece: Bytes) {
+        if !self.is_resumable {
+            self.ready.push_back(piece);
+            return;
+        }
+        self.splitter.push(&piece);
+        let mut whole = Vec::new();
+        while let Some((id, event)) = self.splitter.next_event() {
+            if id.is_some() && id <= self.last {
+                continue;
+            }
+            self.last = id.or(self.last);
+            whole.extend_from_slice(&event);
+        }
+        if !whole.is_empty() {
+            self.ready.push_back(whole.into());
+        }
+    }
+
+    async fn resume(&mut self) -> bool {
+        self.body = None;
+        self.guard = None;
+        self.splitter.clear();
+        if !self.is_resumable {
+            return false;
+        }
+        match self.run.resume(self.last).await {
+            Some((answer, guard)) => {
+                self.body = Some(answer.body);
+                self.guard = Some(guard);
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn end(&mut self, reason: &'static str) {
+        self.body = None;
+        self.guard = None;
+        self.run.log.set_reason(reason);
+    }
+}
--- /dev/null
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -0,0 +1,338 @@
+//! Reads engines and orders what they hold.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use metrics::counter;
+use parking_lot::Mutex;
+use spdlog::info;
+use tokio::sync::watch;
+use tokio::time::{Instant, MissedTickBehavior};
+use wheel_lease::{HeldAccount, LoadWindow};
+use wheel_policy::{DemandBook, FleetPlanner, PlanEngine, PlanInput, PlanStep};
+use wheel_route::{
+    EngineCard, EngineId, EngineProfile, FleetConfig, HeldModel, LoadCount, UpstreamState,
+};
+use wheel_types::MonotonicTime;
+use wheel_upstream::{ConnectionLimits, DirectClient, OrderCall};
+
+use crate::directing_right::TermPermit;
+use crate::{DirectingRight, FleetBoard, FleetDialect, FleetOrder, ListWatch, boot_now};
+
+/// Time between two rounds.
+const ROUND_INTERVAL: Duration = Duration::from_millis(150);
+/// Time that a report may take.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Reports are some hundred milliseconds old: a finished order shows only after that.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+/// Pause after a report that didn't come, and between reports while an order takes longer than expected.
+const REPORT_PAUSE: Duration = Duration::from_millis(400);
+/// Time without reports after which an engine counts as gone for placement.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+/// Time for an order's connection, and for its answer.
+const ORDER_CONNECT: Duration = Duration::from_millis(400);
+const ORDER_LIFE: Duration = Duration::from_millis(1_500);
+/// Share of the weight store's allowance that is used, so that rounding at the window's ends never breaks it.
+const STORE_SHARE: f64 = 0.95;
+
+/// What the director works with.
+pub struct DirectorParts {
+    /// The own name, which orders carry.
+    pub holder: String,
+    /// The right to order.
+    pub right: Arc<DirectingRight>,
+    /// The list of upstreams.
+    pub list: Arc<ListWatch>,
+    /// What the instances tell.
+    pub board: Arc<FleetBoard>,
+    /// What engines speak.
+    pub dialect: Arc<dyn FleetDialect>,
+    /// The configuration in force.
+    pub config: watch::Receiver<Option<Arc<FleetConfig>>>,
+    /// The window of the weight store's allowance.
+    pub store_window: Duration,
+}
+
+/// One engine with its account.
+struct DirectedEngine {
+    card: EngineCard,
+    account: Mutex<HeldAccount>,
+    client: DirectClient,
+    reads: Mutex<ReadState>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ReadState {
+    /// No report is asked for before.
+    next: Instant,
+    failing_since: Option<Instant>,
+}
+
+/// Directs the engines of all services while this instance has the right.
+pub struct FleetDirector {
+    parts: DirectorParts,
+    term: u64,
+    engines: HashMap<EngineId, Arc<DirectedEngine>>,
+    demand: DemandBook,
+    planners: HashMap<Arc<str>, FleetPlanner>,
+    store: LoadWindow,
+}
+
+impl FleetDirector {
+    /// Starts to direct.
+    pub fn spawn(parts: DirectorParts) {
+        let director = Self {
+            parts,
+            term: 0,
+            engines: HashMap::new(),
+            demand: DemandBook::default(),
+            planners: HashMap::new(),
+            store: LoadWindow::default(),
+        };
+        tokio::spawn(director.run());
+    }
+
+    async fn run(mut self) {
+        let mut ticks = tokio::time::interval(ROUND_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = self.parts.board.urgent() => {}
+            }
+            match self.parts.right.leading_term() {
+                Some(term) => self.round(term).await,
+                None if self.term != 0 => {
+                    info!("directing_ended", kv: { term = self.term });
+                    self.term = 0;
+                    self.engines.clear();
+                    self.parts.board.set_held(None);
+                }
+                None => {}
+            }
+        }
+    }
+
+    async fn round(&mut self, term: u64) {
+        let Some(config) = self.parts.config.borrow_and_update().clone() else { return };
+        let now = boot_now();
+        if self.term != term {
+            self.begin_term(term, &config, now);
+        }
+        let told = self.parts.board.prepare_ask("own".into(), config.version);
+        self.demand.note(now, "fleet", &told.demand);
+        self.demand.expire(now);
+        self.follow_list(&config);
+        for engine in told.doubtful.iter().filter_map(|id| self.engines.get(id)) {
+            engine.account.lock().doubt();
+        }
+        self.read_due().await;
+        for service in &config.services {
+            if let Some(profile) = &service.engine {
+                self.direct(&service.name, profile, &told.loads);
+            }
+        }
+        self.publish();
+    }
+
+    fn begin_term(&mut self, term: u64, config: &FleetConfig, now: MonotonicTime) {
+        info!("directing_began", kv: { term, version = config.version });
+        self.term = term;
+        self.engines.clear();
+        self.planners.clear();
+        let most = config.services.iter().filter_map(|service| service.engine.as_ref());
+        let most = most.map(|profile| self.store_most(profile)).max().unwrap_or(0);
+        self.store = LoadWindow::full(now, most);
+    }
+
+    /// Loads from the store that may begin in one window.
+    fn store_most(&self, profile: &EngineProfile) -> usize {
+        let window_s = self.parts.store_window.as_secs_f64();
+        (profile.loads_per_s * window_s * STORE_SHARE).floor() as usize
+    }
+
+    /// Keeps one account for each start of each engine that the list shows.
+    fn follow_list(&mut self, config: &FleetConfig) {
+        let Some((cards, _)) = self.parts.list.current() else { return };
+        self.engines.retain(|id, _| cards.iter().any(|card| card.id == *id));
+        for card in cards.iter() {
+            let is_engine = config.service(&card.service).is_some_and(|spec| spec.engine.is_some());
+            let known = self.engines.get(&card.id);
+            if !is_engine || known.is_some_and(|known| known.card.state == card.state) {
+                continue;
+            }
+            let engine = match known {
+                Some(known) => DirectedEngine {
+                    card: card.clone(),
+                    account: Mutex::new(known.account.lock().clone()),
+                    client: known.client.clone(),
+                    reads: Mutex::new(*known.reads.lock()),
+                },
+                None => DirectedEngine {
+                    client: DirectClient::open(card.address, ConnectionLimits::default()),
+                    card: card.clone(),
+                    account: Mutex::default(),
+                    reads: Mutex::new(ReadState { next: Instant::now(), failing_since: None }),
+                },
+            };
+            self.engines.insert(card.id.clone(), Arc::new(engine));
+        }
+    }
+
+    /// Reads the engines whose account needs it.
+    async fn read_due(&self) {
+        let (now, clock) = (boot_now(), Instant::now());
+        let is_due = |engine: &&Arc<DirectedEngine>| {
+            let mut account = engine.account.lock();
+            account.expire(now);
+            let wanted = account.read_at().is_some_and(|at| now >= at + REPORT_LAG);
+            wanted && clock >= engine.reads.lock().next
+        };
+        let due: Vec<Arc<DirectedEngine>> = self.engines.values().filter(is_due).cloned().collect();
+        let dialect = &*self.parts.dialect;
+        join_all(due.iter().map(|engine| read_engine(engine, dialect))).await;
+    }
+
+    /// Plans for one service and sends the orders.
+    fn direct(&mut self, service: &Arc<str>, profile: &EngineProfile, loads: &[LoadCount]) {
+        let now = boot_now();
+        let Some(fencing) = self.parts.right.fencing() else { return };
+        let engines: Vec<PlanEngine> = self
+            .engines
+            .values()
+            .filter(|engine| engine.card.service == *service)
+            .map(|engine| plan_engine(engine, loads))
+            .collect();
+        let demand: BTreeMap<_, _> = self
+            .demand
+            .entries(now)
+            .into_iter()
+            .filter(|(key, _)| key.service == *service)
+            .collect();
+        let most = self.store_most(profile);
+        let store_room = self.store.room(now, self.parts.store_window, most);
+        let input = PlanInput { now, profile, engines: &engines, demand: &demand, store_room };
+        let steps = self.planners.entry(Arc::clone(service)).or_default().plan(&input);
+        for step in steps {
+            if step.from_store {
+                self.store.note(now);
+            }
+            self.order(step, fencing);
+        }
+    }
+
+    fn order(&self, step: PlanStep, fencing: u64) {
+        let Some(engine) = self.engines.get(&step.engine).cloned() else { return };
+        let expect = {
+            let mut account = engine.account.lock();
+            account.begin();
+            account.expect()
+        };
+        let order = FleetOrder {
+            engine: engine.card.id.clone(),
+            address: engine.card.address,
+            change: step.change.clone(),
+            expect,
+            holder: self.parts.holder.clone(),
+            fencing,
+        };
+        let request = self.parts.dialect.order(&order);
+        let permit = Arc::new(TermPermit { right: Arc::clone(&self.parts.right), fencing });
+        let dialect = Arc::clone(&self.parts.dialect);
+        tokio::spawn(async move {
+            let began = Instant::now();
+            let call = OrderCall {
+                address: order.address,
+                permit,
+                connect: ORDER_CONNECT,
+                life: ORDER_LIFE,
+            };
+            let sent = call.send(request).await;
+            let end = dialect.order_end(sent);
+            let takes = step.takes;
+            engine.account.lock().end(boot_now(), step.change.clone(), expect, takes, end);
+            counter!("wheel_orders_total", "end" => format!("{end:?}")).increment(1);
+            info!("order_sent", kv: {
+                upstream = order.engine.name.to_string(), change:? = step.change,
+                expect, fencing, gain = step.gain, from_store = step.from_store,
+                end:? = end, answer:? = sent, ms = began.elapsed().as_millis()
+            });
+        });
+    }
+
+    /// Shows entries what the engines hold.
+    fn publish(&self) {
+        let now = boot_now();
+        let mut held = HashMap::new();
+        let mut loading = Vec::new();
+        for engine in self.engines.values() {
+            let account = engine.account.lock();
+            if account.reading().is_some() {
+                let models = account.usable().into_iter().map(|entry| HeldModel {
+                    name: entry.model,
+                    version: 0,
+                    adapters: entry.adapters,
+                });
+                held.insert(engine.card.id.clone(), models.collect());
+            }
+            if let Some((model, done)) = account.loading() {
+                let left = (done + REPORT_LAG).since(now);
+                let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+                loading.push((Arc::clone(model), left));
+            }
+        }
+        self.parts.board.set_held(Some((held, loading)));
+    }
+}
+
+async fn read_engine(engine: &DirectedEngine, dialect: &dyn FleetDialect) {
+    let asked = engine.client.ask(dialect.report(&engine.card.id), REPORT_TIMEOUT).await;
+    let read = match asked {
+        Ok((status, body)) if status.is_success() => dialect.read_report(&body),
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(failure) => Err(failure.to_string()),
+    };
+    let mut reads = engine.reads.lock();
+    reads.next = Instant::now() + REPORT_PAUSE;
+    match read {
+        Ok(reading) if engine.card.id.born == 0 || reading.born == engine.card.id.born => {
+            reads.failing_since = None;
+            drop(reads);
+            engine.account.lock().observe(reading);
+        }
+        Ok(reading) => info!("report_of_another_start", kv: {
+            upstream = engine.card.id.name.to_string(), born = reading.born
+        }),
+        Err(reason) => {
+            if reads.failing_since.is_none() {
+                reads.failing_since = Some(Instant::now());
+                info!("report_lost", kv: {
+                    upstream = engine.card.id.name.to_string(), reason:? = reason
+                });
+            }
+        }
+    }
+}
+
+fn plan_engine(engine: &DirectedEngine, loads: &[LoadCount]) -> PlanEngine {
+    let account = engine.account.lock();
+    let failing = engine.reads.lock().failing_since;
+    let is_silent = failing.is_some_and(|since| since.elapsed() > SILENCE_LIMIT);
+    let reading = account.reading();
+    let load = loads.iter().find(|load| load.engine == engine.card.id);
+    let is_leaving = reading.is_some_and(|reading| reading.is_leaving);
+    PlanEngine {
+        id: engine.card.id.clone(),
+        centre: Arc::clone(&engine.card.centre),
+        is_free: account.is_free(),
+        takes_work: engine.card.state == UpstreamState::Ready && !is_silent && !is_leaving,
+        possible: account.possible_models(),
+        usable: account.usable().into_iter().map(|entry| entry.model).collect(),
+        adapters: account.possible_adapters(),
+        in_memory: reading.map(|reading| reading.in_memory.clone()).unwrap_or_default(),
+        on_disk: reading.map(|reading| reading.on_disk.clone()).unwrap_or_default(),
+        active: load.map_or(0, |load| load.active),
+    }
+}
--- /dev/null
+++ b/crates/wheel_placement/src/lib.rs
@@ -0,0 +1,23 @@
+//! The control side of a discovered fleet.
+//!
+//! [`ListWatch`] reads the list of upstreams. [`FleetBoard`] gathers what instances tell and answers
+//! them. [`FleetDirector`] reads engines and orders what they hold, while this instance has the
+//! [`DirectingRight`]. [`ConfigDesk`] takes operators' configurations.
+
+mod boot_clock;
+mod config_desk;
+mod directing_right;
+mod fleet_board;
+mod fleet_dialect;
+mod fleet_director;
+mod list_watch;
+mod parent_sync;
+
+pub use boot_clock::boot_now;
+pub use config_desk::{ConfigDesk, PutEnd};
+pub use directing_right::{DirectingRight, RightTimes};
+pub use fleet_board::FleetBoard;
+pub use fleet_dialect::{ConfigDialect, FleetDialect, FleetOrder, ListPage};
+pub use fleet_director::{DirectorParts, FleetDirector};
+pub use list_watch::{ListSettings, ListWatch};
+pub use parent_sync::{ParentSync, SyncEnd, SyncSettings};
--- /dev/null
+++ b/crates/wheel_policy/src/fleet_planner.rs
@@ -0,0 +1,366 @@
+//! What the engines of a service should hold next.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use wheel_route::{DemandKey, EngineId, EngineProfile};
+use wheel_types::{HeldChange, MonotonicTime};
+
+/// Time over which demand is weighed against what is lost: about two loads from the store.
+const HORIZON_S: f64 = 10.0;
+/// What a further replica of a model is worth where the others aren't over full, against the first: it
+/// only shortens queues and covers a lost engine.
+const SPARE_WORTH: f64 = 0.15;
+/// What a further replica is worth where the others are over full.
+const NEEDED_WORTH: f64 = 0.5;
+/// Rate from which a model should have a second replica, in requests a second.
+const SPARE_RATE: f64 = 0.5;
+/// Share of an engine's slots that a model's requests may fill before another replica is needed.
+const TARGET_FILL: f64 = 0.4;
+/// How much more a model must be worth than what it displaces, so that two don't displace each other.
+const MARGIN: f64 = 1.3;
+/// The least gain for which anything is displaced: about one request a minute.
+const MIN_GAIN: f64 = 0.15;
+/// Cost of a second of load time, in requests: others that need the store or the engine wait for it.
+const LOAD_COST_PER_S: f64 = 0.1;
+/// How long freed room is kept for the model that it was freed for.
+const INTENT_LIFE: Duration = Duration::from_secs(4);
+/// Rate from which an adapter should stand on a second engine, in requests a second.
+const SPARE_ADAPTER_RATE: f64 = 1.0;
+
+/// One engine as the planner sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlanEngine {
+    /// Which engine.
+    pub id: EngineId,
+    /// Its data centre.
+    pub centre: Arc<str>,
+    /// Whether an order may be sent to it now.
+    pub is_free: bool,
+    /// Whether it takes requests.
+    pub takes_work: bool,
+    /// Models that are there or may come to be there; they count against its memory.
+    pub possible: Vec<Arc<str>>,
+    /// Models that requests may be sent for.
+    pub usable: Vec<Arc<str>>,
+    /// Adapters that are there or may come to be there, with their models.
+    pub adapters: Vec<(Arc<str>, Arc<str>)>,
+    /// Models with a copy in its memory.
+    pub in_memory: Vec<Arc<str>>,
+    /// Models with a copy on its disk.
+    pub on_disk: Vec<Arc<str>>,
+    /// Requests under way there.
+    pub active: u32,
+}
+
+/// One step of the plan.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlanStep {
+    /// The engine.
+    pub engine: EngineId,
+    /// The change.
+    pub change: HeldChange,
+    /// How long it should take.
+    pub takes: Duration,
+    /// Whether it takes a load from the weight store.
+    pub from_store: bool,
+    /// What it gains, in requests.
+    pub gain: f64,
+}
+
+/// What the planner decides by.
+pub struct PlanInput<'a> {
+    /// The time.
+    pub now: MonotonicTime,
+    /// What the engines take.
+    pub profile: &'a EngineProfile,
+    /// The engines of one service.
+    pub engines: &'a [PlanEngine],
+    /// Demand for that service, with rates and what waits.
+    pub demand: &'a BTreeMap<DemandKey, (f64, u32)>,
+    /// Loads from the store that may begin now.
+    pub store_room: usize,
+}
+
+/// Decides by the demand of a service what its engines load and unload, one order for each engine at a time.
+///
+/// First copies of models that are asked for go before further copies of busy ones, unless these are over
+/// full; what is displaced is what is asked for least.
+#[derive(Clone, Debug, Default)]
+pub struct FleetPlanner {
+    /// Room that is being freed for a model.
+    intents: BTreeMap<EngineId, (Arc<str>, MonotonicTime)>,
+}
+
+/// Demand for one model.
+#[derive(Clone, Copy, Debug, Default)]
+struct ModelDemand {
+    rate: f64,
+    waiting: u32,
+    /// Copies that requests may be sent to.
+    usable: usize,
+    /// Copies that are there or come.
+    possible: usize,
+    /// Copies that the rate asks for.
+    needed: usize,
+}
+
+impl ModelDemand {
+    /// What one more copy gains.
+    fn gain(&self) -> f64 {
+        let worth = self.rate * HORIZON_S;
+        match self.possible {
+            0 => f64::from(self.waiting) + worth,
+            copies if copies < self.needed => worth * NEEDED_WORTH / copies as f64,
+            1 if self.rate >= SPARE_RATE => worth * SPARE_WORTH,
+            _ => 0.0,
+        }
+    }
+
+    /// What the loss of one of its copies costs.
+    fn loss(&self) -> f64 {
+        let worth = self.rate * HORIZON_S;
+        match self.usable {
+            0 | 1 => f64::from(self.waiting) + worth,
+            copies if copies <= self.needed => worth * NEEDED_WORTH / (copies - 1) as f64,
+            2 if self.rate >= SPARE_RATE => worth * SPARE_WORTH,
+            copies => worth * 0.02 / copies as f64,
+        }
+    }
+}
+
+/// A way to load a model.
+struct LoadWay {
+    place: usize,
+    /// The model that makes way first.
+    victim: Option<Arc<str>>,
+    takes: Duration,
+    from_store: bool,
+    cost: f64,
+}
+
+impl FleetPlanner {
+    /// The steps to take now, the most useful first, at most one for each engine.
+    pub fn plan(&mut self, input: &PlanInput<'_>) -> Vec<PlanStep> {
+        self.drop_intents(input);
+        let mut demand = self.model_demand(input);
+        let mut taken = BTreeSet::new();
+        let mut steps = plan_adapters(input, &mut taken);
+        let mut store_room = input.store_room;
+        let mut wanted: Vec<(f64, Arc<str>)> =
+            demand.iter().map(|(model, demand)| (demand.gain(), Arc::clone(model))).collect();
+        wanted.sort_by(|left, right| right.0.total_cmp(&left.0));
+        for (gain, model) in wanted {
+            if gain < MIN_GAIN {
+                break;
+            }
+            let way = self.find_way(input, &model, &demand, &taken, gain, store_room);
+            let Some(way) = way else { continue };
+            let engine = input.engines[way.place].id.clone();
+            taken.insert(way.place);
+            let (change, takes, from_store) = match way.victim {
+                Some(victim) => {
+                    let until = input.now + INTENT_LIFE;
+                    self.intents.insert(engine.clone(), (Arc::clone(&model), until));
+                    if let Some(displaced) = demand.get_mut(&victim) {
+                        displaced.usable = displaced.usable.saturating_sub(1);
+                    }
+                    (HeldChange::UnloadModel(victim), Duration::from_millis(300), false)
+                }
+                None => {
+                    store_room -= usize::from(way.from_store);
+                    self.intents.remove(&engine);
+                    (HeldChange::LoadModel(Arc::clone(&model)), way.takes, way.from_store)
+                }
+            };
+            steps.push(PlanStep { engine, change, takes, from_store, gain });
+        }
+        steps
+    }
+
+    /// Forgets intents that are over: the model is there, or the room was long in coming.
+    fn drop_intents(&mut self, input: &PlanInput<'_>) {
+        self.intents.retain(|id, (model, until)| {
+            let engine = input.engines.iter().find(|engine| engine.id == *id);
+            input.now < *until && engine.is_some_and(|engine| !engine.possible.contains(model))
+        });
+    }
+
+    fn model_demand(&self, input: &PlanInput<'_>) -> BTreeMap<Arc<str>, ModelDemand> {
+        let mut demand: BTreeMap<Arc<str>, ModelDemand> = BTreeMap::new();
+        for (key, (rate, waiting)) in input.demand {
+            let model = demand.entry(Arc::clone(&key.model)).or_default();
+            model.rate += rate;
+            // What waits for an adapter of a model that is there doesn't need another copy of it.
+            model.waiting += waiting;
+        }
+        demand.retain(|model, _| input.profile.model(model).is_some());
+        for engine in input.engines.iter().filter(|engine| engine.takes_work) {
+            let intent = self.intents.get(&engine.id).map(|(model, _)| model);
+            for model in engine.possible.iter().chain(intent) {
+                demand.entry(Arc::clone(model)).or_default().possible += 1;
+            }
+            for model in &engine.usable {
+                demand.entry(Arc::clone(model)).or_default().usable += 1;
+            }
+        }
+        let rate: f64 = demand.values().map(|model| model.rate).sum();
+        let active: u32 = input.engines.iter().map(|engine| engine.active).sum();
+        // Little's law: the time that a request is under way.
+        let time_s = if rate > 0.0 { f64::from(active) / rate } else { 0.0 };
+        let room = f64::from(input.profile.slots.max(1)) * TARGET_FILL;
+        for model in demand.values_mut() {
+            model.needed = (model.rate * time_s / room).ceil() as usize;
+        }
+        demand
+    }
+
+    fn find_way(
+        &self,
+        input: &PlanInput<'_>,
+        model: &Arc<str>,
+        demand: &BTreeMap<Arc<str>, ModelDemand>,
+        taken: &BTreeSet<usize>,
+        gain: f64,
+        store_room: usize,
+    ) -> Option<LoadWay> {
+        let profile = input.profile.model(model)?;
+        let holding: BTreeSet<&Arc<str>> = input
+            .engines
+            .iter()
+            .filter(|engine| engine.possible.contains(model))
+            .map(|engine| &engine.centre)
+            .collect();
+        let mut best: Option<LoadWay> = None;
+        for (place, engine) in input.engines.iter().enumerate() {
+            let is_able = engine.is_free && engine.takes_work && !taken.contains(&place);
+            let is_kept =
+                self.intents.get(&engine.id).is_some_and(|(intended, _)| intended != model);
+            if !is_able || is_kept || engine.possible.contains(model) {
+                continue;
+            }
+            let (takes, from_store) = match engine {
+                engine if engine.in_memory.contains(model) => (profile.warm_load, false),
+                engine if engine.on_disk.contains(model) => (profile.disk_load, false),
+                _ => (profile.load, true),
+            };
+            if from_store && store_room == 0 {
+                continue;
+            }
+            let free_mb = free_mb(input.profile, engine);
+            let victim = match free_mb >= profile.weights_mb {
+                true => None,
+                false => {
+                    let found = find_victim(input, engine, profile.weights_mb - free_mb, demand);
+                    let Some((victim, loss)) = found else { continue };
+                    if gain < loss * MARGIN {
+                        continue;
+                    }
+                    Some((victim, loss))
+                }
+            };
+            let loss = victim.as_ref().map_or(0.0, |(_, loss)| *loss);
+            let crowd = f64::from(engine.active) / f64::from(input.profile.slots.max(1));
+            let same_centre = if holding.contains(&engine.centre) { 0.3 } else { 0.0 };
+            let time_cost = takes.as_secs_f64() * LOAD_COST_PER_S;
+            let cost = loss + time_cost + same_centre + 0.2 * crowd;
+            if best.as_ref().is_none_or(|best| cost < best.cost) {
+                let victim = victim.map(|(victim, _)| victim);
+                best = Some(LoadWay { place, victim, takes, from_store, cost });
+            }
+        }
+        best
+    }
+}
+
+/// Megabytes that are certainly free.
+fn free_mb(profile: &EngineProfile, engine: &PlanEngine) -> f64 {
+    let size =
+        |model: &str| profile.model(model).map_or(profile.weights_mb, |found| found.weights_mb);
+    let adapter = |model: &str| profile.model(model).map_or(0.0, |found| found.adapter_mb);
+    let models: f64 = engine.possible.iter().map(|model| size(model)).sum();
+    let adapters: f64 = engine.adapters.iter().map(|(model, _)| adapter(model)).sum();
+    profile.weights_mb - models - adapters
+}
+
+/// The model whose loss costs the least among those that make room enough by themselves.
+fn find_victim(
+    input: &PlanInput<'_>,
+    engine: &PlanEngine,
+    missing_mb: f64,
+    demand: &BTreeMap<Arc<str>, ModelDemand>,
+) -> Option<(Arc<str>, f64)> {
+    let frees = |model: &Arc<str>| {
+        let profile = input.profile.model(model);
+        let adapters = engine.adapters.iter().filter(|(held, _)| held == model).count() as f64;
+        profile.is_some_and(|found| found.weights_mb + adapters * found.adapter_mb >= missing_mb)
+    };
+    let loss = |model: &Arc<str>| demand.get(model).map_or(0.0, ModelDemand::loss);
+    let candidates = engine.usable.iter().filter(|model| frees(model));
+    let least = candidates.min_by(|left, right| loss(left).total_cmp(&loss(right)))?;
+    Some((Arc::clone(least), loss(least)))
+}
+
+/// Adapters that are asked for where their model stands.
+fn plan_adapters(input: &PlanInput<'_>, taken: &mut BTreeSet<usize>) -> Vec<PlanStep> {
+    let mut steps = Vec::new();
+    let asked = input.demand.iter().filter(|(key, _)| key.adapter.is_some());
+    let mut asked: Vec<(&DemandKey, f64, u32)> =
+        asked.map(|(key, (rate, waiting))| (key, *rate, *waiting)).collect();
+    asked.sort_by(|left, right| right.2.cmp(&left.2).then(right.1.total_cmp(&left.1)));
+    for (key, rate, waiting) in asked {
+        let Some(adapter) = &key.adapter else { continue };
+        let pair = (Arc::clone(&key.model), Arc::clone(adapter));
+        let holders = input.engines.iter().filter(|engine| engine.adapters.contains(&pair)).count();
+        let wanted = if rate >= SPARE_ADAPTER_RATE { 2 } else { 1 };
+        if holders >= wanted || (holders > 0 && waiting == 0 && rate < SPARE_ADAPTER_RATE) {
+            continue;
+        }
+        let Some((place, change)) = find_adapter_place(input, &pair, taken, waiting > 0) else {
+            continue;
+        };
+        taken.insert(place);
+        let engine = input.engines[place].id.clone();
+        let takes = Duration::from_millis(20);
+        let gain = f64::from(waiting) + rate * HORIZON_S;
+        steps.push(PlanStep { engine, change, takes, from_store: false, gain });
+    }
+    steps
+}
+
+/// Where an adapter is loaded, or what makes way for it there.
+fn find_adapter_place(
+    input: &PlanInput<'_>,
+    pair: &(Arc<str>, Arc<str>),
+    taken: &BTreeSet<usize>,
+    is_waited_for: bool,
+) -> Option<(usize, HeldChange)> {
+    let places = input.engines.iter().enumerate().filter(|(place, engine)| {
+        engine.is_free
+            && engine.takes_work
+            && !taken.contains(place)
+            && engine.usable.contains(&pair.0)
+    });
+    let rate_of = |held: &(Arc<str>, Arc<str>)| {
+        let found = input
+            .demand
+            .iter()
+            .find(|(key, _)| key.model == held.0 && key.adapter.as_ref() == Some(&held.1));
+        found.map_or(0.0, |(_, (rate, _))| *rate)
+    };
+    let mb = input.profile.model(&pair.0)?.adapter_mb;
+    let (place, engine) =
+        places.min_by_key(|(_, engine)| (engine.adapters.len(), engine.active))?;
+    let has_place = engine.adapters.len() < input.profile.adapter_slots;
+    match has_place && free_mb(input.profile, engine) >= mb {
+        true => Some((place, HeldChange::LoadAdapter(Arc::clone(&pair.0), Arc::clone(&pair.1)))),
+        false if !is_waited_for => None,
+        false => {
+            let least = engine.adapters.iter();
+            let least = least.min_by(|left, right| rate_of(left).total_cmp(&rate_of(right)))?;
+            let (model, adapter) = least.clone();
+            Some((place, HeldChange::UnloadAdapter(model, adapter)))
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_route/src/fleet_config.rs
@@ -0,0 +1,61 @@
+//! One whole configuration.
+
+use std::collections::{HashMap, HashSet};
+
+use crate::{ConfigFault, FleetService, IngressLimits, RouteSpec};
+
+/// Routes and services of one version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetConfig {
+    /// The version; the highest one is in force.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<RouteSpec>,
+    /// The services.
+    pub services: Vec<FleetService>,
+    /// What callers may send.
+    pub limits: IngressLimits,
+}
+
+impl FleetConfig {
+    /// The service of that name.
+    pub fn service(&self, name: &str) -> Option<&FleetService> {
+        self.services.iter().find(|service| &*service.name == name)
+    }
+
+    /// Checks what no single field shows.
+    ///
+    /// # Errors
+    /// The first [`ConfigFault`] found.
+    pub fn check(&self) -> Result<(), ConfigFault> {
+        let services: HashSet<&str> = self.services.iter().map(|service| &*service.name).collect();
+        let mut places = HashMap::new();
+        for route in &self.routes {
+            check_route(route, &services)?;
+            let place = (&route.host, &route.prefix);
+            if let Some(first) = places.insert(place, &route.name) {
+                let (first, second) = (first.clone(), route.name.clone());
+                return Err(ConfigFault::SamePlace { first, second });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_route(route: &RouteSpec, services: &HashSet<&str>) -> Result<(), ConfigFault> {
+    let name = route.name.clone();
+    let unknown = route.targets.iter().find(|target| !services.contains(&*target.service));
+    let weight: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    let is_placed = route.prefix.starts_with('/') && route.prefix.ends_with('/');
+    match unknown {
+        Some(target) => {
+            Err(ConfigFault::UnknownService { route: name, service: target.service.clone() })
+        }
+        None if weight == 0 => Err(ConfigFault::NoWeight { route: name }),
+        None if route.time_limit.is_zero() => Err(ConfigFault::NoTime { route: name }),
+        None if !is_placed => {
+            Err(ConfigFault::BadPrefix { route: name, prefix: route.prefix.clone() })
+        }
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/wheel_route/src/lib.rs
@@ -0,0 +1,31 @@
+//! Routes of a configuration document, and the fleet of upstreams that they lead to.
+//!
+//! A [`FleetConfig`] is one whole configuration; [`RouteTable`] finds the route of a request in it.
+//! [`FleetView`] is what is known of the upstreams at one moment, and [`SyncAsk`] and [`SyncReply`]
+//! carry both between instances.
+
+mod config_fault;
+mod demand_count;
+mod engine_card;
+mod engine_profile;
+mod fleet_config;
+mod fleet_service;
+mod fleet_view;
+mod ingress_limits;
+mod route_kind;
+mod route_spec;
+mod route_table;
+mod sync_message;
+
+pub use config_fault::ConfigFault;
+pub use demand_count::{DemandCount, DemandKey};
+pub use engine_card::{EngineCard, EngineId, HeldModel, UpstreamState};
+pub use engine_profile::{EngineProfile, ModelProfile};
+pub use fleet_config::FleetConfig;
+pub use fleet_service::FleetService;
+pub use fleet_view::FleetView;
+pub use ingress_limits::IngressLimits;
+pub use route_kind::RouteKind;
+pub use route_spec::{RouteSpec, RouteTarget};
+pub use route_table::RouteTable;
+pub use sync_message::{ControlPlace, LoadCount, SyncAsk, SyncReply};
--- a/crates/wheel_upstream/src/engine_client.rs
+++ b/crates/wheel_upstream/src/engine_client.rs
@@ -237,6 +237,6 @@
 
 /// Adds the `Host` header.
 pub(crate) fn with_host(mut request: Request<Bytes>, host: &HeaderValue) -> Request<Bytes> {
-    request.headers_mut().insert(HOST, host.clone());
+    request.headers_mut().entry(HOST).or_insert_with(|| host.clone());
     request
 }
--- /dev/null
+++ b/crates/wheel_upstream/src/order_call.rs
@@ -0,0 +1,63 @@
+//! One order to an engine, over a connection of its own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use tokio::time::timeout;
+
+use crate::OrderPermit;
+use crate::call_body::CallBody;
+use crate::engine_client::{host_of, with_host};
+use crate::upstream_connection::UpstreamConnection;
+
+/// How an order's call ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderEnd {
+    /// The engine answered with this status.
+    Answered(StatusCode),
+    /// No byte of it left.
+    NotSent,
+    /// It may be carried out.
+    Unknown,
+}
+
+/// Sends one order. Nothing is written once the permit has ended, and bytes that weren't
+/// acknowledged live no longer than the call.
+pub struct OrderCall {
+    /// The engine's address.
+    pub address: SocketAddr,
+    /// The right to order.
+    pub permit: Arc<dyn OrderPermit>,
+    /// Time for the connection.
+    pub connect: Duration,
+    /// Time for the answer.
+    pub life: Duration,
+}
+
+impl OrderCall {
+    /// Sends `request` and waits for its answer.
+    pub async fn send(self, request: Request<Bytes>) -> OrderEnd {
+        let opened = UpstreamConnection::open_for_order(
+            self.address,
+            self.connect,
+            self.life,
+            self.permit.clone(),
+        );
+        let Ok(mut connection) = opened.await else { return OrderEnd::NotSent };
+        let (head, body) = with_host(request, &host_of(&self.address)).into_parts();
+        let (body, taken) = CallBody::with_permit(body, self.permit);
+        let written_before = connection.gate.written();
+        let sending = connection.send.send_request(Request::from_parts(head, body));
+        let answer = timeout(self.life, sending).await;
+        let has_left = connection.gate.seal() > written_before;
+        match answer {
+            Ok(Ok(answer)) => OrderEnd::Answered(answer.status()),
+            _ if has_left && taken.load(Ordering::Acquire) => OrderEnd::Unknown,
+            _ => OrderEnd::NotSent,
+        }
+    }
+}
--- a/crates/wheel_upstream/src/service_client.rs
+++ b/crates/wheel_upstream/src/service_client.rs
@@ -61,7 +61,8 @@
             self.pool.counters.foreign_answers.add_one();
             return Err(body.fail(FailureKind::ForeignAnswer));
         }
-        if call.method != http::Method::HEAD && !has_marked_end(head.status, &head.headers) {
+        let is_bounded = call.method == http::Method::HEAD || dialect.ends_by_close();
+        if !is_bounded && !has_marked_end(head.status, &head.headers) {
             let message = "neither a length nor chunks".to_owned();
             return Err(body.fail(FailureKind::BadAnswer { message }));
         }
--- a/crates/wheel_upstream/src/service_dialect.rs
+++ b/crates/wheel_upstream/src/service_dialect.rs
@@ -26,6 +26,11 @@
     /// The id of the call that an answer belongs to.
     fn answer_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
+    /// Whether an answer without a length or chunks is whole when its connection is closed in order.
+    fn ends_by_close(&self) -> bool {
+        false
+    }
+
     /// Whether the call ran, by its answer.
     fn outcome(&self, status: StatusCode, headers: &HeaderMap) -> RequestOutcome;
 }
@@ -75,7 +80,7 @@
 }
 
 /// Leaves out the headers that belong to one connection only.
-pub(crate) fn without_hop_headers(mut headers: HeaderMap) -> HeaderMap {
+pub fn without_hop_headers(mut headers: HeaderMap) -> HeaderMap {
     let listed = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
     let named = listed.flat_map(|list| list.split(','));
     let named: Vec<HeaderName> = named.filter_map(|name| name.trim().parse().ok()).collect();
