Leave control instances that are out of touch with the group

Cause: an entry kept asking the control instance of its data centre, which was cut off from the others and answered from what it had: routes that were acknowledged two seconds before were refused with 404. Change: a reply says how long ago its sender was certainly in touch with the group (a leader that a majority confirmed, or a follower that such a leader answered); entries ask another one from 700 ms on. Ruled out: late commits at followers (7 ms in the log), the entry's own sync (200 ms).

--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -31,6 +31,8 @@
 
 /// Time between two syncs with the leader.
 const SYNC_INTERVAL: Duration = Duration::from_millis(200);
+/// Age of a leader's own touch with the group, in milliseconds, above which it may be deposed.
+const LEADER_AGE_MS: u64 = 600;
 /// How long a confirmation of the leader carries. Confirmations come each quarter of a second.
 const RIGHT_SPAN: Duration = Duration::from_millis(1_000);
 
@@ -186,9 +188,12 @@
             let mut ask = board.prepare_ask(Arc::clone(&instance), 0);
             ask.version = u64::MAX;
             ask.control = Some(own.clone());
-            if let SyncEnd::Replied(reply) = sync.call(leader, &ask).await
-                && let Some(view) = reply.fleet
-            {
+            let SyncEnd::Replied(reply) = sync.call(leader, &ask).await else { continue };
+            // A leader that was deposed without knowing it yet passes its own age on.
+            if reply.group_age_ms < LEADER_AGE_MS {
+                board.note_group();
+            }
+            if let Some(view) = reply.fleet {
                 board.set_led(view, &reply.control);
             }
         }
--- a/crates/wheel_daemon/src/fleet_router.rs
+++ b/crates/wheel_daemon/src/fleet_router.rs
@@ -84,7 +84,9 @@
     if !control.contains(&parts.own) {
         control.push(parts.own.clone());
     }
-    SyncReply { document, fleet: parts.board.view(), control }
+    let age = parts.board.group_age().as_millis();
+    let group_age_ms = u64::try_from(age).unwrap_or(u64::MAX);
+    SyncReply { document, fleet: parts.board.view(), control, group_age_ms }
 }
 
 fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, PeerRefusal> {
--- a/crates/wheel_placement/src/fleet_board.rs
+++ b/crates/wheel_placement/src/fleet_board.rs
@@ -44,6 +44,7 @@
 pub struct FleetBoard {
     list: Arc<ListWatch>,
     state: Mutex<BoardState>,
+    in_touch: Mutex<Instant>,
     urgent: Notify,
     told_urgent: Notify,
 }
@@ -54,6 +55,7 @@
         Arc::new(Self {
             list,
             state: Mutex::default(),
+            in_touch: Mutex::new(Instant::now()),
             urgent: Notify::new(),
             told_urgent: Notify::new(),
         })
@@ -89,6 +91,16 @@
         self.told_urgent.notified().await;
     }
 
+    /// Notes that this instance is in touch with the group: it leads for sure, or the leader answered.
+    pub fn note_group(&self) {
+        *self.in_touch.lock() = Instant::now();
+    }
+
+    /// How long ago this instance was certainly in touch with the group.
+    pub fn group_age(&self) -> Duration {
+        self.in_touch.lock().elapsed()
+    }
+
     /// Takes over the leader's view.
     pub fn set_led(&self, view: FleetView, control: &[ControlPlace]) {
         let mut state = self.state.lock();
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -116,6 +116,7 @@
     }
 
     async fn round(&mut self, term: u64) {
+        self.parts.board.note_group();
         let Some(config) = self.parts.config.borrow_and_update().clone() else { return };
         let now = boot_now();
         if self.term != term {
--- a/crates/wheel_placement/src/parent_sync.rs
+++ b/crates/wheel_placement/src/parent_sync.rs
@@ -1,5 +1,6 @@
 //! Tells a control instance what is known here, and takes its reply, several times a second.
 
+use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 use parking_lot::Mutex;
 use rand::Rng;
 use spdlog::{info, warn};
+use tokio::time::Instant;
 use wheel_peer::{PeerAddress, PeerChannel, PeerHub};
 use wheel_route::{ControlPlace, SyncAsk, SyncReply};
 use wheel_types::InstanceName;
@@ -15,6 +17,16 @@
 /// Time that a reply may take.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Age of a control instance's touch with the group, in milliseconds, from which another one is asked: it may
+/// lack configurations that are in force.
+const MAX_GROUP_AGE_MS: u64 = 700;
+/// How long such an instance isn't asked while there are others.
+const AVOID_TIME: Duration = Duration::from_secs(2);
+
+/// Chance at each reply of moving to a control instance of the own data centre, so that many entries don't
+/// move at once.
+const MOVE_CHANCE: f64 = 0.1;
+
 /// What a sync reports to whoever runs it.
 #[derive(Clone, Debug)]
 pub enum SyncEnd {
@@ -42,12 +54,20 @@
     /// Seeds and the control instances that were named since.
     places: Mutex<Vec<ControlPlace>>,
     parent: Mutex<Option<SocketAddr>>,
+    /// Control instances that didn't answer or are out of touch with the group, and since when.
+    avoided: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 impl ParentSync {
     /// Makes a sync that knows the seeds.
     pub fn open(settings: SyncSettings, hub: PeerHub, seeds: &[SocketAddr]) -> Arc<Self> {
-        let sync = Self { settings, hub, places: Mutex::default(), parent: Mutex::default() };
+        let sync = Self {
+            settings,
+            hub,
+            places: Mutex::default(),
+            parent: Mutex::default(),
+            avoided: Mutex::default(),
+        };
         sync.add_seeds(seeds);
         Arc::new(sync)
     }
@@ -86,8 +106,12 @@
                 was_heard = is_heard;
             }
             match &end {
+                SyncEnd::Replied(reply) if reply.group_age_ms > MAX_GROUP_AGE_MS => {
+                    self.learn(&reply.control);
+                    self.avoid(parent);
+                }
                 SyncEnd::Replied(reply) => self.learn(&reply.control),
-                SyncEnd::Failed => *self.parent.lock() = None,
+                SyncEnd::Failed => self.avoid(parent),
             }
             take(end);
             let spread = rand::rng().random_range(0.9..1.1);
@@ -111,19 +135,37 @@
         reply.map_or(SyncEnd::Failed, |reply| SyncEnd::Replied(Box::new(reply)))
     }
 
+    /// Leaves a control instance for another one.
+    fn avoid(&self, parent: Option<SocketAddr>) {
+        *self.parent.lock() = None;
+        if let Some(parent) = parent {
+            self.avoided.lock().insert(parent, Instant::now());
+        }
+    }
+
+    /// Whether a control instance was left a moment ago.
+    fn is_avoided(&self, address: SocketAddr) -> bool {
+        let mut avoided = self.avoided.lock();
+        avoided.retain(|_, since| since.elapsed() < AVOID_TIME);
+        avoided.contains_key(&address)
+    }
+
     /// The control instance in use, else one at random, those of the own data centre first.
     fn choose(&self) -> Option<SocketAddr> {
-        let mut parent = self.parent.lock();
-        if parent.is_none() {
-            let places = self.places.lock();
-            let near = places.iter().filter(|place| place.centre == self.settings.centre);
-            let near: Vec<SocketAddr> = near.map(|place| place.address).collect();
-            let all: Vec<SocketAddr> = places.iter().map(|place| place.address).collect();
-            // The own data centre's may be the one that just failed.
-            let pool = if near.is_empty() || rand::rng().random_bool(0.5) { &all } else { &near };
-            *parent = pool.get(rand::rng().random_range(0..pool.len().max(1))).copied();
+        let held = *self.parent.lock();
+        if held.is_some() {
+            return held;
         }
-        *parent
+        let places = self.places.lock().clone();
+        let able: Vec<&ControlPlace> =
+            places.iter().filter(|place| !self.is_avoided(place.address)).collect();
+        let near: Vec<&ControlPlace> =
+            able.iter().filter(|place| place.centre == self.settings.centre).copied().collect();
+        let all: Vec<&ControlPlace> = places.iter().collect();
+        let pool = [near, able, all].into_iter().find(|pool| !pool.is_empty())?;
+        let chosen = pool[rand::rng().random_range(0..pool.len())].address;
+        *self.parent.lock() = Some(chosen);
+        Some(chosen)
     }
 
     /// Learns control instances, and moves to one of the own data centre.
@@ -144,12 +186,12 @@
             };
             places.iter().any(near)
         };
+        let is_able = |place: &ControlPlace| {
+            place.centre == self.settings.centre && !self.is_avoided(place.address)
+        };
         let mut parent = self.parent.lock();
-        let has_near = places.iter().any(|place| place.centre == self.settings.centre);
-        if has_near
-            && parent.is_some_and(|parent| !is_near(&parent))
-            && rand::rng().random_bool(0.1)
-        {
+        let is_far = parent.is_some_and(|parent| !is_near(&parent));
+        if is_far && places.iter().any(is_able) && rand::rng().random_bool(MOVE_CHANCE) {
             *parent = None;
         }
     }
--- a/crates/wheel_route/src/sync_message.rs
+++ b/crates/wheel_route/src/sync_message.rs
@@ -63,4 +63,6 @@
     pub fleet: Option<FleetView>,
     /// The control instances that are known.
     pub control: Vec<ControlPlace>,
+    /// Milliseconds since the replying instance was certainly in touch with the group.
+    pub group_age_ms: u64,
 }
