Avoid what can't be reached; finish configurations whose operator gave the call up

Change: ReachTable avoids upstreams and data centres whose connections can't be opened, one request at a time tries again; configurations are submitted by a task of their own, to the leader that the own log knows.

--- a/crates/wheel_control/src/group_client.rs
+++ b/crates/wheel_control/src/group_client.rs
@@ -12,8 +12,9 @@
 
 use crate::{AddressBook, ControlNode, GroupCall, GroupReply, ReadAnswer, SubmitAnswer};
 
-/// Time that one control instance gets to answer.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time that one control instance gets to answer: a slow disk's sync and a round trip. Operators wait for a
+/// second, and a leader that is frozen must not take all of it.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause after all control instances were asked in vain.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -103,6 +104,7 @@
     /// What is certainly the newest, from the leader; `None` if no leader can be sure by `deadline`.
     pub async fn read(&self, deadline: Instant) -> Option<ReadAnswer> {
         while Instant::now() < deadline {
+            self.refresh_leader().await;
             for instance in self.candidates() {
                 let asked = self.ask(&instance, &GroupCall::Read);
                 match tokio::time::timeout_at(deadline, asked).await {
@@ -128,6 +130,7 @@
     async fn commit(&self, call: GroupCall, deadline: Instant) -> Result<SubmitAnswer, GroupError> {
         let mut may_be_committed = false;
         loop {
+            self.refresh_leader().await;
             for instance in self.candidates() {
                 match self.attempt(&instance, &call, deadline).await {
                     Attempt::Answered(answer) => return Ok(answer),
@@ -175,6 +178,15 @@
         }
     }
 
+    /// Takes over whom the own control instance follows: it notices a new leader first.
+    async fn refresh_leader(&self) {
+        let Some(own) = &self.own else { return };
+        let status = own.status().await;
+        if let Some(leader) = status.and_then(|status| status.leader) {
+            *self.leader.lock() = Some(leader.instance);
+        }
+    }
+
     /// The instances to ask, the likely leader first.
     fn candidates(&self) -> Vec<InstanceName> {
         let leader = self.leader.lock().clone();
--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -242,7 +242,7 @@
     let (head, body) = request.into_parts();
     match dialect.read(&head) {
         OperatorCall::PutConfig => match read_body(body, &limits).await {
-            Ok(bytes) => put_answer(desk.put(&bytes).await),
+            Ok(bytes) => put_answer(desk.put(bytes).await),
             Err(fault) => status_answer(fault.code.status()),
         },
         OperatorCall::GetConfig => match desk.read().await {
--- a/crates/wheel_gateway/src/request_path.rs
+++ b/crates/wheel_gateway/src/request_path.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 use wheel_entry::{AnswerBody, HttpLimits, full_body, read_body};
-use wheel_policy::{OutlierDetector, OutlierSettings, RetryBudget};
+use wheel_policy::{OutlierDetector, OutlierSettings, ReachTable, RetryBudget};
 use wheel_upstream::ServiceDialect;
 
 use crate::request_log::RequestLog;
@@ -37,6 +37,7 @@
     pub(crate) upstreams: UpstreamTable,
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) outliers: Mutex<OutlierDetector>,
+    pub(crate) reach: Mutex<ReachTable>,
     pub(crate) start: Instant,
 }
 
@@ -70,6 +71,7 @@
             upstreams: UpstreamTable::open(upstream_dialect),
             retries: Mutex::new(RetryBudget::open(budget)),
             outliers: Mutex::new(OutlierDetector::open(outliers)),
+            reach: Mutex::default(),
             start: Instant::now(),
         };
         Self { parts: Arc::new(parts) }
@@ -77,7 +79,9 @@
 
     /// Closes what is kept for upstreams that have left.
     pub fn follow_fleet(&self) {
-        self.parts.upstreams.follow(&self.parts.state.view());
+        let view = self.parts.state.view();
+        self.parts.upstreams.follow(&view);
+        self.parts.reach.lock().retain(|id| view.engines.iter().any(|card| card.id == *id));
     }
 
     /// Answers one request.
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -22,9 +22,13 @@
 use crate::{ActiveConfig, AnswerMark, IngressRequest, LoadGuard, SendMark};
 
 /// Time to connect to an upstream: three round trips between data centres and a busy machine's turn.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
+const CONNECT_TIME: Duration = Duration::from_millis(250);
 /// How long a request waits to hear that what it lacks is being loaded.
 const NOTICE_TIME: Duration = Duration::from_millis(900);
+/// Age of the fleet's view from which no load can be expected.
+const MAX_VIEW_AGE: Duration = Duration::from_millis(2_500);
+/// When to come back then: a cut may be over, and a retry may reach another entry.
+const UNHEARD_RETRY: Duration = Duration::from_secs(1);
 /// Time that an answer needs at least; with less left a request isn't worth a wait for a load.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Sends that an upstream refused as not run, before the request is refused.
@@ -179,9 +183,7 @@
                 return Ok(card);
             }
             let wait_end = match self.demand_key() {
-                _ if cards.is_empty() || !self.tried.is_empty() => {
-                    return Err(self.none("no_upstream", ROOM_RETRY));
-                }
+                _ if cards.is_empty() => return Err(self.none("no_upstream", ROOM_RETRY)),
                 None => return Err(self.none("no_upstream", ROOM_RETRY)),
                 Some(key) => {
                     let wait_end = self.wait_end(&key, notice_end)?;
@@ -206,6 +208,10 @@
             Some(eta) if eta + MIN_ANSWER_TIME <= left => Ok(now + eta + NOTICE_TIME),
             Some(eta) => Err(self.none("load_too_late", eta)),
             None if left <= MIN_ANSWER_TIME => Err(self.none("no_time_left", ROOM_RETRY)),
+            // Nobody hears what is missing here, so that no load will come of it.
+            None if self.parts.state.view_age() > MAX_VIEW_AGE => {
+                Err(self.none("control_unheard", UNHEARD_RETRY))
+            }
             None if now >= notice_end => Err(self.none("load_not_begun", ROOM_RETRY)),
             None => Ok(notice_end.min(self.deadline)),
         }
@@ -219,6 +225,7 @@
         let counts = self.parts.state.active_counts();
         let now = MonotonicTime::default() + self.parts.start.elapsed();
         let outliers = self.parts.outliers.lock();
+        let mut reach = self.parts.reach.lock();
         let offer = |card: &EngineCard| {
             let (own, others) = counts.get(&card.id).copied().unwrap_or_default();
             UpstreamOffer {
@@ -227,13 +234,15 @@
                 is_near: card.centre == self.parts.settings.centre,
                 held: self.held_part(card),
                 is_suspect: outliers.is_ejected(now, &UpstreamName::from(&*card.id.name)),
+                is_unreachable: reach.is_avoided(now, &card.id, &card.centre),
                 was_tried: self.tried.contains(&card.id),
                 cached_share: 0.0,
             }
         };
         let offers: Vec<UpstreamOffer> = cards.iter().map(offer).collect();
-        drop(outliers);
-        choose_upstream(&offers, rand::rng().random()).map(|place| cards[place].clone())
+        let place = choose_upstream(&offers, rand::rng().random())?;
+        reach.begin_probe(now, &cards[place].centre);
+        Some(cards[place].clone())
     }
 
     fn held_part(&self, card: &EngineCard) -> HeldPart {
@@ -257,9 +266,23 @@
         let client = self.parts.upstreams.client(card, max_connections, entries);
         let began = Instant::now();
         let answer = client.call(self.call(card, resume_after)).await;
+        let is_unreachable = matches!(
+            &answer,
+            Err(CallFailure {
+                kind: FailureKind::Connect { .. } | FailureKind::ConnectTimeout,
+                ..
+            })
+        );
         let end = self.judge(card, answer);
         let succeeded = !matches!(end, Judged::Broken);
         let now = MonotonicTime::default() + self.parts.start.elapsed();
+        match is_unreachable {
+            true => {
+                self.parts.reach.lock().note_failure(now, &card.id, &card.centre);
+                self.parts.state.note_doubtful(&card.id);
+            }
+            false => self.parts.reach.lock().note_success(&card.id, &card.centre),
+        }
         let name = UpstreamName::from(&*card.id.name);
         self.parts.outliers.lock().observe(now, &name, began.elapsed(), succeeded);
         match end {
--- a/crates/wheel_placement/src/config_desk.rs
+++ b/crates/wheel_placement/src/config_desk.rs
@@ -41,8 +41,14 @@
         Self { group, dialect }
     }
 
-    /// Has a configuration accepted.
-    pub async fn put(&self, bytes: &Bytes) -> PutEnd {
+    /// Has a configuration accepted. The work goes on when the operator gives the call up: it was asked for,
+    /// and a resend finds it done.
+    pub async fn put(self: Arc<Self>, bytes: Bytes) -> PutEnd {
+        let working = tokio::spawn(async move { self.submit(&bytes).await });
+        working.await.unwrap_or(PutEnd::Unresolved)
+    }
+
+    async fn submit(&self, bytes: &Bytes) -> PutEnd {
         let config = match self.dialect.read(bytes) {
             Ok(config) => config,
             Err(fault) => {
--- a/crates/wheel_policy/src/upstream_choice.rs
+++ b/crates/wheel_policy/src/upstream_choice.rs
@@ -24,6 +24,8 @@
     pub held: HeldPart,
     /// Whether it failed lately.
     pub is_suspect: bool,
+    /// Whether it couldn't be reached lately; it isn't taken then.
+    pub is_unreachable: bool,
     /// Whether this request was there before.
     pub was_tried: bool,
     /// Share of the prompt that it probably has in memory, 0 to 1.
@@ -42,7 +44,9 @@
 
 /// The place of the best offer that holds all that is asked for; `draw` settles ties evenly.
 pub fn choose_upstream(offers: &[UpstreamOffer], draw: u64) -> Option<usize> {
-    let able = |offer: &UpstreamOffer| offer.held == HeldPart::Whole && !offer.was_tried;
+    let able = |offer: &UpstreamOffer| {
+        offer.held == HeldPart::Whole && !offer.was_tried && !offer.is_unreachable
+    };
     let count = offers.len();
     let places = (0..count).map(|step| (step + (draw as usize % count.max(1))) % count);
     let able = places.filter(|place| able(&offers[*place]));
--- /dev/null
+++ b/crates/wheel_policy/tests/reach_table.rs
@@ -0,0 +1,40 @@
+//! Upstreams and data centres behind a cut are avoided, and tried again one request at a time.
+
+use std::sync::Arc;
+
+use wheel_policy::ReachTable;
+use wheel_route::EngineId;
+use wheel_types::MonotonicTime;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn engine(name: &str) -> EngineId {
+    EngineId { name: name.into(), born: 1 }
+}
+
+#[test]
+fn note_failure_of_one() {
+    let (mut table, centre) = (ReachTable::default(), Arc::from("a"));
+    table.note_failure(at(0), &engine("x"), &centre);
+    assert!(table.is_avoided(at(100), &engine("x"), "a"));
+    assert!(!table.is_avoided(at(100), &engine("y"), "a"), "one dead engine isn't a cut");
+    assert!(!table.is_avoided(at(600), &engine("x"), "a"));
+    table.note_failure(at(600), &engine("x"), &centre);
+    assert!(table.is_avoided(at(1_500), &engine("x"), "a"), "the pause has doubled");
+}
+
+#[test]
+fn note_failure_of_centre() {
+    let (mut table, centre) = (ReachTable::default(), Arc::from("a"));
+    table.note_failure(at(0), &engine("x"), &centre);
+    table.note_failure(at(0), &engine("y"), &centre);
+    assert!(table.is_avoided(at(500), &engine("z"), "a"));
+    assert!(!table.is_avoided(at(500), &engine("z"), "b"));
+    assert!(!table.is_avoided(at(1_200), &engine("z"), "a"));
+    table.begin_probe(at(1_200), "a");
+    assert!(table.is_avoided(at(1_300), &engine("z"), "a"), "one request tries, the others wait");
+    table.note_success(&engine("z"), &centre);
+    assert!(!table.is_avoided(at(1_301), &engine("z"), "a"));
+}
