--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -35,8 +35,8 @@
 const HOLD_MS: u32 = 100;
 /// Age of a leader's own touch with the group, in milliseconds, above which it may be deposed.
 const LEADER_AGE_MS: u64 = 600;
-/// How long a confirmation of the leader carries. Confirmations come each quarter of a second.
-const RIGHT_SPAN: Duration = Duration::from_millis(1_000);
+/// How long a confirmation of the leader carries: four confirmations, one of which takes two round trips.
+const RIGHT_SPAN: Duration = Duration::from_millis(600);
 
 /// Names of control instances are their addresses.
 struct NamedAddresses;
@@ -103,6 +103,7 @@
             dialect: Arc::clone(&dialects.fleet),
             config: follow_documents(&documents, Arc::clone(&dialects.config)),
             store_window: settings.bounds.store_window,
+            store_burst: settings.bounds.store_burst,
         });
         router.wire(RouterParts {
             own: own.clone(),
--- a/crates/wheel_daemon/src/fleet_settings.rs
+++ b/crates/wheel_daemon/src/fleet_settings.rs
@@ -42,6 +42,8 @@
     pub holder_pause: Duration,
     /// The window of the weight store's allowance.
     pub store_window: Duration,
+    /// How far above its allowance the weight store bears loads in one window.
+    pub store_burst: f64,
     /// Second sends for each request, over all instances.
     pub retry_share: f64,
     /// Second sends that are allowed beyond that share, over all instances.
--- a/crates/wheel_placement/src/directing_right.rs
+++ b/crates/wheel_placement/src/directing_right.rs
@@ -12,9 +12,9 @@
 use crate::boot_now;
 
 /// Time between two confirmations.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(150);
 /// Time that a confirmation may take.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The term of a group's first election: its leader has no predecessor to wait for, and no other leader ever
 /// has this term.
@@ -59,6 +59,11 @@
         right
     }
 
+    /// How long a confirmation carries.
+    pub(crate) fn span(&self) -> Duration {
+        self.times.span
+    }
+
     /// The term, while this instance leads for sure; it may not be allowed to order yet.
     pub fn leading_term(&self) -> Option<u64> {
         let state = self.state.lock();
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -55,6 +55,8 @@
     pub config: watch::Receiver<Option<Arc<FleetConfig>>>,
     /// The window of the weight store's allowance.
     pub store_window: Duration,
+    /// How far above its allowance the store bears loads in one window.
+    pub store_burst: f64,
 }
 
 /// One engine with its account.
@@ -152,11 +154,11 @@
         self.term = term;
         self.engines.clear();
         self.planners.clear();
-        let most = config.services.iter().filter_map(|service| service.engine.as_ref());
-        let most = most.map(|profile| self.store_most(profile)).max().unwrap_or(0);
+        let engines = config.services.iter().filter_map(|service| service.engine.as_ref());
+        let unknown = engines.map(|profile| self.unknown_loads(profile)).max().unwrap_or(0);
         self.store = match term {
             FIRST_TERM => LoadWindow::default(),
-            _ => LoadWindow::full(now, most),
+            _ => LoadWindow::full(now + self.parts.right.span(), unknown),
         };
         self.pace = StorePace::default();
     }
@@ -167,6 +169,15 @@
         (profile.loads_per_s * window_s * STORE_SHARE).floor() as usize
     }
 
+    /// Loads that count against the first window: the predecessor may have begun as many as it is allowed,
+    /// and what the store bears beyond that is free.
+    fn unknown_loads(&self, profile: &EngineProfile) -> usize {
+        let window_s = self.parts.store_window.as_secs_f64();
+        let borne = (profile.loads_per_s * window_s * self.parts.store_burst).floor() as usize;
+        let most = self.store_most(profile);
+        most.saturating_sub(borne.saturating_sub(most))
+    }
+
     /// Keeps one account for each start of each engine that the list shows.
     fn follow_list(&mut self, config: &FleetConfig) {
         let Some((cards, _)) = self.parts.list.current() else { return };
--- a/crates/wheel_policy/src/fleet_planner.rs
+++ b/crates/wheel_policy/src/fleet_planner.rs
@@ -16,6 +16,11 @@
 const NEEDED_WORTH: f64 = 0.5;
 /// Rate from which a model should have a second replica, in requests a second.
 const SPARE_RATE: f64 = 0.5;
+/// What a copy in a data centre that has none is worth, against the first: a data centre that is cut off goes
+/// on with what it holds, and no request has to leave its own.
+const SPREAD_WORTH: f64 = 0.05;
+/// Rate from which a model should have a copy in each data centre, in requests a second.
+const SPREAD_RATE: f64 = 1.0;
 /// Share of an engine's slots that a model's requests may fill before another replica is needed.
 const TARGET_FILL: f64 = 0.4;
 /// How much more a model must be worth than what it displaces, so that two don't displace each other.
@@ -122,7 +127,7 @@
 }
 
 /// Demand for one model.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct ModelDemand {
     rate: f64,
     waiting: u32,
@@ -132,6 +137,10 @@
     possible: usize,
     /// Copies that the rate asks for.
     needed: usize,
+    /// Copies that requests may be sent to, by data centre.
+    centres: BTreeMap<Arc<str>, usize>,
+    /// Data centres without a copy, there or on its way.
+    bare_centres: usize,
 }
 
 impl ModelDemand {
@@ -142,6 +151,20 @@
             0 => f64::from(self.waiting) + worth,
             copies if copies < self.needed => worth * NEEDED_WORTH / copies as f64,
             1 if self.rate >= SPARE_RATE => worth * SPARE_WORTH,
+            _ if self.wants_spread() => worth * SPREAD_WORTH,
+            _ => 0.0,
+        }
+    }
+
+    /// Whether a data centre without a copy should get one.
+    fn wants_spread(&self) -> bool {
+        self.bare_centres > 0 && self.rate >= SPREAD_RATE
+    }
+
+    /// What the loss of the only copy in a data centre costs beside the loss of a copy.
+    fn centre_loss(&self, centre: &str) -> f64 {
+        match self.centres.get(centre) {
+            Some(1) if self.rate >= SPREAD_RATE => self.rate * HORIZON_S * SPREAD_WORTH,
             _ => 0.0,
         }
     }
@@ -307,9 +330,17 @@
                 demand.entry(Arc::clone(model)).or_default().possible += 1;
             }
             for model in &engine.usable {
-                demand.entry(Arc::clone(model)).or_default().usable += 1;
+                let found = demand.entry(Arc::clone(model)).or_default();
+                found.usable += 1;
+                *found.centres.entry(Arc::clone(&engine.centre)).or_default() += 1;
             }
         }
+        let able = input.engines.iter().filter(|engine| engine.takes_work);
+        let centres: BTreeSet<&Arc<str>> = able.map(|engine| &engine.centre).collect();
+        for (model, found) in &mut demand {
+            let covered: BTreeSet<&Arc<str>> = self.covered_centres(input, model);
+            found.bare_centres = centres.len().saturating_sub(covered.len());
+        }
         let rate: f64 = demand.values().map(|model| model.rate).sum();
         let active: u32 = input.engines.iter().map(|engine| engine.active).sum();
         // Little's law: the time that a request is under way.
@@ -321,6 +352,20 @@
         demand
     }
 
+    /// Data centres that have a copy of a model, or get one.
+    fn covered_centres<'a>(
+        &self,
+        input: &'a PlanInput<'_>,
+        model: &Arc<str>,
+    ) -> BTreeSet<&'a Arc<str>> {
+        let holds = |engine: &&PlanEngine| {
+            let intended =
+                self.intents.get(&engine.id).is_some_and(|(intended, _)| intended == model);
+            engine.takes_work && (intended || engine.possible.contains(model))
+        };
+        input.engines.iter().filter(holds).map(|engine| &engine.centre).collect()
+    }
+
     fn find_way(
         &self,
         input: &PlanInput<'_>,
@@ -331,24 +376,26 @@
         store_room: usize,
     ) -> Option<LoadWay> {
         let profile = input.profile.model(model)?;
-        let holding: BTreeSet<&Arc<str>> = input
-            .engines
-            .iter()
-            .filter(|engine| engine.possible.contains(model))
-            .map(|engine| &engine.centre)
-            .collect();
+        let holding = self.covered_centres(input, model);
+        let only_bare = demand
+            .get(model)
+            .is_some_and(|found| found.possible >= found.needed.max(2) && found.wants_spread());
         // An engine with a copy is worth a short wait: the store takes many times as long.
         let has_copy =
             input.engines.iter().any(|engine| engine.takes_work && copies(engine, model));
+        let found = demand.get(model);
+        // A further copy of a busy model is worth it where no disk in reach has one.
+        let is_busy = found.is_some_and(|found| found.possible > 0 && found.rate >= SPREAD_RATE);
         let mut best: Option<LoadWay> = None;
         for (place, engine) in input.engines.iter().enumerate() {
             let is_able = engine.is_free && engine.takes_work && !taken.contains(&place);
             let is_kept = self.intents.contains_key(&engine.id);
-            if !is_able || is_kept || engine.possible.contains(model) {
+            let is_covered = only_bare && holding.contains(&engine.centre);
+            if !is_able || is_kept || is_covered || engine.possible.contains(model) {
                 continue;
             }
             let (takes, from_store) = load_time(profile, engine);
-            if from_store && (store_room == 0 || has_copy) {
+            if from_store && (store_room == 0 || (has_copy && !is_busy)) {
                 continue;
             }
             let free_mb = free_mb(input.profile, engine);
@@ -433,14 +480,14 @@
         profile.is_some_and(|found| found.weights_mb + adapters * found.adapter_mb >= missing_mb)
     };
     let loss = |model: &Arc<str>| {
-        let found = demand.get(model).copied().unwrap_or_default();
+        let Some(found) = demand.get(model) else { return 0.0 };
         let idle = match found.usable {
             0 | 1 if engine.on_disk.contains(model) => IDLE_LOSS,
             0 | 1 => LAST_COPY_LOSS,
             2 => SECOND_COPY_LOSS,
             _ => 0.0,
         };
-        found.loss() + idle
+        found.loss() + found.centre_loss(&engine.centre) + idle
     };
     let candidates = engine.usable.iter().filter(|model| frees(model));
     let least = candidates.min_by(|left, right| loss(left).total_cmp(&loss(right)))?;
--- a/crates/wheel_policy/src/reach_table.rs
+++ b/crates/wheel_policy/src/reach_table.rs
@@ -8,12 +8,12 @@
 use wheel_types::MonotonicTime;
 
 /// How long an upstream that couldn't be reached is avoided at first; doubles up to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(500);
-const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
 /// Upstreams of one data centre that fail in a row, none answering between, before all of it is avoided.
 const CENTRE_FAILURES: usize = 2;
 /// How long a data centre is avoided before one request tries it again.
-const CENTRE_PAUSE: Duration = Duration::from_millis(1_000);
+const CENTRE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Learns from connections that couldn't be opened.
 ///
--- /dev/null
+++ b/crates/wheel_policy/tests/fleet_demand.rs
@@ -0,0 +1,106 @@
+//! Averages of demand fade, and the store's pace is learned.
+
+use std::time::Duration;
+
+use wheel_policy::{DemandBook, HeldPart, StorePace, UpstreamOffer, choose_upstream};
+use wheel_route::{DemandCount, DemandKey, EngineId};
+use wheel_types::MonotonicTime;
+
+fn at(seconds: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(seconds * 1_000)
+}
+
+fn key() -> DemandKey {
+    DemandKey { service: "s".into(), model: "m".into(), adapter: None }
+}
+
+fn count(arrived: u32, waiting: u32) -> DemandCount {
+    DemandCount { key: key(), worth: f64::from(arrived), arrived, waiting }
+}
+
+#[test]
+fn demand_book_rate() {
+    let mut book = DemandBook::default();
+    for second in 0..60 {
+        book.note(at(second), "x", &[count(3, 0)]);
+    }
+    let rate = book.rate(at(60), &key());
+    assert!((2.5..3.5).contains(&rate), "{rate}");
+    assert!(book.rate(at(90), &key()) < rate / 5.0, "it fades within some time constants");
+    book.expire(at(400));
+    assert!(book.entries(at(400)).is_empty());
+}
+
+#[test]
+fn demand_book_waiting_is_a_gauge() {
+    let mut book = DemandBook::default();
+    book.note(at(0), "x", &[count(1, 2)]);
+    book.note(at(0), "y", &[count(1, 3)]);
+    assert_eq!(book.entries(at(0))[&key()].1, 5);
+    book.note(at(1), "x", &[]);
+    assert_eq!(book.entries(at(1))[&key()].1, 3);
+    book.forget_instance("y");
+    assert_eq!(book.entries(at(1))[&key()].1, 0);
+}
+
+fn engine(place: usize) -> EngineId {
+    EngineId { name: format!("e{place}").into(), born: 1 }
+}
+
+/// Runs a full batch of loads that each take `took`, and returns the limit afterwards.
+fn run_batch(pace: &mut StorePace, began: u64, took: u64) -> usize {
+    let places = pace.room();
+    (0..places).for_each(|place| pace.begin(at(began), engine(place), Duration::from_secs(6)));
+    assert_eq!(pace.room(), 0);
+    pace.follow(at(began + took), |_| false);
+    pace.limit()
+}
+
+#[test]
+fn store_pace_slows_down() {
+    let mut pace = StorePace::default();
+    let first = pace.limit();
+    assert!(run_batch(&mut pace, 0, 12) < first);
+}
+
+#[test]
+fn store_pace_tries_more() {
+    let mut pace = StorePace::default();
+    let first = pace.limit();
+    run_batch(&mut pace, 0, 6);
+    assert!(run_batch(&mut pace, 10, 6) > first);
+}
+
+fn offer(active: u32) -> UpstreamOffer {
+    UpstreamOffer {
+        slots: 16,
+        active,
+        is_near: true,
+        held: HeldPart::Whole,
+        is_suspect: false,
+        is_unreachable: false,
+        was_tried: false,
+        cached_share: 0.0,
+    }
+}
+
+#[test]
+fn choose_upstream_least_loaded() {
+    assert_eq!(choose_upstream(&[offer(9), offer(2), offer(5)], 1), Some(1));
+    let near = offer(3);
+    let far = UpstreamOffer { is_near: false, ..offer(3) };
+    assert_eq!(choose_upstream(&[far, near], 0), Some(1));
+    let far = UpstreamOffer { is_near: false, ..offer(1) };
+    assert_eq!(choose_upstream(&[far, offer(14)], 0), Some(0), "a full one isn't near enough");
+}
+
+#[test]
+fn choose_upstream_able_only() {
+    let tried = UpstreamOffer { was_tried: true, ..offer(0) };
+    let without = UpstreamOffer { held: HeldPart::ModelOnly, ..offer(0) };
+    let cut = UpstreamOffer { is_unreachable: true, ..offer(0) };
+    assert_eq!(choose_upstream(&[tried, without, cut], 0), None);
+    let suspect = UpstreamOffer { is_suspect: true, ..offer(0) };
+    assert_eq!(choose_upstream(&[suspect, offer(12)], 0), Some(1));
+    assert_eq!(choose_upstream(&[suspect], 0), Some(0), "better than none");
+}
