Rare models take turns, and stay a second after their load

Change: entries tell how much of a request a load costs it, losses count only that; a loaded model stays a second; while a new holder waits it tells when what waits should be there; the time of notice follows the objective.

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -23,8 +23,13 @@
 
 /// Time to connect to an upstream: three round trips between data centres and a busy machine's turn.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
-/// How long a request waits to hear that what it lacks is being loaded.
-const NOTICE_TIME: Duration = Duration::from_millis(900);
+/// Time from a request for a model that isn't there until it is loaded from a disk and known here.
+const LOAD_TIME: Duration = Duration::from_millis(1_000);
+/// What a load costs a request whose objective allows for one: an order, and a wait that may add up.
+const LATE_SHARE: f64 = 0.25;
+/// How long a request waits to hear that what it lacks is being loaded: half of its objective, in these
+/// bounds. Two syncs and a round of placement are the least; what is refused later was held for nothing.
+const NOTICE_TIME: [Duration; 2] = [Duration::from_millis(800), Duration::from_millis(2_000)];
 /// Age of the fleet's view from which no load can be expected.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(2_500);
 /// When to come back then: a cut may be over, and a retry may reach another entry.
@@ -108,7 +113,8 @@
     /// Sends the request until it has an answer or may not be sent again.
     pub(crate) async fn serve(mut self) -> Response<AnswerBody> {
         if let Some(key) = self.demand_key() {
-            self.parts.state.note_demand(&key, 1.0);
+            let lost = if self.route.objective < LOAD_TIME { 1.0 } else { LATE_SHARE };
+            self.parts.state.note_demand(&key, lost);
         }
         let mut last_answer = None;
         loop {
@@ -173,7 +179,8 @@
 
     /// The best upstream, after a wait for a load where that is worth it.
     async fn find_upstream(&self) -> Result<EngineCard, NoUpstream> {
-        let notice_end = Instant::now() + NOTICE_TIME;
+        let notice = (self.route.objective / 2).clamp(NOTICE_TIME[0], NOTICE_TIME[1]);
+        let notice_end = Instant::now() + notice;
         let mut views = self.parts.state.watch_view();
         let mut waiting = None;
         loop {
@@ -205,7 +212,7 @@
         let eta = eta.map(|(_, ms)| Duration::from_millis(*ms));
         let left = self.deadline.saturating_duration_since(now);
         match eta {
-            Some(eta) if eta + MIN_ANSWER_TIME <= left => Ok(now + eta + NOTICE_TIME),
+            Some(eta) if eta + MIN_ANSWER_TIME <= left => Ok(now + eta + NOTICE_TIME[0]),
             Some(eta) => Err(self.none("load_too_late", eta)),
             None if left <= MIN_ANSWER_TIME => Err(self.none("no_time_left", ROOM_RETRY)),
             // Nobody hears what is missing here, so that no load will come of it.
--- a/crates/wheel_lease/src/held_account.rs
+++ b/crates/wheel_lease/src/held_account.rs
@@ -9,6 +9,10 @@
 /// carry such orders out up to 12 s later; the rest covers its way.
 const ORDER_LIFE: Duration = Duration::from_secs(14);
 
+/// Time for which a loaded model counts as fresh: those who waited hear of it within two syncs and run for
+/// some hundred milliseconds. An unload before that would wait for their ends and keep the engine from others.
+const RESIDENCE: Duration = Duration::from_millis(1_000);
+
 /// A model with its adapters, as a reading shows it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct HeldEntry {
@@ -85,6 +89,8 @@
     current: Option<(SentChange, MonotonicTime)>,
     /// Orders without answer that may still be carried out.
     open: Vec<SentChange>,
+    /// Models that were ordered, and when their loads should be done.
+    loaded: Vec<(Arc<str>, MonotonicTime)>,
     /// Whether an order is on its way right now.
     is_sending: bool,
     /// Whether a new reading is needed before the next order.
@@ -162,6 +168,9 @@
             ChangeEnd::Accepted if self.accepted <= expect => {
                 self.accepted = expect + 1;
                 self.open.retain(|open| open.expect > expect);
+                if let HeldChange::LoadModel(model) = &sent.change {
+                    self.loaded.push((Arc::clone(model), now + takes));
+                }
                 self.current = Some((sent, now + takes));
             }
             ChangeEnd::Unknown => self.open.push(sent),
@@ -203,6 +212,7 @@
             apply(&mut reading.models, &sent.change);
         }
         self.open.retain(|open| now.since(open.sent) < ORDER_LIFE);
+        self.loaded.retain(|(_, done)| now < *done + RESIDENCE);
     }
 
     /// Models that are there, on their way, or may come to be there.
@@ -255,6 +265,11 @@
         entries
     }
 
+    /// Models that were loaded so lately that those who waited for them may still be on their way or running.
+    pub fn fresh_models(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.loaded.iter().map(|(model, _)| model)
+    }
+
     /// The model that is being loaded, with the time when it should be there.
     pub fn loading(&self) -> Option<(&Arc<str>, MonotonicTime)> {
         match &self.current {
--- a/crates/wheel_placement/src/directing_right.rs
+++ b/crates/wheel_placement/src/directing_right.rs
@@ -79,6 +79,12 @@
         (waited || term == FIRST_TERM).then_some(term)
     }
 
+    /// How long until orders are allowed, as far as this instance goes on leading.
+    pub(crate) fn remaining(&self) -> Duration {
+        let waited = boot_now().since(self.state.lock().began);
+        (self.times.span + self.times.pause).saturating_sub(waited)
+    }
+
     /// Takes a confirmation of `term` over that was asked for at `asked`.
     fn confirm(&self, term: u64, asked: MonotonicTime) {
         let mut state = self.state.lock();
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -36,6 +36,8 @@
 /// Time for an order's connection, and for its answer.
 const ORDER_CONNECT: Duration = Duration::from_millis(400);
 const ORDER_LIFE: Duration = Duration::from_millis(1_500);
+/// Time for what waits to get its turn once orders are allowed again.
+const TURN_TIME: Duration = Duration::from_millis(1_000);
 /// Share of the weight store's allowance that is used, so that rounding at the window's ends never breaks it.
 const STORE_SHARE: f64 = 0.95;
 
@@ -223,7 +225,10 @@
     /// Plans for one service and sends the orders.
     fn direct(&mut self, service: &Arc<str>, profile: &EngineProfile, loads: &[LoadCount]) {
         let now = boot_now();
-        let Some(fencing) = self.parts.right.fencing() else { return };
+        let Some(fencing) = self.parts.right.fencing() else {
+            self.tell_pause(service, profile);
+            return;
+        };
         let engines: Vec<PlanEngine> = self
             .engines
             .values()
@@ -232,7 +237,7 @@
             .collect();
         let demand: BTreeMap<_, _> = self
             .demand
-            .entries(now)
+            .levels(now)
             .into_iter()
             .filter(|(key, _)| key.service == *service)
             .collect();
@@ -248,7 +253,7 @@
         };
         let plan = self.planners.entry(Arc::clone(service)).or_default().plan(&input);
         if !plan.backlog.is_empty() {
-            let waits: u32 = demand.values().map(|(_, waiting)| waiting).sum();
+            let waits: u32 = demand.values().map(|level| level.waiting).sum();
             let free = engines.iter().filter(|engine| engine.is_free && engine.takes_work).count();
             let models: Vec<String> =
                 plan.backlog.iter().map(|(model, eta)| format!("{model}:{eta:?}")).collect();
@@ -269,6 +274,20 @@
         }
     }
 
+    /// Tells when what waits should be there, while the predecessor's last order may still be on its way.
+    fn tell_pause(&mut self, service: &Arc<str>, profile: &EngineProfile) {
+        let now = boot_now();
+        let pause = self.parts.right.remaining();
+        for (key, level) in self.demand.levels(now) {
+            let model = profile.model(&key.model).filter(|_| key.service == *service);
+            if let Some(model) = model.filter(|_| level.waiting > 0) {
+                let eta = pause + model.disk_load + TURN_TIME;
+                let eta_ms = u64::try_from(eta.as_millis()).unwrap_or(u64::MAX);
+                self.backlog.push((Arc::clone(&key.model), eta_ms));
+            }
+        }
+    }
+
     /// Notes which loads from the store have ended.
     fn pace_loads(&mut self) {
         let engines = &self.engines;
@@ -400,6 +419,7 @@
         takes_work: engine.card.state == UpstreamState::Ready && !is_silent && !is_leaving,
         possible: account.possible_models(),
         usable: account.usable().into_iter().map(|entry| entry.model).collect(),
+        fresh: account.fresh_models().cloned().collect(),
         adapters: account.possible_adapters(),
         in_memory: reading.map(|reading| reading.in_memory.clone()).unwrap_or_default(),
         on_disk: reading.map(|reading| reading.on_disk.clone()).unwrap_or_default(),
--- a/crates/wheel_policy/src/fleet_planner.rs
+++ b/crates/wheel_policy/src/fleet_planner.rs
@@ -7,6 +7,8 @@
 use wheel_route::{DemandKey, EngineId, EngineProfile, ModelProfile};
 use wheel_types::{HeldChange, MonotonicTime};
 
+use crate::DemandLevel;
+
 /// Time over which demand is weighed against what is lost: about two loads from the store.
 const HORIZON_S: f64 = 10.0;
 /// What a further replica of a model is worth where the others aren't over full, against the first: it
@@ -65,6 +67,8 @@
     pub possible: Vec<Arc<str>>,
     /// Models that requests may be sent for.
     pub usable: Vec<Arc<str>>,
+    /// Models that were loaded a moment ago: they stay.
+    pub fresh: Vec<Arc<str>>,
     /// Adapters that are there or may come to be there, with their models.
     pub adapters: Vec<(Arc<str>, Arc<str>)>,
     /// Models with a copy in its memory.
@@ -98,8 +102,8 @@
     pub profile: &'a EngineProfile,
     /// The engines of one service.
     pub engines: &'a [PlanEngine],
-    /// Demand for that service, with rates and what waits.
-    pub demand: &'a BTreeMap<DemandKey, (f64, u32)>,
+    /// Demand for that service.
+    pub demand: &'a BTreeMap<DemandKey, DemandLevel>,
     /// Loads from the store that may begin now.
     pub store_room: usize,
     /// Loads from the store that run at once at the most.
@@ -130,6 +134,7 @@
 #[derive(Clone, Debug, Default)]
 struct ModelDemand {
     rate: f64,
+    miss_rate: f64,
     waiting: u32,
     /// Copies that requests may be sent to.
     usable: usize,
@@ -146,7 +151,7 @@
 impl ModelDemand {
     /// What one more copy gains.
     fn gain(&self) -> f64 {
-        let worth = self.rate * HORIZON_S;
+        let worth = self.miss_rate * HORIZON_S;
         match self.possible {
             0 => f64::from(self.waiting) + worth,
             copies if copies < self.needed => worth * NEEDED_WORTH / copies as f64,
@@ -171,7 +176,7 @@
 
     /// What the loss of one of its copies costs.
     fn loss(&self) -> f64 {
-        let worth = self.rate * HORIZON_S;
+        let worth = self.miss_rate * HORIZON_S;
         match self.usable {
             0 | 1 => f64::from(self.waiting) + worth,
             copies if copies <= self.needed => worth * NEEDED_WORTH / (copies - 1) as f64,
@@ -281,7 +286,7 @@
         taken: &BTreeSet<usize>,
         store_room: usize,
     ) -> Option<PlanStep> {
-        let is_asked = input.demand.values().any(|(rate, _)| *rate > 0.0);
+        let is_asked = input.demand.values().any(|level| level.rate > 0.0);
         let all_read = input.engines.iter().all(|engine| engine.is_read || !engine.takes_work);
         if store_room <= usize::from(is_asked) || !all_read {
             return None;
@@ -317,11 +322,11 @@
 
     fn model_demand(&self, input: &PlanInput<'_>) -> BTreeMap<Arc<str>, ModelDemand> {
         let mut demand: BTreeMap<Arc<str>, ModelDemand> = BTreeMap::new();
-        for (key, (rate, waiting)) in input.demand {
+        for (key, level) in input.demand {
             let model = demand.entry(Arc::clone(&key.model)).or_default();
-            model.rate += rate;
-            // What waits for an adapter of a model that is there doesn't need another copy of it.
-            model.waiting += waiting;
+            model.rate += level.rate;
+            model.miss_rate += level.miss_rate;
+            model.waiting += level.waiting;
         }
         demand.retain(|model, _| input.profile.model(model).is_some());
         for engine in input.engines.iter().filter(|engine| engine.takes_work) {
@@ -489,7 +494,8 @@
         };
         found.loss() + found.centre_loss(&engine.centre) + idle
     };
-    let candidates = engine.usable.iter().filter(|model| frees(model));
+    let candidates =
+        engine.usable.iter().filter(|model| !engine.fresh.contains(model) && frees(model));
     let least = candidates.min_by(|left, right| loss(left).total_cmp(&loss(right)))?;
     Some((Arc::clone(least), loss(least)))
 }
@@ -499,7 +505,7 @@
     let mut steps = Vec::new();
     let asked = input.demand.iter().filter(|(key, _)| key.adapter.is_some());
     let mut asked: Vec<(&DemandKey, f64, u32)> =
-        asked.map(|(key, (rate, waiting))| (key, *rate, *waiting)).collect();
+        asked.map(|(key, level)| (key, level.rate, level.waiting)).collect();
     asked.sort_by(|left, right| right.2.cmp(&left.2).then(right.1.total_cmp(&left.1)));
     for (key, rate, waiting) in asked {
         let Some(adapter) = &key.adapter else { continue };
@@ -539,7 +545,7 @@
             .demand
             .iter()
             .find(|(key, _)| key.model == held.0 && key.adapter.as_ref() == Some(&held.1));
-        found.map_or(0.0, |(_, (rate, _))| *rate)
+        found.map_or(0.0, |(_, level)| level.rate)
     };
     let mb = input.profile.model(&pair.0)?.adapter_mb;
     let (place, engine) =
--- a/crates/wheel_policy/src/lib.rs
+++ b/crates/wheel_policy/src/lib.rs
@@ -58,7 +58,7 @@
 pub use checkpoint_source::CheckpointSource;
 pub use cold_queue::ColdQueue;
 pub use decision_log::{DecisionEntry, DecisionLog, DecisionSubject};
-pub use demand_book::DemandBook;
+pub use demand_book::{DemandBook, DemandLevel};
 pub use demand_forecast::DemandForecast;
 pub use demand_view::{AdapterDemand, DemandView, ModelDemand, RankDemand};
 pub use engine_queue::EngineQueue;
--- a/crates/wheel_policy/tests/fleet_demand.rs
+++ b/crates/wheel_policy/tests/fleet_demand.rs
@@ -24,11 +24,11 @@
     for second in 0..60 {
         book.note(at(second), "x", &[count(3, 0)]);
     }
-    let rate = book.rate(at(60), &key());
+    let rate = book.levels(at(60))[&key()].rate;
     assert!((2.5..3.5).contains(&rate), "{rate}");
-    assert!(book.rate(at(90), &key()) < rate / 5.0, "it fades within some time constants");
+    assert!(book.levels(at(90))[&key()].rate < rate / 5.0, "it fades within some time constants");
     book.expire(at(400));
-    assert!(book.entries(at(400)).is_empty());
+    assert!(book.levels(at(400)).is_empty());
 }
 
 #[test]
@@ -36,11 +36,11 @@
     let mut book = DemandBook::default();
     book.note(at(0), "x", &[count(1, 2)]);
     book.note(at(0), "y", &[count(1, 3)]);
-    assert_eq!(book.entries(at(0))[&key()].1, 5);
+    assert_eq!(book.levels(at(0))[&key()].waiting, 5);
     book.note(at(1), "x", &[]);
-    assert_eq!(book.entries(at(1))[&key()].1, 3);
+    assert_eq!(book.levels(at(1))[&key()].waiting, 3);
     book.forget_instance("y");
-    assert_eq!(book.entries(at(1))[&key()].1, 0);
+    assert_eq!(book.levels(at(1))[&key()].waiting, 0);
 }
 
 fn engine(place: usize) -> EngineId {
--- a/crates/wheel_policy/tests/fleet_planner.rs
+++ b/crates/wheel_policy/tests/fleet_planner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wheel_policy::{FleetPlan, FleetPlanner, PlanEngine, PlanInput};
+use wheel_policy::{DemandLevel, FleetPlan, FleetPlanner, PlanEngine, PlanInput};
 use wheel_route::{DemandKey, EngineId, EngineProfile, ModelProfile};
 use wheel_types::{HeldChange, MonotonicTime};
 
@@ -44,6 +44,7 @@
         is_read: true,
         possible: held.clone(),
         usable: held.clone(),
+        fresh: Vec::new(),
         adapters: Vec::new(),
         in_memory: Vec::new(),
         on_disk: held.into_iter().chain(disk.iter().map(|model| name(*model))).collect(),
@@ -51,9 +52,14 @@
     }
 }
 
-fn asks(entries: &[(usize, f64, u32)]) -> BTreeMap<DemandKey, (f64, u32)> {
+fn asks(entries: &[(usize, f64, u32)]) -> BTreeMap<DemandKey, DemandLevel> {
     let key = |model| DemandKey { service: "s".into(), model: name(model), adapter: None };
-    entries.iter().map(|(model, rate, waiting)| (key(*model), (*rate, *waiting))).collect()
+    entries.iter().map(|(model, rate, waiting)| (key(*model), level(*rate, *waiting))).collect()
+}
+
+/// Demand all of which is lost where a load is needed.
+fn level(rate: f64, waiting: u32) -> DemandLevel {
+    DemandLevel { rate, miss_rate: rate, waiting }
 }
 
 struct World {
@@ -70,7 +76,7 @@
         Self { planner, profile: profile(), engines, store_room: 4, millis: 0 }
     }
 
-    fn plan(&mut self, demand: &BTreeMap<DemandKey, (f64, u32)>) -> FleetPlan {
+    fn plan(&mut self, demand: &BTreeMap<DemandKey, DemandLevel>) -> FleetPlan {
         self.millis += 100;
         let input = PlanInput {
             now: MonotonicTime::from_millis(self.millis),
@@ -243,10 +249,36 @@
         model: name(0),
         adapter: Some(adapter.into()),
     };
-    let demand = BTreeMap::from([(key("x"), (0.5, 0)), (key("y"), (0.1, 0)), (key("z"), (0.1, 1))]);
+    let demand = BTreeMap::from([
+        (key("x"), level(0.5, 0)),
+        (key("y"), level(0.1, 0)),
+        (key("z"), level(0.1, 1)),
+    ]);
     let plan = world.plan(&demand);
     assert_eq!(plan.steps[0].change, HeldChange::UnloadAdapter(name(0), "y".into()));
     world.carry_out(&plan);
     let plan = world.plan(&demand);
     assert_eq!(plan.steps[0].change, HeldChange::LoadAdapter(name(0), "z".into()));
 }
+
+#[test]
+fn plan_patient_models_take_turns() {
+    // Models whose callers bear a load displace each other for a single request: each has a copy on the disk.
+    let mut world = World::new(vec![engine(0, "a", &[0, 1, 2], &[5])]);
+    let mut demand = asks(&[(0, 0.5, 0), (1, 0.5, 0), (2, 0.5, 0), (5, 0.5, 1)]);
+    assert!(world.plan(&demand).steps.is_empty(), "not where each load is a lost request");
+    demand.values_mut().for_each(|level| level.miss_rate = level.rate / 4.0);
+    let plan = world.plan(&demand);
+    assert!(matches!(plan.steps[0].change, HeldChange::UnloadModel(_)));
+}
+
+#[test]
+fn plan_fresh_model_stays() {
+    // What was loaded a moment ago isn't displaced by the next one: its callers are on their way.
+    let mut world = World::new(vec![engine(0, "a", &[0, 1, 2], &[5])]);
+    world.engines[0].fresh = (0..3).map(name).collect();
+    let demand = asks(&[(5, 0.07, 1)]);
+    assert!(world.plan(&demand).steps.is_empty());
+    world.engines[0].fresh.clear();
+    assert!(!world.plan(&demand).steps.is_empty());
+}
