--- a/crates/wheel_agreement/tests/raft_scenarios.rs
+++ b/crates/wheel_agreement/tests/raft_scenarios.rs
@@ -6,8 +6,8 @@
 
 use test_group::TestGroup;
 use wheel_agreement::{
-    EntryPayload, LogEntry, NodeId, ProposalId, ProposalRefusal, RaftInput, RaftOutput, ReadId,
-    RoleName, VoterChange,
+    EntryPayload, LogEntry, NodeId, ProposalId, ProposalRefusal, RaftInput, RaftOutput,
+    RaftSettings, ReadId, RoleName, VoterChange,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -297,3 +297,88 @@
         assert!(group.leader().is_some(), "round {round}");
     }
 }
+
+/// A group that keeps three voters by itself.
+fn keep_three(settings: &mut RaftSettings) {
+    settings.target_voters = Some(3);
+    settings.replace_after = SECOND;
+    settings.exchange_after = SECOND * 3;
+}
+
+/// The voters as the leader knows them.
+fn voters(group: &TestGroup) -> Vec<String> {
+    let leader = group.leader().expect("the group has a leader");
+    let members = group.nodes[&*leader].node.status().members;
+    members.voters.iter().map(|voter| voter.instance.to_string()).collect()
+}
+
+#[test]
+fn exchange_dead_voter_then_another_dies() {
+    let mut group = TestGroup::open_with(&["a", "b", "c"], keep_three);
+    let leader = group.run_to_leader();
+    group.propose(&leader, 1, b"kept");
+    group.run(SECOND / 10);
+    // An empty instance at another address comes, and a voter is gone for good.
+    let [gone, last] = [others(&leader)[0].clone(), others(&leader)[1].clone()];
+    group.start(NodeId::new("d", 44), Vec::new());
+    group.stop(&gone);
+    group.run(SECOND * 6);
+    let now = voters(&group);
+    assert!(now.contains(&"d".to_owned()) && !now.contains(&gone), "{now:?}");
+    assert_eq!(now.len(), 3);
+    // Right after the repair a second instance fails: nothing is lost and the group goes on.
+    group.stop(&last);
+    let leader = group.run_to_leader();
+    group.propose(&leader, 2, b"more");
+    group.run(SECOND);
+    assert!(accepted(&group, 1) && accepted(&group, 2));
+}
+
+#[test]
+fn exchange_returned_voter_becomes_learner() {
+    let mut group = TestGroup::open_with(&["a", "b", "c"], keep_three);
+    let leader = group.run_to_leader();
+    let away = others(&leader)[0].clone();
+    group.start(NodeId::new("d", 44), Vec::new());
+    group.cut.insert(away.as_str().into());
+    group.run(SECOND * 6);
+    assert!(voters(&group).contains(&"d".to_owned()));
+    // The cut heals: whoever lost its place follows the group again and disturbs nobody.
+    group.cut.clear();
+    group.run(SECOND * 6);
+    let leader = group.leader().expect("the group has a leader");
+    let members = group.nodes[&*leader].node.status().members;
+    let learners: Vec<String> =
+        members.learners.keys().map(|node| node.instance.to_string()).collect();
+    assert_eq!(learners, [away.clone()]);
+    group.propose(&leader, 1, b"seen");
+    group.run(SECOND);
+    assert_eq!(commands(&group, &away), commands(&group, &leader));
+}
+
+#[test]
+fn lost_folder_of_same_instance_is_replaced_within_four_seconds() {
+    let mut group = TestGroup::open_with(&["a", "b", "c"], keep_three);
+    let leader = group.run_to_leader();
+    let wiped = others(&leader)[0].clone();
+    group.stop(&wiped);
+    group.run(SECOND / 2);
+    let began = group.now;
+    group.start(NodeId::new(wiped.as_str(), 55), Vec::new());
+    loop {
+        group.run(SECOND / 10);
+        let members = group.nodes[&*leader].node.status().members;
+        let has_vote = members.voters.iter().any(|voter| voter.identity.0 == 55);
+        if has_vote && members.voters.len() == 3 {
+            break;
+        }
+        assert!(group.now.since(began) < SECOND * 4, "redundancy isn't back in time");
+    }
+}
+
+#[test]
+fn form_not_allowed_waits() {
+    let mut group = TestGroup::open_with(&["a", "b", "c"], |settings| settings.may_form = false);
+    group.run(SECOND * 20);
+    assert_eq!(group.leader(), None);
+}
--- a/crates/wheel_agreement/tests/test_group/mod.rs
+++ b/crates/wheel_agreement/tests/test_group/mod.rs
@@ -42,11 +42,18 @@
     parcels: BTreeMap<(MonotonicTime, u64), Parcel>,
     sent: u64,
     voters: Vec<InstanceName>,
+    /// Changes the settings of each participant that is started.
+    pub(crate) adjust: fn(&mut RaftSettings),
 }
 
 impl TestGroup {
     /// Starts empty folders of `voters`; the first identity of each is its place from 1.
     pub(crate) fn open(voters: &[&str]) -> Self {
+        Self::open_with(voters, |_| {})
+    }
+
+    /// The same with settings of its own.
+    pub(crate) fn open_with(voters: &[&str], adjust: fn(&mut RaftSettings)) -> Self {
         let names = voters.iter().map(|name| InstanceName::new(*name)).collect();
         let mut group = Self {
             now: MonotonicTime::from_millis(1),
@@ -59,6 +66,7 @@
             parcels: BTreeMap::new(),
             sent: 0,
             voters: names,
+            adjust,
         };
         for (place, name) in voters.iter().enumerate() {
             group.start(NodeId::new(*name, place as u64 + 1), Vec::new());
@@ -70,6 +78,7 @@
     pub(crate) fn start(&mut self, id: NodeId, records: Vec<PersistRecord>) {
         let mut settings = RaftSettings::new(id.clone(), self.voters.iter().cloned());
         settings.max_chunk_bytes = 100;
+        (self.adjust)(&mut settings);
         let restored = RestoredRaft::replay(records.iter().cloned());
         let node = RaftNode::open(settings, restored, self.now, id.identity.0);
         let (applied, state) = Default::default();
--- /dev/null
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -0,0 +1,171 @@
+//! What callers get from the way of a request, before stand-ins of upstreams on loopback.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{Reply, TestEntry, TestUpstream};
+use wheel_route::RouteKind;
+
+const STREAM: RouteKind = RouteKind::Streaming { resumable: true };
+const CLOSED_STREAM: RouteKind = RouteKind::Streaming { resumable: false };
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(|id| format!("id: {id}\ndata: t{id}\n\n")).collect()
+}
+
+#[tokio::test]
+async fn answer_passes_upstreams_words() {
+    let upstream = TestUpstream::bind("u1", vec![Reply::ran(200, "body")]).await;
+    let entry = TestEntry::bind(RouteKind::NonIdempotent, &[&upstream]).await;
+    let answer = entry.post("/a/x?y=1", &[("x-other", "kept")]).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "body"));
+    assert_eq!(answer.header("x-signature"), Some("signed-by-u1"));
+    let seen = upstream.seen();
+    assert_eq!(seen[0].path, "/a/x?y=1");
+    assert_eq!(seen[0].header("x-other"), Some("kept"));
+    assert_eq!(seen[0].header("x-target"), Some("u1"));
+    let left: u64 = seen[0].header("x-left").and_then(|left| left.parse().ok()).expect("time left");
+    assert!(left <= 2_000, "{left}");
+}
+
+#[tokio::test]
+async fn answer_unrouted_and_unready() {
+    let upstream = TestUpstream::bind("u1", vec![]).await;
+    let entry = TestEntry::bind(RouteKind::Idempotent, &[&upstream]).await;
+    assert_eq!(entry.post("/other/", &[]).await.status, 404);
+    let empty = TestEntry::without_config().await;
+    let answer = empty.post("/a/", &[]).await;
+    assert_eq!(answer.status, 503, "an entry that knows no configuration says nothing of routes");
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[tokio::test]
+async fn answer_not_executed_goes_elsewhere() {
+    // Also a call that must not run twice goes on after an upstream's word that it didn't run.
+    let full = TestUpstream::bind("u1", vec![Reply::not_executed(503)]).await;
+    let other = TestUpstream::bind("u2", vec![Reply::ran(200, "ok")]).await;
+    let entry = TestEntry::bind(RouteKind::NonIdempotent, &[&full, &other]).await;
+    entry.prefer("u1");
+    let answer = entry.post("/a/", &[]).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
+    assert_eq!((full.seen().len(), other.seen().len()), (1, 1));
+}
+
+#[tokio::test]
+async fn answer_lost_isnt_repeated() {
+    // The upstream has read the request and its answer is lost: nobody may say that it didn't run.
+    let lossy = TestUpstream::bind("u1", vec![Reply::Reset]).await;
+    let other = TestUpstream::bind("u2", vec![Reply::ran(200, "ok")]).await;
+    let entry = TestEntry::bind(RouteKind::NonIdempotent, &[&lossy, &other]).await;
+    entry.prefer("u1");
+    let answer = entry.post("/a/", &[]).await;
+    assert_eq!(answer.status, 502);
+    assert!(answer.header("retry-after").is_none());
+    assert_eq!((lossy.seen().len(), other.seen().len()), (1, 0));
+}
+
+#[tokio::test]
+async fn answer_lost_is_repeated_if_idempotent() {
+    let lossy = TestUpstream::bind("u1", vec![Reply::Reset]).await;
+    let other = TestUpstream::bind("u2", vec![Reply::ran(200, "ok")]).await;
+    let entry = TestEntry::bind(RouteKind::Idempotent, &[&lossy, &other]).await;
+    entry.prefer("u1");
+    assert_eq!(entry.post("/a/", &[]).await.body, "ok");
+}
+
+#[tokio::test]
+async fn answer_stays_within_attempts() {
+    let first = TestUpstream::bind("u1", vec![Reply::Reset; 4]).await;
+    let second = TestUpstream::bind("u2", vec![Reply::Reset; 4]).await;
+    let third = TestUpstream::bind("u3", vec![Reply::Reset; 4]).await;
+    let entry = TestEntry::bind(RouteKind::Idempotent, &[&first, &second, &third]).await;
+    assert_eq!(entry.post("/a/", &[]).await.status, 502);
+    let sends = first.seen().len() + second.seen().len() + third.seen().len();
+    assert_eq!(sends, 2, "the route allows two");
+}
+
+#[tokio::test]
+async fn answer_of_another_request_goes_to_nobody() {
+    let crossed = TestUpstream::bind("u1", vec![Reply::crossed("secret")]).await;
+    let entry = TestEntry::bind(RouteKind::NonIdempotent, &[&crossed]).await;
+    let answer = entry.post("/a/", &[]).await;
+    assert_eq!(answer.status, 502);
+    assert!(!answer.body.contains("secret"));
+}
+
+#[tokio::test]
+async fn answer_unsigned_is_no_success() {
+    let upstream = TestUpstream::bind("u1", vec![Reply::unsigned("forged")]).await;
+    let entry = TestEntry::bind(RouteKind::NonIdempotent, &[&upstream]).await;
+    assert_eq!(entry.post("/a/", &[]).await.status, 502);
+}
+
+#[tokio::test]
+async fn answer_failure_keeps_its_signature() {
+    let upstream = TestUpstream::bind("u1", vec![Reply::ran(500, "why")]).await;
+    let entry = TestEntry::bind(RouteKind::NonIdempotent, &[&upstream]).await;
+    let answer = entry.post("/a/", &[]).await;
+    assert_eq!((answer.status, answer.body.as_str()), (500, "why"));
+    assert!(answer.header("x-signature").is_some());
+}
+
+#[tokio::test]
+async fn stream_goes_on_elsewhere() {
+    // The first engine breaks off in the middle of an event; the second goes on after the last whole one,
+    // and repeats one that the caller has.
+    let cut = format!("{}id: 4\nda", events(1..=3));
+    let first = TestUpstream::bind("u1", vec![Reply::cut(&cut)]).await;
+    let second = TestUpstream::bind("u2", vec![Reply::ran(200, &events(3..=6))]).await;
+    let entry = TestEntry::bind(STREAM, &[&first, &second]).await;
+    entry.prefer("u1");
+    let answer = entry.post("/a/", &[]).await;
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, events(1..=6));
+    assert_eq!(answer.header("x-signature"), Some("signed-by-u1"));
+    assert_eq!(second.seen()[0].header("last-event-id"), Some("3"));
+}
+
+#[tokio::test]
+async fn stream_that_cant_go_on_is_cut() {
+    let first = TestUpstream::bind("u1", vec![Reply::cut(&events(1..=3))]).await;
+    let second = TestUpstream::bind("u2", vec![Reply::ran(200, &events(4..=6))]).await;
+    let entry = TestEntry::bind(CLOSED_STREAM, &[&first, &second]).await;
+    entry.prefer("u1");
+    let answer = entry.post("/a/", &[]).await;
+    assert!(!answer.is_whole, "a part must not look like the whole");
+    assert_eq!(answer.body, events(1..=3));
+    assert!(second.seen().is_empty());
+}
+
+#[tokio::test]
+async fn cold_model_is_waited_for() {
+    let upstream = TestUpstream::bind("u1", vec![Reply::ran(200, &events(1..=2))]).await;
+    let entry = TestEntry::bind(STREAM, &[&upstream]).await;
+    entry.set_models("u1", &[]);
+    let waiting = entry.post("/a/", &[("x-model", "m")]);
+    let loading = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let ask = entry.state.prepare_ask("me".into());
+        assert_eq!(ask.demand[0].waiting, 1, "the control instance is told");
+        entry.set_models("u1", &["m"]);
+    };
+    let (answer, ()) = tokio::join!(waiting, loading);
+    assert_eq!(answer.status, 200);
+}
+
+#[tokio::test]
+async fn cold_model_too_late_is_refused_at_once() {
+    let upstream = TestUpstream::bind("u1", vec![]).await;
+    let entry = TestEntry::bind(STREAM, &[&upstream]).await;
+    entry.set_models("u1", &[]);
+    entry.set_loading("m", Duration::from_secs(30));
+    let began = std::time::Instant::now();
+    let answer = entry.post("/a/", &[("x-model", "m")]).await;
+    assert_eq!(answer.status, 503);
+    assert!(began.elapsed() < Duration::from_millis(400));
+    let after: f64 =
+        answer.header("retry-after").and_then(|text| text.parse().ok()).expect("a time");
+    assert!(after <= 2.0 / 3.0, "callers honour a third of their time: {after}");
+    assert!(upstream.seen().is_empty());
+}
--- /dev/null
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -0,0 +1,346 @@
+//! An entry and stand-ins of upstreams on loopback, with a dialect of their own.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use parking_lot::Mutex;
+use wheel_entry::{AnswerBody, AnswerError, HttpLimits, HttpServer, full_body};
+use wheel_gateway::{
+    AnswerMark, FleetState, GenerationAsk, IngressDialect, IngressRequest, PathSettings,
+    RequestPath, SendMark,
+};
+use wheel_route::{
+    EngineCard, EngineId, FleetConfig, FleetService, FleetView, HeldModel, LoadCount, RouteKind,
+    RouteSpec, RouteTarget, UpstreamState,
+};
+use wheel_types::{RequestId, RequestOutcome};
+use wheel_upstream::{FailureKind, PlainDialect, ServiceCall, ServiceDialect};
+
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// How a stand-in answers one request.
+#[derive(Clone, Debug)]
+pub(crate) enum Reply {
+    /// With a head and a body.
+    Answer { status: u16, body: String, signed: bool, refused: bool, crossed: bool },
+    /// With a success whose body breaks off.
+    Cut(String),
+    /// Not at all: the connection is reset after the request was read.
+    Reset,
+}
+
+impl Reply {
+    pub(crate) fn ran(status: u16, body: &str) -> Self {
+        Self::Answer { status, body: body.into(), signed: true, refused: false, crossed: false }
+    }
+
+    pub(crate) fn unsigned(body: &str) -> Self {
+        Self::Answer {
+            status: 200,
+            body: body.into(),
+            signed: false,
+            refused: false,
+            crossed: false,
+        }
+    }
+
+    pub(crate) fn crossed(body: &str) -> Self {
+        Self::Answer { status: 200, body: body.into(), signed: true, refused: false, crossed: true }
+    }
+
+    pub(crate) fn not_executed(status: u16) -> Self {
+        let body = String::new();
+        Self::Answer { status, body, signed: false, refused: true, crossed: false }
+    }
+
+    pub(crate) fn cut(body: &str) -> Self {
+        Self::Cut(body.into())
+    }
+}
+
+/// A request as a stand-in saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct SeenRequest {
+    pub(crate) path: String,
+    headers: HeaderMap,
+}
+
+impl SeenRequest {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A stand-in of an upstream that answers from a list.
+pub(crate) struct TestUpstream {
+    name: &'static str,
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<SeenRequest>>>,
+}
+
+impl TestUpstream {
+    pub(crate) async fn bind(name: &'static str, replies: Vec<Reply>) -> Self {
+        let seen: Arc<Mutex<Vec<SeenRequest>>> = Arc::default();
+        let replies = Arc::new(Mutex::new(std::collections::VecDeque::from(replies)));
+        let noted = Arc::clone(&seen);
+        let server = HttpServer::bind(LOOPBACK, HttpLimits::default(), move |request| {
+            let (noted, reply) = (Arc::clone(&noted), replies.lock().pop_front());
+            async move { answer(name, request, reply, &noted).await }
+        });
+        let address = server.await.expect("loopback can be listened on").local_addr();
+        Self { name, address, seen }
+    }
+
+    pub(crate) fn seen(&self) -> Vec<SeenRequest> {
+        self.seen.lock().clone()
+    }
+}
+
+async fn answer(
+    name: &str,
+    request: Request<Incoming>,
+    reply: Option<Reply>,
+    seen: &Mutex<Vec<SeenRequest>>,
+) -> Response<AnswerBody> {
+    let (head, body) = request.into_parts();
+    let _ = body.collect().await;
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str()).to_owned();
+    seen.lock().push(SeenRequest { path, headers: head.headers.clone() });
+    let broken = |part: String| {
+        // The part is on its way before the rest fails.
+        let failing = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            Err(cut_short())
+        };
+        let first = futures_util::stream::iter([Ok(Frame::data(Bytes::from(part)))]);
+        let rest = futures_util::stream::once(failing);
+        StreamBody::new(futures_util::StreamExt::chain(first, rest)).boxed_unsync()
+    };
+    let id = head.headers.get("x-id").cloned().expect("every request has an id");
+    let (status, body, signed, refused, crossed) = match reply.expect("a reply for each request") {
+        Reply::Answer { status, body, signed, refused, crossed } => {
+            (status, full_body(body), signed, refused, crossed)
+        }
+        Reply::Cut(part) => (200, broken(part), true, false, false),
+        // A body that fails before its first byte: the head is never written.
+        Reply::Reset => panic!("the stand-in breaks its connection"),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).expect("a status");
+    let headers = response.headers_mut();
+    headers.insert("x-id", if crossed { "another".parse().expect("a value") } else { id });
+    if signed {
+        headers.insert("x-signature", format!("signed-by-{name}").parse().expect("a value"));
+    }
+    if refused {
+        headers.insert("x-not-executed", "1".parse().expect("a value"));
+    }
+    response
+}
+
+fn cut_short() -> AnswerError {
+    AnswerError::BrokeOff { reason: "the stand-in breaks off".into() }
+}
+
+/// What these tests speak.
+struct TestDialect;
+
+impl IngressDialect for TestDialect {
+    fn decode(&self, head: &Parts) -> Result<IngressRequest, String> {
+        let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let generation = text("x-model").map(|model| GenerationAsk {
+            model: model.into(),
+            adapter: None,
+            prompt_tokens: 10,
+            answer_tokens: 10,
+            parts: Vec::new(),
+        });
+        Ok(IngressRequest {
+            id: RequestId::new(text("x-id").ok_or("no id")?),
+            host: "test".into(),
+            time_left: None,
+            resume_after: text("last-event-id").and_then(|id| id.parse().ok()),
+            generation,
+        })
+    }
+
+    fn mark(&self, headers: &mut HeaderMap, mark: &SendMark) {
+        let value = |text: String| text.parse().expect("a value");
+        headers.insert("x-left", value(mark.time_left.as_millis().to_string()));
+        headers.insert("x-target", value(mark.target.to_string()));
+        if let Some(last) = mark.resume_after {
+            headers.insert("last-event-id", value(last.to_string()));
+        }
+    }
+
+    fn is_other_upstream(&self, _: &HeaderMap, _: &str) -> bool {
+        false
+    }
+
+    fn answer_mark(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMark {
+        match status {
+            _ if headers.contains_key("x-not-executed") => AnswerMark::NotExecuted,
+            status if status.is_success() && !headers.contains_key("x-signature") => {
+                AnswerMark::Unsigned
+            }
+            _ => AnswerMark::Ran,
+        }
+    }
+}
+
+impl ServiceDialect for TestDialect {
+    fn probe(&self) -> Option<Request<Bytes>> {
+        None
+    }
+
+    fn request(&self, call: &ServiceCall) -> Result<Request<Bytes>, FailureKind> {
+        PlainDialect.request(call)
+    }
+
+    fn answer_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        headers.get("x-id")?.to_str().ok()
+    }
+
+    fn outcome(&self, _: StatusCode, _: &HeaderMap) -> RequestOutcome {
+        RequestOutcome::Ran
+    }
+}
+
+/// A caller's answer.
+pub(crate) struct TestAnswer {
+    pub(crate) status: u16,
+    pub(crate) body: String,
+    pub(crate) is_whole: bool,
+    headers: HeaderMap,
+}
+
+impl TestAnswer {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// An entry with one route `/a/`.
+pub(crate) struct TestEntry {
+    pub(crate) state: Arc<FleetState>,
+    address: SocketAddr,
+}
+
+impl TestEntry {
+    pub(crate) async fn bind(kind: RouteKind, upstreams: &[&TestUpstream]) -> Self {
+        let entry = Self::without_config().await;
+        entry.state.adopt(config(kind));
+        let engines = upstreams.iter().map(|upstream| card(upstream)).collect();
+        entry.state.set_view(FleetView { engines, ..FleetView::default() });
+        entry
+    }
+
+    pub(crate) async fn without_config() -> Self {
+        let state: Arc<FleetState> = Arc::default();
+        let settings =
+            PathSettings { centre: "here".into(), retry_share: 0.2, retry_reserve: 10.0 };
+        let path = RequestPath::new(
+            settings,
+            Arc::clone(&state),
+            Arc::new(TestDialect),
+            Arc::new(TestDialect),
+        );
+        let server = HttpServer::bind(LOOPBACK, HttpLimits::default(), move |request| {
+            path.clone().answer(request)
+        });
+        let address = server.await.expect("loopback can be listened on").local_addr();
+        Self { state, address }
+    }
+
+    /// Makes all other upstreams look busy.
+    pub(crate) fn prefer(&self, name: &str) {
+        let mut view = (*self.state.view()).clone();
+        let others = view.engines.iter().filter(|card| &*card.id.name != name);
+        let load = |card: &EngineCard| LoadCount { engine: card.id.clone(), active: 3, tokens: 0 };
+        view.loads = others.map(load).collect();
+        self.state.set_view(view);
+    }
+
+    pub(crate) fn set_models(&self, name: &str, models: &[&str]) {
+        let mut view = (*self.state.view()).clone();
+        let held = models.iter().map(|model| HeldModel {
+            name: (*model).into(),
+            version: 1,
+            adapters: Vec::new(),
+        });
+        let held: Vec<HeldModel> = held.collect();
+        let engine = view.engines.iter_mut().find(|card| &*card.id.name == name);
+        engine.expect("the upstream is there").models = held;
+        self.state.set_view(view);
+    }
+
+    pub(crate) fn set_loading(&self, model: &str, eta: Duration) {
+        let mut view = (*self.state.view()).clone();
+        view.loading = vec![(model.into(), eta.as_millis() as u64)];
+        self.state.set_view(view);
+    }
+
+    pub(crate) async fn post(&self, path: &str, headers: &[(&str, &str)]) -> TestAnswer {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let mut request = Request::builder()
+            .method("POST")
+            .uri(format!("http://{}{path}", self.address))
+            .header("x-id", "id-1");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::from_static(b"asked"))).expect("a request");
+        let answer = client.request(request).await.expect("the entry answers");
+        let (head, mut body) = answer.into_parts();
+        let (mut bytes, mut is_whole) = (Vec::new(), true);
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
+                Err(_) => {
+                    is_whole = false;
+                    break;
+                }
+            }
+        }
+        let body = String::from_utf8(bytes).expect("text");
+        TestAnswer { status: head.status.as_u16(), body, is_whole, headers: head.headers }
+    }
+}
+
+fn config(kind: RouteKind) -> FleetConfig {
+    let route = RouteSpec {
+        name: "a".into(),
+        host: "test".into(),
+        prefix: "/a/".into(),
+        kind,
+        targets: vec![RouteTarget { service: "s".into(), weight: 1 }],
+        time_limit: Duration::from_secs(2),
+        objective: Duration::from_millis(200),
+        gap: Some(Duration::from_millis(200)),
+        rank: 0,
+        max_attempts: 2,
+    };
+    let service =
+        FleetService { name: "s".into(), max_connections: 100, ..FleetService::default() };
+    FleetConfig { version: 1, routes: vec![route], services: vec![service], ..Default::default() }
+}
+
+fn card(upstream: &TestUpstream) -> EngineCard {
+    EngineCard {
+        id: EngineId { name: upstream.name.into(), born: 1 },
+        service: "s".into(),
+        address: upstream.address,
+        centre: "here".into(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        models: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -0,0 +1,96 @@
+//! An instance leaves control instances that are out of touch with their group.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use tokio::runtime::Handle;
+use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings};
+use wheel_placement::{ParentSync, SyncEnd, SyncSettings};
+use wheel_route::{SyncAsk, SyncReply};
+use wheel_types::InstanceName;
+
+/// Answers each sync with the same age of its touch with the group.
+struct TestControl {
+    group_age_ms: u64,
+    calls: Arc<AtomicUsize>,
+}
+
+impl PeerHandler for TestControl {
+    fn handle(
+        &self,
+        _: PeerIdentity,
+        _: PeerChannel,
+        _: Vec<u8>,
+    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        let reply = SyncReply {
+            document: None,
+            fleet: None,
+            control: Vec::new(),
+            group_age_ms: self.group_age_ms,
+        };
+        async move { Ok(postcard::to_stdvec(&reply).expect("a reply has an encoding")) }.boxed()
+    }
+}
+
+/// A free loopback address: an instance's name is its address, so that it must be known beforehand.
+fn free_address() -> SocketAddr {
+    let probe = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    probe.local_addr().expect("an address")
+}
+
+fn bind(group_age_ms: u64) -> (PeerHub, SocketAddr, Arc<AtomicUsize>) {
+    let address = free_address();
+    let calls: Arc<AtomicUsize> = Arc::default();
+    let name = InstanceName::from(address.to_string().as_str());
+    let settings = PeerSettings::new("test", name, Handle::current()).listen(address);
+    let control = TestControl { group_age_ms, calls: Arc::clone(&calls) };
+    let hub = PeerHub::bind(settings, Arc::new(control)).expect("loopback can be listened on");
+    (hub, address, calls)
+}
+
+fn ask() -> SyncAsk {
+    SyncAsk {
+        instance: "me".into(),
+        is_entry: true,
+        version: 0,
+        control: None,
+        loads: Vec::new(),
+        demand: Vec::new(),
+        leaving: Vec::new(),
+        doubtful: Vec::new(),
+        entries: 1,
+        hold_ms: 0,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_leaves_detached_control() {
+    let (_cut, cut_address, cut_calls) = bind(60_000);
+    let (_sound, sound_address, sound_calls) = bind(0);
+    let (own, own_address, _) = bind(0);
+    let settings = SyncSettings {
+        own: own_address,
+        centre: "here".into(),
+        interval: Duration::from_millis(10),
+    };
+    let sync = ParentSync::open(settings, own, &[cut_address, sound_address]);
+    let replies: Arc<AtomicUsize> = Arc::default();
+    let noted = Arc::clone(&replies);
+    let take = move |end: SyncEnd| {
+        if matches!(end, SyncEnd::Replied(_)) {
+            noted.fetch_add(1, Ordering::SeqCst);
+        }
+    };
+    let running = tokio::spawn(sync.run(ask, take, std::future::pending));
+    while sound_calls.load(Ordering::SeqCst) < 30 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    running.abort();
+    assert!(replies.load(Ordering::SeqCst) >= 30);
+    assert!(cut_calls.load(Ordering::SeqCst) <= 2, "it is left after its first reply");
+}
