Write logs through a bounded queue that never holds a request up

Cause: each line was written on the caller's thread; a slow reader of standard output would have stopped serving. Change: lines wait in a queue of 8,192 for a thread; what finds it full is left out and counted (wheel_log_lines_dropped_total). What waits for a load is told once a second, not once a round.

--- a/crates/wheel_daemon/src/daemon_logs.rs
+++ b/crates/wheel_daemon/src/daemon_logs.rs
@@ -1,10 +1,14 @@
 //! One line of key=value pairs for each event.
 
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 
 use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::{Sink, StdStream, StdStreamSink};
-use spdlog::{Level, LevelFilter, Logger};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger, ThreadPool};
+
+/// Lines that wait to be written: some seconds' worth of a busy entry, about 2 MB.
+const MAX_QUEUED_LINES: NonZeroUsize = NonZeroUsize::new(8_192).expect("it isn't zero");
 
 /// Sends the process's log to standard error from `level` on.
 ///
@@ -14,20 +18,41 @@
     start_logs_to(StdStream::Stderr, level)
 }
 
-/// Sends the process's log to a standard stream from `level` on.
+/// Sends the process's log to standard output from `level` on, without ever holding up whoever logs: lines
+/// wait in a bounded queue for a thread that writes them. Lines that find it full are left out and counted.
 ///
 /// # Errors
 /// The logging library's error, if the logger can't be made.
-pub fn start_logs_to(stream: StdStream, level: Level) -> Result<(), spdlog::Error> {
-    let layout = pattern!(
-        "time={date}T{time}.{millisecond}{tz_offset} level={level} event={payload} {kv}{eol}"
-    );
-    let formatter = PatternFormatter::new(layout);
-    let sink: Arc<dyn Sink> =
-        Arc::new(StdStreamSink::builder().std_stream(stream).formatter(formatter).build()?);
+pub fn start_queued_logs(level: Level) -> Result<(), spdlog::Error> {
+    let pool = ThreadPool::builder().capacity(MAX_QUEUED_LINES).build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(stream_sink(StdStream::Stdout)?)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(|_: spdlog::Error| {
+            metrics::counter!("wheel_log_lines_dropped_total").increment(1);
+        })
+        .build()?;
+    let filter = LevelFilter::MoreSevereEqual(level);
+    let logger = Logger::builder().sink(Arc::new(sink)).level_filter(filter).build()?;
+    logger.set_flush_level_filter(LevelFilter::MoreSevereEqual(Level::Warn));
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Sends the process's log to a standard stream from `level` on.
+fn start_logs_to(stream: StdStream, level: Level) -> Result<(), spdlog::Error> {
     let filter = LevelFilter::MoreSevereEqual(level);
-    let logger = Logger::builder().sink(sink).level_filter(filter).build()?;
+    let logger = Logger::builder().sink(stream_sink(stream)?).level_filter(filter).build()?;
     logger.set_flush_level_filter(LevelFilter::All);
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
+
+fn stream_sink(stream: StdStream) -> Result<Arc<dyn Sink>, spdlog::Error> {
+    let layout = pattern!(
+        "time={date}T{time}.{millisecond}{tz_offset} level={level} event={payload} {kv}{eol}"
+    );
+    let formatter = PatternFormatter::new(layout);
+    Ok(Arc::new(StdStreamSink::builder().std_stream(stream).formatter(formatter).build()?))
+}
--- a/crates/wheel_daemon/src/lib.rs
+++ b/crates/wheel_daemon/src/lib.rs
@@ -35,7 +35,7 @@
 
 pub use admin_operations::AdminOperations;
 pub use admin_query::AdminQuery;
-pub use daemon_logs::{start_logs, start_logs_to};
+pub use daemon_logs::{start_logs, start_queued_logs};
 pub use daemon_parts::DaemonParts;
 pub use daemon_settings::DaemonSettings;
 pub use exit_status::ExitStatus;
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -38,6 +38,8 @@
 const ORDER_LIFE: Duration = Duration::from_millis(1_500);
 /// Time for what waits to get its turn once orders are allowed again.
 const TURN_TIME: Duration = Duration::from_millis(1_000);
+/// Time between two log lines on what waits; a round comes several times a second.
+const BACKLOG_LOG_PAUSE: Duration = Duration::from_secs(1);
 /// Share of the weight store's allowance that is used, so that rounding at the window's ends never breaks it.
 const STORE_SHARE: f64 = 0.95;
 
@@ -87,6 +89,8 @@
     pace: StorePace,
     /// Models that wait for an engine or the store, with the milliseconds until they should be there.
     backlog: Vec<(Arc<str>, u64)>,
+    /// When the log last told of it.
+    backlog_told: Instant,
 }
 
 impl FleetDirector {
@@ -101,6 +105,7 @@
             store: LoadWindow::default(),
             pace: StorePace::default(),
             backlog: Vec::new(),
+            backlog_told: Instant::now(),
         };
         tokio::spawn(director.run());
     }
@@ -252,7 +257,8 @@
             store_limit: self.pace.limit(),
         };
         let plan = self.planners.entry(Arc::clone(service)).or_default().plan(&input);
-        if !plan.backlog.is_empty() {
+        if !plan.backlog.is_empty() && self.backlog_told.elapsed() >= BACKLOG_LOG_PAUSE {
+            self.backlog_told = Instant::now();
             let waits: u32 = demand.values().map(|level| level.waiting).sum();
             let free = engines.iter().filter(|engine| engine.is_free && engine.takes_work).count();
             let models: Vec<String> =
