Tell a request's story from logs alone: wisteriactl explain request ID

Cause: on-call engineers have only logs; the tool could ask running instances only. Change: explain request ID [FILE...] prints the request's lines, the orders and waits of its model and upstreams, and lost dependencies in the 20 s before its end. Test: tests/request_story.rs.

--- a/crates/wheel_ctl/src/ctl_command.rs
+++ b/crates/wheel_ctl/src/ctl_command.rs
@@ -36,6 +36,13 @@
         /// A model's name or a request's id.
         query: String,
     },
+    /// Explain one request from logs.
+    ExplainRequest {
+        /// The request's id.
+        id: String,
+        /// Files with logs of any number of instances; none means standard input.
+        files: Vec<String>,
+    },
     /// Print the voters.
     ListVoters,
     /// Give an instance a vote.
@@ -60,6 +67,10 @@
             ["show"] => Self::Show,
             ["status"] => Self::Status,
             ["drain"] => Self::Drain,
+            ["explain", "request", id, files @ ..] => {
+                let files = files.iter().map(|file| (*file).to_owned()).collect();
+                Self::ExplainRequest { id: (*id).to_owned(), files }
+            }
             ["explain", query] if is_plain(query) => Self::Explain { query: (*query).to_owned() },
             ["explain", query] => return usage(format!("`{query}` is no model or request id")),
             ["voter", "list"] => Self::ListVoters,
--- a/crates/wheel_ctl/src/ctl_flag.rs
+++ b/crates/wheel_ctl/src/ctl_flag.rs
@@ -101,6 +101,8 @@
   status                   print instances with their revisions, and engines
   drain                    have the instance at --endpoint finish its work and end
   explain MODEL|REQUEST-ID tell why a model is or isn't loaded, or what became of a request
+  explain request ID [FILE...]
+                           tell it from logs alone; without files they come from standard input
   voter list               print the voters of the replicated log
   voter add INSTANCE       make an instance a voter
   voter remove INSTANCE    take an instance's vote away
--- a/crates/wheel_ctl/src/ctl_run.rs
+++ b/crates/wheel_ctl/src/ctl_run.rs
@@ -9,7 +9,7 @@
 use crate::apply_run::ApplyRun;
 use crate::{
     AdminClient, AdminRequest, CtlCommand, CtlFailure, CtlOutput, CtlSettings, FaultReport,
-    StatusReport,
+    RequestStory, StatusReport,
 };
 
 /// One run of the tool.
@@ -70,6 +70,7 @@
                 let path = format!("/admin/v1/explain?q={query}");
                 self.print_answer(&AdminRequest::get(path)).await
             }
+            CtlCommand::ExplainRequest { id, files } => self.explain_request(id, files),
             CtlCommand::ListVoters => {
                 self.print_answer(&AdminRequest::get("/admin/v1/voters")).await
             }
@@ -112,6 +113,24 @@
         })
     }
 
+    fn explain_request(&self, id: &str, files: &[String]) -> Result<(), CtlFailure> {
+        let standard_input = ["-".to_owned()];
+        let files = if files.is_empty() { &standard_input } else { files };
+        let logs: Result<Vec<String>, CtlFailure> =
+            files.iter().map(|file| read_file(file)).collect();
+        let logs = logs?;
+        let story = RequestStory::read(id, logs.iter().flat_map(|log| log.lines()));
+        if story.own.is_empty() {
+            return Err(CtlFailure::Local { reason: format!("no line tells of request {id}") });
+        }
+        println!("# the request");
+        story.own.iter().for_each(|line| println!("{line}"));
+        println!("# what it needed, in the 20 s before its end");
+        story.context.iter().for_each(|line| println!("{line}"));
+        println!("# {}", story.verdict().unwrap_or_else(|| "it hasn't ended".to_owned()));
+        Ok(())
+    }
+
     async fn show(&self) -> Result<(), CtlFailure> {
         let answer = self.client.send(&AdminRequest::get("/admin/v1/text")).await?;
         let answer = answer.into_success()?;
--- a/crates/wheel_ctl/src/lib.rs
+++ b/crates/wheel_ctl/src/lib.rs
@@ -16,6 +16,7 @@
 mod ctl_settings;
 mod exit_status;
 mod fault_report;
+mod request_story;
 mod status_report;
 
 pub use admin_client::AdminClient;
@@ -28,4 +29,5 @@
 pub use ctl_settings::{CtlSettings, ParsedLine};
 pub use exit_status::ExitStatus;
 pub use fault_report::FaultReport;
+pub use request_story::RequestStory;
 pub use status_report::{EngineStatus, HeldModel, InstanceStatus, StatusReport};
--- /dev/null
+++ b/crates/wheel_ctl/tests/request_story.rs
@@ -0,0 +1,52 @@
+//! The log lines of one request are found with those that explain them.
+
+use std::process::Command;
+
+use wheel_ctl::RequestStory;
+
+const LOG: &str = "\
+time=2026-01-01T00:00:01.0+00:00 level=info event=order_sent upstream=e1 change=LoadModel(\"m7\") end=Refused
+time=2026-01-01T00:00:02.0+00:00 level=info event=request_ended id=other model=m7 upstream=e1 status=200 reason=answered
+time=2026-01-01T00:00:03.0+00:00 level=warn event=control_lost control=10.0.0.1:7
+time=2026-01-01T00:00:03.5+00:00 level=info event=order_sent upstream=e9 change=LoadModel(\"m8\") end=Accepted
+time=2026-01-01T00:00:04.2+00:00 level=info event=request_ended id=r1 model=m7/a2 upstream=- status=503 reason=model_not_loaded
+time=2026-01-01T00:00:04.0+00:00 level=info event=request_step id=r1 step=rejected upstream=e1 reason=503
+time=2026-01-01T00:00:09.0+00:00 level=info event=order_sent upstream=e1 change=LoadModel(\"m7\") end=Accepted
+junk that is no line of a log";
+
+#[test]
+fn read_request() {
+    let story = RequestStory::read("r1", LOG.lines());
+    assert_eq!(story.own.len(), 2);
+    assert!(story.own[0].contains("request_step"), "in the order of time");
+    assert_eq!(story.context.len(), 2, "its model's orders and lost dependencies, before its end");
+    let verdict = story.verdict().expect("it ended");
+    assert_eq!(verdict, "status=503 reason=model_not_loaded upstream=- model=m7/a2");
+}
+
+#[test]
+fn read_unknown_request() {
+    assert_eq!(RequestStory::read("none", LOG.lines()), RequestStory::default());
+}
+
+#[test]
+fn explain_request_of_file() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("entry.log");
+    std::fs::write(&file, LOG).expect("the file takes it");
+    let run = |id: &str| {
+        let tool = Command::new(env!("CARGO_BIN_EXE_wisteriactl"))
+            .args(["explain", "request", id])
+            .arg(&file)
+            .output();
+        tool.expect("the tool runs")
+    };
+    let found = run("r1");
+    let text = String::from_utf8_lossy(&found.stdout).into_owned();
+    assert!(found.status.success(), "{text}");
+    assert!(text.contains("model_not_loaded") && text.contains("control_lost"), "{text}");
+    assert!(!text.contains("id=other"), "{text}");
+    let missing = run("r2");
+    assert!(!missing.status.success());
+    assert!(String::from_utf8_lossy(&missing.stderr).contains("r2"));
+}
