Free a place at the store when its load ends, and promise it once

Cause: at the grown size the store was used for one load at a time: the place of a load stayed taken while its engine carried out any further order, and several models were promised the same place by unloads made for them. Change: a place belongs to an engine and a model; room at the store is taken when an engine's room is made.

--- a/crates/wheel_lease/src/held_account.rs
+++ b/crates/wheel_lease/src/held_account.rs
@@ -127,9 +127,9 @@
         can_take && self.current.is_none() && !self.is_sending && !self.is_doubted
     }
 
-    /// Whether an order is on its way or being carried out.
-    pub fn is_changing(&self) -> bool {
-        self.is_sending || self.current.is_some()
+    /// Whether the order to load `model` is on its way or being carried out; another order isn't it.
+    pub fn is_loading(&self, model: &str) -> bool {
+        self.is_sending || self.loading().is_some_and(|(loading, _)| &**loading == model)
     }
 
     /// The last reading.
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -15,7 +15,7 @@
 use wheel_route::{
     EngineCard, EngineId, EngineProfile, FleetConfig, HeldModel, LoadCount, UpstreamState,
 };
-use wheel_types::MonotonicTime;
+use wheel_types::{HeldChange, MonotonicTime};
 use wheel_upstream::{ConnectionLimits, DirectClient, OrderCall};
 
 use crate::directing_right::{FIRST_TERM, TermPermit};
@@ -272,9 +272,11 @@
             self.backlog.push((model, u64::try_from(eta.as_millis()).unwrap_or(u64::MAX)));
         }
         for step in plan.steps {
-            if step.from_store {
+            if let HeldChange::LoadModel(model) = &step.change
+                && step.from_store
+            {
                 self.store.note(now);
-                self.pace.begin(now, step.engine.clone(), step.takes);
+                self.pace.begin(now, step.engine.clone(), Arc::clone(model), step.takes);
             }
             self.order(step, fencing);
         }
@@ -297,8 +299,8 @@
     /// Notes which loads from the store have ended.
     fn pace_loads(&mut self) {
         let engines = &self.engines;
-        let is_loading = |id: &EngineId| {
-            engines.get(id).is_some_and(|engine| engine.account.lock().is_changing())
+        let is_loading = |id: &EngineId, model: &str| {
+            engines.get(id).is_some_and(|engine| engine.account.lock().is_loading(model))
         };
         self.pace.follow(boot_now(), is_loading);
     }
--- a/crates/wheel_policy/src/fleet_planner.rs
+++ b/crates/wheel_policy/src/fleet_planner.rs
@@ -204,6 +204,8 @@
         let mut taken = BTreeSet::new();
         let mut store_room = input.store_room;
         let mut steps = self.use_freed_room(input, &mut taken, &mut store_room);
+        // Room at the store is promised to models for which room at an engine is being made.
+        store_room = store_room.saturating_sub(self.store_intents(input));
         steps.extend(plan_adapters(input, &mut taken));
         let mut backlog = Vec::new();
         let mut wanted: Vec<(f64, Arc<str>)> =
@@ -227,6 +229,7 @@
                 Some(victim) => {
                     let until = input.now + INTENT_LIFE;
                     self.intents.insert(engine.clone(), (Arc::clone(&model), until));
+                    store_room -= usize::from(way.from_store);
                     if let Some(displaced) = demand.get_mut(&victim) {
                         displaced.usable = displaced.usable.saturating_sub(1);
                     }
@@ -276,6 +279,15 @@
         steps
     }
 
+    /// Models that get their room from an unload and will then be loaded from the store.
+    fn store_intents(&self, input: &PlanInput<'_>) -> usize {
+        let needs_store = |engine: &&PlanEngine| {
+            let intended = self.intents.get(&engine.id);
+            intended.is_some_and(|(model, _)| !copies(engine, model))
+        };
+        input.engines.iter().filter(needs_store).count()
+    }
+
     /// A model that stands nowhere, not even on a disk, is brought from the store while the store has nothing
     /// better to do: when it is asked for, a load from the disk takes a sixth of the time. The last place at
     /// the store stays free for what callers wait for.
--- a/crates/wheel_policy/src/store_pace.rs
+++ b/crates/wheel_policy/src/store_pace.rs
@@ -1,6 +1,7 @@
 //! How many loads from the weight store run at once.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use wheel_route::EngineId;
@@ -24,8 +25,9 @@
     full_speed: u32,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RunningLoad {
+    model: Arc<str>,
     began: MonotonicTime,
     takes: Duration,
     /// The most loads that ran beside it, itself included.
@@ -50,24 +52,32 @@
     }
 
     /// Notes a load that begins.
-    pub fn begin(&mut self, now: MonotonicTime, engine: EngineId, takes: Duration) {
-        self.running.insert(engine, RunningLoad { began: now, takes, beside: 0 });
+    pub fn begin(
+        &mut self,
+        now: MonotonicTime,
+        engine: EngineId,
+        model: Arc<str>,
+        takes: Duration,
+    ) {
+        self.running.insert(engine, RunningLoad { model, began: now, takes, beside: 0 });
         let count = self.running.len();
         self.running.values_mut().for_each(|load| load.beside = load.beside.max(count));
     }
 
-    /// Takes the ends of loads in: those for which `is_loading` doesn't hold any more.
-    pub fn follow(&mut self, now: MonotonicTime, is_loading: impl Fn(&EngineId) -> bool) {
+    /// Takes the ends of loads in: those of an engine and a model for which `is_loading` doesn't hold any more.
+    pub fn follow(&mut self, now: MonotonicTime, is_loading: impl Fn(&EngineId, &str) -> bool) {
+        let has_ended =
+            |(engine, load): &(&EngineId, &RunningLoad)| !is_loading(engine, &load.model);
         let ended: Vec<EngineId> =
-            self.running.keys().filter(|engine| !is_loading(engine)).cloned().collect();
+            self.running.iter().filter(has_ended).map(|(engine, _)| engine.clone()).collect();
         for engine in ended {
             if let Some(load) = self.running.remove(&engine) {
-                self.judge(now, load);
+                self.judge(now, &load);
             }
         }
     }
 
-    fn judge(&mut self, now: MonotonicTime, load: RunningLoad) {
+    fn judge(&mut self, now: MonotonicTime, load: &RunningLoad) {
         let took = now.since(load.began).as_secs_f64();
         let stated = load.takes.as_secs_f64();
         // One that ended far too early was refused or lost with its engine.
--- a/crates/wheel_policy/tests/fleet_demand.rs
+++ b/crates/wheel_policy/tests/fleet_demand.rs
@@ -50,9 +50,10 @@
 /// Runs a full batch of loads that each take `took`, and returns the limit afterwards.
 fn run_batch(pace: &mut StorePace, began: u64, took: u64) -> usize {
     let places = pace.room();
-    (0..places).for_each(|place| pace.begin(at(began), engine(place), Duration::from_secs(6)));
+    (0..places)
+        .for_each(|place| pace.begin(at(began), engine(place), "m".into(), Duration::from_secs(6)));
     assert_eq!(pace.room(), 0);
-    pace.follow(at(began + took), |_| false);
+    pace.follow(at(began + took), |_, _| false);
     pace.limit()
 }
 
@@ -105,3 +106,15 @@
     assert_eq!(choose_upstream(&[suspect, offer(12)], 0), Some(1));
     assert_eq!(choose_upstream(&[suspect], 0), Some(0), "better than none");
 }
+
+#[test]
+fn store_pace_frees_place_of_ended_load() {
+    // The engine goes on with another order at once: its load from the store has ended all the same.
+    let mut pace = StorePace::default();
+    let room = pace.room();
+    pace.begin(at(0), engine(0), "m".into(), Duration::from_secs(6));
+    pace.follow(at(6), |_, model| model == "m");
+    assert_eq!(pace.room(), room - 1);
+    pace.follow(at(7), |_, model| model == "other");
+    assert_eq!(pace.room(), room);
+}
--- a/crates/wheel_policy/tests/fleet_planner.rs
+++ b/crates/wheel_policy/tests/fleet_planner.rs
@@ -316,3 +316,17 @@
     }
     assert_eq!(world.holders(0), 2);
 }
+
+#[test]
+fn plan_store_room_is_promised_once() {
+    // One place at the store, and room is being made for a rare model: a busier one that comes along isn't
+    // passed over by several more such promises.
+    let engines: Vec<PlanEngine> =
+        (0..4).map(|place| engine(place, "a", &[0, 1, 2], &[])).collect();
+    let mut world = World::new(engines);
+    world.store_room = 1;
+    let demand = asks(&[(0, 0.5, 0), (5, 0.3, 1), (6, 0.3, 1), (7, 0.3, 1)]);
+    let plan = world.plan(&demand);
+    assert_eq!(plan.steps.len(), 1, "{:?}", plan.steps);
+    assert!(world.plan(&demand).steps.is_empty(), "until that load has begun");
+}
