--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -195,6 +195,8 @@
             }
         }
         drop(loads);
+        let leaving = self.leaving.lock().keys().cloned().collect();
+        let doubtful = std::mem::take(&mut *self.doubtful.lock()).into_iter().collect();
         SyncAsk {
             instance,
             is_entry: true,
@@ -202,8 +204,8 @@
             control: None,
             loads: told,
             demand: self.take_demand(),
-            leaving: self.leaving.lock().keys().cloned().collect(),
-            doubtful: std::mem::take(&mut *self.doubtful.lock()).into_iter().collect(),
+            leaving,
+            doubtful,
             entries: 1,
             hold_ms: if self.has_waiting() { HOLD_MS } else { 0 },
         }
