--- a/crates/wheel_agreement/tests/raft_scenarios.rs
+++ b/crates/wheel_agreement/tests/raft_scenarios.rs
@@ -307,7 +307,7 @@
 
 /// The voters as the leader knows them.
 fn voters(group: &TestGroup) -> Vec<String> {
-    let leader = group.leader().expect("the group has a leader");
+    let leader = group.leader().unwrap_or_default();
     let members = group.nodes[&*leader].node.status().members;
     members.voters.iter().map(|voter| voter.instance.to_string()).collect()
 }
@@ -350,7 +350,7 @@
     let members = group.nodes[&*leader].node.status().members;
     let learners: Vec<String> =
         members.learners.keys().map(|node| node.instance.to_string()).collect();
-    assert_eq!(learners, [away.clone()]);
+    assert_eq!(learners, std::slice::from_ref(&away));
     group.propose(&leader, 1, b"seen");
     group.run(SECOND);
     assert_eq!(commands(&group, &away), commands(&group, &leader));
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -66,7 +66,7 @@
 /// What one send came to.
 pub(crate) enum SendEnd {
     /// The upstream's own answer, with what counts it as under way.
-    Answer(ServiceAnswer, LoadGuard),
+    Answer(Box<ServiceAnswer>, LoadGuard),
     /// It certainly didn't run.
     Rejected,
     /// It may have run, and gave no answer that can be passed on.
@@ -127,9 +127,9 @@
             };
             match self.send(&card, self.ask.resume_after).await {
                 SendEnd::Answer(answer, guard) if self.route.kind.is_stream() => {
-                    return self.stream(answer, guard);
+                    return self.stream(*answer, guard);
                 }
-                SendEnd::Answer(answer, guard) => match self.whole(answer, guard).await {
+                SendEnd::Answer(answer, guard) => match self.whole(*answer, guard).await {
                     Some(response) if !response.status().is_server_error() => return response,
                     Some(response) => last_answer = Some(response),
                     None => {}
@@ -153,7 +153,7 @@
             let card = self.find_upstream().await.ok()?;
             match self.send(&card, last.or(self.ask.resume_after)).await {
                 SendEnd::Answer(answer, guard) if answer.status.is_success() => {
-                    return Some((answer, guard));
+                    return Some((*answer, guard));
                 }
                 SendEnd::Answer(..) | SendEnd::Rejected | SendEnd::Broken => {}
             }
@@ -352,7 +352,7 @@
             Err(failure) => return self.judge_failure(&failure),
         };
         match self.parts.dialect.answer_mark(answer.status, &answer.headers) {
-            AnswerMark::Ran => Judged::Answer(answer),
+            AnswerMark::Ran => Judged::Answer(Box::new(answer)),
             AnswerMark::NotExecuted => {
                 self.log.step("rejected", answer.status.as_str());
                 Judged::Rejected
@@ -462,7 +462,7 @@
 
 /// What an answer or its absence means.
 enum Judged {
-    Answer(ServiceAnswer),
+    Answer(Box<ServiceAnswer>),
     Rejected,
     Broken,
 }
--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -1,5 +1,7 @@
 //! What callers get from the way of a request, before stand-ins of upstreams on loopback.
 
+#![allow(clippy::expect_used)]
+
 mod support;
 
 use std::time::Duration;
--- a/crates/wheel_placement/tests/config_desk.rs
+++ b/crates/wheel_placement/tests/config_desk.rs
@@ -1,5 +1,7 @@
 //! Configurations are accepted by the group, also when their operator has given the call up.
 
+#![allow(clippy::expect_used)]
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -1,5 +1,7 @@
 //! An instance leaves control instances that are out of touch with their group.
 
+#![allow(clippy::expect_used)]
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/crates/wheel_policy/tests/fleet_planner.rs
+++ b/crates/wheel_policy/tests/fleet_planner.rs
@@ -1,5 +1,7 @@
 //! What engines load and unload next, each test a load pattern.
 
+#![allow(clippy::expect_used)]
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
