--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -23,6 +23,9 @@
 
 /// Time between two rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two rounds at the least: what is urgent comes from many entries at once, and a round looks at
+/// every model and engine.
+const ROUND_PAUSE: Duration = Duration::from_millis(20);
 /// Time that a report may take.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Reports are some hundred milliseconds old: a finished order shows only after that.
@@ -119,7 +122,10 @@
                 () = self.parts.board.urgent() => {}
             }
             match self.parts.right.leading_term() {
-                Some(term) => self.round(term).await,
+                Some(term) => {
+                    self.round(term).await;
+                    tokio::time::sleep(ROUND_PAUSE).await;
+                }
                 None if self.term != 0 => {
                     info!("directing_ended", kv: { term = self.term });
                     self.term = 0;
