--- a/crates/wheel_bench/src/letter_size.rs
+++ b/crates/wheel_bench/src/letter_size.rs
@@ -24,10 +24,10 @@
 pub(crate) const IN_FORCE_S: f64 = 6.0;
 /// Control: share of a core, in percent.
 pub(crate) const CONTROL_CORE_PERCENT: f64 = 1.4;
-/// Control: memory, in mebibytes.
-pub(crate) const CONTROL_MIB: f64 = 64.0;
-/// Control: bytes a second.
-pub(crate) const CONTROL_BYTES_PER_S: f64 = 8_192.0;
+/// Control: memory, in mebibytes; the letter says 64 MB.
+pub(crate) const CONTROL_MIB: f64 = 64e6 / 1_048_576.0;
+/// Control: bytes a second; the letter says 8 KB.
+pub(crate) const CONTROL_BYTES_PER_S: f64 = 8_000.0;
 
 /// Seconds of a day.
 pub(crate) const DAY_S: f64 = 86_400.0;
