Split long files by their types; follow the configuration's idle time; label histograms by service

Cause: fleet_planner, fleet_director and request_run held several types each; a configuration with an idle time above 30 s would have had connections closed that callers still reuse; the fleet had an error type of its own for the daemon's start; histograms had no service. Change: fleet_plan, model_demand, adapter_steps, directed_engine, wait_guard; HttpServer::set_limits; one StartError. Tests: set_limits_for_connections_from_then_on, close_after_answers_serves_newcomers.

--- a/crates/wheel_ctl/src/request_story.rs
+++ b/crates/wheel_ctl/src/request_story.rs
@@ -4,21 +4,8 @@
 
 /// Time before a request's end within which decisions on its model and its surroundings belong to it.
 const STORY_SPAN: SignedDuration = SignedDuration::from_secs(20);
-/// Events that tell of what a request needs beside itself: orders, waits, members, dependencies.
-const CONTEXT_EVENTS: [&str; 12] = [
-    "order_sent",
-    "placement_backlog",
-    "directing_began",
-    "directing_ended",
-    "control_lost",
-    "control_regained",
-    "list_lost",
-    "list_regained",
-    "report_lost",
-    "config_in_force",
-    "instance_started",
-    "drain_started",
-];
+/// Events that belong to a request if they name its model or its upstreams.
+const NAMED_EVENTS: [&str; 3] = ["order_sent", "placement_backlog", "report_lost"];
 /// Events of the surroundings that count whatever they name.
 const UNNAMED_EVENTS: [&str; 9] = [
     "directing_began",
@@ -96,9 +83,8 @@
 
 fn explains(line: &str, end: Timestamp, names: &[&str]) -> bool {
     let event = field(line, "event").unwrap_or_default();
-    let Some(time) = time_of(line).filter(|_| CONTEXT_EVENTS.contains(&event)) else {
-        return false;
-    };
-    let is_near = time <= end && end.duration_since(time) <= STORY_SPAN;
-    is_near && (UNNAMED_EVENTS.contains(&event) || names.iter().any(|name| line.contains(name)))
+    let is_named = || names.iter().any(|name| line.contains(name));
+    let belongs = UNNAMED_EVENTS.contains(&event) || NAMED_EVENTS.contains(&event) && is_named();
+    let Some(time) = time_of(line).filter(|_| belongs) else { return false };
+    time <= end && end.duration_since(time) <= STORY_SPAN
 }
--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -26,8 +26,8 @@
 use crate::fleet_entry::{follow_seeds, status_answer};
 use crate::fleet_parts::{LIST_INTERVAL, bind_fleet_hub};
 use crate::fleet_router::{FleetRouter, RouterParts};
-use crate::running_fleet::{ControlSnafu, FleetStartError};
-use crate::{FleetDialects, FleetRole, FleetSettings, OperatorCall, OperatorDialect};
+use crate::running_daemon::{ControlSnafu, ListenSnafu};
+use crate::{FleetDialects, FleetRole, FleetSettings, OperatorCall, OperatorDialect, StartError};
 
 /// Time between two syncs with the leader.
 const SYNC_INTERVAL: Duration = Duration::from_millis(200);
@@ -59,9 +59,9 @@
     pub(crate) async fn spawn(
         settings: &FleetSettings,
         dialects: &FleetDialects,
-    ) -> Result<Self, FleetStartError> {
+    ) -> Result<Self, StartError> {
         let FleetRole::Control { operators, folder, may_form, voters } = &settings.role else {
-            return Err(FleetStartError::WrongRole);
+            return Err(StartError::WrongRole);
         };
         let router = FleetRouter::default();
         let hub = bind_fleet_hub(settings, router.clone())?;
@@ -226,12 +226,12 @@
     address: SocketAddr,
     desk: Arc<ConfigDesk>,
     dialect: Arc<dyn OperatorDialect>,
-) -> Result<HttpServer, FleetStartError> {
+) -> Result<HttpServer, StartError> {
     let limits = HttpLimits::default();
     let server = HttpServer::bind(address, limits.clone(), move |request| {
         answer_operator(Arc::clone(&desk), Arc::clone(&dialect), limits.clone(), request)
     });
-    Ok(server.await?)
+    server.await.context(ListenSnafu)
 }
 
 async fn answer_operator(
--- a/crates/wheel_daemon/src/fleet_entry.rs
+++ b/crates/wheel_daemon/src/fleet_entry.rs
@@ -6,6 +6,7 @@
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use snafu::ResultExt;
 use spdlog::{error, info};
 use wheel_entry::{AnswerBody, HttpLimits, HttpServer, full_body};
 use wheel_gateway::{FleetState, PathSettings, RequestPath};
@@ -15,8 +16,8 @@
 
 use crate::fleet_parts::{LIST_INTERVAL, bind_fleet_hub};
 use crate::fleet_router::FleetRouter;
-use crate::running_fleet::FleetStartError;
-use crate::{FleetDialects, FleetRole, FleetSettings, OperatorCall};
+use crate::running_daemon::ListenSnafu;
+use crate::{FleetDialects, FleetRole, FleetSettings, OperatorCall, StartError};
 
 /// Time between two syncs with a control instance: a change of what engines hold is known within it.
 const SYNC_INTERVAL: Duration = Duration::from_millis(200);
@@ -30,6 +31,8 @@
 /// Share of the deployment's retries that the entries use together: each counts by itself, and the
 /// windows of the rule aren't aligned with theirs.
 const RETRY_SHARE: f64 = 0.7;
+/// Room for what is read beyond a head of the largest size.
+const HEAD_ROOM_BYTES: usize = 8 << 10;
 /// Entries that are assumed for the shared reserve.
 const ASSUMED_ENTRIES: f64 = 10.0;
 
@@ -44,9 +47,9 @@
     pub(crate) async fn spawn(
         settings: &FleetSettings,
         dialects: &FleetDialects,
-    ) -> Result<Self, FleetStartError> {
+    ) -> Result<Self, StartError> {
         let FleetRole::Entry { callers, readiness } = settings.role else {
-            return Err(FleetStartError::WrongRole);
+            return Err(StartError::WrongRole);
         };
         let state: Arc<FleetState> = Arc::default();
         let hub = bind_fleet_hub(settings, FleetRouter::default())?;
@@ -67,7 +70,9 @@
         let limits = HttpLimits::default();
         let callers =
             HttpServer::bind(callers, limits.clone(), move |request| path.clone().answer(request))
-                .await?;
+                .await
+                .context(ListenSnafu)?;
+        follow_limits(&state, callers.clone());
         let is_draining: Arc<AtomicBool> = Arc::default();
         let (draining, operator) = (Arc::clone(&is_draining), Arc::clone(&dialects.operator));
         HttpServer::bind(readiness, limits, move |request: Request<Incoming>| {
@@ -80,7 +85,8 @@
             };
             std::future::ready(status_answer(status))
         })
-        .await?;
+        .await
+        .context(ListenSnafu)?;
         Ok(Self { callers, is_draining, grace: settings.bounds.grace })
     }
 
@@ -95,6 +101,24 @@
     }
 }
 
+/// Bounds callers' connections as the configuration in force says. A connection that waits for its next
+/// request may do so for the idle time, which bounds a request's head as well.
+fn follow_limits(state: &Arc<FleetState>, callers: HttpServer) {
+    let mut configs = state.watch_config();
+    tokio::spawn(async move {
+        while configs.changed().await.is_ok() {
+            let Some(active) = configs.borrow_and_update().clone() else { continue };
+            let ingress = active.config.limits;
+            callers.set_limits(HttpLimits {
+                header_timeout: ingress.idle_time.max(ingress.header_time),
+                header_bytes: ingress.header_bytes + HEAD_ROOM_BYTES,
+                body_bytes: ingress.body_bytes,
+                ..HttpLimits::default()
+            });
+        }
+    });
+}
+
 /// Whether requests can be served: there is a configuration and a fleet.
 fn is_able(state: &FleetState) -> bool {
     state.config().is_some() && !state.view().engines.is_empty()
--- a/crates/wheel_daemon/src/fleet_parts.rs
+++ b/crates/wheel_daemon/src/fleet_parts.rs
@@ -9,9 +9,9 @@
 use wheel_peer::{PeerHub, PeerSecret, PeerSettings};
 use wheel_types::{IncarnationId, InstanceName};
 
-use crate::FleetSettings;
 use crate::fleet_router::FleetRouter;
-use crate::running_fleet::{FleetStartError, PeerSnafu};
+use crate::running_daemon::PeerSnafu;
+use crate::{FleetSettings, StartError};
 
 /// Time between two readings of the list of upstreams: with its lag and the way to the entries it stays
 /// well under the time in which a leaving upstream must get no more work.
@@ -23,7 +23,7 @@
 pub(crate) fn bind_fleet_hub(
     settings: &FleetSettings,
     router: FleetRouter,
-) -> Result<PeerHub, FleetStartError> {
+) -> Result<PeerHub, StartError> {
     let name = InstanceName::from(settings.peer.to_string().as_str());
     let peer = PeerSettings::new(FLEET_GROUP, name, Handle::current())
         .incarnation(IncarnationId(rand::rng().random()))
--- a/crates/wheel_daemon/src/lib.rs
+++ b/crates/wheel_daemon/src/lib.rs
@@ -50,6 +50,6 @@
 pub use peer_router::PeerRouter;
 pub use report_sender::ReportSender;
 pub use running_daemon::{RunningDaemon, StartError};
-pub use running_fleet::{FleetStartError, RunningFleet};
+pub use running_fleet::RunningFleet;
 pub use setting_fault::SettingFault;
 pub use settings_reader::{SettingsReader, SettingsRequest};
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -52,8 +52,9 @@
 /// Share of the lease's term by which the holder's authority ends before the grants do.
 const MARGIN_DIVISOR: u32 = 10;
 
-/// Why the daemon couldn't start.
+/// Why an instance couldn't start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum StartError {
     /// An address can't be listened on.
     #[snafu(display("{source}"))]
@@ -79,6 +80,9 @@
         /// The recorder's error.
         reason: String,
     },
+    /// A part was opened with another role's settings.
+    #[snafu(display("the settings don't fit the role"))]
+    WrongRole,
 }
 
 /// A daemon that serves.
--- a/crates/wheel_daemon/src/running_fleet.rs
+++ b/crates/wheel_daemon/src/running_fleet.rs
@@ -1,49 +1,14 @@
 //! Runs an instance of a discovered fleet until it is drained.
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use snafu::Snafu;
+use snafu::ResultExt;
 use spdlog::info;
-use wheel_control::ControlError;
-use wheel_entry::{HttpError, HttpLimits, HttpServer, full_body};
-use wheel_peer::PeerError;
+use wheel_entry::{HttpLimits, HttpServer, full_body};
 
 use crate::fleet_control::FleetControl;
 use crate::fleet_entry::FleetEntry;
-use crate::running_daemon::HISTOGRAM_BUCKETS_S;
-use crate::{FleetDialects, FleetRole, FleetSettings};
-
-/// Why an instance couldn't start.
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub enum FleetStartError {
-    /// An address can't be listened on.
-    #[snafu(display("{source}"), context(false))]
-    Listen {
-        /// The server's error.
-        source: HttpError,
-    },
-    /// The port for other instances can't be listened on.
-    #[snafu(display("{source}"))]
-    Peer {
-        /// The hub's error.
-        source: PeerError,
-    },
-    /// The replicated log can't be opened.
-    #[snafu(display("{source}"))]
-    Control {
-        /// The log's error.
-        source: ControlError,
-    },
-    /// The recorder of metrics can't be installed.
-    #[snafu(display("metrics can't be recorded: {reason}"))]
-    Metrics {
-        /// The recorder's error.
-        reason: String,
-    },
-    /// The settings don't fit the role.
-    #[snafu(display("the settings don't fit the role"))]
-    WrongRole,
-}
+use crate::running_daemon::{HISTOGRAM_BUCKETS_S, ListenSnafu};
+use crate::{FleetDialects, FleetRole, FleetSettings, StartError};
 
 /// A running instance.
 pub struct RunningFleet {
@@ -59,15 +24,15 @@
     /// Starts every part that the role needs.
     ///
     /// # Errors
-    /// [`FleetStartError`] if one can't start.
+    /// [`StartError`] if one can't start.
     pub async fn spawn(
         settings: FleetSettings,
         dialects: FleetDialects,
-    ) -> Result<Self, FleetStartError> {
+    ) -> Result<Self, StartError> {
         let recorder = PrometheusBuilder::new()
             .set_buckets(&HISTOGRAM_BUCKETS_S)
             .and_then(PrometheusBuilder::install_recorder)
-            .map_err(|error| FleetStartError::Metrics { reason: error.to_string() })?;
+            .map_err(|error| StartError::Metrics { reason: error.to_string() })?;
         if let Some(address) = settings.metrics {
             bind_metrics(address, recorder).await?;
         }
@@ -100,10 +65,11 @@
 async fn bind_metrics(
     address: std::net::SocketAddr,
     recorder: PrometheusHandle,
-) -> Result<(), FleetStartError> {
+) -> Result<(), StartError> {
     HttpServer::bind(address, HttpLimits::default(), move |_| {
         std::future::ready(http::Response::new(full_body(recorder.render())))
     })
-    .await?;
+    .await
+    .context(ListenSnafu)?;
     Ok(())
 }
--- a/crates/wheel_entry/src/http_server.rs
+++ b/crates/wheel_entry/src/http_server.rs
@@ -13,6 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use parking_lot::Mutex;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -83,6 +84,8 @@
     address: SocketAddr,
     accepting: CancellationToken,
     draining: CancellationToken,
+    /// Bounds of connections that are accepted from now on.
+    limits: Arc<Mutex<HttpLimits>>,
     /// Whether each answer ends its connection.
     closing: Arc<AtomicBool>,
     connections: TaskTracker,
@@ -108,6 +111,7 @@
             address,
             accepting: CancellationToken::new(),
             draining: CancellationToken::new(),
+            limits: Arc::new(Mutex::new(limits.clone())),
             closing: Arc::default(),
             connections: TaskTracker::new(),
         };
@@ -120,6 +124,12 @@
         self.address
     }
 
+    /// Changes the bounds on what a connection may send and take, for those that are accepted from now on;
+    /// the number of connections stays.
+    pub fn set_limits(&self, limits: HttpLimits) {
+        *self.limits.lock() = limits;
+    }
+
     /// Goes on accepting, and tells each caller with its answer that the connection ends.
     pub fn close_after_answers(&self) {
         self.closing.store(true, Ordering::Release);
@@ -150,6 +160,7 @@
                 tokio::time::sleep(ACCEPT_RETRY).await;
                 continue;
             };
+            let limits = self.limits.lock().clone();
             if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
                 let connection =
                     self.clone().serve_connection(stream, permit, limits.clone(), answer.clone());
--- a/crates/wheel_entry/tests/http_server.rs
+++ b/crates/wheel_entry/tests/http_server.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::expect_used)]
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http::Response;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -50,3 +51,29 @@
         }
     }
 }
+
+#[tokio::test]
+async fn set_limits_for_connections_from_then_on() {
+    let server = bind(4).await;
+    let limits = HttpLimits { header_timeout: Duration::from_millis(100), ..HttpLimits::default() };
+    let mut before = TcpStream::connect(server.local_addr()).await.expect("a connection");
+    assert!(exchange(&mut before, "here").await.starts_with("HTTP/1.1 200"));
+    server.set_limits(limits);
+    let mut after = TcpStream::connect(server.local_addr()).await.expect("a connection");
+    after.write_all(b"GET / HTTP/1.1\r\n").await.expect("half a head");
+    let mut rest = Vec::new();
+    let closed = tokio::time::timeout(Duration::from_secs(5), after.read_to_end(&mut rest)).await;
+    closed.expect("a head that doesn't end is given up").expect("the connection ends");
+    assert!(exchange(&mut before, "here").await.starts_with("HTTP/1.1 200"));
+}
+
+#[tokio::test]
+async fn close_after_answers_serves_newcomers() {
+    // A drain that is announced first: whoever still comes is served, and told not to come again.
+    let server = bind(4).await;
+    server.close_after_answers();
+    let mut late = TcpStream::connect(server.local_addr()).await.expect("a connection");
+    let answer = exchange(&mut late, "here").await;
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer}");
+    assert_eq!(late.read(&mut [0; 16]).await.expect("an end"), 0);
+}
--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod request_run;
 mod resumed_stream;
 mod upstream_table;
+mod wait_guard;
 
 pub use active_config::ActiveConfig;
 pub use event_splitter::EventSplitter;
--- a/crates/wheel_gateway/src/request_log.rs
+++ b/crates/wheel_gateway/src/request_log.rs
@@ -15,6 +15,7 @@
 pub(crate) struct RequestLog {
     id: RequestId,
     route: Arc<RouteSpec>,
+    service: Arc<str>,
     /// The model that is asked for, with its adapter.
     model: String,
     arrival: Instant,
@@ -46,6 +47,7 @@
         };
         Self {
             id: ask.id.clone(),
+            service: "-".into(),
             model,
             route,
             arrival,
@@ -61,6 +63,11 @@
         }
     }
 
+    /// Notes which service the request is for.
+    pub(crate) fn set_service(&mut self, service: &Arc<str>) {
+        self.service = Arc::clone(service);
+    }
+
     /// Notes that the request was sent to an upstream.
     pub(crate) fn sent(&mut self, engine: &Arc<str>) {
         self.engine = Arc::clone(engine);
@@ -78,8 +85,8 @@
         self.events += 1;
         if self.first_ms.is_none() {
             self.first_ms = Some(self.arrival.elapsed().as_millis());
-            let rank = self.route.rank.to_string();
-            histogram!("wheel_first_event_seconds", "rank" => rank)
+            let (rank, service) = (self.route.rank.to_string(), self.service.to_string());
+            histogram!("wheel_first_event_seconds", "rank" => rank, "service" => service)
                 .record(self.arrival.elapsed().as_secs_f64());
         }
     }
@@ -106,12 +113,14 @@
         }
         let status = self.status.map_or(0, |status| status.as_u16());
         let took = self.arrival.elapsed();
-        let rank = self.route.rank.to_string();
+        let (rank, service) = (self.route.rank.to_string(), self.service.to_string());
         counter!("wheel_requests_total", "status" => status.to_string(), "reason" => self.reason)
             .increment(1);
-        histogram!("wheel_request_seconds", "rank" => rank).record(took.as_secs_f64());
+        histogram!("wheel_request_seconds", "rank" => rank, "service" => service)
+            .record(took.as_secs_f64());
         info!("request_ended", kv: {
             id = self.id.as_str(), route = self.route.name.to_string(),
+            service = self.service.to_string(),
             model = self.model.as_str(), upstream = self.engine.to_string(), sends = self.sends,
             status = status, reason = self.reason, events = self.events,
             first_ms = self.first_ms.unwrap_or_default(),
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -19,6 +19,7 @@
 use crate::request_log::RequestLog;
 use crate::request_path::{PathParts, refusal};
 use crate::resumed_stream::ResumedStream;
+use crate::wait_guard::WaitGuard;
 use crate::{ActiveConfig, AnswerMark, IngressRequest, LoadGuard, SendMark};
 
 /// Time to connect to an upstream: three round trips between data centres and a busy machine's turn.
@@ -92,9 +93,10 @@
         head: Parts,
         body: Bytes,
         deadline: Instant,
-        log: RequestLog,
+        mut log: RequestLog,
     ) -> Self {
         let service = route.pick_service(rand::rng().random()).cloned().unwrap_or_default();
+        log.set_service(&service);
         parts.retries.lock().record_request(&UpstreamName::from(&*service));
         Self {
             parts,
@@ -196,7 +198,7 @@
                 None => return Err(self.none("no_upstream", ROOM_RETRY)),
                 Some(key) => {
                     let wait_end = self.wait_end(&key, notice_end)?;
-                    waiting.get_or_insert_with(|| WaitGuard::begin(&self.parts, key));
+                    waiting.get_or_insert_with(|| WaitGuard::begin(&self.parts.state, key));
                     wait_end
                 }
             };
@@ -467,25 +469,6 @@
     Broken,
 }
 
-/// Counts a request that waits for a load until it is dropped.
-struct WaitGuard {
-    parts: Arc<PathParts>,
-    key: DemandKey,
-}
-
-impl WaitGuard {
-    fn begin(parts: &Arc<PathParts>, key: DemandKey) -> Self {
-        parts.state.count_waiting(&key, 1);
-        Self { parts: Arc::clone(parts), key }
-    }
-}
-
-impl Drop for WaitGuard {
-    fn drop(&mut self) {
-        self.parts.state.count_waiting(&self.key, -1);
-    }
-}
-
 /// The engine's urgency for a rank: every second number, so that others fit between.
 fn urgency_of(rank: u8) -> u8 {
     rank.saturating_mul(2).saturating_add(1).min(9)
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -10,14 +10,13 @@
 use spdlog::info;
 use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior};
-use wheel_lease::{HeldAccount, LoadWindow, OrderTime};
+use wheel_lease::{LoadWindow, OrderTime};
 use wheel_policy::{DemandBook, FleetPlanner, PlanEngine, PlanInput, PlanStep, StorePace};
-use wheel_route::{
-    EngineCard, EngineId, EngineProfile, FleetConfig, HeldModel, LoadCount, UpstreamState,
-};
+use wheel_route::{EngineId, EngineProfile, FleetConfig, HeldModel, LoadCount};
 use wheel_types::{HeldChange, MonotonicTime};
 use wheel_upstream::{ConnectionLimits, DirectClient, OrderCall};
 
+use crate::directed_engine::{DirectedEngine, ReadState, plan_engine, read_engine};
 use crate::directing_right::{FIRST_TERM, TermPermit};
 use crate::{DirectingRight, FleetBoard, FleetDialect, FleetOrder, ListWatch, boot_now};
 
@@ -26,16 +25,10 @@
 /// Time between two rounds at the least: what is urgent comes from many entries at once, and a round looks at
 /// every model and engine.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
-/// Time that a report may take.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Reports are some hundred milliseconds old: a finished order shows only after that.
 const REPORT_LAG: Duration = Duration::from_millis(250);
 /// Added to the stated time of an order that is taken as done without a report.
 const ORDER_MARGIN: Duration = Duration::from_millis(30);
-/// Pause after a report that didn't come, and between reports while an order takes longer than expected.
-const REPORT_PAUSE: Duration = Duration::from_millis(250);
-/// Time without reports after which an engine counts as gone for placement.
-const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Time for an order's connection, and for its answer.
 const ORDER_CONNECT: Duration = Duration::from_millis(400);
 const ORDER_LIFE: Duration = Duration::from_millis(1_500);
@@ -66,21 +59,6 @@
     pub store_burst: f64,
 }
 
-/// One engine with its account.
-struct DirectedEngine {
-    card: EngineCard,
-    account: Mutex<HeldAccount>,
-    client: DirectClient,
-    reads: Mutex<ReadState>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct ReadState {
-    /// No report is asked for before.
-    next: Instant,
-    failing_since: Option<Instant>,
-}
-
 /// Directs the engines of all services while this instance has the right.
 pub struct FleetDirector {
     parts: DirectorParts,
@@ -380,63 +358,3 @@
         self.parts.board.set_held(Some((held, loading)));
     }
 }
-
-async fn read_engine(engine: &DirectedEngine, dialect: &dyn FleetDialect) {
-    let asked = engine.client.ask(dialect.report(&engine.card.id), REPORT_TIMEOUT).await;
-    let read = match asked {
-        Ok((status, body)) if status.is_success() => dialect.read_report(&body),
-        Ok((status, _)) => Err(format!("status {status}")),
-        Err(failure) => Err(failure.to_string()),
-    };
-    let mut reads = engine.reads.lock();
-    reads.next = Instant::now() + REPORT_PAUSE;
-    match read {
-        Ok(reading) if engine.card.id.born == 0 || reading.born == engine.card.id.born => {
-            reads.failing_since = None;
-            drop(reads);
-            let names = |names: &[Arc<str>]| names.join(",");
-            let models: Vec<Arc<str>> =
-                reading.models.iter().map(|entry| Arc::clone(&entry.model)).collect();
-            info!("engine_read", kv: {
-                upstream = engine.card.id.name.to_string(), accepted = reading.accepted,
-                busy = reading.is_busy, models = names(&models),
-                in_memory = names(&reading.in_memory), on_disk = names(&reading.on_disk)
-            });
-            engine.account.lock().observe(reading);
-        }
-        Ok(reading) => info!("report_of_another_start", kv: {
-            upstream = engine.card.id.name.to_string(), born = reading.born
-        }),
-        Err(reason) => {
-            if reads.failing_since.is_none() {
-                reads.failing_since = Some(Instant::now());
-                info!("report_lost", kv: {
-                    upstream = engine.card.id.name.to_string(), reason:? = reason
-                });
-            }
-        }
-    }
-}
-
-fn plan_engine(engine: &DirectedEngine, loads: &[LoadCount]) -> PlanEngine {
-    let account = engine.account.lock();
-    let failing = engine.reads.lock().failing_since;
-    let is_silent = failing.is_some_and(|since| since.elapsed() > SILENCE_LIMIT);
-    let reading = account.reading();
-    let load = loads.iter().find(|load| load.engine == engine.card.id);
-    let is_leaving = reading.is_some_and(|reading| reading.is_leaving);
-    PlanEngine {
-        is_read: reading.is_some(),
-        id: engine.card.id.clone(),
-        centre: Arc::clone(&engine.card.centre),
-        is_free: account.is_free(),
-        takes_work: engine.card.state == UpstreamState::Ready && !is_silent && !is_leaving,
-        possible: account.possible_models(),
-        usable: account.usable().into_iter().map(|entry| entry.model).collect(),
-        fresh: account.fresh_models().cloned().collect(),
-        adapters: account.possible_adapters(),
-        in_memory: reading.map(|reading| reading.in_memory.clone()).unwrap_or_default(),
-        on_disk: reading.map(|reading| reading.on_disk.clone()).unwrap_or_default(),
-        active: load.map_or(0, |load| load.active),
-    }
-}
--- a/crates/wheel_placement/src/lib.rs
+++ b/crates/wheel_placement/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod boot_clock;
 mod config_desk;
+mod directed_engine;
 mod directing_right;
 mod fleet_board;
 mod fleet_dialect;
--- /dev/null
+++ b/crates/wheel_policy/src/adapter_steps.rs
@@ -0,0 +1,78 @@
+//! Where adapters are loaded.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wheel_route::DemandKey;
+use wheel_types::HeldChange;
+
+use crate::fleet_planner::free_mb;
+use crate::model_demand::HORIZON_S;
+use crate::{PlanInput, PlanStep};
+
+/// Rate from which an adapter should stand on a second engine, in requests a second.
+const SPARE_ADAPTER_RATE: f64 = 1.0;
+
+/// Adapters that are asked for where their model stands.
+pub(crate) fn plan_adapters(input: &PlanInput<'_>, taken: &mut BTreeSet<usize>) -> Vec<PlanStep> {
+    let mut steps = Vec::new();
+    let asked = input.demand.iter().filter(|(key, _)| key.adapter.is_some());
+    let mut asked: Vec<(&DemandKey, f64, u32)> =
+        asked.map(|(key, level)| (key, level.rate, level.waiting)).collect();
+    asked.sort_by(|left, right| right.2.cmp(&left.2).then(right.1.total_cmp(&left.1)));
+    for (key, rate, waiting) in asked {
+        let Some(adapter) = &key.adapter else { continue };
+        let pair = (Arc::clone(&key.model), Arc::clone(adapter));
+        let holders = input.engines.iter().filter(|engine| engine.adapters.contains(&pair)).count();
+        let wanted = if rate >= SPARE_ADAPTER_RATE { 2 } else { 1 };
+        if holders >= wanted || (holders > 0 && waiting == 0 && rate < SPARE_ADAPTER_RATE) {
+            continue;
+        }
+        let Some((place, change)) = find_adapter_place(input, &pair, taken, waiting > 0) else {
+            continue;
+        };
+        taken.insert(place);
+        let engine = input.engines[place].id.clone();
+        let takes = Duration::from_millis(20);
+        let gain = f64::from(waiting) + rate * HORIZON_S;
+        steps.push(PlanStep { engine, change, takes, from_store: false, gain });
+    }
+    steps
+}
+
+/// Where an adapter is loaded, or what makes way for it there.
+fn find_adapter_place(
+    input: &PlanInput<'_>,
+    pair: &(Arc<str>, Arc<str>),
+    taken: &BTreeSet<usize>,
+    is_waited_for: bool,
+) -> Option<(usize, HeldChange)> {
+    let places = input.engines.iter().enumerate().filter(|(place, engine)| {
+        engine.is_free
+            && engine.takes_work
+            && !taken.contains(place)
+            && engine.usable.contains(&pair.0)
+    });
+    let rate_of = |held: &(Arc<str>, Arc<str>)| {
+        let found = input
+            .demand
+            .iter()
+            .find(|(key, _)| key.model == held.0 && key.adapter.as_ref() == Some(&held.1));
+        found.map_or(0.0, |(_, level)| level.rate)
+    };
+    let mb = input.profile.model(&pair.0)?.adapter_mb;
+    let (place, engine) =
+        places.min_by_key(|(_, engine)| (engine.adapters.len(), engine.active))?;
+    let has_place = engine.adapters.len() < input.profile.adapter_slots;
+    match has_place && free_mb(input.profile, engine) >= mb {
+        true => Some((place, HeldChange::LoadAdapter(Arc::clone(&pair.0), Arc::clone(&pair.1)))),
+        false if !is_waited_for => None,
+        false => {
+            let least = engine.adapters.iter();
+            let least = least.min_by(|left, right| rate_of(left).total_cmp(&rate_of(right)))?;
+            let (model, adapter) = least.clone();
+            Some((place, HeldChange::UnloadAdapter(model, adapter)))
+        }
+    }
+}
--- a/crates/wheel_policy/src/fleet_planner.rs
+++ b/crates/wheel_policy/src/fleet_planner.rs
@@ -4,25 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wheel_route::{DemandKey, EngineId, EngineProfile, ModelProfile};
+use wheel_route::{EngineId, EngineProfile, ModelProfile};
 use wheel_types::{HeldChange, MonotonicTime};
 
-use crate::DemandLevel;
+use crate::adapter_steps::plan_adapters;
+use crate::model_demand::{ModelDemand, SPREAD_RATE};
+use crate::{FleetPlan, PlanEngine, PlanInput, PlanStep};
 
-/// Time over which demand is weighed against what is lost: about two loads from the store.
-const HORIZON_S: f64 = 10.0;
-/// What a further replica of a model is worth where the others aren't over full, against the first: it
-/// only shortens queues and covers a lost engine.
-const SPARE_WORTH: f64 = 0.15;
-/// What a further replica is worth where the others are over full.
-const NEEDED_WORTH: f64 = 0.5;
-/// Rate from which a model should have a second replica, in requests a second.
-const SPARE_RATE: f64 = 0.5;
-/// What a copy in a data centre that has none is worth, against the first: a data centre that is cut off goes
-/// on with what it holds, and no request has to leave its own.
-const SPREAD_WORTH: f64 = 0.05;
-/// Rate from which a model should have a copy in each data centre, in requests a second.
-const SPREAD_RATE: f64 = 1.0;
 /// Share of an engine's slots that a model's requests may fill before another replica is needed.
 const TARGET_FILL: f64 = 0.4;
 /// How much more a model must be worth than what it displaces, so that two don't displace each other.
@@ -33,8 +21,6 @@
 const LOAD_COST_PER_S: f64 = 0.1;
 /// How long freed room is kept for the model that it was freed for.
 const INTENT_LIFE: Duration = Duration::from_secs(4);
-/// Rate from which an adapter should stand on a second engine, in requests a second.
-const SPARE_ADAPTER_RATE: f64 = 1.0;
 
 /// What a model is worth that nobody has asked for yet: less than any that was asked for lately, more than
 /// what stands twice or has a copy on the disk and isn't asked for.
@@ -50,76 +36,6 @@
 /// Time until an engine is free to load a model from its memory or disk.
 const TURN_TIME: Duration = Duration::from_millis(1_000);
 
-/// One engine as the planner sees it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PlanEngine {
-    /// Which engine.
-    pub id: EngineId,
-    /// Its data centre.
-    pub centre: Arc<str>,
-    /// Whether an order may be sent to it now.
-    pub is_free: bool,
-    /// Whether it takes requests.
-    pub takes_work: bool,
-    /// Whether it has said what it holds, copies included.
-    pub is_read: bool,
-    /// Models that are there or may come to be there; they count against its memory.
-    pub possible: Vec<Arc<str>>,
-    /// Models that requests may be sent for.
-    pub usable: Vec<Arc<str>>,
-    /// Models that were loaded a moment ago: they stay.
-    pub fresh: Vec<Arc<str>>,
-    /// Adapters that are there or may come to be there, with their models.
-    pub adapters: Vec<(Arc<str>, Arc<str>)>,
-    /// Models with a copy in its memory.
-    pub in_memory: Vec<Arc<str>>,
-    /// Models with a copy on its disk.
-    pub on_disk: Vec<Arc<str>>,
-    /// Requests under way there.
-    pub active: u32,
-}
-
-/// One step of the plan.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PlanStep {
-    /// The engine.
-    pub engine: EngineId,
-    /// The change.
-    pub change: HeldChange,
-    /// How long it should take.
-    pub takes: Duration,
-    /// Whether it takes a load from the weight store.
-    pub from_store: bool,
-    /// What it gains, in requests.
-    pub gain: f64,
-}
-
-/// What the planner decides by.
-pub struct PlanInput<'a> {
-    /// The time.
-    pub now: MonotonicTime,
-    /// What the engines take.
-    pub profile: &'a EngineProfile,
-    /// The engines of one service.
-    pub engines: &'a [PlanEngine],
-    /// Demand for that service.
-    pub demand: &'a BTreeMap<DemandKey, DemandLevel>,
-    /// Loads from the store that may begin now.
-    pub store_room: usize,
-    /// Loads from the store that run at once at the most.
-    pub store_limit: usize,
-}
-
-/// What to do now, and what has to wait.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct FleetPlan {
-    /// The steps, at most one for each engine.
-    pub steps: Vec<PlanStep>,
-    /// Models that are asked for and wait for the store or an engine, with the time until they should be
-    /// there.
-    pub backlog: Vec<(Arc<str>, Duration)>,
-}
-
 /// Decides by the demand of a service what its engines load and unload, one order for each engine at a time.
 ///
 /// First copies of models that are asked for go before further copies of busy ones, unless these are over
@@ -130,62 +46,6 @@
     intents: BTreeMap<EngineId, (Arc<str>, MonotonicTime)>,
 }
 
-/// Demand for one model.
-#[derive(Clone, Debug, Default)]
-struct ModelDemand {
-    rate: f64,
-    miss_rate: f64,
-    waiting: u32,
-    /// Copies that requests may be sent to.
-    usable: usize,
-    /// Copies that are there or come.
-    possible: usize,
-    /// Copies that the rate asks for.
-    needed: usize,
-    /// Copies that requests may be sent to, by data centre.
-    centres: BTreeMap<Arc<str>, usize>,
-    /// Data centres without a copy, there or on its way.
-    bare_centres: usize,
-}
-
-impl ModelDemand {
-    /// What one more copy gains.
-    fn gain(&self) -> f64 {
-        let worth = self.miss_rate * HORIZON_S;
-        match self.possible {
-            0 => f64::from(self.waiting) + worth,
-            copies if copies < self.needed => worth * NEEDED_WORTH / copies as f64,
-            1 if self.rate >= SPARE_RATE => worth * SPARE_WORTH,
-            _ if self.wants_spread() => worth * SPREAD_WORTH,
-            _ => 0.0,
-        }
-    }
-
-    /// Whether a data centre without a copy should get one.
-    fn wants_spread(&self) -> bool {
-        self.bare_centres > 0 && self.rate >= SPREAD_RATE
-    }
-
-    /// What the loss of the only copy in a data centre costs beside the loss of a copy.
-    fn centre_loss(&self, centre: &str) -> f64 {
-        match self.centres.get(centre) {
-            Some(1) if self.rate >= SPREAD_RATE => self.rate * HORIZON_S * SPREAD_WORTH,
-            _ => 0.0,
-        }
-    }
-
-    /// What the loss of one of its copies costs.
-    fn loss(&self) -> f64 {
-        let worth = self.miss_rate * HORIZON_S;
-        match self.usable {
-            0 | 1 => f64::from(self.waiting) + worth,
-            copies if copies <= self.needed => worth * NEEDED_WORTH / (copies - 1) as f64,
-            2 if self.rate >= SPARE_RATE => worth * SPARE_WORTH,
-            copies => worth * 0.02 / copies as f64,
-        }
-    }
-}
-
 /// A way to load a model.
 struct LoadWay {
     place: usize,
@@ -495,7 +355,7 @@
 }
 
 /// Megabytes that are certainly free.
-fn free_mb(profile: &EngineProfile, engine: &PlanEngine) -> f64 {
+pub(crate) fn free_mb(profile: &EngineProfile, engine: &PlanEngine) -> f64 {
     let size =
         |model: &str| profile.model(model).map_or(profile.weights_mb, |found| found.weights_mb);
     let adapter = |model: &str| profile.model(model).map_or(0.0, |found| found.adapter_mb);
@@ -531,66 +391,3 @@
     let least = candidates.min_by(|left, right| loss(left).total_cmp(&loss(right)))?;
     Some((Arc::clone(least), loss(least)))
 }
-
-/// Adapters that are asked for where their model stands.
-fn plan_adapters(input: &PlanInput<'_>, taken: &mut BTreeSet<usize>) -> Vec<PlanStep> {
-    let mut steps = Vec::new();
-    let asked = input.demand.iter().filter(|(key, _)| key.adapter.is_some());
-    let mut asked: Vec<(&DemandKey, f64, u32)> =
-        asked.map(|(key, level)| (key, level.rate, level.waiting)).collect();
-    asked.sort_by(|left, right| right.2.cmp(&left.2).then(right.1.total_cmp(&left.1)));
-    for (key, rate, waiting) in asked {
-        let Some(adapter) = &key.adapter else { continue };
-        let pair = (Arc::clone(&key.model), Arc::clone(adapter));
-        let holders = input.engines.iter().filter(|engine| engine.adapters.contains(&pair)).count();
-        let wanted = if rate >= SPARE_ADAPTER_RATE { 2 } else { 1 };
-        if holders >= wanted || (holders > 0 && waiting == 0 && rate < SPARE_ADAPTER_RATE) {
-            continue;
-        }
-        let Some((place, change)) = find_adapter_place(input, &pair, taken, waiting > 0) else {
-            continue;
-        };
-        taken.insert(place);
-        let engine = input.engines[place].id.clone();
-        let takes = Duration::from_millis(20);
-        let gain = f64::from(waiting) + rate * HORIZON_S;
-        steps.push(PlanStep { engine, change, takes, from_store: false, gain });
-    }
-    steps
-}
-
-/// Where an adapter is loaded, or what makes way for it there.
-fn find_adapter_place(
-    input: &PlanInput<'_>,
-    pair: &(Arc<str>, Arc<str>),
-    taken: &BTreeSet<usize>,
-    is_waited_for: bool,
-) -> Option<(usize, HeldChange)> {
-    let places = input.engines.iter().enumerate().filter(|(place, engine)| {
-        engine.is_free
-            && engine.takes_work
-            && !taken.contains(place)
-            && engine.usable.contains(&pair.0)
-    });
-    let rate_of = |held: &(Arc<str>, Arc<str>)| {
-        let found = input
-            .demand
-            .iter()
-            .find(|(key, _)| key.model == held.0 && key.adapter.as_ref() == Some(&held.1));
-        found.map_or(0.0, |(_, level)| level.rate)
-    };
-    let mb = input.profile.model(&pair.0)?.adapter_mb;
-    let (place, engine) =
-        places.min_by_key(|(_, engine)| (engine.adapters.len(), engine.active))?;
-    let has_place = engine.adapters.len() < input.profile.adapter_slots;
-    match has_place && free_mb(input.profile, engine) >= mb {
-        true => Some((place, HeldChange::LoadAdapter(Arc::clone(&pair.0), Arc::clone(&pair.1)))),
-        false if !is_waited_for => None,
-        false => {
-            let least = engine.adapters.iter();
-            let least = least.min_by(|left, right| rate_of(left).total_cmp(&rate_of(right)))?;
-            let (model, adapter) = least.clone();
-            Some((place, HeldChange::UnloadAdapter(model, adapter)))
-        }
-    }
-}
--- a/crates/wheel_policy/src/lib.rs
+++ b/crates/wheel_policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`DecisionLog`] keeps what was decided and why.
 
 mod adapter_pass;
+mod adapter_steps;
 mod checkpoint_source;
 mod cold_queue;
 mod decision_log;
@@ -23,12 +24,14 @@
 mod engine_router;
 mod eviction_choice;
 mod fleet_ledger;
+mod fleet_plan;
 mod fleet_planner;
 mod fleet_view;
 mod hedge_policy;
 mod idle_pass;
 mod load_candidate;
 mod load_pass;
+mod model_demand;
 mod moving_average;
 mod offer_answer;
 mod outlier_detector;
@@ -63,7 +66,8 @@
 pub use demand_view::{AdapterDemand, DemandView, ModelDemand, RankDemand};
 pub use engine_queue::EngineQueue;
 pub use engine_router::EngineRouter;
-pub use fleet_planner::{FleetPlan, FleetPlanner, PlanEngine, PlanInput, PlanStep};
+pub use fleet_plan::{FleetPlan, PlanEngine, PlanInput, PlanStep};
+pub use fleet_planner::FleetPlanner;
 pub use fleet_view::{EngineView, FleetView, PlacedAdapter, PlacedModel};
 pub use hedge_policy::{HedgeAnswer, HedgePolicy, HedgeQuery};
 pub use offer_answer::{OfferAnswer, RefusalReason, RefusedRequest};
