Make the test of detached control instances exact

Ruled out: ParentSync; its replies simply weren't counted yet. Change: the detached one is the only seed at first, the other is added after its reply, and the detached one must not be asked again over 30 replies (before: at most twice). Stricter; no bound is eased. Planted fault (instances are never left): the test fails.

--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -80,7 +80,7 @@
         centre: "here".into(),
         interval: Duration::from_millis(10),
     };
-    let sync = ParentSync::open(settings, own, &[cut_address, sound_address]);
+    let sync = ParentSync::open(settings, own, &[cut_address]);
     let replies: Arc<AtomicUsize> = Arc::default();
     let noted = Arc::clone(&replies);
     let take = move |end: SyncEnd| {
@@ -88,11 +88,28 @@
             noted.fetch_add(1, Ordering::SeqCst);
         }
     };
-    let running = tokio::spawn(sync.run(ask, take, std::future::pending));
-    while sound_calls.load(Ordering::SeqCst) < 30 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    let running = tokio::spawn(Arc::clone(&sync).run(ask, take, std::future::pending));
+    // The detached one is the only one known at first, so that it is certainly asked.
+    wait_for(&replies, 1).await;
+    sync.add_seeds(&[sound_address]);
+    wait_for(&sound_calls, 1).await;
+    let before = cut_calls.load(Ordering::SeqCst);
+    let heard = replies.load(Ordering::SeqCst);
+    wait_for(&replies, heard + 30).await;
     running.abort();
-    assert!(replies.load(Ordering::SeqCst) >= 30);
-    assert!(cut_calls.load(Ordering::SeqCst) <= 2, "it is left after its first reply");
+    assert_eq!(
+        cut_calls.load(Ordering::SeqCst),
+        before,
+        "it isn't asked again while another answers"
+    );
+}
+
+/// Waits until a counter has reached `count`, for ten seconds at most.
+async fn wait_for(counter: &AtomicUsize, count: usize) {
+    let reached = async {
+        while counter.load(Ordering::SeqCst) < count {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), reached).await.expect("the counter rises");
 }
