Keep what was taken in, spread returns, overflow into idle data centres

Cause, from each refusal and expiry of both traces printed with its engine's state: - both floods: all 30 lost questions had been taken in and expired at engines whose slots all ran questions that came later, of other callers. Fair turns among callers put a caller's later request behind everyone who comes fresh. Now the most urgent request of a rank starts at once when it or one behind it would otherwise miss its latest start. - flood of questions: returns were spaced by the share of a caller among those that wait at that moment, a few, while all twenty were booked, so they came back several times faster than served; those beyond ten minutes all came at ten minutes; and one data centre's four models filled its three engines while the other centres stood idle (bounds on replicas hold per centre).

Ruled out: slots kept for urgent work, floors (all slots ran questions), the store (no load waited).

Tests: three in engine_queue and one in placement_planner.

--- a/crates/wheel_policy/src/demand_view.rs
+++ b/crates/wheel_policy/src/demand_view.rs
@@ -24,6 +24,8 @@
     pub adapters: Vec<AdapterDemand>,
     /// Replicas in other data centres that take work and can be reached.
     pub elsewhere: u32,
+    /// Requests that wait in the queues of these.
+    pub queued_elsewhere: u32,
     /// Requests expected each hour from now on, from the forecast and the last arrivals.
     pub hourly_rate: f64,
     /// Requests expected within the time that a load takes, from the forecast alone.
@@ -63,6 +65,7 @@
             running: 0,
             adapters: Vec::new(),
             elsewhere: 0,
+            queued_elsewhere: 0,
             hourly_rate: 0.0,
             expected_soon: 0.0,
             worth: 1.0,
--- a/crates/wheel_policy/src/engine_queue.rs
+++ b/crates/wheel_policy/src/engine_queue.rs
@@ -21,6 +21,13 @@
 /// The shortest and the longest `retry_after`.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(600);
+/// Share of the longest `retry_after` over which those are spread who can't be booked within it.
+const SPREAD_SHARE: f64 = 0.5;
+/// Time before its latest start at which a request goes before its caller's turn, as a share of the
+/// time that requests hold a slot: until then a slot gets free with near certainty.
+const PRESSING_SHARE: f64 = 0.5;
+/// Requests of any rank, earliest deadline first, that are looked at for one that must start now.
+const PRESSING_LOOKS: usize = 64;
 /// Least share of the slots that an estimate grants a rank.
 const LEAST_SHARE: f64 = 0.01;
 
@@ -153,11 +160,13 @@
         self.advance(now);
         self.set_expired_aside(now);
         let index = self.next_rank()?;
-        let request = self.ranks[index].queue.peek()?;
-        if !self.kv_fits(request.kv_tokens) {
+        let queue = &self.ranks[index].queue;
+        let pressing = self.pressing(now, index);
+        let (caller, key) = pressing.or_else(|| queue.next_key())?;
+        if !self.kv_fits(queue.get(&caller, key)?.kv_tokens) {
             return None;
         }
-        let (_, request) = self.ranks[index].queue.pop()?;
+        let request = self.ranks[index].queue.take(&caller, key)?;
         self.start(&request);
         Some(request)
     }
@@ -288,7 +297,10 @@
             * state.queue.caller_share(&request.caller, request.weight);
         let spacing = Duration::from_secs_f64((cost_s / rate).min(MAX_RETRY_AFTER.as_secs_f64()));
         let booked = state.queue.book_return(&request.caller, now + excess, spacing);
-        let after = booked.since(now).mul_f64(jitter).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        let after = match booked.since(now) {
+            booked if booked < MAX_RETRY_AFTER => booked.mul_f64(jitter).max(MIN_RETRY_AFTER),
+            _ => MAX_RETRY_AFTER.mul_f64(1.0 - SPREAD_SHARE * self.random.next_unit()),
+        };
         state.queue.add_booking(&request.caller, now + after);
         after
     }
@@ -363,6 +375,25 @@
         owed.or(may_start.then_some(first))
     }
 
+    /// The most urgent request of a rank, if it or one behind it would come too late unless they
+    /// all start in order of their deadlines from now on: what was taken in because it could be
+    /// served in time isn't given up for callers who came later.
+    fn pressing(&self, now: MonotonicTime, index: usize) -> Option<(CallerName, FlowKey)> {
+        let own = self.due.iter().take(PRESSING_LOOKS).filter_map(|(due, id)| {
+            let place = self.places.get(id)?;
+            (place.rank.index() == index).then_some((due.0, place))
+        });
+        let own: Vec<(MonotonicTime, &QueuePlace)> = own.collect();
+        let slot_s = self.slot_time_s.value();
+        let slots = f64::from(self.settings.slots.max(1));
+        let presses = own.iter().enumerate().any(|(ahead, (due, _))| {
+            let turn_s = slot_s * (PRESSING_SHARE + ahead as f64 / slots);
+            *due <= now + Duration::from_secs_f64(turn_s)
+        });
+        let (_, first) = own.first().filter(|_| presses)?;
+        Some((first.caller.clone(), first.flow_key))
+    }
+
     fn free_slots(&self, rank: RequestRank) -> u32 {
         let used = self.running.len() as u32 + self.foreign;
         let kept = if rank.index() == 0 { 0 } else { self.settings.urgent_slots };
--- a/crates/wheel_policy/src/load_pass.rs
+++ b/crates/wheel_policy/src/load_pass.rs
@@ -99,6 +99,12 @@
                 let reason = PlacementReason::Busy { queued: demand.queued };
                 Some(Self::candidate(demand, LoadKind::Demand, value, load_s, reason))
             }
+            demand if Self::overflows(round, demand) => {
+                let served = demand.queued_elsewhere.min(Self::engine_slots(round));
+                let value = BUSY_SHARE * demand.worth * f64::from(served);
+                let reason = PlacementReason::Busy { queued: demand.queued_elsewhere };
+                Some(Self::candidate(demand, LoadKind::Demand, value, load_s, reason))
+            }
             demand
                 if demand.expected_soon > LEAST_EXPECTED && count.ready + demand.elsewhere == 0 =>
             {
@@ -366,6 +372,21 @@
         waits && ready.peek().is_some() && ready.all(full)
     }
 
+    /// Whether one of the most worthy models, that only other data centres have, is asked for beyond
+    /// what these serve soon, while slots are free here; less worthy ones wait where they are. Bounds on replicas hold in each data centre by itself, so a flood
+    /// on the models of one would leave the others idle.
+    fn overflows(round: &PlanRound<'_>, demand: &ModelDemand) -> bool {
+        let ready = round.ledger.replicas(&demand.model).ready;
+        let slots = f64::from(demand.elsewhere * Self::engine_slots(round));
+        let full = f64::from(demand.queued_elsewhere) > round.settings.queue_per_slot * slots;
+        let in_use =
+            |engine: &EngineView| -> u32 { engine.models.iter().map(|placed| placed.in_use).sum() };
+        let used: u32 = round.fleet.engines.iter().map(in_use).sum();
+        let own: u32 = round.fleet.engines.iter().map(|engine| engine.slots).sum();
+        let worthy = demand.worth >= round.text.top_worth();
+        ready == 0 && demand.elsewhere > 0 && worthy && full && used < own
+    }
+
     fn best_load_s(round: &PlanRound<'_>, model: &ModelName) -> f64 {
         let engines = round.fleet.engines.iter().enumerate();
         let able = engines.filter(|(index, _)| round.ledger.may_load(*index, model));
--- a/crates/wheel_policy/src/rank_queue.rs
+++ b/crates/wheel_policy/src/rank_queue.rs
@@ -25,9 +25,10 @@
     order: BTreeSet<(u64, CallerName)>,
     virtual_us: u64,
     active_weight: u64,
+    claim_weight: u64,
     waiting: usize,
     work: Duration,
-    booked: usize,
+    returns: BTreeMap<(MonotonicTime, u64), CallerName>,
     sequence: u64,
 }
 
@@ -40,6 +41,7 @@
     work: Duration,
     next_return: MonotonicTime,
     bookings: BTreeSet<(MonotonicTime, u64)>,
+    claimed: u64,
 }
 
 impl RankQueue {
@@ -76,7 +78,8 @@
         let flow = self.flows.get(caller);
         let own = flow.map_or(Duration::ZERO, |flow| flow.work);
         let own_booked = flow.map_or(0, |flow| flow.bookings.len());
-        let (own_booked, booked) = if returns { (0, 0) } else { (own_booked, self.booked) };
+        let booked = self.returns.len();
+        let (own_booked, booked) = if returns { (0, 0) } else { (own_booked, booked) };
         let own = own + cost * own_booked as u32;
         let active = flow.filter(|flow| !flow.requests.is_empty());
         let others = self.active_weight - active.map_or(0, |flow| u64::from(flow.weight));
@@ -86,37 +89,34 @@
 
     /// Whether `caller` was asked to come back about now; one such return is used up.
     pub(crate) fn take_booking(&mut self, now: MonotonicTime, caller: &CallerName) -> bool {
+        self.forget_returns(now);
         let Some(flow) = self.flows.get_mut(caller) else { return false };
-        while let Some((time, _)) = flow.bookings.first().copied() {
-            if time > now {
-                return false;
-            }
-            flow.bookings.pop_first();
-            self.booked -= 1;
-            if time + BOOKING_GRACE >= now {
-                return true;
-            }
-        }
-        false
+        let due = flow.bookings.first().copied().filter(|(time, _)| *time <= now);
+        let Some(booking) = due else { return false };
+        flow.bookings.remove(&booking);
+        self.returns.remove(&booking);
+        self.settle_claim(caller);
+        true
     }
 
     /// Remembers that `caller` was asked to come back at `time`.
     pub(crate) fn add_booking(&mut self, caller: &CallerName, time: MonotonicTime) {
         self.sequence += 1;
-        let sequence = self.sequence;
+        let booking = (time, self.sequence);
         let Some(flow) = self.flows.get_mut(caller) else { return };
         if flow.bookings.len() < MAX_BOOKINGS {
-            flow.bookings.insert((time, sequence));
-            self.booked += 1;
+            flow.bookings.insert(booking);
+            self.returns.insert(booking, caller.clone());
+            self.settle_claim(caller);
         }
     }
 
-    /// Share of the rank's service that `caller` gets while all who wait go on waiting.
+    /// Share of the rank's service that `caller` gets while all go on who wait now or were asked to
+    /// come back.
     pub(crate) fn caller_share(&self, caller: &CallerName, weight: u32) -> f64 {
         let weight = u64::from(weight.max(1));
-        let flow = self.flows.get(caller).filter(|flow| !flow.requests.is_empty());
-        let others = self.active_weight - flow.map_or(0, |flow| u64::from(flow.weight));
-        weight as f64 / (weight + others) as f64
+        let own = self.flows.get(caller).map_or(0, |flow| flow.claimed);
+        weight as f64 / (weight + self.claim_weight - own) as f64
     }
 
     /// Adds a request.
@@ -130,27 +130,33 @@
             flow.weight = request.weight.max(1);
             flow.tag_us = flow.tag_us.max(virtual_us);
             self.active_weight += u64::from(flow.weight);
-            self.order.insert((flow.tag_us, caller));
+            self.order.insert((flow.tag_us, caller.clone()));
         }
         flow.work += request.cost;
         flow.requests.insert(key, request);
+        self.settle_claim(&caller);
         self.forget_idle();
     }
 
-    /// The request that goes next.
-    pub(crate) fn peek(&self) -> Option<&QueuedRequest> {
+    /// Where the request that goes next waits.
+    pub(crate) fn next_key(&self) -> Option<(CallerName, FlowKey)> {
         let (_, caller) = self.order.first()?;
-        self.flows.get(caller)?.requests.values().next()
+        let key = *self.flows.get(caller)?.requests.keys().next()?;
+        Some((caller.clone(), key))
     }
 
-    /// Takes the request that goes next and charges its caller for it.
-    pub(crate) fn pop(&mut self) -> Option<(FlowKey, QueuedRequest)> {
-        let (tag_us, caller) = self.order.first()?.clone();
-        let key = *self.flows.get(&caller)?.requests.keys().next()?;
-        self.virtual_us = self.virtual_us.max(tag_us);
-        let request = self.remove(&caller, key)?;
-        self.charge(&caller, request.cost);
-        Some((key, request))
+    /// A request that waits.
+    pub(crate) fn get(&self, caller: &CallerName, key: FlowKey) -> Option<&QueuedRequest> {
+        self.flows.get(caller)?.requests.get(&key)
+    }
+
+    /// Takes a request to serve it now, and charges its caller for it.
+    pub(crate) fn take(&mut self, caller: &CallerName, key: FlowKey) -> Option<QueuedRequest> {
+        let (first_us, _) = self.order.first()?;
+        self.virtual_us = self.virtual_us.max(*first_us);
+        let request = self.remove(caller, key)?;
+        self.charge(caller, request.cost);
+        Some(request)
     }
 
     /// Takes out one request without charging for it.
@@ -164,6 +170,7 @@
             self.active_weight -= u64::from(flow.weight);
             self.order.remove(&(flow.tag_us, caller.clone()));
         }
+        self.settle_claim(caller);
         Some(request)
     }
 
@@ -193,15 +200,42 @@
         }
     }
 
+    /// Forgets the returns whose time has passed: their callers didn't come.
+    fn forget_returns(&mut self, now: MonotonicTime) {
+        while let Some(entry) = self.returns.first_entry() {
+            let booking = *entry.key();
+            if booking.0 + BOOKING_GRACE >= now {
+                return;
+            }
+            let caller = entry.remove();
+            if let Some(flow) = self.flows.get_mut(&caller) {
+                flow.bookings.remove(&booking);
+            }
+            self.settle_claim(&caller);
+        }
+    }
+
+    /// Counts a caller's weight among the claims while it waits or was asked to come back.
+    fn settle_claim(&mut self, caller: &CallerName) {
+        let Some(flow) = self.flows.get_mut(caller) else { return };
+        let claims = !(flow.requests.is_empty() && flow.bookings.is_empty());
+        let claimed = if claims { u64::from(flow.weight.max(1)) } else { 0 };
+        self.claim_weight = self.claim_weight - flow.claimed + claimed;
+        flow.claimed = claimed;
+    }
+
+    /// Bounds the callers that are remembered.
     fn forget_idle(&mut self) {
         if self.flows.len() <= 2 * (self.order.len() + IDLE_FLOWS) {
             return;
         }
         let virtual_us = self.virtual_us;
-        self.flows.retain(|_, flow| !flow.requests.is_empty() || flow.tag_us > virtual_us);
+        self.flows.retain(|_, flow| flow.claimed > 0 || flow.tag_us > virtual_us);
         if self.flows.len() > self.order.len() + IDLE_FLOWS {
             self.flows.retain(|_, flow| !flow.requests.is_empty());
+            self.returns.clear();
+            self.flows.values_mut().for_each(|flow| flow.bookings.clear());
+            self.claim_weight = self.active_weight;
         }
-        self.booked = self.flows.values().map(|flow| flow.bookings.len()).sum();
     }
 }
--- a/crates/wheel_policy/tests/engine_queue.rs
+++ b/crates/wheel_policy/tests/engine_queue.rs
@@ -254,3 +254,58 @@
     queue.finish(now + SECOND, &RequestId::new("desk-1"), sample());
     assert!(queue.take_next(now + SECOND).is_some());
 }
+
+#[test]
+fn take_next_accepted_request_starts_before_callers_who_came_later() {
+    let mut queue = open_queue(1);
+    for index in 0..3 {
+        assert!(queued(&queue.offer(MonotonicTime::default(), request(index, "desk", 0, 12))));
+    }
+    let served = serve(&mut queue, 30, |queue, now| {
+        let second = (now.as_micros() / 1_000_000) as usize;
+        let guest = format!("guest-{second}");
+        let _ = queue.offer(now, request(second, &guest, 0, second as u64 + 60));
+    });
+    assert_eq!(served["desk"], 3, "all that was taken in is served: {served:?}");
+    assert!(served.len() > 10, "and the others go on: {served:?}");
+}
+
+/// Offers `count` requests of each of `callers` in turn; when those that are refused come back.
+fn refused_returns(queue: &mut EngineQueue, callers: usize, count: usize) -> Vec<Duration> {
+    let mut returns = Vec::new();
+    for index in 0..count {
+        for caller in 0..callers {
+            let caller = format!("desk-{caller}");
+            let answer = queue.offer(MonotonicTime::default(), request(index, &caller, 0, 6));
+            if let OfferAnswer::Refused { retry_after, .. } = answer {
+                returns.push(retry_after);
+            }
+        }
+    }
+    returns
+}
+
+/// Most returns in any window of a length.
+fn most_within(returns: &[Duration], window: Duration) -> usize {
+    let within = |start: &Duration| {
+        returns.iter().filter(|one| (*start..*start + window).contains(one)).count()
+    };
+    returns.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn offer_refused_callers_come_back_as_fast_as_the_engine_serves() {
+    let mut queue = open_queue(1);
+    let returns = refused_returns(&mut queue, 20, 20);
+    assert!(returns.len() > 300, "{} refused", returns.len());
+    let most = most_within(&returns, 60 * SECOND);
+    assert!(most <= 75, "{most} come back within 60 s of one slot, a second each");
+}
+
+#[test]
+fn offer_more_than_can_be_booked_returns_spread() {
+    let mut queue = open_queue(1);
+    let returns = refused_returns(&mut queue, 1, 3_000);
+    let most = most_within(&returns, 30 * SECOND);
+    assert!(most < returns.len() / 5, "{most} of {} come back together", returns.len());
+}
--- a/crates/wheel_policy/tests/placement_planner.rs
+++ b/crates/wheel_policy/tests/placement_planner.rs
@@ -108,6 +108,27 @@
     assert_eq!(loads(&steps), Vec::<String>::new(), "a draining replica counts as well");
 }
 
+#[test]
+fn plan_model_busy_elsewhere_is_loaded_where_slots_are_free() {
+    let flooded = |queued| ModelDemand {
+        elsewhere: 2,
+        queued_elsewhere: queued,
+        worth: 10.0,
+        ..waiting("walks", 0, 0)
+    };
+    let plan = |models: Vec<PlacedModel>, demands: Vec<ModelDemand>| {
+        let view = fleet(vec![engine("a", models)]);
+        let text = text(vec![model("walks", 40), model("maps", 40)]);
+        loads(&planner(&text).plan(NOW, &view, &demand(demands)))
+    };
+    assert_eq!(plan(vec![], vec![flooded(9)]), ["walks@a"], "more than a turn at 2 engines");
+    assert_eq!(plan(vec![], vec![flooded(8)]), Vec::<String>::new(), "served soon there");
+    let used = PlacedModel { in_use: 4, ..loaded("maps", 40) };
+    assert_eq!(plan(vec![used], vec![flooded(9)]), Vec::<String>::new(), "no slot is free here");
+    let digests = ModelDemand { worth: 1.0, ..flooded(9) };
+    assert_eq!(plan(vec![], vec![digests]), Vec::<String>::new(), "less worthy work waits");
+}
+
 #[test]
 fn plan_store_slots_go_by_value_over_time() {
     let models = ["digests", "walks", "tides"].map(|name| model(name, 10));
