Wait for room on a full disk instead of ending the control instance

A frame that didn't fit can be taken back, since nothing after it was promised.

Now a write that fails for want of room is cut back, and made again each 100 ms; the instance takes no part meanwhile, so another leads. A failed sync of a frame still ends the process: what it left isn't known. Told to stop while it waits, the instance ends without sending what counts on the records.

Ruled out: going on without the disk (it would vote for what it may forget).

--- a/crates/wheel_control/src/control_folder.rs
+++ b/crates/wheel_control/src/control_folder.rs
@@ -25,6 +25,13 @@
     },
 }
 
+impl FolderError {
+    /// Whether the disk has no room, and nothing else is wrong.
+    pub(crate) fn is_full(&self) -> bool {
+        matches!(self, Self::Storage { source } if source.is_full())
+    }
+}
+
 /// Writes records of the replicated log, each synced before it counts.
 pub(crate) struct ControlFolder {
     store: LogStore,
@@ -58,8 +65,13 @@
         Ok(OpenedFolder { folder, identity: held.identity, restored, repaired })
     }
 
-    /// Writes and syncs `records` in order.
-    pub(crate) fn persist(&mut self, records: &[PersistRecord]) -> Result<(), FolderError> {
+    /// Writes and syncs `records` in order. While the disk has no room, asks `waits` whether to try
+    /// again, which should take its time.
+    pub(crate) fn persist(
+        &mut self,
+        records: &[PersistRecord],
+        waits: &mut dyn FnMut(&StorageError) -> bool,
+    ) -> Result<(), FolderError> {
         let mut batch = Vec::new();
         for record in records {
             match record {
@@ -67,29 +79,50 @@
                 PersistRecord::TruncateFrom(index) => batch.push(LogRecord::TruncateFrom(*index)),
                 PersistRecord::Append(entries) => push_entries(entries, &mut batch)?,
                 PersistRecord::Snapshot(snapshot) => {
-                    self.flush(&mut batch)?;
-                    self.save_snapshot(snapshot)?;
+                    self.flush(&mut batch, waits)?;
+                    self.save_snapshot(snapshot, waits)?;
                 }
             }
         }
-        self.flush(&mut batch)
+        self.flush(&mut batch, waits)
     }
 
-    fn save_snapshot(&mut self, snapshot: &RaftSnapshot) -> Result<(), FolderError> {
+    fn save_snapshot(
+        &mut self,
+        snapshot: &RaftSnapshot,
+        waits: &mut dyn FnMut(&StorageError) -> bool,
+    ) -> Result<(), FolderError> {
         let bytes = encode(snapshot).context(RecordSnafu)?;
         let stored = StoredSnapshot { index: snapshot.index, term: snapshot.term, bytes };
-        self.store.save_snapshot(&stored).context(StorageSnafu)
+        while_full(waits, || self.store.save_snapshot(&stored))
     }
 
-    fn flush(&mut self, batch: &mut Vec<LogRecord>) -> Result<(), FolderError> {
+    fn flush(
+        &mut self,
+        batch: &mut Vec<LogRecord>,
+        waits: &mut dyn FnMut(&StorageError) -> bool,
+    ) -> Result<(), FolderError> {
         if !batch.is_empty() {
-            self.store.append(batch).context(StorageSnafu)?;
+            while_full(waits, || self.store.append(batch))?;
             batch.clear();
         }
         Ok(())
     }
 }
 
+/// Repeats a write for as long as the disk has no room and `waits` says so.
+fn while_full(
+    waits: &mut dyn FnMut(&StorageError) -> bool,
+    mut write: impl FnMut() -> Result<(), StorageError>,
+) -> Result<(), FolderError> {
+    loop {
+        match write() {
+            Err(error) if error.is_full() && waits(&error) => {}
+            ended => return ended.context(StorageSnafu),
+        }
+    }
+}
+
 fn push_entries(entries: &[LogEntry], batch: &mut Vec<LogRecord>) -> Result<(), FolderError> {
     for entry in entries {
         let bytes = encode(entry).context(RecordSnafu)?;
--- a/crates/wheel_control/src/control_node.rs
+++ b/crates/wheel_control/src/control_node.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -78,6 +79,7 @@
 pub struct ControlNode {
     inputs: SyncSender<WorkerInput>,
     worker: Arc<Mutex<Option<JoinHandle<()>>>>,
+    is_stopping: Arc<AtomicBool>,
     id: NodeId,
 }
 
@@ -122,13 +124,16 @@
         let (inputs, receiver) = sync_channel(MAX_INPUTS);
         let sender = PeerSender::new(hub, book, Handle::current());
         let limits = GroupLimits::default();
+        let is_stopping = Arc::new(AtomicBool::new(false));
+        let states = (text, documents);
+        let stopping = Arc::clone(&is_stopping);
         let worker =
-            ControlWorker::new(settings.start, node, folder, sender, (text, documents), limits);
+            ControlWorker::new(settings.start, node, folder, sender, states, limits, stopping);
         let thread = std::thread::Builder::new()
             .name("wheel-control".to_owned())
             .spawn(move || worker.run(&receiver))
             .context(ThreadSnafu)?;
-        Ok(Self { inputs, worker: Arc::new(Mutex::new(Some(thread))), id })
+        Ok(Self { inputs, worker: Arc::new(Mutex::new(Some(thread))), is_stopping, id })
     }
 
     /// This participant.
@@ -183,6 +188,7 @@
     /// Stops taking part and waits for the worker to end.
     pub fn stop(&self) {
         let Some(worker) = self.worker.lock().take() else { return };
+        self.is_stopping.store(true, Ordering::Release);
         let _ = self.inputs.send(WorkerInput::Stop);
         // A panic of the worker has been reported by the runtime already.
         let _ = worker.join();
--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -2,15 +2,16 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
-use spdlog::{critical, info};
+use spdlog::{critical, info, warn};
 use tokio::sync::oneshot;
 use wheel_agreement::{
     EntryPayload, GroupAction, GroupAnswer, GroupClock, GroupCommand, GroupLimits, GroupState,
-    LogEntry, NodeId, ProposalId, ProposalRefusal, RaftInput, RaftMessage, RaftNode, RaftOutput,
-    RaftStatus, ReadId, RoleName, VoterChange, decode, encode,
+    LogEntry, NodeId, PersistRecord, ProposalId, ProposalRefusal, RaftInput, RaftMessage, RaftNode,
+    RaftOutput, RaftStatus, ReadId, RoleName, VoterChange, decode, encode,
 };
 use wheel_types::MonotonicTime;
 
@@ -27,6 +28,8 @@
 const MAX_SNAPSHOT_ENTRIES: u64 = 4_096;
 /// Time in which leadership is handed over before the worker stops.
 const RESIGN_LIMIT: Duration = Duration::from_millis(500);
+/// Time between two tries to write to a disk that has no room.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the worker is asked to do.
 pub(crate) enum WorkerInput {
@@ -56,6 +59,10 @@
     /// The proposal whose entry is applied next.
     accepted: Option<(ProposalId, u64)>,
     snapshot_index: u64,
+    /// Set before the worker is told to stop, so that it doesn't wait for a full disk.
+    is_stopping: Arc<AtomicBool>,
+    /// Whether it was told to stop before its last records could be written.
+    is_given_up: bool,
 }
 
 impl ControlWorker {
@@ -66,6 +73,7 @@
         sender: PeerSender,
         (text, documents): (Arc<TextState>, Arc<DocumentState>),
         limits: GroupLimits,
+        is_stopping: Arc<AtomicBool>,
     ) -> Self {
         Self {
             start,
@@ -83,6 +91,8 @@
             reading: HashMap::new(),
             accepted: None,
             snapshot_index: 0,
+            is_stopping,
+            is_given_up: false,
         }
     }
 
@@ -117,6 +127,9 @@
             }
             let outputs = self.node.step_batch(now, steps);
             self.carry_out(outputs);
+            if self.is_given_up {
+                return;
+            }
             self.note_role();
             self.compact_if_due();
         }
@@ -164,10 +177,10 @@
         for output in outputs {
             match output {
                 RaftOutput::Persist(records) => {
-                    if let Err(error) = self.folder.persist(&records) {
-                        // Going on without a synced log would break what was promised to others.
-                        critical!("data_folder_failed", kv: { reason:? = error.to_string() });
-                        std::process::exit(1);
+                    if !self.persist(&records) {
+                        // What follows, messages above all, counts on these records.
+                        self.is_given_up = true;
+                        return;
                     }
                 }
                 RaftOutput::Send { to, message } => {
@@ -198,6 +211,35 @@
         }
     }
 
+    /// Writes records, and waits while the disk has no room: the others take this instance for dead
+    /// meanwhile. False if it is told to stop before there is room.
+    fn persist(&mut self, records: &[PersistRecord]) -> bool {
+        let is_stopping = Arc::clone(&self.is_stopping);
+        let mut full_since = None;
+        let persisted = self.folder.persist(records, &mut |error| {
+            if full_since.is_none() {
+                warn!("data_folder_full", kv: { reason:? = error.to_string() });
+            }
+            full_since.get_or_insert_with(Instant::now);
+            std::thread::sleep(FULL_PAUSE);
+            !is_stopping.load(Ordering::Acquire)
+        });
+        match (persisted, full_since) {
+            (Ok(()), None) => true,
+            (Ok(()), Some(since)) => {
+                let full_ms = since.elapsed().as_millis() as u64;
+                info!("data_folder_has_room", kv: { full_ms });
+                true
+            }
+            (Err(error), _) if error.is_full() => false,
+            (Err(error), _) => {
+                // Going on without a synced log would break what was promised to others.
+                critical!("data_folder_failed", kv: { reason:? = error.to_string() });
+                std::process::exit(1);
+            }
+        }
+    }
+
     fn restore(&mut self, index: u64, snapshot: &[u8]) {
         let mut state = GroupState::open(self.limits.clone());
         match state.restore(snapshot) {
--- a/crates/wheel_storage/src/log_store.rs
+++ b/crates/wheel_storage/src/log_store.rs
@@ -100,8 +100,9 @@
 
     /// Writes `records` as one batch; they are synced when this returns `Ok`.
     ///
-    /// After an I/O error the batch may or may not be found by the next [`LogStore::open`], and
-    /// every later call fails with [`StorageError::Poisoned`].
+    /// If the disk has no room nothing was written, see [`StorageError::is_full`]. After any other
+    /// I/O error the batch may or may not be found by the next [`LogStore::open`], and every later
+    /// call fails with [`StorageError::Poisoned`].
     pub fn append(&mut self, records: &[LogRecord]) -> Result<(), StorageError> {
         self.check_failure()?;
         if records.is_empty() {
@@ -110,11 +111,9 @@
         let next_index = self.check_order(records)?;
         let bytes = LogFrame::encode(&self.header, self.next_sequence, records)?;
         let written = self.write_frame(&bytes);
-        if written.is_err() {
-            // The system may still show bytes that will never reach the disk.
-            self.file.set_len(self.size).ok();
-        }
-        self.note_failure(written)?;
+        // The system may still show bytes that will never reach the disk.
+        let is_whole = written.is_ok() || self.cut_back().is_ok();
+        self.note_failure(written, is_whole)?;
         self.size += bytes.len() as u64;
         self.next_sequence += 1;
         self.next_index = next_index;
@@ -125,14 +124,16 @@
     /// the log contains the snapshot's last entry, and dropped otherwise.
     ///
     /// Everything is synced when this returns `Ok`. An I/O error stops the store as in
-    /// [`LogStore::append`]; the folder then holds the old snapshot or the new one.
+    /// [`LogStore::append`], unless the disk has no room; the folder then holds the old snapshot or
+    /// the new one.
     pub fn save_snapshot(&mut self, snapshot: &StoredSnapshot) -> Result<(), StorageError> {
         self.check_failure()?;
         let expected = self.header.base_index + 1;
         let found = snapshot.index;
         ensure!(found >= expected, OutOfOrderSnafu { expected, found });
         let saved = self.replace_snapshot(snapshot);
-        self.note_failure(saved)
+        // Files are written beside those that they replace.
+        self.note_failure(saved, true)
     }
 
     fn check_failure(&self) -> Result<(), StorageError> {
@@ -142,11 +143,23 @@
         }
     }
 
-    fn note_failure(&mut self, result: Result<(), StorageError>) -> Result<(), StorageError> {
-        self.failure = result.as_ref().err().map(ToString::to_string);
+    /// Stops the store after a failure, unless it is want of room and all that was written `is_whole`.
+    fn note_failure(
+        &mut self,
+        result: Result<(), StorageError>,
+        is_whole: bool,
+    ) -> Result<(), StorageError> {
+        let failure = result.as_ref().err().filter(|error| !(is_whole && error.is_full()));
+        self.failure = failure.map(ToString::to_string);
         result
     }
 
+    /// Takes back a frame that wasn't written to its end.
+    fn cut_back(&mut self) -> std::io::Result<()> {
+        self.file.set_len(self.size)?;
+        self.file.seek(SeekFrom::Start(self.size)).map(drop)
+    }
+
     /// The index after `records`, or an error if they don't fit the log.
     fn check_order(&self, records: &[LogRecord]) -> Result<u64, StorageError> {
         let lowest = self.header.base_index + 1;
@@ -173,7 +186,9 @@
         let path = LogSegment::path(&self.folder, self.header.number);
         let written = self.device.write(&mut self.file, bytes);
         written.context(IoSnafu { action: "write", file: &path })?;
-        self.device.sync(&self.file).context(IoSnafu { action: "sync", file: &path })
+        // What a failed sync has left of the frame isn't known, whatever the reason.
+        let synced = self.device.sync(&self.file).map_err(std::io::Error::other);
+        synced.context(IoSnafu { action: "sync", file: &path })
     }
 
     fn replace_snapshot(&mut self, snapshot: &StoredSnapshot) -> Result<(), StorageError> {
--- a/crates/wheel_storage/src/storage_error.rs
+++ b/crates/wheel_storage/src/storage_error.rs
@@ -65,3 +65,15 @@
         source: postcard::Error,
     },
 }
+
+impl StorageError {
+    /// Whether the disk has no room, and nothing else is wrong: the same call may be made again.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Self::Io { source, .. } if is_full(source))
+    }
+}
+
+/// Whether an operation of the system failed for want of room.
+pub(crate) fn is_full(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded)
+}
--- a/crates/wheel_storage/tests/common/mod.rs
+++ b/crates/wheel_storage/tests/common/mod.rs
@@ -34,6 +34,8 @@
 pub(crate) struct FaultyDevice {
     pub(crate) operations: Arc<AtomicUsize>,
     pub(crate) fail_at: Arc<AtomicUsize>,
+    /// Whether the disk is full, rather than broken.
+    pub(crate) is_full: bool,
 }
 
 impl FaultyDevice {
@@ -47,7 +49,8 @@
     fn count(&self) -> io::Result<()> {
         let operation = self.operations.fetch_add(1, Ordering::SeqCst) + 1;
         match operation == self.fail_at.load(Ordering::SeqCst) {
-            true => Err(io::Error::new(io::ErrorKind::StorageFull, "no space left")),
+            true if self.is_full => Err(io::Error::new(io::ErrorKind::StorageFull, "no room")),
+            true => Err(io::Error::other("broken disk")),
             false => Ok(()),
         }
     }
--- a/crates/wheel_storage/tests/log_store.rs
+++ b/crates/wheel_storage/tests/log_store.rs
@@ -222,12 +222,53 @@
     if acknowledged < 6 {
         let next = store.append(&[entry_record(acknowledged + 1)]).unwrap_err();
         assert!(matches!(next, StorageError::Poisoned { .. }), "{next}");
-        assert!(next.to_string().contains("no space left"), "{next}");
+        assert!(next.to_string().contains("broken disk"), "{next}");
         assert!(store.save_snapshot(&snapshot(9, 9)).is_err());
     }
     acknowledged
 }
 
+/// Runs the same changes with the disk full at each write in turn; the call that failed is made again.
+#[test]
+fn append_full_disk_goes_on_once_there_is_room() {
+    let mut refusals = 0;
+    for fail_at in 1..=20 {
+        let folder = tempdir().unwrap();
+        let device = FaultyDevice { is_full: true, ..FaultyDevice::default() };
+        let (mut store, _) = LogStore::open_on(folder.path(), Box::new(device.clone())).unwrap();
+        let opened = device.operations.load(Ordering::SeqCst);
+        device.fail_at.store(opened + fail_at, Ordering::SeqCst);
+        let mut again = |result: Result<(), StorageError>| match result {
+            Ok(()) => false,
+            Err(error) if error.is_full() => {
+                refusals += 1;
+                true
+            }
+            // The sync of a frame: nothing is known of it any more.
+            Err(error) => {
+                assert!(error.to_string().contains("cannot sync"), "{error}");
+                device.fail_at.store(0, Ordering::SeqCst);
+                false
+            }
+        };
+        let mut stopped = false;
+        for index in 1..=6 {
+            while again(store.append(&[entry_record(index)])) {}
+            stopped |= store.append(&[]).is_err();
+            if stopped {
+                break;
+            }
+            if index == 3 {
+                while again(store.save_snapshot(&snapshot(2, entry(2).term))) {}
+            }
+        }
+        drop(store);
+        let last = restore(folder.path()).entries.last().map(|entry| entry.index);
+        assert!(stopped || last == Some(6), "operation {fail_at}: {last:?}");
+    }
+    assert!(refusals >= 8, "{refusals} refusals for want of room");
+}
+
 #[test]
 fn open_crash_between_snapshot_and_segment_recovers() {
     let folder = tempdir().unwrap();
