Search over the right to order engines, apart from its tasks

The right rested on an argument and one test (rule ONE). Its state is a ledger now, with times passed in; DirectingRight keeps only the task that asks for confirmations. No change of behaviour: the log line directing_term no longer tells the term before.

--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -17,7 +17,8 @@
 use wheel_upstream::{ConnectionLimits, DirectClient, OrderCall};
 
 use crate::directed_engine::{DirectedEngine, ReadState, plan_engine, read_engine};
-use crate::directing_right::{FIRST_TERM, TermPermit};
+use crate::directing_right::TermPermit;
+use crate::right_ledger::FIRST_TERM;
 use crate::{DirectingRight, FleetBoard, FleetDialect, FleetOrder, ListWatch, boot_now};
 
 /// Time between two rounds.
--- a/crates/wheel_placement/src/lib.rs
+++ b/crates/wheel_placement/src/lib.rs
@@ -13,12 +13,14 @@
 mod fleet_director;
 mod list_watch;
 mod parent_sync;
+mod right_ledger;
 
 pub use boot_clock::boot_now;
 pub use config_desk::{ConfigDesk, PutEnd};
-pub use directing_right::{DirectingRight, RightTimes};
+pub use directing_right::DirectingRight;
 pub use fleet_board::FleetBoard;
 pub use fleet_dialect::{ConfigDialect, FleetDialect, FleetOrder, ListPage};
 pub use fleet_director::{DirectorParts, FleetDirector};
 pub use list_watch::{ListSettings, ListWatch};
 pub use parent_sync::{ParentSync, SyncEnd, SyncSettings};
+pub use right_ledger::{RightLedger, RightTimes};
