--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -14,6 +14,8 @@
 mod request_path;
 mod request_run;
 mod resumed_stream;
+mod send_judge;
+mod upstream_search;
 mod upstream_table;
 mod wait_guard;
 
--- a/crates/wheel_gateway/src/request_path.rs
+++ b/crates/wheel_gateway/src/request_path.rs
@@ -12,7 +12,7 @@
 use wheel_upstream::ServiceDialect;
 
 use crate::request_log::RequestLog;
-use crate::request_run::RequestRun;
+use crate::request_run::{ArrivedRequest, RequestRun};
 use crate::{FleetState, IngressDialect, UpstreamTable};
 
 /// When a caller should come back that met an entry without a configuration.
@@ -121,7 +121,8 @@
             }
         };
         let deadline = arrival + limit;
-        RequestRun::begin(self.parts, active, route, ask, head, body, deadline, log).serve().await
+        let arrived = ArrivedRequest { active, route, ask, head, body, deadline };
+        RequestRun::begin(self.parts, arrived, log).serve().await
     }
 }
 
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -7,20 +7,18 @@
 use http::request::Parts;
 use http::{Response, StatusCode, header};
 use rand::Rng;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use wheel_entry::{AnswerBody, full_body};
-use wheel_policy::{HeldPart, UpstreamOffer, choose_upstream};
-use wheel_route::{DemandKey, EngineCard, EngineId, RouteSpec};
+use wheel_route::{EngineCard, EngineId, RouteSpec};
 use wheel_types::{MonotonicTime, UpstreamName};
-use wheel_upstream::{
-    CallFailure, CallTimeouts, FailureKind, SentState, ServiceAnswer, ServiceCall,
-};
+use wheel_upstream::{CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall};
 
 use crate::request_log::RequestLog;
 use crate::request_path::{PathParts, refusal};
 use crate::resumed_stream::ResumedStream;
-use crate::wait_guard::WaitGuard;
-use crate::{ActiveConfig, AnswerMark, IngressRequest, LoadGuard, SendMark};
+use crate::send_judge::{Judged, SendJudge};
+use crate::upstream_search::{MIN_ANSWER_TIME, NoUpstream, ROOM_RETRY, UpstreamSearch};
+use crate::{ActiveConfig, IngressRequest, LoadGuard, SendMark};
 
 /// Time to connect to an upstream: three round trips between data centres and a busy machine's turn.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
@@ -28,33 +26,27 @@
 const LOAD_TIME: Duration = Duration::from_millis(1_000);
 /// What a load costs a request whose objective allows for one: an order, and a wait that may add up.
 const LATE_SHARE: f64 = 0.25;
-/// How long a request waits to hear that what it lacks is being loaded: half of its objective, in these
-/// bounds. Two syncs and a round of placement are the least; what is refused later was held for nothing.
-const NOTICE_TIME: [Duration; 2] = [Duration::from_millis(800), Duration::from_millis(2_000)];
-/// Age of the fleet's view from which no load can be expected.
-const MAX_VIEW_AGE: Duration = Duration::from_millis(2_500);
-/// When to come back then: a cut may be over, and a retry may reach another entry.
-const UNHEARD_RETRY: Duration = Duration::from_secs(1);
-/// Time that an answer needs at least; with less left a request isn't worth a wait for a load.
-const MIN_ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Sends that an upstream refused as not run, before the request is refused.
 const MAX_REJECTED: u32 = 3;
 /// The largest answer that is held until it is whole, in bytes.
 const MAX_WHOLE_BYTES: usize = 4 << 20;
 /// The share of a caller's time left that a `Retry-After` may ask for and is still honoured.
 const HONOURED_SHARE: f64 = 0.33;
-/// When to come back after a refusal for want of room.
-const ROOM_RETRY: Duration = Duration::from_millis(400);
 
-/// A request with all that its sends need.
+/// A request that has been read, under the configuration that was in force when it came.
+pub(crate) struct ArrivedRequest {
+    pub(crate) active: Arc<ActiveConfig>,
+    pub(crate) route: Arc<RouteSpec>,
+    pub(crate) ask: IngressRequest,
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) deadline: Instant,
+}
+
+/// A request on its way, with what became of its sends so far.
 pub(crate) struct RequestRun {
     parts: Arc<PathParts>,
-    active: Arc<ActiveConfig>,
-    route: Arc<RouteSpec>,
-    ask: IngressRequest,
-    head: Parts,
-    body: Bytes,
-    deadline: Instant,
+    arrived: ArrivedRequest,
     service: Arc<str>,
     tried: Vec<EngineId>,
     /// Sends after which the request may have run.
@@ -74,61 +66,33 @@
     Broken,
 }
 
-/// Why there is no upstream to send to.
-#[derive(Debug)]
-struct NoUpstream {
-    reason: &'static str,
-    retry_after: Duration,
-    /// When the model should be there, as far as told.
-    eta: Option<Duration>,
-}
-
 impl RequestRun {
-    #[allow(clippy::too_many_arguments)]
-    pub(crate) fn begin(
-        parts: Arc<PathParts>,
-        active: Arc<ActiveConfig>,
-        route: Arc<RouteSpec>,
-        ask: IngressRequest,
-        head: Parts,
-        body: Bytes,
-        deadline: Instant,
-        mut log: RequestLog,
-    ) -> Self {
+    /// Begins with one of the route's services, by their weights.
+    pub(crate) fn begin(parts: Arc<PathParts>, arrived: ArrivedRequest, log: RequestLog) -> Self {
+        let route = &arrived.route;
         let service = route.pick_service(rand::rng().random()).cloned().unwrap_or_default();
-        log.set_service(&service);
         parts.retries.lock().record_request(&UpstreamName::from(&*service));
-        Self {
-            parts,
-            active,
-            route,
-            ask,
-            head,
-            body,
-            deadline,
-            service,
-            tried: Vec::new(),
-            runs: 0,
-            rejected: 0,
-            log,
-        }
+        let mut run =
+            Self { parts, arrived, service, tried: Vec::new(), runs: 0, rejected: 0, log };
+        run.log.set_service(&run.service);
+        run
     }
 
     /// Sends the request until it has an answer or may not be sent again.
     pub(crate) async fn serve(mut self) -> Response<AnswerBody> {
-        if let Some(key) = self.demand_key() {
-            let lost = if self.route.objective < LOAD_TIME { 1.0 } else { LATE_SHARE };
+        if let Some(key) = self.search().demand_key() {
+            let lost = if self.arrived.route.objective < LOAD_TIME { 1.0 } else { LATE_SHARE };
             self.parts.state.note_demand(&key, lost);
         }
         let mut last_answer = None;
         loop {
-            let card = match self.find_upstream().await {
+            let card = match self.search().find().await {
                 Ok(card) => card,
                 Err(_) if last_answer.is_some() => break,
                 Err(none) => return self.refuse(&none),
             };
-            match self.send(&card, self.ask.resume_after).await {
-                SendEnd::Answer(answer, guard) if self.route.kind.is_stream() => {
+            match self.send(&card, self.arrived.ask.resume_after).await {
+                SendEnd::Answer(answer, guard) if self.arrived.route.kind.is_stream() => {
                     return self.stream(*answer, guard);
                 }
                 SendEnd::Answer(answer, guard) => match self.whole(*answer, guard).await {
@@ -152,8 +116,8 @@
     /// Finds an upstream and sends the rest of a stream there, after the event `last`.
     pub(crate) async fn resume(&mut self, last: Option<u64>) -> Option<(ServiceAnswer, LoadGuard)> {
         while self.may_send_again() {
-            let card = self.find_upstream().await.ok()?;
-            match self.send(&card, last.or(self.ask.resume_after)).await {
+            let card = self.search().find().await.ok()?;
+            match self.send(&card, last.or(self.arrived.ask.resume_after)).await {
                 SendEnd::Answer(answer, guard) if answer.status.is_success() => {
                     return Some((*answer, guard));
                 }
@@ -163,118 +127,34 @@
         None
     }
 
+    fn search(&self) -> UpstreamSearch<'_> {
+        UpstreamSearch {
+            parts: &self.parts,
+            route: &self.arrived.route,
+            ask: &self.arrived.ask,
+            service: &self.service,
+            tried: &self.tried,
+            deadline: self.arrived.deadline,
+        }
+    }
+
     /// Whether another send is allowed by kind, attempts, budget and time.
     fn may_send_again(&self) -> bool {
-        let is_repeatable = self.route.kind.is_repeatable() || self.runs == 0;
-        let has_attempts = self.runs < self.route.max_attempts && self.rejected <= MAX_REJECTED;
-        let has_time = Instant::now() + MIN_ANSWER_TIME / 2 < self.deadline;
+        let is_repeatable = self.arrived.route.kind.is_repeatable() || self.runs == 0;
+        let has_attempts =
+            self.runs < self.arrived.route.max_attempts && self.rejected <= MAX_REJECTED;
+        let has_time = Instant::now() + MIN_ANSWER_TIME / 2 < self.arrived.deadline;
         let upstream = UpstreamName::from(&*self.service);
         is_repeatable && has_attempts && has_time && self.parts.retries.lock().try_retry(&upstream)
     }
 
-    fn demand_key(&self) -> Option<DemandKey> {
-        let generation = self.ask.generation.as_ref()?;
-        Some(DemandKey {
-            service: Arc::clone(&self.service),
-            model: Arc::clone(&generation.model),
-            adapter: generation.adapter.clone(),
-        })
-    }
-
-    /// The best upstream, after a wait for a load where that is worth it.
-    async fn find_upstream(&self) -> Result<EngineCard, NoUpstream> {
-        let notice = (self.route.objective / 2).clamp(NOTICE_TIME[0], NOTICE_TIME[1]);
-        let notice_end = Instant::now() + notice;
-        let mut views = self.parts.state.watch_view();
-        let mut waiting = None;
-        loop {
-            views.mark_unchanged();
-            let cards = self.parts.state.ready_upstreams(&self.service);
-            if let Some(card) = self.choose(&cards) {
-                return Ok(card);
-            }
-            let wait_end = match self.demand_key() {
-                _ if cards.is_empty() => return Err(self.none("no_upstream", ROOM_RETRY)),
-                None => return Err(self.none("no_upstream", ROOM_RETRY)),
-                Some(key) => {
-                    let wait_end = self.wait_end(&key, notice_end)?;
-                    waiting.get_or_insert_with(|| WaitGuard::begin(&self.parts.state, key));
-                    wait_end
-                }
-            };
-            if timeout_at(wait_end, views.changed()).await.is_err() {
-                return Err(self.none("model_not_loaded", ROOM_RETRY));
-            }
-        }
-    }
-
-    /// How long a wait for a load makes sense.
-    fn wait_end(&self, key: &DemandKey, notice_end: Instant) -> Result<Instant, NoUpstream> {
-        let now = Instant::now();
-        let view = self.parts.state.view();
-        let eta = view.loading.iter().find(|(model, _)| *model == key.model);
-        let eta = eta.map(|(_, ms)| Duration::from_millis(*ms));
-        let left = self.deadline.saturating_duration_since(now);
-        match eta {
-            Some(eta) if eta + MIN_ANSWER_TIME <= left => Ok(now + eta + NOTICE_TIME[0]),
-            Some(eta) => {
-                let reason = "load_too_late";
-                Err(NoUpstream { reason, retry_after: eta, eta: Some(eta) })
-            }
-            None if left <= MIN_ANSWER_TIME => Err(self.none("no_time_left", ROOM_RETRY)),
-            // Nobody hears what is missing here, so that no load will come of it.
-            None if self.parts.state.view_age() > MAX_VIEW_AGE => {
-                Err(self.none("control_unheard", UNHEARD_RETRY))
-            }
-            None if now >= notice_end => Err(self.none("load_not_begun", ROOM_RETRY)),
-            None => Ok(notice_end.min(self.deadline)),
-        }
-    }
-
-    fn none(&self, reason: &'static str, retry_after: Duration) -> NoUpstream {
-        NoUpstream { reason, retry_after, eta: None }
-    }
-
-    fn choose(&self, cards: &[EngineCard]) -> Option<EngineCard> {
-        let counts = self.parts.state.active_counts();
-        let now = MonotonicTime::default() + self.parts.start.elapsed();
-        let outliers = self.parts.outliers.lock();
-        let mut reach = self.parts.reach.lock();
-        let offer = |card: &EngineCard| {
-            let (own, others) = counts.get(&card.id).copied().unwrap_or_default();
-            UpstreamOffer {
-                slots: card.slots,
-                active: own + others,
-                is_near: card.centre == self.parts.settings.centre,
-                held: self.held_part(card),
-                is_suspect: outliers.is_ejected(now, &UpstreamName::from(&*card.id.name)),
-                is_unreachable: reach.is_avoided(now, &card.id, &card.centre),
-                was_tried: self.tried.contains(&card.id),
-                cached_share: 0.0,
-            }
-        };
-        let offers: Vec<UpstreamOffer> = cards.iter().map(offer).collect();
-        let place = choose_upstream(&offers, rand::rng().random())?;
-        reach.begin_probe(now, &cards[place].centre);
-        Some(cards[place].clone())
-    }
-
-    fn held_part(&self, card: &EngineCard) -> HeldPart {
-        match &self.ask.generation {
-            None => HeldPart::Whole,
-            Some(ask) if card.holds(&ask.model, ask.adapter.as_deref()) => HeldPart::Whole,
-            Some(ask) if card.holds(&ask.model, None) => HeldPart::ModelOnly,
-            Some(_) => HeldPart::Nothing,
-        }
-    }
-
     /// Sends once and reads the head of the answer.
     async fn send(&mut self, card: &EngineCard, resume_after: Option<u64>) -> SendEnd {
         self.tried.push(card.id.clone());
         self.log.sent(&card.id.name);
-        let tokens = self.ask.generation.as_ref().map_or(0, |ask| ask.prompt_tokens);
+        let tokens = self.arrived.ask.generation.as_ref().map_or(0, |ask| ask.prompt_tokens);
         let guard = LoadGuard::begin(Arc::clone(&self.parts.state), card.id.clone(), tokens);
-        let spec = self.active.config.service(&self.service);
+        let spec = self.arrived.active.config.service(&self.service);
         let max_connections = spec.map_or(0, |spec| spec.max_connections);
         let entries = self.parts.state.view().entries;
         let client = self.parts.upstreams.client(card, max_connections, entries);
@@ -287,7 +167,7 @@
                 ..
             })
         );
-        let end = self.judge(card, answer);
+        let end = SendJudge { parts: &self.parts, log: &self.log }.judge(card, answer);
         let succeeded = !matches!(end, Judged::Broken);
         let now = MonotonicTime::default() + self.parts.start.elapsed();
         match is_unreachable {
@@ -313,24 +193,29 @@
     }
 
     fn call(&self, card: &EngineCard, resume_after: Option<u64>) -> ServiceCall {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.arrived.deadline.saturating_duration_since(Instant::now());
         let mark = SendMark {
             time_left: left,
             target: Arc::clone(&card.id.name),
-            urgency: self.ask.generation.as_ref().map(|_| urgency_of(self.route.rank)),
+            urgency: self
+                .arrived
+                .ask
+                .generation
+                .as_ref()
+                .map(|_| urgency_of(self.arrived.route.rank)),
             resume_after,
         };
-        let mut headers = self.head.headers.clone();
+        let mut headers = self.arrived.head.headers.clone();
         self.parts.dialect.mark(&mut headers, &mark);
-        let path = self.head.uri.path_and_query().cloned();
+        let path = self.arrived.head.uri.path_and_query().cloned();
         ServiceCall {
-            request_id: self.ask.id.clone(),
-            method: self.head.method.clone(),
+            request_id: self.arrived.ask.id.clone(),
+            method: self.arrived.head.method.clone(),
             path: path.unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
             headers,
-            body: self.body.clone(),
+            body: self.arrived.body.clone(),
             idempotency_key: None,
-            idempotent: self.route.kind.is_repeatable(),
+            idempotent: self.arrived.route.kind.is_repeatable(),
             timeouts: self.timeouts(left),
         }
     }
@@ -338,52 +223,18 @@
     /// A request that may go elsewhere isn't left with a silent upstream to the end.
     fn timeouts(&self, left: Duration) -> CallTimeouts {
         let all = CallTimeouts::default().connect(CONNECT_TIME).total(left);
-        match self.route.kind.is_repeatable() && self.runs + 1 < self.route.max_attempts {
+        match self.arrived.route.kind.is_repeatable()
+            && self.runs + 1 < self.arrived.route.max_attempts
+        {
             true => {
-                let patience = (self.route.objective * 3).max(Duration::from_secs(1));
-                let pause = self.route.gap.map_or(patience, |gap| gap * 4);
+                let patience = (self.arrived.route.objective * 3).max(Duration::from_secs(1));
+                let pause = self.arrived.route.gap.map_or(patience, |gap| gap * 4);
                 all.first_byte(patience.min(left * 2 / 3)).progress(pause.max(patience))
             }
             false => all.first_byte(left).progress(left),
         }
     }
 
-    fn judge(&self, card: &EngineCard, answer: Result<ServiceAnswer, CallFailure>) -> Judged {
-        let answer = match answer {
-            Ok(answer) => answer,
-            Err(failure) => return self.judge_failure(&failure),
-        };
-        match self.parts.dialect.answer_mark(answer.status, &answer.headers) {
-            AnswerMark::Ran => Judged::Answer(Box::new(answer)),
-            AnswerMark::NotExecuted => {
-                self.log.step("rejected", answer.status.as_str());
-                Judged::Rejected
-            }
-            AnswerMark::Misdirected => {
-                self.log.step("misdirected", answer.status.as_str());
-                if self.parts.dialect.is_other_upstream(&answer.headers, &card.id.name) {
-                    self.parts.state.note_leaving(&card.id);
-                } else {
-                    self.parts.state.note_doubtful(&card.id);
-                }
-                Judged::Rejected
-            }
-            AnswerMark::Unsigned => {
-                self.log.step("unsigned", answer.status.as_str());
-                Judged::Broken
-            }
-        }
-    }
-
-    fn judge_failure(&self, failure: &CallFailure) -> Judged {
-        self.log.step("send_failed", &failure.to_string());
-        match failure {
-            CallFailure { sent: SentState::NotSent, .. } => Judged::Rejected,
-            CallFailure { kind: FailureKind::TooManyOpen, .. } => Judged::Rejected,
-            _ => Judged::Broken,
-        }
-    }
-
     /// The upstream's answer once it is whole; `None` if it broke off.
     async fn whole(
         &mut self,
@@ -410,11 +261,11 @@
         self.runs += 1;
         let ServiceAnswer { status, mut headers, body, .. } = answer;
         self.log.answered(status, "stream_cut");
-        let is_resumable = self.route.kind.is_repeatable() && status.is_success();
+        let is_resumable = self.arrived.route.kind.is_repeatable() && status.is_success();
         if is_resumable {
             headers.remove(header::CONTENT_LENGTH);
         }
-        let last = self.ask.resume_after;
+        let last = self.arrived.ask.resume_after;
         let stream = ResumedStream::begin(self, body, guard, is_resumable, last);
         let mut response = Response::new(stream.into_body());
         *response.status_mut() = status;
@@ -427,7 +278,7 @@
         if self.runs > 0 {
             return self.give_up();
         }
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.arrived.deadline.saturating_duration_since(Instant::now());
         let jitter = rand::rng().random_range(0.8..1.0);
         let longest = left.mul_f64(HONOURED_SHARE * jitter);
         self.log.answered(StatusCode::SERVICE_UNAVAILABLE, none.reason);
@@ -446,10 +297,10 @@
 
     /// The answer to a request that was sent in vain and isn't sent again.
     fn give_up(mut self) -> Response<AnswerBody> {
-        let is_late = Instant::now() + MIN_ANSWER_TIME / 2 >= self.deadline;
+        let is_late = Instant::now() + MIN_ANSWER_TIME / 2 >= self.arrived.deadline;
         match self.runs {
             0 => {
-                let none = self.none("rejected_everywhere", ROOM_RETRY);
+                let none = NoUpstream::new("rejected_everywhere", ROOM_RETRY);
                 self.refuse(&none)
             }
             _ => {
@@ -462,13 +313,6 @@
     }
 }
 
-/// What an answer or its absence means.
-enum Judged {
-    Answer(Box<ServiceAnswer>),
-    Rejected,
-    Broken,
-}
-
 /// The engine's urgency for a rank: every second number, so that others fit between.
 fn urgency_of(rank: u8) -> u8 {
     rank.saturating_mul(2).saturating_add(1).min(9)
