Let a send that never left spend no retry budget

The budget bounds what upstreams get beyond the first send of each request; what never left isn't among that. Such a send may be followed by up to three others, as before.

Ruled out: a wrong classification (NotSent means that no byte was handed to the system).

Tests: answer_unsent_goes_elsewhere_without_budget (failed before: 503), and that a refused send still spends (answer_not_executed_without_budget_is_refused).

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -53,6 +53,8 @@
     runs: u32,
     /// Sends that upstreams refused as not run, or that never left.
     rejected: u32,
+    /// Whether the last send never left: the next one is no second arrival then.
+    is_unsent: bool,
     pub(crate) log: RequestLog,
 }
 
@@ -72,8 +74,16 @@
         let route = &arrived.route;
         let service = route.pick_service(rand::rng().random()).cloned().unwrap_or_default();
         parts.retries.lock().record_request(&UpstreamName::from(&*service));
-        let mut run =
-            Self { parts, arrived, service, tried: Vec::new(), runs: 0, rejected: 0, log };
+        let mut run = Self {
+            parts,
+            arrived,
+            service,
+            tried: Vec::new(),
+            runs: 0,
+            rejected: 0,
+            is_unsent: false,
+            log,
+        };
         run.log.set_service(&run.service);
         run
     }
@@ -138,14 +148,16 @@
         }
     }
 
-    /// Whether another send is allowed by kind, attempts, budget and time.
+    /// Whether another send is allowed by kind, attempts, budget and time. The budget bounds what upstreams
+    /// get beyond the first send of each request; what never left isn't among that.
     fn may_send_again(&self) -> bool {
         let is_repeatable = self.arrived.route.kind.is_repeatable() || self.runs == 0;
         let has_attempts =
             self.runs < self.arrived.route.max_attempts && self.rejected <= MAX_REJECTED;
         let has_time = Instant::now() + MIN_ANSWER_TIME / 2 < self.arrived.deadline;
-        let upstream = UpstreamName::from(&*self.service);
-        is_repeatable && has_attempts && has_time && self.parts.retries.lock().try_retry(&upstream)
+        let service = UpstreamName::from(&*self.service);
+        let is_affordable = || self.is_unsent || self.parts.retries.lock().try_retry(&service);
+        is_repeatable && has_attempts && has_time && is_affordable()
     }
 
     /// Sends once and reads the head of the answer.
@@ -179,9 +191,10 @@
         }
         let name = UpstreamName::from(&*card.id.name);
         self.parts.outliers.lock().observe(now, &name, began.elapsed(), succeeded);
+        self.is_unsent = matches!(end, Judged::Unsent);
         match end {
             Judged::Answer(answer) => SendEnd::Answer(answer, guard),
-            Judged::Rejected => {
+            Judged::Rejected | Judged::Unsent => {
                 self.rejected += 1;
                 SendEnd::Rejected
             }
--- a/crates/wheel_gateway/src/send_judge.rs
+++ b/crates/wheel_gateway/src/send_judge.rs
@@ -11,8 +11,10 @@
 pub(crate) enum Judged {
     /// The upstream's own answer.
     Answer(Box<ServiceAnswer>),
-    /// It certainly didn't run.
+    /// The upstream refused it as not run.
     Rejected,
+    /// It never left.
+    Unsent,
     /// It may have run, and gave no answer that can be passed on.
     Broken,
 }
@@ -59,8 +61,8 @@
     fn failure(&self, failure: &CallFailure) -> Judged {
         self.log.step("send_failed", &failure.to_string());
         match failure {
-            CallFailure { sent: SentState::NotSent, .. } => Judged::Rejected,
-            CallFailure { kind: FailureKind::TooManyOpen, .. } => Judged::Rejected,
+            CallFailure { sent: SentState::NotSent, .. } => Judged::Unsent,
+            CallFailure { kind: FailureKind::TooManyOpen, .. } => Judged::Unsent,
             _ => Judged::Broken,
         }
     }
--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -54,6 +54,27 @@
     assert_eq!((full.seen().len(), other.seen().len()), (1, 1));
 }
 
+#[tokio::test]
+async fn answer_unsent_goes_elsewhere_without_budget() {
+    // What never left is no second arrival, also where no second sends are left.
+    let closed = TestUpstream::closed("u1").await;
+    let other = TestUpstream::bind("u2", vec![Reply::ran(200, "ok")]).await;
+    let entry = TestEntry::without_budget(RouteKind::NonIdempotent, &[&closed, &other]).await;
+    entry.prefer("u1");
+    let answer = entry.post("/a/", &[]).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
+}
+
+#[tokio::test]
+async fn answer_not_executed_without_budget_is_refused() {
+    let full = TestUpstream::bind("u1", vec![Reply::not_executed(503)]).await;
+    let other = TestUpstream::bind("u2", vec![Reply::ran(200, "ok")]).await;
+    let entry = TestEntry::without_budget(RouteKind::NonIdempotent, &[&full, &other]).await;
+    entry.prefer("u1");
+    assert_eq!(entry.post("/a/", &[]).await.status, 503);
+    assert_eq!((full.seen().len(), other.seen().len()), (1, 0));
+}
+
 #[tokio::test]
 async fn answer_lost_isnt_repeated() {
     // The upstream has read the request and its answer is lost: nobody may say that it didn't run.
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -99,6 +99,13 @@
         Self { name, address, seen }
     }
 
+    /// An upstream that nobody listens for.
+    pub(crate) async fn closed(name: &'static str) -> Self {
+        let listener = tokio::net::TcpListener::bind(LOOPBACK).await.expect("loopback is there");
+        let address = listener.local_addr().expect("a bound address");
+        Self { name, address, seen: Arc::default() }
+    }
+
     pub(crate) fn seen(&self) -> Vec<SeenRequest> {
         self.seen.lock().clone()
     }
@@ -237,16 +244,30 @@
 impl TestEntry {
     pub(crate) async fn bind(kind: RouteKind, upstreams: &[&TestUpstream]) -> Self {
         let entry = Self::without_config().await;
-        entry.state.adopt(config(kind));
-        let engines = upstreams.iter().map(|upstream| card(upstream)).collect();
-        entry.state.set_view(FleetView { engines, ..FleetView::default() });
+        entry.set_fleet(kind, upstreams);
+        entry
+    }
+
+    /// An entry that may send nothing twice.
+    pub(crate) async fn without_budget(kind: RouteKind, upstreams: &[&TestUpstream]) -> Self {
+        let entry = Self::with_budget(0.0, 0.0).await;
+        entry.set_fleet(kind, upstreams);
         entry
     }
 
     pub(crate) async fn without_config() -> Self {
+        Self::with_budget(0.2, 10.0).await
+    }
+
+    fn set_fleet(&self, kind: RouteKind, upstreams: &[&TestUpstream]) {
+        self.state.adopt(config(kind));
+        let engines = upstreams.iter().map(|upstream| card(upstream)).collect();
+        self.state.set_view(FleetView { engines, ..FleetView::default() });
+    }
+
+    async fn with_budget(retry_share: f64, retry_reserve: f64) -> Self {
         let state: Arc<FleetState> = Arc::default();
-        let settings =
-            PathSettings { centre: "here".into(), retry_share: 0.2, retry_reserve: 10.0 };
+        let settings = PathSettings { centre: "here".into(), retry_share, retry_reserve };
         let path = RequestPath::new(
             settings,
             Arc::clone(&state),
