Look at the cards of the fleet's view without cloning them

Each choice of an upstream cloned the cards of a service's ready upstreams, with all that they hold, and the ids of all that is under way. It works on places in the view now.

--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -115,26 +115,28 @@
         self.view.send_replace(Arc::new(view));
     }
 
-    /// The upstreams of a service that take work.
-    pub fn ready_upstreams(&self, service: &str) -> Vec<EngineCard> {
-        let view = self.view();
+    /// The upstreams of a service that take work, as places in a view.
+    pub fn ready_places(&self, view: &FleetView, service: &str) -> Vec<usize> {
         let leaving = self.leaving.lock();
         let is_left =
             |id: &EngineId| leaving.get(id).is_some_and(|noted| noted.elapsed() < LEAVING_MEMORY);
-        let of_service = view.engines.iter().filter(|card| {
+        let is_ready = |card: &EngineCard| {
             &*card.service == service && card.state == UpstreamState::Ready && !is_left(&card.id)
-        });
-        of_service.cloned().collect()
-    }
-
-    /// Requests under way at each upstream, from here and, as far as told, from elsewhere.
-    pub fn active_counts(&self) -> HashMap<EngineId, (u32, u32)> {
-        let view = self.view();
-        let mut counts: HashMap<EngineId, (u32, u32)> =
-            view.loads.iter().map(|load| (load.engine.clone(), (0, load.active))).collect();
-        for (engine, own) in self.loads.lock().iter() {
-            let count = counts.entry(engine.clone()).or_default();
-            *count = (own.active, count.1.saturating_sub(own.told));
+        };
+        let cards = view.engines.iter().enumerate();
+        cards.filter(|(_, card)| is_ready(card)).map(|(place, _)| place).collect()
+    }
+
+    /// Requests under way at each upstream of a view: from here, and as far as told from elsewhere.
+    pub fn active_counts<'view>(&self, view: &'view FleetView) -> HashMap<&'view EngineId, u32> {
+        let own = self.loads.lock();
+        let mut counts: HashMap<&EngineId, u32> =
+            view.loads.iter().map(|load| (&load.engine, load.active)).collect();
+        for card in view.engines.iter().filter(|_| !own.is_empty()) {
+            if let Some(own) = own.get(&card.id) {
+                let count = counts.entry(&card.id).or_default();
+                *count = count.saturating_sub(own.told) + own.active;
+            }
         }
         counts
     }
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use tokio::time::{Instant, timeout_at};
 use wheel_policy::{HeldPart, UpstreamOffer, choose_upstream};
-use wheel_route::{DemandKey, EngineCard, EngineId, RouteSpec};
+use wheel_route::{DemandKey, EngineCard, EngineId, FleetView, RouteSpec};
 use wheel_types::{MonotonicTime, UpstreamName};
 
 use crate::IngressRequest;
@@ -61,12 +61,13 @@
         let mut waiting = None;
         loop {
             views.mark_unchanged();
-            let cards = self.parts.state.ready_upstreams(self.service);
-            if let Some(card) = self.choose(&cards) {
-                return Ok(card);
+            let view = self.parts.state.view();
+            let ready = self.parts.state.ready_places(&view, self.service);
+            if let Some(place) = self.choose(&view, &ready) {
+                return Ok(view.engines[place].clone());
             }
             let wait_end = match self.demand_key() {
-                _ if cards.is_empty() => return Err(NoUpstream::new("no_upstream", ROOM_RETRY)),
+                _ if ready.is_empty() => return Err(NoUpstream::new("no_upstream", ROOM_RETRY)),
                 None => return Err(NoUpstream::new("no_upstream", ROOM_RETRY)),
                 Some(key) => {
                     let wait_end = self.wait_end(&key, notice_end)?;
@@ -103,16 +104,17 @@
         }
     }
 
-    fn choose(&self, cards: &[EngineCard]) -> Option<EngineCard> {
-        let counts = self.parts.state.active_counts();
+    /// The place in the view of the best of the `ready` upstreams.
+    fn choose(&self, view: &FleetView, ready: &[usize]) -> Option<usize> {
+        let counts = self.parts.state.active_counts(view);
         let now = MonotonicTime::default() + self.parts.start.elapsed();
         let outliers = self.parts.outliers.lock();
         let mut reach = self.parts.reach.lock();
-        let offer = |card: &EngineCard| {
-            let (own, others) = counts.get(&card.id).copied().unwrap_or_default();
+        let offer = |place: &usize| {
+            let card = &view.engines[*place];
             UpstreamOffer {
                 slots: card.slots,
-                active: own + others,
+                active: counts.get(&card.id).copied().unwrap_or(0),
                 is_near: card.centre == self.parts.settings.centre,
                 held: self.held_part(card),
                 is_suspect: outliers.is_ejected(now, &UpstreamName::from(&*card.id.name)),
@@ -121,10 +123,10 @@
                 cached_share: 0.0,
             }
         };
-        let offers: Vec<UpstreamOffer> = cards.iter().map(offer).collect();
-        let place = choose_upstream(&offers, rand::rng().random())?;
-        reach.begin_probe(now, &cards[place].centre);
-        Some(cards[place].clone())
+        let offers: Vec<UpstreamOffer> = ready.iter().map(offer).collect();
+        let place = ready[choose_upstream(&offers, rand::rng().random())?];
+        reach.begin_probe(now, &view.engines[place].centre);
+        Some(place)
     }
 
     fn held_part(&self, card: &EngineCard) -> HeldPart {
