--- a/crates/wheel_policy/src/engine_queue.rs
+++ b/crates/wheel_policy/src/engine_queue.rs
@@ -375,9 +375,12 @@
         owed.or(may_start.then_some(first))
     }
 
-    /// The most urgent request of a rank, if it or one behind it would come too late unless they
-    /// all start in order of their deadlines from now on: what was taken in because it could be
-    /// served in time isn't given up for callers who came later.
+    /// The request of a rank with the earliest deadline, if it or one behind it would come too late
+    /// unless they all start in order of their deadlines from now on.
+    ///
+    /// The load pattern is an engine near its limit with fresh callers all the time: fair turns put a
+    /// caller's second request behind each of them, and what was taken in because it could be served in
+    /// time would be given up for callers who came later.
     fn pressing(&self, now: MonotonicTime, index: usize) -> Option<(CallerName, FlowKey)> {
         let own = self.due.iter().take(PRESSING_LOOKS).filter_map(|(due, id)| {
             let place = self.places.get(id)?;
--- a/crates/wheel_policy/src/load_pass.rs
+++ b/crates/wheel_policy/src/load_pass.rs
@@ -372,9 +372,11 @@
         waits && ready.peek().is_some() && ready.all(full)
     }
 
-    /// Whether one of the most worthy models, that only other data centres have, is asked for beyond
-    /// what these serve soon, while slots are free here; less worthy ones wait where they are. Bounds on replicas hold in each data centre by itself, so a flood
-    /// on the models of one would leave the others idle.
+    /// Whether one of the most worthy models, which only other data centres have, is asked for beyond
+    /// what these serve soon, while slots are free here.
+    ///
+    /// The load pattern is a flood on the models of one data centre: bounds on replicas hold in each by
+    /// itself, so that the others would stand idle. Less worthy models wait where they are.
     fn overflows(round: &PlanRound<'_>, demand: &ModelDemand) -> bool {
         let ready = round.ledger.replicas(&demand.model).ready;
         let slots = f64::from(demand.elsewhere * Self::engine_slots(round));
--- a/crates/wheel_storage/src/storage_error.rs
+++ b/crates/wheel_storage/src/storage_error.rs
@@ -74,6 +74,6 @@
 }
 
 /// Whether an operation of the system failed for want of room.
-pub(crate) fn is_full(error: &io::Error) -> bool {
+fn is_full(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded)
 }
