Read the change as a newcomer: one look at loads, no list for what presses, fields explained

Cause: on reading the whole change again, a choice of an upstream summed what is under way at all upstreams to look at a few, with a filter that a reader stumbles over; the search said "no upstream" in two arms for one reason; the queue made a list of up to 64 requests at each start to find one; fields of the fair queue had no word of what they count. No change of behaviour and no check touched.

--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -127,18 +127,18 @@
         cards.filter(|(_, card)| is_ready(card)).map(|(place, _)| place).collect()
     }
 
-    /// Requests under way at each upstream of a view: from here, and as far as told from elsewhere.
-    pub fn active_counts<'view>(&self, view: &'view FleetView) -> HashMap<&'view EngineId, u32> {
-        let own = self.loads.lock();
-        let mut counts: HashMap<&EngineId, u32> =
+    /// Requests under way at each of some places of a view: from here, and as far as told from elsewhere.
+    pub fn active_at(&self, view: &FleetView, places: &[usize]) -> Vec<u32> {
+        let told: HashMap<&EngineId, u32> =
             view.loads.iter().map(|load| (&load.engine, load.active)).collect();
-        for card in view.engines.iter().filter(|_| !own.is_empty()) {
-            if let Some(own) = own.get(&card.id) {
-                let count = counts.entry(&card.id).or_default();
-                *count = count.saturating_sub(own.told) + own.active;
-            }
-        }
-        counts
+        let loads = self.loads.lock();
+        let active = |place: &usize| {
+            let id = &view.engines[*place].id;
+            let own = loads.get(id).copied().unwrap_or_default();
+            let all = told.get(id).copied().unwrap_or(0);
+            all.saturating_sub(own.told) + own.active
+        };
+        places.iter().map(active).collect()
     }
 
     /// Changes what is under way at an upstream from here.
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -206,29 +206,25 @@
     }
 
     fn call(&self, card: &EngineCard, resume_after: Option<u64>) -> ServiceCall {
-        let left = self.arrived.deadline.saturating_duration_since(Instant::now());
+        let ArrivedRequest { route, ask, head, body, deadline, .. } = &self.arrived;
+        let left = deadline.saturating_duration_since(Instant::now());
         let mark = SendMark {
             time_left: left,
             target: Arc::clone(&card.id.name),
-            urgency: self
-                .arrived
-                .ask
-                .generation
-                .as_ref()
-                .map(|_| urgency_of(self.arrived.route.rank)),
+            urgency: ask.generation.as_ref().map(|_| urgency_of(route.rank)),
             resume_after,
         };
-        let mut headers = self.arrived.head.headers.clone();
+        let mut headers = head.headers.clone();
         self.parts.dialect.mark(&mut headers, &mark);
-        let path = self.arrived.head.uri.path_and_query().cloned();
+        let path = head.uri.path_and_query().cloned();
         ServiceCall {
-            request_id: self.arrived.ask.id.clone(),
-            method: self.arrived.head.method.clone(),
+            request_id: ask.id.clone(),
+            method: head.method.clone(),
             path: path.unwrap_or_else(|| http::uri::PathAndQuery::from_static("/")),
             headers,
-            body: self.arrived.body.clone(),
+            body: body.clone(),
             idempotency_key: None,
-            idempotent: self.arrived.route.kind.is_repeatable(),
+            idempotent: route.kind.is_repeatable(),
             timeouts: self.timeouts(left),
         }
     }
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -66,15 +66,12 @@
             if let Some(place) = self.choose(&view, &ready) {
                 return Ok(view.engines[place].clone());
             }
-            let wait_end = match self.demand_key() {
-                _ if ready.is_empty() => return Err(NoUpstream::new("no_upstream", ROOM_RETRY)),
-                None => return Err(NoUpstream::new("no_upstream", ROOM_RETRY)),
-                Some(key) => {
-                    let wait_end = self.wait_end(&key, notice_end)?;
-                    waiting.get_or_insert_with(|| WaitGuard::begin(&self.parts.state, key));
-                    wait_end
-                }
+            // Only what an upstream is there for can be loaded.
+            let Some(key) = self.demand_key().filter(|_| !ready.is_empty()) else {
+                return Err(NoUpstream::new("no_upstream", ROOM_RETRY));
             };
+            let wait_end = self.wait_end(&key, notice_end)?;
+            waiting.get_or_insert_with(|| WaitGuard::begin(&self.parts.state, key));
             if timeout_at(wait_end, views.changed()).await.is_err() {
                 return Err(NoUpstream::new("model_not_loaded", ROOM_RETRY));
             }
@@ -106,15 +103,15 @@
 
     /// The place in the view of the best of the `ready` upstreams.
     fn choose(&self, view: &FleetView, ready: &[usize]) -> Option<usize> {
-        let counts = self.parts.state.active_counts(view);
+        let active = self.parts.state.active_at(view, ready);
         let now = MonotonicTime::default() + self.parts.start.elapsed();
         let outliers = self.parts.outliers.lock();
         let mut reach = self.parts.reach.lock();
-        let offer = |place: &usize| {
+        let offer = |(place, active): (&usize, u32)| {
             let card = &view.engines[*place];
             UpstreamOffer {
                 slots: card.slots,
-                active: counts.get(&card.id).copied().unwrap_or(0),
+                active,
                 is_near: card.centre == self.parts.settings.centre,
                 held: self.held_part(card),
                 is_suspect: outliers.is_ejected(now, &UpstreamName::from(&*card.id.name)),
@@ -123,7 +120,7 @@
                 cached_share: 0.0,
             }
         };
-        let offers: Vec<UpstreamOffer> = ready.iter().map(offer).collect();
+        let offers: Vec<UpstreamOffer> = ready.iter().zip(active).map(offer).collect();
         let place = ready[choose_upstream(&offers, rand::rng().random())?];
         reach.begin_probe(now, &view.engines[place].centre);
         Some(place)
--- a/crates/wheel_policy/src/engine_queue.rs
+++ b/crates/wheel_policy/src/engine_queue.rs
@@ -382,19 +382,22 @@
     /// caller's second request behind each of them, and what was taken in because it could be served in
     /// time would be given up for callers who came later.
     fn pressing(&self, now: MonotonicTime, index: usize) -> Option<(CallerName, FlowKey)> {
-        let own = self.due.iter().take(PRESSING_LOOKS).filter_map(|(due, id)| {
-            let place = self.places.get(id)?;
-            (place.rank.index() == index).then_some((due.0, place))
-        });
-        let own: Vec<(MonotonicTime, &QueuePlace)> = own.collect();
         let slot_s = self.slot_time_s.value();
         let slots = f64::from(self.settings.slots.max(1));
-        let presses = own.iter().enumerate().any(|(ahead, (due, _))| {
-            let turn_s = slot_s * (PRESSING_SHARE + ahead as f64 / slots);
-            *due <= now + Duration::from_secs_f64(turn_s)
-        });
-        let (_, first) = own.first().filter(|_| presses)?;
-        Some((first.caller.clone(), first.flow_key))
+        let mut first = None;
+        let mut ahead = 0.0;
+        for (due, id) in self.due.iter().take(PRESSING_LOOKS) {
+            let Some(place) = self.places.get(id).filter(|one| one.rank.index() == index) else {
+                continue;
+            };
+            let first = *first.get_or_insert(place);
+            let turn_s = slot_s * (PRESSING_SHARE + ahead / slots);
+            if due.0 <= now + Duration::from_secs_f64(turn_s) {
+                return Some((first.caller.clone(), first.flow_key));
+            }
+            ahead += 1.0;
+        }
+        None
     }
 
     fn free_slots(&self, rank: RequestRank) -> u32 {
--- a/crates/wheel_policy/src/rank_queue.rs
+++ b/crates/wheel_policy/src/rank_queue.rs
@@ -24,10 +24,13 @@
     flows: BTreeMap<CallerName, CallerFlow>,
     order: BTreeSet<(u64, CallerName)>,
     virtual_us: u64,
+    /// Weights of the callers that wait.
     active_weight: u64,
+    /// Weights of the callers that wait or were asked to come back.
     claim_weight: u64,
     waiting: usize,
     work: Duration,
+    /// All bookings, earliest first.
     returns: BTreeMap<(MonotonicTime, u64), CallerName>,
     sequence: u64,
 }
@@ -40,7 +43,9 @@
     requests: BTreeMap<FlowKey, QueuedRequest>,
     work: Duration,
     next_return: MonotonicTime,
+    /// When requests of the caller were asked to come back.
     bookings: BTreeSet<(MonotonicTime, u64)>,
+    /// The caller's part of `claim_weight`.
     claimed: u64,
 }
 
