Say in a request's last line how far it had come, and when a wait for a load begins

Callers saw connections closed without an answer as an entry ended. Its log had one line for each such request, "sends=0 status=0 reason=caller_left", which fits a wait for a load as well as a body that wasn't read whole. request_ended now carries the phase (reading, searching, sent, answering), and a wait writes request_step step=waits with the wait that is expected, the time left and the view's age. No decision changes.

--- a/crates/wheel_gateway/src/request_log.rs
+++ b/crates/wheel_gateway/src/request_log.rs
@@ -11,6 +11,30 @@
 
 use crate::{GenerationAsk, IngressRequest};
 
+/// Where a request is on its way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RequestPhase {
+    /// Its body is being read.
+    Reading,
+    /// It looks for an upstream, or waits until what it needs is loaded.
+    Searching,
+    /// An upstream has it, or is being connected to; no head has come yet.
+    Sent,
+    /// The upstream's answer is on its way.
+    Answering,
+}
+
+impl RequestPhase {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Reading => "reading",
+            Self::Searching => "searching",
+            Self::Sent => "sent",
+            Self::Answering => "answering",
+        }
+    }
+}
+
 /// What became of a request, written when it ends, however it ends.
 pub(crate) struct RequestLog {
     id: RequestId,
@@ -23,6 +47,7 @@
     view_age_ms: u128,
     engine: Arc<str>,
     sends: u32,
+    phase: RequestPhase,
     events: u64,
     status: Option<StatusCode>,
     first_ms: Option<u128>,
@@ -55,6 +80,7 @@
             view_age_ms,
             engine: "-".into(),
             sends: 0,
+            phase: RequestPhase::Reading,
             events: 0,
             status: None,
             first_ms: None,
@@ -72,6 +98,12 @@
     pub(crate) fn sent(&mut self, engine: &Arc<str>) {
         self.engine = Arc::clone(engine);
         self.sends += 1;
+        self.phase = RequestPhase::Sent;
+    }
+
+    /// Notes that the request begins the next part of its way.
+    pub(crate) fn enter(&mut self, phase: RequestPhase) {
+        self.phase = phase;
     }
 
     /// Notes the status that the caller gets, and why.
@@ -122,7 +154,7 @@
             id = self.id.as_str(), route = self.route.name.to_string(),
             service = self.service.to_string(),
             model = self.model.as_str(), upstream = self.engine.to_string(), sends = self.sends,
-            status = status, reason = self.reason, events = self.events,
+            status = status, reason = self.reason, phase = self.phase.as_str(), events = self.events,
             first_ms = self.first_ms.unwrap_or_default(),
             ms = took.as_millis(), version = self.version, view_age_ms = self.view_age_ms
         });
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -13,7 +13,7 @@
 use wheel_types::{MonotonicTime, UpstreamName};
 use wheel_upstream::{CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall};
 
-use crate::request_log::RequestLog;
+use crate::request_log::{RequestLog, RequestPhase};
 use crate::request_path::{PathParts, refusal};
 use crate::resumed_stream::ResumedStream;
 use crate::send_judge::{Judged, SendJudge};
@@ -96,6 +96,7 @@
         }
         let mut last_answer = None;
         loop {
+            self.log.enter(RequestPhase::Searching);
             let card = match self.search().find().await {
                 Ok(card) => card,
                 Err(_) if last_answer.is_some() => break,
@@ -126,9 +127,11 @@
     /// Finds an upstream and sends the rest of a stream there, after the event `last`.
     pub(crate) async fn resume(&mut self, last: Option<u64>) -> Option<(ServiceAnswer, LoadGuard)> {
         while self.may_send_again() {
+            self.log.enter(RequestPhase::Searching);
             let card = self.search().find().await.ok()?;
             match self.send(&card, last.or(self.arrived.ask.resume_after)).await {
                 SendEnd::Answer(answer, guard) if answer.status.is_success() => {
+                    self.log.enter(RequestPhase::Answering);
                     return Some((*answer, guard));
                 }
                 SendEnd::Answer(..) | SendEnd::Rejected | SendEnd::Broken => {}
@@ -145,6 +148,7 @@
             service: &self.service,
             tried: &self.tried,
             deadline: self.arrived.deadline,
+            log: &self.log,
         }
     }
 
@@ -251,6 +255,7 @@
         _guard: LoadGuard,
     ) -> Option<Response<AnswerBody>> {
         self.runs += 1;
+        self.log.enter(RequestPhase::Answering);
         match answer.body.collect(MAX_WHOLE_BYTES).await {
             Ok(body) => {
                 self.log.answered(answer.status, "answered");
@@ -268,6 +273,7 @@
 
     fn stream(mut self, answer: ServiceAnswer, guard: LoadGuard) -> Response<AnswerBody> {
         self.runs += 1;
+        self.log.enter(RequestPhase::Answering);
         let ServiceAnswer { status, mut headers, body, .. } = answer;
         self.log.answered(status, "stream_cut");
         let is_resumable = self.arrived.route.kind.is_repeatable() && status.is_success();
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -10,6 +10,7 @@
 use wheel_types::{MonotonicTime, UpstreamName};
 
 use crate::IngressRequest;
+use crate::request_log::RequestLog;
 use crate::request_path::PathParts;
 use crate::wait_guard::WaitGuard;
 
@@ -43,6 +44,7 @@
     /// Upstreams that the request was sent to before.
     pub(crate) tried: &'a [EngineId],
     pub(crate) deadline: Instant,
+    pub(crate) log: &'a RequestLog,
 }
 
 impl NoUpstream {
@@ -71,13 +73,26 @@
                 return Err(NoUpstream::new("no_upstream", ROOM_RETRY));
             };
             let wait_end = self.wait_end(&key, notice_end)?;
-            waiting.get_or_insert_with(|| WaitGuard::begin(&self.parts.state, key));
+            waiting.get_or_insert_with(|| {
+                self.log_wait(wait_end);
+                WaitGuard::begin(&self.parts.state, key)
+            });
             if timeout_at(wait_end, views.changed()).await.is_err() {
                 return Err(NoUpstream::new("model_not_loaded", ROOM_RETRY));
             }
         }
     }
 
+    /// Tells how long the request expects to wait at most, and of how old a view.
+    fn log_wait(&self, wait_end: Instant) {
+        let now = Instant::now();
+        let wait = wait_end.saturating_duration_since(now).as_millis();
+        let left = self.deadline.saturating_duration_since(now).as_millis();
+        let age = self.parts.state.view_age().as_millis();
+        let inputs = format!("model_not_loaded, wait_ms {wait}, left_ms {left}, view_age_ms {age}");
+        self.log.step("waits", &inputs);
+    }
+
     /// How long a wait for a load makes sense.
     fn wait_end(&self, key: &DemandKey, notice_end: Instant) -> Result<Instant, NoUpstream> {
         let now = Instant::now();
