--- /dev/null
+++ b/crates/wheel_entry/tests/drain_deadline.rs
@@ -0,0 +1,33 @@
+//! The time by which a draining instance has answered.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wheel_entry::DrainDeadline;
+
+#[tokio::test(start_paused = true)]
+async fn begin_again_never_puts_the_end_off() {
+    let drain = DrainDeadline::default();
+    let (first, later) =
+        (Instant::now() + Duration::from_secs(2), Instant::now() + Duration::from_secs(9));
+    drain.begin(first);
+    drain.begin(later);
+    assert_eq!(drain.end(), Some(first));
+}
+
+#[tokio::test(start_paused = true)]
+async fn passed_follows_an_end_brought_forward() {
+    // A second signal ends a drain that has time left.
+    let drain = DrainDeadline::default();
+    let start = Instant::now();
+    let waiting = tokio::spawn({
+        let drain = drain.clone();
+        async move { drain.passed().await }
+    });
+    drain.begin(start + Duration::from_secs(600));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(!waiting.is_finished());
+    drain.begin(start + Duration::from_secs(2));
+    assert!(waiting.await.is_ok());
+    assert_eq!(start.elapsed(), Duration::from_secs(2));
+}
