Answer all that an ending entry has in hand before its process ends

Cause: the drain's time was known to HttpServer::drain alone. Each wait on the way of a request (for a load, for its body, for an upstream's head) was bounded by the route's limit, 13 s for one kind, against a drain of 7.6 s; what still waited then was dropped with the runtime. The class: a shutdown timeout that isn't a deadline of the work in hand.

Change: DrainDeadline is shared by the server, the way of a request and the process. A wait for a load that is said to take longer is refused at once (503, draining, with the load's time as Retry-After), one that would end in time goes on. A request with no time left for an answer isn't sent. Upstreams are told the time until the end, so that they refuse what they can't begin. At the end, what certainly didn't run is refused (503, 408 while its body is due), what may have run gets 504, an upstream's own failure is kept, and streams are cut with a line in the log that says why. HttpServer answers in the place of any handler that hasn't (504, outcome unknown), for every server of both programs; cut() does it at once. A wait for a load no longer exceeds the request's own deadline.

--- a/crates/wheel_daemon/src/fleet_entry.rs
+++ b/crates/wheel_daemon/src/fleet_entry.rs
@@ -8,7 +8,8 @@
 use hyper::body::Incoming;
 use snafu::ResultExt;
 use spdlog::{error, info};
-use wheel_entry::{AnswerBody, HttpLimits, HttpServer, full_body};
+use tokio::time::Instant;
+use wheel_entry::{AnswerBody, DrainDeadline, HttpLimits, HttpServer, full_body};
 use wheel_gateway::{FleetState, PathSettings, RequestPath};
 use wheel_peer::PeerHub;
 use wheel_placement::{ListSettings, ListWatch, ParentSync, SyncEnd, SyncSettings};
@@ -26,8 +27,11 @@
 /// Time between the signal and the end of accepting, in which the balancer notices: two questions, one a
 /// second, and the connections that were on their way.
 const NOTICE_TIME: Duration = Duration::from_millis(3_200);
-/// Time before the end of the grace at which the process ends by itself.
+/// Time before the end of the grace by which all that was taken in has an answer: the last answers are written
+/// in it, and the process ends by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time for the way of a request to answer before the server does it in its place.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Share of the deployment's retries that the entries use together: each counts by itself, and the
 /// windows of the rule aren't aligned with theirs.
 const RETRY_SHARE: f64 = 0.7;
@@ -40,6 +44,7 @@
 pub(crate) struct FleetEntry {
     callers: HttpServer,
     is_draining: Arc<AtomicBool>,
+    drain: DrainDeadline,
     grace: Duration,
 }
 
@@ -60,11 +65,13 @@
             retry_share: settings.bounds.retry_share * RETRY_SHARE,
             retry_reserve: (settings.bounds.retry_extra * RETRY_SHARE / ASSUMED_ENTRIES).max(2.0),
         };
+        let drain = DrainDeadline::default();
         let path = RequestPath::new(
             path_settings,
             Arc::clone(&state),
             Arc::clone(&dialects.ingress),
             Arc::clone(&dialects.upstream),
+            drain.clone(),
         );
         spawn_pruning(&state, path.clone());
         let limits = HttpLimits::default();
@@ -87,17 +94,22 @@
         })
         .await
         .context(ListenSnafu)?;
-        Ok(Self { callers, is_draining, grace: settings.bounds.grace })
+        Ok(Self { callers, is_draining, drain, grace: settings.bounds.grace })
     }
 
-    /// Says that no callers should come, serves those that come all the same, and ends.
+    /// Says that no callers should come, serves those that come all the same, and ends once all have an answer.
     pub(crate) async fn drain(self) {
+        let end = Instant::now() + self.grace.saturating_sub(EXIT_MARGIN);
         self.is_draining.store(true, Ordering::Release);
+        self.drain.begin(end);
         self.callers.close_after_answers();
         tokio::time::sleep(NOTICE_TIME.min(self.grace / 2)).await;
-        let left = self.grace.saturating_sub(NOTICE_TIME.min(self.grace / 2) + EXIT_MARGIN);
+        let left = end.saturating_duration_since(Instant::now()) + ANSWER_TIME;
+        let connections = self.callers.open_connections();
         let all_ended = self.callers.drain(left).await;
-        info!("drain_ended", kv: { all_ended });
+        info!("drain_ended", kv: {
+            all_ended, connections, left = self.callers.open_connections()
+        });
     }
 }
 
--- a/crates/wheel_entry/src/http_server.rs
+++ b/crates/wheel_entry/src/http_server.rs
@@ -17,10 +17,12 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wheel_types::RequestOutcome;
 
-use crate::{AnswerBody, HttpLimits, RefusalCode, RequestRefusal, header_names};
+use crate::{AnswerBody, DrainDeadline, HttpLimits, RefusalCode, RequestRefusal, header_names};
 
 /// Connections that wait to be accepted. A burst beyond it loses SYNs, which costs a second each;
 /// the system's own limit goes first where it is lower.
@@ -49,11 +51,28 @@
 /// When a caller should come back that met the bound.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 
+/// Time in which the last answers are written once the time of a drain is over.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Refuses a request that came over a connection beyond the bound, and closes the connection.
 async fn answer_busy(request: Request<Incoming>) -> Response<AnswerBody> {
     let message = "too many connections are open here";
     let refusal = RequestRefusal::new(RefusalCode::Unavailable, message);
-    let answer = refusal.with_retry_after(BUSY_RETRY).into_answer();
+    last_answer(
+        request.headers().get(header_names::REQUEST_ID),
+        refusal.with_retry_after(BUSY_RETRY),
+    )
+}
+
+/// What a request gets that has no answer when the time of the drain is over.
+fn unanswered() -> RequestRefusal {
+    let message = "the instance ended before there was an answer";
+    RequestRefusal::new(RefusalCode::DeadlinePassed, message).with_outcome(RequestOutcome::Unknown)
+}
+
+/// The server's own answer to a request, after which the connection closes.
+fn last_answer(id: Option<&HeaderValue>, refusal: RequestRefusal) -> Response<AnswerBody> {
+    let answer = refusal.into_answer();
     let mut response = Response::new(answer.body);
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
@@ -61,7 +80,7 @@
     headers.insert(header_names::OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
     headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     // A relaying instance takes no answer that doesn't repeat its id.
-    if let Some(id) = request.headers().get(header_names::REQUEST_ID) {
+    if let Some(id) = id {
         headers.insert(header_names::REQUEST_ID, id.clone());
     }
     response
@@ -88,6 +107,8 @@
     limits: Arc<Mutex<HttpLimits>>,
     /// Whether each answer ends its connection.
     closing: Arc<AtomicBool>,
+    /// When requests without an answer get the server's own.
+    cut: DrainDeadline,
     connections: TaskTracker,
 }
 
@@ -113,6 +134,7 @@
             draining: CancellationToken::new(),
             limits: Arc::new(Mutex::new(limits.clone())),
             closing: Arc::default(),
+            cut: DrainDeadline::default(),
             connections: TaskTracker::new(),
         };
         tokio::spawn(server.clone().accept_loop(listener, limits, answer));
@@ -135,13 +157,31 @@
         self.closing.store(true, Ordering::Release);
     }
 
-    /// Stops accepting, lets requests in hand end, and closes connections as they become idle.
-    /// Returns true if all ended within `limit`.
+    /// Stops accepting, lets requests in hand end, and closes connections as they become idle. A request that
+    /// has no answer at `limit`, or at [`Self::cut`], is told that its outcome is unknown.
+    /// Returns true if all ended by themselves.
     pub async fn drain(&self, limit: Duration) -> bool {
+        self.cut.begin(Instant::now() + limit);
         self.accepting.cancel();
         self.draining.cancel();
         self.connections.close();
-        tokio::time::timeout(limit, self.connections.wait()).await.is_ok()
+        tokio::select! {
+            () = self.connections.wait() => true,
+            () = self.cut.passed() => {
+                let _ = tokio::time::timeout(LAST_ANSWER_TIME, self.connections.wait()).await;
+                false
+            }
+        }
+    }
+
+    /// Ends a drain at once; also one that hasn't begun yet.
+    pub fn cut(&self) {
+        self.cut.begin(Instant::now());
+    }
+
+    /// Connections that are open.
+    pub fn open_connections(&self) -> usize {
+        self.connections.len()
     }
 
     async fn accept_loop<S, F>(self, listener: TcpListener, limits: HttpLimits, answer: S)
@@ -189,12 +229,17 @@
     {
         // Small SSE events must leave at once.
         let _ = stream.set_nodelay(true);
-        let closing = Arc::clone(&self.closing);
-        let service = service_fn(move |request| {
+        let (closing, cut) = (Arc::clone(&self.closing), self.cut.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let id = request.headers().get(header_names::REQUEST_ID).cloned();
             let response = answer(request);
-            let closing = Arc::clone(&closing);
+            let (closing, cut) = (Arc::clone(&closing), cut.clone());
             async move {
-                let mut response = response.await;
+                let mut response = tokio::select! {
+                    biased;
+                    response = response => response,
+                    () = cut.passed() => last_answer(id.as_ref(), unanswered()),
+                };
                 if closing.load(Ordering::Acquire) {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/wheel_entry/tests/http_server.rs
+++ b/crates/wheel_entry/tests/http_server.rs
@@ -77,3 +77,51 @@
     assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer}");
     assert_eq!(late.read(&mut [0; 16]).await.expect("an end"), 0);
 }
+
+/// A server whose handler never answers, and a connection that waits for it.
+async fn silent_server() -> (HttpServer, TcpStream) {
+    let (started, mut starts) = tokio::sync::mpsc::unbounded_channel();
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::bind(address, HttpLimits::default(), move |_| {
+        let _ = started.send(());
+        std::future::pending()
+    });
+    let server = server.await.expect("a server");
+    let mut waiting = TcpStream::connect(server.local_addr()).await.expect("a connection");
+    waiting.write_all(REQUEST).await.expect("a sent request");
+    starts.recv().await.expect("the handler has the request");
+    (server, waiting)
+}
+
+async fn read_rest(stream: &mut TcpStream) -> String {
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).await.expect("an end");
+    String::from_utf8_lossy(&rest).into_owned()
+}
+
+#[tokio::test]
+async fn drain_request_without_answer_is_told_that_nothing_is_known() {
+    let (server, mut waiting) = silent_server().await;
+    assert!(!server.drain(Duration::from_millis(200)).await, "not all ended by themselves");
+    let answer = read_rest(&mut waiting).await;
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer:?}");
+    for header in ["wheel-outcome: unknown", "wheel-request-id: r-1"] {
+        assert!(answer.contains(header), "{header} is missing in {answer}");
+    }
+}
+
+#[tokio::test]
+async fn cut_drain_answers_at_once() {
+    // A second signal: the time that is left isn't waited for, and callers are told all the same.
+    let (server, mut waiting) = silent_server().await;
+    let began = std::time::Instant::now();
+    let draining = tokio::spawn({
+        let server = server.clone();
+        async move { server.drain(Duration::from_secs(600)).await }
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    server.cut();
+    assert!(!draining.await.expect("the drain ends"));
+    assert!(began.elapsed() < Duration::from_secs(10));
+    assert!(read_rest(&mut waiting).await.starts_with("HTTP/1.1 504"));
+}
--- a/crates/wheel_gateway/src/request_path.rs
+++ b/crates/wheel_gateway/src/request_path.rs
@@ -7,7 +7,9 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use tokio::time::Instant;
-use wheel_entry::{AnswerBody, HttpLimits, full_body, read_body};
+use wheel_entry::{
+    AnswerBody, DrainDeadline, HttpLimits, RefusalCode, RequestRefusal, full_body, read_body,
+};
 use wheel_policy::{OutlierDetector, OutlierSettings, ReachTable, RetryBudget};
 use wheel_upstream::ServiceDialect;
 
@@ -38,6 +40,7 @@
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) outliers: Mutex<OutlierDetector>,
     pub(crate) reach: Mutex<ReachTable>,
+    pub(crate) drain: DrainDeadline,
     pub(crate) start: Instant,
 }
 
@@ -48,12 +51,13 @@
 }
 
 impl RequestPath {
-    /// Serves by what `state` holds.
+    /// Serves by what `state` holds; all that comes in has an answer by the end of `drain`.
     pub fn new(
         settings: PathSettings,
         state: Arc<FleetState>,
         dialect: Arc<dyn IngressDialect>,
         upstream_dialect: Arc<dyn ServiceDialect>,
+        drain: DrainDeadline,
     ) -> Self {
         let budget = wheel_policy::BudgetSettings {
             share: settings.retry_share,
@@ -72,6 +76,7 @@
             retries: Mutex::new(RetryBudget::open(budget)),
             outliers: Mutex::new(OutlierDetector::open(outliers)),
             reach: Mutex::default(),
+            drain,
             start: Instant::now(),
         };
         Self { parts: Arc::new(parts) }
@@ -111,7 +116,14 @@
             body_timeout: limit,
             ..HttpLimits::default()
         };
-        let body = match read_body(body, &limits).await {
+        let body = tokio::select! {
+            body = read_body(body, &limits) => body,
+            () = self.parts.drain.passed() => {
+                let message = "the instance ends before the request's body came";
+                Err(RequestRefusal::new(RefusalCode::BodyTimeout, message))
+            }
+        };
+        let body = match body {
             Ok(body) => body,
             Err(fault) => {
                 let mut log = log;
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -8,7 +8,7 @@
 use http::{Response, StatusCode, header};
 use rand::Rng;
 use tokio::time::Instant;
-use wheel_entry::{AnswerBody, full_body};
+use wheel_entry::{AnswerBody, DrainDeadline, full_body};
 use wheel_route::{EngineCard, EngineId, RouteSpec};
 use wheel_types::{MonotonicTime, UpstreamName};
 use wheel_upstream::{CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall};
@@ -55,9 +55,25 @@
     rejected: u32,
     /// Whether the last send never left: the next one is no second arrival then.
     is_unsent: bool,
+    /// Whether a send is under way of which nothing is known yet.
+    is_sending: bool,
+    /// An upstream's own failure, for the case that no other answer comes.
+    failure: Option<Response<AnswerBody>>,
     pub(crate) log: RequestLog,
 }
 
+/// What the search for an answer came to.
+enum ServeEnd {
+    /// The upstream's whole answer.
+    Whole(Response<AnswerBody>),
+    /// The head of a stream, with what counts it as under way.
+    Stream(Box<ServiceAnswer>, LoadGuard),
+    /// There is no upstream to send to.
+    NoUpstream(NoUpstream),
+    /// No send gave an answer, and none is allowed any more.
+    NoAnswer,
+}
+
 /// What one send came to.
 pub(crate) enum SendEnd {
     /// The upstream's own answer, with what counts it as under way.
@@ -82,33 +98,53 @@
             runs: 0,
             rejected: 0,
             is_unsent: false,
+            is_sending: false,
+            failure: None,
             log,
         };
         run.log.set_service(&run.service);
         run
     }
 
-    /// Sends the request until it has an answer or may not be sent again.
+    /// Answers the request, at the latest when the instance has to end.
     pub(crate) async fn serve(mut self) -> Response<AnswerBody> {
         if let Some(key) = self.search().demand_key() {
             let lost = if self.arrived.route.objective < LOAD_TIME { 1.0 } else { LATE_SHARE };
             self.parts.state.note_demand(&key, lost);
         }
-        let mut last_answer = None;
+        let drain = self.parts.drain.clone();
+        let end = tokio::select! {
+            biased;
+            end = self.find_answer() => Some(end),
+            () = drain.passed() => None,
+        };
+        match end {
+            Some(ServeEnd::Whole(response)) => response,
+            Some(ServeEnd::Stream(answer, guard)) => self.stream(*answer, guard),
+            Some(ServeEnd::NoUpstream(none)) => self.refuse(&none),
+            Some(ServeEnd::NoAnswer) => self.give_up(),
+            None => self.end_drained(),
+        }
+    }
+
+    /// Sends the request until it has an answer or may not be sent again.
+    async fn find_answer(&mut self) -> ServeEnd {
         loop {
             self.log.enter(RequestPhase::Searching);
             let card = match self.search().find().await {
                 Ok(card) => card,
-                Err(_) if last_answer.is_some() => break,
-                Err(none) => return self.refuse(&none),
+                Err(_) if self.failure.is_some() => break,
+                Err(none) => return ServeEnd::NoUpstream(none),
             };
             match self.send(&card, self.arrived.ask.resume_after).await {
                 SendEnd::Answer(answer, guard) if self.arrived.route.kind.is_stream() => {
-                    return self.stream(*answer, guard);
+                    return ServeEnd::Stream(answer, guard);
                 }
                 SendEnd::Answer(answer, guard) => match self.whole(*answer, guard).await {
-                    Some(response) if !response.status().is_server_error() => return response,
-                    Some(response) => last_answer = Some(response),
+                    Some(response) if !response.status().is_server_error() => {
+                        return ServeEnd::Whole(response);
+                    }
+                    Some(response) => self.failure = Some(response),
                     None => {}
                 },
                 SendEnd::Rejected | SendEnd::Broken => {}
@@ -118,9 +154,21 @@
             }
             self.log.step("send_again", "last_send_failed");
         }
-        match last_answer {
+        self.failure.take().map_or(ServeEnd::NoAnswer, ServeEnd::Whole)
+    }
+
+    /// The answer to a request that is open when the instance has to end.
+    fn end_drained(mut self) -> Response<AnswerBody> {
+        if self.is_sending {
+            self.runs += 1;
+        }
+        match self.failure.take() {
             Some(response) => response,
-            None => self.give_up(),
+            None if self.runs == 0 => self.refuse(&NoUpstream::new("draining", ROOM_RETRY)),
+            None => {
+                self.log.answered(StatusCode::GATEWAY_TIMEOUT, "drain_ended");
+                refusal(StatusCode::GATEWAY_TIMEOUT, "the instance ends", None)
+            }
         }
     }
 
@@ -158,12 +206,22 @@
         let is_repeatable = self.arrived.route.kind.is_repeatable() || self.runs == 0;
         let has_attempts =
             self.runs < self.arrived.route.max_attempts && self.rejected <= MAX_REJECTED;
-        let has_time = Instant::now() + MIN_ANSWER_TIME / 2 < self.arrived.deadline;
+        let has_time = Instant::now() + MIN_ANSWER_TIME / 2 < self.deadline();
         let service = UpstreamName::from(&*self.service);
         let is_affordable = || self.is_unsent || self.parts.retries.lock().try_retry(&service);
         is_repeatable && has_attempts && has_time && is_affordable()
     }
 
+    /// When the instance has to end.
+    pub(crate) fn drain(&self) -> DrainDeadline {
+        self.parts.drain.clone()
+    }
+
+    /// The request's deadline, or the instance's end if that is earlier.
+    fn deadline(&self) -> Instant {
+        self.parts.drain.bound(self.arrived.deadline)
+    }
+
     /// Sends once and reads the head of the answer.
     async fn send(&mut self, card: &EngineCard, resume_after: Option<u64>) -> SendEnd {
         self.tried.push(card.id.clone());
@@ -175,7 +233,9 @@
         let entries = self.parts.state.view().entries;
         let client = self.parts.upstreams.client(card, max_connections, entries);
         let began = Instant::now();
+        self.is_sending = true;
         let answer = client.call(self.call(card, resume_after)).await;
+        self.is_sending = false;
         let is_unreachable = matches!(
             &answer,
             Err(CallFailure {
@@ -210,8 +270,8 @@
     }
 
     fn call(&self, card: &EngineCard, resume_after: Option<u64>) -> ServiceCall {
-        let ArrivedRequest { route, ask, head, body, deadline, .. } = &self.arrived;
-        let left = deadline.saturating_duration_since(Instant::now());
+        let ArrivedRequest { route, ask, head, body, .. } = &self.arrived;
+        let left = self.deadline().saturating_duration_since(Instant::now());
         let mark = SendMark {
             time_left: left,
             target: Arc::clone(&card.id.name),
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::future::BoxFuture;
+use futures_util::{FutureExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use wheel_entry::{AnswerBody, AnswerError};
@@ -21,6 +22,8 @@
     ready: VecDeque<Bytes>,
     is_resumable: bool,
     last: Option<u64>,
+    /// Completes when the instance has to end.
+    drained: BoxFuture<'static, ()>,
 }
 
 impl ResumedStream {
@@ -31,7 +34,9 @@
         is_resumable: bool,
         last: Option<u64>,
     ) -> Self {
+        let drain = run.drain();
         Self {
+            drained: async move { drain.passed().await }.boxed(),
             run,
             body: Some(body),
             guard: Some(guard),
@@ -57,9 +62,15 @@
                 self.run.log.passed_event();
                 return Some(Ok(event));
             }
-            let piece = match &mut self.body {
-                Some(body) => body.next().await,
-                None => return None,
+            let Some(body) = &mut self.body else { return None };
+            let piece = tokio::select! {
+                biased;
+                piece = body.next() => piece,
+                () = &mut self.drained => {
+                    self.end("drain_ended");
+                    let reason = "the instance ends".to_owned();
+                    return Some(Err(AnswerError::BrokeOff { reason }));
+                }
             };
             match piece {
                 Ok(Some(piece)) => self.take_piece(piece),
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::Rng;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 use wheel_policy::{HeldPart, UpstreamOffer, choose_upstream};
 use wheel_route::{DemandKey, EngineCard, EngineId, FleetView, RouteSpec};
 use wheel_types::{MonotonicTime, UpstreamName};
@@ -60,9 +60,14 @@
         let notice = (self.route.objective / 2).clamp(NOTICE_TIME[0], NOTICE_TIME[1]);
         let notice_end = Instant::now() + notice;
         let mut views = self.parts.state.watch_view();
+        let mut drain = self.parts.drain.watch();
         let mut waiting = None;
         loop {
             views.mark_unchanged();
+            drain.mark_unchanged();
+            if self.has_no_time() {
+                return Err(NoUpstream::new("draining", ROOM_RETRY));
+            }
             let view = self.parts.state.view();
             let ready = self.parts.state.ready_places(&view, self.service);
             if let Some(place) = self.choose(&view, &ready) {
@@ -77,12 +82,22 @@
                 self.log_wait(wait_end);
                 WaitGuard::begin(&self.parts.state, key)
             });
-            if timeout_at(wait_end, views.changed()).await.is_err() {
-                return Err(NoUpstream::new("model_not_loaded", ROOM_RETRY));
+            tokio::select! {
+                _ = views.changed() => {}
+                _ = drain.changed() => {}
+                () = sleep_until(wait_end) => {
+                    return Err(NoUpstream::new("model_not_loaded", ROOM_RETRY));
+                }
             }
         }
     }
 
+    /// Whether this instance ends before an answer can come; any other entry can do better.
+    fn has_no_time(&self) -> bool {
+        let end = self.parts.drain.end();
+        end.is_some_and(|end| end < self.deadline && Instant::now() + MIN_ANSWER_TIME > end)
+    }
+
     /// Tells how long the request expects to wait at most, and of how old a view.
     fn log_wait(&self, wait_end: Instant) {
         let now = Instant::now();
@@ -99,11 +114,15 @@
         let view = self.parts.state.view();
         let eta = view.loading.iter().find(|(model, _)| *model == key.model);
         let eta = eta.map(|(_, ms)| Duration::from_millis(*ms));
-        let left = self.deadline.saturating_duration_since(now);
+        let deadline = self.parts.drain.bound(self.deadline);
+        let is_draining = deadline < self.deadline;
+        let left = deadline.saturating_duration_since(now);
         match eta {
-            Some(eta) if eta + MIN_ANSWER_TIME <= left => Ok(now + eta + NOTICE_TIME[0]),
+            Some(eta) if eta + MIN_ANSWER_TIME <= left => {
+                Ok(deadline.min(now + eta + NOTICE_TIME[0]))
+            }
             Some(eta) => {
-                let reason = "load_too_late";
+                let reason = if is_draining { "draining" } else { "load_too_late" };
                 Err(NoUpstream { reason, retry_after: eta, eta: Some(eta) })
             }
             None if left <= MIN_ANSWER_TIME => Err(NoUpstream::new("no_time_left", ROOM_RETRY)),
@@ -112,7 +131,7 @@
                 Err(NoUpstream::new("control_unheard", UNHEARD_RETRY))
             }
             None if now >= notice_end => Err(NoUpstream::new("load_not_begun", ROOM_RETRY)),
-            None => Ok(notice_end.min(self.deadline)),
+            None => Ok(notice_end.min(deadline)),
         }
     }
 
--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use support::{Reply, TestEntry, TestUpstream};
+use tokio::time::Instant;
 use wheel_route::RouteKind;
 
 const STREAM: RouteKind = RouteKind::Streaming { resumable: true };
@@ -192,3 +193,66 @@
     assert!(after <= 2.0 / 3.0, "callers honour a third of their time: {after}");
     assert!(upstream.seen().is_empty());
 }
+
+#[tokio::test]
+async fn drain_wait_longer_than_it_is_refused_at_once() {
+    // The load would end within the caller's time, and after the process.
+    let upstream = TestUpstream::bind("u1", vec![]).await;
+    let entry = TestEntry::bind(STREAM, &[&upstream]).await;
+    entry.set_models("u1", &[]);
+    entry.set_loading("m", Duration::from_millis(1_500));
+    let began = Instant::now();
+    let waiting = entry.post("/a/", &[("x-model", "m")]);
+    let draining = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        entry.drain.begin(began + Duration::from_millis(900));
+    };
+    let (answer, ()) = tokio::join!(waiting, draining);
+    assert_eq!((answer.status, answer.body.as_str()), (503, "draining\n"));
+    assert!(answer.header("retry-after").is_some(), "another entry can serve it");
+    assert!(began.elapsed() < Duration::from_millis(600), "{:?}", began.elapsed());
+    assert!(upstream.seen().is_empty());
+}
+
+#[tokio::test]
+async fn drain_wait_within_it_is_served() {
+    let upstream = TestUpstream::bind("u1", vec![Reply::ran(200, &events(1..=2))]).await;
+    let entry = TestEntry::bind(STREAM, &[&upstream]).await;
+    entry.set_models("u1", &[]);
+    entry.set_loading("m", Duration::from_millis(400));
+    let waiting = entry.post("/a/", &[("x-model", "m")]);
+    let draining = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        entry.drain.begin(Instant::now() + Duration::from_secs(1));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        entry.set_models("u1", &["m"]);
+    };
+    let (answer, ()) = tokio::join!(waiting, draining);
+    assert_eq!(answer.status, 200);
+    let left: u64 =
+        upstream.seen()[0].header("x-left").and_then(|left| left.parse().ok()).expect("time left");
+    assert!(left <= 700, "the upstream is told when this entry ends: {left}");
+}
+
+#[tokio::test]
+async fn drain_without_time_for_an_answer_sends_nothing() {
+    let upstream = TestUpstream::bind("u1", vec![Reply::ran(200, "ok")]).await;
+    let entry = TestEntry::bind(RouteKind::NonIdempotent, &[&upstream]).await;
+    entry.drain.begin(Instant::now() + Duration::from_millis(100));
+    let answer = entry.post("/a/", &[]).await;
+    assert_eq!(answer.status, 503);
+    assert!(upstream.seen().is_empty(), "what was sent could not be refused any more");
+}
+
+#[tokio::test]
+async fn drain_ended_keeps_an_upstreams_own_failure() {
+    // The first upstream failed, and the second one says nothing until the end.
+    let failing = TestUpstream::bind("u1", vec![Reply::ran(500, "why")]).await;
+    let silent = TestUpstream::bind("u2", vec![Reply::Silent]).await;
+    let entry = TestEntry::bind(RouteKind::Idempotent, &[&failing, &silent]).await;
+    entry.prefer("u1");
+    entry.drain.begin(Instant::now() + Duration::from_millis(800));
+    let answer = entry.post("/a/", &[]).await;
+    assert_eq!((answer.status, answer.body.as_str()), (500, "why"));
+    assert_eq!((failing.seen().len(), silent.seen().len()), (1, 1));
+}
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use parking_lot::Mutex;
-use wheel_entry::{AnswerBody, AnswerError, HttpLimits, HttpServer, full_body};
+use wheel_entry::{AnswerBody, AnswerError, DrainDeadline, HttpLimits, HttpServer, full_body};
 use wheel_gateway::{
     AnswerMark, FleetState, GenerationAsk, IngressDialect, IngressRequest, PathSettings,
     RequestPath, SendMark,
@@ -35,6 +35,8 @@
     Cut(String),
     /// Not at all: the connection is reset after the request was read.
     Reset,
+    /// Not at all, with the connection left open.
+    Silent,
 }
 
 impl Reply {
@@ -137,6 +139,7 @@
             (status, full_body(body), signed, refused, crossed)
         }
         Reply::Cut(part) => (200, broken(part), true, false, false),
+        Reply::Silent => std::future::pending().await,
         // A body that fails before its first byte: the head is never written.
         Reply::Reset => panic!("the stand-in breaks its connection"),
     };
@@ -238,6 +241,7 @@
 /// An entry with one route `/a/`.
 pub(crate) struct TestEntry {
     pub(crate) state: Arc<FleetState>,
+    pub(crate) drain: DrainDeadline,
     address: SocketAddr,
 }
 
@@ -267,18 +271,20 @@
 
     async fn with_budget(retry_share: f64, retry_reserve: f64) -> Self {
         let state: Arc<FleetState> = Arc::default();
+        let drain = DrainDeadline::default();
         let settings = PathSettings { centre: "here".into(), retry_share, retry_reserve };
         let path = RequestPath::new(
             settings,
             Arc::clone(&state),
             Arc::new(TestDialect),
             Arc::new(TestDialect),
+            drain.clone(),
         );
         let server = HttpServer::bind(LOOPBACK, HttpLimits::default(), move |request| {
             path.clone().answer(request)
         });
         let address = server.await.expect("loopback can be listened on").local_addr();
-        Self { state, address }
+        Self { state, drain, address }
     }
 
     /// Makes all other upstreams look busy.
