Serve what was sent to a draining server before it closes its listener

What callers saw: a connection that waits to be accepted when the listener closes is reset, and a kept connection is closed although its next request is on its way: an error for requests that were sent in good time.

Cause: the accept loop dropped the listener with its queue, and hyper's graceful shutdown closes a connection that hasn't read anything yet.

Change: the queue is accepted first, and each connection is read for 50 ms more before it is shut down; answers during a drain close their connection. A cut drain says that it was cut also when its last connection ends at the same moment.

Evidence: drain_connections_not_accepted_yet_are_answered failed before with "connection reset by peer" for the first of 20 connections, and passes now. On the way: accept() polled once found nothing, as the runtime hadn't seen the listener readable yet, and cut_drain_answers_at_once failed once, because both ends of the drain were ready and one was taken at random; the order is fixed now.

--- a/crates/wheel_entry/src/http_server.rs
+++ b/crates/wheel_entry/src/http_server.rs
@@ -51,6 +51,8 @@
 /// When a caller should come back that met the bound.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 
+/// Time for which a connection without a request is still read once the server drains.
+const LAST_READ_TIME: Duration = Duration::from_millis(50);
 /// Time in which the last answers are written once the time of a drain is over.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
 
@@ -97,6 +99,12 @@
     socket.listen(ACCEPT_BACKLOG)
 }
 
+/// Room for connections, and for those beyond it that are told so.
+struct ConnectionGate {
+    permits: Arc<Semaphore>,
+    busy_permits: Arc<Semaphore>,
+}
+
 /// A running server.
 #[derive(Clone, Debug)]
 pub struct HttpServer {
@@ -162,15 +170,17 @@
     /// Returns true if all ended by themselves.
     pub async fn drain(&self, limit: Duration) -> bool {
         self.cut.begin(Instant::now() + limit);
+        self.close_after_answers();
         self.accepting.cancel();
         self.draining.cancel();
-        self.connections.close();
         tokio::select! {
-            () = self.connections.wait() => true,
+            // First, since connections end right after a cut as well.
+            biased;
             () = self.cut.passed() => {
                 let _ = tokio::time::timeout(LAST_ANSWER_TIME, self.connections.wait()).await;
                 false
             }
+            () = self.connections.wait() => true,
         }
     }
 
@@ -189,32 +199,51 @@
         S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<AnswerBody>> + Send + 'static,
     {
-        let permits = Arc::new(Semaphore::new(limits.connections));
-        let busy_permits = Arc::new(Semaphore::new(BUSY_CONNECTIONS));
+        let gate = ConnectionGate {
+            permits: Arc::new(Semaphore::new(limits.connections)),
+            busy_permits: Arc::new(Semaphore::new(BUSY_CONNECTIONS)),
+        };
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = self.accepting.cancelled() => return,
-            };
-            let Ok((stream, _)) = accepted else {
-                tokio::time::sleep(ACCEPT_RETRY).await;
-                continue;
+                () = self.accepting.cancelled() => break,
             };
-            let limits = self.limits.lock().clone();
-            if let Ok(permit) = Arc::clone(&permits).try_acquire_owned() {
-                let connection =
-                    self.clone().serve_connection(stream, permit, limits.clone(), answer.clone());
-                self.connections.spawn(connection);
-                continue;
+            match accepted {
+                Ok((stream, _)) => self.begin_connection(stream, &gate, &answer),
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
             }
-            metrics::counter!("wheel_connections_refused_total").increment(1);
-            // Told that nothing ran, as long as there is room for that; closed at once beyond it.
-            if let Ok(permit) = Arc::clone(&busy_permits).try_acquire_owned() {
-                let limits = HttpLimits { header_timeout: BUSY_TIMEOUT, ..limits.clone() };
-                let connection = self.clone().serve_connection(stream, permit, limits, answer_busy);
-                self.connections.spawn(connection);
+        }
+        // Closing the listener resets what it holds, with requests that were sent already.
+        let waiting = listener.into_std();
+        while let Ok(Ok((stream, _))) = waiting.as_ref().map(std::net::TcpListener::accept) {
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            if let Ok(stream) = stream {
+                self.begin_connection(stream, &gate, &answer);
             }
         }
+        drop(waiting);
+        self.connections.close();
+    }
+
+    /// Serves a connection, or tells it that there is no room, or closes it.
+    fn begin_connection<S, F>(&self, stream: TcpStream, gate: &ConnectionGate, answer: &S)
+    where
+        S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        let limits = self.limits.lock().clone();
+        if let Ok(permit) = Arc::clone(&gate.permits).try_acquire_owned() {
+            let connection = self.clone().serve_connection(stream, permit, limits, answer.clone());
+            self.connections.spawn(connection);
+            return;
+        }
+        metrics::counter!("wheel_connections_refused_total").increment(1);
+        // Told that nothing ran, as long as there is room for that; closed at once beyond it.
+        if let Ok(permit) = Arc::clone(&gate.busy_permits).try_acquire_owned() {
+            let limits = HttpLimits { header_timeout: BUSY_TIMEOUT, ..limits };
+            let connection = self.clone().serve_connection(stream, permit, limits, answer_busy);
+            self.connections.spawn(connection);
+        }
     }
 
     async fn serve_connection<S, F>(
@@ -257,8 +286,11 @@
         tokio::select! {
             _ = connection.as_mut() => {}
             () = self.draining.cancelled() => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
+                // A request that was sent already is still read; its answer closes the connection.
+                if tokio::time::timeout(LAST_READ_TIME, connection.as_mut()).await.is_err() {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.await;
+                }
             }
         }
         drop(permit);
--- a/crates/wheel_entry/tests/http_server.rs
+++ b/crates/wheel_entry/tests/http_server.rs
@@ -125,3 +125,24 @@
     assert!(began.elapsed() < Duration::from_secs(10));
     assert!(read_rest(&mut waiting).await.starts_with("HTTP/1.1 504"));
 }
+
+#[tokio::test]
+async fn drain_connections_not_accepted_yet_are_answered() {
+    // Their requests are on their way already; closing the listener would reset them.
+    let server = bind(64).await;
+    let connect = |_| {
+        let mut stream = std::net::TcpStream::connect(server.local_addr()).expect("a connection");
+        std::io::Write::write_all(&mut stream, REQUEST).expect("a sent request");
+        stream.set_nonblocking(true).expect("a socket");
+        TcpStream::from_std(stream).expect("a socket")
+    };
+    // This thread runs the server as well, so that none is accepted in between.
+    let waiting: Vec<TcpStream> = (0..20).map(connect).collect();
+    assert!(server.drain(Duration::from_secs(5)).await);
+    for mut stream in waiting {
+        let mut answer = String::new();
+        let reading = stream.read_to_string(&mut answer);
+        let read = tokio::time::timeout(Duration::from_secs(5), reading).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{read:?} {answer:?}");
+    }
+}
