Hear upstreams' refusals before a drain ends, and end resumed streams with it

Evidence: drain_refusal_of_an_upstream_whose_time_is_over_reaches_the_caller (was 502), drain_ended_at_an_upstream_that_was_told_the_end_is_a_gateway_timeout (was 502) and drain_ended_cuts_a_stream_whose_resumption_is_silent (was held longer) failed before and pass now.

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -26,6 +26,9 @@
 const LOAD_TIME: Duration = Duration::from_millis(1_000);
 /// What a load costs a request whose objective allows for one: an order, and a wait that may add up.
 const LATE_SHARE: f64 = 0.25;
+/// How much earlier than this instance ends an upstream's time is over, so that its refusal still arrives: a
+/// round trip between data centres, and a busy instance's turn.
+const REFUSAL_TIME: Duration = Duration::from_millis(150);
 /// Sends that an upstream refused as not run, before the request is refused.
 const MAX_REJECTED: u32 = 3;
 /// The largest answer that is held until it is whole, in bytes.
@@ -270,10 +273,12 @@
     }
 
     fn call(&self, card: &EngineCard, resume_after: Option<u64>) -> ServiceCall {
-        let ArrivedRequest { route, ask, head, body, .. } = &self.arrived;
-        let left = self.deadline().saturating_duration_since(Instant::now());
+        let ArrivedRequest { route, ask, head, body, deadline, .. } = &self.arrived;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let told_end = self.parts.drain.end().and_then(|end| end.checked_sub(REFUSAL_TIME));
+        let told_end = told_end.unwrap_or(*deadline);
         let mark = SendMark {
-            time_left: left,
+            time_left: left.min(told_end.saturating_duration_since(Instant::now())),
             target: Arc::clone(&card.id.name),
             urgency: ask.generation.as_ref().map(|_| urgency_of(route.rank)),
             resume_after,
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -83,8 +83,8 @@
                 }
                 Err(failure) => {
                     self.run.log.step("stream_broke", &failure.to_string());
-                    if !self.resume().await {
-                        self.end("stream_broke");
+                    if let Err(reason) = self.resume().await {
+                        self.end(reason);
                         return Some(Err(AnswerError::BrokeOff { reason: failure.to_string() }));
                     }
                 }
@@ -111,21 +111,23 @@
         }
     }
 
-    async fn resume(&mut self) -> bool {
+    /// Goes on elsewhere; else says why the stream ends.
+    async fn resume(&mut self) -> Result<(), &'static str> {
         self.body = None;
         self.guard = None;
         self.splitter.clear();
         if !self.is_resumable {
-            return false;
-        }
-        match self.run.resume(self.last).await {
-            Some((answer, guard)) => {
-                self.body = Some(answer.body);
-                self.guard = Some(guard);
-                true
-            }
-            None => false,
+            return Err("stream_broke");
         }
+        let resumed = tokio::select! {
+            biased;
+            resumed = self.run.resume(self.last) => resumed.ok_or("stream_broke"),
+            () = &mut self.drained => Err("drain_ended"),
+        };
+        let (answer, guard) = resumed?;
+        self.body = Some(answer.body);
+        self.guard = Some(guard);
+        Ok(())
     }
 
     fn end(&mut self, reason: &'static str) {
--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -256,3 +256,49 @@
     assert_eq!((answer.status, answer.body.as_str()), (500, "why"));
     assert_eq!((failing.seen().len(), silent.seen().len()), (1, 1));
 }
+
+#[tokio::test]
+async fn drain_ended_cuts_a_stream_whose_resumption_is_silent() {
+    // The resumption has the request's whole time, which is longer than the drain that begins afterwards.
+    let first = TestUpstream::bind("u1", vec![Reply::cut(&events(1..=3))]).await;
+    let silent = TestUpstream::bind("u2", vec![Reply::Silent]).await;
+    let entry = TestEntry::bind(STREAM, &[&first, &silent]).await;
+    entry.prefer("u1");
+    let began = Instant::now();
+    let streaming = entry.post("/a/", &[]);
+    let draining = async {
+        while silent.seen().is_empty() {
+            assert!(began.elapsed() < Duration::from_secs(1), "the stream isn't resumed");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let end = Instant::now() + Duration::from_millis(300);
+        entry.drain.begin(end);
+        end
+    };
+    let (answer, end) = tokio::join!(streaming, draining);
+    assert!(!answer.is_whole, "a part must not look like the whole");
+    assert_eq!(answer.body, events(1..=3));
+    assert!(end.elapsed() < Duration::from_millis(300), "held {:?} longer", end.elapsed());
+}
+
+#[tokio::test]
+async fn drain_refusal_of_an_upstream_whose_time_is_over_reaches_the_caller() {
+    // The upstream is told when this entry ends, and says then that it didn't begin.
+    let upstream = TestUpstream::bind("u1", vec![Reply::RefusedAtTimeLeft]).await;
+    let entry = TestEntry::bind(RouteKind::NonIdempotent, &[&upstream]).await;
+    entry.drain.begin(Instant::now() + Duration::from_millis(800));
+    let answer = entry.post("/a/", &[]).await;
+    assert_eq!(upstream.seen().len(), 1);
+    assert_eq!(answer.status, 503, "it certainly didn't run, and another entry can serve it");
+}
+
+#[tokio::test]
+async fn drain_ended_at_an_upstream_that_was_told_the_end_is_a_gateway_timeout() {
+    // Sent during the drain, so that the send's own time ends with it.
+    let silent = TestUpstream::bind("u1", vec![Reply::Silent]).await;
+    let entry = TestEntry::bind(RouteKind::NonIdempotent, &[&silent]).await;
+    entry.drain.begin(Instant::now() + Duration::from_millis(800));
+    let answer = entry.post("/a/", &[]).await;
+    assert_eq!(silent.seen().len(), 1);
+    assert_eq!(answer.status, 504, "the upstream didn't fail, the time was over");
+}
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -37,6 +37,8 @@
     Reset,
     /// Not at all, with the connection left open.
     Silent,
+    /// As not run, once the time that the request was sent with is over.
+    RefusedAtTimeLeft,
 }
 
 impl Reply {
@@ -140,6 +142,12 @@
         }
         Reply::Cut(part) => (200, broken(part), true, false, false),
         Reply::Silent => std::future::pending().await,
+        Reply::RefusedAtTimeLeft => {
+            let left = head.headers.get("x-left").and_then(|left| left.to_str().ok());
+            let left = left.and_then(|left| left.parse().ok()).expect("time left");
+            tokio::time::sleep(Duration::from_millis(left)).await;
+            (503, full_body(String::new()), false, true, false)
+        }
         // A body that fails before its first byte: the head is never written.
         Reply::Reset => panic!("the stand-in breaks its connection"),
     };
@@ -197,6 +205,7 @@
 
     fn answer_mark(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMark {
         match status {
+            StatusCode::MISDIRECTED_REQUEST => AnswerMark::Misdirected,
             _ if headers.contains_key("x-not-executed") => AnswerMark::NotExecuted,
             status if status.is_success() && !headers.contains_key("x-signature") => {
                 AnswerMark::Unsigned
