Ask an upstream again that lacked a model a moment ago

What callers saw: a request whose model was said to be loaded a moment before it was got 421 there, and then waited in vain: the upstream counted as tried for the whole request, also once it held the model.

Evidence: cold_model_refused_before_its_load_ended_is_sent_there_once_loaded failed with 503 model_not_loaded, passes now.

--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod request_run;
 mod resumed_stream;
 mod send_judge;
+mod tried_upstreams;
 mod upstream_search;
 mod upstream_table;
 mod wait_guard;
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 use wheel_entry::{AnswerBody, DrainDeadline, full_body};
-use wheel_route::{EngineCard, EngineId, RouteSpec};
+use wheel_route::{EngineCard, RouteSpec};
 use wheel_types::{MonotonicTime, UpstreamName};
 use wheel_upstream::{CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall};
 
@@ -17,6 +17,7 @@
 use crate::request_path::{PathParts, refusal};
 use crate::resumed_stream::ResumedStream;
 use crate::send_judge::{Judged, SendJudge};
+use crate::tried_upstreams::TriedUpstreams;
 use crate::upstream_search::{MIN_ANSWER_TIME, NoUpstream, ROOM_RETRY, UpstreamSearch};
 use crate::{ActiveConfig, IngressRequest, LoadGuard, SendMark};
 
@@ -51,7 +52,7 @@
     parts: Arc<PathParts>,
     arrived: ArrivedRequest,
     service: Arc<str>,
-    tried: Vec<EngineId>,
+    tried: TriedUpstreams,
     /// Sends after which the request may have run.
     runs: u32,
     /// Sends that upstreams refused as not run, or that never left.
@@ -97,7 +98,7 @@
             parts,
             arrived,
             service,
-            tried: Vec::new(),
+            tried: TriedUpstreams::default(),
             runs: 0,
             rejected: 0,
             is_unsent: false,
@@ -261,6 +262,11 @@
         self.is_unsent = matches!(end, Judged::Unsent);
         match end {
             Judged::Answer(answer) => SendEnd::Answer(answer, guard),
+            Judged::Absent => {
+                self.rejected += 1;
+                self.tried.note_absence();
+                SendEnd::Rejected
+            }
             Judged::Rejected | Judged::Unsent => {
                 self.rejected += 1;
                 SendEnd::Rejected
--- a/crates/wheel_gateway/src/send_judge.rs
+++ b/crates/wheel_gateway/src/send_judge.rs
@@ -13,6 +13,8 @@
     Answer(Box<ServiceAnswer>),
     /// The upstream refused it as not run.
     Rejected,
+    /// The upstream refused it as not run, because it lacks what the request needs for now.
+    Absent,
     /// It never left.
     Unsent,
     /// It may have run, and gave no answer that can be passed on.
@@ -46,10 +48,10 @@
                 self.log.step("misdirected", answer.status.as_str());
                 if self.parts.dialect.is_other_upstream(&answer.headers, &card.id.name) {
                     self.parts.state.note_leaving(&card.id);
-                } else {
-                    self.parts.state.note_doubtful(&card.id);
+                    return Judged::Rejected;
                 }
-                Judged::Rejected
+                self.parts.state.note_doubtful(&card.id);
+                Judged::Absent
             }
             AnswerMark::Unsigned => {
                 self.log.step("unsigned", answer.status.as_str());
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -6,12 +6,13 @@
 use rand::Rng;
 use tokio::time::{Instant, sleep_until};
 use wheel_policy::{HeldPart, UpstreamOffer, choose_upstream};
-use wheel_route::{DemandKey, EngineCard, EngineId, FleetView, RouteSpec};
+use wheel_route::{DemandKey, EngineCard, FleetView, RouteSpec};
 use wheel_types::{MonotonicTime, UpstreamName};
 
 use crate::IngressRequest;
 use crate::request_log::RequestLog;
 use crate::request_path::PathParts;
+use crate::tried_upstreams::TriedUpstreams;
 use crate::wait_guard::WaitGuard;
 
 /// How long a request waits to hear that what it lacks is being loaded: half of its objective, in these
@@ -42,7 +43,7 @@
     pub(crate) ask: &'a IngressRequest,
     pub(crate) service: &'a Arc<str>,
     /// Upstreams that the request was sent to before.
-    pub(crate) tried: &'a [EngineId],
+    pub(crate) tried: &'a TriedUpstreams,
     pub(crate) deadline: Instant,
     pub(crate) log: &'a RequestLog,
 }
@@ -82,9 +83,11 @@
                 self.log_wait(wait_end);
                 WaitGuard::begin(&self.parts.state, key)
             });
+            let again = self.tried.next_end().unwrap_or(wait_end);
             tokio::select! {
                 _ = views.changed() => {}
                 _ = drain.changed() => {}
+                () = sleep_until(again), if again < wait_end => {}
                 () = sleep_until(wait_end) => {
                     return Err(NoUpstream::new("model_not_loaded", ROOM_RETRY));
                 }
--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -302,3 +302,28 @@
     assert_eq!(silent.seen().len(), 1);
     assert_eq!(answer.status, 504, "the upstream didn't fail, the time was over");
 }
+
+#[tokio::test]
+async fn cold_model_refused_before_its_load_ended_is_sent_there_once_loaded() {
+    // The view names the model a moment before the upstream has it, and there is no other upstream with it.
+    let upstream =
+        TestUpstream::bind("u1", vec![Reply::not_executed(421), Reply::ran(200, &events(1..=2))]);
+    let upstream = upstream.await;
+    let entry = TestEntry::bind(STREAM, &[&upstream]).await;
+    entry.set_models("u1", &["m"]);
+    let waiting = entry.post("/a/", &[("x-model", "m")]);
+    let loading = async {
+        let began = Instant::now();
+        while upstream.seen().is_empty() {
+            assert!(began.elapsed() < Duration::from_secs(1), "the request isn't sent");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        entry.set_models("u1", &[]);
+        entry.set_loading("m", Duration::from_millis(300));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        entry.set_models("u1", &["m"]);
+    };
+    let (answer, ()) = tokio::join!(waiting, loading);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(upstream.seen().len(), 2);
+}
