Refuse what waits for an upstream before a draining daemon ends

What callers saw: a generation that waited for a load at `wisteriawheeld` when the drain came to `--drain-limit`, or when a second signal came, got no answer; its connection ended with the process. One whose model couldn't be loaded within the drain waited for that end as well.

Cause: `ServingPath::locate` waits until the request's own deadline and knows nothing of the drain. At the limit, and at once after a second signal, `RunningDaemon::drain` ends the process over it.

Change: a shared `DrainDeadline` in `DaemonParts` and `ServingParts`, begun with the drain and brought forward by the second signal. The wait is bounded by it, and a wait for a load is judged anew when it changes: what can't be loaded by then even from the nearest checkpoint is refused at once. The servers get 300 ms after the end in which last answers are written.

It gives: 503 with Retry-After and outcome not-run, so that the caller can go to another instance. While the drain has time, requests wait as before.

--- a/crates/wheel_daemon/src/daemon_parts.rs
+++ b/crates/wheel_daemon/src/daemon_parts.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use wheel_control::{ControlNode, GroupClient, ParentChoice, TextState};
 use wheel_director::{CentreDirector, LeaseDriver};
-use wheel_entry::{RequestMetrics, TextSource};
+use wheel_entry::{DrainDeadline, RequestMetrics, TextSource};
 use wheel_peer::PeerHub;
 use wheel_serving::{DecisionLog, DemandBoard, OwnerTable, ReplicaDirectory};
 use wheel_text::ServingText;
@@ -52,6 +52,8 @@
     pub metrics: Arc<RequestMetrics>,
     /// True from the first sign of a shutdown on.
     pub draining: AtomicBool,
+    /// When a draining instance must have answered.
+    pub drain: DrainDeadline,
     /// When the text in force came into force here.
     pub text_since: Mutex<(TextRevision, Instant)>,
 }
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -19,8 +19,8 @@
 };
 use wheel_director::{CentreDirector, DirectorSettings, LeaseDriver};
 use wheel_entry::{
-    AdminService, AdminSettings, CallerService, CallerSettings, HttpError, HttpLimits, HttpServer,
-    RequestHandler, RequestMetrics, TextSource,
+    AdminService, AdminSettings, CallerService, CallerSettings, DrainDeadline, HttpError,
+    HttpLimits, HttpServer, RequestHandler, RequestMetrics, TextSource,
 };
 use wheel_lease::LeaseSettings;
 use wheel_peer::{PeerError, PeerHub, PeerSecret, PeerSettings};
@@ -49,6 +49,8 @@
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time that other instances get to see that this one drains, before it takes no more work.
 const DRAIN_NOTICE: Duration = Duration::from_millis(300);
+/// Time in which the last answers reach their callers: a write and a round trip on a busy machine.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Share of the lease's term by which the holder's authority ends before the grants do.
 const MARGIN_DIVISOR: u32 = 10;
 
@@ -155,24 +157,27 @@
     }
 
     /// Shuts down gracefully: takes no new work, ends the work in hand, hands the rest over. A
-    /// second signal, `hard`, ends it at once.
+    /// second signal, `hard`, ends it at once. What still waits at the end is answered by then.
     pub async fn drain(self, hard: CancellationToken) -> ExitStatus {
         let limit = self.parts.settings.drain_limit;
         info!("drain_started", kv: { limit_s = limit.as_secs() });
+        let drain = self.parts.drain.clone();
+        drain.begin(tokio::time::Instant::now() + DRAIN_NOTICE + limit);
         self.parts.draining.store(true, Ordering::Release);
         self.parts.members.drain();
         self.parts.director.stop();
         tokio::time::sleep(DRAIN_NOTICE).await;
         // What waits here for a slot goes to the new owners, through the entry instances.
         self.parts.owners.give_up_all();
-        let drained = async {
-            let (callers, relay) = tokio::join!(self.callers.drain(limit), self.relay.drain(limit));
-            callers && relay
-        };
         let all_ended = tokio::select! {
-            all_ended = drained => all_ended,
+            biased;
             () = hard.cancelled() => false,
+            () = drain.passed() => false,
+            all_ended = self.drain_requests(limit + ANSWER_TIME) => all_ended,
         };
+        // Whatever waits is answered now.
+        drain.begin(tokio::time::Instant::now());
+        self.drain_requests(ANSWER_TIME).await;
         self.parts.members.leave();
         if let Some(control) = self.parts.control.clone() {
             let _ = tokio::task::spawn_blocking(move || control.stop()).await;
@@ -184,6 +189,12 @@
             false => ExitStatus::CutShort,
         }
     }
+
+    /// Lets requests of callers and of other instances end. True if all ended within `limit`.
+    async fn drain_requests(&self, limit: Duration) -> bool {
+        let (callers, relay) = tokio::join!(self.callers.drain(limit), self.relay.drain(limit));
+        callers && relay
+    }
 }
 
 fn bind_hub(
@@ -278,6 +289,7 @@
         decisions,
         metrics: Arc::new(RequestMetrics::default()),
         draining: AtomicBool::new(false),
+        drain: DrainDeadline::default(),
         text_since: Mutex::new((TextRevision::default(), Instant::now())),
     }))
 }
@@ -346,6 +358,7 @@
         demand: Arc::clone(&parts.demand),
         claims: Arc::new(keeper),
         decisions: Arc::clone(&parts.decisions),
+        drain: parts.drain.clone(),
     });
     let handler: Arc<dyn RequestHandler> = Arc::new(path);
     let settings = CallerSettings {
--- a/crates/wheel_serving/src/serving_path.rs
+++ b/crates/wheel_serving/src/serving_path.rs
@@ -10,8 +10,8 @@
 use spdlog::info;
 use tokio::time::{Instant, timeout_at};
 use wheel_entry::{
-    CallerAnswer, CallerRequest, RefusalCode, RequestHandler, RequestRefusal, RequestTarget,
-    TextSource,
+    CallerAnswer, CallerRequest, DrainDeadline, RefusalCode, RequestHandler, RequestRefusal,
+    RequestTarget, TextSource,
 };
 use wheel_policy::{RetryBudget, RouteAnswer, RouteQuery};
 use wheel_types::{AdapterName, IncarnationId, InstanceName, ModelName, UpstreamName};
@@ -52,6 +52,8 @@
     pub claims: Arc<dyn ClaimKeeper>,
     /// Recent decisions.
     pub decisions: Arc<DecisionLog>,
+    /// When a draining instance must have answered.
+    pub drain: DrainDeadline,
 }
 
 /// Serves callers' requests to their one final answer.
@@ -77,9 +79,12 @@
 
     /// Finds the owner of a replica, waiting for a load if there is none.
     pub(crate) async fn locate(&self, wish: &mut RouteWish) -> Result<OwnerRoute, RequestRefusal> {
-        let mut waiting = None;
+        let (mut waiting, mut judged) = (None, None);
         let started = Instant::now();
+        let mut end = self.parts.drain.watch();
         loop {
+            end.mark_unchanged();
+            let deadline = self.parts.drain.bound(wish.request.deadline);
             let changed = self.parts.directory.changed();
             let mut changed = std::pin::pin!(changed);
             changed.as_mut().enable();
@@ -97,8 +102,12 @@
                 // A replica whose owner is gone needs an owner, not a load.
                 RouteAnswer::Cold if self.parts.directory.waits_for_owner(&wish.query.model) => {}
                 RouteAnswer::Cold if wish.may_load => {
+                    // A drain that began meanwhile leaves less time.
+                    if judged != Some(deadline) {
+                        self.refuse_hopeless(wish, deadline)?;
+                        judged = Some(deadline);
+                    }
                     if waiting.is_none() {
-                        self.refuse_hopeless(wish)?;
                         waiting = Some(self.wait_for_load(wish));
                     }
                 }
@@ -106,19 +115,22 @@
                 // All failed once: the next round may try them again.
                 RouteAnswer::Exhausted => wish.query.tried.clear(),
             }
-            let deadline = wish.request.deadline;
             if Instant::now() >= deadline {
                 return Err(self.refuse_late(wish));
             }
             let recheck = deadline.min(Instant::now() + RECHECK_INTERVAL);
-            let _ = timeout_at(recheck, changed).await;
+            tokio::select! {
+                _ = timeout_at(recheck, changed) => {}
+                // The sender lives as long as the path.
+                _ = end.changed() => {}
+            }
         }
     }
 
     /// Whether a failed call may be tried again, and where not.
     pub(crate) fn may_retry(&self, wish: &mut RouteWish, failed: &UpstreamName) -> bool {
         wish.query.tried.push(failed.clone());
-        let in_time = Instant::now() < wish.request.deadline;
+        let in_time = Instant::now() < self.parts.drain.bound(wish.request.deadline);
         in_time && self.budget.lock().try_retry(failed)
     }
 
@@ -152,12 +164,12 @@
         self.parts.demand.wait(model, adapter.as_ref(), *rank, due)
     }
 
-    /// Refuses at once what can't be loaded by the deadline even from the nearest checkpoint.
-    fn refuse_hopeless(&self, wish: &RouteWish) -> Result<(), RequestRefusal> {
+    /// Refuses at once what can't be loaded by `deadline` even from the nearest checkpoint.
+    fn refuse_hopeless(&self, wish: &RouteWish, deadline: Instant) -> Result<(), RequestRefusal> {
         let RouteQuery { model, adapter, rank, .. } = &wish.query;
         let load = self.load_time(model);
         let fastest = load.mul_f64(FASTEST_LOAD_SHARE);
-        if Instant::now() + fastest <= wish.request.deadline {
+        if Instant::now() + fastest <= deadline {
             return Ok(());
         }
         self.parts.demand.expect_return(model, adapter.as_ref(), *rank, load);
@@ -168,7 +180,9 @@
 
     fn refuse_late(&self, wish: &RouteWish) -> RequestRefusal {
         let RouteQuery { model, adapter, rank, .. } = &wish.query;
+        let is_cut = Instant::now() < wish.request.deadline;
         let message = match wish.may_load {
+            _ if is_cut => "this instance ends before an upstream is ready".to_owned(),
             true => format!("no replica of {model} was ready by the deadline"),
             false => format!("no upstream of {} was ready by the deadline", wish.request.service),
         };
@@ -177,7 +191,8 @@
         if wish.may_load {
             self.parts.demand.expect_return(model, adapter.as_ref(), *rank, wait);
         }
-        RequestRefusal::new(RefusalCode::DeadlinePassed, message).with_retry_after(wait)
+        let code = if is_cut { RefusalCode::Unavailable } else { RefusalCode::DeadlinePassed };
+        RequestRefusal::new(code, message).with_retry_after(wait)
     }
 
     fn load_time(&self, model: &ModelName) -> Duration {
