Answer calls that an upstream has before a draining daemon ends

What callers saw: a booking at an upstream that didn't answer got no answer when its instance came to `--drain-limit` or got a second signal; its connection ended. An instance that relayed it was told nothing by the owner either.

Cause: the attempt waits for the upstream, or for the owner, as long as their own limits allow.

Evidence: drain_booking_relayed_to_a_silent_upstream_is_answered_as_unknown and drain_second_signal_answers_a_booking_at_a_silent_upstream_as_unknown failed on the unchanged code: no answer. drain_owner_with_a_relayed_booking_has_its_entry_answer_unknown passed there too, by the broken connection; it keeps that so.

Change: an attempt ends with the drain, at the entry and at the owner's relay side, with the outcome unknown. A relayed request whose body is due then is refused as not run, so that its entry goes elsewhere. Whatever else a request waits for is answered as unknown 100 ms later.

It gives: 502 and unknown, never not-run, and a resend with the key finds the claim as unknown and doesn't run again.

--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -333,7 +333,8 @@
 async fn bind_relay(parts: &Arc<DaemonParts>) -> Result<HttpServer, StartError> {
     let key = relay_key(&parts.settings);
     let limits = limits_of(&parts.settings);
-    let service = RelayService::new(Arc::clone(&parts.owners), key, limits.clone());
+    let service =
+        RelayService::new(Arc::clone(&parts.owners), key, limits.clone(), parts.drain.clone());
     HttpServer::bind(parts.settings.relay_listen, limits, move |request| {
         service.clone().answer(request)
     })
--- a/crates/wheel_harness/tests/drain.rs
+++ b/crates/wheel_harness/tests/drain.rs
@@ -7,8 +7,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use http::StatusCode;
-use support::{ask, start};
+use http::{Method, StatusCode};
+use serde_json::json;
+use support::{LIMIT, ask, beside, book, booking_runs, owner_of, set_faults, start};
 use tokio::task::JoinHandle;
 use wheel_harness::{ClusterSettings, HttpReply, LocalCluster, ProcessSignal};
 
@@ -48,6 +49,12 @@
     assert!(wait >= 1);
 }
 
+/// The place of the instance called `name`.
+fn place_of(cluster: &LocalCluster, name: &str) -> usize {
+    let place = cluster.instances.iter().position(|one| one.name.as_str() == name);
+    place.expect("an instance of the text")
+}
+
 /// Waits for the end of the process at `place` and returns its code.
 fn end_code(cluster: &mut LocalCluster, place: usize) -> Option<i32> {
     let process = cluster.instances[place].process().expect("a process");
@@ -90,3 +97,79 @@
     assert!(began.elapsed() < DRAIN_LIMIT, "refused after {:?}", began.elapsed());
     assert_eq!(end_code(&mut cluster, 0), Some(0));
 }
+
+/// A booking that waits at `at`, once it runs at the service.
+async fn book_silent(cluster: &LocalCluster, at: SocketAddr) -> JoinHandle<Option<HttpReply>> {
+    for upstream in ["bookings-a", "bookings-b"] {
+        set_faults(cluster, upstream, json!({ "answer_delay_ms": 40_000 })).await;
+    }
+    let caller = cluster.caller.clone();
+    let headers =
+        [("wheel-caller", "hotel"), ("idempotency-key", "seat"), ("wheel-deadline-ms", "30000")];
+    let booked = tokio::spawn(async move {
+        caller.call(Method::POST, at, "/booking/seats", &headers, "{}").await.ok()
+    });
+    cluster
+        .wait_until("the call at the fake", LIMIT, || async {
+            (booking_runs(cluster).await == 1).then_some(())
+        })
+        .await
+        .expect("a running call");
+    booked
+}
+
+/// Asserts that the booking's caller was told the truth, and that it never runs again.
+async fn assert_unknown(
+    cluster: &LocalCluster,
+    booked: JoinHandle<Option<HttpReply>>,
+    at: SocketAddr,
+) {
+    let reply = booked.await.expect("the call's task").expect("an answer before the process ends");
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{}", reply.text());
+    assert_eq!(reply.header("wheel-outcome"), "unknown");
+    for upstream in ["bookings-a", "bookings-b"] {
+        set_faults(cluster, upstream, json!({})).await;
+    }
+    let again = book(&cluster.caller, at, "seat", "{}").await;
+    assert_eq!(again.header("wheel-outcome"), "unknown", "{}", again.text());
+    assert_eq!(booking_runs(cluster).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_booking_relayed_to_a_silent_upstream_is_answered_as_unknown() {
+    // Data centre c has no booking service, so that the owner is elsewhere.
+    let mut cluster = start(short_drain()).await;
+    let place = place_of(&cluster, "c2");
+    let booked = book_silent(&cluster, cluster.instances[place].ports.callers).await;
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    let other = cluster.instance("c1").ports.callers;
+    assert_unknown(&cluster, booked, other).await;
+    assert_eq!(end_code(&mut cluster, place), Some(3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_second_signal_answers_a_booking_at_a_silent_upstream_as_unknown() {
+    let mut cluster = start(long_drain()).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    let place = owner_of(&cluster, seen_at, "bookings-a").await;
+    let booked = book_silent(&cluster, cluster.instances[place].ports.callers).await;
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert!(!booked.is_finished(), "the drain has time");
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    let other = cluster.instances[beside(&cluster, place)].ports.callers;
+    assert_unknown(&cluster, booked, other).await;
+    assert_eq!(end_code(&mut cluster, place), Some(3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_owner_with_a_relayed_booking_has_its_entry_answer_unknown() {
+    let mut cluster = start(short_drain()).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    let place = owner_of(&cluster, seen_at, "bookings-a").await;
+    let entry = cluster.instances[beside(&cluster, place)].ports.callers;
+    let booked = book_silent(&cluster, entry).await;
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    assert_unknown(&cluster, booked, entry).await;
+    assert_eq!(end_code(&mut cluster, place), Some(3));
+}
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -22,7 +22,7 @@
 
 use crate::owned_answer::{OwnedAnswer, OwnedStream};
 use crate::relay_headers::relay_headers;
-use crate::relay_refusal::{RelayCode, RelayRefusal};
+use crate::relay_refusal::{RelayCode, RelayRefusal, until_drained};
 use crate::relay_service::{done_frame, event_frame};
 use crate::sent_request::SentRequest;
 use crate::serving_path::RouteWish;
@@ -134,7 +134,7 @@
                 self.wish.request.rank,
                 self.wish.query.prefix,
             );
-            let refusal = match self.attempt(&route).await {
+            let refusal = match until_drained(&self.path.parts.drain, self.attempt(&route)).await {
                 Ok(head) => return Ok(ReachedHead { route, head, sent }),
                 Err(refusal) => refusal,
             };
--- a/crates/wheel_serving/src/plain_run.rs
+++ b/crates/wheel_serving/src/plain_run.rs
@@ -17,7 +17,7 @@
 use crate::claimed_call::ClaimedCall;
 use crate::owned_answer::OwnedPlain;
 use crate::relay_headers::{RELAY_REFUSAL, relay_headers};
-use crate::relay_refusal::{RelayCode, RelayRefusal};
+use crate::relay_refusal::{RelayCode, RelayRefusal, until_drained};
 use crate::sent_request::SentRequest;
 use crate::serving_path::RouteWish;
 use crate::{CallCost, OwnerRoute, RelayCall, ReplicaDirectory, ServingPath, SlotGuard};
@@ -77,7 +77,7 @@
             let directory = &self.path.parts.directory;
             let rank = self.wish.request.rank;
             let sent = SentRequest::begin(directory, &route.upstream, rank, None);
-            let result = self.attempt(&route).await;
+            let result = until_drained(&self.path.parts.drain, self.attempt(&route)).await;
             if let Err(refusal) = &result
                 && self.path.note_owner(&route, refusal)
             {
--- a/crates/wheel_serving/src/relay_refusal.rs
+++ b/crates/wheel_serving/src/relay_refusal.rs
@@ -1,10 +1,13 @@
 //! An owner's refusal on its way back to the entry instance.
 
+use std::future::Future;
 use std::time::Duration;
 
 use http::{HeaderValue, Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use wheel_entry::{AnswerBody, RefusalCode, RequestRefusal, full_body, header_names};
+use wheel_entry::{
+    AnswerBody, DrainDeadline, RefusalCode, RequestRefusal, full_body, header_names,
+};
 use wheel_types::{RequestId, RequestOutcome};
 use wheel_upstream::{CallFailure, FailureKind};
 
@@ -64,6 +67,12 @@
         Self { code, message, outcome, retry_after_ms: None, owner_gone: false }
     }
 
+    /// What is known of a call that was out when this instance ended.
+    pub(crate) fn drain_ended() -> Self {
+        let message = "the instance ended before the answer came".to_owned();
+        Self::upstream_failed(message, RequestOutcome::Unknown)
+    }
+
     /// Reads the body of a refusal; `None` if it isn't one.
     pub(crate) fn read(body: &[u8]) -> Option<Self> {
         serde_json::from_slice(body).ok()
@@ -104,6 +113,19 @@
     }
 }
 
+/// Waits for a call at most until `drain` ends. What waits for a slot here is refused as the drain begins, so that a
+/// call that is still under way may have left.
+pub(crate) async fn until_drained<T>(
+    drain: &DrainDeadline,
+    call: impl Future<Output = Result<T, RelayRefusal>>,
+) -> Result<T, RelayRefusal> {
+    tokio::select! {
+        biased;
+        result = call => result,
+        () = drain.passed() => Err(RelayRefusal::drain_ended()),
+    }
+}
+
 impl From<RequestRefusal> for RelayRefusal {
     fn from(refusal: RequestRefusal) -> Self {
         let code = match refusal.code {
--- a/crates/wheel_serving/src/relay_service.rs
+++ b/crates/wheel_serving/src/relay_service.rs
@@ -10,14 +10,15 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use wheel_entry::{
-    AnswerBody, AnswerError, HttpLimits, empty_body, full_body, header_names, read_body,
+    AnswerBody, AnswerError, DrainDeadline, HttpLimits, empty_body, full_body, header_names,
+    read_body,
 };
 use wheel_types::{LoadReport, RequestId, RequestOutcome};
 use wheel_upstream::{GeneratePath, StreamEvent};
 
 use crate::owned_answer::{OwnedAnswer, OwnedPlain, OwnedStream};
 use crate::relay_headers::{read_relay_call, without_relay_headers};
-use crate::relay_refusal::{RelayCode, RelayRefusal};
+use crate::relay_refusal::{RelayCode, RelayRefusal, until_drained};
 use crate::{OwnerTable, RelayCall, RelayKey};
 
 /// The path by which clients probe a connection.
@@ -31,12 +32,18 @@
     owners: Arc<OwnerTable>,
     key: Option<RelayKey>,
     limits: HttpLimits,
+    drain: DrainDeadline,
 }
 
 impl RelayService {
-    /// Serves the upstreams of `owners`.
-    pub fn new(owners: Arc<OwnerTable>, key: Option<RelayKey>, limits: HttpLimits) -> Self {
-        Self { owners, key, limits }
+    /// Serves the upstreams of `owners` until `drain` ends.
+    pub fn new(
+        owners: Arc<OwnerTable>,
+        key: Option<RelayKey>,
+        limits: HttpLimits,
+        drain: DrainDeadline,
+    ) -> Self {
+        Self { owners, key, limits, drain }
     }
 
     /// Answers one HTTP request.
@@ -77,16 +84,22 @@
             .get(&call.upstream)
             .ok_or_else(|| RelayRefusal::elsewhere("this instance doesn't own the upstream"))?;
         let (parts, body) = request.into_parts();
-        let body = read_body(body, &self.limits).await.map_err(RelayRefusal::from)?;
+        let body = tokio::select! {
+            biased;
+            body = read_body(body, &self.limits) => body.map_err(RelayRefusal::from)?,
+            () = self.drain.passed() => return Err(RelayRefusal::elsewhere("the owner ends")),
+        };
         if call.model.is_some() {
             let path = generate_path(parts.uri.path())?;
-            let answer = upstream.generate(&call, path, call.stream, body).await?;
+            let answer = upstream.generate(&call, path, call.stream, body);
+            let answer = until_drained(&self.drain, answer).await?;
             return Ok(generate_response(&call.request_id, answer));
         }
         let path = parts.uri.path_and_query().cloned();
         let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
         let headers = without_relay_headers(parts.headers);
-        let answer = upstream.call_service(&call, parts.method, path, headers, body).await?;
+        let answer = upstream.call_service(&call, parts.method, path, headers, body);
+        let answer = until_drained(&self.drain, answer).await?;
         Ok(plain_response(&call.request_id, answer))
     }
 }
--- a/crates/wheel_serving/src/serving_path.rs
+++ b/crates/wheel_serving/src/serving_path.rs
@@ -26,6 +26,8 @@
 
 /// The least time between two looks at the directory while nothing changes.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after the end of a drain in which each part of the path gives its own answer.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Share of a load's expected time that even the nearest checkpoint takes; a wait that is shorter
 /// is hopeless.
 const FASTEST_LOAD_SHARE: f64 = 0.02;
@@ -251,11 +253,22 @@
 
 impl RequestHandler for ServingPath {
     fn serve(&self, request: CallerRequest) -> BoxFuture<'static, CallerAnswer> {
-        let path = self.clone();
+        let (path, drain) = (self.clone(), self.parts.drain.clone());
         async move {
-            let served = match &request.target {
-                RequestTarget::Generate(_) => GenerateRun::serve(path, request).await,
-                RequestTarget::Plain(_) => Box::pin(PlainRun::serve(path, request)).await,
+            let serving = async {
+                match &request.target {
+                    RequestTarget::Generate(_) => GenerateRun::serve(path, request).await,
+                    RequestTarget::Plain(_) => Box::pin(PlainRun::serve(path, request)).await,
+                }
+            };
+            let ended = async {
+                drain.passed().await;
+                tokio::time::sleep(LAST_ANSWER_TIME).await;
+            };
+            let served = tokio::select! {
+                biased;
+                served = serving => served,
+                () = ended => Err(RelayRefusal::drain_ended().into_refusal()),
             };
             served.unwrap_or_else(RequestRefusal::into_answer)
         }
