Send the error event before a stream is cut by the end of a drain

What callers saw: a stream longer than `--drain-limit` broke after a token, without the error event that the other broken streams should end with.

The stream knows nothing of the drain's end. And the event was lost wherever a stream failed: the body breaks right after it, and the server drops what it holds but hasn't written yet.

Evidence: drain_stream_beyond_the_limit_ends_with_the_error_event failed on the unchanged code, and with the event sent but nothing between it and the break: the last event was a token.

Change: the end of the drain ends a stream with the event, and the body waits 50 ms before it breaks, in which the server writes the event.

It gives: the caller is told that the outcome is unknown, and the part doesn't look like the whole.

--- a/crates/wheel_harness/tests/drain.rs
+++ b/crates/wheel_harness/tests/drain.rs
@@ -173,3 +173,25 @@
     assert_unknown(&cluster, booked, entry).await;
     assert_eq!(end_code(&mut cluster, place), Some(3));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_stream_beyond_the_limit_ends_with_the_error_event() {
+    let mut settings = short_drain();
+    settings.engine_flags = ["--token-us", "20000", "--load-ms", "100"].map(str::to_owned).into();
+    settings.preload = vec!["engine-a=guide".to_owned()];
+    let mut cluster = start(settings).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    let place = owner_of(&cluster, seen_at, "engine-a").await;
+    let (at, caller) = (cluster.instances[place].ports.callers, cluster.caller.clone());
+    // 20 s of tokens.
+    let stream = tokio::spawn(async move { ask(&caller, at, "guide", 1_000, 20_000).await });
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    let reply = stream.await.expect("the stream's task");
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    assert!(!reply.complete, "a part must not look like the whole");
+    let last = reply.text().lines().rfind(|line| line.starts_with("data: ")).map(str::to_owned);
+    let last = last.expect("an event");
+    assert!(last.contains("\"error\"") && last.contains("unknown"), "{last}");
+    assert_eq!(end_code(&mut cluster, place), Some(3));
+}
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -32,6 +32,8 @@
 const PREFIX_BYTES: usize = 512;
 /// Time that a broken stream may take to be resumed.
 const RESUME_LIMIT: Duration = Duration::from_secs(30);
+/// Time in which the error event of a broken stream is written: the write of one small event.
+const EVENT_TIME: Duration = Duration::from_millis(50);
 /// Attempts to get the head of an answer.
 const MAX_ATTEMPTS: u32 = 6;
 /// Time that the owner may take longer than the deadline before it counts as silent.
@@ -258,11 +260,25 @@
     async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, AnswerError>> {
         match std::mem::replace(&mut self.phase, StreamPhase::Ended) {
             StreamPhase::Ended => return None,
-            StreamPhase::Failing(reason) => return Some(Err(AnswerError::BrokeOff { reason })),
+            StreamPhase::Failing(reason) => {
+                // The server drops what it hasn't written when a body breaks, and writes while it waits.
+                tokio::time::sleep(EVENT_TIME).await;
+                return Some(Err(AnswerError::BrokeOff { reason }));
+            }
             StreamPhase::Running => {}
         }
+        let drain = self.run.path.parts.drain.clone();
         loop {
-            match self.source.next().await {
+            let next = tokio::select! {
+                biased;
+                () = drain.passed() => {
+                    let message = "this instance ended before the stream";
+                    let refusal = RequestRefusal::new(RefusalCode::Unavailable, message);
+                    return Some(Ok(self.fail(&refusal)));
+                }
+                next = self.source.next() => next,
+            };
+            match next {
                 Ok(StreamEvent::Token(token)) => {
                     self.run.next_index = token.index + 1;
                     self.phase = StreamPhase::Running;
