Answer operators' calls before a draining daemon ends

What callers saw: an operator whose change of the text was in hand when its instance was told to end got no answer, although the drain had time; whether the change was accepted was left open.

Cause: `RunningDaemon::drain` waits for callers and relayed requests alone. With none of them it stops the control node at once and ends the process over the call.

Change: the operators' server is served until the other requests have ended and is then drained, before the control node stops. Calls wait no longer than the drain: at its end, and at once after a second signal, a change is answered with 504 as one that may have been accepted, another call with 503.

It gives: a change that is committed meanwhile is acknowledged; each other call gets an answer. Operators' calls don't count for the exit code.

--- a/crates/wheel_daemon/src/admin_operations.rs
+++ b/crates/wheel_daemon/src/admin_operations.rs
@@ -1,5 +1,6 @@
 //! What operators can do at an instance.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,6 +51,23 @@
         Self { parts, recorder, shutdown }
     }
 
+    /// Waits for a call's reply at most until the drain ends; `ended` is the reply then.
+    fn reply_in_time(
+        &self,
+        replying: impl Future<Output = AdminReply> + Send + 'static,
+        ended: AdminReply,
+    ) -> BoxFuture<'static, AdminReply> {
+        let drain = self.parts.drain.clone();
+        async move {
+            tokio::select! {
+                biased;
+                reply = replying => reply,
+                () = drain.passed() => ended,
+            }
+        }
+        .boxed()
+    }
+
     async fn apply_text(self, request: ApplyRequest) -> AdminReply {
         let group = &self.parts.settings.group;
         if request.text.group != **group {
@@ -164,7 +182,7 @@
 
     async fn wait_for_revision(&self, base: TextRevision) -> wheel_agreement::AcceptedText {
         let mut changes = self.parts.text.subscribe();
-        let limit = Instant::now() + CATCH_UP_LIMIT;
+        let limit = self.parts.drain.bound(Instant::now() + CATCH_UP_LIMIT);
         while self.parts.text.held().0 < base {
             if tokio::time::timeout_at(limit, changes.changed()).await.is_err() {
                 break;
@@ -249,11 +267,11 @@
     }
 
     fn apply(&self, request: ApplyRequest) -> BoxFuture<'static, AdminReply> {
-        self.clone().apply_text(request).boxed()
+        self.reply_in_time(self.clone().apply_text(request), unknown_reply())
     }
 
     fn status(&self) -> BoxFuture<'static, AdminReply> {
-        self.clone().gather_status().boxed()
+        self.reply_in_time(self.clone().gather_status(), ending_reply())
     }
 
     fn drain(&self) -> AdminReply {
@@ -262,11 +280,18 @@
     }
 
     fn explain(&self, query: &str) -> BoxFuture<'static, AdminReply> {
-        self.clone().gather_decisions(query.to_owned()).boxed()
+        self.reply_in_time(self.clone().gather_decisions(query.to_owned()), ending_reply())
     }
 
     fn voters(&self, change: Option<Value>) -> BoxFuture<'static, AdminReply> {
-        self.clone().change_voters(change).boxed()
+        let ended = match &change {
+            Some(_) => AdminReply::error(
+                StatusCode::GATEWAY_TIMEOUT,
+                "this instance ends; the voters may have changed, look at another one",
+            ),
+            None => ending_reply(),
+        };
+        self.reply_in_time(self.clone().change_voters(change), ended)
     }
 
     /// Stays ready while cut off; unready before the first text and while draining.
@@ -338,6 +363,11 @@
     AdminReply::error(StatusCode::GATEWAY_TIMEOUT, "the text may have been accepted; resend it")
 }
 
+/// The reply to a call that changes nothing.
+fn ending_reply() -> AdminReply {
+    AdminReply::error(StatusCode::SERVICE_UNAVAILABLE, "this instance ends; ask another one")
+}
+
 fn group_error_reply(error: &GroupError) -> AdminReply {
     match error {
         GroupError::Unresolved => unknown_reply(),
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -51,6 +51,8 @@
 const DRAIN_NOTICE: Duration = Duration::from_millis(300);
 /// Time in which the last answers reach their callers: a write and a round trip on a busy machine.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Time for operators' calls in hand once no other request is: the longest call, a change of the text.
+const OPERATOR_TIME: Duration = Duration::from_secs(12);
 /// Share of the lease's term by which the holder's authority ends before the grants do.
 const MARGIN_DIVISOR: u32 = 10;
 
@@ -175,9 +177,16 @@
             () = drain.passed() => false,
             all_ended = self.drain_requests(limit + ANSWER_TIME) => all_ended,
         };
+        // Operators are served until the end; the control node must run until their calls are answered.
+        tokio::select! {
+            biased;
+            () = hard.cancelled() => {}
+            () = drain.passed() => {}
+            _ = self.operators.drain(OPERATOR_TIME) => {}
+        }
         // Whatever waits is answered now.
         drain.begin(tokio::time::Instant::now());
-        self.drain_requests(ANSWER_TIME).await;
+        tokio::join!(self.drain_requests(ANSWER_TIME), self.operators.drain(ANSWER_TIME));
         self.parts.members.leave();
         if let Some(control) = self.parts.control.clone() {
             let _ = tokio::task::spawn_blocking(move || control.stop()).await;
--- a/crates/wheel_harness/tests/drain.rs
+++ b/crates/wheel_harness/tests/drain.rs
@@ -195,3 +195,71 @@
     assert!(last.contains("\"error\"") && last.contains("unknown"), "{last}");
     assert_eq!(end_code(&mut cluster, place), Some(3));
 }
+
+/// Changes the text at `at`, and waits until the call is in hand.
+async fn apply_held(cluster: &LocalCluster, at: SocketAddr) -> JoinHandle<Option<HttpReply>> {
+    let source = format!("{}\n# edited\n", cluster.source);
+    let caller = cluster.caller.clone();
+    let headers = [("if-match", "\"1\""), ("idempotency-key", "edit")];
+    let applied = tokio::spawn(async move {
+        caller.call(Method::PUT, at, "/admin/v1/text", &headers, source).await.ok()
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!applied.is_finished(), "nobody can commit it");
+    applied
+}
+
+/// Freezes the control instances other than `place`, or lets them go on.
+fn signal_others(cluster: &LocalCluster, place: usize, signal: ProcessSignal) {
+    for (other, instance) in cluster.instances.iter().enumerate() {
+        if other != place && instance.folder.is_some() {
+            instance.signal(signal);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_operators_change_without_a_quorum_is_answered_before_the_process_ends() {
+    let mut cluster = start(short_drain()).await;
+    let place = cluster.instances.iter().position(|one| one.folder.is_some()).expect("control");
+    signal_others(&cluster, place, ProcessSignal::Stop);
+    let applied = apply_held(&cluster, cluster.instances[place].ports.operators).await;
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    let reply = applied.await.expect("the call's task");
+    signal_others(&cluster, place, ProcessSignal::Continue);
+    let reply = reply.expect("an answer before the process ends");
+    assert!(reply.status.is_server_error(), "{} {}", reply.status, reply.text());
+    assert_eq!(end_code(&mut cluster, place), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_operators_change_committed_meanwhile_is_acknowledged() {
+    let mut cluster = start(long_drain()).await;
+    let place = cluster.instances.iter().position(|one| one.folder.is_some()).expect("control");
+    signal_others(&cluster, place, ProcessSignal::Stop);
+    let applied = apply_held(&cluster, cluster.instances[place].ports.operators).await;
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    signal_others(&cluster, place, ProcessSignal::Continue);
+    let reply = applied.await.expect("the call's task").expect("an answer");
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.text());
+    assert_eq!(end_code(&mut cluster, place), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_second_signal_answers_an_operators_change() {
+    let mut cluster = start(long_drain()).await;
+    let place = cluster.instances.iter().position(|one| one.folder.is_some()).expect("control");
+    signal_others(&cluster, place, ProcessSignal::Stop);
+    let applied = apply_held(&cluster, cluster.instances[place].ports.operators).await;
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let began = Instant::now();
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    let reply = applied.await.expect("the call's task");
+    signal_others(&cluster, place, ProcessSignal::Continue);
+    let reply = reply.expect("an answer before the process ends");
+    assert!(reply.status.is_server_error(), "{} {}", reply.status, reply.text());
+    assert!(began.elapsed() < Duration::from_secs(2), "after {:?}", began.elapsed());
+    end_code(&mut cluster, place);
+}
