Answer operators' calls before a draining control instance ends

What operators saw: a configuration in hand at a control instance of the platform's program got no answer when the instance was told to end, even one that the group accepted a moment later.

Cause: `FleetControl::drain` stopped the control node first, so that the change couldn't be committed through it any more, and then gave operators 500 ms, although a change may take 2.5 s.

Change: operators' calls end first, within 2.6 s and the grace; the control node stops after them. What is unresolved by then, or whose body is due, is answered with 503 and logged. The service has a file of its own.

It gives: a change that is committed meanwhile is acknowledged with 200, and each call that was read gets an answer.

--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -4,9 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use rand::Rng;
 use snafu::ResultExt;
 use spdlog::{error, info};
@@ -14,20 +11,21 @@
 use wheel_control::{
     AddressBook, ControlNode, ControlSettings, DocumentState, GroupClient, TextState,
 };
-use wheel_entry::{AnswerBody, HttpLimits, HttpServer, full_body, read_body};
+use wheel_entry::{DrainDeadline, HttpLimits, HttpServer};
 use wheel_peer::{PeerAddress, PeerHub};
 use wheel_placement::{
     ConfigDesk, ConfigDialect, DirectingRight, DirectorParts, FleetBoard, FleetDirector,
-    ListSettings, ListWatch, ParentSync, PutEnd, RightTimes, SyncEnd, SyncSettings,
+    ListSettings, ListWatch, ParentSync, RightTimes, SyncEnd, SyncSettings,
 };
 use wheel_route::{ControlPlace, FleetConfig};
 use wheel_types::InstanceName;
 
-use crate::fleet_entry::{follow_seeds, status_answer};
+use crate::fleet_entry::follow_seeds;
 use crate::fleet_parts::{LIST_INTERVAL, bind_fleet_hub};
 use crate::fleet_router::{FleetRouter, RouterParts};
+use crate::operator_service::OperatorService;
 use crate::running_daemon::{ControlSnafu, ListenSnafu};
-use crate::{FleetDialects, FleetRole, FleetSettings, OperatorCall, OperatorDialect, StartError};
+use crate::{FleetDialects, FleetRole, FleetSettings, StartError};
 
 /// Time between two syncs with the leader.
 const SYNC_INTERVAL: Duration = Duration::from_millis(200);
@@ -37,6 +35,12 @@
 const LEADER_AGE_MS: u64 = 600;
 /// How long a confirmation of the leader carries: four confirmations, one of which takes two round trips.
 const RIGHT_SPAN: Duration = Duration::from_millis(600);
+/// Time for operators' calls in hand at the end: a change's 2.5 s and its answer.
+const OPERATOR_TIME: Duration = Duration::from_millis(2_600);
+/// Time in which the last answers reach operators: a write and a round trip on a busy machine.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Time before the end of the grace that handing the leadership over takes.
+const STOP_TIME: Duration = Duration::from_millis(700);
 
 /// Names of control instances are their addresses.
 struct NamedAddresses;
@@ -53,6 +57,8 @@
     control: ControlNode,
     right: Arc<DirectingRight>,
     operators: HttpServer,
+    drain: DrainDeadline,
+    grace: Duration,
 }
 
 impl FleetControl {
@@ -113,16 +119,26 @@
         });
         spawn_leader_sync(settings, hub, &control, &group, board, own);
         let desk = Arc::new(ConfigDesk::new(group, Arc::clone(&dialects.config)));
-        let operators = bind_operators(*operators, desk, Arc::clone(&dialects.operator)).await?;
-        Ok(Self { control, right, operators })
+        let drain = DrainDeadline::default();
+        let service = OperatorService {
+            desk,
+            dialect: Arc::clone(&dialects.operator),
+            limits: HttpLimits::default(),
+            drain: drain.clone(),
+        };
+        let operators = bind_operators(*operators, service).await?;
+        Ok(Self { control, right, operators, drain, grace: settings.bounds.grace })
     }
 
-    /// Gives leadership and the right to order up, and ends.
+    /// Gives the right to order up, answers operators' calls in hand, gives leadership up, and ends.
     pub(crate) async fn drain(self) {
         self.right.release();
+        let left = self.grace.saturating_sub(STOP_TIME + ANSWER_TIME).min(OPERATOR_TIME);
+        self.drain.begin(tokio::time::Instant::now() + left);
+        let all_ended = self.operators.drain(left + ANSWER_TIME).await;
+        info!("operators_drained", kv: { all_ended });
         let control = self.control.clone();
         let _ = tokio::task::spawn_blocking(move || control.stop()).await;
-        self.operators.drain(Duration::from_millis(500)).await;
     }
 }
 
@@ -224,55 +240,9 @@
 
 async fn bind_operators(
     address: SocketAddr,
-    desk: Arc<ConfigDesk>,
-    dialect: Arc<dyn OperatorDialect>,
+    service: OperatorService,
 ) -> Result<HttpServer, StartError> {
-    let limits = HttpLimits::default();
-    let server = HttpServer::bind(address, limits.clone(), move |request| {
-        answer_operator(Arc::clone(&desk), Arc::clone(&dialect), limits.clone(), request)
-    });
+    let limits = service.limits.clone();
+    let server = HttpServer::bind(address, limits, move |request| service.clone().answer(request));
     server.await.context(ListenSnafu)
 }
-
-async fn answer_operator(
-    desk: Arc<ConfigDesk>,
-    dialect: Arc<dyn OperatorDialect>,
-    limits: HttpLimits,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
-    let (head, body) = request.into_parts();
-    match dialect.read(&head) {
-        OperatorCall::PutConfig => match read_body(body, &limits).await {
-            Ok(bytes) => put_answer(desk.put(bytes).await),
-            Err(fault) => status_answer(fault.code.status()),
-        },
-        OperatorCall::GetConfig => match desk.read().await {
-            Ok(Some(document)) => json_answer(Bytes::copy_from_slice(&document.bytes)),
-            Ok(None) => status_answer(StatusCode::NOT_FOUND),
-            Err(()) => {
-                info!("config_read_unsure");
-                status_answer(StatusCode::SERVICE_UNAVAILABLE)
-            }
-        },
-        _ => status_answer(StatusCode::NOT_FOUND),
-    }
-}
-
-fn put_answer(end: PutEnd) -> Response<AnswerBody> {
-    match end {
-        PutEnd::Accepted => status_answer(StatusCode::OK),
-        PutEnd::Invalid(fault) => {
-            let mut response = Response::new(full_body(format!("{fault}\n")));
-            *response.status_mut() = StatusCode::BAD_REQUEST;
-            response
-        }
-        PutEnd::Unresolved => status_answer(StatusCode::SERVICE_UNAVAILABLE),
-    }
-}
-
-fn json_answer(bytes: Bytes) -> Response<AnswerBody> {
-    let mut response = Response::new(full_body(bytes));
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json);
-    response
-}
--- a/crates/wheel_daemon/src/lib.rs
+++ b/crates/wheel_daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod list_reader;
 mod member_driver;
 mod operator_dialect;
+mod operator_service;
 mod peer_entry;
 mod peer_metrics;
 mod peer_router;
