Settle claims before a draining daemon ends

What callers saw: a booking with a key that was refused as not run as its instance ended was answered with "may have run; it won't be sent again" on its resend elsewhere, for good.

Cause: the claim is given up by a task that nobody waits for. When the group can't be reached at that moment, the task is lost with the process, and the next request with the key finds a claim whose holder is dead: unknown. The same goes for calls that run on after their callers have gone.

Change: such tasks are tracked. While the drain has time it waits for them, and 4 s after the last answers otherwise, before the control node stops and the instance leaves. Waits for the group on a claimed call's way end with the drain.

It gives: a claim that is settled as its caller was told. One that can't be within that time stays unknown, as the claims' contract has it, and is logged.

--- a/crates/wheel_daemon/src/daemon_parts.rs
+++ b/crates/wheel_daemon/src/daemon_parts.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
+use tokio_util::task::TaskTracker;
 use wheel_control::{ControlNode, GroupClient, ParentChoice, TextState};
 use wheel_director::{CentreDirector, LeaseDriver};
 use wheel_entry::{DrainDeadline, RequestMetrics, TextSource};
@@ -54,6 +55,8 @@
     pub draining: AtomicBool,
     /// When a draining instance must have answered.
     pub drain: DrainDeadline,
+    /// What goes on without a caller.
+    pub detached: TaskTracker,
     /// When the text in force came into force here.
     pub text_since: Mutex<(TextRevision, Instant)>,
 }
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -9,10 +9,11 @@
 use parking_lot::Mutex;
 use rand::Rng;
 use snafu::{ResultExt, Snafu};
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::runtime::Handle;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wheel_control::{
     AddressBook, ControlError, ControlNode, ControlSettings, FollowerSettings, GroupClient,
     TextFollower, TextState,
@@ -53,6 +54,9 @@
 const ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Time for operators' calls in hand once no other request is: the longest call, a change of the text.
 const OPERATOR_TIME: Duration = Duration::from_secs(12);
+/// Time after the last answers in which claims are settled: the election of a leader and a few attempts. A claim
+/// that isn't settled then is unknown for good.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// Share of the lease's term by which the holder's authority ends before the grants do.
 const MARGIN_DIVISOR: u32 = 10;
 
@@ -184,9 +188,21 @@
             () = drain.passed() => {}
             _ = self.operators.drain(OPERATOR_TIME) => {}
         }
+        // Calls whose callers have gone run to their ends as well.
+        self.parts.detached.close();
+        tokio::select! {
+            biased;
+            () = hard.cancelled() => {}
+            () = drain.passed() => {}
+            () = self.parts.detached.wait() => {}
+        }
         // Whatever waits is answered now.
         drain.begin(tokio::time::Instant::now());
         tokio::join!(self.drain_requests(ANSWER_TIME), self.operators.drain(ANSWER_TIME));
+        let settled = tokio::time::timeout(SETTLE_TIME, self.parts.detached.wait()).await.is_ok();
+        if !settled {
+            warn!("claims_left_open", kv: { tasks = self.parts.detached.len() });
+        }
         self.parts.members.leave();
         if let Some(control) = self.parts.control.clone() {
             let _ = tokio::task::spawn_blocking(move || control.stop()).await;
@@ -299,6 +315,7 @@
         metrics: Arc::new(RequestMetrics::default()),
         draining: AtomicBool::new(false),
         drain: DrainDeadline::default(),
+        detached: TaskTracker::new(),
         text_since: Mutex::new((TextRevision::default(), Instant::now())),
     }))
 }
@@ -369,6 +386,7 @@
         claims: Arc::new(keeper),
         decisions: Arc::clone(&parts.decisions),
         drain: parts.drain.clone(),
+        detached: parts.detached.clone(),
     });
     let handler: Arc<dyn RequestHandler> = Arc::new(path);
     let settings = CallerSettings {
--- a/crates/wheel_harness/tests/drain.rs
+++ b/crates/wheel_harness/tests/drain.rs
@@ -12,6 +12,7 @@
 use support::{LIMIT, ask, beside, book, booking_runs, owner_of, set_faults, start};
 use tokio::task::JoinHandle;
 use wheel_harness::{ClusterSettings, HttpReply, LocalCluster, ProcessSignal};
+use wheel_types::CentreName;
 
 /// Time from a signal to the end of the drain, in the settings of these processes.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
@@ -263,3 +264,44 @@
     assert!(began.elapsed() < Duration::from_secs(2), "after {:?}", began.elapsed());
     end_code(&mut cluster, place);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_booking_refused_as_not_run_gives_its_claim_up() {
+    // Without an upstream the booking is claimed and waits.
+    let absent_centres = ["a", "b"].map(CentreName::new).into();
+    let settings = ClusterSettings { control: 1, absent_centres, ..short_drain() };
+    let mut cluster = start(settings).await;
+    let place = place_of(&cluster, "c2");
+    let at = cluster.instances[place].ports.callers;
+    let caller = cluster.caller.clone();
+    let headers =
+        [("wheel-caller", "hotel"), ("idempotency-key", "seat"), ("wheel-deadline-ms", "30000")];
+    let booked = tokio::spawn(async move {
+        caller.call(Method::POST, at, "/booking/seats", &headers, "{}").await.ok()
+    });
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(!booked.is_finished(), "it waits for an upstream");
+    cluster.instances[place].signal(ProcessSignal::Terminate);
+    // The group is away when the answer is sent, and back a second later.
+    tokio::time::sleep(DRAIN_LIMIT - Duration::from_millis(200)).await;
+    let control = place_of(&cluster, "c1");
+    cluster.instances[control].kill();
+    let reply = booked.await.expect("the call's task").expect("an answer");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cluster.instances[control].start().expect("a restart");
+    assert_refused(&reply);
+    assert_eq!(end_code(&mut cluster, place), Some(3));
+    let other = cluster.instance("c1").ports.callers;
+    let headers =
+        [("wheel-caller", "hotel"), ("idempotency-key", "seat"), ("wheel-deadline-ms", "3000")];
+    let resent = cluster
+        .wait_until("the resend's answer", LIMIT, || async {
+            let call = cluster.caller.call(Method::POST, other, "/booking/seats", &headers, "{}");
+            let reply = call.await.ok()?;
+            // Before it has its text and its leader, it serves nothing.
+            (reply.status != StatusCode::SERVICE_UNAVAILABLE).then_some(reply)
+        })
+        .await
+        .expect("an answer");
+    assert_eq!(resent.header("wheel-outcome"), "not-run", "{}", resent.text());
+}
--- a/crates/wheel_serving/src/claimed_call.rs
+++ b/crates/wheel_serving/src/claimed_call.rs
@@ -88,7 +88,7 @@
             digest: self.digest,
             holder: self.holder.clone(),
         };
-        match self.path.parts.claims.submit(action, self.deadline).await {
+        match self.submit_in_time(action, self.deadline).await {
             Ok(answer) => Ok(answer),
             Err(error) => {
                 if error == KeeperError::Unresolved {
@@ -102,6 +102,20 @@
         }
     }
 
+    /// Has an action committed by `deadline`, and by the end of a drain.
+    async fn submit_in_time(
+        &self,
+        action: GroupAction,
+        deadline: Instant,
+    ) -> Result<ClaimAnswer, KeeperError> {
+        let parts = &self.path.parts;
+        tokio::select! {
+            biased;
+            submitted = parts.claims.submit(action, parts.drain.bound(deadline)) => submitted,
+            () = parts.drain.passed() => Err(KeeperError::Unresolved),
+        }
+    }
+
     async fn run_granted(
         self,
         dispatch: impl Future<Output = Result<CallerAnswer, RequestRefusal>>,
@@ -138,7 +152,7 @@
             },
         };
         let limit = Instant::now() + RECORD_LIMIT;
-        if let Err(error) = self.path.parts.claims.submit(action.clone(), limit).await {
+        if let Err(error) = self.submit_in_time(action.clone(), limit).await {
             warn!("claim_not_recorded", kv: {
                 request = self.holder.request.as_str(),
                 reason:? = error.to_string()
@@ -169,7 +183,7 @@
     fn spawn_submit(&self, action: GroupAction) {
         let claims = Arc::clone(&self.path.parts.claims);
         let request = self.holder.request.clone();
-        tokio::spawn(async move {
+        self.path.parts.detached.spawn(async move {
             let limit = Instant::now() + RELEASE_LIMIT;
             while Instant::now() < limit {
                 if claims.submit(action.clone(), limit).await.is_ok() {
@@ -187,10 +201,10 @@
         if !claims.is_alive(&holder.instance, holder.incarnation) {
             let action =
                 GroupAction::AbandonCall { claim: self.claim.clone(), holder: holder.clone() };
-            let _ = claims.submit(action, self.deadline).await;
+            let _ = self.submit_in_time(action, self.deadline).await;
             return Ok(());
         }
-        if Instant::now() + RECHECK_INTERVAL >= self.deadline {
+        if Instant::now() + RECHECK_INTERVAL >= self.path.parts.drain.bound(self.deadline) {
             let message = "an earlier request with this key is still being answered";
             return Err(RequestRefusal::new(RefusalCode::Unavailable, message)
                 .with_outcome(RequestOutcome::Unknown)
--- a/crates/wheel_serving/src/plain_run.rs
+++ b/crates/wheel_serving/src/plain_run.rs
@@ -57,10 +57,10 @@
         let run = Self { path: path.clone(), target, wish };
         match key {
             _ if run.target.repeatable => run.dispatch().await,
-            None => run_to_end(run.dispatch()).await,
+            None => run_to_end(&path, run.dispatch()).await,
             Some(key) => {
                 let claim = ClaimedCall::new(&path, &run.wish.request, &run.target, key);
-                run_to_end(Box::pin(claim.run(run.dispatch()))).await
+                run_to_end(&path, Box::pin(claim.run(run.dispatch()))).await
             }
         }
     }
@@ -184,9 +184,10 @@
 /// Runs a call that must not be cut off in a task of its own: when the caller goes away, it ends all
 /// the same, and a resend finds its outcome.
 async fn run_to_end(
+    path: &ServingPath,
     call: impl Future<Output = Result<CallerAnswer, RequestRefusal>> + Send + 'static,
 ) -> Result<CallerAnswer, RequestRefusal> {
-    tokio::spawn(call).await.unwrap_or_else(|_| {
+    path.parts.detached.spawn(call).await.unwrap_or_else(|_| {
         let message = "the call's task failed";
         Err(RequestRefusal::new(RefusalCode::UpstreamFailed, message)
             .with_outcome(RequestOutcome::Unknown))
--- a/crates/wheel_serving/src/serving_path.rs
+++ b/crates/wheel_serving/src/serving_path.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use spdlog::info;
 use tokio::time::{Instant, timeout_at};
+use tokio_util::task::TaskTracker;
 use wheel_entry::{
     CallerAnswer, CallerRequest, DrainDeadline, RefusalCode, RequestHandler, RequestRefusal,
     RequestTarget, TextSource,
@@ -56,6 +57,8 @@
     pub decisions: Arc<DecisionLog>,
     /// When a draining instance must have answered.
     pub drain: DrainDeadline,
+    /// What goes on without a caller: calls that must not be cut off, and claims that are settled.
+    pub detached: TaskTracker,
 }
 
 /// Serves callers' requests to their one final answer.
