Call no request not-run that an earlier attempt may have run

What callers saw: a generation whose engine died with it, with no other replica ready by the deadline, was refused with 504 and the outcome not-run, although the engine had it. The end of a drain cuts that second wait as well.

Cause: the refusal of the later wait knows nothing of the attempts before it; and a call to an owner that stopped answering was taken as one that never left.

Evidence: question_whose_engine_died_with_it_is_unknown_when_no_other_is_ready failed in two runs of two on the code before: not-run in place of unknown. The part for an owner that stops answering has no test of its own.

Change: both runs keep in mind whether an attempt may have run, and each later refusal is unknown then.

It gives: not-run is true whenever it is said on these ways.

--- a/crates/wheel_entry/src/request_refusal.rs
+++ b/crates/wheel_entry/src/request_refusal.rs
@@ -124,6 +124,14 @@
         self
     }
 
+    /// The same refusal of a request that earlier attempts may have run: nothing may say then that it hasn't run.
+    pub fn after_attempts(self, may_have_run: bool) -> Self {
+        match may_have_run {
+            true => self.with_outcome(RequestOutcome::Unknown),
+            false => self,
+        }
+    }
+
     /// Tells the caller when to come back.
     pub fn with_retry_after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait);
--- a/crates/wheel_harness/tests/request_path.rs
+++ b/crates/wheel_harness/tests/request_path.rs
@@ -222,6 +222,23 @@
     assert_whole(&ask(&cluster.caller, at, "guide", 3, 20_000).await, 3);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn question_whose_engine_died_with_it_is_unknown_when_no_other_is_ready() {
+    let mut settings = preloaded(&["engine-a=guide"], "2000");
+    settings.engine_flags = ["--token-us", "2000", "--load-ms", "60000"].map(str::to_owned).into();
+    let mut cluster = start(settings).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    owner_of(&cluster, seen_at, "engine-a").await;
+    set_faults(&cluster, "engine-a", json!({ "never_answer": true })).await;
+    let (at, caller) = (cluster.instances[0].ports.callers, cluster.caller.clone());
+    let asked = tokio::spawn(async move { ask(&caller, at, "guide", 5, 5_000).await });
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    cluster.upstreams.remove("engine-a");
+    let reply = asked.await.expect("the call's task");
+    assert!(reply.status.is_server_error(), "{}", reply.text());
+    assert_eq!(reply.header("wheel-outcome"), "unknown", "{}", reply.text());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn engine_refusing_gets_no_new_work() {
     let settings = preloaded(&["engine-a=guide", "engine-b=guide"], "2000");
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -124,9 +124,11 @@
     /// Gets the head of an answer, trying other upstreams as the retry budget allows.
     async fn reach_head(&mut self) -> Result<ReachedHead, RequestRefusal> {
         let mut attempts = 0;
+        let mut may_have_run = false;
         loop {
             attempts += 1;
-            let route = self.path.locate(&mut self.wish).await?;
+            let route = self.path.locate(&mut self.wish).await;
+            let route = route.map_err(|refusal| refusal.after_attempts(may_have_run))?;
             if attempts == 1 {
                 self.path.count_request(&route.upstream);
             }
@@ -140,6 +142,7 @@
                 Ok(head) => return Ok(ReachedHead { route, head, sent }),
                 Err(refusal) => refusal,
             };
+            may_have_run |= refusal.outcome != RequestOutcome::NotRun;
             if self.path.note_owner(&route, &refusal) {
                 attempts -= 1;
                 continue;
@@ -162,7 +165,7 @@
             if !may_retry {
                 let message = refusal.message.clone();
                 self.path.note(&self.wish, format!("refused by {}", route.upstream), message);
-                return Err(refusal.into_refusal());
+                return Err(refusal.into_refusal().after_attempts(may_have_run));
             }
         }
     }
@@ -179,7 +182,8 @@
             head = self.relay(route, headers) => head,
             () = self.path.parts.directory.owner_gone(&route.owner) => {
                 let message = "the owner stopped answering";
-                Err(RelayRefusal { owner_gone: true, ..RelayRefusal::elsewhere(message) })
+                let outcome = RequestOutcome::Unknown;
+                Err(RelayRefusal { owner_gone: true, outcome, ..RelayRefusal::elsewhere(message) })
             }
         }
     }
--- a/crates/wheel_serving/src/plain_run.rs
+++ b/crates/wheel_serving/src/plain_run.rs
@@ -68,9 +68,11 @@
     /// Sends the call. One that must not run twice goes out again only if it provably didn't run.
     async fn dispatch(mut self) -> Result<CallerAnswer, RequestRefusal> {
         let mut attempts = 0;
+        let mut may_have_run = false;
         loop {
             attempts += 1;
-            let route = self.path.locate(&mut self.wish).await?;
+            let route = self.path.locate(&mut self.wish).await;
+            let route = route.map_err(|refusal| refusal.after_attempts(may_have_run))?;
             if attempts == 1 {
                 self.path.count_request(&route.upstream);
             }
@@ -97,13 +99,19 @@
                 Ok(head) if head.answer.outcome != RequestOutcome::NotRun => {
                     return Ok(plain_answer(head));
                 }
-                Ok(head) if attempts >= MAX_ATTEMPTS => return Ok(plain_answer(head)),
+                Ok(mut head) if attempts >= MAX_ATTEMPTS => {
+                    if may_have_run {
+                        head.answer.outcome = RequestOutcome::Unknown;
+                    }
+                    return Ok(plain_answer(head));
+                }
                 Ok(head) => RelayRefusal::elsewhere(&format!(
                     "the upstream answered {} without running it",
                     head.answer.status
                 )),
                 Err(refusal) => refusal,
             };
+            may_have_run |= refusal.outcome != RequestOutcome::NotRun;
             info!("attempt_failed", kv: {
                 request = self.wish.request.id.as_str(),
                 upstream = route.upstream.as_str(),
@@ -111,7 +119,7 @@
                 reason:? = refusal.message
             });
             if !self.may_retry(&refusal, attempts, &route) {
-                return Err(refusal.into_refusal());
+                return Err(refusal.into_refusal().after_attempts(may_have_run));
             }
         }
     }
