--- a/crates/wheel_daemon/src/daemon_parts.rs
+++ b/crates/wheel_daemon/src/daemon_parts.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
+use tokio_util::task::TaskTracker;
 use wheel_control::{ControlNode, GroupClient, ParentChoice, TextState};
 use wheel_director::{CentreDirector, LeaseDriver};
-use wheel_entry::{RequestMetrics, TextSource};
+use wheel_entry::{DrainDeadline, RequestMetrics, TextSource};
 use wheel_peer::PeerHub;
 use wheel_serving::{DecisionLog, DemandBoard, OwnerTable, ReplicaDirectory};
 use wheel_text::ServingText;
@@ -52,6 +53,10 @@
     pub metrics: Arc<RequestMetrics>,
     /// True from the first sign of a shutdown on.
     pub draining: AtomicBool,
+    /// When a draining instance must have answered.
+    pub drain: DrainDeadline,
+    /// What goes on without a caller.
+    pub detached: TaskTracker,
     /// When the text in force came into force here.
     pub text_since: Mutex<(TextRevision, Instant)>,
 }
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -9,18 +9,19 @@
 use parking_lot::Mutex;
 use rand::Rng;
 use snafu::{ResultExt, Snafu};
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::runtime::Handle;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wheel_control::{
     AddressBook, ControlError, ControlNode, ControlSettings, FollowerSettings, GroupClient,
     TextFollower, TextState,
 };
 use wheel_director::{CentreDirector, DirectorSettings, LeaseDriver};
 use wheel_entry::{
-    AdminService, AdminSettings, CallerService, CallerSettings, HttpError, HttpLimits, HttpServer,
-    RequestHandler, RequestMetrics, TextSource,
+    AdminService, AdminSettings, CallerService, CallerSettings, DrainDeadline, HttpError,
+    HttpLimits, HttpServer, RequestHandler, RequestMetrics, TextSource,
 };
 use wheel_lease::LeaseSettings;
 use wheel_peer::{PeerError, PeerHub, PeerSecret, PeerSettings};
@@ -49,6 +50,13 @@
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time that other instances get to see that this one drains, before it takes no more work.
 const DRAIN_NOTICE: Duration = Duration::from_millis(300);
+/// Time in which the last answers reach their callers: a write and a round trip on a busy machine.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Time for operators' calls in hand once no other request is: the longest call, a change of the text.
+const OPERATOR_TIME: Duration = Duration::from_secs(12);
+/// Time after the last answers in which claims are settled: the election of a leader and a few attempts. A claim
+/// that isn't settled then is unknown for good.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// Share of the lease's term by which the holder's authority ends before the grants do.
 const MARGIN_DIVISOR: u32 = 10;
 
@@ -155,24 +163,46 @@
     }
 
     /// Shuts down gracefully: takes no new work, ends the work in hand, hands the rest over. A
-    /// second signal, `hard`, ends it at once.
+    /// second signal, `hard`, ends it at once. What still waits at the end is answered by then.
     pub async fn drain(self, hard: CancellationToken) -> ExitStatus {
         let limit = self.parts.settings.drain_limit;
         info!("drain_started", kv: { limit_s = limit.as_secs() });
+        let drain = self.parts.drain.clone();
+        drain.begin(tokio::time::Instant::now() + DRAIN_NOTICE + limit);
         self.parts.draining.store(true, Ordering::Release);
         self.parts.members.drain();
         self.parts.director.stop();
         tokio::time::sleep(DRAIN_NOTICE).await;
         // What waits here for a slot goes to the new owners, through the entry instances.
         self.parts.owners.give_up_all();
-        let drained = async {
-            let (callers, relay) = tokio::join!(self.callers.drain(limit), self.relay.drain(limit));
-            callers && relay
-        };
         let all_ended = tokio::select! {
-            all_ended = drained => all_ended,
+            biased;
             () = hard.cancelled() => false,
+            () = drain.passed() => false,
+            all_ended = self.drain_requests(limit + ANSWER_TIME) => all_ended,
         };
+        // Operators are served until the end; the control node must run until their calls are answered.
+        tokio::select! {
+            biased;
+            () = hard.cancelled() => {}
+            () = drain.passed() => {}
+            _ = self.operators.drain(OPERATOR_TIME) => {}
+        }
+        // Calls whose callers have gone run to their ends as well.
+        self.parts.detached.close();
+        tokio::select! {
+            biased;
+            () = hard.cancelled() => {}
+            () = drain.passed() => {}
+            () = self.parts.detached.wait() => {}
+        }
+        // Whatever waits is answered now.
+        drain.begin(tokio::time::Instant::now());
+        tokio::join!(self.drain_requests(ANSWER_TIME), self.operators.drain(ANSWER_TIME));
+        let settled = tokio::time::timeout(SETTLE_TIME, self.parts.detached.wait()).await.is_ok();
+        if !settled {
+            warn!("claims_left_open", kv: { tasks = self.parts.detached.len() });
+        }
         self.parts.members.leave();
         if let Some(control) = self.parts.control.clone() {
             let _ = tokio::task::spawn_blocking(move || control.stop()).await;
@@ -184,6 +214,12 @@
             false => ExitStatus::CutShort,
         }
     }
+
+    /// Lets requests of callers and of other instances end. True if all ended within `limit`.
+    async fn drain_requests(&self, limit: Duration) -> bool {
+        let (callers, relay) = tokio::join!(self.callers.drain(limit), self.relay.drain(limit));
+        callers && relay
+    }
 }
 
 fn bind_hub(
@@ -278,6 +314,8 @@
         decisions,
         metrics: Arc::new(RequestMetrics::default()),
         draining: AtomicBool::new(false),
+        drain: DrainDeadline::default(),
+        detached: TaskTracker::new(),
         text_since: Mutex::new((TextRevision::default(), Instant::now())),
     }))
 }
@@ -321,7 +359,8 @@
 async fn bind_relay(parts: &Arc<DaemonParts>) -> Result<HttpServer, StartError> {
     let key = relay_key(&parts.settings);
     let limits = limits_of(&parts.settings);
-    let service = RelayService::new(Arc::clone(&parts.owners), key, limits.clone());
+    let service =
+        RelayService::new(Arc::clone(&parts.owners), key, limits.clone(), parts.drain.clone());
     HttpServer::bind(parts.settings.relay_listen, limits, move |request| {
         service.clone().answer(request)
     })
@@ -346,6 +385,8 @@
         demand: Arc::clone(&parts.demand),
         claims: Arc::new(keeper),
         decisions: Arc::clone(&parts.decisions),
+        drain: parts.drain.clone(),
+        detached: parts.detached.clone(),
     });
     let handler: Arc<dyn RequestHandler> = Arc::new(path);
     let settings = CallerSettings {
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -22,7 +22,7 @@
 
 use crate::owned_answer::{OwnedAnswer, OwnedStream};
 use crate::relay_headers::relay_headers;
-use crate::relay_refusal::{RelayCode, RelayRefusal};
+use crate::relay_refusal::{RelayCode, RelayRefusal, until_drained};
 use crate::relay_service::{done_frame, event_frame};
 use crate::sent_request::SentRequest;
 use crate::serving_path::RouteWish;
@@ -32,6 +32,8 @@
 const PREFIX_BYTES: usize = 512;
 /// Time that a broken stream may take to be resumed.
 const RESUME_LIMIT: Duration = Duration::from_secs(30);
+/// Time in which the error event of a broken stream is written: the write of one small event.
+const EVENT_TIME: Duration = Duration::from_millis(50);
 /// Attempts to get the head of an answer.
 const MAX_ATTEMPTS: u32 = 6;
 /// Time that the owner may take longer than the deadline before it counts as silent.
@@ -122,9 +124,11 @@
     /// Gets the head of an answer, trying other upstreams as the retry budget allows.
     async fn reach_head(&mut self) -> Result<ReachedHead, RequestRefusal> {
         let mut attempts = 0;
+        let mut may_have_run = false;
         loop {
             attempts += 1;
-            let route = self.path.locate(&mut self.wish).await?;
+            let route = self.path.locate(&mut self.wish).await;
+            let route = route.map_err(|refusal| refusal.after_attempts(may_have_run))?;
             if attempts == 1 {
                 self.path.count_request(&route.upstream);
             }
@@ -134,10 +138,11 @@
                 self.wish.request.rank,
                 self.wish.query.prefix,
             );
-            let refusal = match self.attempt(&route).await {
+            let refusal = match until_drained(&self.path.parts.drain, self.attempt(&route)).await {
                 Ok(head) => return Ok(ReachedHead { route, head, sent }),
                 Err(refusal) => refusal,
             };
+            may_have_run |= refusal.outcome != RequestOutcome::NotRun;
             if self.path.note_owner(&route, &refusal) {
                 attempts -= 1;
                 continue;
@@ -160,7 +165,7 @@
             if !may_retry {
                 let message = refusal.message.clone();
                 self.path.note(&self.wish, format!("refused by {}", route.upstream), message);
-                return Err(refusal.into_refusal());
+                return Err(refusal.into_refusal().after_attempts(may_have_run));
             }
         }
     }
@@ -177,7 +182,8 @@
             head = self.relay(route, headers) => head,
             () = self.path.parts.directory.owner_gone(&route.owner) => {
                 let message = "the owner stopped answering";
-                Err(RelayRefusal { owner_gone: true, ..RelayRefusal::elsewhere(message) })
+                let outcome = RequestOutcome::Unknown;
+                Err(RelayRefusal { owner_gone: true, outcome, ..RelayRefusal::elsewhere(message) })
             }
         }
     }
@@ -258,11 +264,25 @@
     async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, AnswerError>> {
         match std::mem::replace(&mut self.phase, StreamPhase::Ended) {
             StreamPhase::Ended => return None,
-            StreamPhase::Failing(reason) => return Some(Err(AnswerError::BrokeOff { reason })),
+            StreamPhase::Failing(reason) => {
+                // The server drops what it hasn't written when a body breaks, and writes while it waits.
+                tokio::time::sleep(EVENT_TIME).await;
+                return Some(Err(AnswerError::BrokeOff { reason }));
+            }
             StreamPhase::Running => {}
         }
+        let drain = self.run.path.parts.drain.clone();
         loop {
-            match self.source.next().await {
+            let next = tokio::select! {
+                biased;
+                () = drain.passed() => {
+                    let message = "this instance ended before the stream";
+                    let refusal = RequestRefusal::new(RefusalCode::Unavailable, message);
+                    return Some(Ok(self.fail(&refusal)));
+                }
+                next = self.source.next() => next,
+            };
+            match next {
                 Ok(StreamEvent::Token(token)) => {
                     self.run.next_index = token.index + 1;
                     self.phase = StreamPhase::Running;
--- a/crates/wheel_serving/src/plain_run.rs
+++ b/crates/wheel_serving/src/plain_run.rs
@@ -17,7 +17,7 @@
 use crate::claimed_call::ClaimedCall;
 use crate::owned_answer::OwnedPlain;
 use crate::relay_headers::{RELAY_REFUSAL, relay_headers};
-use crate::relay_refusal::{RelayCode, RelayRefusal};
+use crate::relay_refusal::{RelayCode, RelayRefusal, until_drained};
 use crate::sent_request::SentRequest;
 use crate::serving_path::RouteWish;
 use crate::{CallCost, OwnerRoute, RelayCall, ReplicaDirectory, ServingPath, SlotGuard};
@@ -57,10 +57,10 @@
         let run = Self { path: path.clone(), target, wish };
         match key {
             _ if run.target.repeatable => run.dispatch().await,
-            None => run_to_end(run.dispatch()).await,
+            None => run_to_end(&path, run.dispatch()).await,
             Some(key) => {
                 let claim = ClaimedCall::new(&path, &run.wish.request, &run.target, key);
-                run_to_end(Box::pin(claim.run(run.dispatch()))).await
+                run_to_end(&path, Box::pin(claim.run(run.dispatch()))).await
             }
         }
     }
@@ -68,16 +68,18 @@
     /// Sends the call. One that must not run twice goes out again only if it provably didn't run.
     async fn dispatch(mut self) -> Result<CallerAnswer, RequestRefusal> {
         let mut attempts = 0;
+        let mut may_have_run = false;
         loop {
             attempts += 1;
-            let route = self.path.locate(&mut self.wish).await?;
+            let route = self.path.locate(&mut self.wish).await;
+            let route = route.map_err(|refusal| refusal.after_attempts(may_have_run))?;
             if attempts == 1 {
                 self.path.count_request(&route.upstream);
             }
             let directory = &self.path.parts.directory;
             let rank = self.wish.request.rank;
             let sent = SentRequest::begin(directory, &route.upstream, rank, None);
-            let result = self.attempt(&route).await;
+            let result = until_drained(&self.path.parts.drain, self.attempt(&route)).await;
             if let Err(refusal) = &result
                 && self.path.note_owner(&route, refusal)
             {
@@ -97,13 +99,19 @@
                 Ok(head) if head.answer.outcome != RequestOutcome::NotRun => {
                     return Ok(plain_answer(head));
                 }
-                Ok(head) if attempts >= MAX_ATTEMPTS => return Ok(plain_answer(head)),
+                Ok(mut head) if attempts >= MAX_ATTEMPTS => {
+                    if may_have_run {
+                        head.answer.outcome = RequestOutcome::Unknown;
+                    }
+                    return Ok(plain_answer(head));
+                }
                 Ok(head) => RelayRefusal::elsewhere(&format!(
                     "the upstream answered {} without running it",
                     head.answer.status
                 )),
                 Err(refusal) => refusal,
             };
+            may_have_run |= refusal.outcome != RequestOutcome::NotRun;
             info!("attempt_failed", kv: {
                 request = self.wish.request.id.as_str(),
                 upstream = route.upstream.as_str(),
@@ -111,7 +119,7 @@
                 reason:? = refusal.message
             });
             if !self.may_retry(&refusal, attempts, &route) {
-                return Err(refusal.into_refusal());
+                return Err(refusal.into_refusal().after_attempts(may_have_run));
             }
         }
     }
@@ -184,9 +192,10 @@
 /// Runs a call that must not be cut off in a task of its own: when the caller goes away, it ends all
 /// the same, and a resend finds its outcome.
 async fn run_to_end(
+    path: &ServingPath,
     call: impl Future<Output = Result<CallerAnswer, RequestRefusal>> + Send + 'static,
 ) -> Result<CallerAnswer, RequestRefusal> {
-    tokio::spawn(call).await.unwrap_or_else(|_| {
+    path.parts.detached.spawn(call).await.unwrap_or_else(|_| {
         let message = "the call's task failed";
         Err(RequestRefusal::new(RefusalCode::UpstreamFailed, message)
             .with_outcome(RequestOutcome::Unknown))
