Keep the right to order until operators' calls are answered

A control instance that ends gave the right to order up first, and the leadership only after operators' calls in hand, up to 2.9 s later: nobody could order engines in between. The right now goes together with the leadership.

--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -130,13 +130,13 @@
         Ok(Self { control, right, operators, drain, grace: settings.bounds.grace })
     }
 
-    /// Gives the right to order up, answers operators' calls in hand, gives leadership up, and ends.
+    /// Answers operators' calls in hand, gives the right to order and leadership up, and ends.
     pub(crate) async fn drain(self) {
-        self.right.release();
         let left = self.grace.saturating_sub(STOP_TIME + ANSWER_TIME).min(OPERATOR_TIME);
         self.drain.begin(tokio::time::Instant::now() + left);
         let all_ended = self.operators.drain(left + ANSWER_TIME).await;
         info!("operators_drained", kv: { all_ended });
+        self.right.release();
         let control = self.control.clone();
         let _ = tokio::task::spawn_blocking(move || control.stop()).await;
     }
