--- /dev/null
+++ b/crates/wheel_seams/src/fault_line.rs
@@ -0,0 +1,86 @@
+//! One line of key=value pairs.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use snafu::{OptionExt, Snafu, ensure};
+
+/// Why a line can't be read.
+#[derive(Debug, Eq, PartialEq)]
+#[derive(Snafu)]
+#[snafu(visibility(pub))]
+pub enum LineError {
+    /// A word isn't a pair.
+    #[snafu(display("{word} isn't key=value"))]
+    NoPair {
+        /// The word.
+        word: String,
+    },
+    /// A key isn't known here, or stands twice.
+    #[snafu(display("{key} isn't a key here, or stands twice"))]
+    WrongKey {
+        /// The key.
+        key: String,
+    },
+    /// A value isn't one that its key can have.
+    #[snafu(display("{key} can't be {value}"))]
+    WrongValue {
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+    },
+    /// A key that another one needs is missing.
+    #[snafu(display("{key} is missing"))]
+    MissingKey {
+        /// The key.
+        key: String,
+    },
+}
+
+/// The pairs of a line that weren't taken yet.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FaultLine {
+    pairs: BTreeMap<String, String>,
+}
+
+impl FaultLine {
+    /// Takes a word out.
+    pub fn take_word(&mut self, key: &str) -> Option<String> {
+        self.pairs.remove(key)
+    }
+
+    /// Takes a number out.
+    pub fn take_number<N: FromStr>(&mut self, key: &str) -> Result<Option<N>, LineError> {
+        let Some(value) = self.take_word(key) else { return Ok(None) };
+        let number = value.parse().ok();
+        number.map(Some).context(WrongValueSnafu { key, value })
+    }
+
+    /// Takes a number out that must be there.
+    pub fn need_number<N: FromStr>(&mut self, key: &str) -> Result<N, LineError> {
+        self.take_number(key)?.context(MissingKeySnafu { key })
+    }
+
+    /// Checks that nothing is left.
+    pub(crate) fn finish(self) -> Result<(), LineError> {
+        match self.pairs.into_keys().next() {
+            Some(key) => WrongKeySnafu { key }.fail(),
+            None => Ok(()),
+        }
+    }
+}
+
+impl FromStr for FaultLine {
+    type Err = LineError;
+
+    fn from_str(text: &str) -> Result<Self, LineError> {
+        let mut line = Self::default();
+        for word in text.split_whitespace() {
+            let (key, value) = word.split_once('=').context(NoPairSnafu { word })?;
+            let former = line.pairs.insert(key.to_owned(), value.to_owned());
+            ensure!(former.is_none(), WrongKeySnafu { key });
+        }
+        Ok(line)
+    }
+}
--- /dev/null
+++ b/crates/wheel_seams/src/planted_fault.rs
@@ -0,0 +1,52 @@
+//! Faults that tests plant to prove their checks; docs/PROOFS.md lists them.
+
+#[cfg(feature = "fault-injection")]
+use std::sync::OnceLock;
+
+/// Names the faults to plant, separated by commas.
+#[cfg(feature = "fault-injection")]
+pub const PLANT_VARIABLE: &str = "WISTERIAWHEEL_PLANT";
+
+/// The faults that can be planted.
+#[cfg(feature = "fault-injection")]
+pub const PLANTED_NAMES: [&str; 10] = [
+    "answer_of_another",
+    "drain_stays_ready",
+    "drain_without_deadline",
+    "leaving_ignored",
+    "old_config",
+    "order_without_pause",
+    "overcommit",
+    "part_looks_whole",
+    "refuse_after_send",
+    "repeat_unsafe",
+];
+
+/// Whether the fault `name` is planted in this process; never without the feature `fault-injection`.
+#[cfg(not(feature = "fault-injection"))]
+#[inline(always)]
+pub const fn is_planted(_name: &str) -> bool {
+    false
+}
+
+/// Whether the fault `name` is planted in this process; never without the feature `fault-injection`.
+#[cfg(feature = "fault-injection")]
+pub fn is_planted(name: &str) -> bool {
+    static PLANTED: OnceLock<Vec<String>> = OnceLock::new();
+    PLANTED.get_or_init(read_planted).iter().any(|planted| planted == name)
+}
+
+#[cfg(feature = "fault-injection")]
+fn read_planted() -> Vec<String> {
+    let list = std::env::var(PLANT_VARIABLE).unwrap_or_default();
+    let names = list.split(',').map(str::trim).filter(|name| !name.is_empty());
+    let (known, unknown): (Vec<&str>, Vec<&str>) =
+        names.partition(|name| PLANTED_NAMES.contains(name));
+    for name in &known {
+        spdlog::warn!("fault_planted", kv: { name = (*name).to_owned() });
+    }
+    for name in &unknown {
+        spdlog::error!("fault_unknown", kv: { name = (*name).to_owned() });
+    }
+    known.into_iter().map(str::to_owned).collect()
+}
--- /dev/null
+++ b/crates/wheel_storage/src/disk_fault.rs
@@ -0,0 +1,52 @@
+//! How a disk is wrong.
+
+use std::time::Duration;
+
+use wheel_seams::{FaultLine, FaultMode, LineError};
+
+/// What a line says of the disk: `mode=` and the keys of that mode.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum DiskFault {
+    /// `mode=none`, or an empty line.
+    #[default]
+    None,
+    /// `mode=slow sync_ms=N`: each sync takes that much longer.
+    Slow {
+        /// The time added to each sync.
+        sync: Duration,
+    },
+    /// `mode=stalled stall_ms=N`: writes and syncs hang until that long after the line was first seen.
+    Stalled {
+        /// The time from the first look at the line.
+        stall: Duration,
+    },
+    /// `mode=full`: each write is refused for want of room.
+    Full,
+    /// `mode=unsynced torn_bytes=N`: syncs report success, and what is written, renamed and removed stays in
+    /// the memory of the process, apart from the first bytes of the first write.
+    Unsynced {
+        /// How many of these reach the file; 0 if the line doesn't say.
+        torn_bytes: usize,
+    },
+    /// `mode=failing`: each operation fails with an I/O error.
+    Failing,
+}
+
+impl FaultMode for DiskFault {
+    fn from_line(line: &mut FaultLine) -> Result<Self, LineError> {
+        let mode = line.take_word("mode").unwrap_or_else(|| "none".to_owned());
+        Ok(match mode.as_str() {
+            "none" => Self::None,
+            "slow" => Self::Slow { sync: Duration::from_millis(line.need_number("sync_ms")?) },
+            "stalled" => {
+                Self::Stalled { stall: Duration::from_millis(line.need_number("stall_ms")?) }
+            }
+            "full" => Self::Full,
+            "unsynced" => {
+                Self::Unsynced { torn_bytes: line.take_number("torn_bytes")?.unwrap_or_default() }
+            }
+            "failing" => Self::Failing,
+            _ => return Err(LineError::WrongValue { key: "mode".to_owned(), value: mode }),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wheel_storage/src/faulty_device.rs
@@ -0,0 +1,154 @@
+//! A disk that fails as a file says.
+
+use std::fs::File;
+use std::io::{self, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+use std::thread::sleep;
+
+use wheel_seams::FaultFile;
+
+use crate::held_changes::HeldChanges;
+use crate::{DiskFault, LocalDevice, StorageDevice};
+
+/// Names the file of this process's disk, in place of the one beside the data folder.
+const DISK_VARIABLE: &str = "WISTERIAWHEEL_DISK_FAULTS";
+/// Linux's error numbers.
+const EIO: i32 = 5;
+const ENOSPC: i32 = 28;
+/// Extension of the file beside the data folder.
+const EXTENSION: &str = "disk-faults";
+
+/// The local file system with the faults of a [`DiskFault`] file.
+///
+/// What an [`Unsynced`](DiskFault::Unsynced) disk holds back is lost with this value, as with a loss of power,
+/// unless a later sync, once the fault is over, carries it out.
+#[derive(Debug)]
+pub struct FaultyDevice {
+    faults: FaultFile<DiskFault>,
+    held: HeldChanges,
+}
+
+impl FaultyDevice {
+    /// A disk that fails as the file at `path` says.
+    pub fn open(path: PathBuf) -> Self {
+        Self { faults: FaultFile::open(path), held: HeldChanges::default() }
+    }
+
+    /// A disk that fails as the file says that the environment names, else the file `FOLDER.disk-faults`.
+    pub fn beside(folder: &Path) -> Self {
+        let mut beside = folder.as_os_str().to_owned();
+        beside.push(".");
+        beside.push(EXTENSION);
+        Self::open(std::env::var_os(DISK_VARIABLE).unwrap_or(beside).into())
+    }
+
+    /// The fault of an operation now, or its error if the disk fails altogether.
+    fn look(&mut self) -> io::Result<DiskFault> {
+        match *self.faults.look() {
+            DiskFault::Failing => Err(io::Error::from_raw_os_error(EIO)),
+            fault => Ok(fault),
+        }
+    }
+
+    /// Like [`FaultyDevice::look`], after the time for which the disk hangs.
+    fn wait(&mut self) -> io::Result<DiskFault> {
+        let fault = self.look()?;
+        if let DiskFault::Stalled { stall } = fault {
+            sleep(stall.saturating_sub(self.faults.since().elapsed()));
+        }
+        Ok(fault)
+    }
+
+    /// Whether a change of names has to be held back.
+    fn holds_names(&mut self) -> io::Result<bool> {
+        let fault = self.wait()?;
+        Ok(matches!(fault, DiskFault::Unsynced { .. }) || !self.held.is_empty())
+    }
+
+    /// Waits for a sync; false if the disk only pretends to do it.
+    fn begin_sync(&mut self) -> io::Result<bool> {
+        match self.wait()? {
+            DiskFault::Unsynced { .. } => return Ok(false),
+            DiskFault::Slow { sync } => sleep(sync),
+            DiskFault::None | DiskFault::Stalled { .. } | DiskFault::Full | DiskFault::Failing => {}
+        }
+        self.held.settle()?;
+        Ok(true)
+    }
+}
+
+impl StorageDevice for FaultyDevice {
+    fn read(&mut self, path: &Path) -> io::Result<Vec<u8>> {
+        self.look()?;
+        self.held.read(path)
+    }
+
+    fn list(&mut self, folder: &Path) -> io::Result<Vec<String>> {
+        self.look()?;
+        Ok(self.held.list(folder, LocalDevice.list(folder)?))
+    }
+
+    fn open(&mut self, path: &Path) -> io::Result<File> {
+        self.look()?;
+        LocalDevice.open(path)
+    }
+
+    fn create(&mut self, path: &Path) -> io::Result<File> {
+        match self.holds_names()? {
+            true => self.held.create(path),
+            false => LocalDevice.create(path),
+        }
+    }
+
+    fn write(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        match self.wait()? {
+            DiskFault::Full => Err(io::Error::from_raw_os_error(ENOSPC)),
+            DiskFault::Unsynced { torn_bytes } if self.held.is_empty() => {
+                let (torn, rest) = bytes.split_at(torn_bytes.min(bytes.len()));
+                file.write_all(torn)?;
+                self.held.write(file, rest)
+            }
+            _ if self.held.is_empty() => file.write_all(bytes),
+            _ => self.held.write(file, bytes),
+        }
+    }
+
+    fn cut(&mut self, file: &mut File, size: u64) -> io::Result<()> {
+        self.wait()?;
+        self.held.cut(file, size)?;
+        if size < file.metadata()?.len() {
+            file.set_len(size)?;
+        }
+        file.seek(SeekFrom::End(0)).map(drop)
+    }
+
+    fn sync(&mut self, file: &File) -> io::Result<()> {
+        match self.begin_sync()? {
+            true => LocalDevice.sync(file),
+            false => Ok(()),
+        }
+    }
+
+    fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
+        match self.holds_names()? {
+            true => self.held.rename(from, to),
+            false => LocalDevice.rename(from, to)?,
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, path: &Path) -> io::Result<()> {
+        match self.holds_names()? {
+            true => self.held.remove(path),
+            false => LocalDevice.remove(path)?,
+        }
+        Ok(())
+    }
+
+    fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
+        match self.begin_sync()? {
+            true => LocalDevice.sync_folder(folder),
+            false => Ok(()),
+        }
+    }
+}
--- a/crates/wheel_storage/src/lib.rs
+++ b/crates/wheel_storage/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`LogStore`] keeps what a control instance must not forget. It deals in bytes and knows nothing
 //! of agreement. Whatever [`LogStore::append`] and [`LogStore::save_snapshot`] were given is
 //! synced when they return `Ok`; after a failed write or sync the store refuses everything.
+//! Its files are reached through a [`StorageDevice`] only.
 //!
 //! ```
 //! use wheel_storage::{LogRecord, LogStore, StoredEntry};
@@ -19,6 +20,12 @@
 //! # Ok::<(), wheel_storage::StorageError>(())
 //! ```
 
+#[cfg(feature = "fault-injection")]
+mod disk_fault;
+#[cfg(feature = "fault-injection")]
+mod faulty_device;
+#[cfg(feature = "fault-injection")]
+mod held_changes;
 mod log_frame;
 mod log_record;
 mod log_segment;
@@ -27,18 +34,22 @@
 mod restored_folder;
 mod segment_header;
 mod snapshot_file;
+mod storage_device;
 mod storage_error;
 mod stored_entry;
 mod stored_snapshot;
 mod stored_vote;
-mod sync_device;
 
+#[cfg(feature = "fault-injection")]
+pub use disk_fault::DiskFault;
+#[cfg(feature = "fault-injection")]
+pub use faulty_device::FaultyDevice;
 pub use log_record::LogRecord;
 pub use log_store::LogStore;
 pub use repaired_tail::{RepairedTail, TailFault};
 pub use restored_folder::RestoredFolder;
+pub use storage_device::{LocalDevice, StorageDevice};
 pub use storage_error::StorageError;
 pub use stored_entry::StoredEntry;
 pub use stored_snapshot::StoredSnapshot;
 pub use stored_vote::StoredVote;
-pub use sync_device::{LocalDevice, SyncDevice};
--- a/crates/wheel_storage/src/log_segment.rs
+++ b/crates/wheel_storage/src/log_segment.rs
@@ -8,6 +8,7 @@
 use crate::log_record::LogRecord;
 use crate::repaired_tail::{RepairedTail, TailFault};
 use crate::segment_header::SegmentHeader;
+use crate::storage_device::StorageDevice;
 use crate::storage_error::{CorruptSnafu, IoSnafu, OutOfOrderSnafu, StorageError};
 use crate::stored_entry::StoredEntry;
 use crate::stored_vote::StoredVote;
@@ -43,8 +44,8 @@
     }
 
     /// Reads and replays the segment at `path`, without changing it.
-    pub(crate) fn read(path: &Path) -> Result<Self, StorageError> {
-        let bytes = std::fs::read(path).context(IoSnafu { action: "read", file: path })?;
+    pub(crate) fn read(device: &mut dyn StorageDevice, path: &Path) -> Result<Self, StorageError> {
+        let bytes = device.read(path).context(IoSnafu { action: "read", file: path })?;
         let header = SegmentHeader::decode(&bytes).context(CorruptSnafu {
             file: path,
             offset: 0_u64,
--- a/crates/wheel_storage/src/log_store.rs
+++ b/crates/wheel_storage/src/log_store.rs
@@ -1,7 +1,6 @@
 //! The store itself.
 
 use std::fs::{File, OpenOptions, TryLockError};
-use std::io::{Seek, SeekFrom};
 use std::path::{Path, PathBuf};
 
 use snafu::{ResultExt, ensure};
@@ -12,16 +11,16 @@
 use crate::restored_folder::RestoredFolder;
 use crate::segment_header::SegmentHeader;
 use crate::snapshot_file::SnapshotFile;
+use crate::storage_device::{StorageDevice, default_device};
 use crate::storage_error::{
     CorruptSnafu, IoSnafu, LockedSnafu, OutOfOrderSnafu, PoisonedSnafu, StorageError,
 };
 use crate::stored_snapshot::StoredSnapshot;
-use crate::sync_device::{LocalDevice, SyncDevice};
 
 /// One open data folder; no other process can open it while this value lives.
 pub struct LogStore {
     folder: PathBuf,
-    device: Box<dyn SyncDevice>,
+    device: Box<dyn StorageDevice>,
     file: File,
     header: SegmentHeader,
     size: u64,
@@ -38,37 +37,32 @@
     /// [`StorageError::Locked`] if another process has it open and with
     /// [`StorageError::Corrupt`] if synced data is damaged.
     pub fn open(folder: &Path) -> Result<(Self, RestoredFolder), StorageError> {
-        Self::open_on(folder, Box::new(LocalDevice))
+        Self::open_on(folder, default_device(folder))
     }
 
     /// Like [`LogStore::open`], with `device` in place of the local file system.
     pub fn open_on(
         folder: &Path,
-        device: Box<dyn SyncDevice>,
+        mut device: Box<dyn StorageDevice>,
     ) -> Result<(Self, RestoredFolder), StorageError> {
         std::fs::create_dir_all(folder).context(IoSnafu { action: "create", file: folder })?;
         let lock = lock_folder(folder)?;
-        let snapshot = SnapshotFile::read(folder)?;
-        let numbers = list_segments(folder)?;
+        let snapshot = SnapshotFile::read(device.as_mut(), folder)?;
+        let numbers = list_segments(device.as_mut(), folder)?;
         let number = match numbers.last() {
             Some(number) => *number,
-            None => create_log(folder, device.as_ref(), snapshot.as_ref())?,
+            None => create_log(folder, device.as_mut(), snapshot.as_ref())?,
         };
         let path = LogSegment::path(folder, number);
-        let mut segment = LogSegment::read(&path)?;
+        let mut segment = LogSegment::read(device.as_mut(), &path)?;
         check_folder(folder, &path, number, &segment, snapshot.as_ref())?;
-        let mut file = OpenOptions::new()
-            .write(true)
-            .open(&path)
-            .context(IoSnafu { action: "open", file: &path })?;
+        let mut file = device.open(&path).context(IoSnafu { action: "open", file: &path })?;
         if segment.tail.is_some() {
-            file.set_len(segment.size).context(IoSnafu { action: "cut", file: &path })?;
+            device.cut(&mut file, segment.size).context(IoSnafu { action: "cut", file: &path })?;
         }
         // Also covers a frame that a killed process wrote and never synced.
         device.sync(&file).context(IoSnafu { action: "sync", file: &path })?;
-        file.seek(SeekFrom::Start(segment.size))
-            .context(IoSnafu { action: "seek", file: &path })?;
-        remove_others(folder, number);
+        remove_others(folder, device.as_mut(), number);
         let header = segment.header;
         if let Some(snapshot) = &snapshot {
             segment.rebase(snapshot.snapshot.index, snapshot.snapshot.term);
@@ -156,8 +150,7 @@
 
     /// Takes back a frame that wasn't written to its end.
     fn cut_back(&mut self) -> std::io::Result<()> {
-        self.file.set_len(self.size)?;
-        self.file.seek(SeekFrom::Start(self.size)).map(drop)
+        self.device.cut(&mut self.file, self.size)
     }
 
     /// The index after `records`, or an error if they don't fit the log.
@@ -194,8 +187,9 @@
     fn replace_snapshot(&mut self, snapshot: &StoredSnapshot) -> Result<(), StorageError> {
         let bytes = SnapshotFile::encode(self.header.identity, snapshot);
         let path = SnapshotFile::path(&self.folder);
-        replace_file(&self.folder, self.device.as_ref(), &path, &bytes)?;
-        let mut segment = LogSegment::read(&LogSegment::path(&self.folder, self.header.number))?;
+        replace_file(&self.folder, self.device.as_mut(), &path, &bytes)?;
+        let path = LogSegment::path(&self.folder, self.header.number);
+        let mut segment = LogSegment::read(self.device.as_mut(), &path)?;
         segment.rebase(snapshot.index, snapshot.term);
         self.start_segment(&segment)
     }
@@ -210,12 +204,12 @@
             sequence += 1;
         }
         let path = LogSegment::path(&self.folder, header.number);
-        self.file = replace_file(&self.folder, self.device.as_ref(), &path, &bytes)?;
+        self.file = replace_file(&self.folder, self.device.as_mut(), &path, &bytes)?;
         self.header = header;
         self.size = bytes.len() as u64;
         self.next_sequence = sequence;
         self.next_index = header.base_index + segment.entries.len() as u64 + 1;
-        remove_others(&self.folder, header.number);
+        remove_others(&self.folder, self.device.as_mut(), header.number);
         Ok(())
     }
 }
@@ -245,13 +239,9 @@
 }
 
 /// Numbers of the segments in `folder`, ascending.
-fn list_segments(folder: &Path) -> Result<Vec<u64>, StorageError> {
-    let action = "list";
-    let mut numbers = Vec::new();
-    for entry in std::fs::read_dir(folder).context(IoSnafu { action, file: folder })? {
-        let entry = entry.context(IoSnafu { action, file: folder })?;
-        numbers.extend(entry.file_name().to_str().and_then(LogSegment::number));
-    }
+fn list_segments(device: &mut dyn StorageDevice, folder: &Path) -> Result<Vec<u64>, StorageError> {
+    let names = device.list(folder).context(IoSnafu { action: "list", file: folder })?;
+    let mut numbers: Vec<u64> = names.iter().filter_map(|name| LogSegment::number(name)).collect();
     numbers.sort_unstable();
     Ok(numbers)
 }
@@ -259,7 +249,7 @@
 /// Creates the first segment of a new folder with a fresh identity.
 fn create_log(
     folder: &Path,
-    device: &dyn SyncDevice,
+    device: &mut dyn StorageDevice,
     snapshot: Option<&SnapshotFile>,
 ) -> Result<u64, StorageError> {
     let reason = "a snapshot without a log: the log is missing";
@@ -302,36 +292,32 @@
 /// positioned at its end.
 fn replace_file(
     folder: &Path,
-    device: &dyn SyncDevice,
+    device: &mut dyn StorageDevice,
     path: &Path,
     bytes: &[u8],
 ) -> Result<File, StorageError> {
     let temporary = path.with_extension(TEMPORARY);
     let mut file =
-        File::create(&temporary).context(IoSnafu { action: "create", file: &temporary })?;
+        device.create(&temporary).context(IoSnafu { action: "create", file: &temporary })?;
     device.write(&mut file, bytes).context(IoSnafu { action: "write", file: &temporary })?;
     device.sync(&file).context(IoSnafu { action: "sync", file: &temporary })?;
-    std::fs::rename(&temporary, path).context(IoSnafu { action: "rename", file: &temporary })?;
+    device.rename(&temporary, path).context(IoSnafu { action: "rename", file: &temporary })?;
     sync_folder(device, folder)?;
     Ok(file)
 }
 
 /// Syncs the entries of `folder`.
-fn sync_folder(device: &dyn SyncDevice, folder: &Path) -> Result<(), StorageError> {
-    let file = File::open(folder).context(IoSnafu { action: "open", file: folder })?;
-    device.sync(&file).context(IoSnafu { action: "sync", file: folder })
+fn sync_folder(device: &mut dyn StorageDevice, folder: &Path) -> Result<(), StorageError> {
+    device.sync_folder(folder).context(IoSnafu { action: "sync", file: folder })
 }
 
 /// Removes temporary files and all segments but `number`. Those that can't be removed stay and
 /// are never read.
-fn remove_others(folder: &Path, number: u64) {
-    let Ok(entries) = std::fs::read_dir(folder) else { return };
-    for entry in entries.flatten() {
-        let name = entry.file_name();
-        let name = name.to_string_lossy();
+fn remove_others(folder: &Path, device: &mut dyn StorageDevice, number: u64) {
+    for name in device.list(folder).unwrap_or_default() {
         let older = LogSegment::number(&name).is_some_and(|other| other != number);
         if older || name.ends_with(&format!(".{TEMPORARY}")) {
-            std::fs::remove_file(entry.path()).ok();
+            device.remove(&folder.join(name)).ok();
         }
     }
 }
--- a/crates/wheel_storage/src/snapshot_file.rs
+++ b/crates/wheel_storage/src/snapshot_file.rs
@@ -6,6 +6,7 @@
 use snafu::{OptionExt, ResultExt};
 
 use crate::segment_header::{read_u32, read_u64};
+use crate::storage_device::StorageDevice;
 use crate::storage_error::{CorruptSnafu, IoSnafu, StorageError};
 use crate::stored_snapshot::StoredSnapshot;
 
@@ -25,9 +26,12 @@
     }
 
     /// Reads the file; `None` if there is none.
-    pub(crate) fn read(folder: &Path) -> Result<Option<Self>, StorageError> {
+    pub(crate) fn read(
+        device: &mut dyn StorageDevice,
+        folder: &Path,
+    ) -> Result<Option<Self>, StorageError> {
         let path = Self::path(folder);
-        let bytes = match std::fs::read(&path) {
+        let bytes = match device.read(&path) {
             Ok(bytes) => bytes,
             Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
             Err(error) => return Err(error).context(IoSnafu { action: "read", file: path }),
--- a/crates/wheel_storage/tests/log_store.rs
+++ b/crates/wheel_storage/tests/log_store.rs
@@ -3,6 +3,8 @@
 #![allow(clippy::unwrap_used)]
 
 mod common;
+#[path = "common/counting_device.rs"]
+mod counting_device;
 
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -12,7 +14,8 @@
     LogRecord, LogStore, RestoredFolder, StorageError, StoredEntry, StoredSnapshot, TailFault,
 };
 
-use crate::common::{FaultyDevice, entry, entry_record, segment_path, vote};
+use crate::common::{entry, entry_record, segment_path, vote};
+use crate::counting_device::CountingDevice;
 
 fn restore(folder: &Path) -> RestoredFolder {
     LogStore::open(folder).unwrap().1
@@ -186,7 +189,7 @@
 /// Runs the same changes with each write and sync failing in turn.
 #[test]
 fn append_failed_operation_poisons_and_keeps_what_was_acknowledged() {
-    let counting = FaultyDevice::new(0);
+    let counting = CountingDevice::new(0);
     let whole = tempdir().unwrap();
     run_until_failure(whole.path(), &counting);
     let operations = counting.operations.load(Ordering::SeqCst);
@@ -194,7 +197,7 @@
 
     for fail_at in 1..=operations {
         let folder = tempdir().unwrap();
-        let acknowledged = run_until_failure(folder.path(), &FaultyDevice::new(fail_at));
+        let acknowledged = run_until_failure(folder.path(), &CountingDevice::new(fail_at));
         let restored = restore(folder.path());
         let base = restored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let indexes: Vec<u64> = restored.entries.iter().map(|entry| entry.index).collect();
@@ -207,7 +210,7 @@
 }
 
 /// Appends and compacts until something fails; returns the last acknowledged index.
-fn run_until_failure(folder: &Path, device: &FaultyDevice) -> u64 {
+fn run_until_failure(folder: &Path, device: &CountingDevice) -> u64 {
     let Ok((mut store, _)) = LogStore::open_on(folder, Box::new(device.clone())) else { return 0 };
     let mut acknowledged = 0;
     for index in 1..=6 {
@@ -234,7 +237,7 @@
     let mut refusals = 0;
     for fail_at in 1..=20 {
         let folder = tempdir().unwrap();
-        let device = FaultyDevice { is_full: true, ..FaultyDevice::default() };
+        let device = CountingDevice { is_full: true, ..CountingDevice::default() };
         let (mut store, _) = LogStore::open_on(folder.path(), Box::new(device.clone())).unwrap();
         let opened = device.operations.load(Ordering::SeqCst);
         device.fail_at.store(opened + fail_at, Ordering::SeqCst);
