Read time of day and CLOCK_BOOTTIME in one place

wheel_seams reads both clocks; wheel_placement and wheel_director ask it.

Claims end in their order whatever leaders' clocks say.

--- a/crates/wheel_agreement/tests/group_state.rs
+++ b/crates/wheel_agreement/tests/group_state.rs
@@ -211,6 +211,30 @@
     assert_eq!(driver.state.clock_ms(), 1_500, "time never runs back");
 }
 
+/// A leader whose clock is behind, or far ahead for one command, ends no later claim before an earlier one.
+#[test]
+fn claims_end_in_their_order_whatever_the_leaders_clocks_say() {
+    let limits = GroupLimits { max_claims: 3, claim_life_ms: 1_000, ..Default::default() };
+    let mut driver = StateDriver::open(limits);
+    let (holder, other) = (holder("a", 1, "r1"), holder("b", 1, "r2"));
+    for (leader_ms, key) in [(5_000, "one"), (2_000, "two"), (5_400, "three")] {
+        driver.leader_ms = leader_ms;
+        assert_eq!(driver.claim(key, "body", &holder), ClaimAnswer::Granted);
+    }
+    driver.leader_ms = 0;
+    assert_eq!(driver.claim("four", "body", &holder), ClaimAnswer::Full, "none has ended");
+    driver.leader_ms = 6_000;
+    assert_eq!(driver.claim("four", "body", &holder), ClaimAnswer::Granted);
+    assert_eq!(driver.claim("five", "body", &holder), ClaimAnswer::Granted);
+    assert_eq!(driver.claim("six", "body", &holder), ClaimAnswer::Full);
+    let in_progress = ClaimAnswer::InProgress { holder: holder.clone() };
+    assert_eq!(driver.claim("three", "body", &other), in_progress, "three hasn't ended");
+    driver.leader_ms = 6_399;
+    assert_eq!(driver.claim("six", "body", &holder), ClaimAnswer::Full);
+    driver.leader_ms = 6_400;
+    assert_eq!(driver.claim("six", "body", &holder), ClaimAnswer::Granted);
+}
+
 #[test]
 fn finish_large_answer_drops_body() {
     let limits = GroupLimits { max_answer_bytes: 20, max_answers_bytes: 30, ..Default::default() };
--- a/crates/wheel_director/src/centre_director.rs
+++ b/crates/wheel_director/src/centre_director.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use wheel_seams::time_of_day;
 use wheel_text::ServingText;
 use wheel_types::{DemandReply, DemandReport, InstanceName};
 
@@ -50,7 +51,11 @@
         if self.driver.authority().is_none() {
             return DemandReply::NotHolder { holder: self.driver.known_holder() };
         }
-        self.demand.note_report(Timestamp::now(), from, report);
+        self.demand.note_report(
+            Timestamp::try_from(time_of_day()).unwrap_or_default(),
+            from,
+            report,
+        );
         DemandReply::Noted
     }
 
--- a/crates/wheel_director/src/placement_round.rs
+++ b/crates/wheel_director/src/placement_round.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use jiff::Timestamp;
@@ -14,6 +14,7 @@
     OrderRefusal,
 };
 use wheel_policy::{PlacementAction, PlacementPlanner, PlacementStep};
+use wheel_seams::time_of_day;
 use wheel_text::ServingText;
 use wheel_types::{
     EngineState, FencingNumber, ModelName, ModelPhase, MonotonicTime, OrderAction, TextRevision,
@@ -279,13 +280,20 @@
             FleetBuilder { now, centre, text, ledger: &self.ledger, reports, start, placement };
         let mut fleet = builder.build(&mut self.tracks);
         let share = self.pace.share();
+        let time_of_day = time_of_day();
         fleet.store_loads = share.loads;
-        fleet.store_starts = self.pace.starts(now, SystemTime::now());
+        fleet.store_starts = self.pace.starts(now, time_of_day);
         fleet.adapter_loads = share.adapter_loads;
         let all = || reports.values().map(|heard| &heard.report);
         let own = all().filter(|report| &report.centre == centre);
         let elsewhere = all().filter(|report| &report.centre != centre);
-        let view = demand.view(now, Timestamp::now(), text, own, elsewhere);
+        let view = demand.view(
+            now,
+            Timestamp::try_from(time_of_day).unwrap_or_default(),
+            text,
+            own,
+            elsewhere,
+        );
         self.planner.as_mut().map(|planner| planner.plan(now, &fleet, &view)).unwrap_or_default()
     }
 
--- a/crates/wheel_placement/src/directing_right.rs
+++ b/crates/wheel_placement/src/directing_right.rs
@@ -6,10 +6,11 @@
 use parking_lot::Mutex;
 use spdlog::info;
 use wheel_control::ControlNode;
+use wheel_seams::boot_now;
 use wheel_types::MonotonicTime;
 use wheel_upstream::OrderPermit;
 
-use crate::{RightLedger, RightTimes, boot_now};
+use crate::{RightLedger, RightTimes};
 
 /// Time between two confirmations.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(150);
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -13,13 +13,14 @@
 use wheel_lease::{LoadWindow, OrderTime};
 use wheel_policy::{DemandBook, FleetPlanner, PlanEngine, PlanInput, PlanStep, StorePace};
 use wheel_route::{EngineId, EngineProfile, FleetConfig, HeldModel, LoadCount};
+use wheel_seams::boot_now;
 use wheel_types::{HeldChange, MonotonicTime};
 use wheel_upstream::{ConnectionLimits, DirectClient, OrderCall};
 
 use crate::directed_engine::{DirectedEngine, ReadState, plan_engine, read_engine};
 use crate::directing_right::TermPermit;
 use crate::right_ledger::FIRST_TERM;
-use crate::{DirectingRight, FleetBoard, FleetDialect, FleetOrder, ListWatch, boot_now};
+use crate::{DirectingRight, FleetBoard, FleetDialect, FleetOrder, ListWatch};
 
 /// Time between two rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/wheel_placement/src/lib.rs
+++ b/crates/wheel_placement/src/lib.rs
@@ -4,7 +4,6 @@
 //! them. [`FleetDirector`] reads engines and orders what they hold, while this instance has the
 //! [`DirectingRight`]. [`ConfigDesk`] takes operators' configurations.
 
-mod boot_clock;
 mod config_desk;
 mod directed_engine;
 mod directing_right;
@@ -15,7 +14,6 @@
 mod parent_sync;
 mod right_ledger;
 
-pub use boot_clock::boot_now;
 pub use config_desk::{ConfigDesk, PutEnd};
 pub use directing_right::DirectingRight;
 pub use fleet_board::FleetBoard;
