Plant faults by name, to prove the checks of a soak

wheel_seams::is_planted is constantly false without the feature fault-injection; with it, WISTERIAWHEEL_PLANT names what to plant.

--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -11,6 +11,7 @@
     DemandCount, DemandKey, EngineCard, EngineId, FleetConfig, FleetView, LoadCount, SyncAsk,
     SyncReply, UpstreamState,
 };
+use wheel_seams::is_planted;
 
 use crate::ActiveConfig;
 
@@ -81,7 +82,8 @@
     /// Puts a configuration in force, unless one as new is. True if it was put in force.
     pub fn adopt(&self, config: FleetConfig) -> bool {
         self.config.send_if_modified(|held| {
-            let is_newer = held.as_ref().is_none_or(|held| held.config.version < config.version);
+            let is_newer = held.as_ref().is_none_or(|held| held.config.version < config.version)
+                || is_planted("old_config");
             if is_newer {
                 *held = Some(Arc::new(ActiveConfig::new(config)));
             }
@@ -120,9 +122,11 @@
         let leaving = self.leaving.lock();
         let is_left =
             |id: &EngineId| leaving.get(id).is_some_and(|noted| noted.elapsed() < LEAVING_MEMORY);
-        let is_ready = |card: &EngineCard| {
-            &*card.service == service && card.state == UpstreamState::Ready && !is_left(&card.id)
+        let takes_work = |card: &EngineCard| {
+            card.state == UpstreamState::Ready && !is_left(&card.id)
+                || is_planted("leaving_ignored")
         };
+        let is_ready = |card: &EngineCard| &*card.service == service && takes_work(card);
         let cards = view.engines.iter().enumerate();
         cards.filter(|(_, card)| is_ready(card)).map(|(place, _)| place).collect()
     }
@@ -202,7 +206,7 @@
         SyncAsk {
             instance,
             is_entry: true,
-            version: self.version(),
+            version: if is_planted("old_config") { 0 } else { self.version() },
             control: None,
             loads: told,
             demand: self.take_demand(),
--- a/crates/wheel_gateway/src/request_path.rs
+++ b/crates/wheel_gateway/src/request_path.rs
@@ -11,6 +11,7 @@
     AnswerBody, DrainDeadline, HttpLimits, RefusalCode, RequestRefusal, full_body, read_body,
 };
 use wheel_policy::{OutlierDetector, OutlierSettings, ReachTable, RetryBudget};
+use wheel_seams::is_planted;
 use wheel_upstream::ServiceDialect;
 
 use crate::request_log::RequestLog;
@@ -76,7 +77,11 @@
             retries: Mutex::new(RetryBudget::open(budget)),
             outliers: Mutex::new(OutlierDetector::open(outliers)),
             reach: Mutex::default(),
-            drain,
+            drain: if is_planted("drain_without_deadline") {
+                DrainDeadline::default()
+            } else {
+                drain
+            },
             start: Instant::now(),
         };
         Self { parts: Arc::new(parts) }
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use wheel_entry::{AnswerBody, DrainDeadline, full_body};
 use wheel_route::{EngineCard, EngineId, RouteSpec};
+use wheel_seams::is_planted;
 use wheel_types::{MonotonicTime, UpstreamName};
 use wheel_upstream::{CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall};
 
@@ -203,7 +204,9 @@
     /// Whether another send is allowed by kind, attempts, budget and time. The budget bounds what upstreams
     /// get beyond the first send of each request; what never left isn't among that.
     fn may_send_again(&self) -> bool {
-        let is_repeatable = self.arrived.route.kind.is_repeatable() || self.runs == 0;
+        let is_repeatable = self.arrived.route.kind.is_repeatable()
+            || self.runs == 0
+            || is_planted("repeat_unsafe");
         let has_attempts =
             self.runs < self.arrived.route.max_attempts && self.rejected <= MAX_REJECTED;
         let has_time = Instant::now() + MIN_ANSWER_TIME / 2 < self.deadline();
@@ -379,8 +382,11 @@
                 self.refuse(&none)
             }
             _ => {
-                let status =
-                    if is_late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+                let status = match is_late {
+                    _ if is_planted("refuse_after_send") => StatusCode::SERVICE_UNAVAILABLE,
+                    true => StatusCode::GATEWAY_TIMEOUT,
+                    false => StatusCode::BAD_GATEWAY,
+                };
                 self.log.answered(status, "upstream_failed");
                 refusal(status, "the upstream gave no answer", None)
             }
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use wheel_entry::{AnswerBody, AnswerError};
+use wheel_seams::is_planted;
 
 use crate::request_run::RequestRun;
 use crate::{EventSplitter, LoadGuard};
@@ -50,7 +51,8 @@
     /// The body of the caller's answer.
     pub(crate) fn into_body(self) -> AnswerBody {
         let pieces = stream::unfold(self, |mut stream| async move {
-            let piece = stream.next().await?;
+            let piece = stream.next().await;
+            let piece = piece.filter(|piece| piece.is_ok() || !is_planted("part_looks_whole"))?;
             Some((piece.map(Frame::data), stream))
         });
         StreamBody::new(pieces).boxed_unsync()
--- /dev/null
+++ b/crates/wheel_gateway/tests/fleet_state.rs
@@ -0,0 +1,41 @@
+//! What an entry takes over, and whom it sends to.
+
+use wheel_gateway::FleetState;
+use wheel_route::{EngineCard, EngineId, FleetConfig, FleetView, UpstreamState};
+
+fn card(name: &str, state: UpstreamState) -> EngineCard {
+    EngineCard {
+        id: EngineId { name: name.into(), born: 1 },
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        centre: "here".into(),
+        slots: 4,
+        state,
+        models: Vec::new(),
+    }
+}
+
+#[test]
+fn adopt_leaves_older_configurations() {
+    let state = FleetState::default();
+    let config = |version| FleetConfig { version, ..FleetConfig::default() };
+    assert!(state.adopt(config(5)));
+    assert_eq!(state.prepare_ask("me".into()).version, 5);
+    assert!(!state.adopt(config(4)));
+    assert!(!state.adopt(config(5)));
+    assert_eq!(state.version(), 5);
+    assert!(state.adopt(config(6)));
+}
+
+#[test]
+fn ready_places_leave_out_upstreams_that_leave() {
+    let state = FleetState::default();
+    let states = [UpstreamState::Ready, UpstreamState::Draining, UpstreamState::Ready];
+    let cards = ["u1", "u2", "u3"].into_iter().zip(states);
+    let engines = cards.map(|(name, state)| card(name, state)).collect();
+    let view = FleetView { engines, ..FleetView::default() };
+    assert_eq!(state.ready_places(&view, "s"), [0, 2]);
+    state.note_leaving(&view.engines[0].id);
+    assert_eq!(state.ready_places(&view, "s"), [2]);
+    assert_eq!(state.ready_places(&view, "other"), Vec::<usize>::new());
+}
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -13,7 +13,7 @@
 use wheel_lease::{LoadWindow, OrderTime};
 use wheel_policy::{DemandBook, FleetPlanner, PlanEngine, PlanInput, PlanStep, StorePace};
 use wheel_route::{EngineId, EngineProfile, FleetConfig, HeldModel, LoadCount};
-use wheel_seams::boot_now;
+use wheel_seams::{boot_now, is_planted};
 use wheel_types::{HeldChange, MonotonicTime};
 use wheel_upstream::{ConnectionLimits, DirectClient, OrderCall};
 
@@ -234,9 +234,11 @@
             .collect();
         let most = self.store_most(profile);
         let allowed = self.store.room(now, self.parts.store_window, most);
+        let boundless = is_planted("overcommit")
+            .then(|| EngineProfile { weights_mb: f64::INFINITY, ..profile.clone() });
         let input = PlanInput {
             now,
-            profile,
+            profile: boundless.as_ref().unwrap_or(profile),
             engines: &engines,
             demand: &demand,
             store_room: allowed.min(self.pace.room()),
--- a/crates/wheel_placement/src/right_ledger.rs
+++ b/crates/wheel_placement/src/right_ledger.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use wheel_seams::is_planted;
 use wheel_types::MonotonicTime;
 
 /// The term of a group's first election: its leader has no predecessor to wait for, and no other leader ever
@@ -71,7 +72,8 @@
     /// The fencing number, while this instance may order.
     pub fn fencing(&self, now: MonotonicTime) -> Option<u64> {
         let term = self.leading_term(now)?;
-        (self.remaining(now).is_zero() || term == FIRST_TERM).then_some(term)
+        let has_waited = self.remaining(now).is_zero() || is_planted("order_without_pause");
+        (has_waited || term == FIRST_TERM).then_some(term)
     }
 
     /// How long until orders are allowed, as far as this instance goes on leading.
--- a/crates/wheel_upstream/src/service_client.rs
+++ b/crates/wheel_upstream/src/service_client.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use http::HeaderValue;
+use wheel_seams::is_planted;
 use wheel_types::UpstreamName;
 
 use crate::answer_body::has_marked_end;
@@ -57,7 +58,8 @@
             with_host(request, &self.host),
         );
         let (head, mut body) = sending.await?.into_parts();
-        if dialect.answer_id(&head.headers) != Some(call.request_id.as_str()) {
+        let is_own = dialect.answer_id(&head.headers) == Some(call.request_id.as_str());
+        if !is_own && !is_planted("answer_of_another") {
             self.pool.counters.foreign_answers.add_one();
             return Err(body.fail(FailureKind::ForeignAnswer));
         }
