Bound what the own control instance may take of an operator's call

What callers saw: at a control instance whose disk hangs, reads and changes of the configuration had no answer for as long as the disk hung, although they allow 0.9 and 2.5 s.

Cause: GroupClient asks its own control instance first, whom it follows and then for the answer, and waited for both without a limit; the instance's thread waits for its disk. Other instances get 0.6 s.

Change: 0.1 s to say whom it follows, and 0.6 s for an answer, like the others.

--- a/crates/wheel_control/src/group_client.rs
+++ b/crates/wheel_control/src/group_client.rs
@@ -15,6 +15,8 @@
 /// Time that one control instance gets to answer: a slow disk's sync and a round trip. Operators wait for a
 /// second, and a leader that is frozen must not take all of it.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time in which the own control instance says whom it follows; it may wait for its disk.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Pause after all control instances were asked in vain.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -181,8 +183,8 @@
     /// Takes over whom the own control instance follows: it notices a new leader first.
     async fn refresh_leader(&self) {
         let Some(own) = &self.own else { return };
-        let status = own.status().await;
-        if let Some(leader) = status.and_then(|status| status.leader) {
+        let status = tokio::time::timeout(STATUS_TIMEOUT, own.status()).await;
+        if let Some(leader) = status.ok().flatten().and_then(|status| status.leader) {
             *self.leader.lock() = Some(leader.instance);
         }
     }
@@ -207,7 +209,8 @@
 
     async fn ask(&self, instance: &InstanceName, call: &GroupCall) -> Result<GroupReply, AskError> {
         if let Some(own) = self.own.as_ref().filter(|own| &own.id().instance == instance) {
-            return Ok(own.answer(call.clone()).await);
+            let answer = tokio::time::timeout(ATTEMPT_TIMEOUT, own.answer(call.clone())).await;
+            return answer.map_err(|_| AskError { may_have_run: true });
         }
         let unsent = AskError { may_have_run: false };
         let address = self.book.peer(instance).ok_or(unsent)?;
