Split the end of a request's way from the way, and untie the gateway's files

request_run, request_path, resumed_stream, send_judge and upstream_search named each other in a circle. What all share is path_parts, what the entry answers by itself own_answer, and the end of the way, where a request becomes a stream, a refusal or a failure, request_end; each file now depends only on those before it.

--- /dev/null
+++ b/crates/wheel_gateway/src/path_parts.rs
@@ -0,0 +1,62 @@
+//! What the requests of an entry share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+use wheel_entry::DrainDeadline;
+use wheel_policy::{OutlierDetector, OutlierSettings, ReachTable, RetryBudget};
+use wheel_seams::is_planted;
+use wheel_upstream::ServiceDialect;
+
+use crate::{FleetState, IngressDialect, PathSettings, UpstreamTable};
+
+/// The parts that all requests of an entry share.
+pub(crate) struct PathParts {
+    pub(crate) settings: PathSettings,
+    pub(crate) state: Arc<FleetState>,
+    pub(crate) dialect: Arc<dyn IngressDialect>,
+    pub(crate) upstreams: UpstreamTable,
+    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) outliers: Mutex<OutlierDetector>,
+    pub(crate) reach: Mutex<ReachTable>,
+    pub(crate) drain: DrainDeadline,
+    pub(crate) start: Instant,
+}
+
+impl PathParts {
+    /// Opens empty tables.
+    pub(crate) fn open(
+        settings: PathSettings,
+        state: Arc<FleetState>,
+        dialect: Arc<dyn IngressDialect>,
+        upstream_dialect: Arc<dyn ServiceDialect>,
+        drain: DrainDeadline,
+    ) -> Self {
+        let budget = wheel_policy::BudgetSettings {
+            share: settings.retry_share,
+            reserve: settings.retry_reserve,
+        };
+        let outliers = OutlierSettings {
+            failures_in_row: 3,
+            ejection: Duration::from_secs(2),
+            ..OutlierSettings::default()
+        };
+        Self {
+            settings,
+            state,
+            dialect,
+            upstreams: UpstreamTable::open(upstream_dialect),
+            retries: Mutex::new(RetryBudget::open(budget)),
+            outliers: Mutex::new(OutlierDetector::open(outliers)),
+            reach: Mutex::default(),
+            drain: if is_planted("drain_without_deadline") {
+                DrainDeadline::default()
+            } else {
+                drain
+            },
+            start: Instant::now(),
+        }
+    }
+}
--- a/crates/wheel_gateway/src/request_path.rs
+++ b/crates/wheel_gateway/src/request_path.rs
@@ -3,48 +3,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use parking_lot::Mutex;
 use tokio::time::Instant;
-use wheel_entry::{
-    AnswerBody, DrainDeadline, HttpLimits, RefusalCode, RequestRefusal, full_body, read_body,
-};
-use wheel_policy::{OutlierDetector, OutlierSettings, ReachTable, RetryBudget};
-use wheel_seams::is_planted;
+use wheel_entry::{AnswerBody, DrainDeadline, HttpLimits, RefusalCode, RequestRefusal, read_body};
 use wheel_upstream::ServiceDialect;
 
+use crate::own_answer::refusal;
+use crate::path_parts::PathParts;
+use crate::request_end::answer_request;
 use crate::request_log::RequestLog;
 use crate::request_run::{ArrivedRequest, RequestRun};
-use crate::{FleetState, IngressDialect, UpstreamTable};
+use crate::{FleetState, IngressDialect, PathSettings};
 
 /// When a caller should come back that met an entry without a configuration.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
-/// What an entry serves requests with.
-#[derive(Clone, Debug)]
-pub struct PathSettings {
-    /// The entry's data centre.
-    pub centre: Arc<str>,
-    /// Second sends that are allowed for each request.
-    pub retry_share: f64,
-    /// Second sends that are saved up at most.
-    pub retry_reserve: f64,
-}
-
-/// The parts that all requests of an entry share.
-pub(crate) struct PathParts {
-    pub(crate) settings: PathSettings,
-    pub(crate) state: Arc<FleetState>,
-    pub(crate) dialect: Arc<dyn IngressDialect>,
-    pub(crate) upstreams: UpstreamTable,
-    pub(crate) retries: Mutex<RetryBudget>,
-    pub(crate) outliers: Mutex<OutlierDetector>,
-    pub(crate) reach: Mutex<ReachTable>,
-    pub(crate) drain: DrainDeadline,
-    pub(crate) start: Instant,
-}
-
 /// Serves callers; cheap to clone.
 #[derive(Clone)]
 pub struct RequestPath {
@@ -60,30 +34,7 @@
         upstream_dialect: Arc<dyn ServiceDialect>,
         drain: DrainDeadline,
     ) -> Self {
-        let budget = wheel_policy::BudgetSettings {
-            share: settings.retry_share,
-            reserve: settings.retry_reserve,
-        };
-        let outliers = OutlierSettings {
-            failures_in_row: 3,
-            ejection: Duration::from_secs(2),
-            ..OutlierSettings::default()
-        };
-        let parts = PathParts {
-            settings,
-            state,
-            dialect,
-            upstreams: UpstreamTable::open(upstream_dialect),
-            retries: Mutex::new(RetryBudget::open(budget)),
-            outliers: Mutex::new(OutlierDetector::open(outliers)),
-            reach: Mutex::default(),
-            drain: if is_planted("drain_without_deadline") {
-                DrainDeadline::default()
-            } else {
-                drain
-            },
-            start: Instant::now(),
-        };
+        let parts = PathParts::open(settings, state, dialect, upstream_dialect, drain);
         Self { parts: Arc::new(parts) }
     }
 
@@ -139,23 +90,6 @@
         };
         let deadline = arrival + limit;
         let arrived = ArrivedRequest { active, route, ask, head, body, deadline };
-        RequestRun::begin(self.parts, arrived, log).serve().await
-    }
-}
-
-/// An answer of the entry itself.
-pub(crate) fn refusal(
-    status: StatusCode,
-    message: &str,
-    retry_after: Option<Duration>,
-) -> Response<AnswerBody> {
-    let mut response = Response::new(full_body(format!("{message}\n")));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    let seconds = retry_after.map(|after| format!("{:.3}", after.as_secs_f64()));
-    if let Some(value) = seconds.and_then(|seconds| HeaderValue::from_str(&seconds).ok()) {
-        headers.insert(header::RETRY_AFTER, value);
+        answer_request(RequestRun::begin(self.parts, arrived, log)).await
     }
-    response
 }
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Response;
 use http::request::Parts;
-use http::{Response, StatusCode, header};
 use rand::Rng;
 use tokio::time::Instant;
 use wheel_entry::{AnswerBody, DrainDeadline, full_body};
@@ -14,12 +14,11 @@
 use wheel_types::{MonotonicTime, UpstreamName};
 use wheel_upstream::{CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall};
 
+use crate::path_parts::PathParts;
 use crate::request_log::{RequestLog, RequestPhase};
-use crate::request_path::{PathParts, refusal};
-use crate::resumed_stream::ResumedStream;
 use crate::send_judge::{Judged, SendJudge};
 use crate::tried_upstreams::TriedUpstreams;
-use crate::upstream_search::{MIN_ANSWER_TIME, NoUpstream, ROOM_RETRY, UpstreamSearch};
+use crate::upstream_search::{MIN_ANSWER_TIME, NoUpstream, UpstreamSearch};
 use crate::{ActiveConfig, IngressRequest, LoadGuard, SendMark};
 
 /// Time to connect to an upstream: three round trips between data centres and a busy machine's turn.
@@ -35,8 +34,6 @@
 const MAX_REJECTED: u32 = 3;
 /// The largest answer that is held until it is whole, in bytes.
 const MAX_WHOLE_BYTES: usize = 4 << 20;
-/// The share of a caller's time left that a `Retry-After` may ask for and is still honoured.
-const HONOURED_SHARE: f64 = 0.33;
 
 /// A request that has been read, under the configuration that was in force when it came.
 pub(crate) struct ArrivedRequest {
@@ -51,24 +48,24 @@
 /// A request on its way, with what became of its sends so far.
 pub(crate) struct RequestRun {
     parts: Arc<PathParts>,
-    arrived: ArrivedRequest,
+    pub(crate) arrived: ArrivedRequest,
     service: Arc<str>,
-    tried: TriedUpstreams,
+    pub(crate) tried: TriedUpstreams,
     /// Sends after which the request may have run.
-    runs: u32,
+    pub(crate) runs: u32,
     /// Sends that upstreams refused as not run, or that never left.
     rejected: u32,
     /// Whether the last send never left: the next one is no second arrival then.
     is_unsent: bool,
     /// Whether a send is under way of which nothing is known yet.
-    is_sending: bool,
+    pub(crate) is_sending: bool,
     /// An upstream's own failure, for the case that no other answer comes.
-    failure: Option<Response<AnswerBody>>,
+    pub(crate) failure: Option<Response<AnswerBody>>,
     pub(crate) log: RequestLog,
 }
 
 /// What the search for an answer came to.
-enum ServeEnd {
+pub(crate) enum ServeEnd {
     /// The upstream's whole answer.
     Whole(Response<AnswerBody>),
     /// The head of a stream, with what counts it as under way.
@@ -77,6 +74,8 @@
     NoUpstream(NoUpstream),
     /// No send gave an answer, and none is allowed any more.
     NoAnswer,
+    /// The instance has to end.
+    Drained,
 }
 
 /// What one send came to.
@@ -111,24 +110,17 @@
         run
     }
 
-    /// Answers the request, at the latest when the instance has to end.
-    pub(crate) async fn serve(mut self) -> Response<AnswerBody> {
+    /// Looks for an answer, at the latest until the instance has to end.
+    pub(crate) async fn serve(&mut self) -> ServeEnd {
         if let Some(key) = self.search().demand_key() {
             let lost = if self.arrived.route.objective < LOAD_TIME { 1.0 } else { LATE_SHARE };
             self.parts.state.note_demand(&key, lost);
         }
         let drain = self.parts.drain.clone();
-        let end = tokio::select! {
+        tokio::select! {
             biased;
-            end = self.find_answer() => Some(end),
-            () = drain.passed() => None,
-        };
-        match end {
-            Some(ServeEnd::Whole(response)) => response,
-            Some(ServeEnd::Stream(answer, guard)) => self.stream(*answer, guard),
-            Some(ServeEnd::NoUpstream(none)) => self.refuse(&none),
-            Some(ServeEnd::NoAnswer) => self.give_up(),
-            None => self.end_drained(),
+            end = self.find_answer() => end,
+            () = drain.passed() => ServeEnd::Drained,
         }
     }
 
@@ -162,21 +154,6 @@
         self.failure.take().map_or(ServeEnd::NoAnswer, ServeEnd::Whole)
     }
 
-    /// The answer to a request that is open when the instance has to end.
-    fn end_drained(mut self) -> Response<AnswerBody> {
-        if self.is_sending {
-            self.runs += 1;
-        }
-        match self.failure.take() {
-            Some(response) => response,
-            None if self.runs == 0 => self.refuse(&NoUpstream::new("draining", ROOM_RETRY)),
-            None => {
-                self.log.answered(StatusCode::GATEWAY_TIMEOUT, "drain_ended");
-                refusal(StatusCode::GATEWAY_TIMEOUT, "the instance ends", None)
-            }
-        }
-    }
-
     /// Finds an upstream and sends the rest of a stream there, after the event `last`.
     pub(crate) async fn resume(&mut self, last: Option<u64>) -> Option<(ServiceAnswer, LoadGuard)> {
         while self.may_send_again() {
@@ -344,65 +321,6 @@
             }
         }
     }
-
-    fn stream(mut self, answer: ServiceAnswer, guard: LoadGuard) -> Response<AnswerBody> {
-        self.runs += 1;
-        self.log.enter(RequestPhase::Answering);
-        let ServiceAnswer { status, mut headers, body, .. } = answer;
-        self.log.answered(status, "stream_cut");
-        let is_resumable = self.arrived.route.kind.is_repeatable() && status.is_success();
-        if is_resumable {
-            headers.remove(header::CONTENT_LENGTH);
-        }
-        let last = self.arrived.ask.resume_after;
-        let stream = ResumedStream::begin(self, body, guard, is_resumable, last);
-        let mut response = Response::new(stream.into_body());
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        response
-    }
-
-    /// The answer to a request for which no upstream was found.
-    fn refuse(mut self, none: &NoUpstream) -> Response<AnswerBody> {
-        if self.runs > 0 {
-            return self.give_up();
-        }
-        let left = self.arrived.deadline.saturating_duration_since(Instant::now());
-        let jitter = rand::rng().random_range(0.8..1.0);
-        let longest = left.mul_f64(HONOURED_SHARE * jitter);
-        self.log.answered(StatusCode::SERVICE_UNAVAILABLE, none.reason);
-        let retry_after = none.retry_after.mul_f64(2.0 - jitter).min(longest);
-        let eta_ms = none.eta.map_or("unknown".to_owned(), |eta| eta.as_millis().to_string());
-        let inputs = format!(
-            "{}, eta_ms {eta_ms}, left_ms {}, tried {}, retry_after_ms {}",
-            none.reason,
-            left.as_millis(),
-            self.tried.len(),
-            retry_after.as_millis()
-        );
-        self.log.step("refused", &inputs);
-        refusal(StatusCode::SERVICE_UNAVAILABLE, none.reason, Some(retry_after))
-    }
-
-    /// The answer to a request that was sent in vain and isn't sent again.
-    fn give_up(mut self) -> Response<AnswerBody> {
-        let is_late = Instant::now() + MIN_ANSWER_TIME / 2 >= self.arrived.deadline;
-        match self.runs {
-            0 => {
-                let none = NoUpstream::new("rejected_everywhere", ROOM_RETRY);
-                self.refuse(&none)
-            }
-            _ => {
-                let status = match is_late {
-                    _ if is_planted("refuse_after_send") => StatusCode::SERVICE_UNAVAILABLE,
-                    true => StatusCode::GATEWAY_TIMEOUT,
-                    false => StatusCode::BAD_GATEWAY,
-                };
-                self.log.answered(status, "upstream_failed");
-                refusal(status, "the upstream gave no answer", None)
-            }
-        }
-    }
 }
 
 /// The engine's urgency for a rank: every second number, so that others fit between.
--- a/crates/wheel_gateway/src/send_judge.rs
+++ b/crates/wheel_gateway/src/send_judge.rs
@@ -4,8 +4,8 @@
 use wheel_upstream::{CallFailure, FailureKind, SentState, ServiceAnswer};
 
 use crate::AnswerMark;
+use crate::path_parts::PathParts;
 use crate::request_log::RequestLog;
-use crate::request_path::PathParts;
 
 /// What an answer or its absence means.
 pub(crate) enum Judged {
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -10,8 +10,8 @@
 use wheel_types::{MonotonicTime, UpstreamName};
 
 use crate::IngressRequest;
+use crate::path_parts::PathParts;
 use crate::request_log::RequestLog;
-use crate::request_path::PathParts;
 use crate::tried_upstreams::TriedUpstreams;
 use crate::wait_guard::WaitGuard;
 
