--- a/crates/wheel_daemon/src/fleet_entry.rs
+++ b/crates/wheel_daemon/src/fleet_entry.rs
@@ -14,6 +14,7 @@
 use wheel_peer::PeerHub;
 use wheel_placement::{ListSettings, ListWatch, ParentSync, SyncEnd, SyncSettings};
 use wheel_route::{EngineCard, FleetView};
+use wheel_seams::is_planted;
 
 use crate::fleet_parts::{LIST_INTERVAL, bind_fleet_hub};
 use crate::fleet_router::FleetRouter;
@@ -100,7 +101,7 @@
     /// Says that no callers should come, serves those that come all the same, and ends once all have an answer.
     pub(crate) async fn drain(self) {
         let end = Instant::now() + self.grace.saturating_sub(EXIT_MARGIN);
-        self.is_draining.store(true, Ordering::Release);
+        self.is_draining.store(!is_planted("drain_stays_ready"), Ordering::Release);
         self.drain.begin(end);
         self.callers.close_after_answers();
         tokio::time::sleep(NOTICE_TIME.min(self.grace / 2)).await;
