Run a real system before stand-ins with faults drawn from a seed

wheel_soak starts control instances and entries of wisteriawheel-platform as processes of their own, puts stand-ins of the list, of engines and of a plain service around them, and carries out a printable plan of faults: signals, kills, freezes, a lost disk, links, upstreams, the list, and configurations in storms and races. A minimal caller and the operators tell what they see; the run folder keeps all logs and observations. LinkRelay of the harness gets delay, reset, a lost way back and a trickle; ChildProcess gets SIGHUP, a look without waiting, and logs of all that a process writes.

--- a/crates/wheel_harness/src/child_process.rs
+++ b/crates/wheel_harness/src/child_process.rs
@@ -27,6 +27,8 @@
     Stop,
     /// Lets it go on.
     Continue,
+    /// Has it read its settings again.
+    Reload,
 }
 
 /// Killed when it is dropped.
@@ -47,16 +49,29 @@
         arguments: &[String],
         log: &Path,
     ) -> Result<Self, HarnessError> {
-        let what = format!("start {program} as {name}");
-        let file = File::options().create(true).append(true).open(log);
-        let file = file.context(IoSnafu { what: what.clone() })?;
-        let child = Command::new(ProgramPath::find(program)?)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(file)
-            .spawn()
-            .context(IoSnafu { what })?;
+        let mut command = Command::new(ProgramPath::find(program)?);
+        command.args(arguments).stdout(Stdio::piped());
+        Self::start(command, name, log)
+    }
+
+    /// Starts `program` with these variables; all that it writes goes to `log`.
+    ///
+    /// # Errors
+    /// [`HarnessError::Io`] if it can't be started.
+    pub fn spawn_logged(
+        program: &str,
+        name: &str,
+        variables: &[(&str, &str)],
+        log: &Path,
+    ) -> Result<Self, HarnessError> {
+        let mut command = Command::new(ProgramPath::find(program)?);
+        command.envs(variables.iter().copied()).stdout(open_log(log, name)?);
+        Self::start(command, name, log)
+    }
+
+    fn start(mut command: Command, name: &str, log: &Path) -> Result<Self, HarnessError> {
+        let child = command.stdin(Stdio::null()).stderr(open_log(log, name)?).spawn();
+        let child = child.context(IoSnafu { what: format!("start {name}") })?;
         Ok(Self { name: name.to_owned(), child })
     }
 
@@ -95,6 +110,7 @@
             ProcessSignal::Kill => Signal::KILL,
             ProcessSignal::Stop => Signal::STOP,
             ProcessSignal::Continue => Signal::CONT,
+            ProcessSignal::Reload => Signal::HUP,
         };
         if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
             let _ = kill_process(pid, signal);
@@ -106,11 +122,9 @@
     /// # Errors
     /// [`HarnessError::Timeout`] if it goes on for longer than `limit`.
     pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus, HarnessError> {
-        let what = format!("wait for {}", self.name);
         let deadline = Instant::now() + limit;
         loop {
-            let ended = self.child.try_wait().context(IoSnafu { what: what.clone() })?;
-            match ended {
+            match self.ended()? {
                 Some(status) => return Ok(status),
                 None if Instant::now() >= deadline => {
                     return Err(HarnessError::Timeout {
@@ -123,6 +137,14 @@
         }
     }
 
+    /// How it ended, if it has.
+    ///
+    /// # Errors
+    /// [`HarnessError::Io`] if the system doesn't say.
+    pub fn ended(&mut self) -> Result<Option<ExitStatus>, HarnessError> {
+        self.child.try_wait().context(IoSnafu { what: format!("wait for {}", self.name) })
+    }
+
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -135,3 +157,8 @@
         self.kill();
     }
 }
+
+fn open_log(log: &Path, name: &str) -> Result<File, HarnessError> {
+    let file = File::options().create(true).append(true).open(log);
+    file.context(IoSnafu { what: format!("open the log of {name}") })
+}
--- a/crates/wheel_harness/src/link_relay.rs
+++ b/crates/wheel_harness/src/link_relay.rs
@@ -1,10 +1,12 @@
 //! A link between two processes that can be cut.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use snafu::ResultExt;
-use tokio::io::copy_bidirectional;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
@@ -12,6 +14,12 @@
 use crate::HarnessError;
 use crate::harness_error::IoSnafu;
 
+/// Bytes that are passed on at once.
+const PIECE_BYTES: usize = 16 << 10;
+/// Bytes that a trickling link passes on at once, and the time after each.
+const TRICKLE_BYTES: usize = 64;
+const TRICKLE_PAUSE: Duration = Duration::from_millis(20);
+
 /// What a link does with what is sent over it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkState {
@@ -21,6 +29,21 @@
     Refusing,
     /// Keeps what is open, accepts what comes, and passes nothing on.
     Silent,
+    /// Resets what is open and what comes.
+    Resetting,
+    /// Passes each piece on after this time.
+    Delayed(Duration),
+    /// Passes on what callers send; answers are lost from now on, for each connection that has one.
+    OneWay,
+    /// Passes a few bytes on at a time.
+    Trickling,
+}
+
+/// The way that a piece goes.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum LinkWay {
+    There,
+    Back,
 }
 
 /// Listens in front of an address and passes bytes on while it is open.
@@ -78,31 +101,86 @@
     let first = *state.borrow_and_update();
     match first {
         LinkState::Refusing => return,
+        LinkState::Resetting => return reset(&near),
         LinkState::Silent => return hold_until_refused(near, state).await,
-        LinkState::Open => {}
+        LinkState::Open | LinkState::Delayed(_) | LinkState::OneWay | LinkState::Trickling => {}
     }
-    let Ok(mut far) = TcpStream::connect(target).await else { return };
+    let Ok(mut far) = TcpStream::connect(target).await else { return reset(&near) };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let pieces = state.clone();
     let changed = async {
-        while state.changed().await.is_ok() {
-            let now = *state.borrow_and_update();
-            if now != LinkState::Open {
-                return now;
-            }
-        }
-        LinkState::Refusing
+        let ends = [LinkState::Refusing, LinkState::Resetting, LinkState::Silent];
+        let ended = state.wait_for(|state| ends.contains(state)).await;
+        ended.map_or(LinkState::Refusing, |state| *state)
+    };
+    let passed = async {
+        let ((near_read, near_write), (far_read, far_write)) = (near.split(), far.split());
+        let there = pump(near_read, far_write, LinkWay::There, &pieces);
+        let back = pump(far_read, near_write, LinkWay::Back, &pieces);
+        tokio::try_join!(there, back)
     };
     let ended = tokio::select! {
-        _ = copy_bidirectional(&mut near, &mut far) => LinkState::Refusing,
+        result = passed => if result.is_err() { LinkState::Resetting } else { LinkState::Refusing },
         now = changed => now,
     };
-    if ended == LinkState::Silent {
-        hold_until_refused(near, state).await;
+    match ended {
+        LinkState::Silent => hold_until_refused(near, state).await,
+        LinkState::Resetting => {
+            reset(&near);
+            reset(&far);
+        }
+        _ => {}
     }
-    drop(far);
+}
+
+/// Passes on what is read until it ends; an end after lost pieces isn't told.
+async fn pump(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    way: LinkWay,
+    state: &watch::Receiver<LinkState>,
+) -> io::Result<()> {
+    let mut piece = vec![0; PIECE_BYTES];
+    let mut is_lost = false;
+    loop {
+        let count = from.read(&mut piece).await?;
+        let now = *state.borrow();
+        is_lost |= way == LinkWay::Back && now == LinkState::OneWay;
+        match now {
+            _ if is_lost && count == 0 => return Ok(()),
+            _ if is_lost => {}
+            _ if count == 0 => return to.shutdown().await,
+            LinkState::Trickling => trickle(&piece[..count], &mut to, state).await?,
+            LinkState::Delayed(time) => {
+                tokio::time::sleep(time).await;
+                to.write_all(&piece[..count]).await?;
+            }
+            _ => to.write_all(&piece[..count]).await?,
+        }
+    }
+}
+
+async fn trickle(
+    piece: &[u8],
+    to: &mut (impl AsyncWrite + Unpin),
+    state: &watch::Receiver<LinkState>,
+) -> io::Result<()> {
+    for part in piece.chunks(TRICKLE_BYTES) {
+        to.write_all(part).await?;
+        if *state.borrow() == LinkState::Trickling {
+            tokio::time::sleep(TRICKLE_PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
+/// Has the end of `stream` reset it instead of closing it.
+fn reset(stream: &TcpStream) {
+    let _ = stream.set_zero_linger();
 }
 
 async fn hold_until_refused(near: TcpStream, mut state: watch::Receiver<LinkState>) {
-    let _ = state.wait_for(|state| *state == LinkState::Refusing).await;
+    let ends = [LinkState::Refusing, LinkState::Resetting];
+    let _ = state.wait_for(|state| ends.contains(state)).await;
     drop(near);
 }
--- /dev/null
+++ b/crates/wheel_soak/src/config_document.rs
@@ -0,0 +1,102 @@
+//! The configurations of a run.
+
+use serde_json::{Value, json};
+
+/// The host of all routes.
+pub const ROUTE_HOST: &str = "soak.example";
+/// A stream that may go on at another upstream.
+pub const RESUMABLE_PREFIX: &str = "/chat/";
+/// A stream that runs at most once.
+pub const CLOSED_PREFIX: &str = "/talk/";
+/// One answer of a model, which may be asked for again.
+pub const MODEL_PREFIX: &str = "/ask/";
+/// A plain call that may be repeated.
+pub const IDEMPOTENT_PREFIX: &str = "/find/";
+/// A plain call that runs at most once.
+pub const ONCE_PREFIX: &str = "/book/";
+/// The service with models.
+pub(crate) const ENGINE_SERVICE: &str = "llm";
+/// The service without.
+pub(crate) const PLAIN_SERVICE: &str = "app";
+/// Models and their sizes in megabytes; upstreams have room for some of them.
+pub const MODELS: [(&str, u64); 6] =
+    [("m0", 90), ("m1", 90), ("m2", 60), ("m3", 60), ("m4", 40), ("m5", 120)];
+/// What an upstream has room for, in megabytes.
+pub(crate) const ROOM_MB: u64 = 250;
+/// Seconds of a load from the weight store, from an own disk, and from memory.
+pub(crate) const LOAD_S: [f64; 3] = [0.8, 0.3, 0.1];
+/// Loads a second that the weight store bears.
+pub const LOADS_PER_S: f64 = 4.0;
+/// Requests that an upstream runs at once.
+pub(crate) const SLOTS: usize = 32;
+/// The time that routes allow, in milliseconds.
+pub(crate) const TIME_LIMIT_MS: u64 = 8_000;
+
+/// Makes the document of each version.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigDocument {
+    /// Its version.
+    pub version: u64,
+    /// Distinguishes documents that have one version.
+    pub variant: u64,
+}
+
+impl ConfigDocument {
+    /// The path of a route that only this version has.
+    pub fn probe_path(version: u64) -> String {
+        format!("/probe-{version}/0x0")
+    }
+
+    /// The bytes to send.
+    pub fn bytes(&self) -> Vec<u8> {
+        self.value().to_string().into_bytes()
+    }
+
+    /// Bytes that must not be accepted; `fault` chooses why.
+    pub fn invalid_bytes(&self, fault: u64) -> Vec<u8> {
+        let mut value = self.value();
+        match fault % 4 {
+            0 => value["routes"][0]["service"] = json!("nobody"),
+            1 => value["routes"][1]["pathPrefix"] = value["routes"][0]["pathPrefix"].clone(),
+            2 => value["routes"][0]["timeoutMs"] = json!(0),
+            _ => {
+                let mut bytes = self.bytes();
+                bytes.truncate(bytes.len() / 2);
+                return bytes;
+            }
+        }
+        value.to_string().into_bytes()
+    }
+
+    fn value(&self) -> Value {
+        let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
+            json!({"name": prefix, "host": ROUTE_HOST, "pathPrefix": prefix, "routeType": kind,
+                "timeoutMs": TIME_LIMIT_MS, "targetLatencyMs": 1_000 + self.variant, "service": service,
+                "maxAttempts": 3, "resumable": resumable})
+        };
+        let probe = format!("/probe-{}/", self.version);
+        let models: Vec<Value> = MODELS
+            .iter()
+            .map(|(name, size)| {
+                let [load, disk, warm] = LOAD_S;
+                json!({"name": name, "weightsMb": size, "loadS": load, "diskS": disk, "warmS": warm})
+            })
+            .collect();
+        json!({
+            "version": self.version,
+            "routes": [
+                route(RESUMABLE_PREFIX, "streaming", ENGINE_SERVICE, true),
+                route(CLOSED_PREFIX, "streaming", ENGINE_SERVICE, false),
+                route(MODEL_PREFIX, "idempotent", ENGINE_SERVICE, false),
+                route(IDEMPOTENT_PREFIX, "idempotent", PLAIN_SERVICE, false),
+                route(ONCE_PREFIX, "non_idempotent", PLAIN_SERVICE, false),
+                route(&probe, "idempotent", PLAIN_SERVICE, false),
+            ],
+            "services": [
+                {"name": PLAIN_SERVICE, "maxConnections": 200},
+                {"name": ENGINE_SERVICE, "maxConnections": 200, "engine": {
+                    "slots": SLOTS, "weightsMb": ROOM_MB, "loadsPerS": LOADS_PER_S, "models": models}},
+            ],
+        })
+    }
+}
--- /dev/null
+++ b/crates/wheel_soak/src/upstream_stand_in.rs
@@ -0,0 +1,431 @@
+//! An upstream of the system under test, and what it does wrong.
+//!
+//! The last part of a request's path says how much work it is: `AxB` are A events with B milliseconds
+//! before each, or, of a plain answer, A more bytes after B milliseconds.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncBufReadExt, AsyncWrite, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::net::tcp::ReadHalf;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use wheel_harness::{LinkRelay, LinkState};
+
+use crate::config_document::{CLOSED_PREFIX, ENGINE_SERVICE, RESUMABLE_PREFIX};
+use crate::upstream_state::{RunAdmission, UpstreamPhase, UpstreamState};
+use crate::wire_request::WireRequest;
+use crate::wire_server::{AfterAnswer, WireHandler, bind_wire, write_json};
+use crate::{ObservationSink, SeenEvent, SoakError};
+
+/// Events of a stream whose path doesn't say, and the time before each.
+const USUAL_STREAM: (u64, u64) = (5, 50);
+/// The same of a plain answer.
+const USUAL_ANSWER: (u64, u64) = (0, 20);
+/// What a late answer takes longer.
+const LATENESS: Duration = Duration::from_millis(2_500);
+/// The longest time that a run takes if its request names none.
+const RUN_LIMIT: Duration = Duration::from_secs(20);
+/// Of requests during a fault, one in this many meets it.
+const FAULT_SHARE: u64 = 2;
+
+/// What an upstream does wrong with some of its requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpstreamFault {
+    /// It begins a run and says nothing more.
+    Hang,
+    /// It answers seconds late.
+    Late,
+    /// It answers 500.
+    Fail,
+    /// Its answer names another request.
+    Crossed,
+    /// Its answer is followed by the same answer again.
+    Doubled,
+    /// Its answer isn't HTTP.
+    Unframed,
+    /// It resets the connection in the middle of its answer.
+    Cut,
+}
+
+/// A listening stand-in behind a link.
+pub struct UpstreamStandIn {
+    shared: Arc<UpstreamShared>,
+    link: LinkRelay,
+    zone: String,
+    task: AbortHandle,
+}
+
+pub(crate) struct UpstreamShared {
+    sink: ObservationSink,
+    state: Mutex<UpstreamState>,
+    /// Changes when all connections break off.
+    life: watch::Sender<u64>,
+    /// Requests that met a fault or were spared.
+    met: Mutex<u64>,
+}
+
+impl UpstreamStandIn {
+    /// Listens on a free port as the upstream `id` of `service`.
+    ///
+    /// # Errors
+    /// [`SoakError`] if no port is free.
+    pub async fn bind(
+        id: Arc<str>,
+        service: &'static str,
+        zone: &str,
+        sink: ObservationSink,
+    ) -> Result<Self, SoakError> {
+        let shared = Arc::new(UpstreamShared {
+            sink,
+            state: Mutex::new(UpstreamState::new(id, service)),
+            life: watch::Sender::new(0),
+            met: Mutex::new(0),
+        });
+        let (address, task) = bind_wire(Arc::clone(&shared)).await?;
+        let link = LinkRelay::bind(address).await?;
+        Ok(Self { shared, link, zone: zone.to_owned(), task })
+    }
+
+    /// Its id in this life.
+    pub fn id(&self) -> Arc<str> {
+        Arc::clone(&self.shared.state.lock().id)
+    }
+
+    /// Its service in this life.
+    pub fn service(&self) -> &'static str {
+        self.shared.state.lock().service
+    }
+
+    /// Where the system reaches it.
+    pub fn address(&self) -> SocketAddr {
+        self.link.address()
+    }
+
+    /// Changes the link before it.
+    pub fn set_link(&self, state: LinkState) {
+        self.link.set(state);
+    }
+
+    /// From now on it does this wrong, or nothing.
+    pub fn set_fault(&self, fault: Option<UpstreamFault>) {
+        self.shared.state.lock().fault = fault;
+    }
+
+    /// It is told to leave, and goes on for a while.
+    pub fn leave(&self) {
+        let mut state = self.shared.state.lock();
+        state.phase = UpstreamPhase::Draining;
+        self.shared.sink.note(SeenEvent::UpstreamLeaves { upstream: Arc::clone(&state.id) });
+    }
+
+    /// It ends at once, with all it has in hand.
+    pub fn stop(&self) {
+        self.shared.state.lock().phase = UpstreamPhase::Off;
+        self.shared.life.send_modify(|life| *life += 1);
+    }
+
+    /// It starts again, empty.
+    pub fn start(&self, id: Arc<str>, service: &'static str) {
+        self.shared.state.lock().begin_life(id, service);
+    }
+
+    /// Its entry on the list, unless it is off.
+    pub(crate) fn entry(&self) -> Option<serde_json::Value> {
+        let mut state = self.shared.state.lock();
+        let is_on = state.phase != UpstreamPhase::Off;
+        is_on.then(|| state.entry(self.link.address(), &self.zone))
+    }
+}
+
+impl Drop for UpstreamStandIn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Tells a run's end, whatever ends it.
+struct RunGuard<'a> {
+    shared: &'a UpstreamShared,
+    id: Arc<str>,
+    upstream: Arc<str>,
+    model: String,
+    body: Option<Vec<u8>>,
+    life: u64,
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        // A new life has counts of its own.
+        if *self.shared.life.borrow() == self.life {
+            self.shared.state.lock().end_run(&self.model);
+        }
+        self.shared.sink.note(SeenEvent::RunEnded {
+            id: Arc::clone(&self.id),
+            upstream: Arc::clone(&self.upstream),
+            body: self.body.take(),
+        });
+    }
+}
+
+impl WireHandler for UpstreamShared {
+    async fn converse(&self, stream: &mut TcpStream) -> AfterAnswer {
+        let mut life = self.life.subscribe();
+        if self.state.lock().phase == UpstreamPhase::Off {
+            return AfterAnswer::Reset;
+        }
+        let (read, mut write) = stream.split();
+        let mut reader = BufReader::new(read);
+        let serving = async {
+            while let Ok(Some(request)) = WireRequest::read(&mut reader).await {
+                match self.answer(&request, &mut reader, &mut write).await {
+                    Ok(AfterAnswer::Keep) => {}
+                    Ok(after) => return after,
+                    Err(_) => return AfterAnswer::Reset,
+                }
+            }
+            AfterAnswer::Close
+        };
+        tokio::select! {
+            after = serving => after,
+            _ = life.changed() => AfterAnswer::Reset,
+        }
+    }
+}
+
+impl UpstreamShared {
+    async fn answer(
+        &self,
+        request: &WireRequest,
+        reader: &mut BufReader<ReadHalf<'_>>,
+        write: &mut (impl AsyncWrite + Unpin),
+    ) -> io::Result<AfterAnswer> {
+        let target = request.header("x-wisteriawheel-target-instance");
+        match request.path.as_str() {
+            "/api/report" => {
+                let report = self.state.lock().report();
+                write_json(write, 200, &report).await
+            }
+            "/api/order" => {
+                let order = self.state.lock().order(target, &request.body);
+                let status = order.as_ref().map_or(400, |order| order.status);
+                if let Some(order) = order {
+                    let is_over = order.held_mb > order.room_mb;
+                    self.sink.note(SeenEvent::Ordered(order));
+                    // An engine that is ordered beyond its memory crashes.
+                    if is_over && status == 202 {
+                        return Ok(self.crash());
+                    }
+                }
+                write_json(write, status, &serde_json::json!({})).await
+            }
+            _ => self.run(request, reader, write).await,
+        }
+    }
+
+    fn crash(&self) -> AfterAnswer {
+        let mut state = self.state.lock();
+        let (id, service) = (Arc::clone(&state.id), state.service);
+        state.begin_life(id, service);
+        self.life.send_modify(|life| *life += 1);
+        AfterAnswer::Reset
+    }
+
+    async fn run(
+        &self,
+        request: &WireRequest,
+        reader: &mut BufReader<ReadHalf<'_>>,
+        write: &mut (impl AsyncWrite + Unpin),
+    ) -> io::Result<AfterAnswer> {
+        let id: Arc<str> = request.header("x-wisteriawheel-attempt-id").unwrap_or_default().into();
+        let target = request.header("x-wisteriawheel-target-instance");
+        let model = request.header("x-wisteriawheel-model").unwrap_or_default();
+        let life = *self.life.borrow();
+        let (admission, upstream, service, fault) = {
+            let mut state = self.state.lock();
+            let admission = state.admit(target, model);
+            (admission, Arc::clone(&state.id), state.service, state.fault)
+        };
+        let head = AnswerHead { id: &id, upstream: &upstream };
+        match admission {
+            RunAdmission::Runs => {}
+            RunAdmission::Misdirected => {
+                return head.refuse(write, "421 Misdirected Request").await;
+            }
+            RunAdmission::Busy => return head.refuse(write, "503 Service Unavailable").await,
+        }
+        let resumed_after = request.number("last-event-id");
+        self.sink.note(SeenEvent::RunBegan {
+            id: Arc::clone(&id),
+            upstream: Arc::clone(&upstream),
+            resumed_after,
+        });
+        let mut guard = RunGuard {
+            shared: self,
+            id: Arc::clone(&id),
+            upstream: Arc::clone(&upstream),
+            model: model.to_owned(),
+            body: None,
+            life,
+        };
+        let is_stream = service == ENGINE_SERVICE
+            && (request.path.starts_with(RESUMABLE_PREFIX)
+                || request.path.starts_with(CLOSED_PREFIX));
+        let limit = request.number("x-wisteriawheel-deadline-ms");
+        let limit = limit.map_or(RUN_LIMIT, Duration::from_millis).min(RUN_LIMIT);
+        let fault = fault.filter(|_| self.meets_fault());
+        let working = async {
+            match is_stream {
+                true => head.stream(write, request, resumed_after.unwrap_or_default(), fault).await,
+                false => head.plain(write, request, fault).await,
+            }
+        };
+        // Most engines drop a request when its connection closes, and all do so at its deadline.
+        let (after, body) = tokio::select! {
+            worked = working => worked?,
+            () = tokio::time::sleep(limit) => return Ok(AfterAnswer::Reset),
+            () = until_closed(reader) => return Ok(AfterAnswer::Reset),
+        };
+        guard.body = body;
+        Ok(after)
+    }
+
+    fn meets_fault(&self) -> bool {
+        let mut met = self.met.lock();
+        *met += 1;
+        met.is_multiple_of(FAULT_SHARE)
+    }
+}
+
+async fn until_closed(reader: &mut BufReader<ReadHalf<'_>>) {
+    // A further request waits until this one is answered.
+    if let Ok([_, ..]) = reader.fill_buf().await {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// What the answers to one request have in common.
+struct AnswerHead<'a> {
+    id: &'a str,
+    upstream: &'a str,
+}
+
+impl AnswerHead<'_> {
+    fn head(&self, status: &str, id: &str, framing: &str) -> String {
+        format!(
+            "HTTP/1.1 {status}\r\nx-wisteriawheel-attempt-id: {id}\r\n\
+             x-wisteriawheel-response-signature: {}.{id}\r\n{framing}\r\n\r\n",
+            self.upstream
+        )
+    }
+
+    async fn refuse(
+        &self,
+        write: &mut (impl AsyncWrite + Unpin),
+        status: &str,
+    ) -> io::Result<AfterAnswer> {
+        let head = format!(
+            "HTTP/1.1 {status}\r\nx-wisteriawheel-attempt-id: {}\r\nx-wisteriawheel-not-executed: 1\r\n\
+             x-wisteriawheel-instance-id: {}\r\ncontent-length: 0\r\n\r\n",
+            self.id, self.upstream
+        );
+        write.write_all(head.as_bytes()).await?;
+        Ok(AfterAnswer::Keep)
+    }
+
+    async fn plain(
+        &self,
+        write: &mut (impl AsyncWrite + Unpin),
+        request: &WireRequest,
+        fault: Option<UpstreamFault>,
+    ) -> io::Result<(AfterAnswer, Option<Vec<u8>>)> {
+        let (more, pause) = amount(&request.path).unwrap_or(USUAL_ANSWER);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let mut body = format!("{} {}\n", self.id, request.body.len()).into_bytes();
+        body.resize(body.len() + usize::try_from(more).unwrap_or_default(), b'.');
+        let framing = format!("content-length: {}", body.len());
+        let other = format!("other-{}", self.id);
+        let (status, id) = match fault {
+            Some(UpstreamFault::Fail) => ("500 Internal Server Error", self.id),
+            Some(UpstreamFault::Crossed) => ("200 OK", other.as_str()),
+            _ => ("200 OK", self.id),
+        };
+        let mut bytes = self.head(status, id, &framing).into_bytes();
+        bytes.extend_from_slice(&body);
+        match fault {
+            Some(UpstreamFault::Hang) => std::future::pending().await,
+            Some(UpstreamFault::Late) => tokio::time::sleep(LATENESS).await,
+            Some(UpstreamFault::Unframed) => {
+                write.write_all(b"\x00\x17unframed\r\n\r\n").await?;
+                return Ok((AfterAnswer::Close, None));
+            }
+            Some(UpstreamFault::Cut) => {
+                write.write_all(&bytes[..bytes.len() - body.len() / 2]).await?;
+                return Ok((AfterAnswer::Reset, None));
+            }
+            Some(UpstreamFault::Doubled) => bytes.extend(bytes.clone()),
+            _ => {}
+        }
+        write.write_all(&bytes).await?;
+        let is_right = fault != Some(UpstreamFault::Crossed);
+        Ok((AfterAnswer::Keep, is_right.then_some(body)))
+    }
+
+    async fn stream(
+        &self,
+        write: &mut (impl AsyncWrite + Unpin),
+        request: &WireRequest,
+        resumed_after: u64,
+        fault: Option<UpstreamFault>,
+    ) -> io::Result<(AfterAnswer, Option<Vec<u8>>)> {
+        let (count, pause) = amount(&request.path).unwrap_or(USUAL_STREAM);
+        let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked";
+        let other = format!("other-{}", self.id);
+        match fault {
+            Some(UpstreamFault::Late) => tokio::time::sleep(LATENESS).await,
+            Some(UpstreamFault::Fail | UpstreamFault::Unframed) => {
+                return self.plain(write, request, fault).await;
+            }
+            _ => {}
+        }
+        let id = if fault == Some(UpstreamFault::Crossed) { &other } else { self.id };
+        write.write_all(self.head("200 OK", id, framing).as_bytes()).await?;
+        let mut body = Vec::new();
+        let middle = (resumed_after + count).div_ceil(2);
+        for number in resumed_after + 1..=count {
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let event = format!("id: {number}\ndata: {}-{number}\n\n", self.id);
+            match fault {
+                Some(UpstreamFault::Hang) if number >= middle => std::future::pending().await,
+                Some(UpstreamFault::Cut) if number >= middle => {
+                    let half = &event[..event.len() / 2];
+                    write.write_all(format!("{:x}\r\n{half}", event.len()).as_bytes()).await?;
+                    // What was written before a reset may be lost with it.
+                    tokio::time::sleep(Duration::from_millis(pause)).await;
+                    return Ok((AfterAnswer::Reset, None));
+                }
+                _ => {}
+            }
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            write.write_all(chunk.as_bytes()).await?;
+            body.extend_from_slice(event.as_bytes());
+        }
+        write.write_all(b"0\r\n\r\n").await?;
+        if fault == Some(UpstreamFault::Doubled) {
+            write.write_all(self.head("200 OK", id, "content-length: 0").as_bytes()).await?;
+        }
+        let is_right = fault != Some(UpstreamFault::Crossed);
+        Ok((AfterAnswer::Keep, is_right.then_some(body)))
+    }
+}
+
+/// Reads `AxB` at a path's end.
+fn amount(path: &str) -> Option<(u64, u64)> {
+    let (_, last) = path.rsplit_once('/')?;
+    let (count, pause) = last.split_once('x')?;
+    Some((count.parse().ok()?, pause.parse().ok()?))
+}
--- /dev/null
+++ b/crates/wheel_soak/src/wire_request.rs
@@ -0,0 +1,87 @@
+//! Requests as a stand-in reads them, without a library that would hide broken bytes.
+
+use std::io;
+
+use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt};
+
+/// The most bytes of a body that a stand-in reads.
+const BODY_LIMIT: usize = 8 << 20;
+
+/// One HTTP/1.1 request.
+#[derive(Clone, Debug)]
+pub(crate) struct WireRequest {
+    pub(crate) path: String,
+    /// Names in lowercase.
+    headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl WireRequest {
+    /// Reads the next request; `None` at the connection's end.
+    pub(crate) async fn read(from: &mut (impl AsyncBufRead + Unpin)) -> io::Result<Option<Self>> {
+        let Some(first) = read_line(from).await? else { return Ok(None) };
+        let path = first.split(' ').nth(1).ok_or(io::ErrorKind::InvalidData)?.to_owned();
+        let mut headers = Vec::new();
+        loop {
+            let line = read_line(from).await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+            if line.is_empty() {
+                break;
+            }
+            let (name, value) = line.split_once(':').ok_or(io::ErrorKind::InvalidData)?;
+            headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+        }
+        let mut request = Self { path, headers, body: Vec::new() };
+        if request.header("transfer-encoding").is_some() {
+            request.body = read_chunks(from).await?;
+        } else {
+            let length = request.number("content-length").unwrap_or_default();
+            request.body =
+                read_exactly(from, usize::try_from(length).unwrap_or(usize::MAX)).await?;
+        }
+        Ok(Some(request))
+    }
+
+    /// A header's value.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(held, _)| held == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// A header's value, if it is a number.
+    pub(crate) fn number(&self, name: &str) -> Option<u64> {
+        self.header(name)?.parse().ok()
+    }
+}
+
+async fn read_line(from: &mut (impl AsyncBufRead + Unpin)) -> io::Result<Option<String>> {
+    let mut line = String::new();
+    let count = from.read_line(&mut line).await?;
+    Ok((count > 0).then(|| line.trim_end().to_owned()))
+}
+
+async fn read_exactly(
+    from: &mut (impl AsyncBufRead + Unpin),
+    length: usize,
+) -> io::Result<Vec<u8>> {
+    if length > BODY_LIMIT {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).await?;
+    Ok(body)
+}
+
+async fn read_chunks(from: &mut (impl AsyncBufRead + Unpin)) -> io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let line = read_line(from).await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let length = usize::from_str_radix(line.trim(), 16);
+        let length = length.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        let left = BODY_LIMIT.saturating_sub(body.len());
+        body.extend(read_exactly(from, length.min(left + 1)).await?);
+        read_line(from).await?;
+        if length == 0 {
+            return Ok(body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wheel_soak/tests/short_soak.rs
@@ -0,0 +1,47 @@
+//! One short seed, the same each time, and what plans promise.
+
+#![allow(clippy::expect_used)]
+
+use std::time::Duration;
+
+use wheel_soak::{FaultPlan, PlanScope, RunSettings, run_soak};
+
+/// The seed of the run.
+const SEED: u64 = 2;
+/// Its length, most of which is the calm end.
+const LENGTH: Duration = Duration::from_secs(34);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn short_soak_of_one_seed_keeps_all_promises() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let settings =
+        RunSettings { seed: SEED, processes: 5, length: LENGTH, folder: folder.path().to_owned() };
+    let outcome = run_soak(&settings).await.expect("the system starts");
+    let kept = |name: &str| std::fs::read_to_string(folder.path().join(name)).unwrap_or_default();
+    assert!(outcome.violations.is_empty(), "{:?}\n{}", outcome.violations, kept("entry-3.log"));
+    assert!(outcome.calls > 300, "{} calls", outcome.calls);
+    assert!(outcome.faults.values().sum::<usize>() >= 5, "{:?}", outcome.faults);
+}
+
+#[test]
+fn plan_is_the_same_for_the_same_seed() {
+    let scope =
+        |seed| PlanScope { seed, processes: 6, upstreams: 6, length: Duration::from_secs(600) };
+    let plans: Vec<String> =
+        (0..20).map(|seed| FaultPlan::draw(&scope(seed)).to_string()).collect();
+    for (seed, plan) in plans.iter().enumerate() {
+        assert_eq!(*plan, FaultPlan::draw(&scope(seed as u64)).to_string());
+        assert!(plan.lines().count() > 300, "{plan}");
+    }
+    assert_ne!(plans[0], plans[1]);
+}
+
+#[test]
+fn plan_has_every_kind_and_ends_in_time() {
+    let length = Duration::from_secs(1_200);
+    let plan = FaultPlan::draw(&PlanScope { seed: 1, processes: 6, upstreams: 6, length });
+    let kinds: std::collections::BTreeSet<String> =
+        plan.faults.iter().map(|fault| format!("{:?}", fault.kind)).collect();
+    assert_eq!(kinds.len(), 32, "{kinds:?}");
+    assert!(plan.faults.iter().all(|fault| fault.at + fault.lasts <= length));
+}
