--- a/crates/wheel_soak/src/fault_driver.rs
+++ b/crates/wheel_soak/src/fault_driver.rs
@@ -19,9 +19,9 @@
 /// Between two processes that are told to end in a series.
 const SERIES_STEP: Duration = Duration::from_millis(600);
 /// From an upstream's leaving to its end.
-const LEAVE_TIME: Duration = Duration::from_millis(3_000);
+pub(crate) const LEAVE_TIME: Duration = Duration::from_millis(3_000);
 /// From an upstream's end until its address is used again.
-const REUSE_TIME: Duration = Duration::from_secs(2);
+pub(crate) const REUSE_TIME: Duration = Duration::from_secs(2);
 /// The wait for a process that was told to end: its grace, and its start.
 const END_LIMIT: Duration = Duration::from_secs(GRACE.as_secs() + 2);
 const END_POLL: Duration = Duration::from_millis(20);
@@ -59,7 +59,7 @@
 
     async fn inject(&self, number: usize, fault: PlannedFault) {
         let targets = self.target_names(&fault);
-        let kind: Arc<str> = fault.kind.name().into();
+        let kind: Arc<str> = fault.name.into();
         for target in &targets {
             let (kind, target) = (Arc::clone(&kind), Arc::clone(target));
             self.sink.note(SeenEvent::FaultBegan { kind, target });
--- a/crates/wheel_soak/src/fault_kind.rs
+++ b/crates/wheel_soak/src/fault_kind.rs
@@ -14,21 +14,21 @@
     TerminateSeries,
     /// SIGTERM to two entries at once.
     TerminatePair,
-    /// SIGTERM and, while it drains, SIGTERM again.
+    /// SIGTERM and, while the process drains, SIGTERM again.
     SecondSignal,
-    /// SIGTERM and, while it drains, SIGHUP.
+    /// SIGTERM and, while the process drains, SIGHUP.
     ReloadWhileDraining,
     /// SIGHUP.
     Reload,
-    /// SIGKILL; back after a while.
-    Kill,
-    /// SIGTERM; started again as soon as it has ended.
+    /// SIGTERM; started again as soon as the process has ended.
     RestartAtOnce,
+    /// SIGKILL.
+    Kill,
     /// SIGKILL to all control instances at once.
     KillControl,
     /// SIGSTOP for longer than the lease.
     Freeze,
-    /// A control instance starts again without its data.
+    /// A control instance is killed and starts again without its data.
     Wipe,
     /// The link passes everything on late.
     LinkDelay,
@@ -50,7 +50,7 @@
     AddressReused,
     /// The list does this wrong.
     List(ListFault),
-    /// Many configurations one after another.
+    /// Many configurations, each while others are under way.
     ChangeStorm,
     /// Two operators at once, with equal and uneven versions.
     ChangeRace,
@@ -63,7 +63,7 @@
 pub enum FaultTarget {
     /// A process.
     Process(usize),
-    /// All entries.
+    /// All entries, or the first ones.
     Entries,
     /// All control instances.
     Control,
@@ -84,82 +84,20 @@
 pub struct PlannedFault {
     /// When it begins, since the first fault may.
     pub at: Duration,
-    /// How long it acts.
+    /// How long it acts, or how long a process is away once it has ended.
     pub lasts: Duration,
     /// What it is.
     pub kind: FaultKind,
+    /// The name that the checker knows it by: all ways to stop a process have one.
+    pub name: &'static str,
     /// On whom it acts.
     pub target: FaultTarget,
 }
 
-impl FaultTarget {
-    /// Whether two faults on these would act on the same.
-    pub fn overlaps(self, other: Self, controls: usize) -> bool {
-        match (self, other) {
-            (Self::Entries, Self::Process(place)) | (Self::Process(place), Self::Entries) => {
-                place >= controls
-            }
-            (Self::Control, Self::Process(place)) | (Self::Process(place), Self::Control) => {
-                place < controls
-            }
-            _ => self == other,
-        }
-    }
-}
-
-impl fmt::Display for FaultTarget {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Process(place) => write!(formatter, "process-{place}"),
-            Self::Entries => formatter.write_str("entries"),
-            Self::Control => formatter.write_str("control"),
-            Self::CallerLink(place) => write!(formatter, "caller-link-{place}"),
-            Self::UpstreamLink(place) => write!(formatter, "upstream-link-{place}"),
-            Self::Upstream(place) => write!(formatter, "upstream-{place}"),
-            Self::List => formatter.write_str("list"),
-            Self::Operators => formatter.write_str("operators"),
-        }
-    }
-}
-
-impl FaultKind {
-    /// The name that observations and plans use; several ways to stop a process are one name.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Terminate | Self::TerminateSeries | Self::TerminatePair => "terminate",
-            Self::SecondSignal => "second_signal",
-            Self::ReloadWhileDraining | Self::Reload => "reload",
-            Self::RestartAtOnce => "restart",
-            Self::Kill | Self::KillControl => "kill",
-            Self::Freeze => "freeze",
-            Self::Wipe => "wipe",
-            Self::LinkDelay => "link_delay",
-            Self::LinkReset => "link_reset",
-            Self::LinkOneWay => "link_one_way",
-            Self::LinkSilence => "link_silence",
-            Self::LinkTrickle => "link_trickle",
-            Self::Upstream(UpstreamFault::Hang) => "upstream_hang",
-            Self::Upstream(UpstreamFault::Late) => "upstream_late",
-            Self::Upstream(UpstreamFault::Fail) => "upstream_fail",
-            Self::Upstream(UpstreamFault::Crossed) => "upstream_crossed",
-            Self::Upstream(UpstreamFault::Doubled) => "upstream_doubled",
-            Self::Upstream(UpstreamFault::Unframed) => "upstream_unframed",
-            Self::Upstream(UpstreamFault::Cut) => "upstream_cut",
-            Self::UpstreamCrash => "upstream_crash",
-            Self::UpstreamReplaced => "upstream_replaced",
-            Self::AddressReused => "address_reused",
-            Self::List(ListFault::Lags) => "list_lags",
-            Self::List(ListFault::Fails) => "list_fails",
-            Self::List(ListFault::Hangs) => "list_hangs",
-            Self::List(ListFault::Unreadable) => "list_unreadable",
-            Self::ChangeStorm | Self::ChangeRace | Self::InvalidChange => "configuration",
-        }
-    }
-}
-
 impl fmt::Display for PlannedFault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (at, lasts) = (self.at.as_millis(), self.lasts.as_millis());
-        write!(formatter, "at_ms={at} lasts_ms={lasts} kind={:?} target={}", self.kind, self.target)
+        let Self { at, lasts, kind, target, .. } = self;
+        let (at, lasts) = (at.as_millis(), lasts.as_millis());
+        write!(formatter, "at_ms={at} lasts_ms={lasts} kind={kind:?} target={target:?}")
     }
 }
--- a/crates/wheel_soak/src/fault_plan.rs
+++ b/crates/wheel_soak/src/fault_plan.rs
@@ -1,64 +1,89 @@
 //! The faults of a run, drawn from its seed.
 
 use std::fmt;
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::soak_system::CONTROL_COUNT;
+use crate::fault_driver::{LEAVE_TIME, REUSE_TIME};
+use crate::soak_system::{CONTROL_COUNT, GRACE};
 use crate::{FaultKind, FaultTarget, ListFault, PlannedFault, UpstreamFault};
 
 /// Faults that act at once, at most.
 const MOST_AT_ONCE: usize = 3;
 /// Milliseconds between the beginnings of two faults.
-const GAP_MS: std::ops::Range<u64> = 200..1_800;
-/// Milliseconds that most faults last.
-const USUAL_MS: std::ops::Range<u64> = 500..4_000;
-/// Milliseconds of a freeze: past the lease and past a confirmation of the right to order.
-const FREEZE_MS: std::ops::Range<u64> = 1_800..4_500;
-/// Milliseconds until a killed process is back.
-const DOWN_MS: std::ops::Range<u64> = 200..3_000;
+const GAP_MS: Range<u64> = 200..1_800;
 /// Time around the loss of a disk in which no other control instance is disturbed: what it lost is
 /// copied anew in this time.
 const CATCH_UP: Duration = Duration::from_secs(6);
+/// Milliseconds that a fault lasts: most of them; those of a moment; a freeze, which is longer than the
+/// lease and than a confirmation of the right to order; a process that is away.
+const USUAL: Range<u64> = 500..4_000;
+const MOMENT: Range<u64> = 50..200;
+const PAST_LEASE: Range<u64> = 1_800..4_500;
+const AWAY: Range<u64> = 200..3_000;
 
-/// Which kinds are drawn, and how often.
-const WEIGHTS: [(FaultKind, u32); 32] = [
-    (FaultKind::Terminate, 6),
-    (FaultKind::TerminateSeries, 2),
-    (FaultKind::TerminatePair, 2),
-    (FaultKind::SecondSignal, 2),
-    (FaultKind::ReloadWhileDraining, 2),
-    (FaultKind::Reload, 1),
-    (FaultKind::Kill, 4),
-    (FaultKind::RestartAtOnce, 3),
-    (FaultKind::KillControl, 1),
-    (FaultKind::Freeze, 4),
-    (FaultKind::Wipe, 2),
-    (FaultKind::LinkDelay, 2),
-    (FaultKind::LinkReset, 3),
-    (FaultKind::LinkOneWay, 2),
-    (FaultKind::LinkSilence, 2),
-    (FaultKind::LinkTrickle, 2),
-    (FaultKind::Upstream(UpstreamFault::Hang), 2),
-    (FaultKind::Upstream(UpstreamFault::Late), 2),
-    (FaultKind::Upstream(UpstreamFault::Fail), 1),
-    (FaultKind::Upstream(UpstreamFault::Crossed), 2),
-    (FaultKind::Upstream(UpstreamFault::Doubled), 2),
-    (FaultKind::Upstream(UpstreamFault::Unframed), 2),
-    (FaultKind::Upstream(UpstreamFault::Cut), 2),
-    (FaultKind::UpstreamCrash, 3),
-    (FaultKind::UpstreamReplaced, 3),
-    (FaultKind::AddressReused, 1),
-    (FaultKind::List(ListFault::Lags), 1),
-    (FaultKind::List(ListFault::Fails), 1),
-    (FaultKind::List(ListFault::Unreadable), 1),
-    (FaultKind::ChangeStorm, 3),
-    (FaultKind::ChangeRace, 3),
-    (FaultKind::InvalidChange, 2),
-];
+/// From whom a target is drawn.
+#[derive(Clone, Copy)]
+enum TargetGroup {
+    /// Any process, entries more often.
+    Process,
+    Entries,
+    /// One control instance, or all.
+    Control,
+    AllControl,
+    /// A link before an entry or before an upstream.
+    Link,
+    Upstream,
+    List,
+    Operators,
+}
+
+/// A kind, its name, how often it is drawn, from whom, and how long it lasts.
+type KindRow = (FaultKind, &'static str, u32, TargetGroup, Range<u64>);
+
+const KINDS: [KindRow; 32] = {
+    use FaultKind::*;
+    use TargetGroup as On;
+    use UpstreamFault::*;
+    [
+        (Terminate, "terminate", 6, On::Process, AWAY),
+        (TerminateSeries, "terminate", 2, On::Entries, AWAY),
+        (TerminatePair, "terminate", 2, On::Entries, AWAY),
+        (SecondSignal, "second_signal", 2, On::Process, AWAY),
+        (ReloadWhileDraining, "terminate", 2, On::Process, AWAY),
+        (Reload, "reload", 1, On::Process, MOMENT),
+        (RestartAtOnce, "restart", 3, On::Process, MOMENT),
+        (Kill, "kill", 4, On::Process, AWAY),
+        (KillControl, "kill", 1, On::AllControl, AWAY),
+        (Freeze, "freeze", 4, On::Process, PAST_LEASE),
+        (Wipe, "wipe", 2, On::Control, AWAY),
+        (LinkDelay, "link_delay", 2, On::Link, USUAL),
+        (LinkReset, "link_reset", 3, On::Link, MOMENT),
+        (LinkOneWay, "link_one_way", 2, On::Link, USUAL),
+        (LinkSilence, "link_silence", 2, On::Link, USUAL),
+        (LinkTrickle, "link_trickle", 2, On::Link, USUAL),
+        (Upstream(Hang), "upstream_hang", 2, On::Upstream, USUAL),
+        (Upstream(Late), "upstream_late", 2, On::Upstream, USUAL),
+        (Upstream(Fail), "upstream_fail", 1, On::Upstream, USUAL),
+        (Upstream(Crossed), "upstream_crossed", 2, On::Upstream, USUAL),
+        (Upstream(Doubled), "upstream_doubled", 2, On::Upstream, USUAL),
+        (Upstream(Unframed), "upstream_unframed", 2, On::Upstream, USUAL),
+        (Upstream(Cut), "upstream_cut", 2, On::Upstream, USUAL),
+        (UpstreamCrash, "upstream_crash", 3, On::Upstream, USUAL),
+        (UpstreamReplaced, "upstream_replaced", 3, On::Upstream, USUAL),
+        (AddressReused, "address_reused", 1, On::Upstream, MOMENT),
+        (List(ListFault::Lags), "list_lags", 1, On::List, USUAL),
+        (List(ListFault::Fails), "list_fails", 1, On::List, USUAL),
+        (List(ListFault::Unreadable), "list_unreadable", 1, On::List, USUAL),
+        (ChangeStorm, "configuration", 3, On::Operators, MOMENT),
+        (ChangeRace, "configuration", 3, On::Operators, MOMENT),
+        (InvalidChange, "configuration", 2, On::Operators, MOMENT),
+    ]
+};
 
 /// What a plan is drawn for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -69,7 +94,7 @@
     pub processes: usize,
     /// Upstreams.
     pub upstreams: usize,
-    /// The time in which faults act.
+    /// The time in which faults begin.
     pub length: Duration,
 }
 
@@ -85,16 +110,13 @@
     pub fn draw(scope: &PlanScope) -> Self {
         let mut random = StdRng::seed_from_u64(scope.seed);
         let mut faults: Vec<PlannedFault> = Vec::new();
-        let mut at = Duration::ZERO;
-        loop {
-            at += Duration::from_millis(random.random_range(GAP_MS));
+        let mut at = Duration::from_millis(random.random_range(GAP_MS));
+        while at < scope.length {
             let fault = draw_fault(&mut random, scope, at);
-            match fault {
-                _ if at >= scope.length => return Self { faults },
-                Some(fault) if may_join(&faults, &fault, scope.length) => faults.push(fault),
-                _ => {}
-            }
+            faults.extend(fault.filter(|fault| may_join(&faults, fault)));
+            at += Duration::from_millis(random.random_range(GAP_MS));
         }
+        Self { faults }
     }
 }
 
@@ -105,56 +127,68 @@
 }
 
 fn draw_fault(random: &mut StdRng, scope: &PlanScope, at: Duration) -> Option<PlannedFault> {
-    let (kind, _) = *WEIGHTS.choose_weighted(random, |(_, weight)| *weight).ok()?;
-    let lasts = match kind {
-        FaultKind::Freeze => random.random_range(FREEZE_MS),
-        FaultKind::RestartAtOnce | FaultKind::Reload | FaultKind::LinkReset => 100,
-        FaultKind::Kill | FaultKind::KillControl | FaultKind::Wipe => random.random_range(DOWN_MS),
-        _ => random.random_range(USUAL_MS),
-    };
-    let any_process = random.random_range(0..scope.processes);
+    let row = KINDS.choose_weighted(random, |(_, _, weight, ..)| *weight);
+    let (kind, name, _, group, lasts) = row.ok()?.clone();
+    let lasts = Duration::from_millis(random.random_range(lasts));
+    let is_entry_side = random.random_bool(0.5);
     let entry = random.random_range(CONTROL_COUNT..scope.processes);
-    let upstream = random.random_range(0..scope.upstreams);
-    let is_caller_side = random.random_bool(0.5);
-    let target = match kind {
-        FaultKind::TerminateSeries | FaultKind::TerminatePair => FaultTarget::Entries,
-        FaultKind::KillControl => FaultTarget::Control,
-        FaultKind::Wipe => FaultTarget::Process(any_process % CONTROL_COUNT),
-        // Most who are stopped serve callers.
-        FaultKind::Terminate | FaultKind::SecondSignal | FaultKind::ReloadWhileDraining
-            if is_caller_side =>
-        {
-            FaultTarget::Process(entry)
-        }
+    let target = match group {
+        TargetGroup::Process if is_entry_side => FaultTarget::Process(entry),
+        TargetGroup::Process => FaultTarget::Process(random.random_range(0..scope.processes)),
+        TargetGroup::Entries => FaultTarget::Entries,
+        TargetGroup::Control => FaultTarget::Process(random.random_range(0..CONTROL_COUNT)),
+        TargetGroup::AllControl => FaultTarget::Control,
+        TargetGroup::Link if is_entry_side => FaultTarget::CallerLink(entry),
+        TargetGroup::Link => FaultTarget::UpstreamLink(random.random_range(0..scope.upstreams)),
+        TargetGroup::Upstream => FaultTarget::Upstream(random.random_range(0..scope.upstreams)),
+        TargetGroup::List => FaultTarget::List,
+        TargetGroup::Operators => FaultTarget::Operators,
+    };
+    Some(PlannedFault { at, lasts, kind, name, target })
+}
+
+/// Whether a fault may act beside those that were drawn before it.
+fn may_join(faults: &[PlannedFault], fault: &PlannedFault) -> bool {
+    let is_apart = |other: &PlannedFault| {
+        let both_disturb = disturbs_control(other) && disturbs_control(fault);
+        let has_loss = other.kind == FaultKind::Wipe || fault.kind == FaultKind::Wipe;
+        !(both_disturb && has_loss && latest_end(other) + CATCH_UP > fault.at)
+    };
+    let acting = faults.iter().filter(|other| latest_end(other) > fault.at);
+    let acting: Vec<&PlannedFault> = acting.collect();
+    acting.len() < MOST_AT_ONCE
+        && faults.iter().all(is_apart)
+        && !acting.iter().any(|other| meet(other.target, fault.target))
+        // An exchange of addresses takes any other upstream too.
+        && !(fault.kind == FaultKind::AddressReused && acting.iter().any(|other| on_upstream(other)))
+        && !(on_upstream(fault) && acting.iter().any(|other| other.kind == FaultKind::AddressReused))
+}
+
+/// When a fault has ended, at the latest.
+fn latest_end(fault: &PlannedFault) -> Duration {
+    let more = match fault.kind {
+        FaultKind::UpstreamReplaced => LEAVE_TIME + REUSE_TIME,
+        FaultKind::AddressReused => REUSE_TIME,
+        FaultKind::TerminateSeries => GRACE * 2,
         FaultKind::Terminate
+        | FaultKind::TerminatePair
         | FaultKind::SecondSignal
         | FaultKind::ReloadWhileDraining
-        | FaultKind::Reload
-        | FaultKind::Kill
-        | FaultKind::RestartAtOnce
-        | FaultKind::Freeze => FaultTarget::Process(any_process),
-        FaultKind::LinkDelay
-        | FaultKind::LinkReset
-        | FaultKind::LinkOneWay
-        | FaultKind::LinkSilence
-        | FaultKind::LinkTrickle => match is_caller_side {
-            true => FaultTarget::CallerLink(entry),
-            false => FaultTarget::UpstreamLink(upstream),
-        },
-        FaultKind::Upstream(_)
-        | FaultKind::UpstreamCrash
-        | FaultKind::UpstreamReplaced
-        | FaultKind::AddressReused => FaultTarget::Upstream(upstream),
-        FaultKind::List(_) => FaultTarget::List,
-        FaultKind::ChangeStorm | FaultKind::ChangeRace | FaultKind::InvalidChange => {
-            FaultTarget::Operators
-        }
+        | FaultKind::RestartAtOnce => GRACE,
+        _ => Duration::ZERO,
     };
-    Some(PlannedFault { at, lasts: Duration::from_millis(lasts), kind, target })
+    fault.at + fault.lasts + more
 }
 
-fn end(fault: &PlannedFault) -> Duration {
-    fault.at + fault.lasts
+/// Whether two targets have something in common.
+fn meet(one: FaultTarget, other: FaultTarget) -> bool {
+    match (one, other) {
+        (FaultTarget::Entries, FaultTarget::Process(place))
+        | (FaultTarget::Process(place), FaultTarget::Entries) => place >= CONTROL_COUNT,
+        (FaultTarget::Control, FaultTarget::Process(place))
+        | (FaultTarget::Process(place), FaultTarget::Control) => place < CONTROL_COUNT,
+        _ => one == other,
+    }
 }
 
 fn disturbs_control(fault: &PlannedFault) -> bool {
@@ -165,23 +199,6 @@
     }
 }
 
-/// Whether a fault may act beside those that were drawn before it.
-fn may_join(faults: &[PlannedFault], fault: &PlannedFault, length: Duration) -> bool {
-    let overlapping: Vec<&PlannedFault> =
-        faults.iter().filter(|other| end(other) > fault.at).collect();
-    let is_alone = |other: &PlannedFault| {
-        let is_near = end(other) + CATCH_UP > fault.at;
-        let has_loss = other.kind == FaultKind::Wipe || fault.kind == FaultKind::Wipe;
-        !(is_near && has_loss && disturbs_control(other) && disturbs_control(fault))
-    };
-    let swaps = |fault: &PlannedFault| {
-        matches!(fault.kind, FaultKind::AddressReused)
-            || matches!(fault.kind, FaultKind::UpstreamCrash | FaultKind::UpstreamReplaced)
-    };
-    overlapping.len() < MOST_AT_ONCE
-        && end(fault) <= length
-        && overlapping.iter().all(|other| !other.target.overlaps(fault.target, CONTROL_COUNT))
-        && faults.iter().all(is_alone)
-        // Those that swap services look for a second upstream when they begin.
-        && !(swaps(fault) && overlapping.iter().any(|other| swaps(other)))
+fn on_upstream(fault: &PlannedFault) -> bool {
+    matches!(fault.target, FaultTarget::Upstream(_))
 }
--- a/crates/wheel_soak/src/operator_side.rs
+++ b/crates/wheel_soak/src/operator_side.rs
@@ -15,6 +15,8 @@
 use crate::soak_system::CONTROL_COUNT;
 use crate::{ObservationSink, SeenEvent, SoakSystem};
 
+/// Where control instances take and show configurations.
+const CONFIGURATION: &str = "/api/configuration";
 /// The time after which an operator tries another control instance.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 /// The time between two tries, times the number of tries.
@@ -117,7 +119,8 @@
             let version = self.next_version(1);
             let document = ConfigDocument { version, variant: 0 };
             let body = document.invalid_bytes(version);
-            let reply = self.call(Method::PUT, self.system.operators(place), body).await;
+            let reply =
+                self.call(Method::PUT, self.system.operators(place), CONFIGURATION, body).await;
             if reply.is_some_and(|reply| reply.status.is_success()) {
                 let process = self.system.name(place);
                 self.sink.note(SeenEvent::InvalidAccepted { version, process });
@@ -138,7 +141,9 @@
             let process = self.system.name(place);
             self.sink.note(SeenEvent::ChangeSent { version, process });
             self.note_sent(version);
-            let reply = self.call(Method::PUT, self.system.operators(place), body.clone()).await;
+            let reply = self
+                .call(Method::PUT, self.system.operators(place), CONFIGURATION, body.clone())
+                .await;
             if reply.is_some_and(|reply| reply.status.as_u16() == 200) {
                 self.sink.note(SeenEvent::ChangeAcknowledged { version });
                 return true;
@@ -159,20 +164,11 @@
     }
 
     async fn call(
-        &self,
-        method: Method,
-        address: SocketAddr,
-        body: impl Into<Bytes>,
-    ) -> Option<HttpReply> {
-        self.call_path(method, address, "/api/configuration", body.into()).await
-    }
-
-    async fn call_path(
         &self,
         method: Method,
         address: SocketAddr,
         path: &str,
-        body: Bytes,
+        body: impl Into<Bytes>,
     ) -> Option<HttpReply> {
         let headers = [("host", ROUTE_HOST), ("x-wisteriawheel-attempt-id", "probe")];
         let calling = self.caller.call(method, address, path, &headers, body);
@@ -184,7 +180,9 @@
         loop {
             tokio::time::sleep(READ_INTERVAL).await;
             let (asked, process) = (self.sink.now(), self.system.name(place));
-            let reply = self.call(Method::GET, self.system.operators(place), Bytes::new()).await;
+            let reply = self
+                .call(Method::GET, self.system.operators(place), CONFIGURATION, Bytes::new())
+                .await;
             let reply = reply.filter(|reply| reply.status.as_u16() == 200);
             let version = reply.and_then(|reply| reply.json()["version"].as_u64());
             self.sink.note(SeenEvent::ChangeRead { asked, process, version });
@@ -200,7 +198,7 @@
                 let (sent, process) = (self.sink.now(), self.system.name(place));
                 let path = ConfigDocument::probe_path(version);
                 let address = self.system.callers(place);
-                let reply = self.call_path(Method::GET, address, &path, Bytes::new()).await;
+                let reply = self.call(Method::GET, address, &path, Bytes::new()).await;
                 match reply.map(|reply| reply.status.as_u16()) {
                     Some(404) => {}
                     Some(_) => {
@@ -217,7 +215,7 @@
         loop {
             tokio::time::sleep(PROBE_INTERVAL).await;
             let address = self.system.readiness(place);
-            let asking = self.call_path(Method::GET, address, "/api/readiness", Bytes::new());
+            let asking = self.call(Method::GET, address, "/api/readiness", Bytes::new());
             let is_ready = asking.await.map(|reply| reply.status.as_u16() == 200);
             let process = self.system.name(place);
             self.sink.note(SeenEvent::Readiness { process, is_ready });
--- a/crates/wheel_soak/src/wire_request.rs
+++ b/crates/wheel_soak/src/wire_request.rs
@@ -31,13 +31,18 @@
             headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
         let mut request = Self { path, headers, body: Vec::new() };
-        if request.header("transfer-encoding").is_some() {
-            request.body = read_chunks(from).await?;
-        } else {
-            let length = request.number("content-length").unwrap_or_default();
-            request.body =
-                read_exactly(from, usize::try_from(length).unwrap_or(usize::MAX)).await?;
+        // The system sends no chunks to upstreams.
+        let length = match request.header("transfer-encoding") {
+            Some(_) => usize::MAX,
+            None => {
+                request.header("content-length").map_or(Ok(0), str::parse).unwrap_or(usize::MAX)
+            }
+        };
+        if length > BODY_LIMIT {
+            return Err(io::ErrorKind::InvalidData.into());
         }
+        request.body = vec![0; length];
+        from.read_exact(&mut request.body).await?;
         Ok(Some(request))
     }
 
@@ -58,30 +63,3 @@
     let count = from.read_line(&mut line).await?;
     Ok((count > 0).then(|| line.trim_end().to_owned()))
 }
-
-async fn read_exactly(
-    from: &mut (impl AsyncBufRead + Unpin),
-    length: usize,
-) -> io::Result<Vec<u8>> {
-    if length > BODY_LIMIT {
-        return Err(io::ErrorKind::InvalidData.into());
-    }
-    let mut body = vec![0; length];
-    from.read_exact(&mut body).await?;
-    Ok(body)
-}
-
-async fn read_chunks(from: &mut (impl AsyncBufRead + Unpin)) -> io::Result<Vec<u8>> {
-    let mut body = Vec::new();
-    loop {
-        let line = read_line(from).await?.ok_or(io::ErrorKind::UnexpectedEof)?;
-        let length = usize::from_str_radix(line.trim(), 16);
-        let length = length.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
-        let left = BODY_LIMIT.saturating_sub(body.len());
-        body.extend(read_exactly(from, length.min(left + 1)).await?);
-        read_line(from).await?;
-        if length == 0 {
-            return Ok(body);
-        }
-    }
-}
