--- a/crates/wheel_soak/src/observation.rs
+++ b/crates/wheel_soak/src/observation.rs
@@ -73,6 +73,13 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
 pub enum SeenEvent {
+    /// A caller is about to send a request to a process, on a new or a kept connection.
+    CallBegan {
+        /// Its id.
+        id: Arc<str>,
+        /// The process.
+        process: Arc<str>,
+    },
     /// A caller has sent a whole request.
     CallSent {
         /// Its id.
