Add callers that keep connections, leave, send slowly and send again

CallSent is told when the connection has flushed the last byte of the body, below the HTTP library; a request that takes longer to send than its caller's time counts as left.

Before the last rule, a third attempt whose body took longer than the time left was told as timed out. HTTP is the library's, which sends one request after the other on a connection: there is no pipelining.

--- /dev/null
+++ b/crates/wheel_soak/src/soak_caller.rs
@@ -0,0 +1,214 @@
+//! A caller as callers are: some keep connections, leave, send slowly or send again.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderName, Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::call_body::CallBody;
+use crate::call_plan::CallPlan;
+use crate::kept_connection::KeptConnection;
+use crate::platform_headers::{ATTEMPT_ID, DEADLINE, MODEL, PROMPT, SIGNATURE, TOKEN_USAGE};
+use crate::{CallEnd, CallKind, CallerSettings, ObservationSink, SeenEvent};
+
+/// Requests that a caller has open at most; beyond them it waits.
+const MAX_OPEN: usize = 256;
+/// With less time left than this nothing is sent again.
+const LEAST_TIME: Duration = Duration::from_millis(200);
+
+/// A running caller.
+#[derive(Debug)]
+pub struct SoakCaller {
+    task: JoinHandle<()>,
+}
+
+impl SoakCaller {
+    /// Starts a caller that asks until `stop` is true, or its sender gone.
+    pub fn spawn(
+        settings: CallerSettings,
+        sink: ObservationSink,
+        stop: watch::Receiver<bool>,
+    ) -> Self {
+        let desk = Arc::new(CallDesk { settings, sink, kept: Mutex::default() });
+        Self { task: tokio::spawn(desk.ask_until(stop)) }
+    }
+
+    /// Waits until it was stopped and all its calls have ended.
+    pub async fn ended(self) {
+        // A call that panicked has told no end, which the checker finds.
+        let _ = self.task.await;
+    }
+}
+
+/// What the calls of one caller share.
+#[derive(Debug)]
+struct CallDesk {
+    settings: CallerSettings,
+    sink: ObservationSink,
+    /// Idle connections, by process.
+    kept: Mutex<BTreeMap<usize, Vec<KeptConnection>>>,
+}
+
+impl CallDesk {
+    async fn ask_until(self: Arc<Self>, mut stop: watch::Receiver<bool>) {
+        let mut random = StdRng::seed_from_u64(self.settings.seed);
+        let mut calls = JoinSet::new();
+        let step = 1.0 / self.settings.rate_per_s.max(0.001);
+        for number in 0_u64.. {
+            let pause = Duration::from_secs_f64(step * random.random_range(0.0..2.0));
+            tokio::select! {
+                _ = stop.wait_for(|is_stopped| *is_stopped) => break,
+                () = sleep(pause) => {}
+            }
+            while calls.try_join_next().is_some() || calls.len() >= MAX_OPEN {
+                if calls.len() >= MAX_OPEN {
+                    calls.join_next().await;
+                }
+            }
+            let Some(plan) = CallPlan::draw(&self.settings, &mut random) else { break };
+            calls.spawn(Arc::clone(&self).call(number, plan));
+        }
+        calls.join_all().await;
+    }
+
+    /// Asks, and asks again under a new id while that is allowed and there is time.
+    async fn call(self: Arc<Self>, number: u64, mut plan: CallPlan) {
+        let until = Instant::now() + plan.route.deadline;
+        for attempt in 0..=plan.resends {
+            let id: Arc<str> = format!("{}-{number}-{attempt}", self.settings.name).into();
+            plan.route.deadline = until.saturating_duration_since(Instant::now());
+            let end = self.exchange(&id, &plan).await;
+            self.sink.note(SeenEvent::CallEnded { id, end: end.clone() });
+            let is_idempotent = plan.route.kind == CallKind::Idempotent;
+            let wait = match end {
+                CallEnd::Answered { status: 408 | 421 | 429 | 503, retry_after, .. } => retry_after,
+                CallEnd::Answered { status: 500.., .. } | CallEnd::Closed if is_idempotent => None,
+                CallEnd::NotConnected => None,
+                _ => return,
+            };
+            let left = until.saturating_duration_since(Instant::now());
+            let wait = wait.filter(|_| plan.is_patient).unwrap_or_default();
+            if wait > left / 3 || left < LEAST_TIME {
+                return;
+            }
+            sleep(wait).await;
+            plan.process = (plan.process + 1) % self.settings.processes.len();
+            plan.is_kept = false;
+        }
+    }
+
+    async fn exchange(&self, id: &Arc<str>, plan: &CallPlan) -> CallEnd {
+        let (process, address) = &self.settings.processes[plan.process];
+        let began = Instant::now();
+        let (id_, process) = (Arc::clone(id), Arc::clone(process));
+        self.sink.note(SeenEvent::CallBegan { id: id_, process: Arc::clone(&process) });
+        let kept = self.take_kept(plan).await;
+        let is_kept = kept.is_some();
+        let opened = match kept {
+            Some(connection) => Some(connection),
+            None => KeptConnection::open(*address, self.sink.clone()).await,
+        };
+        let Some(mut connection) = opened else { return CallEnd::NotConnected };
+        let (kind, deadline) = (plan.route.kind, plan.route.deadline);
+        connection.is_done.store(false, Ordering::Release);
+        let id_ = Arc::clone(id);
+        let sent = SeenEvent::CallSent { id: id_, kind, process, deadline, is_kept };
+        connection.notice.set(Some(sent));
+        let Some(request) = request(id, plan, &connection) else { return CallEnd::NotConnected };
+        let give_up = began + deadline + self.settings.patience;
+        let leaves = plan.leaves_after.map_or(give_up, |after| began + after);
+        let answer = match timeout_at(leaves, connection.sender.send_request(request)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => return CallEnd::Closed,
+            // Whose own request takes longer than its time can't expect an answer.
+            Err(_) if plan.leaves_after.is_some() || connection.notice.is_pending() => {
+                return CallEnd::Left;
+            }
+            Err(_) => return CallEnd::TimedOut,
+        };
+        connection.notice.set(None);
+        let (end, is_reusable) = read_answer(answer, plan.leaves_in_stream, give_up).await;
+        if is_reusable {
+            self.kept.lock().entry(plan.process).or_default().push(connection);
+        }
+        end
+    }
+
+    /// A kept connection on which the next request can go.
+    async fn take_kept(&self, plan: &CallPlan) -> Option<KeptConnection> {
+        if !plan.is_kept {
+            return None;
+        }
+        loop {
+            let mut connection = self.kept.lock().get_mut(&plan.process)?.pop()?;
+            if connection.sender.ready().await.is_ok() {
+                return Some(connection);
+            }
+        }
+    }
+}
+
+fn request(id: &str, plan: &CallPlan, connection: &KeptConnection) -> Option<Request<CallBody>> {
+    let text: Bytes = id.bytes().cycle().take(plan.body_size).collect();
+    let is_done = Arc::clone(&connection.is_done);
+    let body = CallBody::new(&text, plan.body_pieces, plan.body_pause, is_done);
+    let mut request = Request::post(&*plan.route.path)
+        .header(http::header::HOST, &*plan.route.host)
+        .header(ATTEMPT_ID, id)
+        .header(DEADLINE, plan.route.deadline.as_millis().to_string());
+    if let Some(model) = &plan.model {
+        request = request
+            .header(MODEL, &**model)
+            .header(TOKEN_USAGE, "100,20")
+            .header(PROMPT, format!("{:x}:100", id.len()));
+    }
+    request.body(body).ok()
+}
+
+/// Reads an answer to its end; also tells whether its connection can be used again.
+async fn read_answer(
+    answer: Response<Incoming>,
+    leaves_after: Option<usize>,
+    give_up: Instant,
+) -> (CallEnd, bool) {
+    let (head, mut incoming) = answer.into_parts();
+    let text = |name: HeaderName| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let answered_id: Option<Arc<str>> = text(ATTEMPT_ID).map(Arc::from);
+    let suffix = format!(".{}", answered_id.as_deref().unwrap_or_default());
+    let signed_by = text(SIGNATURE).map(|by| by.strip_suffix(&suffix).unwrap_or(by).into());
+    let seconds = text(http::header::RETRY_AFTER).and_then(|value| value.parse().ok());
+    let retry_after = seconds.and_then(|value| Duration::try_from_secs_f64(value).ok());
+    let (mut body, mut pieces) = (Vec::new(), 0);
+    let is_whole = loop {
+        match timeout_at(give_up, incoming.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                body.extend(frame.into_data().unwrap_or_default());
+                pieces += 1;
+            }
+            Ok(Some(Err(_))) => break false,
+            Ok(None) => break true,
+            Err(_) => return (CallEnd::TimedOut, false),
+        }
+        if leaves_after.is_some_and(|after| pieces >= after && !incoming_is_done(&incoming)) {
+            return (CallEnd::Left, false);
+        }
+    };
+    let status = head.status.as_u16();
+    let end = CallEnd::Answered { status, is_whole, answered_id, signed_by, body, retry_after };
+    (end, is_whole)
+}
+
+fn incoming_is_done(incoming: &Incoming) -> bool {
+    hyper::body::Body::is_end_stream(incoming)
+}
