--- a/crates/wheel_soak/src/call_record.rs
+++ b/crates/wheel_soak/src/call_record.rs
@@ -71,6 +71,19 @@
         !has_left && self.whole_status().is_none_or(|status| status >= 300)
     }
 
+    /// Whether a log has to tell why it failed: its process had it, and could tell.
+    pub(crate) fn needs_cause(&self, view: JudgeView<'_>) -> bool {
+        let (Some(sent), Some(process), Some((at, end))) = (&self.sent, &self.process, &self.end)
+        else {
+            return false;
+        };
+        let span = view.bounds.fault_span;
+        let from = sent.at.saturating_sub(span);
+        let is_harmed = view.faults.harms(process, from, *at + span);
+        let is_unread = *end == CallEnd::Closed && self.is_crossed(sent, *at, view);
+        self.has_failed() && (self.whole_status().is_some() || !is_harmed && !is_unread)
+    }
+
     pub(crate) fn judge(&self, id: &Arc<str>, view: JudgeView<'_>) -> Vec<PromiseViolation> {
         let mut found = Vec::new();
         found.extend(self.judge_end(view));
@@ -135,15 +148,23 @@
         let from = sent.at.saturating_sub(span);
         let mut upstreams = self.runs.iter().map(|run| &run.upstream);
         let is_broken = upstreams.any(|upstream| view.faults.strikes(upstream, from, at + span));
-        let is_ending = view.processes.is_ending(process, from, at + span);
-        let is_crossed = self.runs.is_empty()
-            && at.saturating_sub(sent.at) <= view.bounds.cross_slack
-            && (sent.is_kept || is_ending);
         let tail = view.processes.tail_of_grace(process, sent.at);
         let is_at_work = |tail: Duration| {
             self.runs.iter().any(|run| run.ended.is_none_or(|ended| ended >= tail))
         };
-        is_broken || is_crossed || tail.is_some_and(|tail| at >= tail && is_at_work(tail))
+        is_broken
+            || self.is_crossed(sent, at, view)
+            || tail.is_some_and(|tail| at >= tail && is_at_work(tail))
+    }
+
+    /// Whether it may have met the close of its connection, unread.
+    fn is_crossed(&self, sent: &SentCall, at: Duration, view: JudgeView<'_>) -> bool {
+        let process = self.process.as_deref().unwrap_or_default();
+        let span = view.bounds.fault_span;
+        let from = sent.at.saturating_sub(span);
+        let is_soon = at.saturating_sub(sent.at) <= view.bounds.cross_slack;
+        let is_ending = view.processes.is_ending(process, from, at + span);
+        self.runs.is_empty() && is_soon && (sent.is_kept || is_ending)
     }
 
     /// The answer is this request's, and what its upstream gave.
--- a/crates/wheel_soak/src/fault_history.rs
+++ b/crates/wheel_soak/src/fault_history.rs
@@ -13,13 +13,6 @@
 }
 
 impl FaultSpan {
-    /// The processes and upstreams of a target: `entry-1`, or both ends of a link as `entry-1>engine-2`.
-    fn names(&self) -> impl Iterator<Item = &str> {
-        let is_between = |letter: char| !letter.is_alphanumeric() && !"-_.".contains(letter);
-        let names = self.target.split(is_between).map(|name| name.trim_matches('-'));
-        names.filter(|name| !name.is_empty())
-    }
-
     fn overlaps(&self, from: Duration, to: Duration) -> bool {
         self.began <= to && self.ended.is_none_or(|ended| ended >= from)
     }
@@ -61,16 +54,23 @@
     /// Whether a fault acted on `name`, or on one of its links, between `from` and `to`.
     pub(crate) fn harms(&self, name: &str, from: Duration, to: Duration) -> bool {
         let mut spans = self.spans.iter().filter(|span| span.overlaps(from, to));
-        spans.any(|span| span.names().any(|found| found == name))
+        spans.any(|span| names_of(&span.target).any(|found| found == name))
     }
 
     /// Whether a fault acted on `name` itself between `from` and `to`.
     pub(crate) fn strikes(&self, name: &str, from: Duration, to: Duration) -> bool {
         let mut spans = self.spans.iter().filter(|span| span.overlaps(from, to));
-        spans.any(|span| span.names().eq([name]))
+        spans.any(|span| names_of(&span.target).eq([name]))
     }
 
     pub(crate) fn forget(&mut self, before: Duration) {
         self.spans.retain(|span| span.ended.is_none_or(|ended| ended >= before));
     }
 }
+
+/// The processes and upstreams of a target: `entry-1`, or both ends of a link as `entry-1>engine-2`.
+pub(crate) fn names_of(target: &str) -> impl Iterator<Item = &str> {
+    let is_between = |letter: char| !letter.is_alphanumeric() && !"-_.".contains(letter);
+    let names = target.split(is_between).map(|name| name.trim_matches('-'));
+    names.filter(|name| !name.is_empty())
+}
--- a/crates/wheel_soak/src/promise_checker.rs
+++ b/crates/wheel_soak/src/promise_checker.rs
@@ -9,7 +9,9 @@
 use crate::fault_history::FaultHistory;
 use crate::order_watch::OrderWatch;
 use crate::process_watch::ProcessWatch;
-use crate::{CallEnd, Observation, PromiseBounds, PromiseViolation, SeenEvent, SoakPromise};
+use crate::{
+    CallEnd, FailedCall, Observation, PromiseBounds, PromiseViolation, SeenEvent, SoakPromise,
+};
 
 /// Time between two looks at all open requests.
 const LOOK_STEP: Duration = Duration::from_millis(250);
@@ -23,7 +25,7 @@
     now: Duration,
     last_look: Duration,
     calls: BTreeMap<Arc<str>, CallRecord>,
-    failed: Vec<Arc<str>>,
+    failed: Vec<FailedCall>,
     faults: FaultHistory,
     processes: ProcessWatch,
     changes: ChangeWatch,
@@ -60,8 +62,9 @@
         self.calls.len()
     }
 
-    /// Hands out the ids of requests that failed and were judged since the last call of this.
-    pub fn take_failed(&mut self) -> Vec<Arc<str>> {
+    /// Hands out the requests judged since the last call of this that failed at a process which could
+    /// tell why: it was neither killed, nor cut off from its caller, nor closing unread.
+    pub fn take_failed(&mut self) -> Vec<FailedCall> {
         std::mem::take(&mut self.failed)
     }
 
@@ -241,13 +244,13 @@
             (&self.faults, self.last_fault.map(|at| at + bounds.recovery_time));
         let mut violations = Vec::new();
         for (_, id, record) in due {
-            violations
-                .extend(record.judge(id, JudgeView { bounds, faults, processes: &self.processes }));
+            let view = JudgeView { bounds, faults, processes: &self.processes };
+            violations.extend(record.judge(id, view));
             record.is_judged = true;
-            if record.has_failed() {
-                self.failed.push(Arc::clone(id));
-            }
             let at = record.end.as_ref().map_or(record.last_heard, |(at, _)| *at);
+            if record.needs_cause(view) {
+                self.failed.push(FailedCall { id: Arc::clone(id), at });
+            }
             let has_answer = matches!(record.end, Some((_, CallEnd::Answered { .. })));
             let has_left = matches!(record.end, Some((_, CallEnd::Left)));
             let began = record.began.or(record.sent.as_ref().map(|sent| sent.at));
--- a/crates/wheel_soak/tests/promise_checker.rs
+++ b/crates/wheel_soak/tests/promise_checker.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use wheel_soak::{
-    CallEnd, CallKind, Observation, PromiseBounds, PromiseChecker, PromiseViolation, SeenEvent,
-    SeenOrder, SoakPromise,
+    CallEnd, CallKind, FailedCall, Observation, PromiseBounds, PromiseChecker, PromiseViolation,
+    SeenEvent, SeenOrder, SoakPromise,
 };
 
 const DEADLINE: Duration = Duration::from_secs(3);
@@ -709,19 +709,25 @@
 }
 
 #[test]
-fn failed_ids_are_handed_out() {
+fn failed_calls_are_handed_out() {
     let mut checker = PromiseChecker::open(bounds());
-    let course = served("good", 100).sent(200, "bad", CallKind::Idempotent).ended(
-        300,
-        "bad",
-        refusal(503, "bad"),
-    );
+    let course = served("good", 100)
+        .sent(200, "bad", CallKind::Idempotent)
+        .ended(300, "bad", refusal(503, "bad"))
+        .sent_on(200, "crossed", CallKind::Idempotent, true)
+        .ended(310, "crossed", CallEnd::Closed)
+        .sent(20_000, "killed", CallKind::Idempotent)
+        .sent(20_000, "told", CallKind::Idempotent)
+        .ended(20_100, "told", refusal(503, "told"))
+        .gone(20_200, None, true)
+        .ended(20_210, "killed", CallEnd::Closed);
     for (at, event) in course.events {
         checker.observe(&Observation { at: ms(at), event });
     }
     assert_eq!(checker.finish(), Vec::new());
-    assert_eq!(checker.take_failed(), vec![name("bad")]);
-    assert_eq!(checker.take_failed(), Vec::<Arc<str>>::new());
+    let call = |id, at| FailedCall { id: name(id), at: ms(at) };
+    assert_eq!(checker.take_failed(), vec![call("bad", 300), call("told", 20_100)]);
+    assert_eq!(checker.take_failed(), Vec::new());
 }
 
 #[test]
