Judge links of whole sides, and write down what the soak's checker shows

A link between all entries and an upstream excuses that upstream's exchanges; links of callers don't excuse a late end. Faults on the list excuse work at leaving upstreams. Probes, which have one id and no caller, no longer gather runs in memory. An acknowledged invalid configuration breaks ChangeKept.

--- a/crates/wheel_soak/src/call_record.rs
+++ b/crates/wheel_soak/src/call_record.rs
@@ -147,7 +147,7 @@
         let span = view.bounds.fault_span;
         let from = sent.at.saturating_sub(span);
         let mut upstreams = self.runs.iter().map(|run| &run.upstream);
-        let is_broken = upstreams.any(|upstream| view.faults.strikes(upstream, from, at + span));
+        let is_broken = upstreams.any(|upstream| view.faults.breaks(upstream, from, at + span));
         let tail = view.processes.tail_of_grace(process, sent.at);
         let is_at_work = |tail: Duration| {
             self.runs.iter().any(|run| run.ended.is_none_or(|ended| ended >= tail))
--- a/crates/wheel_soak/src/fault_history.rs
+++ b/crates/wheel_soak/src/fault_history.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Names of whole sides in the targets of links, as in `entries>engine-2`.
+const SIDES: [&str; 2] = ["callers", "entries"];
+
 #[derive(Debug)]
 struct FaultSpan {
     kind: Arc<str>,
@@ -57,10 +60,17 @@
         spans.any(|span| names_of(&span.target).any(|found| found == name))
     }
 
-    /// Whether a fault acted on `name` itself between `from` and `to`.
+    /// Whether a fault acted on `name` itself, rather than on a link, between `from` and `to`.
     pub(crate) fn strikes(&self, name: &str, from: Duration, to: Duration) -> bool {
         let mut spans = self.spans.iter().filter(|span| span.overlaps(from, to));
-        spans.any(|span| names_of(&span.target).eq([name]))
+        spans.any(|span| &*span.target == name)
+    }
+
+    /// Whether a fault acted on `name`, or on a link between it and a whole side, between `from` and `to`.
+    pub(crate) fn breaks(&self, name: &str, from: Duration, to: Duration) -> bool {
+        let mut spans = self.spans.iter().filter(|span| span.overlaps(from, to));
+        let is_one = |found: &&str| !SIDES.contains(found);
+        spans.any(|span| names_of(&span.target).filter(is_one).eq([name]))
     }
 
     pub(crate) fn forget(&mut self, before: Duration) {
--- a/crates/wheel_soak/src/observation.rs
+++ b/crates/wheel_soak/src/observation.rs
@@ -146,6 +146,13 @@
         /// The version; `None` if it wasn't sure.
         version: Option<u64>,
     },
+    /// A control instance acknowledged a configuration that it had to refuse.
+    InvalidAccepted {
+        /// Its version, which no valid one has.
+        version: u64,
+        /// The control instance.
+        process: Arc<str>,
+    },
     /// An entry handled a probe by this version of the configuration.
     ChangeObserved {
         /// When the probe was sent.
--- a/crates/wheel_soak/src/promise_bounds.rs
+++ b/crates/wheel_soak/src/promise_bounds.rs
@@ -53,6 +53,8 @@
     pub planned_kinds: BTreeSet<Arc<str>>,
     /// The control instances: faults on them excuse entries and leaving upstreams.
     pub control: BTreeSet<Arc<str>>,
+    /// The list of live and leaving upstreams: faults on it excuse work at one that leaves.
+    pub list: Arc<str>,
     /// Which upstreams have one holder together; those that aren't named form one group.
     pub order_groups: BTreeMap<Arc<str>, Arc<str>>,
 }
@@ -84,6 +86,7 @@
             min_calm_calls: 20,
             planned_kinds: names.into_iter().map(Arc::from).collect(),
             control: BTreeSet::new(),
+            list: "list".into(),
             order_groups: BTreeMap::new(),
         }
     }
--- a/crates/wheel_soak/src/promise_checker.rs
+++ b/crates/wheel_soak/src/promise_checker.rs
@@ -16,6 +16,9 @@
 /// Time between two looks at all open requests.
 const LOOK_STEP: Duration = Duration::from_millis(250);
 
+/// Runs of a request whose caller is unknown that are kept.
+const KEPT_RUNS: usize = 16;
+
 /// Keeps what was seen of open requests, and finds broken promises.
 ///
 /// Needs memory for the requests of the last [`PromiseBounds::keep_time`], whatever the length of the run.
@@ -152,6 +155,11 @@
                 return self.changes.read((*asked, at), process, *version, &self.bounds);
             }
             SeenEvent::ChangeRead { version: None, .. } => {}
+            SeenEvent::InvalidAccepted { version, process } => {
+                let line = format!("{process} took version {version}, which is invalid");
+                let promise = SoakPromise::ChangeKept;
+                return vec![PromiseViolation::new(promise, at, &[process], line)];
+            }
             SeenEvent::ChangeObserved { sent, process, version } => {
                 return self.changes.show((*sent, at), process, *version, view);
             }
@@ -219,12 +227,18 @@
         let violation =
             |(promise, line): (_, String)| PromiseViolation::new(promise, at, &[id], line);
         let mut violations: Vec<_> = late.into_iter().map(violation).collect();
-        let process = record.process.clone();
-        let is_harmed = |name: &Arc<str>| {
-            self.faults.harms(name, at.saturating_sub(self.bounds.leave_time), at)
+        let Some(process) = record.process.clone() else {
+            // The operators' probes have no caller and one id: of their runs nothing is asked.
+            let old = record.runs.len().saturating_sub(KEPT_RUNS);
+            record.runs.drain(..old);
+            return violations;
         };
+        let from = at.saturating_sub(self.bounds.leave_time);
+        let is_harmed = |name: &Arc<str>| self.faults.harms(name, from, at);
         let is_late = leaves.is_some_and(|leaves| at > leaves + self.bounds.leave_time);
-        if is_late && !process.iter().chain(&self.bounds.control).any(is_harmed) {
+        let is_unheard = self.faults.strikes(&self.bounds.list, from, at);
+        let mut others = self.bounds.control.iter().chain([&process]);
+        if is_late && !is_unheard && !others.any(is_harmed) {
             let line = "ran at an upstream that had left long before".to_owned();
             violations.push(violation((SoakPromise::LeavingUnused, line)));
         }
