Count a caller's time from its head, and a fault from a call's beginning

A stream was cut at the end of its time, which the system counts from the head, 0.85 s before the body had been sent: such a cut is allowed from the head's time on, an answer is still late only by the body's. Seven calls that began while a link lost answers gave up 8 s after it was mended and counted against the process's readiness: a fault now excuses them if it acted at any moment from a call's beginning to its end.

--- a/crates/wheel_soak/src/call_record.rs
+++ b/crates/wheel_soak/src/call_record.rs
@@ -107,6 +107,8 @@
         let is_harmed = view.faults.harms(process, from, until + span);
         let latest = sent.at + sent.deadline + view.bounds.answer_slack;
         let took = until.saturating_sub(sent.at);
+        // The system counts from the head on, which may come long before the body's end.
+        let began = self.began.unwrap_or(sent.at);
         let line = match self.end.as_ref().map(|(_, end)| end) {
             Some(CallEnd::Left | CallEnd::NotConnected) => return None,
             _ if is_harmed => return None,
@@ -117,7 +119,7 @@
                 format!("was closed without an answer after {took:.2?}{}", self.signal(until, view))
             }
             Some(CallEnd::Answered { is_whole: false, .. })
-                if until + view.bounds.answer_slack < sent.at + sent.deadline
+                if until + view.bounds.answer_slack < began + sent.deadline
                     && !self.may_be_cut(sent, until, view) =>
             {
                 format!("was answered in part after {took:.2?}{}", self.signal(until, view))
--- a/crates/wheel_soak/src/process_watch.rs
+++ b/crates/wheel_soak/src/process_watch.rs
@@ -144,16 +144,16 @@
         vec![PromiseViolation::new(SoakPromise::ReadinessTrue, at, &[process], line)]
     }
 
-    /// Notes whether a call to a process got any answer at all.
+    /// Notes whether a call to a process, from its beginning to `at`, got any answer at all.
     pub(crate) fn try_call(
         &mut self,
-        at: Duration,
+        (began, at): (Duration, Duration),
         process: &Arc<str>,
         has_answer: bool,
         (bounds, faults): (&PromiseBounds, &FaultHistory),
     ) -> Vec<PromiseViolation> {
         let life = self.newest(process);
-        let (from, to) = (at.saturating_sub(bounds.fault_span), at + bounds.fault_span);
+        let (from, to) = (began.saturating_sub(bounds.fault_span), at + bounds.fault_span);
         let is_ending = life.terminated.is_some() || life.ended.is_some();
         let is_new = life.started.is_some_and(|started| started > from);
         let is_harmed = faults.harms(process, from, to);
--- a/crates/wheel_soak/src/promise_checker.rs
+++ b/crates/wheel_soak/src/promise_checker.rs
@@ -269,7 +269,12 @@
             let has_left = matches!(record.end, Some((_, CallEnd::Left)));
             let began = record.began.or(record.sent.as_ref().map(|sent| sent.at));
             if let Some(process) = record.process.as_ref().filter(|_| !has_left) {
-                let tried = self.processes.try_call(at, process, has_answer, (bounds, faults));
+                let tried = self.processes.try_call(
+                    (began.unwrap_or(at), at),
+                    process,
+                    has_answer,
+                    (bounds, faults),
+                );
                 violations.extend(tried);
             }
             let is_calm = calm_from.is_some_and(|from| began.is_some_and(|began| began >= from));
--- a/crates/wheel_soak/tests/promise_checker.rs
+++ b/crates/wheel_soak/tests/promise_checker.rs
@@ -317,6 +317,21 @@
         .assert_broken(SoakPromise::Answered, "in part");
 }
 
+#[test]
+fn answered_in_part_at_the_end_of_its_time_passes() {
+    // The body took two seconds to send, and the caller's time began with the head.
+    let part = answer(200, "r", Some("engine-1"), b"id: 1\ndata: a\n\n", false);
+    let (id, process) = (name("r"), name("entry-1"));
+    let (kind, deadline, is_kept) = (CallKind::ClosedStream, DEADLINE, false);
+    Course::default()
+        .add(100, SeenEvent::CallBegan { id: name("r"), process: name("entry-1") })
+        .add(2_100, SeenEvent::CallSent { id, kind, process, deadline, is_kept })
+        .ran(2_110, "r", "engine-1")
+        .gave(3_100, "r", "engine-1", None)
+        .ended(3_110, "r", part)
+        .assert_kept();
+}
+
 #[test]
 fn answered_twice_is_found() {
     served("r", 100)
@@ -681,6 +696,20 @@
     unheard(true).assert_broken(SoakPromise::ReadinessTrue, "answers none of its calls");
 }
 
+#[test]
+fn readiness_calls_begun_beside_a_fault_pass() {
+    // They began while answers were lost, and gave up long after.
+    let words = (0..80).fold(Course::default(), |course, place| course.ready(place * 250, true));
+    let course = words.fault(4_000, 6_000, "link_one_way", "callers>entry-1");
+    (0..10)
+        .fold(course, |course, place| {
+            let (id, at) = (format!("r-{place}"), 5_000 + place * 20);
+            let course = course.sent(at, &id, CallKind::Idempotent);
+            course.ended(at + 6_500, &id, CallEnd::TimedOut)
+        })
+        .assert_kept();
+}
+
 #[test]
 fn readiness_not_claimed_or_harmed_passes() {
     unheard(false).assert_kept();
