--- a/crates/wheel_soak/src/bin/wheel_soak.rs
+++ b/crates/wheel_soak/src/bin/wheel_soak.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use getopts::Options;
-use wheel_soak::{CALM_TIME, RunOutcome, RunSettings, run_soak};
+use wheel_soak::{CALM_TIME, RunOutcome, RunSettings, SoakReport, run_soak};
 
 /// Minutes of a run without the flag.
 const USUAL_MINUTES: f64 = 1.0;
@@ -49,7 +49,7 @@
     options.optopt("", "seeds", "run these seeds, one after another", "A..B");
     options.optopt("", "minutes", "length of each run", "M");
     options.optopt("", "instances", "processes of the system; three are control instances", "N");
-    options.optopt("", "report", "write a report to this file", "FILE");
+    options.optopt("", "report", "write a report to this file, and a picture beside it", "FILE");
     options.optflag("", "keep", "keep the run folders");
     options.optflag("h", "help", "show this text");
     let matches = options.parse(arguments).map_err(|fault| fault.to_string())?;
@@ -106,6 +106,7 @@
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let runtime = runtime.map_err(|fault| fault.to_string())?;
     let mut violations = 0;
+    let mut report = SoakReport::default();
     for seed in flags.seeds.clone() {
         let folder = tempfile::Builder::new().prefix(&format!("wheel-soak-{seed}-")).tempdir();
         let folder = folder.map_err(|fault| fault.to_string())?;
@@ -115,7 +116,8 @@
             length: Duration::from_secs_f64(flags.minutes * 60.0),
             folder: folder.path().to_owned(),
         };
-        let outcome = runtime.block_on(run_soak(&settings)).map_err(|fault| fault.to_string());
+        let outcome = runtime.block_on(run_soak(&settings, &mut report));
+        let outcome = outcome.map_err(|fault| fault.to_string());
         let is_bad = !matches!(&outcome, Ok(outcome) if outcome.violations.is_empty());
         if flags.is_kept || is_bad {
             println!("seed={seed} folder={}", folder.keep().display());
@@ -124,15 +126,18 @@
         print_outcome(seed, &outcome);
         violations += outcome.violations.len();
     }
-    if flags.report.is_some() {
-        eprintln!("wheel_soak: no report yet");
+    if let Some(path) = &flags.report {
+        report.write(path).map_err(|fault| fault.to_string())?;
+        report.draw(&path.with_extension("svg")).map_err(|fault| fault.to_string())?;
     }
     Ok(violations)
 }
 
 fn print_outcome(seed: u64, outcome: &RunOutcome) {
-    for line in &outcome.violations {
-        println!("seed={seed} violation={line:?}");
+    for violation in &outcome.violations {
+        let (promise, at, line) = (violation.promise, violation.at.as_secs_f64(), &violation.line);
+        let ids = violation.ids.join(",");
+        println!("seed={seed} violation={promise:?} at_s={at:.2} ids={ids} line={line:?}");
     }
     for (kind, count) in &outcome.faults {
         println!("seed={seed} fault={kind} count={count}");
--- a/crates/wheel_soak/src/soak_error.rs
+++ b/crates/wheel_soak/src/soak_error.rs
@@ -5,6 +5,8 @@
 use snafu::Snafu;
 use wheel_harness::HarnessError;
 
+use crate::CoverageFailure;
+
 /// What went wrong in the soak itself.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -23,6 +25,12 @@
         /// The harness's error.
         source: HarnessError,
     },
+    /// A process's log can't be read.
+    #[snafu(display("{source}"))]
+    Log {
+        /// Why.
+        source: CoverageFailure,
+    },
     /// The system never served before the first fault.
     #[snafu(display("{what} didn't happen within {limit:?}; logs are in {folder}"))]
     NotServing {
--- a/crates/wheel_soak/src/soak_process.rs
+++ b/crates/wheel_soak/src/soak_process.rs
@@ -72,16 +72,6 @@
         Ok(process)
     }
 
-    /// Its name.
-    pub fn name(&self) -> &Arc<str> {
-        &self.files.name
-    }
-
-    /// Where its files are.
-    pub fn files(&self) -> &ProcessFiles {
-        &self.files
-    }
-
     /// Whether it runs, isn't told to end and isn't frozen.
     pub fn is_up(&self) -> bool {
         self.child.is_some() && self.terminated.is_none() && !self.is_frozen
--- a/crates/wheel_soak/src/soak_run.rs
+++ b/crates/wheel_soak/src/soak_run.rs
@@ -7,16 +7,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use snafu::ResultExt;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
 use wheel_harness::{HttpCaller, LinkRelay};
 
-use crate::config_document::{ENGINE_SERVICE, PLAIN_SERVICE};
-use crate::soak_error::NotServingSnafu;
-use crate::soak_system::CONTROL_COUNT;
+use crate::config_document::{
+    CLOSED_PREFIX, ENGINE_SERVICE, IDEMPOTENT_PREFIX, LOADS_PER_S, MODEL_PREFIX, MODELS,
+    ONCE_PREFIX, PLAIN_SERVICE, RESUMABLE_PREFIX, ROUTE_HOST,
+};
+use crate::soak_error::{IoSnafu, NotServingSnafu};
+use crate::soak_system::{CONTROL_COUNT, LEASE, process_name};
 use crate::{
-    CallEnd, FaultDriver, FaultPlan, ListStandIn, Observation, ObservationSink, OperatorSide,
-    PlainCaller, PlanScope, SeenEvent, SoakError, SoakSystem, UpstreamStandIn,
+    CallEnd, CallKind, CallRoute, CallerSettings, FailedCall, FaultDriver, FaultPlan, ListStandIn,
+    LogCoverage, Observation, ObservationSink, OperatorSide, PlanScope, PromiseBounds,
+    PromiseChecker, PromiseViolation, SeenEvent, SoakCaller, SoakError, SoakReport, SoakSystem,
+    UpstreamStandIn,
 };
 
 /// Upstreams with models, and without.
@@ -34,6 +39,27 @@
 
 /// The file of a run folder that has all observations.
 const OBSERVATIONS: &str = "observations.txt";
+/// The file with its plan.
+const PLAN: &str = "plan.txt";
+/// Callers, and how many requests a second each of them sends.
+const CALLERS: u64 = 3;
+const CALL_RATE: f64 = 15.0;
+/// How long beyond its time a caller waits.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Prefix, amount of work, kind, the caller's time in milliseconds, and whether a model is named.
+type RouteRow = (&'static str, &'static str, CallKind, u64, bool);
+
+/// What callers ask for; the last streams take longer than the grace.
+const ROUTES: [RouteRow; 7] = [
+    (RESUMABLE_PREFIX, "8x60", CallKind::ResumableStream, 5_000, true),
+    (CLOSED_PREFIX, "6x100", CallKind::ClosedStream, 5_000, true),
+    (MODEL_PREFIX, "1000x50", CallKind::Idempotent, 4_000, true),
+    (IDEMPOTENT_PREFIX, "100x30", CallKind::Idempotent, 4_000, false),
+    (ONCE_PREFIX, "10x200", CallKind::NonIdempotent, 4_000, false),
+    (RESUMABLE_PREFIX, "50x100", CallKind::ResumableStream, 8_000, true),
+    (CLOSED_PREFIX, "50x100", CallKind::ClosedStream, 8_000, true),
+];
 
 /// How a run is made.
 #[derive(Clone, Debug)]
@@ -56,24 +82,54 @@
     /// Requests with a whole success.
     pub served: usize,
     /// Faults that began, by kind.
-    pub faults: BTreeMap<String, usize>,
-    /// Broken promises, one line each.
-    pub violations: Vec<String>,
+    pub faults: BTreeMap<Arc<str>, usize>,
+    /// Broken promises.
+    pub violations: Vec<PromiseViolation>,
+    /// Requests that failed, which logs have to explain.
+    failed: Vec<FailedCall>,
 }
 
-/// Makes one run.
+/// Makes one run, which `report` hears of.
 ///
 /// # Errors
 /// [`SoakError`] if the system can't be started; what goes wrong later is a violation.
-pub async fn run_soak(settings: &RunSettings) -> Result<RunOutcome, SoakError> {
+pub async fn run_soak(
+    settings: &RunSettings,
+    report: &mut SoakReport,
+) -> Result<RunOutcome, SoakError> {
     let plan = FaultPlan::draw(&PlanScope {
         seed: settings.seed,
         processes: settings.processes,
         upstreams: ENGINES + PLAIN_UPSTREAMS,
         length: settings.length.saturating_sub(CALM_TIME + LEAD_TIME),
     });
+    let plan_text = plan.to_string();
+    let what = || format!("write into {}", settings.folder.display());
+    std::fs::write(settings.folder.join(PLAN), plan_text)
+        .with_context(|_| IoSnafu { what: what() })?;
+    report.begin(settings.seed);
     let (sink, observations) = ObservationSink::open();
-    let judging = tokio::spawn(judge(observations, settings.folder.clone()));
+    let judging = judge(observations, &settings.folder, report);
+    let (driven, mut outcome) = tokio::join!(drive(settings, &plan, sink), judging);
+    driven?;
+    let logs: Vec<PathBuf> = (0..settings.processes)
+        .map(|place| settings.folder.join(format!("{}.log", process_name(place))))
+        .collect();
+    let unexplained = match LogCoverage::read(&outcome.failed, &logs) {
+        Ok(coverage) => coverage.unexplained(&outcome.failed),
+        Err(source) => return Err(SoakError::Log { source }),
+    };
+    report.add(unexplained.clone());
+    outcome.violations.extend(unexplained);
+    Ok(outcome)
+}
+
+/// Runs the system, what is around it and the plan; ends all of it.
+async fn drive(
+    settings: &RunSettings,
+    plan: &FaultPlan,
+    sink: ObservationSink,
+) -> Result<(), SoakError> {
     let upstreams = bind_upstreams(&sink).await?;
     let list = Arc::new(ListStandIn::bind(Arc::clone(&upstreams)).await?);
     let system = SoakSystem::spawn(settings.processes, &settings.folder, list.address(), &sink)?;
@@ -84,33 +140,46 @@
     for place in CONTROL_COUNT..system.count() {
         links.push(LinkRelay::bind(system.callers(place)).await?);
     }
-    let driver = FaultDriver {
-        system: Arc::clone(&system),
-        upstreams,
-        list,
-        caller_links: links.into(),
-        operators: operators.clone(),
-        sink: sink.clone(),
-    };
+    let caller_links = links.into();
     let (stop, stopped) = watch::channel(false);
-    let callers = spawn_callers(&driver, stopped);
     let rounds = operators.spawn_rounds();
+    let driver = FaultDriver { system, upstreams, list, caller_links, operators, sink };
+    let callers = spawn_callers(&driver, settings.seed, &stopped);
     tokio::time::sleep(LEAD_TIME).await;
-    driver.run(&plan).await;
+    driver.run(plan).await;
     tokio::time::sleep(CALM_TIME).await;
     stop.send_replace(true);
-    callers.join_all().await;
+    for caller in callers {
+        caller.ended().await;
+    }
     tokio::time::sleep(SETTLE_TIME).await;
-    drop((rounds, driver, operators, system, sink));
-    Ok(judging.await.unwrap_or_default())
+    drop(rounds);
+    Ok(())
 }
 
 /// The one place that says who calls.
-fn spawn_callers(driver: &FaultDriver, stop: watch::Receiver<bool>) -> JoinSet<()> {
+fn spawn_callers(driver: &FaultDriver, seed: u64, stop: &watch::Receiver<bool>) -> Vec<SoakCaller> {
     let name = |place: usize| driver.system.name(CONTROL_COUNT + place);
     let links = driver.caller_links.iter().enumerate();
-    let entries = links.map(|(place, link)| (name(place), link.address())).collect();
-    PlainCaller::spawn(entries, driver.sink.clone(), stop)
+    let processes: Vec<_> = links.map(|(place, link)| (name(place), link.address())).collect();
+    let route = |&(prefix, amount, kind, deadline_ms, has_model): &RouteRow| CallRoute {
+        host: ROUTE_HOST.into(),
+        path: format!("{prefix}{amount}").into(),
+        kind,
+        deadline: Duration::from_millis(deadline_ms),
+        has_model,
+    };
+    let caller = |number: u64| CallerSettings {
+        name: format!("caller{number}").into(),
+        processes: processes.clone(),
+        routes: ROUTES.iter().map(route).collect(),
+        models: MODELS.iter().map(|(model, _)| Arc::from(*model)).collect(),
+        rate_per_s: CALL_RATE,
+        seed: seed.wrapping_mul(CALLERS).wrapping_add(number),
+        patience: PATIENCE,
+    };
+    let spawn = |number| SoakCaller::spawn(caller(number), driver.sink.clone(), stop.clone());
+    (0..CALLERS).map(spawn).collect()
 }
 
 async fn bind_upstreams(sink: &ObservationSink) -> Result<Arc<[UpstreamStandIn]>, SoakError> {
@@ -157,30 +226,41 @@
     Ok(())
 }
 
-/// Writes all observations down and counts; the checker's place.
+/// Judges all observations until nobody is left to tell any, and writes them down.
 async fn judge(
     mut observations: mpsc::UnboundedReceiver<Observation>,
-    folder: PathBuf,
+    folder: &Path,
+    report: &mut SoakReport,
 ) -> RunOutcome {
     let mut outcome = RunOutcome::default();
+    let mut checker = PromiseChecker::open(PromiseBounds {
+        loads_per_s: LOADS_PER_S,
+        lease_pause: LEASE,
+        control: (0..CONTROL_COUNT).map(process_name).collect(),
+        ..PromiseBounds::default()
+    });
     let mut log = File::create(folder.join(OBSERVATIONS)).map(BufWriter::new).ok();
     while let Some(observation) = observations.recv().await {
         match &observation.event {
             SeenEvent::CallSent { .. } => outcome.calls += 1,
             SeenEvent::CallEnded {
-                end: CallEnd::Answered { status: 200, is_whole: true, .. },
-                ..
-            } => outcome.served += 1,
-            SeenEvent::FaultBegan { kind, .. } => {
-                *outcome.faults.entry(kind.to_string()).or_default() += 1;
+                end: CallEnd::Answered { status, is_whole: true, .. }, ..
+            } => {
+                outcome.served += usize::from(*status == 200);
             }
-            SeenEvent::InvalidAccepted { version, process } => {
-                outcome.violations.push(format!("{process} took the invalid version {version}"));
+            SeenEvent::FaultBegan { kind, .. } => {
+                *outcome.faults.entry(Arc::clone(kind)).or_default() += 1;
             }
             _ => {}
         }
         // Without the file, the run's verdict still holds.
         let _ = log.as_mut().map(|log| writeln!(log, "{observation:?}"));
+        report.observe(&observation);
+        outcome.violations.extend(checker.observe(&observation));
+        outcome.failed.extend(checker.take_failed());
     }
+    outcome.violations.extend(checker.finish());
+    outcome.failed.extend(checker.take_failed());
+    report.add(outcome.violations.clone());
     outcome
 }
--- a/crates/wheel_soak/src/soak_system.rs
+++ b/crates/wheel_soak/src/soak_system.rs
@@ -97,7 +97,7 @@
 
     /// The name of the process `place`.
     pub fn name(&self, place: usize) -> Arc<str> {
-        self.with(place, |process| Arc::clone(process.name()))
+        process_name(place)
     }
 
     /// Where a control instance serves operators.
@@ -130,8 +130,7 @@
     }
 
     fn files(&self, place: usize) -> ProcessFiles {
-        let side = if place < CONTROL_COUNT { "control" } else { "entry" };
-        let name: Arc<str> = format!("{side}-{place}").into();
+        let name = process_name(place);
         let path = |end: &str| self.folder.join(format!("{name}{end}"));
         ProcessFiles {
             settings: path(".toml"),
@@ -176,6 +175,12 @@
     }
 }
 
+/// The name of the process `place`.
+pub(crate) fn process_name(place: usize) -> Arc<str> {
+    let side = if place < CONTROL_COUNT { "control" } else { "entry" };
+    format!("{side}-{place}").into()
+}
+
 async fn keep(processes: Arc<[Mutex<SoakProcess>]>) {
     let mut ticks = tokio::time::interval(LOOK_INTERVAL);
     loop {
--- a/crates/wheel_soak/tests/short_soak.rs
+++ b/crates/wheel_soak/tests/short_soak.rs
@@ -4,10 +4,12 @@
 
 use std::time::Duration;
 
-use wheel_soak::{FaultPlan, PlanScope, RunSettings, run_soak};
+use wheel_soak::{FaultPlan, PlanScope, RunSettings, SoakReport, run_soak};
 
 /// The seed of the run.
 const SEED: u64 = 2;
+/// Observations that a failure shows.
+const SHOWN_LINES: usize = 40;
 /// Its length, most of which is the calm end.
 const LENGTH: Duration = Duration::from_secs(30);
 
@@ -16,9 +18,17 @@
     let folder = tempfile::tempdir().expect("a folder");
     let settings =
         RunSettings { seed: SEED, processes: 5, length: LENGTH, folder: folder.path().to_owned() };
-    let outcome = run_soak(&settings).await.expect("the system starts");
-    let kept = |name: &str| std::fs::read_to_string(folder.path().join(name)).unwrap_or_default();
-    assert!(outcome.violations.is_empty(), "{:?}\n{}", outcome.violations, kept("entry-3.log"));
+    let outcome = run_soak(&settings, &mut SoakReport::default()).await.expect("the system starts");
+    let seen = std::fs::read_to_string(folder.path().join("observations.txt")).unwrap_or_default();
+    let about = |line: &&str| {
+        outcome
+            .violations
+            .iter()
+            .flat_map(|violation| &violation.ids)
+            .any(|id| line.contains(&**id))
+    };
+    let lines: Vec<&str> = seen.lines().filter(about).take(SHOWN_LINES).collect();
+    assert!(outcome.violations.is_empty(), "{:?}\n{}", outcome.violations, lines.join("\n"));
     assert!(outcome.calls > 300, "{} calls", outcome.calls);
     assert!(outcome.faults.values().sum::<usize>() >= 5, "{:?}", outcome.faults);
 }
