Excuse kept connections that died before, until they are used again

A link that was silent leaves its connections dead for good; the next request on a kept one shows it. So a request on a kept connection that reached no upstream is excused by a fault on its process or link in the 15 s before it, in place of 3 s. A new connection, and one whose request ran, aren't.

--- a/crates/wheel_soak/src/call_record.rs
+++ b/crates/wheel_soak/src/call_record.rs
@@ -77,9 +77,7 @@
         else {
             return false;
         };
-        let span = view.bounds.fault_span;
-        let from = sent.at.saturating_sub(span);
-        let is_harmed = view.faults.harms(process, from, *at + span);
+        let is_harmed = self.is_harmed(sent, process, *at, view);
         let is_unread = *end == CallEnd::Closed && self.is_crossed(sent, *at, view);
         self.has_failed() && (self.whole_status().is_some() || !is_harmed && !is_unread)
     }
@@ -101,10 +99,8 @@
     /// One whole answer or a refusal, in time.
     fn judge_end(&self, view: JudgeView<'_>) -> Option<(SoakPromise, String)> {
         let (sent, process) = (self.sent.as_ref()?, self.process.as_ref()?);
-        let span = view.bounds.fault_span;
         let until = self.end.as_ref().map_or(sent.at + sent.deadline, |(at, _)| *at);
-        let from = sent.at.saturating_sub(span);
-        let is_harmed = view.faults.harms(process, from, until + span);
+        let is_harmed = self.is_harmed(sent, process, until, view);
         let latest = sent.at + sent.deadline + view.bounds.answer_slack;
         let took = until.saturating_sub(sent.at);
         // The system counts from the head on, which may come long before the body's end.
@@ -134,6 +130,21 @@
         Some((SoakPromise::Answered, line))
     }
 
+    /// Whether its process, or the link to it, was harmed around it.
+    fn is_harmed(
+        &self,
+        sent: &SentCall,
+        process: &str,
+        until: Duration,
+        view: JudgeView<'_>,
+    ) -> bool {
+        let PromiseBounds { fault_span, kept_span, .. } = view.bounds;
+        // A connection that died while it was kept is found dead by the next request alone.
+        let is_unread = sent.is_kept && self.runs.is_empty();
+        let before = if is_unread { kept_span } else { fault_span };
+        view.faults.harms(process, sent.at.saturating_sub(*before), until + *fault_span)
+    }
+
     /// What to add about a SIGTERM.
     fn signal(&self, at: Duration, view: JudgeView<'_>) -> &'static str {
         let process = self.process.as_deref().unwrap_or_default();
--- a/crates/wheel_soak/src/promise_bounds.rs
+++ b/crates/wheel_soak/src/promise_bounds.rs
@@ -13,6 +13,8 @@
     pub give_up_time: Duration,
     /// A fault explains a broken exchange if it acted no further than this from it.
     pub fault_span: Duration,
+    /// How long a kept connection may have been dead, once its link was harmed, before it is used again.
+    pub kept_span: Duration,
     /// A request may cross the close of its connection if it is closed within this and never ran.
     pub cross_slack: Duration,
     /// From the end of an exchange until it is judged; at least `fault_span`.
@@ -66,6 +68,7 @@
             answer_slack: Duration::from_millis(500),
             give_up_time: Duration::from_secs(20),
             fault_span: Duration::from_secs(3),
+            kept_span: Duration::from_secs(15),
             cross_slack: Duration::from_millis(500),
             judge_delay: Duration::from_secs(4),
             keep_time: Duration::from_secs(60),
--- a/crates/wheel_soak/tests/promise_checker.rs
+++ b/crates/wheel_soak/tests/promise_checker.rs
@@ -308,6 +308,20 @@
     silent.assert_broken(SoakPromise::Answered, "has no end");
 }
 
+#[test]
+fn answered_never_on_a_kept_connection_that_died_passes() {
+    // A silenced connection stays silent when its link is mended; only the next request shows it.
+    let course = |id: &str, is_kept| {
+        let course = Course::default().fault(1_000, 2_000, "link_silence", "callers>entry-1");
+        course.sent_on(12_000, id, CallKind::Idempotent, is_kept)
+    };
+    course("r", true).ended(18_500, "r", CallEnd::TimedOut).assert_kept();
+    let new = course("r", false).ended(18_500, "r", CallEnd::TimedOut);
+    new.assert_broken(SoakPromise::Answered, "had no end after");
+    let read = course("r", true).ran(12_010, "r", "app-0").ended(18_500, "r", CallEnd::TimedOut);
+    read.assert_broken(SoakPromise::Answered, "had no end after");
+}
+
 #[test]
 fn answered_in_part_is_found() {
     Course::default()
