Let libraries slow callers' bodies and look at what is written

CallBody and SentTap go: a stream of pieces is the body, and tokio-util's InspectWriter shows the bytes that go to the socket, of which the last are a mark that stands nowhere else in the request.

--- a/crates/wheel_soak/src/lib.rs
+++ b/crates/wheel_soak/src/lib.rs
@@ -2,7 +2,6 @@
 //!
 //! Callers, stand-ins and the operator tell an [`ObservationSink`] what they see; the checker judges it.
 
-mod call_body;
 mod call_plan;
 mod call_record;
 mod caller_settings;
@@ -20,7 +19,7 @@
 mod promise_checker;
 mod promise_violation;
 mod report_picture;
-mod sent_tap;
+mod sent_notice;
 mod soak_caller;
 mod soak_promise;
 mod soak_report;
--- a/crates/wheel_soak/src/soak_caller.rs
+++ b/crates/wheel_soak/src/soak_caller.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use http::{HeaderName, Request, Response};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -16,9 +16,8 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::call_body::CallBody;
 use crate::call_plan::CallPlan;
-use crate::kept_connection::KeptConnection;
+use crate::kept_connection::{CallBody, KeptConnection};
 use crate::platform_headers::{ATTEMPT_ID, DEADLINE, MODEL, PROMPT, SIGNATURE, TOKEN_USAGE};
 use crate::{CallEnd, CallKind, CallerSettings, ObservationSink, SeenEvent};
 
@@ -121,23 +120,23 @@
         };
         let Some(mut connection) = opened else { return CallEnd::NotConnected };
         let (kind, deadline) = (plan.route.kind, plan.route.deadline);
-        connection.is_done.store(false, Ordering::Release);
         let id_ = Arc::clone(id);
         let sent = SeenEvent::CallSent { id: id_, kind, process, deadline, is_kept };
-        connection.notice.set(Some(sent));
-        let Some(request) = request(id, plan, &connection) else { return CallEnd::NotConnected };
+        let mark = format!("the end of {id}");
+        let Some(request) = request(id, plan, &mark) else { return CallEnd::NotConnected };
+        connection.notice.set(sent, &mark);
         let give_up = began + deadline + self.settings.patience;
         let leaves = plan.leaves_after.map_or(give_up, |after| began + after);
         let answer = match timeout_at(leaves, connection.sender.send_request(request)).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => return CallEnd::Closed,
             // Whose own request takes longer than its time can't expect an answer.
-            Err(_) if plan.leaves_after.is_some() || connection.notice.is_pending() => {
+            Err(_) if plan.leaves_after.is_some() || connection.notice.cancel() => {
                 return CallEnd::Left;
             }
             Err(_) => return CallEnd::TimedOut,
         };
-        connection.notice.set(None);
+        connection.notice.cancel();
         let (end, is_reusable) = read_answer(answer, plan.leaves_in_stream, give_up).await;
         if is_reusable {
             self.kept.lock().entry(plan.process).or_default().push(connection);
@@ -159,12 +158,19 @@
     }
 }
 
-fn request(id: &str, plan: &CallPlan, connection: &KeptConnection) -> Option<Request<CallBody>> {
-    let text: Bytes = id.bytes().cycle().take(plan.body_size).collect();
-    let is_done = Arc::clone(&connection.is_done);
-    let body = CallBody::new(&text, plan.body_pieces, plan.body_pause, is_done);
+fn request(id: &str, plan: &CallPlan, mark: &str) -> Option<Request<CallBody>> {
+    let text = ".".repeat(plan.body_size) + mark;
+    let length = text.len();
+    let size = length.div_ceil(plan.body_pieces);
+    let pieces: Vec<Vec<u8>> = text.as_bytes().chunks(size).map(<[u8]>::to_vec).collect();
+    let pause = plan.body_pause;
+    let frames = stream::iter(pieces).enumerate().then(move |(number, piece)| async move {
+        sleep(if number == 0 { Duration::ZERO } else { pause }).await;
+        Ok(Frame::data(Bytes::from(piece)))
+    });
     let mut request = Request::post(&*plan.route.path)
         .header(http::header::HOST, &*plan.route.host)
+        .header(http::header::CONTENT_LENGTH, length)
         .header(ATTEMPT_ID, id)
         .header(DEADLINE, plan.route.deadline.as_millis().to_string());
     if let Some(model) = &plan.model {
@@ -173,7 +179,7 @@
             .header(TOKEN_USAGE, "100,20")
             .header(PROMPT, format!("{:x}:100", id.len()));
     }
-    request.body(body).ok()
+    request.body(CallBody::new(StreamBody::new(frames))).ok()
 }
 
 /// Reads an answer to its end; also tells whether its connection can be used again.
