--- a/crates/wheel_soak/src/report_picture.rs
+++ b/crates/wheel_soak/src/report_picture.rs
@@ -1,6 +1,6 @@
 //! A report as a picture.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 
 use plotters::coord::Shift;
@@ -43,15 +43,15 @@
     fn place(&self, at_s: f64) -> i32 {
         let length = self.report.seconds.len().max(1) as f64;
         let width = f64::from(SPAN.1 - SPAN.0);
-        SPAN.0 + (at_s / length).clamp(0.0, 1.0).mul_add(width, 0.0) as i32
+        SPAN.0 + ((at_s / length).clamp(0.0, 1.0) * width) as i32
     }
 
     fn draw_curves(&self, area: &PictureArea<'_>) -> Result<(), String> {
         let seconds = &self.report.seconds;
         let step = seconds.len().div_ceil(POINTS).max(1);
         let rate = |part: &[_], name| {
-            let count = |second: &std::collections::BTreeMap<_, u64>| second.get(name).copied();
-            part.iter().filter_map(count).sum::<u64>() as f64 / part.len() as f64
+            let counts = part.iter().filter_map(|second: &BTreeMap<_, u64>| second.get(name));
+            counts.sum::<u64>() as f64 / part.len() as f64
         };
         let curves = ENDS.map(|(name, _)| -> Vec<f64> {
             seconds.chunks(step).map(|part| rate(part, name)).collect()
@@ -65,8 +65,7 @@
                 (self.place((number * step) as f64 + step as f64 / 2.0), height(*rate))
             };
             let points: Vec<(i32, i32)> = curve.iter().enumerate().map(point).collect();
-            let drawn = area.draw(&PathElement::new(points, colour.stroke_width(2)));
-            drawn.map_err(|error| error.to_string())?;
+            draw(area, &PathElement::new(points, colour.stroke_width(2)))?;
         }
         Ok(())
     }
@@ -82,8 +81,7 @@
             for bar in bars.iter().filter(|bar| &&*bar.kind == kind) {
                 let (left, right) = (self.place(bar.from_s), self.place(bar.to_s));
                 let corners = [(left, top), (right.max(left + 2), top + height - 1)];
-                let drawn = area.draw(&Rectangle::new(corners, RED.mix(0.4).filled()));
-                drawn.map_err(|error| error.to_string())?;
+                draw(area, &Rectangle::new(corners, RED.mix(0.4).filled()))?;
             }
         }
         Ok(())
@@ -99,8 +97,7 @@
             let left = self.place(one.at_s);
             let height = (one.took_s / most * f64::from(ROWS.2 - top)) as i32;
             let corners = [(left, ROWS.2 - height), (left + 3, ROWS.2)];
-            let drawn = area.draw(&Rectangle::new(corners, BLUE.filled()));
-            drawn.map_err(|error| error.to_string())?;
+            draw(area, &Rectangle::new(corners, BLUE.filled()))?;
         }
         Ok(())
     }
@@ -113,5 +110,13 @@
     colour: &RGBColor,
 ) -> Result<(), String> {
     let style = ("sans-serif", f64::from(LINE) * 0.75).into_font().color(colour);
-    area.draw(&Text::new(text.to_owned(), place, style)).map_err(|error| error.to_string())
+    draw(area, &Text::new(text.to_owned(), place, style))
+}
+
+fn draw<'a, 'b, E>(area: &PictureArea<'b>, element: &'a E) -> Result<(), String>
+where
+    &'a E: plotters::element::PointCollection<'a, (i32, i32)>,
+    E: plotters::element::Drawable<SVGBackend<'b>>,
+{
+    area.draw(element).map_err(|error| error.to_string())
 }
