Harm disks and clocks by the seams of a test program

The soak writes one line into the file that the process's environment names. Without the flag nothing of it is drawn, since another program ignores it.

Seen: the tests of plans; no run with such a program yet.

--- a/crates/wheel_soak/src/bin/wheel_soak.rs
+++ b/crates/wheel_soak/src/bin/wheel_soak.rs
@@ -21,6 +21,7 @@
     instances: usize,
     report: Option<PathBuf>,
     is_kept: bool,
+    has_seams: bool,
 }
 
 fn main() -> ExitCode {
@@ -51,6 +52,7 @@
     options.optopt("", "instances", "processes of the system; three are control instances", "N");
     options.optopt("", "report", "write a report to this file, and a picture beside it", "FILE");
     options.optflag("", "keep", "keep the run folders");
+    options.optflag("", "seams", "harm disks and clocks too, by the seams of a test program");
     options.optflag("h", "help", "show this text");
     let matches = options.parse(arguments).map_err(|fault| fault.to_string())?;
     if matches.opt_present("help") {
@@ -93,7 +95,8 @@
     }
     let report = matches.opt_str("report").map(PathBuf::from);
     let is_kept = matches.opt_present("keep");
-    Ok(Some(SoakFlags { seeds, minutes, instances, report, is_kept }))
+    let has_seams = matches.opt_present("seams");
+    Ok(Some(SoakFlags { seeds, minutes, instances, report, is_kept, has_seams }))
 }
 
 fn read_seed(text: &str) -> Result<u64, String> {
@@ -113,6 +116,7 @@
         let settings = RunSettings {
             seed,
             processes: flags.instances,
+            has_seams: flags.has_seams,
             length: Duration::from_secs_f64(flags.minutes * 60.0),
             folder: folder.path().to_owned(),
         };
--- a/crates/wheel_soak/src/fault_driver.rs
+++ b/crates/wheel_soak/src/fault_driver.rs
@@ -6,6 +6,7 @@
 use tokio::task::JoinSet;
 use wheel_harness::{LinkRelay, LinkState};
 
+use crate::soak_process::{CLOCK_SEAM, DISK_SEAM};
 use crate::soak_system::{CONTROL_COUNT, GRACE};
 use crate::{
     FaultKind, FaultPlan, FaultTarget, ListStandIn, ObservationSink, OperatorSide, PlannedFault,
@@ -150,6 +151,15 @@
                 tokio::time::sleep(fault.lasts).await;
                 with(&mut |process| process.thaw());
             }
+            kind if seam_file(kind).is_some() => {
+                let (extension, line) = seam_file(kind).unwrap_or_default();
+                let write = |line: &str| {
+                    self.system.with(place, |process| process.write_seam(extension, line));
+                };
+                write(line);
+                tokio::time::sleep(fault.lasts).await;
+                write("");
+            }
             FaultKind::SecondSignal => {
                 with(&mut |process| process.terminate(fault.lasts));
                 tokio::time::sleep(DRAIN_STEP).await;
@@ -235,6 +245,18 @@
     format!("{service}-r{number}").into()
 }
 
+/// The seam that a kind acts through: its file's extension and what is written into it.
+pub(crate) fn seam_file(kind: FaultKind) -> Option<(&'static str, &'static str)> {
+    match kind {
+        FaultKind::DiskSlow => Some((DISK_SEAM, "mode=slow sync_ms=200")),
+        FaultKind::DiskStalled => Some((DISK_SEAM, "mode=stalled stall_ms=3000")),
+        FaultKind::DiskFull => Some((DISK_SEAM, "mode=full")),
+        FaultKind::ClockDay => Some((CLOCK_SEAM, "day_shift_ms=-30000")),
+        FaultKind::ClockBoot => Some((CLOCK_SEAM, "boot_ahead_ms=5000")),
+        _ => None,
+    }
+}
+
 fn link_state(kind: FaultKind) -> LinkState {
     match kind {
         FaultKind::LinkDelay => LinkState::Delayed(LINK_DELAY),
--- a/crates/wheel_soak/src/fault_kind.rs
+++ b/crates/wheel_soak/src/fault_kind.rs
@@ -30,6 +30,16 @@
     Freeze,
     /// A control instance is killed and starts again without its data.
     Wipe,
+    /// Syncs of a control instance's disk take longer; needs a program with the seams of tests.
+    DiskSlow,
+    /// Writes and syncs of such a disk hang; needs the same.
+    DiskStalled,
+    /// Such a disk refuses writes; needs the same.
+    DiskFull,
+    /// A process's time of day jumps, and jumps back; needs the same.
+    ClockDay,
+    /// A process's `CLOCK_BOOTTIME` jumps ahead, as after a suspension; needs the same.
+    ClockBoot,
     /// The link passes everything on late.
     LinkDelay,
     /// The link resets all connections.
--- a/crates/wheel_soak/src/fault_plan.rs
+++ b/crates/wheel_soak/src/fault_plan.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::fault_driver::{LEAVE_TIME, REUSE_TIME};
+use crate::fault_driver::{LEAVE_TIME, REUSE_TIME, seam_file};
 use crate::soak_system::{CONTROL_COUNT, GRACE};
 use crate::{FaultKind, FaultTarget, ListFault, PlannedFault, UpstreamFault};
 
@@ -45,7 +45,7 @@
 /// A kind, its name, how often it is drawn, from whom, and how long it lasts.
 type KindRow = (FaultKind, &'static str, u32, TargetGroup, Range<u64>);
 
-const KINDS: [KindRow; 32] = {
+const KINDS: [KindRow; 37] = {
     use FaultKind::*;
     use TargetGroup as On;
     use UpstreamFault::*;
@@ -61,6 +61,11 @@
         (KillControl, "kill", 1, On::AllControl, AWAY),
         (Freeze, "freeze", 4, On::Process, PAST_LEASE),
         (Wipe, "wipe", 2, On::Control, AWAY),
+        (DiskSlow, "disk_slow", 2, On::Control, USUAL),
+        (DiskStalled, "disk_stalled", 2, On::Control, USUAL),
+        (DiskFull, "disk_full", 2, On::Control, USUAL),
+        (ClockDay, "clock_day", 2, On::Process, USUAL),
+        (ClockBoot, "clock_boot", 2, On::Process, USUAL),
         (LinkDelay, "link_delay", 2, On::Link, USUAL),
         (LinkReset, "link_reset", 3, On::Link, MOMENT),
         (LinkOneWay, "link_one_way", 2, On::Link, USUAL),
@@ -94,6 +99,8 @@
     pub processes: usize,
     /// Upstreams.
     pub upstreams: usize,
+    /// Whether the program has the seams of tests, by which disks and clocks are harmed.
+    pub has_seams: bool,
     /// The time in which faults begin.
     pub length: Duration,
 }
@@ -127,7 +134,9 @@
 }
 
 fn draw_fault(random: &mut StdRng, scope: &PlanScope, at: Duration) -> Option<PlannedFault> {
-    let row = KINDS.choose_weighted(random, |(_, _, weight, ..)| *weight);
+    let is_possible = |kind: FaultKind| scope.has_seams || seam_file(kind).is_none();
+    let weight = |(kind, _, weight, ..): &KindRow| if is_possible(*kind) { *weight } else { 0 };
+    let row = KINDS.choose_weighted(random, weight);
     let (kind, name, _, group, lasts) = row.ok()?.clone();
     let lasts = Duration::from_millis(random.random_range(lasts));
     let is_entry_side = random.random_bool(0.5);
--- a/crates/wheel_soak/src/soak_process.rs
+++ b/crates/wheel_soak/src/soak_process.rs
@@ -14,6 +14,11 @@
 const SETTINGS_VARIABLE: &str = "WISTERIAWHEEL_SETTINGS";
 /// Holds the secret between instances.
 const SECRET_VARIABLE: &str = "WISTERIAWHEEL_FLEET_SECRET";
+/// Name the files by which the seams of tests harm clocks and disk, and those files' extensions.
+const CLOCK_VARIABLE: &str = "WISTERIAWHEEL_CLOCK_FAULTS";
+const DISK_VARIABLE: &str = "WISTERIAWHEEL_DISK_FAULTS";
+pub(crate) const CLOCK_SEAM: &str = "clock-faults";
+pub(crate) const DISK_SEAM: &str = "disk-faults";
 /// The time from an end to the next start, unless a fault asks for another one.
 const RESTART_TIME: Duration = Duration::from_millis(300);
 
@@ -79,7 +84,14 @@
 
     fn start(&mut self) -> Result<(), SoakError> {
         let settings = self.files.settings.to_string_lossy();
-        let variables = [(SETTINGS_VARIABLE, &*settings), (SECRET_VARIABLE, "soak")];
+        let seams = [CLOCK_SEAM, DISK_SEAM].map(|seam| self.files.settings.with_extension(seam));
+        let [clock, disk] = seams.each_ref().map(|path| path.to_string_lossy());
+        let variables = [
+            (SETTINGS_VARIABLE, &*settings),
+            (SECRET_VARIABLE, "soak"),
+            (CLOCK_VARIABLE, &*clock),
+            (DISK_VARIABLE, &*disk),
+        ];
         let child =
             ChildProcess::spawn_logged(PROGRAM, &self.files.name, &variables, &self.files.log)?;
         self.child = Some(child);
@@ -126,6 +138,12 @@
         self.signal(ProcessSignal::Reload);
     }
 
+    /// Writes a line into a seam's file; an empty one ends the fault.
+    pub(crate) fn write_seam(&self, extension: &str, line: &str) {
+        // A file that can't be written is no fault; the process logs each one that it finds.
+        let _ = std::fs::write(self.files.settings.with_extension(extension), line);
+    }
+
     fn signal(&self, signal: ProcessSignal) {
         if let Some(child) = &self.child {
             child.signal(signal);
--- a/crates/wheel_soak/src/soak_run.rs
+++ b/crates/wheel_soak/src/soak_run.rs
@@ -70,6 +70,8 @@
     pub processes: usize,
     /// The whole length, with its beginning and its calm end.
     pub length: Duration,
+    /// Whether the program has the seams of tests.
+    pub has_seams: bool,
     /// Where logs and data go.
     pub folder: PathBuf,
 }
@@ -101,6 +103,7 @@
         seed: settings.seed,
         processes: settings.processes,
         upstreams: ENGINES + PLAIN_UPSTREAMS,
+        has_seams: settings.has_seams,
         length: settings.length.saturating_sub(CALM_TIME + LEAD_TIME),
     });
     let plan_text = plan.to_string();
--- a/crates/wheel_soak/tests/short_soak.rs
+++ b/crates/wheel_soak/tests/short_soak.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used)]
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use wheel_soak::{FaultPlan, PlanScope, RunSettings, SoakReport, run_soak};
@@ -16,8 +17,13 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn short_soak_of_one_seed_keeps_all_promises() {
     let folder = tempfile::tempdir().expect("a folder");
-    let settings =
-        RunSettings { seed: SEED, processes: 5, length: LENGTH, folder: folder.path().to_owned() };
+    let settings = RunSettings {
+        seed: SEED,
+        processes: 5,
+        length: LENGTH,
+        has_seams: false,
+        folder: folder.path().to_owned(),
+    };
     let outcome = run_soak(&settings, &mut SoakReport::default()).await.expect("the system starts");
     let seen = std::fs::read_to_string(folder.path().join("observations.txt")).unwrap_or_default();
     let about = |line: &&str| {
@@ -35,8 +41,8 @@
 
 #[test]
 fn plan_is_the_same_for_the_same_seed() {
-    let scope =
-        |seed| PlanScope { seed, processes: 6, upstreams: 6, length: Duration::from_secs(600) };
+    let length = Duration::from_secs(600);
+    let scope = |seed| PlanScope { seed, processes: 6, upstreams: 6, has_seams: true, length };
     let plans: Vec<String> =
         (0..20).map(|seed| FaultPlan::draw(&scope(seed)).to_string()).collect();
     for (seed, plan) in plans.iter().enumerate() {
@@ -49,9 +55,13 @@
 #[test]
 fn plan_has_every_kind_in_its_time() {
     let length = Duration::from_secs(1_200);
-    let plan = FaultPlan::draw(&PlanScope { seed: 1, processes: 6, upstreams: 6, length });
-    let kinds: std::collections::BTreeSet<String> =
-        plan.faults.iter().map(|fault| format!("{:?}", fault.kind)).collect();
-    assert_eq!(kinds.len(), 32, "{kinds:?}");
+    let scope = PlanScope { seed: 1, processes: 6, upstreams: 6, has_seams: true, length };
+    let kinds = |plan: &FaultPlan| -> BTreeSet<String> {
+        plan.faults.iter().map(|fault| format!("{:?}", fault.kind)).collect()
+    };
+    let plan = FaultPlan::draw(&scope);
+    assert_eq!(kinds(&plan).len(), 37, "{:?}", kinds(&plan));
+    let without_seams = FaultPlan::draw(&PlanScope { has_seams: false, ..scope });
+    assert_eq!(kinds(&without_seams).len(), 32, "{:?}", kinds(&without_seams));
     assert!(plan.faults.iter().all(|fault| fault.at < length));
 }
