--- a/crates/wheel_soak/src/bin/wheel_soak.rs
+++ b/crates/wheel_soak/src/bin/wheel_soak.rs
@@ -22,6 +22,7 @@
     report: Option<PathBuf>,
     is_kept: bool,
     has_seams: bool,
+    is_plan_only: bool,
 }
 
 fn main() -> ExitCode {
@@ -52,6 +53,7 @@
     options.optopt("", "instances", "processes of the system; three are control instances", "N");
     options.optopt("", "report", "write a report to this file, and a picture beside it", "FILE");
     options.optflag("", "keep", "keep the run folders");
+    options.optflag("", "plan", "print the faults of each run and end");
     options.optflag("", "seams", "harm disks and clocks too, by the seams of a test program");
     options.optflag("h", "help", "show this text");
     let matches = options.parse(arguments).map_err(|fault| fault.to_string())?;
@@ -95,8 +97,9 @@
     }
     let report = matches.opt_str("report").map(PathBuf::from);
     let is_kept = matches.opt_present("keep");
+    let is_plan_only = matches.opt_present("plan");
     let has_seams = matches.opt_present("seams");
-    Ok(Some(SoakFlags { seeds, minutes, instances, report, is_kept, has_seams }))
+    Ok(Some(SoakFlags { seeds, minutes, instances, report, is_kept, has_seams, is_plan_only }))
 }
 
 fn read_seed(text: &str) -> Result<u64, String> {
@@ -120,6 +123,10 @@
             length: Duration::from_secs_f64(flags.minutes * 60.0),
             folder: folder.path().to_owned(),
         };
+        if flags.is_plan_only {
+            print!("{}", settings.plan());
+            continue;
+        }
         let outcome = runtime.block_on(run_soak(&settings, &mut report));
         let outcome = outcome.map_err(|fault| fault.to_string());
         let is_bad = !matches!(&outcome, Ok(outcome) if outcome.violations.is_empty());
--- a/crates/wheel_soak/src/soak_run.rs
+++ b/crates/wheel_soak/src/soak_run.rs
@@ -76,6 +76,19 @@
     pub folder: PathBuf,
 }
 
+impl RunSettings {
+    /// The faults of the run.
+    pub fn plan(&self) -> FaultPlan {
+        FaultPlan::draw(&PlanScope {
+            seed: self.seed,
+            processes: self.processes,
+            upstreams: ENGINES + PLAIN_UPSTREAMS,
+            has_seams: self.has_seams,
+            length: self.length.saturating_sub(CALM_TIME + LEAD_TIME),
+        })
+    }
+}
+
 /// What came of a run.
 #[derive(Clone, Debug, Default)]
 pub struct RunOutcome {
@@ -99,13 +112,7 @@
     settings: &RunSettings,
     report: &mut SoakReport,
 ) -> Result<RunOutcome, SoakError> {
-    let plan = FaultPlan::draw(&PlanScope {
-        seed: settings.seed,
-        processes: settings.processes,
-        upstreams: ENGINES + PLAIN_UPSTREAMS,
-        has_seams: settings.has_seams,
-        length: settings.length.saturating_sub(CALM_TIME + LEAD_TIME),
-    });
+    let plan = settings.plan();
     let plan_text = plan.to_string();
     let what = || format!("write into {}", settings.folder.display());
     std::fs::write(settings.folder.join(PLAN), plan_text)
