End a soak's processes when it is told to stop

SIGTERM or SIGINT to wheel_soak ends the run with exit code 1, and with it all processes that it started.

--- a/crates/wheel_soak/src/bin/wheel_soak.rs
+++ b/crates/wheel_soak/src/bin/wheel_soak.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use getopts::Options;
+use tokio::signal::unix::{SignalKind, signal};
 use wheel_soak::{CALM_TIME, RunOutcome, RunSettings, SoakReport, run_soak};
 
 /// Minutes of a run without the flag.
@@ -127,8 +128,13 @@
             print!("{}", settings.plan());
             continue;
         }
-        let outcome = runtime.block_on(run_soak(&settings, &mut report));
-        let outcome = outcome.map_err(|fault| fault.to_string());
+        let running = async {
+            tokio::select! {
+                outcome = run_soak(&settings, &mut report) => outcome.map_err(|fault| fault.to_string()),
+                stopped = until_stopped() => Err(stopped),
+            }
+        };
+        let outcome = runtime.block_on(running);
         let is_bad = !matches!(&outcome, Ok(outcome) if outcome.violations.is_empty());
         if flags.is_kept || is_bad {
             println!("seed={seed} folder={}", folder.keep().display());
@@ -144,6 +150,18 @@
     Ok(violations)
 }
 
+/// Waits for a signal, after which all processes are ended by the drop of what runs.
+async fn until_stopped() -> String {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    "stopped by a signal".to_owned()
+}
+
 fn print_outcome(seed: u64, outcome: &RunOutcome) {
     for violation in &outcome.violations {
         let (promise, at, line) = (violation.promise, violation.at.as_secs_f64(), &violation.line);
