--- a/crates/wheel_soak/src/operator_side.rs
+++ b/crates/wheel_soak/src/operator_side.rs
@@ -10,13 +10,13 @@
 use parking_lot::Mutex;
 use tokio::task::JoinSet;
 use wheel_harness::{HttpCaller, HttpReply};
+use wheel_platform::wire_names;
 
 use crate::config_document::{ConfigDocument, ROUTE_HOST};
 use crate::soak_system::CONTROL_COUNT;
 use crate::{ObservationSink, SeenEvent, SoakSystem};
 
 /// Where control instances take and show configurations.
-const CONFIGURATION: &str = "/api/configuration";
 /// The time after which an operator tries another control instance.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 /// The time between two tries, times the number of tries.
@@ -119,8 +119,14 @@
             let version = self.next_version(1);
             let document = ConfigDocument { version, variant: 0 };
             let body = document.invalid_bytes(version);
-            let reply =
-                self.call(Method::PUT, self.system.operators(place), CONFIGURATION, body).await;
+            let reply = self
+                .call(
+                    Method::PUT,
+                    self.system.operators(place),
+                    wire_names::CONFIGURATION_PATH,
+                    body,
+                )
+                .await;
             if reply.is_some_and(|reply| reply.status.is_success()) {
                 let process = self.system.name(place);
                 self.sink.note(SeenEvent::InvalidAccepted { version, process });
@@ -142,7 +148,12 @@
             self.sink.note(SeenEvent::ChangeSent { version, process });
             self.note_sent(version);
             let reply = self
-                .call(Method::PUT, self.system.operators(place), CONFIGURATION, body.clone())
+                .call(
+                    Method::PUT,
+                    self.system.operators(place),
+                    wire_names::CONFIGURATION_PATH,
+                    body.clone(),
+                )
                 .await;
             if reply.is_some_and(|reply| reply.status.as_u16() == 200) {
                 self.sink.note(SeenEvent::ChangeAcknowledged { version });
@@ -170,7 +181,7 @@
         path: &str,
         body: impl Into<Bytes>,
     ) -> Option<HttpReply> {
-        let headers = [("host", ROUTE_HOST), ("x-wisteriawheel-attempt-id", "probe")];
+        let headers = [("host", ROUTE_HOST), (wire_names::ATTEMPT_ID, "probe")];
         let calling = self.caller.call(method, address, path, &headers, body);
         let reply = tokio::time::timeout(CALL_LIMIT, calling).await.ok()?.ok()?;
         reply.complete.then_some(reply)
@@ -181,7 +192,12 @@
             tokio::time::sleep(READ_INTERVAL).await;
             let (asked, process) = (self.sink.now(), self.system.name(place));
             let reply = self
-                .call(Method::GET, self.system.operators(place), CONFIGURATION, Bytes::new())
+                .call(
+                    Method::GET,
+                    self.system.operators(place),
+                    wire_names::CONFIGURATION_PATH,
+                    Bytes::new(),
+                )
                 .await;
             let reply = reply.filter(|reply| reply.status.as_u16() == 200);
             let version = reply.and_then(|reply| reply.json()["version"].as_u64());
@@ -215,7 +231,7 @@
         loop {
             tokio::time::sleep(PROBE_INTERVAL).await;
             let address = self.system.readiness(place);
-            let asking = self.call(Method::GET, address, "/api/readiness", Bytes::new());
+            let asking = self.call(Method::GET, address, wire_names::READINESS_PATH, Bytes::new());
             let is_ready = asking.await.map(|reply| reply.status.as_u16() == 200);
             let process = self.system.name(place);
             self.sink.note(SeenEvent::Readiness { process, is_ready });
--- a/crates/wheel_soak/src/platform_headers.rs
+++ b/crates/wheel_soak/src/platform_headers.rs
@@ -1,13 +1,13 @@
 //! Names of the platform's headers.
 
 use http::HeaderName;
+use wheel_platform::wire_names;
 
-pub(crate) const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-wisteriawheel-attempt-id");
+pub(crate) const ATTEMPT_ID: HeaderName = HeaderName::from_static(wire_names::ATTEMPT_ID);
 /// A stand-in writes its own name, a dot and the request's id into it.
-pub(crate) const SIGNATURE: HeaderName =
-    HeaderName::from_static("x-wisteriawheel-response-signature");
+pub(crate) const SIGNATURE: HeaderName = HeaderName::from_static(wire_names::SIGNATURE);
 /// In milliseconds.
-pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("x-wisteriawheel-deadline-ms");
-pub(crate) const MODEL: HeaderName = HeaderName::from_static("x-wisteriawheel-model");
-pub(crate) const TOKEN_USAGE: HeaderName = HeaderName::from_static("x-wisteriawheel-token-usage");
-pub(crate) const PROMPT: HeaderName = HeaderName::from_static("x-wisteriawheel-prompt-prefix");
+pub(crate) const DEADLINE: HeaderName = HeaderName::from_static(wire_names::DEADLINE);
+pub(crate) const MODEL: HeaderName = HeaderName::from_static(wire_names::MODEL);
+pub(crate) const TOKEN_USAGE: HeaderName = HeaderName::from_static(wire_names::TOKEN_USAGE);
+pub(crate) const PROMPT: HeaderName = HeaderName::from_static(wire_names::PROMPT);
--- a/crates/wheel_soak/src/soak_run.rs
+++ b/crates/wheel_soak/src/soak_run.rs
@@ -10,6 +10,7 @@
 use snafu::ResultExt;
 use tokio::sync::{mpsc, watch};
 use wheel_harness::{HttpCaller, LinkRelay};
+use wheel_platform::wire_names;
 
 use crate::config_document::{
     CLOSED_PREFIX, ENGINE_SERVICE, IDEMPOTENT_PREFIX, LOADS_PER_S, MODEL_PREFIX, MODELS,
@@ -222,7 +223,7 @@
     let caller = HttpCaller::default();
     for place in CONTROL_COUNT..system.count() {
         let is_ready = || async {
-            let asking = caller.get(system.readiness(place), "/api/readiness");
+            let asking = caller.get(system.readiness(place), wire_names::READINESS_PATH);
             let reply = tokio::time::timeout(START_POLL * 10, asking).await;
             matches!(reply, Ok(Ok(reply)) if reply.status.is_success())
         };
--- a/crates/wheel_soak/src/upstream_stand_in.rs
+++ b/crates/wheel_soak/src/upstream_stand_in.rs
@@ -15,6 +15,9 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use wheel_harness::{LinkRelay, LinkState};
+use wheel_platform::wire_names::{
+    ATTEMPT_ID, DEADLINE, INSTANCE, MODEL, NOT_EXECUTED, ORDER_PATH, REPORT_PATH, SIGNATURE, TARGET,
+};
 
 use crate::config_document::{CLOSED_PREFIX, ENGINE_SERVICE, RESUMABLE_PREFIX};
 use crate::upstream_state::{RunAdmission, UpstreamPhase, UpstreamState};
@@ -204,13 +207,13 @@
         reader: &mut BufReader<ReadHalf<'_>>,
         write: &mut (impl AsyncWrite + Unpin),
     ) -> io::Result<AfterAnswer> {
-        let target = request.header("x-wisteriawheel-target-instance");
+        let target = request.header(TARGET);
         match request.path.as_str() {
-            "/api/report" => {
+            REPORT_PATH => {
                 let report = self.state.lock().report();
                 write_json(write, 200, &report).await
             }
-            "/api/order" => {
+            ORDER_PATH => {
                 let order = self.state.lock().order(target, &request.body);
                 let status = order.as_ref().map_or(400, |order| order.status);
                 if let Some(order) = order {
@@ -241,9 +244,9 @@
         reader: &mut BufReader<ReadHalf<'_>>,
         write: &mut (impl AsyncWrite + Unpin),
     ) -> io::Result<AfterAnswer> {
-        let id: Arc<str> = request.header("x-wisteriawheel-attempt-id").unwrap_or_default().into();
-        let target = request.header("x-wisteriawheel-target-instance");
-        let model = request.header("x-wisteriawheel-model").unwrap_or_default();
+        let id: Arc<str> = request.header(ATTEMPT_ID).unwrap_or_default().into();
+        let target = request.header(TARGET);
+        let model = request.header(MODEL).unwrap_or_default();
         let life = *self.life.borrow();
         let (admission, upstream, service, fault) = {
             let mut state = self.state.lock();
@@ -272,7 +275,7 @@
             body: None,
             life,
         };
-        let limit = request.number("x-wisteriawheel-deadline-ms");
+        let limit = request.number(DEADLINE);
         let limit = limit.map_or(RUN_LIMIT, Duration::from_millis).min(RUN_LIMIT);
         let fault = fault.filter(|_| self.meets_fault());
         let answer = match service {
@@ -331,8 +334,8 @@
             _ => self.id.to_owned(),
         };
         format!(
-            "HTTP/1.1 {status}\r\nx-wisteriawheel-attempt-id: {id}\r\n\
-             x-wisteriawheel-response-signature: {}.{id}\r\n{framing}\r\n\r\n",
+            "HTTP/1.1 {status}\r\n{ATTEMPT_ID}: {id}\r\n\
+             {SIGNATURE}: {}.{id}\r\n{framing}\r\n\r\n",
             self.upstream
         )
     }
@@ -343,8 +346,8 @@
         status: &str,
     ) -> io::Result<AfterAnswer> {
         let head = format!(
-            "HTTP/1.1 {status}\r\nx-wisteriawheel-attempt-id: {}\r\nx-wisteriawheel-not-executed: 1\r\n\
-             x-wisteriawheel-instance-id: {}\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 {status}\r\n{ATTEMPT_ID}: {}\r\n{NOT_EXECUTED}: 1\r\n\
+             {INSTANCE}: {}\r\ncontent-length: 0\r\n\r\n",
             self.id, self.upstream
         );
         write.write_all(head.as_bytes()).await?;
