--- a/crates/wheel_soak/src/operator_side.rs
+++ b/crates/wheel_soak/src/operator_side.rs
@@ -13,6 +13,7 @@
 use wheel_platform::wire_names;
 
 use crate::config_document::{ConfigDocument, ROUTE_HOST};
+use crate::platform_headers::SIGNATURE;
 use crate::soak_system::CONTROL_COUNT;
 use crate::{ObservationSink, SeenEvent, SoakSystem};
 
@@ -215,13 +216,14 @@
                 let path = ConfigDocument::probe_path(version);
                 let address = self.system.callers(place);
                 let reply = self.call(Method::GET, address, &path, Bytes::new()).await;
-                match reply.map(|reply| reply.status.as_u16()) {
-                    Some(404) => {}
-                    Some(_) => {
+                match reply {
+                    Some(reply) if reply.status.as_u16() == 404 => {}
+                    // A refusal tells nothing: the entry may not have any configuration yet.
+                    Some(reply) if reply.headers.contains_key(SIGNATURE) => {
                         self.sink.note(SeenEvent::ChangeObserved { sent, process, version });
                         break;
                     }
-                    None => break,
+                    _ => break,
                 }
             }
         }
