--- a/crates/wheel_soak/tests/soak_caller.rs
+++ b/crates/wheel_soak/tests/soak_caller.rs
@@ -11,13 +11,14 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufStream};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use wheel_platform::wire_names::{ATTEMPT_ID, DEADLINE, MODEL, SIGNATURE};
 use wheel_soak::{
     CallEnd, CallKind, CallRoute, CallerSettings, Observation, ObservationSink, PromiseBounds,
     PromiseChecker, SeenEvent, SoakCaller,
 };
 
 const RUN_TIME: Duration = Duration::from_secs(3);
-const DEADLINE: Duration = Duration::from_millis(1_500);
+const CALL_TIME: Duration = Duration::from_millis(1_500);
 const PATIENCE: Duration = Duration::from_millis(300);
 /// The pauses in a slow body.
 const SLOW_BODY: Duration = Duration::from_millis(7 * 120);
@@ -53,16 +54,14 @@
         let size: usize = headers["content-length"].parse().expect("a number");
         let mut body = vec![0; size];
         stream.read_exact(&mut body).await?;
-        let id: Arc<str> = headers["x-wisteriawheel-attempt-id"].as_str().into();
-        assert!(headers["x-wisteriawheel-deadline-ms"].parse::<u64>().is_ok());
+        let id: Arc<str> = headers[ATTEMPT_ID].as_str().into();
+        assert!(headers[DEADLINE].parse::<u64>().is_ok());
         assert_eq!(headers["host"], "h");
-        let marks = format!(
-            "x-wisteriawheel-attempt-id: {id}\r\nx-wisteriawheel-response-signature: up.{id}\r\n"
-        );
+        let marks = format!("{ATTEMPT_ID}: {id}\r\n{SIGNATURE}: up.{id}\r\n");
         let upstream: Arc<str> = "up".into();
         let answer = match &*path {
             "/ok" | "/model" => {
-                assert_eq!(headers.contains_key("x-wisteriawheel-model"), path == "/model");
+                assert_eq!(headers.contains_key(MODEL), path == "/model");
                 let body = Some(b"whole".to_vec());
                 let resumed_after = None;
                 let (id, upstream) = (Arc::clone(&id), Arc::clone(&upstream));
@@ -120,7 +119,7 @@
 
 fn settings(address: SocketAddr, path: &str, kind: CallKind) -> CallerSettings {
     let has_model = path == "/model";
-    let (host, path, deadline) = ("h".into(), path.into(), DEADLINE);
+    let (host, path, deadline) = ("h".into(), path.into(), CALL_TIME);
     CallerSettings {
         name: "c".into(),
         processes: vec![("entry-0".into(), address), ("entry-1".into(), address)],
@@ -149,7 +148,7 @@
     let caller = SoakCaller::spawn(settings, sink, stopped);
     tokio::time::sleep(RUN_TIME).await;
     stop.send(true).expect("the caller runs");
-    let ended = tokio::time::timeout(2 * (DEADLINE + PATIENCE), caller.ended());
+    let ended = tokio::time::timeout(2 * (CALL_TIME + PATIENCE), caller.ended());
     ended.await.expect("the caller ends soon");
 }
 
@@ -281,8 +280,8 @@
     assert_eq!(connections, ends.len(), "several are in flight, each on a connection of its own");
     for (id, end, at) in ends {
         let took = at - begun[id].0;
-        let is_left = *end == CallEnd::Left && took < DEADLINE;
-        let is_given_up = *end == CallEnd::TimedOut && took >= DEADLINE + PATIENCE;
+        let is_left = *end == CallEnd::Left && took < CALL_TIME;
+        let is_given_up = *end == CallEnd::TimedOut && took >= CALL_TIME + PATIENCE;
         assert!(is_left || is_given_up, "{id}: {end:?} after {took:?}");
     }
 }
--- a/crates/wheel_soak/tests/stand_ins.rs
+++ b/crates/wheel_soak/tests/stand_ins.rs
@@ -8,6 +8,9 @@
 use http::Method;
 use tokio::sync::mpsc::UnboundedReceiver;
 use wheel_harness::{HttpCaller, HttpReply};
+use wheel_platform::wire_names::{
+    ATTEMPT_ID, MODEL, NOT_EXECUTED, ORDER_PATH, REPORT_PATH, TARGET,
+};
 use wheel_soak::{
     ListFault, ListStandIn, ONCE_PREFIX, Observation, ObservationSink, RESUMABLE_PREFIX, SeenEvent,
     UpstreamFault, UpstreamStandIn,
@@ -25,11 +28,7 @@
 }
 
 async fn ask(upstream: &UpstreamStandIn, path: &str, more: &[(&str, &str)]) -> Option<HttpReply> {
-    let mut headers = vec![
-        ("x-wisteriawheel-attempt-id", "id-1"),
-        ("x-wisteriawheel-model", "m0"),
-        ("x-wisteriawheel-target-instance", "llm-0"),
-    ];
+    let mut headers = vec![(ATTEMPT_ID, "id-1"), (MODEL, "m0"), (TARGET, "llm-0")];
     headers.retain(|(name, _)| more.iter().all(|(other, _)| other != name));
     headers.extend(more);
     // A kept connection might have been spoilt by the answer before.
@@ -43,7 +42,7 @@
         "{{\"operation\":\"{operation}\",\"model\":\"{model}\",\"holder\":\"a\",\"fencingToken\":{fencing}}}"
     );
     let caller = HttpCaller::default();
-    let ordering = caller.call(Method::POST, upstream.address(), "/api/order", &[], body);
+    let ordering = caller.call(Method::POST, upstream.address(), ORDER_PATH, &[], body);
     ordering.await.expect("an answer").status.as_u16()
 }
 
@@ -55,7 +54,7 @@
 
 async fn wait_idle(upstream: &UpstreamStandIn) {
     let caller = HttpCaller::default();
-    let report = || caller.get(upstream.address(), "/api/report");
+    let report = || caller.get(upstream.address(), REPORT_PATH);
     while report().await.expect("a report").json()["busy"] == true {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
@@ -92,10 +91,10 @@
     assert_eq!((reply.text().as_str(), reply.complete), (whole, true));
     let resumed = ask(&upstream, &path, &[("last-event-id", "2")]).await.expect("an answer");
     assert_eq!(resumed.text(), "id: 3\ndata: id-1-3\n\n");
-    let other = ask(&upstream, &path, &[("x-wisteriawheel-target-instance", "llm-1")]).await;
+    let other = ask(&upstream, &path, &[(TARGET, "llm-1")]).await;
     let other = other.expect("an answer");
     assert_eq!(other.status.as_u16(), 421);
-    assert!(!other.header("x-wisteriawheel-not-executed").is_empty());
+    assert!(!other.header(NOT_EXECUTED).is_empty());
     assert_eq!(ends(&mut seen), [true, true]);
 }
 
@@ -139,7 +138,7 @@
     assert!(cut.is_none_or(|reply| !reply.complete));
     assert_eq!(ends(&mut seen), [true, true, false].repeat(4));
     let crossed = faulty(&upstream, &path, UpstreamFault::Crossed).await.expect("an answer");
-    assert_eq!(crossed.header("x-wisteriawheel-attempt-id"), "other-id-1");
+    assert_eq!(crossed.header(ATTEMPT_ID), "other-id-1");
     assert_eq!(ends(&mut seen), [true, true, false]);
     let failed = faulty(&upstream, &path, UpstreamFault::Fail).await.expect("an answer");
     assert_eq!(failed.status.as_u16(), 500);
