Log how an upstream marks the end of its answer, and what followed the last event

The logs could not tell whether the upstream had closed an answer without length and chunks, or had ended a framed one early: request_ended gave neither the framing nor whether the stream ended inside an event.

request_ended now has framing (length, chunks, close, bodiless) and partial_bytes, the bytes after the last complete event of a resumable stream; wheel_upstream_answers_total{framing} counts answers. What is accepted and forwarded is unchanged.

--- a/crates/wheel_gateway/src/request_log.rs
+++ b/crates/wheel_gateway/src/request_log.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use wheel_route::RouteSpec;
 use wheel_types::RequestId;
+use wheel_upstream::AnswerFraming;
 
 use crate::{GenerationRequest, IngressRequest};
 
@@ -48,7 +49,11 @@
     engine: Arc<str>,
     sends: u32,
     phase: RequestPhase,
+    /// How the last upstream marks the end of its answer.
+    framing: Option<AnswerFraming>,
     events: u64,
+    /// Bytes after the last complete event when the stream ended.
+    partial_bytes: usize,
     status: Option<StatusCode>,
     first_ms: Option<u128>,
     reason: &'static str,
@@ -81,7 +86,9 @@
             engine: "-".into(),
             sends: 0,
             phase: RequestPhase::Reading,
+            framing: None,
             events: 0,
+            partial_bytes: 0,
             status: None,
             first_ms: None,
             reason: "caller_left",
@@ -106,6 +113,17 @@
         self.phase = phase;
     }
 
+    /// Records how the upstream marks the end of its answer.
+    pub(crate) fn framed(&mut self, framing: AnswerFraming) {
+        self.framing = Some(framing);
+        counter!("wheel_upstream_answers_total", "framing" => framing.as_str()).increment(1);
+    }
+
+    /// Records how many bytes followed the last complete event when the stream ended.
+    pub(crate) fn ended_inside_event(&mut self, partial_bytes: usize) {
+        self.partial_bytes = partial_bytes;
+    }
+
     /// Records the status that the caller receives, and the reason.
     pub(crate) fn answered(&mut self, status: StatusCode, reason: &'static str) {
         self.status = Some(status);
@@ -154,8 +172,9 @@
             id = self.id.as_str(), route = self.route.name.to_string(),
             service = self.service.to_string(),
             model = self.model.as_str(), upstream = self.engine.to_string(), sends = self.sends,
-            status = status, reason = self.reason, phase = self.phase.as_str(), events = self.events,
-            first_ms = self.first_ms.unwrap_or_default(),
+            status = status, reason = self.reason, phase = self.phase.as_str(),
+            framing = self.framing.map_or("-", AnswerFraming::as_str),
+            events = self.events, partial_bytes = self.partial_bytes, first_ms = self.first_ms.unwrap_or_default(),
             ms = took.as_millis(), version = self.version, view_age_ms = self.view_age_ms
         });
     }
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -255,7 +255,10 @@
         self.context.outliers.lock().observe(now, &name, began.elapsed(), succeeded);
         self.is_unsent = matches!(class, SendClass::Unsent);
         match class {
-            SendClass::Answer(answer) => SendOutcome::Answer(answer, guard),
+            SendClass::Answer(answer) => {
+                self.log.framed(answer.body.framing());
+                SendOutcome::Answer(answer, guard)
+            }
             SendClass::Absent => {
                 self.rejected += 1;
                 self.tried.record_absence();
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -80,6 +80,7 @@
                 Ok(None) => {
                     self.end("stream_ended");
                     let rest = self.splitter.take_rest();
+                    self.run.log.ended_inside_event(rest.len());
                     if !rest.is_empty() {
                         self.ready.push_back(rest);
                     }
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -1,33 +1,38 @@
 //! The body of an answer.
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
-use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
 use crate::pooled_call::PooledCall;
-use crate::{CallFailure, FailureKind};
+use crate::{AnswerFraming, CallFailure, FailureKind};
 
 /// The body of an answer. Bytes are read from the connection only as fast as the reader asks for
 /// them.
 pub struct AnswerBody {
     call: PooledCall,
     body: Incoming,
+    framing: AnswerFraming,
     begun: bool,
     ended: bool,
 }
 
 impl AnswerBody {
     pub(crate) fn new(call: PooledCall, body: Incoming, head: &Parts) -> Self {
-        let mut answer = Self { call, body, begun: false, ended: false };
-        if answer.body.is_end_stream() && has_explicit_end(head.status, &head.headers) {
+        let framing = AnswerFraming::of(head.status, &head.headers);
+        let mut answer = Self { call, body, framing, begun: false, ended: false };
+        if answer.body.is_end_stream() && framing.has_explicit_end() {
             answer.finish();
         }
         answer
     }
 
+    /// How its end is marked.
+    pub fn framing(&self) -> AnswerFraming {
+        self.framing
+    }
+
     /// The next piece; `None` after a complete body and after a failure. Cancel-safe: dropping the
     /// future loses no data.
     ///
@@ -80,9 +85,3 @@
         self.call.finish();
     }
 }
-
-/// True if the end of such an answer can be distinguished from a broken connection.
-pub(crate) fn has_explicit_end(status: StatusCode, headers: &HeaderMap) -> bool {
-    let bodiless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
-    bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
--- /dev/null
+++ b/crates/wheel_upstream/src/answer_framing.rs
@@ -0,0 +1,44 @@
+//! How the end of an answer's body is marked.
+
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, StatusCode};
+
+/// How the end of an answer's body is marked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerFraming {
+    /// The status allows no body.
+    Bodiless,
+    /// By a length in the head.
+    Length,
+    /// By a last chunk.
+    Chunks,
+    /// Only by the end of the connection, which looks the same if the upstream broke off.
+    Close,
+}
+
+impl AnswerFraming {
+    /// The framing that the head of an answer states.
+    pub(crate) fn of(status: StatusCode, headers: &HeaderMap) -> Self {
+        match status {
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Self::Bodiless,
+            _ if headers.contains_key(TRANSFER_ENCODING) => Self::Chunks,
+            _ if headers.contains_key(CONTENT_LENGTH) => Self::Length,
+            _ => Self::Close,
+        }
+    }
+
+    /// Whether the end of the body can be distinguished from a broken connection.
+    pub fn has_explicit_end(self) -> bool {
+        self != Self::Close
+    }
+
+    /// Its name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Bodiless => "bodiless",
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Close => "close",
+        }
+    }
+}
--- a/crates/wheel_upstream/src/lib.rs
+++ b/crates/wheel_upstream/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`ServiceDialect`].
 
 mod answer_body;
+mod answer_framing;
 mod attempt_id;
 mod cache_event;
 mod call_body;
@@ -40,6 +41,7 @@
 mod wheel_dialect;
 
 pub use answer_body::AnswerBody;
+pub use answer_framing::AnswerFraming;
 pub use attempt_id::AttemptId;
 pub use cache_event::{CacheEvent, CacheEventKind, CacheEvents};
 pub use call_failure::{CallFailure, FailureKind, SentState};
--- a/crates/wheel_upstream/src/service_client.rs
+++ b/crates/wheel_upstream/src/service_client.rs
@@ -6,7 +6,6 @@
 use wheel_seams::is_planted;
 use wheel_types::UpstreamName;
 
-use crate::answer_body::has_explicit_end;
 use crate::connection_pool::{ConnectionChoice, ConnectionPool};
 use crate::engine_client::{host_of, with_host};
 use crate::pooled_call::PooledCall;
@@ -64,7 +63,7 @@
             return Err(body.fail(FailureKind::ForeignAnswer));
         }
         let is_bounded = call.method == http::Method::HEAD || dialect.ends_by_close();
-        if !is_bounded && !has_explicit_end(head.status, &head.headers) {
+        if !is_bounded && !body.framing().has_explicit_end() {
             let message = "neither a length nor chunks".to_owned();
             return Err(body.fail(FailureKind::BadAnswer { message }));
         }
