--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -1,17 +1,22 @@
 //! An ingress instance and fake upstreams on loopback, with a dialect of their own.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use wheel_gateway::{
     AnswerClass, FleetState, ForwardHeaders, GenerationRequest, IngressDialect, IngressRequest,
     ProxySettings, RequestProxy,
@@ -109,6 +114,26 @@
         Self { name, address, seen }
     }
 
+    /// An upstream that writes the given answers byte for byte, each on a connection of its own that
+    /// it then closes in an orderly way. `ID` in an answer stands for the id of the request.
+    pub(crate) async fn bind_raw(name: &'static str, answers: Vec<String>) -> Self {
+        let listener = tokio::net::TcpListener::bind(LOOPBACK).await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let seen: Arc<Mutex<Vec<SeenRequest>>> = Arc::default();
+        let recorded = Arc::clone(&seen);
+        tokio::spawn(async move {
+            for answer in answers {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let request = read_raw(&mut stream).await;
+                let id = request.header("x-id").expect("every request has an id").to_owned();
+                recorded.lock().push(request);
+                stream.write_all(answer.replace("ID", &id).as_bytes()).await.expect("a caller");
+                stream.shutdown().await.expect("a caller");
+            }
+        });
+        Self { name, address, seen }
+    }
+
     /// An upstream at whose address no process listens.
     pub(crate) async fn closed(name: &'static str) -> Self {
         let listener = tokio::net::TcpListener::bind(LOOPBACK).await.expect("a free port");
@@ -121,6 +146,23 @@
     }
 }
 
+/// Reads one request whose body is `asked`.
+async fn read_raw(stream: &mut TcpStream) -> SeenRequest {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\nasked") {
+        let read = stream.read_buf(&mut bytes).await.expect("a request");
+        assert!(read > 0, "the request is cut short");
+    }
+    let text = String::from_utf8(bytes).expect("text");
+    let mut lines = text.lines();
+    let path = lines.next().and_then(|line| line.split(' ').nth(1)).expect("a path").to_owned();
+    let headers = lines.map_while(|line| line.split_once(": ")).map(|(name, value)| {
+        let name: HeaderName = name.parse().expect("a name");
+        (name, value.parse().expect("a value"))
+    });
+    SeenRequest { path, headers: headers.collect() }
+}
+
 async fn answer(
     name: &str,
     request: Request<Incoming>,
@@ -234,6 +276,10 @@
         headers.get("x-id")?.to_str().ok()
     }
 
+    fn ends_by_close(&self) -> bool {
+        true
+    }
+
     fn outcome(&self, _: StatusCode, _: &HeaderMap) -> RequestOutcome {
         RequestOutcome::Ran
     }
