Treat a stream that ends inside an event as broken off

Cause: the end of an upstream's body was taken for the end of the stream. An answer without length and chunks ends with its connection, and an orderly close looks the same after a crash. ResumedStream then forwarded the bytes of the event that had been cut and wrote its own last chunk, which tells the caller that the answer is complete. Class: the end of a transport taken for the end of a message.

Change: streams are forwarded in whole events whether they can be resumed or not, and a body that ends inside an event, or that ends with its connection before the first event, has broken off: the stream resumes elsewhere if it may, and is cut otherwise. Events end with LF or CRLF lines; further blank lines are no event. The partial event is no longer forwarded; one larger than 1 MiB breaks the stream, as final streams are now buffered up to an event. A failure's body isn't made of events and is forwarded as before.

--- a/crates/wheel_gateway/src/event_splitter.rs
+++ b/crates/wheel_gateway/src/event_splitter.rs
@@ -2,8 +2,6 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// The end of an event: a blank line.
-const EVENT_END: &[u8] = b"\n\n";
 /// Field that carries an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -30,11 +28,17 @@
 
     /// The next complete event, with its id if it has one.
     pub fn next_event(&mut self) -> Option<(Option<u64>, Bytes)> {
-        let end = self.buffer.windows(EVENT_END.len()).position(|bytes| bytes == EVENT_END)?;
-        let event = self.buffer.split_to(end + EVENT_END.len()).freeze();
+        let end = event_end(&self.buffer)?;
+        let event = self.buffer.split_to(end).freeze();
         Some((event_id(&event), event))
     }
 
+    /// Number of bytes of an event that isn't complete yet; 0 if only blank lines follow the last one.
+    pub fn partial_len(&self) -> usize {
+        let is_blank = self.buffer.iter().all(|byte| matches!(byte, b'\n' | b'\r'));
+        if is_blank { 0 } else { self.buffer.len() }
+    }
+
     /// Discards a partial event that will never be completed.
     pub fn clear(&mut self) {
         self.buffer.clear();
@@ -46,6 +50,16 @@
     }
 }
 
+/// The length of the first event with the blank line that ends it. Lines end with LF or CRLF.
+fn event_end(bytes: &[u8]) -> Option<usize> {
+    let mut line_ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    line_ends.find_map(|(end, _)| match &bytes[end + 1..] {
+        [b'\n', ..] => Some(end + 2),
+        [b'\r', b'\n', ..] => Some(end + 3),
+        _ => None,
+    })
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let id = lines.find_map(|line| line.strip_prefix(ID_FIELD))?;
--- a/crates/wheel_gateway/src/request_end.rs
+++ b/crates/wheel_gateway/src/request_end.rs
@@ -1,6 +1,6 @@
 //! Turns the outcome of a request into the answer to its caller.
 
-use http::{Response, StatusCode, header};
+use http::{Method, Response, StatusCode, header};
 use rand::Rng;
 use tokio::time::Instant;
 use wheel_ingress::AnswerBody;
@@ -11,7 +11,7 @@
 use crate::local_answer::refusal;
 use crate::request_log::RequestPhase;
 use crate::request_run::{RequestRun, ServeOutcome};
-use crate::resumed_stream::ResumedStream;
+use crate::resumed_stream::{ResumedStream, StreamKind};
 use crate::upstream_search::{CAPACITY_RETRY, MIN_ANSWER_TIME, NoUpstream};
 
 /// The largest share of a caller's remaining time that callers still honour in a `Retry-After`.
@@ -38,12 +38,16 @@
     run.log.enter(RequestPhase::Answering);
     let ServiceAnswer { status, mut headers, body, .. } = answer;
     run.log.answered(status, "stream_cut");
-    let is_resumable = run.arrived.route.kind.is_repeatable() && status.is_success();
-    if is_resumable {
+    let kind = match run.arrived.route.kind {
+        _ if !status.is_success() || run.arrived.head.method == Method::HEAD => StreamKind::Opaque,
+        kind if kind.is_repeatable() => StreamKind::Resumable,
+        _ => StreamKind::Final,
+    };
+    if kind == StreamKind::Resumable {
         headers.remove(header::CONTENT_LENGTH);
     }
     let last = run.arrived.request.resume_after;
-    let stream = ResumedStream::begin(run, body, guard, is_resumable, last);
+    let stream = ResumedStream::begin(run, body, guard, kind, last);
     let mut response = Response::new(stream.into_body());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/wheel_gateway/src/request_log.rs
+++ b/crates/wheel_gateway/src/request_log.rs
@@ -52,7 +52,7 @@
     /// How the last upstream marks the end of its answer.
     framing: Option<AnswerFraming>,
     events: u64,
-    /// Bytes after the last complete event when the stream ended.
+    /// Bytes after the last complete event when the upstream's body ended.
     partial_bytes: usize,
     status: Option<StatusCode>,
     first_ms: Option<u128>,
@@ -119,8 +119,8 @@
         counter!("wheel_upstream_answers_total", "framing" => framing.as_str()).increment(1);
     }
 
-    /// Records how many bytes followed the last complete event when the stream ended.
-    pub(crate) fn ended_inside_event(&mut self, partial_bytes: usize) {
+    /// Records how many bytes followed the last complete event when the upstream's body ended.
+    pub(crate) fn record_partial_event(&mut self, partial_bytes: usize) {
         self.partial_bytes = partial_bytes;
     }
 
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -13,27 +13,44 @@
 use crate::request_run::RequestRun;
 use crate::{EventSplitter, RequestGuard};
 
-/// Forwards a stream. A resumable stream is forwarded in complete events; when its engine fails, it
-/// resumes at another engine after the last forwarded event.
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Forwards a stream in complete events. One that ends inside an event has broken off, however its
+/// connection ends. When its engine fails, a resumable stream resumes at another engine after the
+/// last forwarded event.
 pub(crate) struct ResumedStream {
     run: RequestRun,
     body: Option<wheel_upstream::AnswerBody>,
     guard: Option<RequestGuard>,
     splitter: EventSplitter,
     ready: VecDeque<Bytes>,
-    is_resumable: bool,
+    kind: StreamKind,
+    /// Whether the current upstream has sent a complete event.
+    has_event: bool,
     /// The id of the last forwarded event.
     last: Option<u64>,
     /// Completes when the drain deadline has passed.
     drained: BoxFuture<'static, ()>,
 }
 
+/// How a stream is forwarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StreamKind {
+    /// Events, which another engine can resume.
+    Resumable,
+    /// Events that only their own engine can deliver.
+    Final,
+    /// Bytes that aren't events, such as those of a failure.
+    Opaque,
+}
+
 impl ResumedStream {
     pub(crate) fn begin(
         run: RequestRun,
         body: wheel_upstream::AnswerBody,
         guard: RequestGuard,
-        is_resumable: bool,
+        kind: StreamKind,
         last: Option<u64>,
     ) -> Self {
         let drain = run.drain();
@@ -44,7 +61,8 @@
             guard: Some(guard),
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
-            is_resumable,
+            kind,
+            has_event: false,
             last,
         }
     }
@@ -75,36 +93,53 @@
                     return Some(Err(AnswerError::BrokeOff { reason }));
                 }
             };
-            match chunk {
+            let fault = match chunk {
                 Ok(Some(chunk)) => self.push_chunk(chunk),
-                Ok(None) => {
-                    self.end("stream_ended");
-                    let rest = self.splitter.take_rest();
-                    self.run.log.ended_inside_event(rest.len());
-                    if !rest.is_empty() {
-                        self.ready.push_back(rest);
-                    }
-                }
-                Err(failure) => {
-                    self.run.log.step("stream_broke", &failure.to_string());
-                    if let Err(reason) = self.resume().await {
-                        self.end(reason);
-                        return Some(Err(AnswerError::BrokeOff { reason: failure.to_string() }));
-                    }
-                }
+                Ok(None) => self.end_body(),
+                Err(failure) => Err(failure.to_string()),
+            };
+            let Err(fault) = fault else { continue };
+            self.run.log.step("stream_broke", &fault);
+            if let Err(reason) = self.resume().await {
+                self.end(reason);
+                return Some(Err(AnswerError::BrokeOff { reason: fault }));
             }
         }
     }
 
-    fn push_chunk(&mut self, chunk: Bytes) {
-        if !self.is_resumable {
+    /// Ends the stream at the end of its upstream's body; an error if the body isn't complete.
+    fn end_body(&mut self) -> Result<(), String> {
+        let partial = self.splitter.partial_len();
+        self.run.log.record_partial_event(partial);
+        let has_explicit_end =
+            self.body.as_ref().is_some_and(|body| body.framing().has_explicit_end());
+        match self.kind {
+            StreamKind::Opaque => {}
+            _ if partial > 0 => return Err(format!("ended after {partial} bytes of an event")),
+            _ if !self.has_event && !has_explicit_end => {
+                return Err("closed before its first event".to_owned());
+            }
+            StreamKind::Resumable | StreamKind::Final => {}
+        }
+        self.end("stream_ended");
+        let rest = self.splitter.take_rest();
+        if !rest.is_empty() {
+            self.ready.push_back(rest);
+        }
+        Ok(())
+    }
+
+    /// Makes the complete events ready; an error if an event is too large.
+    fn push_chunk(&mut self, chunk: Bytes) -> Result<(), String> {
+        if self.kind == StreamKind::Opaque {
             self.ready.push_back(chunk);
-            return;
+            return Ok(());
         }
         self.splitter.push(&chunk);
         let mut complete = Vec::new();
         while let Some((id, event)) = self.splitter.next_event() {
-            if id.is_some() && id <= self.last {
+            self.has_event = true;
+            if self.kind == StreamKind::Resumable && id.is_some() && id <= self.last {
                 continue;
             }
             self.last = id.or(self.last);
@@ -113,6 +148,10 @@
         if !complete.is_empty() {
             self.ready.push_back(complete.into());
         }
+        match self.splitter.partial_len() {
+            partial if partial > MAX_EVENT_BYTES => Err("an event is too large".to_owned()),
+            _ => Ok(()),
+        }
     }
 
     /// Resumes at another engine; otherwise returns the reason for which the stream ends.
@@ -120,7 +159,8 @@
         self.body = None;
         self.guard = None;
         self.splitter.clear();
-        if !self.is_resumable {
+        self.has_event = false;
+        if self.kind != StreamKind::Resumable {
             return Err("stream_broke");
         }
         let resumed = tokio::select! {
