Reset the connection of an HTTP/1.0 caller whose answer breaks off

What callers would see: over HTTP/1.0 a streamed answer has neither a length nor chunks, so that the end of its connection completes it. If the answer broke off, or the process ended during it, the server closed the connection in an orderly way, and a part looked like the whole.

Cause: hyper drops the connection after a body's error and at the end of the runtime; closing a socket without unread data ends it in order. Class: the end of a transport taken for the end of a message, this time at our callers.

Change: the server tracks whether such an answer is open, and a connection that is dropped meanwhile ends with a reset. Callers of HTTP/1.1 get chunks or a length and see no change. A process that is killed with SIGKILL still closes in order: the kernel does it.

--- /dev/null
+++ b/crates/wheel_ingress/src/caller_stream.rs
@@ -0,0 +1,73 @@
+//! The connection of a caller.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::open_answer::OpenAnswer;
+
+/// A TCP stream that ends with a reset if it is dropped during an answer that only the end of the
+/// connection completes.
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    answer: Arc<OpenAnswer>,
+}
+
+impl CallerStream {
+    /// Creates a stream that is reset if it is dropped while `answer` is open.
+    pub(crate) fn new(stream: TcpStream, answer: Arc<OpenAnswer>) -> Self {
+        Self { stream, answer }
+    }
+}
+
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.answer.is_open() {
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/wheel_ingress/src/http_server.rs
+++ b/crates/wheel_ingress/src/http_server.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, Version, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,6 +22,8 @@
 use tokio_util::task::TaskTracker;
 use wheel_types::RequestOutcome;
 
+use crate::caller_stream::CallerStream;
+use crate::open_answer::OpenAnswer;
 use crate::{AnswerBody, DrainDeadline, HttpLimits, RefusalCode, RequestRefusal, header_names};
 
 /// Length of the accept queue. Bursts beyond it lose SYNs, each of which costs a second; the
@@ -261,10 +263,16 @@
         // Small SSE events must be sent without delay.
         let _ = stream.set_nodelay(true);
         let (closing, drain) = (Arc::clone(&self.closing), self.drain.clone());
+        let open_answer: Arc<OpenAnswer> = Arc::default();
+        let stream = CallerStream::new(stream, Arc::clone(&open_answer));
         let service = service_fn(move |request: Request<Incoming>| {
             let id = request.headers().get(header_names::REQUEST_ID).cloned();
+            // Before HTTP/1.1 only the end of the connection marks the end of a streamed answer.
+            let ends_by_close =
+                request.version() < Version::HTTP_11 && request.method() != Method::HEAD;
             let response = answer(request);
             let (closing, drain) = (Arc::clone(&closing), drain.clone());
+            let open_answer = Arc::clone(&open_answer);
             async move {
                 let mut response = tokio::select! {
                     biased;
@@ -275,7 +283,10 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(match ends_by_close {
+                    true => open_answer.watch(response),
+                    false => response,
+                })
             }
         });
         let connection = http1::Builder::new()
