Take an answer with another transfer coding than chunks for one without explicit end

What callers would see: a plain service of wisteriawheeld that answers with "Transfer-Encoding: gzip" and breaks off reached its caller as complete; only a last chunk, a length or no body at all should be accepted there.

Cause: any Transfer-Encoding counted as an explicit end, but hyper reads a body without chunks until its connection ends. Class: the end of a transport taken for the end of a message.

Change: AnswerFraming is Chunks only if chunks are the last coding.

Before: call_answer_with_another_coding_than_chunks_fails failed; after, it and the crate's other tests pass. Two further tests passed at once and guard engines of wisteriawheeld against the same class: a complete answer closed inside its JSON, and a stream closed inside its end marker.

--- a/crates/wheel_upstream/src/answer_framing.rs
+++ b/crates/wheel_upstream/src/answer_framing.rs
@@ -21,7 +21,9 @@
     pub(crate) fn of(status: StatusCode, headers: &HeaderMap) -> Self {
         match status {
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Self::Bodiless,
-            _ if headers.contains_key(TRANSFER_ENCODING) => Self::Chunks,
+            _ if is_chunked(headers) => Self::Chunks,
+            // A length beside another transfer coding isn't that of the body.
+            _ if headers.contains_key(TRANSFER_ENCODING) => Self::Close,
             _ if headers.contains_key(CONTENT_LENGTH) => Self::Length,
             _ => Self::Close,
         }
@@ -42,3 +44,10 @@
         }
     }
 }
+
+/// Whether chunks are the last transfer coding of a body.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = codings.and_then(|codings| codings.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
+}
--- a/crates/wheel_upstream/tests/engine_faults.rs
+++ b/crates/wheel_upstream/tests/engine_faults.rs
@@ -82,6 +82,29 @@
     assert!(matches!(end.expect_err("failure").kind, FailureKind::CutShort));
 }
 
+#[tokio::test]
+async fn complete_answer_closed_inside_its_body_fails() {
+    let upstream = ScriptedUpstream::bind(&[
+        "HTTP/1.1 200 OK\r\nwheel-request-id: r-1\r\n\r\n{\"id\":\"r-1\",\"c",
+    ])
+    .await;
+    let client = engine_client(upstream.address);
+    let failure = client.complete(generate("r-1", 2)).await.expect_err("failure");
+    assert!(is_unknown(&failure), "{failure}");
+}
+
+#[tokio::test]
+async fn generate_closed_inside_its_end_marker_is_cut_short() {
+    let upstream = ScriptedUpstream::bind(&["HTTP/1.1 200 OK\r\nwheel-request-id: r-1\r\n\r\n\
+         data: {\"id\":\"r-1\",\"wheel\":{\"index\":0}}\n\ndata: [DONE]"])
+    .await;
+    let client = engine_client(upstream.address);
+    let mut stream = client.generate(generate("r-1", 1)).await.expect("stream");
+    let (tokens, end) = read_all(&mut stream).await;
+    assert_eq!(tokens.len(), 1);
+    assert!(matches!(end.expect_err("failure").kind, FailureKind::CutShort));
+}
+
 #[tokio::test]
 async fn generate_cut_short_resumes_elsewhere() {
     let (first, client) = engine().await;
--- a/crates/wheel_upstream/tests/service_faults.rs
+++ b/crates/wheel_upstream/tests/service_faults.rs
@@ -117,6 +117,15 @@
     assert!(matches!(failure.kind, FailureKind::BadAnswer { .. }));
 }
 
+#[tokio::test]
+async fn call_answer_with_another_coding_than_chunks_fails() {
+    // Only a last chunk marks the end of such a body; without chunks its connection ends it.
+    let answer = "HTTP/1.1 200 OK\r\nwheel-request-id: r-1\r\ntransfer-encoding: gzip\r\n\r\nboo";
+    let upstream = ScriptedUpstream::bind(&[answer]).await;
+    let failure = failure_of(&service_client(upstream.address), booking("r-1")).await;
+    assert!(matches!(failure.kind, FailureKind::BadAnswer { .. }));
+}
+
 #[tokio::test]
 async fn call_answer_without_id_fails() {
     let answer = "HTTP/1.1 200 OK\r\nwheel-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
