Log the time for which a refusing upstream asks not to be called

Users saw upstreams get requests in a time for which they had asked for rest (BUDGET). The logs gave the status of a refusal alone, so that a rest that nobody reads, one that is lost again, and requests that were on their way before it all look the same.

No decision changed.

--- a/crates/wheel_gateway/src/send_classifier.rs
+++ b/crates/wheel_gateway/src/send_classifier.rs
@@ -1,7 +1,8 @@
 //! Classifies the result of a send.
 
+use metrics::counter;
 use wheel_route::EngineInfo;
-use wheel_upstream::{CallFailure, FailureKind, SentState, ServiceAnswer};
+use wheel_upstream::{CallFailure, FailureKind, SentState, ServiceAnswer, retry_after};
 
 use crate::AnswerClass;
 use crate::proxy_context::ProxyContext;
@@ -41,7 +42,7 @@
         match self.context.dialect.classify_answer(answer.status, &answer.headers) {
             AnswerClass::Ran => SendClass::Answer(Box::new(answer)),
             AnswerClass::NotExecuted => {
-                self.log.step("rejected", answer.status.as_str());
+                self.log_rejection(&answer);
                 SendClass::Rejected
             }
             AnswerClass::Misdirected => {
@@ -60,6 +61,16 @@
         }
     }
 
+    /// Logs a refusal with the time for which the upstream asks not to be called.
+    fn log_rejection(&self, answer: &ServiceAnswer) {
+        let asked_ms = retry_after(&answer.headers).map(|asked| asked.as_millis().to_string());
+        counter!("wheel_upstream_refusals_total", "asks_rest" => asked_ms.is_some().to_string())
+            .increment(1);
+        let asked_ms = asked_ms.as_deref().unwrap_or("none");
+        self.log
+            .step("rejected", &format!("{}, retry_after_ms {asked_ms}", answer.status.as_str()));
+    }
+
     fn failure(&self, failure: &CallFailure) -> SendClass {
         self.log.step("send_failed", &failure.to_string());
         match failure {
