Reproduce requests to an upstream that has asked not to be called

Users saw an upstream that had answered 503 with Retry-After get more than two further requests from the same instance in that time (BUDGET). In the tests an upstream refuses with Retry-After and looks idle otherwise; each kind of route, a failure that may have run, a stream that resumes, a rest longer and one shorter than the request, and a later, shorter rest are tried.

--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -44,6 +44,8 @@
     Silent,
     /// As not run, once the time given in the request is over.
     RefusedAtTimeLeft,
+    /// With a head alone: status, `Retry-After`, and whether it states that the request wasn't run.
+    Busy { status: u16, retry_after: &'static str, refused: bool },
 }
 
 impl Reply {
@@ -76,6 +78,11 @@
         Self::Answer { status, body, signed: false, refused: true, other_id: false }
     }
 
+    /// As not run, with a request for rest.
+    pub(crate) fn resting(retry_after: &'static str) -> Self {
+        Self::Busy { status: 503, retry_after, refused: true }
+    }
+
     pub(crate) fn cut(body: &str) -> Self {
         Self::Cut(body.into())
     }
@@ -184,11 +191,18 @@
         StreamBody::new(futures_util::StreamExt::chain(first, rest)).boxed_unsync()
     };
     let id = head.headers.get("x-id").cloned().expect("every request has an id");
+    let retry_after = match &reply {
+        Some(Reply::Busy { retry_after, .. }) => Some(*retry_after),
+        _ => None,
+    };
     let (status, body, signed, refused, other_id) = match reply.expect("a reply for each request") {
         Reply::Answer { status, body, signed, refused, other_id } => {
             (status, full_body(body), signed, refused, other_id)
         }
         Reply::Cut(part) => (200, broken(part), true, false, false),
+        Reply::Busy { status, refused, .. } => {
+            (status, full_body(String::new()), !refused, refused, false)
+        }
         Reply::Silent => std::future::pending().await,
         Reply::RefusedAtTimeLeft => {
             let left = head.headers.get("x-left").and_then(|left| left.to_str().ok());
@@ -206,6 +220,9 @@
     if signed {
         headers.insert("x-signature", format!("signed-by-{name}").parse().expect("a value"));
     }
+    if let Some(time) = retry_after {
+        headers.insert("retry-after", time.parse().expect("a value"));
+    }
     if refused {
         headers.insert("x-not-executed", "1".parse().expect("a value"));
     }
@@ -371,6 +388,14 @@
         self.state.set_view(view);
     }
 
+    /// Lists a new start of an upstream under its old name.
+    pub(crate) fn restart_upstream(&self, name: &str) {
+        let mut view = (*self.state.view()).clone();
+        let engine = view.engines.iter_mut().find(|info| &*info.id.name == name);
+        engine.expect("a known upstream").id.started_unix_ms += 1;
+        self.state.set_view(view);
+    }
+
     pub(crate) fn set_loading(&self, model: &str, eta: Duration) {
         let mut view = (*self.state.view()).clone();
         view.loading = vec![(model.into(), eta.as_millis() as u64)];
