Keep a control instance from calling an engine that has asked for rest

Cause: DirectClient and OrderCall gave only the status on.

Change: both give the rest that the answer asks for (asked_rest, now with the status, in one place for all callers), FleetDirector keeps it in the same RestTable, over the end of a term, and neither reads nor orders until it is over.

--- a/crates/wheel_gateway/src/send_classifier.rs
+++ b/crates/wheel_gateway/src/send_classifier.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use metrics::counter;
 use wheel_route::EngineInfo;
-use wheel_upstream::{CallFailure, FailureKind, SentState, ServiceAnswer, retry_after};
+use wheel_upstream::{CallFailure, FailureKind, SentState, ServiceAnswer, asked_rest};
 
 use crate::AnswerClass;
 use crate::proxy_context::ProxyContext;
@@ -69,11 +69,7 @@
 
     /// Records the time for which a busy upstream asks this instance not to call it.
     fn record_rest(&self, info: &EngineInfo, answer: &ServiceAnswer) -> Option<Duration> {
-        let is_busy = matches!(
-            answer.status,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-        );
-        let rest = retry_after(&answer.headers).filter(|_| is_busy)?;
+        let rest = asked_rest(answer.status, &answer.headers)?;
         self.context.rests.lock().record(self.context.now(), &info.id, rest);
         Some(rest)
     }
--- a/crates/wheel_placement/src/directed_engine.rs
+++ b/crates/wheel_placement/src/directed_engine.rs
@@ -7,8 +7,9 @@
 use spdlog::info;
 use tokio::time::Instant;
 use wheel_lease::EngineInventory;
-use wheel_policy::PlanEngine;
-use wheel_route::{EngineInfo, OpenRequestCount, UpstreamState};
+use wheel_policy::{PlanEngine, RestTable};
+use wheel_route::{EngineId, EngineInfo, OpenRequestCount, UpstreamState};
+use wheel_seams::boot_now;
 use wheel_upstream::DirectClient;
 
 use crate::FleetDialect;
@@ -37,12 +38,19 @@
     pub(crate) failing_since: Option<Instant>,
 }
 
-/// Reads an engine's report and records it in the engine's inventory.
-pub(crate) async fn read_engine(engine: &DirectedEngine, dialect: &dyn FleetDialect) {
+/// Reads an engine's report and records it in the engine's inventory, or the rest that the engine asks
+/// for.
+pub(crate) async fn read_engine(
+    engine: &DirectedEngine,
+    dialect: &dyn FleetDialect,
+    rests: &Mutex<RestTable>,
+) {
     let answer = engine.client.fetch(dialect.report(&engine.info.id), REPORT_TIMEOUT).await;
+    let rest = answer.as_ref().ok().and_then(|answer| answer.rest);
+    record_rest(rests, &engine.info.id, rest);
     let read = match answer {
-        Ok((code, body)) if code.is_success() => dialect.read_report(&body),
-        Ok((code, _)) => Err(format!("status {code}")),
+        Ok(answer) if answer.status.is_success() => dialect.read_report(&answer.body),
+        Ok(answer) => Err(format!("status {}", answer.status)),
         Err(failure) => Err(failure.to_string()),
     };
     let mut reads = engine.reads.lock();
@@ -78,10 +86,21 @@
     }
 }
 
-/// The planner's input for an engine.
+/// Records the rest that an engine asks for in an answer to a report's read or an order.
+pub(crate) fn record_rest(rests: &Mutex<RestTable>, engine: &EngineId, rest: Option<Duration>) {
+    if let Some(rest) = rest {
+        rests.lock().record(boot_now(), engine, rest);
+        info!("engine_rests", kv: {
+            upstream = engine.name.to_string(), rest_ms = rest.as_millis()
+        });
+    }
+}
+
+/// The planner's input for an engine. One that rests accepts no orders.
 pub(crate) fn plan_engine(
     engine: &DirectedEngine,
     open_requests: &[OpenRequestCount],
+    is_resting: bool,
 ) -> PlanEngine {
     let inventory = engine.inventory.lock();
     let failing = engine.reads.lock().failing_since;
@@ -93,7 +112,7 @@
         contents_known: status.is_some(),
         id: engine.info.id.clone(),
         centre: Arc::clone(&engine.info.centre),
-        accepts_orders: inventory.is_free(),
+        accepts_orders: inventory.is_free() && !is_resting,
         accepts_work: engine.info.state == UpstreamState::Ready && !is_silent && !is_leaving,
         possible: inventory.possible_models(),
         usable: inventory.usable_models().into_iter().map(|entry| entry.model).collect(),
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -12,15 +12,15 @@
 use tokio::time::{Instant, MissedTickBehavior};
 use wheel_lease::{LoadWindow, OrderDuration};
 use wheel_policy::{
-    DemandEstimator, FleetPlanner, PlanEngine, PlanInput, PlanStep, StoreLoadLimiter,
+    DemandEstimator, FleetPlanner, PlanEngine, PlanInput, PlanStep, RestTable, StoreLoadLimiter,
 };
 use wheel_route::{EngineId, EngineProfile, FleetConfig, HeldModel, OpenRequestCount};
 use wheel_seams::{boot_now, is_planted};
 use wheel_types::{ModelChange, MonotonicTime};
-use wheel_upstream::{ConnectionLimits, DirectClient, OrderCall};
+use wheel_upstream::{ConnectionLimits, DirectClient, OrderCall, OrderCallOutcome};
 
 use crate::authority_ledger::FIRST_TERM;
-use crate::directed_engine::{DirectedEngine, ReadState, plan_engine, read_engine};
+use crate::directed_engine::{DirectedEngine, ReadState, plan_engine, read_engine, record_rest};
 use crate::order_authority::TermPermit;
 use crate::{FleetDialect, FleetOrder, FleetRegistry, ListWatch, OrderAuthority};
 
@@ -74,6 +74,8 @@
     planners: HashMap<Arc<str>, FleetPlanner>,
     window: LoadWindow,
     limiter: StoreLoadLimiter,
+    /// Engines that have asked this instance not to call them; kept when a term ends.
+    rests: Arc<Mutex<RestTable>>,
     /// Models that wait for an engine or the store, with the estimated milliseconds until they are
     /// available.
     backlog: Vec<(Arc<str>, u64)>,
@@ -92,6 +94,7 @@
             planners: HashMap::new(),
             window: LoadWindow::default(),
             limiter: StoreLoadLimiter::default(),
+            rests: Arc::default(),
             backlog: Vec::new(),
             backlog_logged: Instant::now(),
         };
@@ -209,14 +212,19 @@
     async fn read_due_engines(&self) {
         let (now, clock) = (boot_now(), Instant::now());
         let is_due = |engine: &&Arc<DirectedEngine>| {
+            let is_resting = self.is_resting(engine);
             let mut inventory = engine.inventory.lock();
             inventory.expire(now);
             let is_wanted = inventory.next_read_at().is_some_and(|at| now >= at);
-            is_wanted && clock >= engine.reads.lock().next
+            is_wanted && !is_resting && clock >= engine.reads.lock().next
         };
         let due: Vec<Arc<DirectedEngine>> = self.engines.values().filter(is_due).cloned().collect();
         let dialect = &*self.context.dialect;
-        join_all(due.iter().map(|engine| read_engine(engine, dialect))).await;
+        join_all(due.iter().map(|engine| read_engine(engine, dialect, &self.rests))).await;
+    }
+
+    fn is_resting(&self, engine: &DirectedEngine) -> bool {
+        self.rests.lock().remaining(boot_now(), &engine.info.id).is_some()
     }
 
     /// Plans for one service and sends the orders.
@@ -235,7 +243,7 @@
             .engines
             .values()
             .filter(|engine| engine.info.service == *service)
-            .map(|engine| plan_engine(engine, open_requests))
+            .map(|engine| plan_engine(engine, open_requests, self.is_resting(engine)))
             .collect();
         let demand: BTreeMap<_, _> = self
             .demand
@@ -334,6 +342,7 @@
             Arc::new(TermPermit { authority: Arc::clone(&self.context.authority), fencing });
         let dialect = Arc::clone(&self.context.dialect);
         let registry = Arc::clone(&self.context.registry);
+        let rests = Arc::clone(&self.rests);
         tokio::spawn(async move {
             let began = Instant::now();
             let call = OrderCall {
@@ -343,6 +352,9 @@
                 answer_timeout: ORDER_TIMEOUT,
             };
             let sent = call.send(request).await;
+            if let OrderCallOutcome::Answered { rest, .. } = sent {
+                record_rest(&rests, &order.engine, rest);
+            }
             let end = dialect.order_end(sent);
             let duration = match step.from_store {
                 true => OrderDuration::Expected(step.expected_duration + REPORT_LAG),
--- a/crates/wheel_placement/src/list_watch.rs
+++ b/crates/wheel_placement/src/list_watch.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wheel_route::EngineInfo;
-use wheel_upstream::{ConnectionLimits, DirectClient};
+use wheel_upstream::{ConnectionLimits, DirectAnswer, DirectClient};
 
 use crate::FleetDialect;
 
@@ -103,7 +103,7 @@
     let mut page: Option<String> = None;
     for _ in 0..MAX_PAGES {
         let answer = client.fetch(dialect.list(page.as_deref()), PAGE_TIMEOUT).await;
-        let (status, body) = answer.map_err(|failure| failure.to_string())?;
+        let DirectAnswer { status, body, .. } = answer.map_err(|failure| failure.to_string())?;
         if !status.is_success() {
             return Err(format!("status {status}"));
         }
--- a/crates/wheel_upstream/src/direct_client.rs
+++ b/crates/wheel_upstream/src/direct_client.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderValue, Request};
 
 use crate::connection_pool::{ConnectionChoice, ConnectionPool};
 use crate::engine_client::{host_of, with_host};
 use crate::pooled_call::PooledCall;
-use crate::{CallFailure, CallTimeouts, ConnectionLimits};
+use crate::{CallFailure, CallTimeouts, ConnectionLimits, DirectAnswer, asked_rest};
 
 /// Fetches small answers, such as a list or a state, from one address; clones share its
 /// connections.
@@ -37,13 +37,15 @@
         &self,
         request: Request<Bytes>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), CallFailure> {
+    ) -> Result<DirectAnswer, CallFailure> {
         let timeouts =
             CallTimeouts::default().connect(limit).first_byte(limit).progress(limit).total(limit);
         let request = with_host(request, &self.host);
         let choice = ConnectionChoice::Pooled;
         let sending = PooledCall::send(self.pool.clone(), choice, true, timeouts, request);
         let (head, mut body) = sending.await?.into_parts();
-        Ok((head.status, body.collect(self.max_answer).await?))
+        let body = body.collect(self.max_answer).await?;
+        let rest = asked_rest(head.status, &head.headers);
+        Ok(DirectAnswer { status: head.status, rest, body })
     }
 }
--- a/crates/wheel_upstream/src/order_call.rs
+++ b/crates/wheel_upstream/src/order_call.rs
@@ -9,16 +9,21 @@
 use http::{Request, StatusCode};
 use tokio::time::timeout;
 
-use crate::OrderPermit;
 use crate::call_body::CallBody;
 use crate::engine_client::{host_of, with_host};
 use crate::upstream_connection::UpstreamConnection;
+use crate::{OrderPermit, asked_rest};
 
 /// How an order's call ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderCallOutcome {
-    /// The engine answered with this status.
-    Answered(StatusCode),
+    /// The engine answered.
+    Answered {
+        /// The status.
+        status: StatusCode,
+        /// The time for which the engine asks not to be called.
+        rest: Option<Duration>,
+    },
     /// No byte of its body was sent.
     NotSent,
     /// It may have reached the engine.
@@ -55,7 +60,10 @@
         let answer = timeout(self.answer_timeout, sending).await;
         let was_written = connection.gate.seal() > written_before;
         match answer {
-            Ok(Ok(answer)) => OrderCallOutcome::Answered(answer.status()),
+            Ok(Ok(answer)) => OrderCallOutcome::Answered {
+                status: answer.status(),
+                rest: asked_rest(answer.status(), answer.headers()),
+            },
             _ if was_written && body_read.load(Ordering::Acquire) => OrderCallOutcome::Unknown,
             _ => OrderCallOutcome::NotSent,
         }
