Stop reporting an upstream as leaving once that is over

What would be seen: an upstream that once answered as another one, or refused as leaving, was left out here for 5 s but reported to the control instances with each sync from then on, until another upstream was recorded; they took it out for all ingress instances and gave it no orders.

Cause: the table was cleaned only when it got a new entry.

Change: a sync cleans it before it reports.

Before: leaving_reports_end_with_their_lifetime failed (the engine was still reported after 6 s of paused time); after: fleet_state 3 of 3.

--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -212,7 +212,11 @@
             }
         }
         drop(own_requests);
-        let leaving = self.leaving.lock().keys().cloned().collect();
+        let leaving = {
+            let mut leaving = self.leaving.lock();
+            leaving.retain(|_, recorded| recorded.elapsed() < LEAVING_LIFETIME);
+            leaving.keys().cloned().collect()
+        };
         let stale_engines = std::mem::take(&mut *self.stale_engines.lock()).into_iter().collect();
         SyncRequest {
             instance,
--- a/crates/wheel_gateway/tests/fleet_state.rs
+++ b/crates/wheel_gateway/tests/fleet_state.rs
@@ -1,5 +1,7 @@
 //! Which configurations an ingress instance adopts, and which upstreams it sends to.
 
+use std::time::Duration;
+
 use wheel_gateway::FleetState;
 use wheel_route::{EngineId, EngineInfo, FleetConfig, FleetView, UpstreamState};
 
@@ -39,3 +41,14 @@
     assert_eq!(state.ready_indices(&view, "s"), [2]);
     assert_eq!(state.ready_indices(&view, "other"), Vec::<usize>::new());
 }
+
+#[tokio::test(start_paused = true)]
+async fn leaving_reports_end_with_their_lifetime() {
+    // What ended here must not be reported further: control instances would take the upstream out for all.
+    let state = FleetState::default();
+    let leaving = engine_info("u1", UpstreamState::Ready);
+    state.record_leaving(&leaving.id);
+    assert_eq!(state.prepare_sync("me".into()).leaving, [leaving.id]);
+    tokio::time::advance(Duration::from_secs(6)).await;
+    assert_eq!(state.prepare_sync("me".into()).leaving, []);
+}
