Send nothing more to an upstream that announces in an answer that it leaves

Nothing read the header: the list alone said who leaves, and it can be old for long, behind a cut for instance.

Any answer counts, whatever its status and class. The upstream is left out here for 10 minutes, as it never takes its word back; a new start has another id. Where the list gives no time of a start, the 5 s of before apply. The sync reports it, so that other instances learn it too.

--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -20,6 +20,10 @@
 /// delay and its polling interval together.
 const LEAVING_LIFETIME: Duration = Duration::from_secs(5);
 
+/// How long an upstream is avoided after it announced that it leaves, which it never takes back.
+/// Longer than any upstream goes on after that.
+const ANNOUNCED_LIFETIME: Duration = Duration::from_secs(600);
+
 /// How long a control instance may delay its reply until a change while requests wait here, in
 /// milliseconds.
 const HOLD_MS: u32 = 150;
@@ -50,6 +54,7 @@
     view_at: Mutex<Instant>,
     own_requests: Mutex<HashMap<EngineId, OwnRequests>>,
     demand: Mutex<HashMap<DemandKey, DemandTally>>,
+    /// Until when each upstream counts as leaving.
     leaving: Mutex<HashMap<EngineId, Instant>>,
     stale_engines: Mutex<HashSet<EngineId>>,
     urgent: Notify,
@@ -123,9 +128,8 @@
     /// Indices into `view.engines` of the upstreams of a service that accept requests.
     pub fn ready_indices(&self, view: &FleetView, service: &str) -> Vec<usize> {
         let leaving = self.leaving.lock();
-        let is_leaving = |id: &EngineId| {
-            leaving.get(id).is_some_and(|recorded| recorded.elapsed() < LEAVING_LIFETIME)
-        };
+        let is_leaving =
+            |id: &EngineId| leaving.get(id).is_some_and(|until| Instant::now() < *until);
         let accepts_work = |info: &EngineInfo| {
             info.state == UpstreamState::Ready && !is_leaving(&info.id)
                 || is_planted("leaving_ignored")
@@ -179,9 +183,25 @@
     /// Records that an upstream refuses requests because it is shutting down or isn't the intended
     /// one.
     pub fn record_leaving(&self, engine: &EngineId) {
+        self.leave_out(engine, LEAVING_LIFETIME);
+    }
+
+    /// Records that an upstream announced that it leaves.
+    pub fn record_announced_leaving(&self, engine: &EngineId) {
+        // Without the time of its start, a new start can't be told from the one that leaves.
+        let lifetime = match engine.started_unix_ms {
+            0 => LEAVING_LIFETIME,
+            _ => ANNOUNCED_LIFETIME,
+        };
+        self.leave_out(engine, lifetime);
+    }
+
+    fn leave_out(&self, engine: &EngineId, lifetime: Duration) {
+        let now = Instant::now();
         let mut leaving = self.leaving.lock();
-        leaving.retain(|_, recorded| recorded.elapsed() < LEAVING_LIFETIME);
-        leaving.insert(engine.clone(), Instant::now());
+        leaving.retain(|_, until| now < *until);
+        let until = leaving.entry(engine.clone()).or_insert(now);
+        *until = (*until).max(now + lifetime);
     }
 
     /// Records that an engine's reported state may be out of date: the engine lacks a model that it
@@ -214,7 +234,7 @@
         drop(own_requests);
         let leaving = {
             let mut leaving = self.leaving.lock();
-            leaving.retain(|_, recorded| recorded.elapsed() < LEAVING_LIFETIME);
+            leaving.retain(|_, until| Instant::now() < *until);
             leaving.keys().cloned().collect()
         };
         let stale_engines = std::mem::take(&mut *self.stale_engines.lock()).into_iter().collect();
--- a/crates/wheel_gateway/src/ingress_dialect.rs
+++ b/crates/wheel_gateway/src/ingress_dialect.rs
@@ -49,6 +49,9 @@
     /// Whether an answer comes from an upstream other than `intended`.
     fn is_other_upstream(&self, headers: &HeaderMap, intended: &str) -> bool;
 
+    /// Whether an upstream announces in an answer that it leaves.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Classifies an answer by its head.
     fn classify_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerClass;
 }
--- a/crates/wheel_gateway/src/send_classifier.rs
+++ b/crates/wheel_gateway/src/send_classifier.rs
@@ -44,6 +44,7 @@
             Ok(answer) => answer,
             Err(failure) => return self.failure(&failure),
         };
+        self.record_leaving(info, &answer);
         let rest = self.record_rest(info, &answer);
         match self.context.dialect.classify_answer(answer.status, &answer.headers) {
             AnswerClass::Ran => SendClass::Answer(Box::new(answer)),
@@ -67,6 +68,17 @@
         }
     }
 
+    /// Records that the upstream announces that it leaves.
+    fn record_leaving(&self, info: &EngineInfo, answer: &ServiceAnswer) {
+        let dialect = &self.context.dialect;
+        if dialect.is_leaving(&answer.headers)
+            && !dialect.is_other_upstream(&answer.headers, &info.id.name)
+        {
+            self.log.step("upstream_leaves", answer.status.as_str());
+            self.context.state.record_announced_leaving(&info.id);
+        }
+    }
+
     /// Records the time for which a busy upstream asks this instance not to call it.
     fn record_rest(&self, info: &EngineInfo, answer: &ServiceAnswer) -> Option<Duration> {
         let rest = asked_rest(answer.status, &answer.headers)?;
--- a/crates/wheel_gateway/tests/fleet_state.rs
+++ b/crates/wheel_gateway/tests/fleet_state.rs
@@ -42,6 +42,22 @@
     assert_eq!(state.ready_indices(&view, "other"), Vec::<usize>::new());
 }
 
+#[tokio::test(start_paused = true)]
+async fn announced_leaving_outlasts_a_view_that_doesnt_show_it() {
+    // A view can be old for long, for example behind a cut; the upstream's own word counts.
+    let state = FleetState::default();
+    let engines = vec![engine_info("u1", UpstreamState::Ready)];
+    let view = FleetView { engines, ..FleetView::default() };
+    state.record_announced_leaving(&view.engines[0].id);
+    state.record_leaving(&view.engines[0].id);
+    tokio::time::advance(Duration::from_secs(60)).await;
+    assert_eq!(state.ready_indices(&view, "s"), Vec::<usize>::new());
+    assert_eq!(state.prepare_sync("me".into()).leaving.len(), 1);
+    let mut restarted = view.clone();
+    restarted.engines[0].id.started_unix_ms = 2;
+    assert_eq!(state.ready_indices(&restarted, "s"), [0]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn leaving_reports_end_with_their_lifetime() {
     // What ended here must not be reported further: control instances would take the upstream out for all.
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -44,6 +44,8 @@
     Silent,
     /// As not run, once the time given in the request is over.
     RefusedAtTimeLeft,
+    /// With a head and a body, and with the announcement that the upstream leaves.
+    Leaving(Box<Self>),
     /// With a head alone: status, `Retry-After`, and whether it states that the request wasn't run.
     Busy { status: u16, retry_after: &'static str, refused: bool },
 }
@@ -83,6 +85,11 @@
         Self::Busy { status: 503, retry_after, refused: true }
     }
 
+    /// The same answer of an upstream that leaves.
+    pub(crate) fn leaving(self) -> Self {
+        Self::Leaving(Box::new(self))
+    }
+
     pub(crate) fn cut(body: &str) -> Self {
         Self::Cut(body.into())
     }
@@ -191,6 +198,10 @@
         StreamBody::new(futures_util::StreamExt::chain(first, rest)).boxed_unsync()
     };
     let id = head.headers.get("x-id").cloned().expect("every request has an id");
+    let (reply, is_leaving) = match reply {
+        Some(Reply::Leaving(reply)) => (Some(*reply), true),
+        reply => (reply, false),
+    };
     let retry_after = match &reply {
         Some(Reply::Busy { retry_after, .. }) => Some(*retry_after),
         _ => None,
@@ -203,6 +214,7 @@
         Reply::Busy { status, refused, .. } => {
             (status, full_body(String::new()), !refused, refused, false)
         }
+        Reply::Leaving(_) => unreachable!("an answer announces it once"),
         Reply::Silent => std::future::pending().await,
         Reply::RefusedAtTimeLeft => {
             let left = head.headers.get("x-left").and_then(|left| left.to_str().ok());
@@ -220,6 +232,9 @@
     if signed {
         headers.insert("x-signature", format!("signed-by-{name}").parse().expect("a value"));
     }
+    if is_leaving {
+        headers.insert("x-leaving", "1".parse().expect("a value"));
+    }
     if let Some(time) = retry_after {
         headers.insert("retry-after", time.parse().expect("a value"));
     }
@@ -268,6 +283,10 @@
         false
     }
 
+    fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key("x-leaving")
+    }
+
     fn classify_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerClass {
         match status {
             StatusCode::MISDIRECTED_REQUEST => AnswerClass::Misdirected,
