Have owners keep the rest that their upstreams ask for

What callers of wisteriawheeld would see: an upstream that refuses with 503 and Retry-After gets call after call, each of which costs its request an attempt and a place in the retry budget, and a caller whose only engine rests is told nothing of when to come back.

Cause: as at the platform's ingress instances, nothing read the header. A failure kept the status and the body alone.

Change: FailureKind::Refused has the rest. The owner, the one instance that calls an upstream, refuses calls to it as not run until the rest is over, before and after their wait for a slot, and gives what remains of it on; a new start of an engine ends it. State reads, load reports and orders go on: our own protocol says so (PROTOCOLS.md).

The fakes can send the header and count refusals, which service_process_shows_faults_and_counts_runs expects as well.

--- a/crates/wheel_fakes/src/fake_engine_state.rs
+++ b/crates/wheel_fakes/src/fake_engine_state.rs
@@ -21,6 +21,7 @@
     pub(crate) max_used_mib: u64,
     /// Calls that were running or waiting when the unload of their model began.
     pub(crate) calls_unloaded: u64,
+    pub(crate) calls_refused: u64,
     pub(crate) runs: HashMap<RequestId, u64>,
     pub(crate) resumes: HashMap<RequestId, u64>,
     pub(crate) running: Vec<RunningCall>,
--- a/crates/wheel_fakes/src/fault_plan.rs
+++ b/crates/wheel_fakes/src/fault_plan.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use http::header::RETRY_AFTER;
+use http::{HeaderValue, Response};
 use serde::{Deserialize, Serialize};
 use wheel_types::RequestId;
 
@@ -28,6 +30,8 @@
     pub never_read: bool,
     /// Requests are refused as not run.
     pub refuse: bool,
+    /// `Retry-After` of such refusals, in seconds.
+    pub retry_after_s: Option<f64>,
     /// The fake reports that it is leaving, and refuses new work.
     pub leaving: bool,
     /// Old fencing numbers are ignored.
@@ -35,6 +39,14 @@
 }
 
 impl FaultPlan {
+    /// Adds the `Retry-After` of refusals to one.
+    pub(crate) fn add_retry_after<B>(&self, refusal: &mut Response<B>) {
+        let value = self.retry_after_s.map(|seconds| HeaderValue::try_from(seconds.to_string()));
+        if let Some(Ok(value)) = value {
+            refusal.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+
     /// Waits for the delay between run and answer.
     pub(crate) async fn delay_answer(&self) {
         // Even a sleep of zero duration takes a tick of the timer.
--- a/crates/wheel_harness/tests/support/mod.rs
+++ b/crates/wheel_harness/tests/support/mod.rs
@@ -78,6 +78,13 @@
     assert!(reply.expect("the fake answers").status.is_success());
 }
 
+/// Number of calls that a fake has refused.
+pub(crate) async fn refused_calls(cluster: &LocalCluster, upstream: &str) -> u64 {
+    let counters = cluster.client.get(cluster.addresses[upstream], "/fake/counters").await;
+    let counters = counters.expect("the fake answers").json();
+    counters["calls_refused"].as_u64().expect("a count")
+}
+
 /// Number of requests that the fake booking services have run, in total.
 pub(crate) async fn booking_runs(cluster: &LocalCluster) -> u64 {
     let mut runs = 0;
--- a/crates/wheel_serving/src/engine_watch.rs
+++ b/crates/wheel_serving/src/engine_watch.rs
@@ -146,6 +146,9 @@
     match engine {
         Ok(engine) => {
             state.failed_reads = 0;
+            if engine.incarnation != state.engine.incarnation {
+                upstream.rest.clear();
+            }
             state.external_running = update_external_running(upstream, &engine);
             upstream.usage().retain_models(|model| engine.find(model).is_some());
             let name = &upstream.spec().name;
--- a/crates/wheel_serving/src/lib.rs
+++ b/crates/wheel_serving/src/lib.rs
@@ -35,6 +35,7 @@
 mod sent_request;
 mod slot_guard;
 mod slot_queue;
+mod upstream_rest;
 mod usage_table;
 
 pub use call_cost::CallCost;
--- a/crates/wheel_serving/src/owned_upstream.rs
+++ b/crates/wheel_serving/src/owned_upstream.rs
@@ -11,12 +11,13 @@
 use wheel_policy::{QueueSettings, QueuedRequest};
 use wheel_types::{EngineCall, ModelName, RequestOutcome};
 use wheel_upstream::{
-    CallTimeouts, EngineClient, EngineSettings, GenerateCall, GeneratePath, ServiceCall,
-    ServiceClient, ServiceSettings,
+    CallFailure, CallTimeouts, EngineClient, EngineSettings, GenerateCall, GeneratePath,
+    ServiceCall, ServiceClient, ServiceSettings, asked_rest,
 };
 
 use crate::owned_answer::{OwnedAnswer, OwnedPlain, OwnedStream, OwnedWhole};
 use crate::relay_refusal::RelayRefusal;
+use crate::upstream_rest::UpstreamRest;
 use crate::{
     DrainNotice, DrainingReplicas, ProcessClock, RelayCall, SlotGuard, SlotQueue, UsageTable,
 };
@@ -41,6 +42,7 @@
     /// Requests a report at once.
     pub(crate) report_due: Arc<Notify>,
     client: UpstreamClient,
+    pub(crate) rest: UpstreamRest,
     /// Ends the tasks that watch the upstream once it is owned elsewhere.
     pub(crate) disowned: CancellationToken,
 }
@@ -75,6 +77,7 @@
             usage: Arc::default(),
             draining: DrainingReplicas::default(),
             report_due: Arc::default(),
+            rest: UpstreamRest::default(),
             disowned: CancellationToken::new(),
             ranks: manifest.manifest.ranks.clone(),
             spec,
@@ -159,12 +162,12 @@
         };
         if stream {
             let stream =
-                client.generate(engine_call).await.map_err(|failure| upstream_refusal(&failure))?;
+                client.generate(engine_call).await.map_err(|failure| self.refusal(&failure))?;
             let stream = OwnedStream { slot, _usage: usage, stream };
             return Ok(OwnedAnswer::Stream(Box::new(stream)));
         }
         let answer =
-            client.complete(engine_call).await.map_err(|failure| upstream_refusal(&failure))?;
+            client.complete(engine_call).await.map_err(|failure| self.refusal(&failure))?;
         Ok(OwnedAnswer::Whole(OwnedWhole { body: answer.body, _slot: slot, _usage: usage }))
     }
 
@@ -193,12 +196,35 @@
             idempotent: call.repeatable,
             timeouts: CallTimeouts::default(),
         };
-        let answer =
-            client.call(service_call).await.map_err(|failure| upstream_refusal(&failure))?;
+        let answer = client.call(service_call).await.map_err(|failure| self.refusal(&failure))?;
+        if let Some(rest) = asked_rest(answer.status, &answer.headers) {
+            self.rest.record(rest);
+        }
         Ok(OwnedPlain { answer, slot })
     }
 
+    /// The refusal for a failed call; records the rest that the upstream asks for.
+    fn refusal(&self, failure: &CallFailure) -> RelayRefusal {
+        if let Some(rest) = failure.rest() {
+            self.rest.record(rest);
+        }
+        upstream_refusal(failure)
+    }
+
+    /// Refuses a call while the upstream rests.
+    fn check_rest(&self) -> Result<(), RelayRefusal> {
+        match self.rest.remaining() {
+            None => Ok(()),
+            Some(rest) => Err(RelayRefusal {
+                retry_after_ms: u64::try_from(rest.as_millis()).ok(),
+                ..RelayRefusal::elsewhere("the upstream has asked not to be called")
+            }),
+        }
+    }
+
+    /// Waits for a slot of an upstream that doesn't rest.
     async fn acquire_slot(&self, call: &RelayCall) -> Result<SlotGuard, RelayRefusal> {
+        self.check_rest()?;
         let now = self.clock.at(Instant::now());
         let age_us = call.age_ms.saturating_mul(1_000);
         let arrival = now.as_micros().saturating_sub(age_us);
@@ -214,7 +240,10 @@
             cost: std::time::Duration::from_millis(call.cost_ms),
             kv_tokens: 0,
         };
-        self.queue.acquire(request).await.map_err(RelayRefusal::from)
+        let slot = self.queue.acquire(request).await.map_err(RelayRefusal::from)?;
+        // A rest may have begun in the meantime.
+        self.check_rest()?;
+        Ok(slot)
     }
 }
 
@@ -224,7 +253,11 @@
     }
 }
 
-fn upstream_refusal(failure: &wheel_upstream::CallFailure) -> RelayRefusal {
+fn upstream_refusal(failure: &CallFailure) -> RelayRefusal {
     debug_assert!(failure.outcome() != RequestOutcome::Ran, "a failed call has no answer");
-    RelayRefusal::upstream_failed(failure.to_string(), failure.outcome())
+    let retry_after_ms = failure.rest().and_then(|rest| u64::try_from(rest.as_millis()).ok());
+    RelayRefusal {
+        retry_after_ms,
+        ..RelayRefusal::upstream_failed(failure.to_string(), failure.outcome())
+    }
 }
--- a/crates/wheel_upstream/src/asked_rest.rs
+++ b/crates/wheel_upstream/src/asked_rest.rs
@@ -8,10 +8,11 @@
 /// Maximum time that one answer can ask for; further ones follow if the upstream still refuses.
 const MAX_REST: Duration = Duration::from_secs(3_600);
 
-/// The time for which a busy upstream asks not to be called: `Retry-After` of a 503 or 429, in seconds
-/// that may have a fraction. A date, and anything else that isn't a positive number, counts as none.
+/// The time for which an upstream asks not to be called: `Retry-After` of a 503, in seconds that may
+/// have a fraction. A date, and anything else that isn't a positive number, counts as none.
 pub fn asked_rest(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
-    if !matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+    // In a 429 it concerns one caller, not the upstream.
+    if status != StatusCode::SERVICE_UNAVAILABLE {
         return None;
     }
     let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
--- a/crates/wheel_upstream/src/call_failure.rs
+++ b/crates/wheel_upstream/src/call_failure.rs
@@ -1,5 +1,7 @@
 //! Why a call failed, and whether it may have run.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::StatusCode;
 use snafu::Snafu;
@@ -67,6 +69,8 @@
         status: StatusCode,
         /// The body, truncated at the limit for answers that aren't streamed.
         body: Bytes,
+        /// The time for which the upstream asks not to be called.
+        rest: Option<Duration>,
     },
     /// The answer carries the id of another call, or none.
     #[snafu(display("answer to another request"))]
@@ -104,6 +108,14 @@
         Self { sent: SentState::MaybeSent, reported_not_run: false, kind }
     }
 
+    /// The time for which the upstream asks not to be called.
+    pub fn rest(&self) -> Option<Duration> {
+        match &self.kind {
+            FailureKind::Refused { rest, .. } => *rest,
+            _ => None,
+        }
+    }
+
     /// What a caller may be told: `not-run` only if nothing was sent or the upstream reported it.
     pub fn outcome(&self) -> RequestOutcome {
         match self.sent {
--- a/crates/wheel_upstream/src/engine_client.rs
+++ b/crates/wheel_upstream/src/engine_client.rs
@@ -15,7 +15,7 @@
 use crate::pooled_call::PooledCall;
 use crate::{
     AnswerBody, AttemptId, CacheEvents, CallFailure, ClientStatus, CompleteAnswer, EngineDialect,
-    EngineSettings, FailureKind, GenerateCall, OrderPermit, OrderResponse, TokenStream,
+    EngineSettings, FailureKind, GenerateCall, OrderPermit, OrderResponse, TokenStream, asked_rest,
 };
 
 const MAX_CANCELS: usize = 32;
@@ -171,9 +171,10 @@
         );
         let mut answer = self.check_id(&id, sending.await?)?;
         let body = answer.body_mut().collect(self.settings.limits.max_answer_bytes).await?;
+        let rest = asked_rest(answer.status(), answer.headers());
         match answer.status() {
             status if status.is_success() => Ok(body),
-            status => Err(CallFailure::maybe_sent(FailureKind::Refused { status, body })),
+            status => Err(CallFailure::maybe_sent(FailureKind::Refused { status, body, rest })),
         }
     }
 
@@ -193,7 +194,8 @@
         let limit = self.settings.limits.max_answer_bytes;
         // The outcome depends on the head alone; if the body is cut short only its text is lost.
         let body = answer.body_mut().collect(limit).await.unwrap_or_default();
-        let kind = FailureKind::Refused { status, body };
+        let rest = asked_rest(status, answer.headers());
+        let kind = FailureKind::Refused { status, body, rest };
         Err(CallFailure { reported_not_run, ..CallFailure::maybe_sent(kind) })
     }
 
