Let the soak's caller resend only what it can send in time

Cause: a resend kept its slow body, which takes 840 ms, when 560 ms were left. The last byte went out after the deadline and 20 ms before the caller gave up, so that a busy machine's answer came too late. In the soak such a call looks like a process that doesn't answer in time.

Change: a call is sent again only if its body and an answer fit into the time that is left, after the wait that was asked for.

--- a/crates/wheel_soak/src/call_plan.rs
+++ b/crates/wheel_soak/src/call_plan.rs
@@ -38,6 +38,11 @@
 }
 
 impl CallPlan {
+    /// How long the body takes to be sent.
+    pub(crate) fn body_time(&self) -> Duration {
+        self.body_pause * u32::try_from(self.body_chunks - 1).unwrap_or(u32::MAX)
+    }
+
     /// Draws the next call, or `None` without a process or a route.
     pub(crate) fn draw(settings: &CallerSettings, random: &mut StdRng) -> Option<Self> {
         let mut draw_index = |count: usize| (count > 0).then(|| random.random_range(0..count));
--- a/crates/wheel_soak/src/soak_caller.rs
+++ b/crates/wheel_soak/src/soak_caller.rs
@@ -23,7 +23,7 @@
 
 /// Maximum number of open requests of a caller; at the limit it waits.
 const MAX_OPEN: usize = 256;
-/// Minimum time left before the deadline for a resend.
+/// Minimum time left before the deadline for the answer to a resend.
 const MIN_RESEND_TIME: Duration = Duration::from_millis(200);
 
 /// A running caller.
@@ -98,7 +98,7 @@
             };
             let left = until.saturating_duration_since(Instant::now());
             let wait = wait.filter(|_| plan.honors_retry_after).unwrap_or_default();
-            if wait > left / 3 || left < MIN_RESEND_TIME {
+            if wait > left / 3 || left < wait + plan.body_time() + MIN_RESEND_TIME {
                 return;
             }
             sleep(wait).await;
--- a/crates/wheel_soak/tests/soak_caller.rs
+++ b/crates/wheel_soak/tests/soak_caller.rs
@@ -249,6 +249,21 @@
     assert!(ends.iter().any(|(id, ..)| first_only(id)), "some requests aren't resent");
 }
 
+#[tokio::test]
+async fn call_refused_is_sent_again_only_with_time_for_its_body() {
+    // Nobody can answer in time what is still being sent at the deadline.
+    let (observations, _) = run("/refuse", CallKind::NonIdempotent).await;
+    let (sent, started) = (sent(&observations), started(&observations));
+    let mut resends = 0;
+    for (id, (at, _)) in sent.iter().filter(|(id, _)| !id.ends_with("-0")) {
+        let (call, _) = id.rsplit_once('-').expect("an id with its attempt");
+        let first = started[&*format!("{call}-0")].0;
+        assert!(*at < first + CALL_TIME, "{id} was sent after {:?}", *at - first);
+        resends += 1;
+    }
+    assert!(resends > 10, "{resends} resends");
+}
+
 #[tokio::test]
 async fn call_cut_off_is_recorded() {
     let (observations, _) = run("/part", CallKind::NonIdempotent).await;
