Start a soak call's time after its record

Seen: call_unanswered_is_given_up failed in 1 of 40 runs, ten at a time: a call ended as TimedOut after 1.794 s by the records, although a caller waits 1.8 s.

Cause: the caller took the start of the call before it recorded it, and was held up for 6 ms in between. Its own wait was long enough, the recorded span wasn't.

Change: the start is taken after the record.

--- a/crates/wheel_soak/src/soak_caller.rs
+++ b/crates/wheel_soak/src/soak_caller.rs
@@ -109,9 +109,10 @@
 
     async fn exchange(&self, id: &Arc<str>, plan: &CallPlan) -> CallEnd {
         let (process, address) = &self.settings.processes[plan.process];
-        let began = Instant::now();
         let (id_, process) = (Arc::clone(id), Arc::clone(process));
         self.sink.record(SeenEvent::CallBegan { id: id_, process: Arc::clone(&process) });
+        // After the record, so that no call is seen to end before its time.
+        let began = Instant::now();
         let idle = self.take_idle(plan).await;
         let is_kept = idle.is_some();
         let opened = match idle {
