Keep the ports bound that tests need nobody to listen on

Seen: call_without_a_process_sends_nothing sent a call in 2 of 40 runs of all tests of soak_caller, ten at a time, and call_answered_on_kept_connections saw each id run twice in 1 of 40, both before.

Cause: the first test let a port go and took it that nobody listens there; the stand-in of another copy got it. TestUpstream::closed of wheel_gateway did the same.

Change: both keep the socket bound without listening on it.

--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -58,7 +58,7 @@
 #[tokio::test]
 async fn answer_unsent_goes_elsewhere_without_budget() {
     // A send that never left is no retry, so that it needs no retry budget.
-    let closed = TestUpstream::closed("u1").await;
+    let closed = TestUpstream::closed("u1");
     let other = TestUpstream::bind("u2", vec![Reply::ran(200, "ok")]).await;
     let ingress = TestIngress::without_budget(RouteKind::NonIdempotent, &[&closed, &other]).await;
     ingress.prefer("u1");
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioExecutor;
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use wheel_gateway::{
     AnswerClass, FleetState, ForwardHeaders, GenerationRequest, IngressDialect, IngressRequest,
     ProxySettings, RequestProxy,
@@ -113,6 +113,8 @@
     name: &'static str,
     address: SocketAddr,
     seen: Arc<Mutex<Vec<SeenRequest>>>,
+    /// Keeps a port that nobody listens on.
+    _reserved: Option<TcpSocket>,
 }
 
 impl TestUpstream {
@@ -125,7 +127,7 @@
             async move { answer(name, request, reply, &recorded).await }
         });
         let address = server.await.expect("loopback can be listened on").local_addr();
-        Self { name, address, seen }
+        Self { name, address, seen, _reserved: None }
     }
 
     /// An upstream that writes the given answers byte for byte, each on a connection of its own that
@@ -145,14 +147,15 @@
                 stream.shutdown().await.expect("a caller");
             }
         });
-        Self { name, address, seen }
+        Self { name, address, seen, _reserved: None }
     }
 
     /// An upstream at whose address no process listens.
-    pub(crate) async fn closed(name: &'static str) -> Self {
-        let listener = tokio::net::TcpListener::bind(LOOPBACK).await.expect("a free port");
-        let address = listener.local_addr().expect("a bound address");
-        Self { name, address, seen: Arc::default() }
+    pub(crate) fn closed(name: &'static str) -> Self {
+        let reserved = TcpSocket::new_v4().expect("a socket");
+        reserved.bind(LOOPBACK).expect("a free port");
+        let address = reserved.local_addr().expect("a bound address");
+        Self { name, address, seen: Arc::default(), _reserved: Some(reserved) }
     }
 
     pub(crate) fn seen(&self) -> Vec<SeenRequest> {
--- a/crates/wheel_soak/tests/soak_caller.rs
+++ b/crates/wheel_soak/tests/soak_caller.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufStream};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use wheel_platform::wire_names::{ATTEMPT_ID, DEADLINE, MODEL, SIGNATURE};
 use wheel_soak::{
@@ -305,9 +305,10 @@
 
 #[tokio::test]
 async fn call_without_a_process_sends_nothing() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback can be listened on");
-    let address = listener.local_addr().expect("an address");
-    drop(listener);
+    // Bound without listening, so that no other server gets its port.
+    let reserved = TcpSocket::new_v4().expect("a socket");
+    reserved.bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+    let address = reserved.local_addr().expect("an address");
     let (sink, mut received) = ObservationSink::open();
     run_caller(settings(address, "/ok", CallKind::NonIdempotent), sink).await;
     let mut count = 0;
