Have the soak's upstreams close streams inside an event

Every second stream that the fault upstream_cut affects now has neither a length nor chunks and is closed in order inside an event.

--- a/crates/wheel_soak/src/upstream_stub.rs
+++ b/crates/wheel_soak/src/upstream_stub.rs
@@ -51,8 +51,10 @@
     Doubled,
     /// Its answer isn't HTTP.
     Unframed,
-    /// It resets the connection in the middle of its answer.
+    /// It resets the connection in the middle of its answer; every second stream is [`Self::Closed`].
     Cut,
+    /// Its stream has neither a length nor chunks and closes in order in the middle of an event.
+    Closed,
 }
 
 /// A running stub behind a link.
@@ -277,12 +279,11 @@
         };
         let limit = request.number(DEADLINE);
         let limit = limit.map_or(RUN_LIMIT, Duration::from_millis).min(RUN_LIMIT);
-        let fault = fault.filter(|_| self.takes_fault());
-        let answer = match service {
-            ENGINE_SERVICE if is_stream(&request.path) => {
-                head.stream(request, resumed_after.unwrap_or_default(), fault)
-            }
-            _ => head.plain(request, fault),
+        let is_stream = service == ENGINE_SERVICE && is_stream(&request.path);
+        let fault = fault.and_then(|fault| self.take_fault(fault, is_stream));
+        let answer = match is_stream {
+            true => head.stream(request, resumed_after.unwrap_or_default(), fault),
+            false => head.plain(request, fault),
         };
         // Like most engines, drops a request when its connection closes, and like all at its deadline.
         let after = tokio::select! {
@@ -295,10 +296,16 @@
         Ok(after)
     }
 
-    fn takes_fault(&self) -> bool {
+    /// The fault that affects the next request, if any.
+    fn take_fault(&self, fault: UpstreamFault, is_stream: bool) -> Option<UpstreamFault> {
         let mut candidates = self.candidates.lock();
         *candidates += 1;
-        candidates.is_multiple_of(FAULT_SHARE)
+        let is_second = candidates.is_multiple_of(2 * FAULT_SHARE);
+        match fault {
+            _ if !candidates.is_multiple_of(FAULT_SHARE) => None,
+            UpstreamFault::Cut if is_stream && is_second => Some(UpstreamFault::Closed),
+            fault => Some(fault),
+        }
     }
 }
 
@@ -370,15 +377,21 @@
         fault: Option<UpstreamFault>,
     ) -> PlannedAnswer {
         let (count, pause) = parse_workload(&request.path).unwrap_or(DEFAULT_STREAM);
-        let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked";
+        let is_closed = fault == Some(UpstreamFault::Closed);
+        let framing = match is_closed {
+            true => "content-type: text/event-stream",
+            false => "content-type: text/event-stream\r\ntransfer-encoding: chunked",
+        };
         let event = |number: u64| format!("id: {number}\ndata: {}-{number}\n\n", self.id);
         let events: Vec<String> = (resumed_after + 1..=count).map(event).collect();
-        let encoded = events.iter().map(|event| format!("{:x}\r\n{event}\r\n", event.len()));
-        let ends = [self.text(framing, fault), "0\r\n\r\n".to_owned()];
-        let [head, end] = ends.map(String::into_bytes);
-        let mut chunks = vec![head];
-        chunks.extend(encoded.map(String::into_bytes));
-        chunks.push(end);
+        let mut chunks = vec![self.text(framing, fault).into_bytes()];
+        if is_closed {
+            chunks.extend(events.iter().map(|event| event.clone().into_bytes()));
+        } else {
+            let encoded = events.iter().map(|event| format!("{:x}\r\n{event}\r\n", event.len()));
+            chunks.extend(encoded.map(String::into_bytes));
+            chunks.push(b"0\r\n\r\n".to_vec());
+        }
         let body = events.concat().into_bytes();
         PlannedAnswer { chunks, pause: Duration::from_millis(pause), body }
     }
@@ -409,6 +422,10 @@
                     tokio::time::sleep(self.pause).await;
                     return Ok(ConnectionAction::Reset);
                 }
+                Some(UpstreamFault::Closed) if number == middle => {
+                    to.write_all(&chunk[..chunk.len() / 2]).await?;
+                    return Ok(ConnectionAction::Close);
+                }
                 _ => to.write_all(chunk).await?,
             }
         }
--- a/crates/wheel_soak/tests/stubs.rs
+++ b/crates/wheel_soak/tests/stubs.rs
@@ -156,6 +156,25 @@
     assert_eq!(ends(&mut seen), [true; 6]);
 }
 
+#[tokio::test]
+async fn upstream_cut_closes_every_second_stream_inside_an_event() {
+    let (upstream, _seen) = engine().await;
+    load(&upstream, "m0").await;
+    let path = format!("{RESUMABLE_PREFIX}4x1");
+    upstream.set_fault(Some(UpstreamFault::Cut));
+    let mut closed = 0;
+    for _ in 0..8 {
+        let reply = request(&upstream, &path, &[]).await;
+        let is_closed =
+            |reply: &HttpReply| reply.complete && reply.header("transfer-encoding").is_empty();
+        if let Some(reply) = reply.filter(is_closed) {
+            assert!(!reply.text().ends_with("\n\n"), "{:?}", reply.text());
+            closed += 1;
+        }
+    }
+    assert_eq!(closed, 2, "a client that trusts the close takes them for whole");
+}
+
 #[tokio::test]
 async fn list_shows_changes_late_and_entries_that_cannot_be_read() {
     let (upstream, mut seen) = engine().await;
