Keep an engine's rest while it can't be reached

What would be seen: an engine of wisteriawheeld that had asked for rest and then didn't answer two reads of its state was called again as soon as it answered. Found by reading the change; no run shows it, and no test was written for it.

Cause: an unreachable engine's incarnation is set to none, so that the next read looked like a new start, which ends a rest.

Change: the last incarnation that was read is kept apart.

--- a/crates/wheel_serving/src/engine_watch.rs
+++ b/crates/wheel_serving/src/engine_watch.rs
@@ -34,6 +34,8 @@
 #[derive(Default)]
 struct WatchState {
     engine: EngineState,
+    /// The last start that was read, also while the engine can't be reached.
+    last_start: Option<IncarnationId>,
     /// As reported by the engine itself or by the platform's list.
     leaving: bool,
     load: LoadReport,
@@ -146,7 +148,8 @@
     match engine {
         Ok(engine) => {
             state.failed_reads = 0;
-            if engine.incarnation != state.engine.incarnation {
+            let last_start = state.last_start.replace(engine.incarnation);
+            if last_start.is_some_and(|last_start| last_start != engine.incarnation) {
                 upstream.rest.clear();
             }
             state.external_running = update_external_running(upstream, &engine);
