Shorten comments of the fixes, and break long lines

Reading the change as a newcomer: comments over the line's length, a match on a comparison that an if says better, a log call whose lines the formatter leaves alone, and comments that told more than the reason.

--- a/crates/wheel_gateway/src/event_splitter.rs
+++ b/crates/wheel_gateway/src/event_splitter.rs
@@ -33,7 +33,7 @@
         Some((event_id(&event), event))
     }
 
-    /// Number of bytes of an event that isn't complete yet; 0 if only blank lines follow the last one.
+    /// Number of bytes of an incomplete event; 0 if only blank lines follow the last event.
     pub fn partial_len(&self) -> usize {
         let is_blank = self.buffer.iter().all(|byte| matches!(byte, b'\n' | b'\r'));
         if is_blank { 0 } else { self.buffer.len() }
--- a/crates/wheel_gateway/src/request_log.rs
+++ b/crates/wheel_gateway/src/request_log.rs
@@ -174,7 +174,8 @@
             model = self.model.as_str(), upstream = self.engine.to_string(), sends = self.sends,
             status = status, reason = self.reason, phase = self.phase.as_str(),
             framing = self.framing.map_or("-", AnswerFraming::as_str),
-            events = self.events, partial_bytes = self.partial_bytes, first_ms = self.first_ms.unwrap_or_default(),
+            events = self.events, partial_bytes = self.partial_bytes,
+            first_ms = self.first_ms.unwrap_or_default(),
             ms = took.as_millis(), version = self.version, view_age_ms = self.view_age_ms
         });
     }
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -148,10 +148,10 @@
         if !complete.is_empty() {
             self.ready.push_back(complete.into());
         }
-        match self.splitter.partial_len() {
-            partial if partial > MAX_EVENT_BYTES => Err("an event is too large".to_owned()),
-            _ => Ok(()),
+        if self.splitter.partial_len() > MAX_EVENT_BYTES {
+            return Err("an event is too large".to_owned());
         }
+        Ok(())
     }
 
     /// Resumes at another engine; otherwise returns the reason for which the stream ends.
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -73,7 +73,7 @@
             }
             let view = self.context.state.view();
             let ready = self.context.state.ready_indices(&view, self.service);
-            // Read once, so that a rest can't end between the choice and the decision to wait for it.
+            // Read once, so that a rest can't end between the choice and the decision to wait.
             let rests = self.rests_of(&view, &ready);
             if let Some(index) = self.choose(&view, &ready, &rests) {
                 return Ok(view.engines[index].clone());
@@ -112,7 +112,7 @@
         end.is_some_and(|end| end < self.deadline && Instant::now() + MIN_ANSWER_TIME > end)
     }
 
-    /// Logs the maximum wait, with the rest of upstreams and the age of the view on which it is based.
+    /// Logs the maximum wait, what it waits for, and the age of the view on which it is based.
     fn log_wait(&self, wait_end: Instant, rest: Option<Duration>) {
         let now = Instant::now();
         let wait = wait_end.saturating_duration_since(now).as_millis();
--- a/crates/wheel_gateway/tests/broken_streams.rs
+++ b/crates/wheel_gateway/tests/broken_streams.rs
@@ -1,5 +1,5 @@
-//! Streams whose upstream breaks off although its connection or its last chunk ends in an orderly way.
-//! A partial stream must not reach its caller as a complete one.
+//! Streams whose upstream breaks off although its connection or its last chunk ends in an orderly
+//! way. A partial stream must not reach its caller as a complete one.
 
 #![allow(clippy::expect_used)]
 
--- a/crates/wheel_gateway/tests/fleet_state.rs
+++ b/crates/wheel_gateway/tests/fleet_state.rs
@@ -60,7 +60,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn leaving_reports_end_with_their_lifetime() {
-    // What ended here must not be reported further: control instances would take the upstream out for all.
+    // Control instances take a reported upstream out for all ingress instances.
     let state = FleetState::default();
     let leaving = engine_info("u1", UpstreamState::Ready);
     state.record_leaving(&leaving.id);
--- a/crates/wheel_gateway/tests/leaving_upstreams.rs
+++ b/crates/wheel_gateway/tests/leaving_upstreams.rs
@@ -1,5 +1,5 @@
-//! Upstreams that announce in an answer that they leave, while the fleet's view still shows them as ready.
-//! None of their answers may be overlooked: no later request is sent there.
+//! Upstreams that announce in an answer that they leave, while the fleet's view still shows them as
+//! ready. None of their answers may be overlooked: no later request is sent there.
 
 #![allow(clippy::expect_used)]
 
--- a/crates/wheel_gateway/tests/resting_upstreams.rs
+++ b/crates/wheel_gateway/tests/resting_upstreams.rs
@@ -1,5 +1,5 @@
-//! Upstreams that refuse a request and ask not to be called for a while. Until that time is over, no
-//! further request of this instance may reach them, by whichever way it is sent.
+//! Upstreams that refuse a request and ask not to be called for a while. Until that time is over,
+//! no further request of this instance may reach them, by whichever way it is sent.
 
 #![allow(clippy::expect_used)]
 
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -130,8 +130,8 @@
         Self { name, address, seen, _reserved: None }
     }
 
-    /// An upstream that writes the given answers byte for byte, each on a connection of its own that
-    /// it then closes in an orderly way. `ID` in an answer stands for the id of the request.
+    /// An upstream that writes the given answers byte for byte, each on a connection of its own,
+    /// which it then closes in an orderly way. `ID` in an answer stands for the request's id.
     pub(crate) async fn bind_raw(name: &'static str, answers: Vec<String>) -> Self {
         let listener = tokio::net::TcpListener::bind(LOOPBACK).await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
--- a/crates/wheel_harness/tests/request_path.rs
+++ b/crates/wheel_harness/tests/request_path.rs
@@ -267,7 +267,7 @@
     owner_of(&cluster, seen_at, "engine-a").await;
     owner_of(&cluster, seen_at, "engine-b").await;
     set_faults(&cluster, "engine-a", json!({ "refuse": true, "retry_after_s": 60 })).await;
-    // Each ingress instance learns of a refusal by itself; the owner is the one that calls the engine.
+    // All instances relay to the owner, which alone calls the engine.
     for round in 0..4 {
         for instance in &cluster.instances {
             let reply = generate(&cluster.client, instance.ports.callers, "guide", 3, 20_000).await;
--- a/crates/wheel_placement/src/directed_engine.rs
+++ b/crates/wheel_placement/src/directed_engine.rs
@@ -38,8 +38,8 @@
     pub(crate) failing_since: Option<Instant>,
 }
 
-/// Reads an engine's report and records it in the engine's inventory, or the rest that the engine asks
-/// for.
+/// Reads an engine's report and records it in the engine's inventory. If the engine asks for rest
+/// instead, records that.
 pub(crate) async fn read_engine(
     engine: &DirectedEngine,
     dialect: &dyn FleetDialect,
--- a/crates/wheel_policy/src/rest_table.rs
+++ b/crates/wheel_policy/src/rest_table.rs
@@ -13,8 +13,8 @@
 }
 
 impl RestTable {
-    /// Records that an upstream asks for `length` of rest from now on. An earlier end than the one it
-    /// asked for before doesn't count: its answers may overtake each other.
+    /// Records that an upstream asks for `length` of rest from now on. Never makes an earlier rest
+    /// end sooner: answers may overtake each other.
     pub fn record(&mut self, now: MonotonicTime, upstream: &EngineId, length: Duration) {
         self.ends.retain(|_, end| now < *end);
         let end = self.ends.entry(upstream.clone()).or_default();
--- a/crates/wheel_serving/src/upstream_rest.rs
+++ b/crates/wheel_serving/src/upstream_rest.rs
@@ -11,7 +11,7 @@
 }
 
 impl UpstreamRest {
-    /// Records that the upstream asks for `length` of rest from now on; never shortens an earlier one.
+    /// Records that the upstream asks for `length` of rest; never makes an earlier rest end sooner.
     pub(crate) fn record(&self, length: Duration) {
         let end = Instant::now() + length;
         let mut current = self.end.lock();
--- a/crates/wheel_soak/src/upstream_stub.rs
+++ b/crates/wheel_soak/src/upstream_stub.rs
@@ -51,7 +51,8 @@
     Doubled,
     /// Its answer isn't HTTP.
     Unframed,
-    /// It resets the connection in the middle of its answer; every second stream is [`Self::Closed`].
+    /// It resets the connection in the middle of its answer, or for every second stream does as
+    /// [`Self::Closed`].
     Cut,
     /// Its stream has neither a length nor chunks and closes in order in the middle of an event.
     Closed,
