Log how long ago an ingress instance's configuration was proven to be the newest

Change: control_chosen names each new parent; config_unproven and config_proven mark the time in which no reply proves the version for over a second, with version, age and parent; documents_behind marks a control instance that holds an older configuration than the leader at two syncs in a row, for which a reply now carries the version held. wheel_config_proof_age_seconds is the age at each reply. No decision changes.

Volume: one line a change of parent, two a lapse.

--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -6,7 +6,7 @@
 
 use rand::Rng;
 use snafu::ResultExt;
-use spdlog::{error, info};
+use spdlog::{error, info, warn};
 use tokio::sync::watch;
 use wheel_control::{
     AddressResolver, ControlNode, ControlSettings, DocumentState, GroupClient, ManifestState,
@@ -119,7 +119,7 @@
             documents: Arc::clone(&documents),
             registry: Arc::clone(&registry),
         });
-        spawn_leader_sync(settings, hub, &control, &group, registry, own);
+        spawn_leader_sync(settings, hub, &control, &group, (registry, documents), own);
         let configs = Arc::new(ConfigService::new(group, Arc::clone(&dialects.config)));
         let drain = DrainDeadline::default();
         let service = OperatorService {
@@ -180,7 +180,7 @@
     hub: PeerHub,
     control: &ControlNode,
     group: &GroupClient,
-    registry: Arc<FleetRegistry>,
+    (registry, documents): (Arc<FleetRegistry>, Arc<DocumentState>),
     own: ControlEndpoint,
 ) {
     let sync_settings = SyncSettings {
@@ -194,6 +194,7 @@
     let instance: Arc<str> = settings.peer.to_string().into();
     let seeds = settings.seeds.clone();
     tokio::spawn(async move {
+        let mut was_behind = false;
         loop {
             if !registry.has_waiting() {
                 tokio::select! {
@@ -217,6 +218,7 @@
                 tokio::time::sleep(SYNC_INTERVAL).await;
                 continue;
             };
+            was_behind = log_lag(was_behind, documents.version(), reply.version);
             // A leader that doesn't know yet that it was deposed reports the age of its last
             // contact.
             if reply.group_age_ms < LEADER_AGE_MS {
@@ -229,6 +231,18 @@
     });
 }
 
+/// Logs when this instance holds an older configuration than the leader at two syncs in a row, and
+/// when it has caught up. Returns whether it is behind.
+fn log_lag(was_behind: bool, version: u64, leader_version: u64) -> bool {
+    let is_behind = version < leader_version;
+    match (was_behind, is_behind) {
+        (true, true) => warn!("documents_behind", kv: { version, leader_version }),
+        (true, false) => info!("documents_caught_up", kv: { version }),
+        (false, _) => {}
+    }
+    is_behind
+}
+
 fn known_control(
     registry: &FleetRegistry,
     seeds: &watch::Receiver<Vec<SocketAddr>>,
--- a/crates/wheel_daemon/src/fleet_router.rs
+++ b/crates/wheel_daemon/src/fleet_router.rs
@@ -95,7 +95,13 @@
     }
     let age = parts.registry.group_age().as_millis();
     let group_age_ms = u64::try_from(age).unwrap_or(u64::MAX);
-    SyncReply { document, fleet: parts.registry.view(), control, group_age_ms }
+    SyncReply {
+        document,
+        version: parts.documents.version(),
+        fleet: parts.registry.view(),
+        control,
+        group_age_ms,
+    }
 }
 
 fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, PeerRefusal> {
--- a/crates/wheel_placement/src/lib.rs
+++ b/crates/wheel_placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! configurations.
 
 mod authority_ledger;
+mod config_proof;
 mod config_service;
 mod directed_engine;
 mod fleet_dialect;
@@ -16,6 +17,7 @@
 mod parent_sync;
 
 pub use authority_ledger::{AuthorityLedger, AuthorityTimes};
+pub use config_proof::ConfigProof;
 pub use config_service::{ConfigService, PutOutcome};
 pub use fleet_dialect::{ConfigDialect, FleetDialect, FleetOrder, ListPage};
 pub use fleet_director::{DirectorContext, FleetDirector};
--- a/crates/wheel_placement/src/parent_sync.rs
+++ b/crates/wheel_placement/src/parent_sync.rs
@@ -6,13 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics::histogram;
 use parking_lot::Mutex;
 use rand::Rng;
 use spdlog::{info, warn};
 use tokio::time::Instant;
 use wheel_peer::{PeerAddress, PeerChannel, PeerHub};
 use wheel_route::{ControlEndpoint, SyncReply, SyncRequest};
-use wheel_types::InstanceName;
+use wheel_seams::boot_now;
+use wheel_types::{InstanceName, MonotonicTime};
+
+use crate::ConfigProof;
 
 /// Time limit for a reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(700);
@@ -25,6 +29,9 @@
 /// How long such an instance isn't used while there are others.
 const AVOID_TIME: Duration = Duration::from_secs(2);
 
+/// Age of the proof that the own configuration is the newest one, above which its lack is logged.
+const UNPROVEN_AGE: Duration = Duration::from_millis(1_000);
+
 /// Probability at each reply of moving to a control instance of the own data centre. Less than 1,
 /// so that many ingress instances don't move at once.
 const MOVE_PROBABILITY: f64 = 0.1;
@@ -58,6 +65,8 @@
     parent: Mutex<Option<SocketAddr>>,
     /// Control instances that didn't reply or have lost contact with the group, and since when.
     avoided: Mutex<HashMap<SocketAddr, Instant>>,
+    /// What control instances have said about the configuration in their replies.
+    proof: ConfigProof,
 }
 
 impl ParentSync {
@@ -69,6 +78,7 @@
             endpoints: Mutex::default(),
             parent: Mutex::default(),
             avoided: Mutex::default(),
+            proof: ConfigProof::default(),
         };
         sync.add_seeds(seeds);
         Arc::new(sync)
@@ -93,9 +103,11 @@
         urgent: impl Fn() -> U + Send,
     ) {
         let mut was_connected = true;
+        let mut was_proven = true;
         loop {
             let parent = self.choose();
             let request = prepare();
+            let called = boot_now();
             let is_long_poll = request.hold_ms > 0;
             let outcome = match parent {
                 Some(parent) => self.call(parent, &request).await,
@@ -118,6 +130,10 @@
                 SyncOutcome::Replied(reply) => self.learn(&reply.control),
                 SyncOutcome::Failed => self.avoid(parent),
             }
+            if let SyncOutcome::Replied(reply) = &outcome {
+                self.record_proof(called, reply);
+            }
+            was_proven = self.log_proof(was_proven, parent, &request);
             take(outcome);
             let jitter = rand::rng().random_range(0.9..1.1);
             let pause = match is_connected {
@@ -141,6 +157,39 @@
         reply.map_or(SyncOutcome::Failed, |reply| SyncOutcome::Replied(Box::new(reply)))
     }
 
+    /// Records the moment for which a reply to a call made at `called` proves the configuration.
+    fn record_proof(&self, called: MonotonicTime, reply: &SyncReply) {
+        if let Some(age) = self.proof.age(boot_now()) {
+            histogram!("wheel_config_proof_age_seconds").record(age.as_secs_f64());
+        }
+        let micros = reply.group_age_ms.saturating_mul(1_000);
+        self.proof.record(MonotonicTime::from_micros(called.as_micros().saturating_sub(micros)));
+    }
+
+    /// Logs when the configuration isn't proven any more, and when it is again. Returns whether it
+    /// is.
+    fn log_proof(
+        &self,
+        was_proven: bool,
+        parent: Option<SocketAddr>,
+        request: &SyncRequest,
+    ) -> bool {
+        let age = self.proof.age(boot_now());
+        let is_proven = age.is_some_and(|age| age < UNPROVEN_AGE);
+        let control = parent.map(|parent| parent.to_string()).unwrap_or_default();
+        match is_proven {
+            true if !was_proven => info!("config_proven", kv: {
+                version = request.version, control
+            }),
+            false if was_proven => warn!("config_unproven", kv: {
+                version = request.version, control,
+                age_ms = age.map(|age| age.as_millis()).unwrap_or_default()
+            }),
+            _ => {}
+        }
+        is_proven
+    }
+
     /// Abandons the parent, and avoids `parent` for [`AVOID_TIME`].
     fn avoid(&self, parent: Option<SocketAddr>) {
         *self.parent.lock() = None;
@@ -174,6 +223,7 @@
         let pool = [local, available, all].into_iter().find(|pool| !pool.is_empty())?;
         let chosen = pool[rand::rng().random_range(0..pool.len())].address;
         *self.parent.lock() = Some(chosen);
+        info!("control_chosen", kv: { control = chosen.to_string(), known = endpoints.len() });
         Some(chosen)
     }
 
--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -31,6 +31,7 @@
         self.calls.fetch_add(1, Ordering::SeqCst);
         let reply = SyncReply {
             document: None,
+            version: 0,
             fleet: None,
             control: Vec::new(),
             group_age_ms: self.group_age_ms,
--- a/crates/wheel_route/src/sync_message.rs
+++ b/crates/wheel_route/src/sync_message.rs
@@ -62,6 +62,8 @@
 pub struct SyncReply {
     /// A newer configuration: its version, and the document as the operator sent it.
     pub document: Option<(u64, Arc<[u8]>)>,
+    /// The version that the replying instance holds; 0 without a configuration.
+    pub version: u64,
     /// The fleet; `None` if nothing is known yet.
     pub fleet: Option<FleetView>,
     /// The known control instances.
