Log and count the retries that the budget allows and refuses

What callers saw: retries beyond the deployment's budget on grown sites. The logs had the number of sends of a request alone; nothing said whether a further send had been allowed or refused for want of retries, nor what was left.

Change: request_step retry_refused with what is left, and wheel_retries_total{service,outcome}. No decision changes.

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use http::request::Parts;
+use metrics::counter;
 use rand::Rng;
 use tokio::time::Instant;
 use wheel_ingress::{AnswerBody, DrainDeadline, full_body};
@@ -203,9 +204,26 @@
         let has_attempts =
             self.possible_runs < self.arrived.route.max_attempts && self.rejected <= MAX_REJECTED;
         let has_time = Instant::now() + MIN_ANSWER_TIME / 2 < self.deadline();
+        is_repeatable && has_attempts && has_time && (self.is_unsent || self.spend_retry())
+    }
+
+    /// Takes a retry from the service's budget; false if there is none left.
+    fn spend_retry(&self) -> bool {
         let service = UpstreamName::from(&*self.service);
-        let is_affordable = || self.is_unsent || self.context.retries.lock().try_retry(&service);
-        is_repeatable && has_attempts && has_time && is_affordable()
+        let (is_allowed, remaining) = {
+            let mut retries = self.context.retries.lock();
+            (retries.try_retry(&service), retries.remaining(&service))
+        };
+        let outcome = if is_allowed { "allowed" } else { "refused" };
+        counter!(
+            "wheel_retries_total",
+            "service" => service.as_str().to_owned(), "outcome" => outcome
+        )
+        .increment(1);
+        if !is_allowed {
+            self.log.step("retry_refused", &format!("{remaining:.2} retries left"));
+        }
+        is_allowed
     }
 
     /// The drain deadline of the instance.
--- a/crates/wheel_policy/src/retry_budget.rs
+++ b/crates/wheel_policy/src/retry_budget.rs
@@ -52,6 +52,11 @@
         allowed
     }
 
+    /// Retries to `upstream` that are left.
+    pub fn remaining(&self, upstream: &UpstreamName) -> f64 {
+        self.tokens.get(upstream).copied().unwrap_or(self.settings.reserve)
+    }
+
     /// Removes an upstream, which has a full reserve if it is used again.
     pub fn remove_upstream(&mut self, upstream: &UpstreamName) {
         self.tokens.remove(upstream);
