--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -13,6 +13,7 @@
     LogEntry, NodeId, PersistRecord, ProposalId, ProposalRefusal, RaftInput, RaftMessage, RaftNode,
     RaftOutput, RaftStatus, ReadId, RoleName, VoterChange, decode, encode,
 };
+use wheel_seams::is_planted;
 use wheel_types::MonotonicTime;
 
 use crate::control_folder::ControlFolder;
@@ -296,6 +297,7 @@
     fn publish(&self) {
         self.manifest.replace(self.state.history());
         if let Some(document) = self.state.document()
+            && !is_planted("log_lags")
             && self.documents.adopt(document)
         {
             info!("document_committed", kv: { version = document.version });
