Prove an ingress instance's configuration by the replies that carry it, and hedge silent control instances

The class: an absence of proof treated like an absence of a reply, and waits for silent peers in a row. Beside it, by test: freshness was vouched for by the leader's reply to a sync that carried no configuration, so that a control instance whose log lags called itself current and kept those below it on its version.

Change: a reply names the version held and the age of the last moment for which that was certainly the newest (ConfigProof): at the leader the request of its last confirmation by a majority, below it the call of a sync that brought the document or found it there. While a call has no reply, others are called beside it once that proof is 0.9 s old, then every 0.2 s, without giving up the earlier calls: first those heard of, then those that couldn't prove, last those that were silent, whose avoidance doubles.

--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -6,7 +6,7 @@
 
 use rand::Rng;
 use snafu::ResultExt;
-use spdlog::{error, info, warn};
+use spdlog::{error, info};
 use tokio::sync::watch;
 use wheel_control::{
     AddressResolver, ControlNode, ControlSettings, DocumentState, GroupClient, ManifestState,
@@ -14,10 +14,11 @@
 use wheel_ingress::{DrainDeadline, HttpLimits, HttpServer};
 use wheel_peer::{PeerAddress, PeerHub};
 use wheel_placement::{
-    AuthorityTimes, ConfigDialect, ConfigService, DirectorContext, FleetDirector, FleetRegistry,
-    ListSettings, ListWatch, OrderAuthority, ParentSync, SyncOutcome, SyncSettings,
+    AuthorityTimes, ConfigDialect, ConfigProof, ConfigService, DirectorContext, FleetDirector,
+    FleetRegistry, ListSettings, ListWatch, OrderAuthority, ParentSync, SyncSettings,
 };
 use wheel_route::{ControlEndpoint, FleetConfig};
+use wheel_seams::boot_now;
 use wheel_types::InstanceName;
 
 use crate::fleet_ingress::follow_seeds;
@@ -31,9 +32,6 @@
 const SYNC_INTERVAL: Duration = Duration::from_millis(200);
 /// Milliseconds for which the leader may delay its reply to wait for a change while requests wait.
 const HOLD_MS: u32 = 100;
-/// Age of the leader's last contact with the group, in milliseconds, above which it may have been
-/// deposed.
-const LEADER_AGE_MS: u64 = 600;
 /// Validity of a leader's confirmation: four times a confirmation, which takes two round trips.
 const AUTHORITY_VALIDITY: Duration = Duration::from_millis(600);
 /// Time for open operators' calls during a shutdown: the 2.5 s of a change and its answer.
@@ -97,12 +95,13 @@
         let group = GroupClient::new(hub.clone(), addresses, Some(control.clone()), &seeds);
         let list = ListSettings { address: settings.list_address, interval: LIST_INTERVAL };
         let list = ListWatch::spawn(list, Arc::clone(&dialects.fleet), || true);
-        let registry = FleetRegistry::open(Arc::clone(&list));
+        let proof: Arc<ConfigProof> = Arc::default();
+        let registry = FleetRegistry::open(Arc::clone(&list), Arc::clone(&proof));
         let own = ControlEndpoint { address: settings.peer, centre: Arc::clone(&settings.centre) };
         registry.add_control(own.clone());
         let times =
             AuthorityTimes { validity: AUTHORITY_VALIDITY, pause: settings.bounds.holder_pause };
-        let authority = OrderAuthority::spawn(times, control.clone());
+        let authority = OrderAuthority::spawn(times, control.clone(), proof);
         FleetDirector::spawn(DirectorContext {
             holder: settings.label.to_string(),
             authority: Arc::clone(&authority),
@@ -194,7 +193,6 @@
     let instance: Arc<str> = settings.peer.to_string().into();
     let seeds = settings.seeds.clone();
     tokio::spawn(async move {
-        let mut was_behind = false;
         loop {
             if !registry.has_waiting() {
                 tokio::select! {
@@ -210,39 +208,19 @@
                 tokio::time::sleep(SYNC_INTERVAL).await;
                 continue;
             };
-            let mut request = registry.prepare_sync(Arc::clone(&instance), 0);
-            request.version = u64::MAX;
+            let mut request = registry.prepare_sync(Arc::clone(&instance), documents.version());
             request.control = Some(own.clone());
             request.hold_ms = if registry.has_waiting() { HOLD_MS } else { 0 };
-            let SyncOutcome::Replied(reply) = sync.call(leader, &request).await else {
+            let called = boot_now();
+            let Some(reply) = sync.call(leader, &request).await else {
                 tokio::time::sleep(SYNC_INTERVAL).await;
                 continue;
             };
-            was_behind = log_lag(was_behind, documents.version(), reply.version);
-            // A leader that doesn't know yet that it was deposed reports the age of its last
-            // contact.
-            if reply.group_age_ms < LEADER_AGE_MS {
-                registry.record_group_contact();
-            }
-            if let Some(view) = reply.fleet {
-                registry.set_leader_view(view, &reply.control);
-            }
+            registry.take_leader_reply(called, reply, &documents);
         }
     });
 }
 
-/// Logs when this instance holds an older configuration than the leader at two syncs in a row, and
-/// when it has caught up. Returns whether it is behind.
-fn log_lag(was_behind: bool, version: u64, leader_version: u64) -> bool {
-    let is_behind = version < leader_version;
-    match (was_behind, is_behind) {
-        (true, true) => warn!("documents_behind", kv: { version, leader_version }),
-        (true, false) => info!("documents_caught_up", kv: { version }),
-        (false, _) => {}
-    }
-    is_behind
-}
-
 fn known_control(
     registry: &FleetRegistry,
     seeds: &watch::Receiver<Vec<SocketAddr>>,
--- a/crates/wheel_daemon/src/fleet_ingress.rs
+++ b/crates/wheel_daemon/src/fleet_ingress.rs
@@ -12,8 +12,8 @@
 use wheel_gateway::{FleetState, ProxySettings, RequestProxy};
 use wheel_ingress::{AnswerBody, DrainDeadline, HttpLimits, HttpServer, full_body};
 use wheel_peer::PeerHub;
-use wheel_placement::{ListSettings, ListWatch, ParentSync, SyncOutcome, SyncSettings};
-use wheel_route::{EngineInfo, FleetView};
+use wheel_placement::{ListSettings, ListWatch, ParentSync, SyncSettings};
+use wheel_route::{EngineInfo, FleetView, SyncReply};
 use wheel_seams::is_planted;
 
 use crate::fleet_parts::{LIST_INTERVAL, bind_fleet_hub};
@@ -166,8 +166,7 @@
         (Arc::clone(state), Arc::clone(state), Arc::clone(state));
     let config = Arc::clone(&dialects.config);
     let prepare = move || request_state.prepare_sync(Arc::clone(&instance));
-    let take = move |outcome: SyncOutcome| {
-        let SyncOutcome::Replied(reply) = outcome else { return };
+    let take = move |reply: &SyncReply| {
         if let Some((version, bytes)) = &reply.document {
             let version = *version;
             match config.read(bytes) {
@@ -181,7 +180,8 @@
                 }),
             }
         }
-        reply_state.apply_reply(&reply);
+        reply_state.apply_reply(reply);
+        reply_state.version()
     };
     let urgent = move || {
         let state = Arc::clone(&urgent_state);
--- a/crates/wheel_daemon/src/fleet_router.rs
+++ b/crates/wheel_daemon/src/fleet_router.rs
@@ -87,20 +87,22 @@
     if !hold.is_zero() {
         let _ = tokio::time::timeout(hold, parts.registry.changed()).await;
     }
-    let newer = parts.documents.current().filter(|document| document.version > version);
+    // Read before the configuration, which may only be newer than what was proven.
+    let proof_age = parts.registry.proof_age();
+    let held = parts.documents.current();
+    let held_version = held.as_ref().map_or(0, |document| document.version);
+    let newer = held.filter(|document| document.version > version);
     let document = newer.map(|document| (document.version, Arc::clone(&document.bytes)));
     let mut control = parts.registry.control();
     if !control.contains(&parts.own) {
         control.push(parts.own.clone());
     }
-    let age = parts.registry.group_age().as_millis();
-    let group_age_ms = u64::try_from(age).unwrap_or(u64::MAX);
     SyncReply {
         document,
-        version: parts.documents.version(),
+        version: held_version,
         fleet: parts.registry.view(),
         control,
-        group_age_ms,
+        proof_age_ms: proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
     }
 }
 
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -126,7 +126,6 @@
     }
 
     async fn round(&mut self, term: u64) {
-        self.context.registry.record_group_contact();
         let Some(config) = self.context.config.borrow_and_update().clone() else { return };
         let now = boot_now();
         if self.term != term {
--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -5,14 +5,19 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use spdlog::{info, warn};
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use wheel_agreement::StoredDocument;
+use wheel_control::DocumentState;
 use wheel_route::{
     ControlEndpoint, DemandCount, DemandKey, EngineId, EngineInfo, FleetView, HeldModel,
-    OpenRequestCount, SyncRequest, UpstreamState,
+    OpenRequestCount, SyncReply, SyncRequest, UpstreamState,
 };
+use wheel_seams::boot_now;
+use wheel_types::MonotonicTime;
 
-use crate::ListWatch;
+use crate::{ConfigProof, ListWatch};
 
 /// Time without a sync after which an instance counts as gone.
 const CHILD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -49,20 +54,21 @@
 /// The state is behind a single lock that is only held for a few lines.
 pub struct FleetRegistry {
     list: Arc<ListWatch>,
+    proof: Arc<ConfigProof>,
     state: Mutex<RegistryState>,
-    last_contact: Mutex<Instant>,
     urgent: Notify,
     urgent_sync: Notify,
     changed: Notify,
 }
 
 impl FleetRegistry {
-    /// Creates an empty registry of the upstreams in `list`.
-    pub fn open(list: Arc<ListWatch>) -> Arc<Self> {
+    /// Creates an empty registry of the upstreams in `list`, at an instance whose configuration is
+    /// proven by `proof`.
+    pub fn open(list: Arc<ListWatch>, proof: Arc<ConfigProof>) -> Arc<Self> {
         Arc::new(Self {
             list,
+            proof,
             state: Mutex::default(),
-            last_contact: Mutex::new(Instant::now()),
             urgent: Notify::new(),
             urgent_sync: Notify::new(),
             changed: Notify::new(),
@@ -101,18 +107,40 @@
         self.urgent_sync.notified().await;
     }
 
-    /// Records contact with the group: this instance leads for certain, or the leader replied.
-    pub fn record_group_contact(&self) {
-        *self.last_contact.lock() = Instant::now();
+    /// Time since the last moment for which it is proven that this instance held the newest
+    /// configuration; `None` without a proof.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.proof.age(boot_now())
     }
 
-    /// Time since this instance was last known to be in contact with the group.
-    pub fn group_age(&self) -> Duration {
-        self.last_contact.lock().elapsed()
+    /// Takes over the leader's reply to a sync made at `called`. The configuration usually arrives
+    /// by the replicated log first, but only what is held here by then is proven by the reply.
+    pub fn take_leader_reply(
+        &self,
+        called: MonotonicTime,
+        reply: SyncReply,
+        documents: &DocumentState,
+    ) {
+        if let Some((version, bytes)) = reply.document
+            && documents.adopt(&StoredDocument { version, bytes })
+        {
+            info!("document_from_leader", kv: { version });
+        }
+        let held = documents.version();
+        match reply.proof_age_ms.map(Duration::from_millis) {
+            Some(age) if held >= reply.version => self.proof.record(called.before(age)),
+            Some(_) => warn!("documents_behind", kv: {
+                version = held, leader_version = reply.version
+            }),
+            None => {}
+        }
+        if let Some(view) = reply.fleet {
+            self.set_leader_view(view, &reply.control);
+        }
     }
 
     /// Stores the leader's view.
-    pub fn set_leader_view(&self, view: FleetView, control: &[ControlEndpoint]) {
+    fn set_leader_view(&self, view: FleetView, control: &[ControlEndpoint]) {
         let mut state = self.state.lock();
         let models = |view: &FleetView| {
             view.engines.iter().map(|info| info.models.clone()).collect::<Vec<_>>()
--- a/crates/wheel_placement/src/order_authority.rs
+++ b/crates/wheel_placement/src/order_authority.rs
@@ -11,7 +11,7 @@
 use wheel_types::MonotonicTime;
 use wheel_upstream::OrderPermit;
 
-use crate::{AuthorityLedger, AuthorityTimes};
+use crate::{AuthorityLedger, AuthorityTimes, ConfigProof};
 
 /// Time between two confirmations.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(150);
@@ -25,12 +25,19 @@
 #[derive(Debug)]
 pub struct OrderAuthority {
     ledger: Mutex<AuthorityLedger>,
+    proof: Arc<ConfigProof>,
 }
 
 impl OrderAuthority {
-    /// Starts a task that confirms the authority periodically while this instance leads.
-    pub fn spawn(times: AuthorityTimes, control: ControlNode) -> Arc<Self> {
-        let authority = Arc::new(Self { ledger: Mutex::new(AuthorityLedger::new(times)) });
+    /// Starts a task that confirms the authority periodically while this instance leads. Each
+    /// confirmation proves the own configuration as well, and is recorded in `proof`.
+    pub fn spawn(
+        times: AuthorityTimes,
+        control: ControlNode,
+        proof: Arc<ConfigProof>,
+    ) -> Arc<Self> {
+        let ledger = Mutex::new(AuthorityLedger::new(times));
+        let authority = Arc::new(Self { ledger, proof });
         tokio::spawn(Arc::clone(&authority).confirm_loop(control));
         authority
     }
@@ -70,7 +77,11 @@
         loop {
             let requested = boot_now();
             match tokio::time::timeout(CONFIRM_TIMEOUT, control.read()).await {
-                Ok(Some(answer)) => self.confirm(answer.term, requested),
+                Ok(Some(answer)) => {
+                    // All that was committed before the request is applied here by now.
+                    self.proof.record(requested);
+                    self.confirm(answer.term, requested);
+                }
                 Ok(None) => self.release(),
                 Err(_) => {}
             }
--- a/crates/wheel_placement/tests/config_service.rs
+++ b/crates/wheel_placement/tests/config_service.rs
@@ -142,7 +142,7 @@
     let times =
         AuthorityTimes { validity: Duration::from_millis(600), pause: Duration::from_millis(400) };
     let first = open_group(folder.path(), true);
-    let authority = OrderAuthority::spawn(times, first.control.clone());
+    let authority = OrderAuthority::spawn(times, first.control.clone(), Arc::default());
     while authority.fencing().is_none() {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
@@ -151,7 +151,7 @@
     first.control.stop();
     // The same instance after a restart can't know whether another one sent orders meanwhile.
     let second = open_group(folder.path(), true);
-    let authority = OrderAuthority::spawn(times, second.control.clone());
+    let authority = OrderAuthority::spawn(times, second.control.clone(), Arc::default());
     while authority.leading_term().is_none() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -4,24 +4,27 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
 use tokio::runtime::Handle;
+use tokio::task::JoinHandle;
 use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings};
-use wheel_placement::{ParentSync, SyncOutcome, SyncSettings};
+use wheel_placement::{ParentSync, SyncSettings};
 use wheel_route::{SyncReply, SyncRequest};
 use wheel_types::InstanceName;
 
 /// Time within which a configuration must be known, which bounds the time without a reply.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
+/// An election that needs a second round; long enough to find out which instances are silent.
+const LEADERLESS_TIME: Duration = Duration::from_millis(2_400);
 
-/// Replies to each sync with the same age of its contact with the group, until it goes silent.
+/// Replies to each sync with the same age of its proof, until it goes silent.
 struct TestControl {
-    group_age_ms: u64,
+    proof_age_ms: Arc<AtomicU64>,
     calls: Arc<AtomicUsize>,
     is_silent: Arc<AtomicBool>,
 }
@@ -42,7 +45,7 @@
             version: 0,
             fleet: None,
             control: Vec::new(),
-            group_age_ms: self.group_age_ms,
+            proof_age_ms: Some(self.proof_age_ms.load(Ordering::SeqCst)),
         };
         async move { Ok(postcard::to_stdvec(&reply).expect("a reply has an encoding")) }.boxed()
     }
@@ -54,22 +57,73 @@
     probe.local_addr().expect("an address")
 }
 
-fn bind(group_age_ms: u64) -> (PeerHub, SocketAddr, Arc<AtomicUsize>) {
-    let (hub, address, calls, _) = bind_silenceable(group_age_ms);
-    (hub, address, calls)
+/// A control instance with the switches that make it silent or change the age of its proof.
+struct BoundControl {
+    hub: PeerHub,
+    address: SocketAddr,
+    calls: Arc<AtomicUsize>,
+    is_silent: Arc<AtomicBool>,
+    proof_age_ms: Arc<AtomicU64>,
 }
 
-/// A control instance with a switch that makes it silent.
-fn bind_silenceable(group_age_ms: u64) -> (PeerHub, SocketAddr, Arc<AtomicUsize>, Arc<AtomicBool>) {
-    let address = free_address();
-    let calls: Arc<AtomicUsize> = Arc::default();
-    let name = InstanceName::from(address.to_string().as_str());
-    let settings = PeerSettings::new("test", name, Handle::current()).listen(address);
-    let is_silent: Arc<AtomicBool> = Arc::default();
-    let control =
-        TestControl { group_age_ms, calls: Arc::clone(&calls), is_silent: Arc::clone(&is_silent) };
-    let hub = PeerHub::bind(settings, Arc::new(control)).expect("loopback can be listened on");
-    (hub, address, calls, is_silent)
+impl BoundControl {
+    fn bind(proof_age_ms: u64) -> Self {
+        let address = free_address();
+        let name = InstanceName::from(address.to_string().as_str());
+        let settings = PeerSettings::new("test", name, Handle::current()).listen(address);
+        let (calls, is_silent) = <(Arc<AtomicUsize>, Arc<AtomicBool>)>::default();
+        let proof_age_ms = Arc::new(AtomicU64::new(proof_age_ms));
+        let control = TestControl {
+            proof_age_ms: Arc::clone(&proof_age_ms),
+            calls: Arc::clone(&calls),
+            is_silent: Arc::clone(&is_silent),
+        };
+        let hub = PeerHub::bind(settings, Arc::new(control)).expect("loopback can be listened on");
+        Self { hub, address, calls, is_silent, proof_age_ms }
+    }
+}
+
+/// A syncing instance that records when replies arrive.
+struct TestChild {
+    sync: Arc<ParentSync>,
+    replies: Arc<Mutex<Vec<Instant>>>,
+    running: JoinHandle<()>,
+}
+
+impl TestChild {
+    /// Starts to sync every 200 ms; `counts` selects the replies that are recorded.
+    fn spawn(seeds: &[SocketAddr], counts: fn(&SyncReply) -> bool) -> Self {
+        let own = BoundControl::bind(0);
+        let settings = SyncSettings {
+            own: own.address,
+            centre: "here".into(),
+            interval: Duration::from_millis(200),
+        };
+        let sync = ParentSync::open(settings, own.hub, seeds);
+        let replies: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let recorded = Arc::clone(&replies);
+        let take = move |reply: &SyncReply| {
+            if counts(reply) {
+                recorded.lock().push(Instant::now());
+            }
+            reply.version
+        };
+        let running = tokio::spawn(Arc::clone(&sync).run(request, take, std::future::pending));
+        Self { sync, replies, running }
+    }
+
+    /// The longest time without a recorded reply, from the first one until now.
+    fn longest_gap(&self) -> Duration {
+        let mut times = self.replies.lock().clone();
+        times.push(Instant::now());
+        times.windows(2).map(|pair| pair[1] - pair[0]).max().expect("replies")
+    }
+}
+
+impl Drop for TestChild {
+    fn drop(&mut self) {
+        self.running.abort();
+    }
 }
 
 fn request() -> SyncRequest {
@@ -89,33 +143,32 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_leaves_detached_control() {
-    let (_detached, detached_address, detached_calls) = bind(60_000);
-    let (_healthy, healthy_address, healthy_calls) = bind(0);
-    let (own, own_address, _) = bind(0);
+    let detached = BoundControl::bind(60_000);
+    let healthy = BoundControl::bind(0);
+    let own = BoundControl::bind(0);
     let settings = SyncSettings {
-        own: own_address,
+        own: own.address,
         centre: "here".into(),
         interval: Duration::from_millis(10),
     };
-    let sync = ParentSync::open(settings, own, &[detached_address]);
+    let sync = ParentSync::open(settings, own.hub, &[detached.address]);
     let replies: Arc<AtomicUsize> = Arc::default();
     let counted = Arc::clone(&replies);
-    let take = move |outcome: SyncOutcome| {
-        if matches!(outcome, SyncOutcome::Replied(_)) {
-            counted.fetch_add(1, Ordering::SeqCst);
-        }
+    let take = move |reply: &SyncReply| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        reply.version
     };
     let running = tokio::spawn(Arc::clone(&sync).run(request, take, std::future::pending));
     // Only the detached instance is known at first, so it is certain to be called.
     wait_for(&replies, 1).await;
-    sync.add_seeds(&[healthy_address]);
-    wait_for(&healthy_calls, 1).await;
-    let before = detached_calls.load(Ordering::SeqCst);
+    sync.add_seeds(&[healthy.address]);
+    wait_for(&healthy.calls, 1).await;
+    let before = detached.calls.load(Ordering::SeqCst);
     let received = replies.load(Ordering::SeqCst);
     wait_for(&replies, received + 30).await;
     running.abort();
     assert_eq!(
-        detached_calls.load(Ordering::SeqCst),
+        detached.calls.load(Ordering::SeqCst),
         before,
         "it isn't called again while another one replies"
     );
@@ -126,46 +179,42 @@
 /// configuration must be known, whatever the order in which they try.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn run_silent_controls_in_a_row_cost_less_than_a_configuration_may_take() {
-    let lost: Vec<_> = (0..4).map(|_| bind_silenceable(0)).collect();
-    let (_left, left_address, _) = bind(0);
-    let lost_addresses: Vec<SocketAddr> = lost.iter().map(|(_, address, ..)| *address).collect();
-    let children: Vec<_> = (0..12)
-        .map(|_| {
-            let (own, own_address, _) = bind(0);
-            let settings = SyncSettings {
-                own: own_address,
-                centre: "here".into(),
-                interval: Duration::from_millis(200),
-            };
-            let sync = ParentSync::open(settings, own, &lost_addresses);
-            let replies: Arc<Mutex<Vec<Instant>>> = Arc::default();
-            let recorded = Arc::clone(&replies);
-            let take = move |outcome: SyncOutcome| {
-                if matches!(outcome, SyncOutcome::Replied(_)) {
-                    recorded.lock().push(Instant::now());
-                }
-            };
-            let running = tokio::spawn(Arc::clone(&sync).run(request, take, std::future::pending));
-            (sync, replies, running)
-        })
-        .collect();
+    let lost: Vec<BoundControl> = (0..4).map(|_| BoundControl::bind(0)).collect();
+    let left = BoundControl::bind(0);
+    let seeds: Vec<SocketAddr> = lost.iter().map(|control| control.address).collect();
+    let children: Vec<TestChild> = (0..12).map(|_| TestChild::spawn(&seeds, |_| true)).collect();
     // All have a parent among those that will be lost.
     tokio::time::sleep(Duration::from_millis(700)).await;
-    for (sync, ..) in &children {
-        sync.add_seeds(&[left_address]);
-    }
-    lost.iter().for_each(|(.., is_silent)| is_silent.store(true, Ordering::SeqCst));
+    children.iter().for_each(|child| child.sync.add_seeds(&[left.address]));
+    // Syncs that began before don't know the one that is left.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    lost.iter().for_each(|control| control.is_silent.store(true, Ordering::SeqCst));
     tokio::time::sleep(APPLY_LIMIT * 2).await;
-    let longest_gap = |replies: &Mutex<Vec<Instant>>| {
-        let mut times = replies.lock().clone();
-        times.push(Instant::now());
-        times.windows(2).map(|pair| pair[1] - pair[0]).max().expect("replies")
-    };
-    let gaps: Vec<Duration> = children.iter().map(|(_, replies, _)| longest_gap(replies)).collect();
-    children.iter().for_each(|(.., running)| running.abort());
+    let gaps: Vec<Duration> = children.iter().map(TestChild::longest_gap).collect();
     assert!(gaps.iter().all(|gap| *gap < APPLY_LIMIT), "{gaps:?}");
 }
 
+/// The leader and another control instance go silent, and until the next leader is elected, the
+/// others can't prove their configuration. That must not make them look like the silent ones: once
+/// they have a leader, every instance must hear from them at its next sync.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn run_silent_controls_stay_the_last_while_none_can_prove() {
+    let lost: Vec<BoundControl> = (0..2).map(|_| BoundControl::bind(0)).collect();
+    let left: Vec<BoundControl> = (0..4).map(|_| BoundControl::bind(0)).collect();
+    let seeds: Vec<SocketAddr> = lost.iter().chain(&left).map(|control| control.address).collect();
+    let is_proof = |reply: &SyncReply| reply.proof_age_ms == Some(0);
+    let children: Vec<TestChild> = (0..12).map(|_| TestChild::spawn(&seeds, is_proof)).collect();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    lost.iter().for_each(|control| control.is_silent.store(true, Ordering::SeqCst));
+    left.iter().for_each(|control| control.proof_age_ms.store(5_000, Ordering::SeqCst));
+    tokio::time::sleep(LEADERLESS_TIME).await;
+    let before: Vec<usize> = children.iter().map(|child| child.replies.lock().len()).collect();
+    left.iter().for_each(|control| control.proof_age_ms.store(0, Ordering::SeqCst));
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    let heard = |(child, before): (&TestChild, &usize)| child.replies.lock().len() > *before;
+    assert!(children.iter().zip(&before).all(heard));
+}
+
 /// Waits until a counter has reached `count`, for at most ten seconds.
 async fn wait_for(counter: &AtomicUsize, count: usize) {
     let reached = async {
--- a/crates/wheel_route/src/sync_message.rs
+++ b/crates/wheel_route/src/sync_message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -68,6 +69,15 @@
     pub fleet: Option<FleetView>,
     /// The known control instances.
     pub control: Vec<ControlEndpoint>,
-    /// Milliseconds since the replying instance was last known to be in contact with the group.
-    pub group_age_ms: u64,
+    /// Milliseconds since the last moment for which it is proven that `version` was the newest
+    /// configuration; `None` without a proof.
+    pub proof_age_ms: Option<u64>,
+}
+
+impl SyncReply {
+    /// The time since the last moment for which it is proven that [`SyncReply::version`] was the
+    /// newest configuration; `None` without a proof.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.proof_age_ms.map(Duration::from_millis)
+    }
 }
--- a/crates/wheel_types/src/monotonic_time.rs
+++ b/crates/wheel_types/src/monotonic_time.rs
@@ -42,6 +42,12 @@
         Self::default() + now.saturating_duration_since(start)
     }
 
+    /// The point `span` earlier, or the start if that is later.
+    pub fn before(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// The time since `earlier`, or zero if `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
