Divide the retry budget by the ingress instances that there are, in the window in which it counts

Cause: each ingress instance kept a reserve of 0.7 of the deployment's extra retries, divided by an assumed 10 instances, and started with it full. 86 instances held 1,276 of 212. The class: a share of a common limit, computed from an assumption about how many share it. The two other hypotheses are ruled out by reading: a send is taken for unsent only if no byte of it was written or no connection was opened (SentState::NotSent), and neither the pool nor the HTTP client sends a request again.

Change: SharedRetryBudget. In any window an instance spends at most 0.7 x the share of its own requests in that window and an equal part of 0.7 x the extra retries; the number of instances is the fleet's, the largest of the last 10 minutes, so that a cut data centre doesn't count itself alone. In the first window after its start it has no part of the extra ones: the process before it may have spent them.

Rare requests keep their retry.

--- a/crates/wheel_daemon/src/fleet_ingress.rs
+++ b/crates/wheel_daemon/src/fleet_ingress.rs
@@ -13,6 +13,7 @@
 use wheel_ingress::{AnswerBody, DrainDeadline, HttpLimits, HttpServer, full_body};
 use wheel_peer::PeerHub;
 use wheel_placement::{ListSettings, ListWatch, ParentSync, SyncSettings};
+use wheel_policy::SharedBudgetSettings;
 use wheel_route::{EngineInfo, FleetView, SyncReply};
 use wheel_seams::is_planted;
 
@@ -34,13 +35,11 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Time for the request path to answer after the deadline before the server answers instead.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
-/// Share of the deployment's retries that all ingress instances use together: each counts its own,
-/// and their windows aren't aligned with the window of the deployment's rule.
+/// Part of the deployment's retries that all ingress instances use together. Each counts the
+/// requests that it has read, and the upstreams count what arrives.
 const RETRY_SHARE: f64 = 0.7;
 /// Buffer for bytes that are read beyond headers of the largest size.
 const HEADER_MARGIN_BYTES: usize = 8 << 10;
-/// Assumed number of ingress instances that share the retry reserve.
-const ASSUMED_INGRESS_INSTANCES: f64 = 10.0;
 
 /// A running ingress instance.
 pub(crate) struct FleetIngress {
@@ -64,10 +63,11 @@
         spawn_list_fallback(settings, dialects, &state);
         let proxy_settings = ProxySettings {
             centre: Arc::clone(&settings.centre),
-            retry_share: settings.bounds.retry_share * RETRY_SHARE,
-            retry_reserve: (settings.bounds.extra_retries * RETRY_SHARE
-                / ASSUMED_INGRESS_INSTANCES)
-                .max(2.0),
+            retries: SharedBudgetSettings {
+                share: settings.bounds.retry_share * RETRY_SHARE,
+                extra: settings.bounds.extra_retries * RETRY_SHARE,
+                window: settings.bounds.retry_window,
+            },
         };
         let drain = DrainDeadline::default();
         let proxy = RequestProxy::new(
--- a/crates/wheel_daemon/src/fleet_settings.rs
+++ b/crates/wheel_daemon/src/fleet_settings.rs
@@ -46,8 +46,10 @@
     pub store_burst: f64,
     /// Retries per request, over all instances.
     pub retry_share: f64,
-    /// Retries allowed in addition to that share, over all instances.
+    /// Retries allowed in addition to that share in one window, over all instances.
     pub extra_retries: f64,
+    /// The window in which retries are limited.
+    pub retry_window: Duration,
     /// Time from the signal to the end of the process.
     pub grace: Duration,
     /// Time without contact after which an instance counts as lost.
--- a/crates/wheel_gateway/src/proxy_context.rs
+++ b/crates/wheel_gateway/src/proxy_context.rs
@@ -6,7 +6,9 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 use wheel_ingress::DrainDeadline;
-use wheel_policy::{OutlierDetector, OutlierSettings, ReachabilityTable, RestTable, RetryBudget};
+use wheel_policy::{
+    OutlierDetector, OutlierSettings, ReachabilityTable, RestTable, SharedRetryBudget,
+};
 use wheel_seams::is_planted;
 use wheel_types::MonotonicTime;
 use wheel_upstream::ServiceDialect;
@@ -19,7 +21,7 @@
     pub(crate) state: Arc<FleetState>,
     pub(crate) dialect: Arc<dyn IngressDialect>,
     pub(crate) upstreams: UpstreamTable,
-    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) retries: Mutex<SharedRetryBudget>,
     pub(crate) outliers: Mutex<OutlierDetector>,
     pub(crate) reach: Mutex<ReachabilityTable>,
     pub(crate) rests: Mutex<RestTable>,
@@ -36,10 +38,7 @@
         upstream_dialect: Arc<dyn ServiceDialect>,
         drain: DrainDeadline,
     ) -> Self {
-        let budget = wheel_policy::BudgetSettings {
-            share: settings.retry_share,
-            reserve: settings.retry_reserve,
-        };
+        let budget = SharedRetryBudget::open(settings.retries.clone(), MonotonicTime::default());
         let outliers = OutlierSettings {
             consecutive_failures: 3,
             base_ejection_time: Duration::from_secs(2),
@@ -50,7 +49,7 @@
             state,
             dialect,
             upstreams: UpstreamTable::open(upstream_dialect),
-            retries: Mutex::new(RetryBudget::open(budget)),
+            retries: Mutex::new(budget),
             outliers: Mutex::new(OutlierDetector::open(outliers)),
             reach: Mutex::default(),
             rests: Mutex::default(),
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -101,7 +101,12 @@
     ) -> Self {
         let route = &arrived.route;
         let service = route.pick_service(rand::rng().random()).cloned().unwrap_or_default();
-        context.retries.lock().record_request(&UpstreamName::from(&*service));
+        let (now, ingress_count) = (context.now(), context.state.view().ingress_count);
+        {
+            let mut retries = context.retries.lock();
+            retries.set_instances(now, ingress_count);
+            retries.record_request(now, &UpstreamName::from(&*service));
+        }
         let mut run = Self {
             context,
             arrived,
@@ -210,9 +215,10 @@
     /// Takes a retry from the service's budget; false if there is none left.
     fn spend_retry(&self) -> bool {
         let service = UpstreamName::from(&*self.service);
+        let now = self.context.now();
         let (is_allowed, remaining) = {
             let mut retries = self.context.retries.lock();
-            (retries.try_retry(&service), retries.remaining(&service))
+            (retries.try_retry(now, &service), retries.remaining(now, &service))
         };
         let outcome = if is_allowed { "allowed" } else { "refused" };
         counter!(
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -22,6 +22,7 @@
     ProxySettings, RequestProxy,
 };
 use wheel_ingress::{AnswerBody, AnswerError, DrainDeadline, HttpLimits, HttpServer, full_body};
+use wheel_policy::SharedBudgetSettings;
 use wheel_route::{
     EngineId, EngineInfo, FleetConfig, FleetService, FleetView, HeldModel, OpenRequestCount,
     RouteKind, RouteSpec, RouteTarget, UpstreamState,
@@ -354,13 +355,13 @@
 
     /// An ingress instance without retry budget.
     pub(crate) async fn without_budget(kind: RouteKind, upstreams: &[&TestUpstream]) -> Self {
-        let ingress = Self::with_budget(0.0, 0.0).await;
+        let ingress = Self::with_budget(0.0).await;
         ingress.set_fleet(kind, upstreams);
         ingress
     }
 
     pub(crate) async fn without_config() -> Self {
-        Self::with_budget(0.2, 10.0).await
+        Self::with_budget(10.0).await
     }
 
     fn set_fleet(&self, kind: RouteKind, upstreams: &[&TestUpstream]) {
@@ -369,10 +370,16 @@
         self.state.set_view(FleetView { engines, ..FleetView::default() });
     }
 
-    async fn with_budget(retry_share: f64, retry_reserve: f64) -> Self {
+    /// An ingress instance that may send `retry_share` retries for each request.
+    async fn with_budget(retry_share: f64) -> Self {
         let state: Arc<FleetState> = Arc::default();
         let drain = DrainDeadline::default();
-        let settings = ProxySettings { centre: "here".into(), retry_share, retry_reserve };
+        let retries = SharedBudgetSettings {
+            share: retry_share,
+            extra: 0.0,
+            window: Duration::from_secs(10),
+        };
+        let settings = ProxySettings { centre: "here".into(), retries };
         let proxy = RequestProxy::new(
             settings,
             Arc::clone(&state),
