Log the shared prompt parts of requests whose upstream closes the connection

No line named the parts of a prompt, so that the requests that were open when upstreams ended couldn't be compared.

Change: upstream_broke, one line a request and upstream, with the ids of the parts but the last, and the events forwarded. No decision changes.

--- a/crates/wheel_gateway/src/ingress_request.rs
+++ b/crates/wheel_gateway/src/ingress_request.rs
@@ -29,6 +29,13 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl GenerationRequest {
+    /// The parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// The decoded head of a caller's request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct IngressRequest {
--- a/crates/wheel_gateway/src/request_log.rs
+++ b/crates/wheel_gateway/src/request_log.rs
@@ -43,6 +43,8 @@
     service: Arc<str>,
     /// The requested model, with its adapter.
     model: String,
+    /// Ids of the prompt's parts but the last, which belongs to the request alone.
+    parts: String,
     arrival: Instant,
     version: u64,
     view_age_ms: u128,
@@ -79,6 +81,7 @@
             id: request.id.clone(),
             service: "-".into(),
             model,
+            parts: shared_parts(request),
             route,
             arrival,
             version,
@@ -146,6 +149,15 @@
         self.reason = reason;
     }
 
+    /// Logs that the connection to an upstream ended under the request, with the prompt's shared
+    /// parts: requests under which several upstreams ended may have one in common.
+    pub(crate) fn broke(&self, reason: &str) {
+        info!("upstream_broke", kv: {
+            id = self.id.as_str(), upstream = self.engine.to_string(), reason:? = reason,
+            parts = self.parts.as_str(), sends = self.sends, events = self.events
+        });
+    }
+
     /// Logs an intermediate step that decides how the request continues.
     pub(crate) fn step(&self, event: &str, reason: &str) {
         info!("request_step", kv: {
@@ -156,6 +168,13 @@
     }
 }
 
+/// The ids of the parts that other requests may share, for the log.
+fn shared_parts(request: &IngressRequest) -> String {
+    let parts = request.generation.iter().flat_map(GenerationRequest::shared_parts);
+    let parts: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+    if parts.is_empty() { "-".to_owned() } else { parts.join(",") }
+}
+
 impl Drop for RequestLog {
     fn drop(&mut self) {
         if std::mem::replace(&mut self.is_written, true) {
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -364,6 +364,9 @@
             }
             Err(failure) => {
                 self.log.step("answer_broke", &failure.to_string());
+                if failure.is_closed_by_upstream() {
+                    self.log.broke("answer_cut");
+                }
                 None
             }
         }
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -95,8 +95,15 @@
             };
             let fault = match chunk {
                 Ok(Some(chunk)) => self.push_chunk(chunk),
-                Ok(None) => self.end_body(),
-                Err(failure) => Err(failure.to_string()),
+                Ok(None) => {
+                    self.end_body().inspect_err(|_| self.run.log.broke("stream_ended_early"))
+                }
+                Err(failure) => {
+                    if failure.is_closed_by_upstream() {
+                        self.run.log.broke("stream_cut");
+                    }
+                    Err(failure.to_string())
+                }
             };
             let Err(fault) = fault else { continue };
             self.run.log.step("stream_broke", &fault);
--- a/crates/wheel_upstream/src/call_failure.rs
+++ b/crates/wheel_upstream/src/call_failure.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Whether the upstream closed the connection under a call that may have arrived: it ended, or
+    /// only the connection did.
+    pub fn is_closed_by_upstream(&self) -> bool {
+        matches!(self.kind, FailureKind::Closed { .. } | FailureKind::CutShort)
+            && self.sent == SentState::MaybeSent
+    }
+
     /// What a caller may be told: `not-run` only if nothing was sent or the upstream reported it.
     pub fn outcome(&self) -> RequestOutcome {
         match self.sent {
