Bar parts of prompts under which upstreams end one after another

The class: each request judged by itself, so that a failure that many share is repeated at every upstream.

Change: ingress instances report with their syncs which upstreams closed the connections under requests, the parts of these requests' prompts but the last, and when they were sent; and, asked for a part, when a request with it last ended well. CrashLedger, at the leader or at a control instance without one, bars a part if three upstreams in a row ended under requests with it, each sent after the end before, and none with it has ended well since (five, if one had within 10 s before). Upstreams that are lost at once, requests that were open beside the one that did it, and upstreams that end for other reasons don't count that way; barred parts explain their ends first. Requests with a barred part are refused with 503 as not run: new ones, those that wait, repeats and resumed streams. The bar ends 10 s after the last such request, after 60 s, or when one ends well; the next leader has it from its own sync.

Bounds: 32 ends with 128 parts at a control instance, 16 ends and 4,096 parts at an ingress instance, an end reported for 1.5 s; nothing is sent while none ends.

--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -13,7 +13,8 @@
 };
 use wheel_seams::is_planted;
 
-use crate::ActiveConfig;
+use crate::crash_reports::CrashReports;
+use crate::{ActiveConfig, PromptPart};
 
 /// How long an upstream is avoided after it refused a request because it is shutting down or isn't
 /// the intended one, unless the list reports a new start of it earlier. Longer than the list's
@@ -57,6 +58,7 @@
     /// Until when each upstream counts as leaving.
     leaving: Mutex<HashMap<EngineId, Instant>>,
     stale_engines: Mutex<HashSet<EngineId>>,
+    crash_reports: Mutex<CrashReports>,
     urgent: Notify,
 }
 
@@ -70,6 +72,7 @@
             demand: Mutex::default(),
             leaving: Mutex::default(),
             stale_engines: Mutex::default(),
+            crash_reports: Mutex::default(),
             urgent: Notify::new(),
         }
     }
@@ -210,6 +213,30 @@
         self.stale_engines.lock().insert(engine.clone());
     }
 
+    /// Records that an upstream closed the connection under a request, which was sent there at
+    /// `sent` and has `parts` in its prompt.
+    pub(crate) fn record_crash(&self, engine: &EngineId, sent: Instant, parts: &[PromptPart]) {
+        if !parts.is_empty() {
+            self.crash_reports.lock().record_crash(engine, sent, parts);
+        }
+    }
+
+    /// Records that a request with `parts` in its prompt ended well.
+    pub(crate) fn record_sound(&self, parts: &[PromptPart]) {
+        if !parts.is_empty() {
+            self.crash_reports.lock().record_sound(parts);
+        }
+    }
+
+    /// The first of `parts` with which requests aren't sent. Records that a request with it came.
+    pub(crate) fn barred_part(&self, parts: &[PromptPart]) -> Option<u64> {
+        let view = self.view();
+        let is_barred = |part: &&PromptPart| view.barred_parts.iter().any(|bar| bar.id == part.id);
+        let barred = parts.iter().find(is_barred)?.id;
+        self.crash_reports.lock().record_barred_request(barred);
+        Some(barred)
+    }
+
     /// Completes when a sync should happen at once.
     pub async fn urgent(&self) {
         self.urgent.notified().await;
@@ -238,6 +265,11 @@
             leaving.keys().cloned().collect()
         };
         let stale_engines = std::mem::take(&mut *self.stale_engines.lock()).into_iter().collect();
+        let view = self.view();
+        let (crashes, sound_parts, barred_requests) = {
+            let mut reports = self.crash_reports.lock();
+            (reports.crashes(), reports.sound_parts(&view), reports.take_barred_requests())
+        };
         SyncRequest {
             instance,
             is_ingress: true,
@@ -248,6 +280,9 @@
             leaving,
             stale_engines,
             ingress_count: 1,
+            crashes,
+            sound_parts,
+            barred_requests,
             hold_ms: if self.has_waiting() { HOLD_MS } else { 0 },
         }
     }
--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`IngressDialect`] defines the formats that callers and upstreams use.
 
 mod active_config;
+mod crash_reports;
 mod event_splitter;
 mod fleet_state;
 mod ingress_dialect;
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 use wheel_ingress::{AnswerBody, DrainDeadline, full_body};
-use wheel_route::{EngineInfo, RouteSpec};
+use wheel_route::{EngineId, EngineInfo, RouteSpec};
 use wheel_seams::is_planted;
 use wheel_types::UpstreamName;
 use wheel_upstream::{CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall};
@@ -20,7 +20,9 @@
 use crate::send_classifier::{SendClass, SendClassifier};
 use crate::tried_upstreams::TriedUpstreams;
 use crate::upstream_search::{MIN_ANSWER_TIME, NoUpstream, UpstreamSearch};
-use crate::{ActiveConfig, ForwardHeaders, IngressRequest, RequestGuard};
+use crate::{
+    ActiveConfig, ForwardHeaders, GenerationRequest, IngressRequest, PromptPart, RequestGuard,
+};
 
 /// Time limit for connecting to an upstream: three round trips between data centres, and the
 /// scheduling delay of a busy machine.
@@ -63,6 +65,8 @@
     is_unsent: bool,
     /// Whether a send is in progress whose outcome is unknown.
     pub(crate) is_sending: bool,
+    /// The upstream of the last send, and when that began.
+    last_send: Option<(EngineId, Instant)>,
     /// An upstream's answer with a server error, used if no other answer is received.
     pub(crate) failure: Option<Response<AnswerBody>>,
     pub(crate) log: RequestLog,
@@ -116,6 +120,7 @@
             rejected: 0,
             is_unsent: false,
             is_sending: false,
+            last_send: None,
             failure: None,
             log,
         };
@@ -232,6 +237,25 @@
         is_allowed
     }
 
+    /// Records that the upstream closed the connection under this request.
+    pub(crate) fn record_broken(&self, reason: &str) {
+        self.log.broke(reason);
+        if let Some((engine, sent)) = &self.last_send {
+            self.context.state.record_crash(engine, *sent, self.shared_parts());
+        }
+    }
+
+    /// Records that this request ended well.
+    pub(crate) fn record_sound(&self) {
+        self.context.state.record_sound(self.shared_parts());
+    }
+
+    /// The parts of the prompt that other requests may share.
+    fn shared_parts(&self) -> &[PromptPart] {
+        let generation = self.arrived.request.generation.as_ref();
+        generation.map_or(&[], GenerationRequest::shared_parts)
+    }
+
     /// The drain deadline of the instance.
     pub(crate) fn drain(&self) -> DrainDeadline {
         self.context.drain.clone()
@@ -254,9 +278,13 @@
         let ingress_count = self.context.state.view().ingress_count;
         let client = self.context.upstreams.client(info, max_connections, ingress_count);
         let began = Instant::now();
+        self.last_send = Some((info.id.clone(), began));
         self.is_sending = true;
         let answer = client.call(self.call(info, resume_after)).await;
         self.is_sending = false;
+        if answer.as_ref().is_err_and(CallFailure::is_closed_by_upstream) {
+            self.record_broken("no_answer");
+        }
         let is_unreachable = matches!(
             &answer,
             Err(CallFailure {
@@ -357,6 +385,9 @@
         match answer.body.collect(MAX_BUFFERED_BYTES).await {
             Ok(body) => {
                 self.log.answered(answer.status, "answered");
+                if answer.status.is_success() {
+                    self.record_sound();
+                }
                 let mut response = Response::new(full_body(body));
                 *response.status_mut() = answer.status;
                 *response.headers_mut() = answer.headers;
@@ -365,7 +396,7 @@
             Err(failure) => {
                 self.log.step("answer_broke", &failure.to_string());
                 if failure.is_closed_by_upstream() {
-                    self.log.broke("answer_cut");
+                    self.record_broken("answer_cut");
                 }
                 None
             }
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -96,11 +96,11 @@
             let fault = match chunk {
                 Ok(Some(chunk)) => self.push_chunk(chunk),
                 Ok(None) => {
-                    self.end_body().inspect_err(|_| self.run.log.broke("stream_ended_early"))
+                    self.end_body().inspect_err(|_| self.run.record_broken("stream_ended_early"))
                 }
                 Err(failure) => {
                     if failure.is_closed_by_upstream() {
-                        self.run.log.broke("stream_cut");
+                        self.run.record_broken("stream_cut");
                     }
                     Err(failure.to_string())
                 }
@@ -129,6 +129,9 @@
             StreamKind::Resumable | StreamKind::Final => {}
         }
         self.end("stream_ended");
+        if self.kind != StreamKind::Opaque {
+            self.run.record_sound();
+        }
         let rest = self.splitter.take_rest();
         if !rest.is_empty() {
             self.ready.push_back(rest);
--- a/crates/wheel_gateway/src/send_classifier.rs
+++ b/crates/wheel_gateway/src/send_classifier.rs
@@ -97,9 +97,6 @@
 
     fn failure(&self, failure: &CallFailure) -> SendClass {
         self.log.step("send_failed", &failure.to_string());
-        if failure.is_closed_by_upstream() {
-            self.log.broke("no_answer");
-        }
         match failure {
             CallFailure { sent: SentState::NotSent, .. } => SendClass::Unsent,
             CallFailure { kind: FailureKind::TooManyOpen, .. } => SendClass::Unsent,
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -29,6 +29,9 @@
 /// `Retry-After` of a refusal for lack of capacity.
 pub(crate) const CAPACITY_RETRY: Duration = Duration::from_millis(400);
 
+/// `Retry-After` of a refusal because of a barred part, which stays barred for at least that long.
+const BARRED_RETRY: Duration = Duration::from_secs(10);
+
 /// Why there is no upstream to send to.
 #[derive(Debug)]
 pub(crate) struct NoUpstream {
@@ -71,6 +74,10 @@
             if self.has_no_time() {
                 return Err(NoUpstream::new("draining", CAPACITY_RETRY));
             }
+            if let Some(part) = self.barred_part() {
+                self.log.step("part_barred", &format!("{part:x}"));
+                return Err(NoUpstream::new("part_barred", BARRED_RETRY));
+            }
             let view = self.context.state.view();
             let ready = self.context.state.ready_indices(&view, self.service);
             // Read once, so that a rest can't end between the choice and the decision to wait.
@@ -105,6 +112,12 @@
         }
     }
 
+    /// A part of the request's prompt with which requests aren't sent.
+    fn barred_part(&self) -> Option<u64> {
+        let parts = self.request.generation.as_ref()?.shared_parts();
+        self.context.state.barred_part(parts)
+    }
+
     /// Whether the drain deadline passes before an answer can arrive. Any other ingress instance
     /// can still serve the request.
     fn has_no_time(&self) -> bool {
--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -10,9 +10,10 @@
 use tokio::time::Instant;
 use wheel_agreement::StoredDocument;
 use wheel_control::DocumentState;
+use wheel_policy::CrashLedger;
 use wheel_route::{
-    ControlEndpoint, DemandCount, DemandKey, EngineId, EngineInfo, FleetView, HeldModel,
-    OpenRequestCount, SyncReply, SyncRequest, UpstreamState,
+    ControlEndpoint, CrashedPart, DemandCount, DemandKey, EngineId, EngineInfo, FleetView,
+    HeldModel, OpenRequestCount, SoundPart, SyncReply, SyncRequest, UpstreamCrash, UpstreamState,
 };
 use wheel_seams::boot_now;
 use wheel_types::MonotonicTime;
@@ -28,6 +29,13 @@
 /// Maximum number of known control instances.
 const MAX_CONTROL_ENDPOINTS: usize = 64;
 
+/// Time between two evaluations of upstreams that ended.
+const CRASH_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of reports of upstreams that ended in one sync with the leader.
+const MAX_FORWARDED_CRASHES: usize = 64;
+/// Maximum number of barred parts taken over from one sync.
+const MAX_BARRED_REQUESTS: usize = 64;
+
 /// The models that each engine has loaded, as known to the instance that sends the orders.
 pub(crate) type HeldTable = HashMap<EngineId, Vec<HeldModel>>;
 
@@ -47,6 +55,77 @@
     leader_view: Option<(FleetView, Instant)>,
     /// The engines' state according to the orders of this instance, while it leads.
     held: Option<HeldState>,
+    /// What the instances below saw of upstreams that ended.
+    crash_ledger: CrashLedger,
+    /// When the ledger was last evaluated.
+    crashes_updated: Option<MonotonicTime>,
+    /// Barred parts with which requests came since the last sync was prepared.
+    barred_requests: BTreeSet<u64>,
+}
+
+impl RegistryState {
+    /// Records what an instance below saw of upstreams that ended.
+    fn record_crashes(&mut self, request: &SyncRequest) {
+        let now = boot_now();
+        for crash in &request.crashes {
+            self.crash_ledger.record_crash(now, crash);
+        }
+        for sound in &request.sound_parts {
+            self.crash_ledger.record_sound(now, sound.id, Duration::from_millis(sound.age_ms));
+        }
+        for part in &request.barred_requests {
+            self.crash_ledger.record_request(now, *part);
+        }
+        self.barred_requests.extend(request.barred_requests.iter().take(MAX_BARRED_REQUESTS));
+    }
+
+    /// Evaluates the crashes while no leader does that for this instance.
+    fn update_crashes(&mut self) {
+        let now = boot_now();
+        let has_leader = self.held.is_none()
+            && self.leader_view.as_ref().is_some_and(|(_, at)| at.elapsed() < LEADER_VIEW_LIFETIME);
+        let is_due =
+            self.crashes_updated.is_none_or(|updated| now.since(updated) >= CRASH_UPDATE_INTERVAL);
+        if has_leader || !is_due {
+            return;
+        }
+        self.crashes_updated = Some(now);
+        for part in self.crash_ledger.update(now) {
+            warn!("part_barred", kv: { part = format!("{part:x}") });
+        }
+    }
+
+    /// The crashes that the instances below report at present.
+    fn crashes(&self) -> Vec<UpstreamCrash> {
+        let aged = |crash: &UpstreamCrash, passed: u64| UpstreamCrash {
+            age_ms: crash.age_ms + passed,
+            parts: crash
+                .parts
+                .iter()
+                .map(|part| CrashedPart { sent_age_ms: part.sent_age_ms + passed, ..part.clone() })
+                .collect(),
+            ..crash.clone()
+        };
+        let reports = self.children.values().flat_map(|(request, received)| {
+            let passed = received.elapsed().as_millis() as u64;
+            request.crashes.iter().map(move |crash| aged(crash, passed))
+        });
+        reports.take(MAX_FORWARDED_CRASHES).collect()
+    }
+
+    /// The watched parts that the instances below have seen to end well, with the latest end.
+    fn sound_parts(&self) -> Vec<SoundPart> {
+        let mut ages: BTreeMap<u64, u64> = BTreeMap::new();
+        for (request, received) in self.children.values() {
+            let passed = received.elapsed().as_millis() as u64;
+            for sound in &request.sound_parts {
+                let age_ms = sound.age_ms + passed;
+                let known = ages.entry(sound.id).or_insert(age_ms);
+                *known = (*known).min(age_ms);
+            }
+        }
+        ages.into_iter().map(|(id, age_ms)| SoundPart { id, age_ms }).collect()
+    }
 }
 
 /// Collects the syncs of the instances below and provides the fleet view for replies.
@@ -94,6 +173,7 @@
         {
             state.control.insert(endpoint);
         }
+        state.record_crashes(&request);
         state.children.insert(Arc::clone(&request.instance), (request, now));
         drop(state);
         if is_urgent {
@@ -149,6 +229,7 @@
         {
             self.changed.notify_waiters();
         }
+        state.crash_ledger.replace_barred(boot_now(), &view.barred_parts);
         state.leader_view = Some((view, Instant::now()));
         state.held = None;
         let room = MAX_CONTROL_ENDPOINTS.saturating_sub(state.control.len());
@@ -228,6 +309,9 @@
             leaving: state.leaving.keys().cloned().collect(),
             stale_engines: std::mem::take(&mut state.stale_engines).into_iter().collect(),
             ingress_count: state.children.values().map(|(request, _)| request.ingress_count).sum(),
+            crashes: state.crashes(),
+            sound_parts: state.sound_parts(),
+            barred_requests: std::mem::take(&mut state.barred_requests).into_iter().collect(),
             hold_ms: 0,
         }
     }
@@ -235,7 +319,8 @@
     /// The fleet as known to this instance; `None` until the list has been read.
     pub fn view(&self) -> Option<FleetView> {
         let (listed, age) = self.list.current()?;
-        let state = self.state.lock();
+        let mut state = self.state.lock();
+        state.update_crashes();
         let is_leaving = |id: &EngineId| {
             state.leaving.get(id).is_some_and(|recorded| recorded.elapsed() < LEAVING_LIFETIME)
         };
@@ -275,12 +360,18 @@
             }
         };
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let watched_parts = match (&state.held, leader_view) {
+            (None, Some(view)) => view.watched_parts.clone(),
+            _ => state.crash_ledger.watched().to_vec(),
+        };
         Some(FleetView {
             age_ms,
             engines: engines.collect(),
             open_requests,
             ingress_count,
             loading,
+            watched_parts,
+            barred_parts: state.crash_ledger.barred(boot_now()),
         })
     }
 }
--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -137,6 +137,9 @@
         leaving: Vec::new(),
         stale_engines: Vec::new(),
         ingress_count: 1,
+        crashes: Vec::new(),
+        sound_parts: Vec::new(),
+        barred_requests: Vec::new(),
         hold_ms: 0,
     }
 }
--- a/crates/wheel_route/src/fleet_view.rs
+++ b/crates/wheel_route/src/fleet_view.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{EngineInfo, OpenRequestCount};
+use crate::{BarredPart, EngineInfo, OpenRequestCount};
 
 /// The upstreams, and the number of requests that all instances have open at each.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -20,4 +20,8 @@
     pub ingress_count: u32,
     /// Models that are being loaded, with the milliseconds until they are available.
     pub loading: Vec<(Arc<str>, u64)>,
+    /// Parts of prompts of which instances report when requests with them end well.
+    pub watched_parts: Vec<u64>,
+    /// Parts of prompts with which requests aren't sent.
+    pub barred_parts: Vec<BarredPart>,
 }
--- a/crates/wheel_route/src/lib.rs
+++ b/crates/wheel_route/src/lib.rs
@@ -16,6 +16,7 @@
 mod route_spec;
 mod route_table;
 mod sync_message;
+mod upstream_crash;
 
 pub use config_error::ConfigError;
 pub use demand_count::{DemandCount, DemandKey};
@@ -29,3 +30,4 @@
 pub use route_spec::{RouteSpec, RouteTarget};
 pub use route_table::RouteTable;
 pub use sync_message::{ControlEndpoint, OpenRequestCount, SyncReply, SyncRequest};
+pub use upstream_crash::{BarredPart, CrashedPart, SoundPart, UpstreamCrash};
--- a/crates/wheel_route/src/sync_message.rs
+++ b/crates/wheel_route/src/sync_message.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{DemandCount, EngineId, FleetView};
+use crate::{DemandCount, EngineId, FleetView, SoundPart, UpstreamCrash};
 
 /// Open requests at one upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -53,6 +53,12 @@
     pub stale_engines: Vec<EngineId>,
     /// Number of ingress instances below it, itself included.
     pub ingress_count: u32,
+    /// Upstreams that ended under requests in the last seconds.
+    pub crashes: Vec<UpstreamCrash>,
+    /// Watched parts of prompts with which requests ended well.
+    pub sound_parts: Vec<SoundPart>,
+    /// Barred parts with which requests came since the last sync.
+    pub barred_requests: Vec<u64>,
     /// How long the reply may be delayed until engines' loaded models change, in milliseconds.
     pub hold_ms: u32,
 }
