Cut the body of a stream's failure that has no end

What callers saw: by reading, on a route of streams the body of an upstream's failure was forwarded for as long as it came, until the request's deadline; streams have a limit for each event, other answers one of 4 MiB.

--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -15,6 +15,8 @@
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of a body that isn't made of events, in bytes; the same as of any other failure.
+const MAX_OPAQUE_BYTES: usize = 4 << 20;
 
 /// Forwards a stream in complete events. One that ends inside an event has broken off, however its
 /// connection ends. When its engine fails, a resumable stream resumes at another engine after the
@@ -26,6 +28,8 @@
     splitter: EventSplitter,
     ready: VecDeque<Bytes>,
     kind: StreamKind,
+    /// Bytes that have been forwarded of a body that isn't made of events.
+    opaque_bytes: usize,
     /// Whether the current upstream has sent a complete event.
     has_event: bool,
     /// The id of the last forwarded event.
@@ -62,6 +66,7 @@
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
             kind,
+            opaque_bytes: 0,
             has_event: false,
             last,
         }
@@ -142,6 +147,10 @@
     /// Makes the complete events ready; an error if an event is too large.
     fn push_chunk(&mut self, chunk: Bytes) -> Result<(), String> {
         if self.kind == StreamKind::Opaque {
+            self.opaque_bytes += chunk.len();
+            if self.opaque_bytes > MAX_OPAQUE_BYTES {
+                return Err("the body is too large".to_owned());
+            }
             self.ready.push_back(chunk);
             return Ok(());
         }
--- a/crates/wheel_gateway/tests/broken_streams.rs
+++ b/crates/wheel_gateway/tests/broken_streams.rs
@@ -142,3 +142,17 @@
     assert_eq!((answer.status, answer.body.as_str()), (500, "no events here"));
     assert!(answer.is_whole);
 }
+
+/// The body of a failure may come without end; it must not be forwarded for as long as it comes.
+#[tokio::test]
+async fn failure_without_end_is_cut() {
+    let body = "x".repeat(5 << 20);
+    let head = "HTTP/1.1 500 Internal Server Error\r\nx-id: ID\r\nx-signature: s";
+    let answer = format!("{head}\r\ncontent-length: 99999999\r\n\r\n{body}");
+    let upstream = TestUpstream::bind_raw("u1", vec![answer]).await;
+    let ingress = TestIngress::bind(RouteKind::Streaming { resumable: false }, &[&upstream]).await;
+    let answer = ingress.post("/a/", &[]).await;
+    assert_eq!(answer.status, 500);
+    assert!(!answer.is_whole);
+    assert!(answer.body.len() <= 4 << 20, "{} bytes", answer.body.len());
+}
