Limit the answer to a probe of an idle connection

What callers saw: nothing yet.

Change: the limit of any other answer; a larger one closes the connection and counts as a failed probe.

--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use parking_lot::Mutex;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, timeout};
@@ -202,11 +202,13 @@
         let probing = async {
             connection.send.ready().await?;
             let answer = connection.send.send_request(probe.map(CallBody::new)).await?;
-            answer.into_body().collect().await.map(drop)
+            // The connection is closed if the answer is larger than that.
+            let body = Limited::new(answer.into_body(), self.limits.max_answer_bytes);
+            Ok::<_, hyper::Error>(body.collect().await.is_ok())
         };
         match timeout(self.limits.probe_timeout, probing).await {
-            Ok(Ok(())) => true,
-            Ok(Err(_)) => {
+            Ok(Ok(true)) => true,
+            Ok(Ok(false) | Err(_)) => {
                 self.counters.probe_failures.add_one();
                 false
             }
