Stop reading an upstream that sends heads without end

What callers saw: nothing yet. A call ends in time whatever an upstream sends, but its connection stayed open: interim answers without end keep the connection's task reading, which is aborted only at its next pause, so that a stand-in that sends 103 as fast as it can was still read 1.5 s after the call had ended, and held a thread meanwhile. The class: a bound of the wait that doesn't bound the work behind it.

Change: a stream that is sealed, as at the end of each failed or abandoned call, refuses reads like writes; and until an answer's head has been read, at most 1 MiB is. Calls, probes and orders of both programs share it.

Fields, one endless line, bytes before and after an answer, bodies with and without a length, chunks, their extensions and trailers were bounded already.

--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -201,8 +201,10 @@
         self.counters.probes.add_one();
         let probing = async {
             connection.send.ready().await?;
+            connection.gate.begin_head();
             let answer = connection.send.send_request(probe.map(CallBody::new)).await?;
             // The connection is closed if the answer is larger than that.
+            connection.gate.end_head();
             let body = Limited::new(answer.into_body(), self.limits.max_answer_bytes);
             Ok::<_, hyper::Error>(body.collect().await.is_ok())
         };
@@ -210,6 +212,7 @@
             Ok(Ok(true)) => true,
             Ok(Ok(false) | Err(_)) => {
                 self.counters.probe_failures.add_one();
+                connection.gate.seal();
                 false
             }
             Err(_) => {
--- a/crates/wheel_upstream/src/guarded_stream.rs
+++ b/crates/wheel_upstream/src/guarded_stream.rs
@@ -13,7 +13,11 @@
 
 use crate::OrderPermit;
 
-/// A TCP stream that counts the bytes written to it and can be sealed against further writes.
+/// Maximum number of bytes before the end of an answer's head, with what may be read ahead of its
+/// body. Interim answers and an endless head would otherwise be read for as long as they come.
+const MAX_BYTES_BEFORE_BODY: u64 = 1 << 20;
+
+/// A TCP stream that counts the bytes written to it and can be sealed against further use.
 ///
 /// Counting, sealing and writing share one lock, so that the count of a sealed stream is final: if
 /// it hasn't grown, no byte was sent and none will be.
@@ -33,6 +37,8 @@
 struct GateState {
     written: u64,
     sealed: bool,
+    /// Bytes that may still be read before the end of an answer's head, while that is awaited.
+    head_bytes_left: Option<u64>,
 }
 
 impl GuardedStream {
@@ -53,7 +59,25 @@
         self.state.lock().written
     }
 
-    /// Rejects all later writes and makes the connection end with a reset; returns the final count.
+    /// Limits the bytes that are read until [`WriteGate::end_head`].
+    pub(crate) fn begin_head(&self) {
+        self.state.lock().head_bytes_left = Some(MAX_BYTES_BEFORE_BODY);
+    }
+
+    /// Records that the head of an answer has been read.
+    pub(crate) fn end_head(&self) {
+        self.state.lock().head_bytes_left = None;
+    }
+
+    /// Counts bytes that were read; false if nothing more may be read.
+    fn record_read(&self, bytes: usize) -> bool {
+        let mut state = self.state.lock();
+        let left = state.head_bytes_left.map(|left| left.checked_sub(bytes as u64));
+        state.head_bytes_left = left.map(Option::unwrap_or_default);
+        !state.sealed && left != Some(None)
+    }
+
+    /// Rejects all later reads and writes and makes the connection end with a reset; returns the final count.
     pub(crate) fn seal(&self) -> u64 {
         let mut state = self.state.lock();
         state.sealed = true;
@@ -80,7 +104,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let outcome = Pin::new(&mut self.stream).poll_read(cx, buf);
+        // The task that reads may not end by itself while bytes keep coming.
+        match self.gate.record_read(buf.filled().len() - filled) {
+            true => outcome,
+            false => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
+        }
     }
 }
 
--- a/crates/wheel_upstream/src/order_connection.rs
+++ b/crates/wheel_upstream/src/order_connection.rs
@@ -70,7 +70,9 @@
     }
 
     async fn exchange(&mut self, request: Request<CallBody>) -> Option<(StatusCode, Bytes)> {
+        self.connection.gate.begin_head();
         let answer = self.connection.send.send_request(request).await.ok()?;
+        self.connection.gate.end_head();
         let (head, body) = answer.into_parts();
         let body = Limited::new(body, self.settings.limits.max_answer_bytes);
         Some((head.status, body.collect().await.ok()?.to_bytes()))
--- a/crates/wheel_upstream/src/pooled_call.rs
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -68,9 +68,12 @@
         let Some(connection) = &mut self.connection else {
             return Err(CallFailure::not_sent(FailureKind::CutShort));
         };
+        let gate = Arc::clone(&connection.gate);
+        gate.begin_head();
         let answering = connection.send.send_request(request);
         match self.wait(self.timeouts.first_byte, answering).await {
             Ok(Ok(answer)) => {
+                gate.end_head();
                 self.record_arrival();
                 Ok(answer)
             }
