--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -29,7 +29,8 @@
 /// `Retry-After` of a refusal for lack of capacity.
 pub(crate) const CAPACITY_RETRY: Duration = Duration::from_millis(400);
 
-/// `Retry-After` of a refusal because of a barred part, which stays barred for at least that long.
+/// `Retry-After` of a refusal because of a barred part: how long a part stays barred after the last
+/// request with it, unless one that is under way ends well.
 const BARRED_RETRY: Duration = Duration::from_secs(10);
 
 /// Why there is no upstream to send to.
--- a/crates/wheel_placement/src/parent_sync.rs
+++ b/crates/wheel_placement/src/parent_sync.rs
@@ -117,9 +117,9 @@
         }
     }
 
-    /// Calls the parent; and other control instances one after another, without abandoning the
-    /// earlier ones, until one replies: soon if a call fails, else when the own proof has become
-    /// old. Returns whether one has replied.
+    /// Calls the parent, then other control instances one after another until one replies. The next
+    /// one is called soon after a call fails, else when the own proof has become old; calls without
+    /// a reply go on meanwhile. Returns whether one has replied.
     async fn sync(
         &self,
         request: &SyncRequest,
--- a/crates/wheel_policy/src/shared_retry_budget.rs
+++ b/crates/wheel_policy/src/shared_retry_budget.rs
@@ -7,8 +7,8 @@
 
 /// Slots that a window is divided into.
 const WINDOW_SLOTS: u32 = 20;
-/// How long the largest number of instances counts after it was last reported. Lower numbers come
-/// from instances that are cut off or have just begun to count, too.
+/// How long the largest number of instances counts after it was last reported. An instance that is
+/// cut off, or a control instance that has just started, reports too low a number.
 const PEAK_LIFETIME: Duration = Duration::from_secs(600);
 
 /// Settings of a [`SharedRetryBudget`].
