--- a/crates/wheel_placement/src/parent_sync.rs
+++ b/crates/wheel_placement/src/parent_sync.rs
@@ -192,9 +192,20 @@
     pub async fn call(&self, control: SocketAddr, request: &SyncRequest) -> Option<SyncReply> {
         let body = postcard::to_stdvec(request).ok()?;
         let address = PeerAddress::new(InstanceName::from(control.to_string().as_str()), control);
-        let answer =
-            self.hub.call(&address, PeerChannel::Report, body, REPLY_TIMEOUT).await.ok()?;
-        postcard::from_bytes(&answer).ok()
+        let (called, received) = (Instant::now(), self.hub.counters().wire_received);
+        let answer = self.hub.call(&address, PeerChannel::Report, body, REPLY_TIMEOUT).await;
+        match answer {
+            Ok(answer) => postcard::from_bytes(&answer).ok(),
+            Err(error) => {
+                // Bytes that came from any instance meanwhile tell a full link from a silent peer.
+                let received = self.hub.counters().wire_received - received;
+                info!("sync_failed", kv: {
+                    control = control.to_string(), reason:? = error.to_string(),
+                    ms = called.elapsed().as_millis(), received_bytes = received
+                });
+                None
+            }
+        }
     }
 
     async fn timed_call(&self, control: SocketAddr, request: &SyncRequest) -> Option<TimedReply> {
