Reproduce a configuration that is larger than a link moves in the time for a reply

Four control instances behind one link of 10 Mbit/s, a document of 4,200 routes (1.3 MB) and six small changes 0.3 s apart: none of the seven versions is in force within 4 s, where 2 s are allowed. sync_failed shows 850 KB received in the 0.7 s of each call. LinkRelay can now share one rate between connections (LinkRate).

--- a/crates/wheel_harness/src/link_relay.rs
+++ b/crates/wheel_harness/src/link_relay.rs
@@ -11,8 +11,8 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
-use crate::HarnessError;
 use crate::harness_error::IoSnafu;
+use crate::{HarnessError, LinkRate};
 
 /// Size of the copy buffer in each direction.
 const BUFFER_BYTES: usize = 16 << 10;
@@ -61,11 +61,25 @@
     /// # Errors
     /// [`HarnessError::Io`] if no port is free.
     pub async fn bind(target: SocketAddr) -> Result<Self, HarnessError> {
-        let listener = TcpListener::bind("127.0.0.1:0").await;
+        Self::bind_at(SocketAddr::from(([127, 0, 0, 1], 0)), target, None).await
+    }
+
+    /// Listens at `address` and forwards connections to `target`. What the target sends passes at
+    /// `rate`, if one is given.
+    ///
+    /// # Errors
+    /// [`HarnessError::Io`] if the address can't be listened on.
+    pub async fn bind_at(
+        address: SocketAddr,
+        target: SocketAddr,
+        rate: Option<Arc<LinkRate>>,
+    ) -> Result<Self, HarnessError> {
+        let listener = TcpListener::bind(address).await;
         let listener = listener.context(IoSnafu { what: "bind a link" })?;
         let address = listener.local_addr().context(IoSnafu { what: "read a link's port" })?;
         let state = Arc::new(watch::Sender::new(LinkState::Open));
-        let task = tokio::spawn(accept_loop(listener, target, Arc::clone(&state))).abort_handle();
+        let accepting = accept_loop(listener, target, Arc::clone(&state), rate);
+        let task = tokio::spawn(accepting).abort_handle();
         Ok(Self { address, state, task })
     }
 
@@ -90,10 +104,11 @@
     listener: TcpListener,
     target: SocketAddr,
     state: Arc<watch::Sender<LinkState>>,
+    rate: Option<Arc<LinkRate>>,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        tokio::spawn(forward(stream, target, state.subscribe()));
+        tokio::spawn(forward(stream, target, state.subscribe(), rate.clone()));
     }
 }
 
@@ -103,6 +118,7 @@
     mut client_side: TcpStream,
     target: SocketAddr,
     mut state: watch::Receiver<LinkState>,
+    rate: Option<Arc<LinkRate>>,
 ) {
     let first = *state.borrow_and_update();
     match first {
@@ -123,9 +139,14 @@
         let ((client_read, client_write), (target_read, target_write)) =
             (client_side.split(), target_side.split());
         let to_target =
-            copy_bytes(client_read, target_write, LinkDirection::ToTarget, &chunk_state);
-        let to_client =
-            copy_bytes(target_read, client_write, LinkDirection::ToClient, &chunk_state);
+            copy_bytes(client_read, target_write, LinkDirection::ToTarget, &chunk_state, None);
+        let to_client = copy_bytes(
+            target_read,
+            client_write,
+            LinkDirection::ToClient,
+            &chunk_state,
+            rate.as_deref(),
+        );
         tokio::try_join!(to_target, to_client)
     };
     let ended = tokio::select! {
@@ -148,11 +169,15 @@
     mut to: impl AsyncWrite + Unpin,
     direction: LinkDirection,
     state: &watch::Receiver<LinkState>,
+    rate: Option<&LinkRate>,
 ) -> io::Result<()> {
     let mut chunk = vec![0; BUFFER_BYTES];
     let mut is_lost = false;
     loop {
         let count = from.read(&mut chunk).await?;
+        if let Some(rate) = rate {
+            rate.pass(count).await;
+        }
         let now = *state.borrow();
         is_lost |= direction == LinkDirection::ToClient && now == LinkState::OneWay;
         match now {
--- /dev/null
+++ b/crates/wheel_placement/tests/large_documents.rs
@@ -0,0 +1,218 @@
+//! A configuration of more bytes than the link of an ingress instance moves in the time for one
+//! reply, followed by small changes. Each must be in force in time: what has come of a document
+//! may not be thrown away, and what is sent may not grow with what hasn't changed.
+
+#![allow(clippy::expect_used)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use parking_lot::Mutex;
+use tokio::runtime::Handle;
+use wheel_agreement::StoredDocument;
+use wheel_control::DocumentState;
+use wheel_harness::{LinkRate, LinkRelay};
+use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings};
+use wheel_placement::{ParentSync, SyncSettings};
+use wheel_route::{SyncReply, SyncRequest};
+use wheel_types::InstanceName;
+
+/// Time within which an acknowledged configuration must be in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(2);
+/// The link of a small ingress instance: 10 Mbit/s.
+const LINK_BYTES_PER_SECOND: f64 = 1_250_000.0;
+/// Routes in the first configuration, and in all later ones.
+const FIRST_ROUTES: u64 = 400;
+const ALL_ROUTES: u64 = 4_200;
+/// Small changes that follow one another after the large one.
+const SMALL_CHANGES: u64 = 6;
+const CHANGE_PAUSE: Duration = Duration::from_millis(300);
+
+/// A control instance that holds the newest document.
+struct TestControl {
+    documents: Arc<DocumentState>,
+}
+
+impl PeerHandler for TestControl {
+    fn handle(
+        &self,
+        _: PeerIdentity,
+        _: PeerChannel,
+        body: Vec<u8>,
+    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
+        let request: SyncRequest = postcard::from_bytes(&body).expect("a sync");
+        let held = self.documents.current();
+        let version = self.documents.version();
+        let newer = held.filter(|document| document.version > request.version);
+        let reply = SyncReply {
+            document: newer.map(|document| (document.version, Arc::clone(&document.bytes))),
+            version,
+            fleet: None,
+            control: Vec::new(),
+            proof_age_ms: Some(0),
+        };
+        async move { Ok(postcard::to_stdvec(&reply).expect("a reply has an encoding")) }.boxed()
+    }
+}
+
+/// Control instances behind the link of one ingress instance.
+struct TestFleet {
+    documents: Arc<DocumentState>,
+    seeds: Vec<SocketAddr>,
+    _links: Vec<LinkRelay>,
+    _hubs: Vec<PeerHub>,
+}
+
+impl TestFleet {
+    async fn bind(count: usize) -> Self {
+        let documents: Arc<DocumentState> = Arc::default();
+        let rate = Arc::new(LinkRate::new(LINK_BYTES_PER_SECOND));
+        let (mut seeds, mut links, mut hubs) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..count {
+            // A control instance is named by the address at which it is called.
+            let seed = free_address();
+            let control = TestControl { documents: Arc::clone(&documents) };
+            let hub = bind_hub(seed, free_address(), Arc::new(control));
+            let link = LinkRelay::bind_at(seed, hub.local_addr(), Some(Arc::clone(&rate))).await;
+            links.push(link.expect("the address is free"));
+            seeds.push(seed);
+            hubs.push(hub);
+        }
+        Self { documents, seeds, _links: links, _hubs: hubs }
+    }
+
+    fn publish(&self, version: u64, routes: u64) {
+        let bytes = document(version, routes).into();
+        assert!(self.documents.adopt(&StoredDocument { version, bytes }));
+    }
+}
+
+/// An ingress instance that records when each version came into force.
+struct TestIngress {
+    in_force: Arc<Mutex<Vec<(u64, Instant)>>>,
+}
+
+impl TestIngress {
+    fn spawn(seeds: &[SocketAddr]) -> Self {
+        let own = free_address();
+        let hub = bind_hub(own, own, Arc::new(NoHandler));
+        let settings =
+            SyncSettings { own, centre: "here".into(), interval: Duration::from_millis(200) };
+        let sync = ParentSync::open(settings, hub, seeds);
+        let held: Arc<AtomicU64> = Arc::default();
+        let in_force: Arc<Mutex<Vec<(u64, Instant)>>> = Arc::default();
+        let (requested, recorded) = (Arc::clone(&held), Arc::clone(&in_force));
+        let prepare = move || request(requested.load(Ordering::SeqCst));
+        let take = move |reply: &SyncReply| {
+            if let Some((version, bytes)) = &reply.document
+                && *version > held.load(Ordering::SeqCst)
+            {
+                assert!(bytes.starts_with(format!("{{\"version\":{version},").as_bytes()));
+                held.store(*version, Ordering::SeqCst);
+                recorded.lock().push((*version, Instant::now()));
+            }
+            held.load(Ordering::SeqCst)
+        };
+        tokio::spawn(sync.run(prepare, take, std::future::pending));
+        Self { in_force }
+    }
+
+    /// When `version` or a higher one came into force, waiting until `limit`.
+    async fn since(&self, version: u64, limit: Instant) -> Option<Instant> {
+        loop {
+            let found = self.in_force.lock().iter().find(|(held, _)| *held >= version).copied();
+            match found {
+                Some((_, at)) => return Some(at),
+                None if Instant::now() > limit => return None,
+                None => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    }
+}
+
+struct NoHandler;
+
+impl PeerHandler for NoHandler {
+    fn handle(
+        &self,
+        _: PeerIdentity,
+        _: PeerChannel,
+        _: Vec<u8>,
+    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
+        async { Err(PeerRefusal::new("nothing is served here")) }.boxed()
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    probe.local_addr().expect("an address")
+}
+
+/// A hub that is named `name` and listens at `listen`.
+fn bind_hub(name: SocketAddr, listen: SocketAddr, handler: Arc<dyn PeerHandler>) -> PeerHub {
+    let name = InstanceName::from(name.to_string().as_str());
+    let settings = PeerSettings::new("test", name, Handle::current()).listen(listen);
+    PeerHub::bind(settings, handler).expect("loopback can be listened on")
+}
+
+fn request(version: u64) -> SyncRequest {
+    SyncRequest {
+        instance: "me".into(),
+        is_ingress: true,
+        version,
+        control: None,
+        open_requests: Vec::new(),
+        demand: Vec::new(),
+        leaving: Vec::new(),
+        stale_engines: Vec::new(),
+        ingress_count: 1,
+        crashes: Vec::new(),
+        sound_parts: Vec::new(),
+        barred_requests: Vec::new(),
+        hold_ms: 0,
+    }
+}
+
+/// A document with `routes` routes, whose names look random. The last one depends on the version.
+fn document(version: u64, routes: u64) -> Vec<u8> {
+    let route = |number: u64| {
+        let name = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        format!(
+            "{{\"name\":\"r-{name:x}\",\"host\":\"h{:x}.example\",\"pathPrefix\":\"/{name:016x}/\",\
+             \"routeType\":\"streaming\",\"timeoutMs\":{},\"targetLatencyMs\":6000,\"priority\":2,\
+             \"service\":\"s{}\",\"maxAttempts\":2,\"sticky\":true,\"resumable\":true,\
+             \"targetGapMs\":250}}",
+            name >> 48,
+            17_000 + if number + 1 == routes { version } else { 0 },
+            number % 5
+        )
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    format!("{{\"version\":{version},\"routes\":[{}]}}", routes.join(",")).into_bytes()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn run_puts_a_document_larger_than_a_reply_may_take_in_force() {
+    let fleet = TestFleet::bind(4).await;
+    let ingress = TestIngress::spawn(&fleet.seeds);
+    fleet.publish(1, FIRST_ROUTES);
+    let limit = Instant::now() + Duration::from_secs(10);
+    ingress.since(1, limit).await.expect("the first configuration arrives");
+    let mut published = Vec::new();
+    for version in 2..=2 + SMALL_CHANGES {
+        fleet.publish(version, ALL_ROUTES);
+        published.push((version, Instant::now()));
+        tokio::time::sleep(CHANGE_PAUSE).await;
+    }
+    let mut delays = Vec::new();
+    for (version, at) in published {
+        let since = ingress.since(version, at + APPLY_LIMIT * 2).await;
+        delays.push((version, since.map(|since| since - at)));
+    }
+    let in_time = |(_, delay): &(u64, Option<Duration>)| delay.is_some_and(|d| d < APPLY_LIMIT);
+    assert!(delays.iter().all(in_time), "{delays:?}");
+}
