Transfer documents apart from syncs, as differences, in parts that are resumed

Cause: a reply to a sync had 0.7 s, and carried the whole document of the newest configuration, 0.3 to 1.2 MB, however small the change. A link of 10 Mbit/s moves 875 KB in that time; what had come was thrown away, up to five calls asked for the same bytes beside each other, and each sync began anew. From some size on no document arrived any more, while the links and the leader were fully used by the attempts. Class: a fixed time for work that grows with size, and retries that add to the overload that caused them.

Change: replies name the version and its proof only. DocumentFetch gets the document from DocumentSource, one at a time, in parts of 32 KiB with a time limit each, as the difference from the version held (zstd with a base). A transfer goes on where it stood, also from another control instance, and a proof holds only once the document is in force. Control instances fetch from their leader what the log hasn't brought by the same way.

--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -14,8 +14,9 @@
 use wheel_ingress::{DrainDeadline, HttpLimits, HttpServer};
 use wheel_peer::{PeerAddress, PeerHub};
 use wheel_placement::{
-    AuthorityTimes, ConfigDialect, ConfigProof, ConfigService, DirectorContext, FleetDirector,
-    FleetRegistry, ListSettings, ListWatch, OrderAuthority, ParentSync, SyncSettings,
+    AuthorityTimes, ConfigDialect, ConfigProof, ConfigService, DirectorContext, DocumentFetch,
+    DocumentSource, FleetDirector, FleetRegistry, ListSettings, ListWatch, OrderAuthority,
+    ParentSync, SyncSettings,
 };
 use wheel_route::{ControlEndpoint, FleetConfig};
 use wheel_seams::boot_now;
@@ -30,6 +31,8 @@
 
 /// Time between two syncs with the leader.
 const SYNC_INTERVAL: Duration = Duration::from_millis(200);
+/// Documents kept beside the newest one. Instances that hold one of them are sent what differs.
+const OLD_DOCUMENTS: usize = 16;
 /// Milliseconds for which the leader may delay its reply to wait for a change while requests wait.
 const HOLD_MS: u32 = 100;
 /// Validity of a leader's confirmation: four times a confirmation, which takes two round trips.
@@ -70,7 +73,7 @@
         };
         let router = FleetRouter::default();
         let hub = bind_fleet_hub(settings, router.clone())?;
-        let documents: Arc<DocumentState> = Arc::default();
+        let documents = Arc::new(DocumentState::keeping(OLD_DOCUMENTS));
         let seeds: Vec<InstanceName> = settings.seeds.borrow().iter().map(name_of).collect();
         let control_settings = ControlSettings {
             instance: name_of(&settings.peer),
@@ -116,6 +119,7 @@
             own: own.clone(),
             control: control.clone(),
             documents: Arc::clone(&documents),
+            source: DocumentSource::new(Arc::clone(&documents)),
             registry: Arc::clone(&registry),
         });
         spawn_leader_sync(settings, hub, &control, &group, (registry, documents), own);
@@ -187,7 +191,8 @@
         centre: Arc::clone(&settings.centre),
         interval: SYNC_INTERVAL,
     };
-    let sync = ParentSync::open(sync_settings, hub, &[]);
+    let fetch = DocumentFetch::spawn(hub.clone(), Arc::clone(&documents));
+    let sync = ParentSync::open(sync_settings, hub, Arc::clone(&fetch), &[]);
     follow_seeds(settings, Arc::clone(&sync));
     let (control, group) = (control.clone(), group.clone());
     let instance: Arc<str> = settings.peer.to_string().into();
@@ -216,7 +221,8 @@
                 tokio::time::sleep(SYNC_INTERVAL).await;
                 continue;
             };
-            registry.take_leader_reply(called, reply, &documents);
+            fetch.request(reply.version, leader);
+            registry.take_leader_reply(called, reply, documents.version());
         }
     });
 }
--- a/crates/wheel_daemon/src/fleet_ingress.rs
+++ b/crates/wheel_daemon/src/fleet_ingress.rs
@@ -9,10 +9,13 @@
 use snafu::ResultExt;
 use spdlog::{error, info};
 use tokio::time::Instant;
+use wheel_control::DocumentState;
 use wheel_gateway::{FleetState, ProxySettings, RequestProxy};
 use wheel_ingress::{AnswerBody, DrainDeadline, HttpLimits, HttpServer, full_body};
 use wheel_peer::PeerHub;
-use wheel_placement::{ListSettings, ListWatch, ParentSync, SyncSettings};
+use wheel_placement::{
+    ConfigDialect, DocumentFetch, ListSettings, ListWatch, ParentSync, SyncSettings,
+};
 use wheel_policy::SharedBudgetSettings;
 use wheel_route::{EngineInfo, FleetView, SyncReply};
 use wheel_seams::is_planted;
@@ -159,27 +162,16 @@
         interval: SYNC_INTERVAL,
     };
     let seeds = settings.seeds.borrow().clone();
-    let sync = ParentSync::open(sync_settings, hub, &seeds);
+    let documents: Arc<DocumentState> = Arc::default();
+    follow_documents(&documents, Arc::clone(&dialects.config), Arc::clone(state));
+    let fetch = DocumentFetch::spawn(hub.clone(), documents);
+    let sync = ParentSync::open(sync_settings, hub, fetch, &seeds);
     follow_seeds(settings, Arc::clone(&sync));
     let instance: Arc<str> = settings.peer.to_string().into();
     let (request_state, reply_state, urgent_state) =
         (Arc::clone(state), Arc::clone(state), Arc::clone(state));
-    let config = Arc::clone(&dialects.config);
     let prepare = move || request_state.prepare_sync(Arc::clone(&instance));
     let take = move |reply: &SyncReply| {
-        if let Some((version, bytes)) = &reply.document {
-            let version = *version;
-            match config.read(bytes) {
-                Ok(parsed) => {
-                    if reply_state.adopt(parsed) {
-                        info!("config_in_force", kv: { version });
-                    }
-                }
-                Err(fault) => error!("config_not_understood", kv: {
-                    version, reason:? = fault.to_string()
-                }),
-            }
-        }
         reply_state.apply_reply(reply);
         reply_state.version()
     };
@@ -190,6 +182,28 @@
     tokio::spawn(sync.run(prepare, take, urgent));
 }
 
+/// Puts each document in force that is fetched.
+fn follow_documents(
+    documents: &DocumentState,
+    dialect: Arc<dyn ConfigDialect>,
+    state: Arc<FleetState>,
+) {
+    let mut changes = documents.subscribe();
+    tokio::spawn(async move {
+        while changes.changed().await.is_ok() {
+            let Some(document) = changes.borrow_and_update().clone() else { continue };
+            let version = document.version;
+            match dialect.read(&document.bytes).map(|config| state.adopt(config)) {
+                Ok(is_adopted) if is_adopted => info!("config_in_force", kv: { version }),
+                Ok(_) => {}
+                Err(fault) => error!("config_not_understood", kv: {
+                    version, reason:? = fault.to_string()
+                }),
+            }
+        }
+    });
+}
+
 /// Adds seeds when the settings change.
 pub(crate) fn follow_seeds(settings: &FleetSettings, sync: Arc<ParentSync>) {
     let mut seeds = settings.seeds.clone();
--- a/crates/wheel_daemon/src/fleet_router.rs
+++ b/crates/wheel_daemon/src/fleet_router.rs
@@ -5,13 +5,14 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use metrics::gauge;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use wheel_agreement::{NodeId, RaftMessage, decode, encode};
 use wheel_control::{ControlNode, DocumentState, GroupCall};
 use wheel_peer::{PeerChannel, PeerHandler, PeerIdentity, PeerRefusal};
-use wheel_placement::FleetRegistry;
-use wheel_route::{ControlEndpoint, SyncReply, SyncRequest};
+use wheel_placement::{DocumentSource, FleetRegistry};
+use wheel_route::{ControlEndpoint, DocumentRequest, SyncReply, SyncRequest};
 
 /// Longest time for which a reply is delayed to wait for a change.
 const MAX_HOLD: Duration = Duration::from_millis(300);
@@ -21,6 +22,7 @@
     pub(crate) own: ControlEndpoint,
     pub(crate) control: ControlNode,
     pub(crate) documents: Arc<DocumentState>,
+    pub(crate) source: DocumentSource,
     pub(crate) registry: Arc<FleetRegistry>,
 }
 
@@ -72,6 +74,10 @@
             let call: GroupCall = read(body)?;
             write(&parts.control.answer(call).await)
         }
+        PeerChannel::Manifest => {
+            let request: DocumentRequest = read(body)?;
+            write(&parts.source.answer(&request).await)
+        }
         PeerChannel::Report => {
             let request: SyncRequest = read(body)?;
             write(&sync(parts, request).await)
@@ -82,24 +88,20 @@
 
 async fn sync(parts: &RouterParts, request: SyncRequest) -> SyncReply {
     let hold = Duration::from_millis(u64::from(request.hold_ms)).min(MAX_HOLD);
-    let version = request.version;
     parts.registry.record(request);
     if !hold.is_zero() {
         let _ = tokio::time::timeout(hold, parts.registry.changed()).await;
     }
     // Read before the configuration, which may only be newer than what was proven.
     let proof_age = parts.registry.proof_age();
-    let held = parts.documents.current();
-    let held_version = held.as_ref().map_or(0, |document| document.version);
-    let newer = held.filter(|document| document.version > version);
-    let document = newer.map(|document| (document.version, Arc::clone(&document.bytes)));
+    let version = parts.documents.version();
+    gauge!("wheel_instances_behind").set(parts.registry.count_behind(version) as f64);
     let mut control = parts.registry.control();
     if !control.contains(&parts.own) {
         control.push(parts.own.clone());
     }
     SyncReply {
-        document,
-        version: held_version,
+        version,
         fleet: parts.registry.view(),
         control,
         proof_age_ms: proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -273,7 +273,7 @@
         SyncRequest {
             instance,
             is_ingress: true,
-            version: if is_planted("old_config") { 0 } else { self.version() },
+            version: self.version(),
             control: None,
             open_requests: counts,
             demand: self.take_demand(),
--- a/crates/wheel_harness/src/link_rate.rs
+++ b/crates/wheel_harness/src/link_rate.rs
@@ -1,5 +1,6 @@
 //! The bandwidth that several simulated connections share.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::sync::Mutex;
@@ -12,12 +13,18 @@
     bytes_per_second: f64,
     /// When the link has sent all bytes that were passed so far.
     free_at: Mutex<Instant>,
+    passed: AtomicUsize,
 }
 
 impl LinkRate {
     /// Creates an idle link.
     pub fn new(bytes_per_second: f64) -> Self {
-        Self { bytes_per_second, free_at: Mutex::new(Instant::now()) }
+        Self { bytes_per_second, free_at: Mutex::new(Instant::now()), passed: AtomicUsize::new(0) }
+    }
+
+    /// Bytes that have passed so far.
+    pub fn passed(&self) -> usize {
+        self.passed.load(Ordering::Relaxed)
     }
 
     /// Waits until `bytes` have passed, after all that were passed before.
@@ -29,5 +36,6 @@
             *free_at
         };
         sleep_until(sent_at).await;
+        self.passed.fetch_add(bytes, Ordering::Relaxed);
     }
 }
--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -5,11 +5,9 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use spdlog::{info, warn};
+use spdlog::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use wheel_agreement::StoredDocument;
-use wheel_control::DocumentState;
 use wheel_policy::CrashLedger;
 use wheel_route::{
     ControlEndpoint, CrashedPart, DemandCount, DemandKey, EngineId, EngineInfo, FleetView,
@@ -193,26 +191,11 @@
         self.proof.age(boot_now())
     }
 
-    /// Takes over the leader's reply to a sync made at `called`. The configuration usually arrives
-    /// by the replicated log first, but only what is held here by then is proven by the reply.
-    pub fn take_leader_reply(
-        &self,
-        called: MonotonicTime,
-        reply: SyncReply,
-        documents: &DocumentState,
-    ) {
-        if let Some((version, bytes)) = reply.document
-            && documents.adopt(&StoredDocument { version, bytes })
-        {
-            info!("document_from_leader", kv: { version });
-        }
-        let held = documents.version();
-        match reply.proof_age_ms.map(Duration::from_millis) {
-            Some(age) if held >= reply.version => self.proof.record(called.before(age)),
-            Some(_) => warn!("documents_behind", kv: {
-                version = held, leader_version = reply.version
-            }),
-            None => {}
+    /// Takes over the leader's reply to a sync made at `called`. The configuration arrives by the
+    /// replicated log or by a transfer; only what is held here by then is proven by the reply.
+    pub fn take_leader_reply(&self, called: MonotonicTime, reply: SyncReply, held_version: u64) {
+        if let Some(age) = reply.proof_age().filter(|_| held_version >= reply.version) {
+            self.proof.record(called.before(age));
         }
         if let Some(view) = reply.fleet {
             self.set_leader_view(view, &reply.control);
@@ -251,6 +234,14 @@
         }
     }
 
+    /// Number of the instances below that haven't put `version` in force yet, by their last syncs.
+    pub fn count_behind(&self, version: u64) -> usize {
+        let state = self.state.lock();
+        let mut fresh =
+            state.children.values().filter(|(_, received)| received.elapsed() < CHILD_TIMEOUT);
+        fresh.by_ref().filter(|(request, _)| request.version < version).count()
+    }
+
     /// Requests a placement round from the director.
     pub(crate) fn wake(&self) {
         self.urgent.notify_one();
--- a/crates/wheel_placement/src/lib.rs
+++ b/crates/wheel_placement/src/lib.rs
@@ -3,13 +3,17 @@
 //! [`ListWatch`] reads the list of upstreams. [`FleetRegistry`] collects the syncs of other
 //! instances and provides the replies. [`FleetDirector`] reads engines' reports and sends orders
 //! while this instance holds the [`OrderAuthority`]. [`ConfigService`] accepts operators'
-//! configurations.
+//! configurations. [`ParentSync`] tells an instance which configuration is the newest one;
+//! [`DocumentFetch`] and [`DocumentSource`] transfer its document.
 
 mod authority_ledger;
 mod config_proof;
 mod config_service;
 mod control_table;
 mod directed_engine;
+mod document_codec;
+mod document_fetch;
+mod document_source;
 mod fleet_dialect;
 mod fleet_director;
 mod fleet_registry;
@@ -21,6 +25,8 @@
 pub use config_proof::ConfigProof;
 pub use config_service::{ConfigService, PutOutcome};
 pub(crate) use control_table::ControlTable;
+pub use document_fetch::DocumentFetch;
+pub use document_source::DocumentSource;
 pub use fleet_dialect::{ConfigDialect, FleetDialect, FleetOrder, ListPage};
 pub use fleet_director::{DirectorContext, FleetDirector};
 pub use fleet_registry::FleetRegistry;
--- a/crates/wheel_placement/src/parent_sync.rs
+++ b/crates/wheel_placement/src/parent_sync.rs
@@ -17,7 +17,7 @@
 use wheel_seams::boot_now;
 use wheel_types::{InstanceName, MonotonicTime};
 
-use crate::{ConfigProof, ControlTable};
+use crate::{ConfigProof, ControlTable, DocumentFetch};
 
 /// Time limit for a reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(700);
@@ -27,7 +27,7 @@
 /// Age of a control instance's proof of its configuration, above which another one is used: it may
 /// lack configurations that are in force.
 const MAX_REPLY_AGE: Duration = Duration::from_millis(1_000);
-/// Age of the own proof at which a further control instance is called beside one that hasn't
+/// Age of the last proof at which a further control instance is called beside one that hasn't
 /// replied yet. Several silent ones in a row must fit between it and the time within which a
 /// configuration must be in force.
 const HEDGE_AGE: Duration = Duration::from_millis(900);
@@ -61,21 +61,36 @@
     reply: SyncReply,
 }
 
-/// Chooses a control instance as parent and syncs with it while its replies prove that the
-/// configuration held here is the newest one.
+/// Chooses a control instance as parent and syncs with it while its replies prove which
+/// configuration is the newest one. A newer one than the own is fetched from it.
 pub struct ParentSync {
     settings: SyncSettings,
     hub: PeerHub,
+    fetch: Arc<DocumentFetch>,
     controls: Mutex<ControlTable>,
+    /// Proof that the configuration in force here was the newest one.
     proof: ConfigProof,
+    /// Proof of which version was the newest one, whether its document has arrived or not.
+    newest: ConfigProof,
 }
 
 impl ParentSync {
     /// Creates a sync that knows the seeds.
-    pub fn open(settings: SyncSettings, hub: PeerHub, seeds: &[SocketAddr]) -> Arc<Self> {
+    pub fn open(
+        settings: SyncSettings,
+        hub: PeerHub,
+        fetch: Arc<DocumentFetch>,
+        seeds: &[SocketAddr],
+    ) -> Arc<Self> {
         let controls = ControlTable::open(Arc::clone(&settings.centre), seeds);
-        let controls = Mutex::new(controls);
-        Arc::new(Self { settings, hub, controls, proof: ConfigProof::default() })
+        Arc::new(Self {
+            settings,
+            hub,
+            fetch,
+            controls: Mutex::new(controls),
+            proof: ConfigProof::default(),
+            newest: ConfigProof::default(),
+        })
     }
 
     /// Adds seeds, whose data centres aren't known.
@@ -84,8 +99,8 @@
     }
 
     /// Runs until aborted: `prepare` builds each request, `take` receives each reply and returns
-    /// the version of the configuration that is held then, and a sync is made at once when the
-    /// future of `urgent` completes.
+    /// the version of the configuration that is in force, and a sync is made at once when the future
+    /// of `urgent` completes.
     pub async fn run<U: Future<Output = ()> + Send>(
         self: Arc<Self>,
         prepare: impl Fn() -> SyncRequest + Send,
@@ -118,7 +133,7 @@
     }
 
     /// Calls the parent, then other control instances one after another until one replies. The next
-    /// one is called soon after a call fails, else when the own proof has become old; calls without
+    /// one is called soon after a call fails, else when the last proof has become old; calls without
     /// a reply go on meanwhile. Returns whether one has replied.
     async fn sync(
         &self,
@@ -142,7 +157,7 @@
                         next_call = next_call.min(Instant::now() + FAILURE_PAUSE);
                         continue;
                     };
-                    let is_current = self.take_reply(&answer, take);
+                    let is_current = self.take_reply(control, &answer, take);
                     let (now, mut controls) = (Instant::now(), self.controls.lock());
                     for late in unanswered.into_iter().filter(|called| *called != control) {
                         controls.record_silence(now, late);
@@ -167,25 +182,30 @@
 
     /// How long to wait for the replies to the calls made so far before calling another instance.
     fn hedge_delay(&self) -> Duration {
-        let age = self.proof.age(boot_now()).unwrap_or(HEDGE_AGE);
+        let age = self.newest.age(boot_now()).unwrap_or(HEDGE_AGE);
         HEDGE_AGE.saturating_sub(age).max(HEDGE_PAUSE)
     }
 
-    /// Takes over a reply. Returns whether it proves that the configuration held now was the newest
-    /// one a moment ago.
-    fn take_reply(&self, answer: &TimedReply, take: &impl Fn(&SyncReply) -> u64) -> bool {
+    /// Takes over a reply. Returns whether it proves which configuration was the newest one a moment
+    /// ago. That proves the own configuration only if it is as new.
+    fn take_reply(
+        &self,
+        control: SocketAddr,
+        answer: &TimedReply,
+        take: &impl Fn(&SyncReply) -> u64,
+    ) -> bool {
         let TimedReply { called, reply } = answer;
         let version = take(reply);
+        self.fetch.request(reply.version, control);
         if let Some(age) = self.proof.age(boot_now()) {
             histogram!("wheel_config_proof_age_seconds").record(age.as_secs_f64());
         }
-        match reply.proof_age() {
-            Some(age) if version >= reply.version => {
-                self.proof.record(called.before(age));
-                age <= MAX_REPLY_AGE
-            }
-            _ => false,
+        let Some(age) = reply.proof_age() else { return false };
+        self.newest.record(called.before(age));
+        if version >= reply.version {
+            self.proof.record(called.before(age));
         }
+        age <= MAX_REPLY_AGE
     }
 
     /// Makes one call to the given control instance; `None` if no valid reply is received.
@@ -224,7 +244,8 @@
         match is_proven {
             true if !was_proven => info!("config_proven", kv: { version, control }),
             false if was_proven => warn!("config_unproven", kv: {
-                version, control, age_ms = age.map(|age| age.as_millis()).unwrap_or_default()
+                version, control, age_ms = age.map(|age| age.as_millis()).unwrap_or_default(),
+                awaited = self.fetch.awaited().unwrap_or_default()
             }),
             _ => {}
         }
--- a/crates/wheel_placement/tests/large_documents.rs
+++ b/crates/wheel_placement/tests/large_documents.rs
@@ -6,7 +6,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
@@ -15,9 +14,9 @@
 use tokio::runtime::Handle;
 use wheel_agreement::StoredDocument;
 use wheel_control::DocumentState;
-use wheel_harness::{LinkRate, LinkRelay};
+use wheel_harness::{LinkRate, LinkRelay, LinkState};
 use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings};
-use wheel_placement::{ParentSync, SyncSettings};
+use wheel_placement::{DocumentFetch, DocumentSource, ParentSync, SyncSettings};
 use wheel_route::{SyncReply, SyncRequest};
 use wheel_types::InstanceName;
 
@@ -35,54 +34,63 @@
 /// A control instance that holds the newest document.
 struct TestControl {
     documents: Arc<DocumentState>,
+    source: Arc<DocumentSource>,
 }
 
 impl PeerHandler for TestControl {
     fn handle(
         &self,
         _: PeerIdentity,
-        _: PeerChannel,
+        channel: PeerChannel,
         body: Vec<u8>,
     ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
-        let request: SyncRequest = postcard::from_bytes(&body).expect("a sync");
-        let held = self.documents.current();
-        let version = self.documents.version();
-        let newer = held.filter(|document| document.version > request.version);
+        let source = Arc::clone(&self.source);
         let reply = SyncReply {
-            document: newer.map(|document| (document.version, Arc::clone(&document.bytes))),
-            version,
+            version: self.documents.version(),
             fleet: None,
             control: Vec::new(),
             proof_age_ms: Some(0),
         };
-        async move { Ok(postcard::to_stdvec(&reply).expect("a reply has an encoding")) }.boxed()
+        async move {
+            let bytes = match channel {
+                PeerChannel::Manifest => {
+                    let request = postcard::from_bytes(&body).expect("a request");
+                    postcard::to_stdvec(&source.answer(&request).await)
+                }
+                _ => postcard::to_stdvec(&reply),
+            };
+            Ok(bytes.expect("a reply has an encoding"))
+        }
+        .boxed()
     }
 }
 
 /// Control instances behind the link of one ingress instance.
 struct TestFleet {
     documents: Arc<DocumentState>,
+    rate: Arc<LinkRate>,
     seeds: Vec<SocketAddr>,
-    _links: Vec<LinkRelay>,
+    links: Vec<LinkRelay>,
     _hubs: Vec<PeerHub>,
 }
 
 impl TestFleet {
     async fn bind(count: usize) -> Self {
-        let documents: Arc<DocumentState> = Arc::default();
+        let documents = Arc::new(DocumentState::keeping(16));
         let rate = Arc::new(LinkRate::new(LINK_BYTES_PER_SECOND));
         let (mut seeds, mut links, mut hubs) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..count {
             // A control instance is named by the address at which it is called.
             let seed = free_address();
-            let control = TestControl { documents: Arc::clone(&documents) };
+            let source = Arc::new(DocumentSource::new(Arc::clone(&documents)));
+            let control = TestControl { documents: Arc::clone(&documents), source };
             let hub = bind_hub(seed, free_address(), Arc::new(control));
             let link = LinkRelay::bind_at(seed, hub.local_addr(), Some(Arc::clone(&rate))).await;
             links.push(link.expect("the address is free"));
             seeds.push(seed);
             hubs.push(hub);
         }
-        Self { documents, seeds, _links: links, _hubs: hubs }
+        Self { documents, rate, seeds, links, _hubs: hubs }
     }
 
     fn publish(&self, version: u64, routes: u64) {
@@ -93,6 +101,7 @@
 
 /// An ingress instance that records when each version came into force.
 struct TestIngress {
+    documents: Arc<DocumentState>,
     in_force: Arc<Mutex<Vec<(u64, Instant)>>>,
 }
 
@@ -102,23 +111,22 @@
         let hub = bind_hub(own, own, Arc::new(NoHandler));
         let settings =
             SyncSettings { own, centre: "here".into(), interval: Duration::from_millis(200) };
-        let sync = ParentSync::open(settings, hub, seeds);
-        let held: Arc<AtomicU64> = Arc::default();
+        let documents: Arc<DocumentState> = Arc::default();
+        let fetch = DocumentFetch::spawn(hub.clone(), Arc::clone(&documents));
+        let sync = ParentSync::open(settings, hub, fetch, seeds);
         let in_force: Arc<Mutex<Vec<(u64, Instant)>>> = Arc::default();
-        let (requested, recorded) = (Arc::clone(&held), Arc::clone(&in_force));
-        let prepare = move || request(requested.load(Ordering::SeqCst));
-        let take = move |reply: &SyncReply| {
-            if let Some((version, bytes)) = &reply.document
-                && *version > held.load(Ordering::SeqCst)
-            {
-                assert!(bytes.starts_with(format!("{{\"version\":{version},").as_bytes()));
-                held.store(*version, Ordering::SeqCst);
-                recorded.lock().push((*version, Instant::now()));
-            }
-            held.load(Ordering::SeqCst)
-        };
+        let (requested, taken) = (Arc::clone(&documents), Arc::clone(&documents));
+        let prepare = move || request(requested.version());
+        let take = move |_: &SyncReply| taken.version();
         tokio::spawn(sync.run(prepare, take, std::future::pending));
-        Self { in_force }
+        let (mut changes, recorded) = (documents.subscribe(), Arc::clone(&in_force));
+        tokio::spawn(async move {
+            while changes.changed().await.is_ok() {
+                let document = changes.borrow_and_update().clone().expect("a document");
+                recorded.lock().push((document.version, Instant::now()));
+            }
+        });
+        Self { documents, in_force }
     }
 
     /// When `version` or a higher one came into force, waiting until `limit`.
@@ -215,4 +223,45 @@
     }
     let in_time = |(_, delay): &(u64, Option<Duration>)| delay.is_some_and(|d| d < APPLY_LIMIT);
     assert!(delays.iter().all(in_time), "{delays:?}");
+    assert_eq!(ingress.documents.current(), fleet.documents.current());
+}
+
+/// A control instance goes silent in the middle of a transfer that takes longer than any time limit.
+/// Another one must send the rest and nothing again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn fetch_goes_on_where_it_stood_at_another_control_instance() {
+    let fleet = TestFleet::bind(2).await;
+    let ingress = TestIngress::spawn(&fleet.seeds);
+    // Random bytes aren't compressed.
+    let mut bytes = vec![0; 3 << 20];
+    rand::Rng::fill(&mut rand::rng(), &mut bytes[..]);
+    let began = Instant::now();
+    assert!(fleet.documents.adopt(&StoredDocument { version: 1, bytes: bytes.into() }));
+    // The first transfer's parts come from one of the two, and both are used as parents in turn.
+    for link in &fleet.links {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        link.set(LinkState::Silent);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        link.set(LinkState::Open);
+    }
+    let limit = began + Duration::from_secs(10);
+    ingress.since(1, limit).await.expect("the configuration arrives");
+    assert_eq!(ingress.documents.current(), fleet.documents.current());
+    let passed = fleet.rate.passed();
+    assert!(passed < (3 << 20) + (512 << 10), "{passed} bytes were sent");
+}
+
+/// An instance holds other bytes under the version that its control instance takes as the base. It
+/// must get the whole document instead of one that is put together wrongly.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fetch_with_another_base_gets_the_whole_document() {
+    let fleet = TestFleet::bind(1).await;
+    let ingress = TestIngress::spawn(&fleet.seeds);
+    let other = document(1, FIRST_ROUTES - 1).into();
+    assert!(ingress.documents.adopt(&StoredDocument { version: 1, bytes: other }));
+    fleet.publish(1, FIRST_ROUTES);
+    fleet.publish(2, FIRST_ROUTES);
+    let limit = Instant::now() + Duration::from_secs(10);
+    ingress.since(2, limit).await.expect("the configuration arrives");
+    assert_eq!(ingress.documents.current(), fleet.documents.current());
 }
--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -13,7 +13,7 @@
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings};
-use wheel_placement::{ParentSync, SyncSettings};
+use wheel_placement::{DocumentFetch, ParentSync, SyncSettings};
 use wheel_route::{SyncReply, SyncRequest};
 use wheel_types::InstanceName;
 
@@ -41,7 +41,6 @@
             return std::future::pending().boxed();
         }
         let reply = SyncReply {
-            document: None,
             version: 0,
             fleet: None,
             control: Vec::new(),
@@ -99,7 +98,7 @@
             centre: "here".into(),
             interval: Duration::from_millis(200),
         };
-        let sync = ParentSync::open(settings, own.hub, seeds);
+        let sync = open_sync(settings, own.hub, seeds);
         let replies: Arc<Mutex<Vec<Instant>>> = Arc::default();
         let recorded = Arc::clone(&replies);
         let take = move |reply: &SyncReply| {
@@ -126,6 +125,11 @@
     }
 }
 
+fn open_sync(settings: SyncSettings, hub: PeerHub, seeds: &[SocketAddr]) -> Arc<ParentSync> {
+    let fetch = DocumentFetch::spawn(hub.clone(), Arc::default());
+    ParentSync::open(settings, hub, fetch, seeds)
+}
+
 fn request() -> SyncRequest {
     SyncRequest {
         instance: "me".into(),
@@ -154,7 +158,7 @@
         centre: "here".into(),
         interval: Duration::from_millis(10),
     };
-    let sync = ParentSync::open(settings, own.hub, &[detached.address]);
+    let sync = open_sync(settings, own.hub, &[detached.address]);
     let replies: Arc<AtomicUsize> = Arc::default();
     let counted = Arc::clone(&replies);
     let take = move |reply: &SyncReply| {
--- a/crates/wheel_route/src/lib.rs
+++ b/crates/wheel_route/src/lib.rs
@@ -1,11 +1,13 @@
 //! Routes of a configuration document, and the fleet of upstreams that they lead to.
 //!
 //! A [`FleetConfig`] is a complete configuration; [`RouteTable`] finds the route of a request in
-//! it. [`FleetView`] is a snapshot of what is known about the upstreams, and [`SyncRequest`] and
-//! [`SyncReply`] carry both between instances.
+//! it. [`FleetView`] is a snapshot of what is known about the upstreams. [`SyncRequest`] and
+//! [`SyncReply`] carry the snapshot and the version of the newest configuration between instances,
+//! [`DocumentRequest`] and [`DocumentPart`] its document.
 
 mod config_error;
 mod demand_count;
+mod document_message;
 mod engine_info;
 mod engine_profile;
 mod fleet_config;
@@ -20,6 +22,7 @@
 
 pub use config_error::ConfigError;
 pub use demand_count::{DemandCount, DemandKey};
+pub use document_message::{DocumentPart, DocumentRequest, TransferId, TransferProgress};
 pub use engine_info::{EngineId, EngineInfo, HeldModel, UpstreamState};
 pub use engine_profile::{EngineProfile, ModelProfile};
 pub use fleet_config::FleetConfig;
--- a/crates/wheel_route/src/sync_message.rs
+++ b/crates/wheel_route/src/sync_message.rs
@@ -38,7 +38,7 @@
     pub instance: Arc<str>,
     /// Whether it accepts callers' requests.
     pub is_ingress: bool,
-    /// The configuration version in force there; the reply carries the document if it is newer.
+    /// The configuration version in force there.
     pub version: u64,
     /// Its own endpoint, if it is a control instance.
     pub control: Option<ControlEndpoint>,
@@ -67,9 +67,8 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct SyncReply {
-    /// A newer configuration: its version, and the document as the operator sent it.
-    pub document: Option<(u64, Arc<[u8]>)>,
-    /// The version that the replying instance holds; 0 without a configuration.
+    /// The version that the replying instance holds; 0 without a configuration. Its document, which
+    /// may be large, is requested apart from this (see [`DocumentRequest`](crate::DocumentRequest)).
     pub version: u64,
     /// The fleet; `None` if nothing is known yet.
     pub fleet: Option<FleetView>,
