--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -9,9 +9,9 @@
 use spdlog::{critical, info, warn};
 use tokio::sync::oneshot;
 use wheel_agreement::{
-    EntryPayload, GroupAction, GroupAnswer, GroupClock, GroupCommand, GroupLimits, GroupState,
-    LogEntry, NodeId, PersistRecord, ProposalId, ProposalRefusal, RaftInput, RaftMessage, RaftNode,
-    RaftOutput, RaftStatus, ReadId, RoleName, VoterChange, decode, encode,
+    DocumentAnswer, EntryPayload, GroupAction, GroupAnswer, GroupClock, GroupCommand, GroupLimits,
+    GroupState, LogEntry, NodeId, PersistRecord, ProposalId, ProposalRefusal, RaftInput,
+    RaftMessage, RaftNode, RaftOutput, RaftStatus, ReadId, RoleName, VoterChange, decode, encode,
 };
 use wheel_seams::is_planted;
 use wheel_types::MonotonicTime;
@@ -56,7 +56,10 @@
     clock: GroupClock,
     role: RoleName,
     next_proposal: u64,
-    pending_proposals: HashMap<ProposalId, oneshot::Sender<SubmitAnswer>>,
+    /// Who waits for a proposal's outcome: several, if the same document is submitted again.
+    pending_proposals: HashMap<ProposalId, Vec<oneshot::Sender<SubmitAnswer>>>,
+    /// Versions of the documents among the proposals.
+    pending_documents: HashMap<u64, ProposalId>,
     pending_reads: HashMap<ReadId, oneshot::Sender<Option<ReadAnswer>>>,
     /// The proposal whose entry is applied next.
     accepted: Option<(ProposalId, u64)>,
@@ -91,6 +94,7 @@
             clock: GroupClock::open(0, MonotonicTime::default()),
             next_proposal: 0,
             pending_proposals: HashMap::new(),
+            pending_documents: HashMap::new(),
             pending_reads: HashMap::new(),
             accepted: None,
             snapshot_index: 0,
@@ -147,14 +151,12 @@
                 let _ = reply.send(SubmitAnswer::not_leader(self.node.status().leader));
                 None
             }
+            WorkerInput::Submit {
+                action: GroupAction::AdoptDocument { version, bytes },
+                reply,
+            } => self.submit_document(version, bytes, reply),
             WorkerInput::Submit { action, reply } => {
-                let leader_ms = self.clock.leader_ms(self.now());
-                let Ok(command) = encode(&GroupCommand { leader_ms, action }) else {
-                    let reason = "the action has no encoding".to_owned();
-                    let _ = reply.send(SubmitAnswer::Refused { reason });
-                    return None;
-                };
-                Some(RaftInput::Propose { proposal: self.register_reply(reply), command })
+                self.submit(action, reply).map(|(_, input)| input)
             }
             WorkerInput::ChangeVoter { change, reply } => {
                 Some(RaftInput::ChangeVoter { proposal: self.register_reply(reply), change })
@@ -169,10 +171,54 @@
         }
     }
 
+    /// Proposes a document, unless one as new is committed or the same version is proposed already:
+    /// operators send a change again whose answer takes long, and each copy would delay it further.
+    fn submit_document(
+        &mut self,
+        version: u64,
+        bytes: Arc<[u8]>,
+        reply: oneshot::Sender<SubmitAnswer>,
+    ) -> Option<RaftInput> {
+        let held = self.state.document().map_or(0, |held| held.version);
+        if held >= version {
+            let kept = GroupAnswer::Document(DocumentAnswer::Kept { version: held });
+            let _ = reply.send(SubmitAnswer::Answer(kept));
+            return None;
+        }
+        let pending = self.pending_documents.get(&version);
+        match pending.and_then(|proposal| self.pending_proposals.get_mut(proposal)) {
+            Some(replies) => {
+                replies.push(reply);
+                None
+            }
+            None => {
+                let action = GroupAction::AdoptDocument { version, bytes };
+                let (proposal, input) = self.submit(action, reply)?;
+                self.pending_documents.insert(version, proposal);
+                Some(input)
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        action: GroupAction,
+        reply: oneshot::Sender<SubmitAnswer>,
+    ) -> Option<(ProposalId, RaftInput)> {
+        let leader_ms = self.clock.leader_ms(self.now());
+        let Ok(command) = encode(&GroupCommand { leader_ms, action }) else {
+            let reason = "the action has no encoding".to_owned();
+            let _ = reply.send(SubmitAnswer::Refused { reason });
+            return None;
+        };
+        let proposal = self.register_reply(reply);
+        Some((proposal, RaftInput::Propose { proposal, command }))
+    }
+
     fn register_reply(&mut self, reply: oneshot::Sender<SubmitAnswer>) -> ProposalId {
         self.next_proposal += 1;
         let proposal = ProposalId(self.next_proposal);
-        self.pending_proposals.insert(proposal, reply);
+        self.pending_proposals.insert(proposal, vec![reply]);
         proposal
     }
 
@@ -199,10 +245,10 @@
                         ProposalRefusal::NotLeader => SubmitAnswer::not_leader(leader),
                         reason => SubmitAnswer::Refused { reason: format!("{reason:?}") },
                     };
-                    self.reply(proposal, answer);
+                    self.reply(proposal, &answer);
                 }
                 RaftOutput::Unresolved { proposal, .. } => {
-                    self.reply(proposal, SubmitAnswer::Unresolved);
+                    self.reply(proposal, &SubmitAnswer::Unresolved);
                 }
                 RaftOutput::ReadReady { read, .. } => {
                     let document = self.state.document().cloned().map(Arc::new);
@@ -268,7 +314,7 @@
         };
         if let Some((proposal, _)) = proposal {
             let answer = answer.map_or(SubmitAnswer::VoterChanged, SubmitAnswer::Answer);
-            self.reply(proposal, answer);
+            self.reply(proposal, &answer);
         }
     }
 
@@ -304,9 +350,10 @@
         }
     }
 
-    fn reply(&mut self, proposal: ProposalId, answer: SubmitAnswer) {
-        if let Some(reply) = self.pending_proposals.remove(&proposal) {
-            let _ = reply.send(answer);
+    fn reply(&mut self, proposal: ProposalId, answer: &SubmitAnswer) {
+        self.pending_documents.retain(|_, pending| *pending != proposal);
+        for reply in self.pending_proposals.remove(&proposal).into_iter().flatten() {
+            let _ = reply.send(answer.clone());
         }
     }
 
--- a/crates/wheel_control/src/group_call.rs
+++ b/crates/wheel_control/src/group_call.rs
@@ -20,6 +20,16 @@
     Status,
 }
 
+impl GroupCall {
+    /// Size of the part of the call that may be large, in bytes.
+    pub(crate) fn size_bytes(&self) -> usize {
+        match self {
+            Self::Submit(GroupAction::AdoptDocument { bytes, .. }) => bytes.len(),
+            Self::Submit(_) | Self::ChangeVoter(_) | Self::Read | Self::Status => 0,
+        }
+    }
+}
+
 /// The answer of a control instance.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
--- a/crates/wheel_control/src/group_client.rs
+++ b/crates/wheel_control/src/group_client.rs
@@ -10,10 +10,12 @@
 use wheel_peer::{PeerChannel, PeerHub};
 use wheel_types::InstanceName;
 
+use crate::transfer_time::transfer_time;
 use crate::{AddressResolver, ControlNode, GroupCall, GroupReply, ReadAnswer, SubmitAnswer};
 
-/// Time that one control instance gets to answer: a slow disk's sync and a round trip. Operators
-/// wait for a second, and a frozen leader must not use up all of it.
+/// Time that one control instance gets to answer, beside that for the transfer of a large call: a
+/// slow disk's sync and a round trip. Operators wait for a second, and a frozen leader must not use
+/// up all of it.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time that the own control instance gets to return its leader; it may be waiting for its disk.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(100);
@@ -216,14 +218,16 @@
         instance: &InstanceName,
         call: &GroupCall,
     ) -> Result<GroupReply, RequestError> {
+        // The leader sends the call's body on before it answers.
+        let limit = ATTEMPT_TIMEOUT + transfer_time(call.size_bytes());
         if let Some(own) = self.own.as_ref().filter(|own| &own.id().instance == instance) {
-            let answer = tokio::time::timeout(ATTEMPT_TIMEOUT, own.answer(call.clone())).await;
+            let answer = tokio::time::timeout(limit, own.answer(call.clone())).await;
             return answer.map_err(|_| RequestError { may_have_run: true });
         }
         let unsent = RequestError { may_have_run: false };
         let address = self.resolver.peer_address(instance).ok_or(unsent)?;
         let body = encode(call).map_err(|_| unsent)?;
-        let answer = self.hub.call(&address, PeerChannel::Claim, body, ATTEMPT_TIMEOUT).await;
+        let answer = self.hub.call(&address, PeerChannel::Claim, body, limit).await;
         let answer = answer.map_err(|error| RequestError { may_have_run: error.may_have_run() })?;
         decode(&answer).map_err(|_| RequestError { may_have_run: true })
     }
--- a/crates/wheel_control/src/lib.rs
+++ b/crates/wheel_control/src/lib.rs
@@ -18,6 +18,7 @@
 mod manifest_state;
 mod peer_sender;
 mod read_answer;
+mod transfer_time;
 
 pub use address_resolver::AddressResolver;
 pub use control_folder::FolderError;
--- /dev/null
+++ b/crates/wheel_control/tests/large_documents.rs
@@ -0,0 +1,189 @@
+//! A document that takes several heartbeats to reach another control instance. It must be sent to
+//! each once and be acknowledged, however often its operator sends it again meanwhile.
+
+#![allow(clippy::expect_used)]
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use futures_util::future::{BoxFuture, join_all};
+use tokio::runtime::Handle;
+use wheel_agreement::{GroupAction, NodeId, RaftMessage, RoleName, decode, encode};
+use wheel_control::{
+    AddressResolver, ControlNode, ControlSettings, DocumentState, GroupCall, GroupClient,
+};
+use wheel_harness::{LinkRelay, LinkState};
+use wheel_peer::{
+    PeerAddress, PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings,
+};
+use wheel_types::InstanceName;
+
+/// Time within which a configuration must be acknowledged.
+const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Time for each 16 KiB of a connection: 2.7 MB/s, and a round trip of 12 ms.
+const LINK_DELAY: Duration = Duration::from_millis(6);
+const DOCUMENT_BYTES: usize = 2 << 20;
+/// Operators send a change again after this time without an answer.
+const RESEND_TIME: Duration = Duration::from_secs(1);
+
+/// Instances are named by their addresses.
+struct NamedAddresses;
+
+impl AddressResolver for NamedAddresses {
+    fn peer_address(&self, instance: &InstanceName) -> Option<PeerAddress> {
+        Some(PeerAddress::new(instance.clone(), instance.as_str().parse().ok()?))
+    }
+}
+
+#[derive(Clone, Default)]
+struct TestHandler {
+    control: Arc<OnceLock<ControlNode>>,
+}
+
+impl PeerHandler for TestHandler {
+    fn handle(
+        &self,
+        _: PeerIdentity,
+        channel: PeerChannel,
+        body: Vec<u8>,
+    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
+        let control = Arc::clone(&self.control);
+        async move {
+            let control = control.get().ok_or_else(|| PeerRefusal::new("not started"))?;
+            if channel == PeerChannel::Agreement {
+                let (from, to, message): (NodeId, NodeId, RaftMessage) =
+                    decode(&body).expect("a message");
+                control.receive_message(from, &to, message);
+                return Ok(Vec::new());
+            }
+            let call: GroupCall = decode(&body).expect("a call");
+            Ok(encode(&control.answer(call).await).expect("a reply has an encoding"))
+        }
+        .boxed()
+    }
+}
+
+/// A control instance that the others reach over a slow link.
+struct TestNode {
+    control: ControlNode,
+    documents: Arc<DocumentState>,
+    client: GroupClient,
+    hub: PeerHub,
+    link: LinkRelay,
+    _folder: tempfile::TempDir,
+}
+
+impl TestNode {
+    async fn open(index: usize, names: &[SocketAddr]) -> Self {
+        let voters: Vec<InstanceName> =
+            names.iter().map(|name| InstanceName::from(name.to_string().as_str())).collect();
+        let instance = voters[index].clone();
+        let handler = TestHandler::default();
+        let settings = PeerSettings::new("test", instance.clone(), Handle::current());
+        let hub = PeerHub::bind(settings.listen(free_address()), Arc::new(handler.clone()));
+        let hub = hub.expect("loopback can be listened on");
+        let link = LinkRelay::bind_at(names[index], hub.local_addr(), None).await;
+        let folder = tempfile::tempdir().expect("a folder");
+        let settings = ControlSettings {
+            instance,
+            voters: voters.clone(),
+            folder: folder.path().to_owned(),
+            seed: index as u64,
+            start: Instant::now(),
+            may_bootstrap: true,
+            target_voters: Some(names.len()),
+            replace_voter_after: Duration::from_secs(3),
+        };
+        let documents: Arc<DocumentState> = Arc::default();
+        let addresses: Arc<dyn AddressResolver> = Arc::new(NamedAddresses);
+        let control = ControlNode::spawn(
+            settings,
+            hub.clone(),
+            Arc::clone(&addresses),
+            Arc::default(),
+            Arc::clone(&documents),
+        );
+        let control = control.expect("the folder can be used");
+        let _ = handler.control.set(control.clone());
+        let client = GroupClient::new(hub.clone(), addresses, Some(control.clone()), &voters);
+        Self {
+            control,
+            documents,
+            client,
+            hub,
+            link: link.expect("the address is free"),
+            _folder: folder,
+        }
+    }
+
+    async fn leads(&self) -> bool {
+        self.control.status().await.is_some_and(|status| status.role == RoleName::Leader)
+    }
+
+    /// Bytes of the log's messages sent so far.
+    fn sent_bytes(&self) -> u64 {
+        self.hub.counters().channels[PeerChannel::Agreement.index()].bytes_sent
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    probe.local_addr().expect("an address")
+}
+
+/// Three nodes with a leader, the leader first.
+async fn open_group() -> Vec<TestNode> {
+    let names: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
+    let mut nodes = Vec::new();
+    for index in 0..names.len() {
+        nodes.push(TestNode::open(index, &names).await);
+    }
+    let limit = Instant::now() + Duration::from_secs(10);
+    loop {
+        for index in 0..nodes.len() {
+            if nodes[index].leads().await {
+                nodes.swap(0, index);
+                return nodes;
+            }
+        }
+        assert!(Instant::now() < limit, "no leader");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn submit_large_document_is_sent_to_each_instance_once() {
+    let nodes = open_group().await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    nodes.iter().for_each(|node| node.link.set(LinkState::Delayed(LINK_DELAY)));
+    let (sent_before, began) = (nodes[0].sent_bytes(), Instant::now());
+    let bytes: Arc<[u8]> = vec![7; DOCUMENT_BYTES].into();
+    // The operator sends it to one instance, then to another one, as its answer takes long.
+    let send = |client: GroupClient, after: Duration| {
+        let action = GroupAction::AdoptDocument { version: 1, bytes: Arc::clone(&bytes) };
+        async move {
+            tokio::time::sleep(after).await;
+            let deadline = Instant::now() + ACK_LIMIT;
+            client.submit(action, deadline.into()).await.map(|_| began.elapsed())
+        }
+    };
+    let calls = [1, 2, 0].map(|index| {
+        let after = RESEND_TIME * ((index + 2) % 3) as u32;
+        tokio::spawn(send(nodes[index].client.clone(), after))
+    });
+    let acks: Vec<_> =
+        join_all(calls).await.into_iter().map(|ack| ack.expect("no panic")).collect();
+    // Whatever is still on its way, or is sent again, counts too.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let sent = nodes[0].sent_bytes() - sent_before;
+    let held: Vec<u64> = nodes.iter().map(|node| node.documents.version()).collect();
+    assert_eq!(held, [1, 1, 1], "acknowledged {acks:?}, sent {sent}");
+    assert!(
+        acks.iter().flatten().any(|took| *took < ACK_LIMIT),
+        "acknowledged {acks:?}, sent {sent}"
+    );
+    let expected = 2 * DOCUMENT_BYTES as u64;
+    assert!(sent < expected + expected / 4, "acknowledged {acks:?}, sent {sent}");
+}
