--- a/crates/wheel_agreement/src/raft_log.rs
+++ b/crates/wheel_agreement/src/raft_log.rs
@@ -108,15 +108,28 @@
         candidate
     }
 
-    /// Makes a snapshot of the state machine's `state` after the entry `index`, and drops all but
-    /// `trailing` of the entries before it. False if there is one as new, or no such entry.
-    pub(crate) fn compact(&mut self, index: u64, state: Arc<[u8]>, trailing: u64) -> bool {
+    /// Makes a snapshot of the state machine's `state` after the entry `index`, and drops all entries
+    /// before it but the last ones within a number and a size in bytes. False if there is one as
+    /// new, or no such entry.
+    pub(crate) fn compact(
+        &mut self,
+        index: u64,
+        state: Arc<[u8]>,
+        (max_entries, max_bytes): (u64, usize),
+    ) -> bool {
         let Some(term) = self.term_at(index).filter(|_| index > self.snapshot.index) else {
             return false;
         };
         let members = self.members_at(index);
         self.snapshot = RaftSnapshot { group: self.snapshot.group, index, term, members, state };
-        let base = index.saturating_sub(trailing).max(self.base_index);
+        let before = self.entries.iter().take((index - self.base_index) as usize).rev();
+        let mut bytes = 0;
+        let fits = |entry: &&LogEntry| {
+            bytes += entry.size_bytes();
+            bytes <= max_bytes
+        };
+        let kept = before.take(max_entries as usize).take_while(fits).count();
+        let base = index - kept as u64;
         let Some(base_term) = self.term_at(base) else {
             return true;
         };
--- a/crates/wheel_agreement/src/raft_node.rs
+++ b/crates/wheel_agreement/src/raft_node.rs
@@ -272,7 +272,8 @@
     fn compact(&mut self, index: u64, state: Vec<u8>) {
         debug_assert!(state.len() <= RaftSnapshot::MAX_BYTES, "the state is bounded");
         debug_assert!(index <= self.commit, "only applied entries are compacted");
-        let trailing = self.settings.trailing_entries;
+        let RaftSettings { trailing_entries, trailing_bytes, .. } = *self.settings;
+        let trailing = (trailing_entries, trailing_bytes);
         if index <= self.commit && self.log.compact(index, state.into(), trailing) {
             self.outbox.save(PersistRecord::Snapshot(self.log.snapshot().clone()));
         }
--- a/crates/wheel_agreement/src/raft_settings.rs
+++ b/crates/wheel_agreement/src/raft_settings.rs
@@ -44,6 +44,8 @@
     pub max_command_bytes: usize,
     /// Entries kept in memory before the snapshot, for participants that are a little behind.
     pub trailing_entries: u64,
+    /// The most bytes of such entries.
+    pub trailing_bytes: usize,
 }
 
 impl RaftSettings {
@@ -69,6 +71,7 @@
             max_pending_bytes: 8 << 20,
             max_command_bytes: 5 << 20,
             trailing_entries: 256,
+            trailing_bytes: 4 << 20,
         }
     }
 
--- a/crates/wheel_agreement/tests/raft_scenarios.rs
+++ b/crates/wheel_agreement/tests/raft_scenarios.rs
@@ -251,6 +251,26 @@
     assert_eq!(commands(&group, &lagging), [b"last"]);
 }
 
+/// Entries are kept after a snapshot for followers that are a little behind. Counted by their number
+/// alone, large ones would take hundreds of megabytes.
+#[test]
+fn compacted_log_keeps_few_bytes_of_large_entries() {
+    const ENTRY_BYTES: usize = 500 << 10;
+    let mut group = TestGroup::open(&["a", "b", "c"]);
+    let leader = group.run_to_leader();
+    for number in 0..40 {
+        group.propose(&leader, number, &[b'x'; ENTRY_BYTES]);
+        group.run(Duration::from_millis(20));
+    }
+    let index = group.nodes[&*leader].node.status().commit;
+    let snapshot = group.nodes[&*leader].state.snapshot().unwrap();
+    group.input(&leader, RaftInput::Compacted { index, snapshot });
+    let node = &group.nodes[&*leader].node;
+    let kept = (1..=index).filter_map(|index| node.entry(index)).map(LogEntry::size_bytes);
+    let kept: usize = kept.sum();
+    assert!((ENTRY_BYTES..=4 << 20).contains(&kept), "{kept} bytes are kept");
+}
+
 #[test]
 fn lost_folder_finds_leader_that_settings_do_not_name() {
     let mut group = TestGroup::open(&["a", "b", "c"]);
--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -28,6 +28,9 @@
 /// Applied entries after which a snapshot is taken, at the least and at the most.
 const MIN_SNAPSHOT_ENTRIES: u64 = 128;
 const MAX_SNAPSHOT_ENTRIES: u64 = 4_096;
+/// Bytes of applied entries after which a snapshot is taken, as they are kept in memory and on disk
+/// until then; more if the state itself is large.
+const SNAPSHOT_BYTES: usize = 8 << 20;
 /// Maximum time for handing over leadership before the worker stops.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two attempts to write to a full disk.
@@ -64,6 +67,8 @@
     /// The proposal whose entry is applied next.
     accepted: Option<(ProposalId, u64)>,
     snapshot_index: u64,
+    /// Bytes of the entries applied since the snapshot.
+    applied_bytes: usize,
     /// Set before the worker is told to stop, so that it doesn't wait for a full disk.
     is_stopping: Arc<AtomicBool>,
     /// Whether it was stopped before its last records could be written; it carries out no further
@@ -98,6 +103,7 @@
             pending_reads: HashMap::new(),
             accepted: None,
             snapshot_index: 0,
+            applied_bytes: 0,
             is_stopping,
             is_aborted: false,
         }
@@ -299,10 +305,12 @@
             }
         }
         self.snapshot_index = index;
+        self.applied_bytes = 0;
         self.publish();
     }
 
     fn apply(&mut self, index: u64, entry: &LogEntry) {
+        self.applied_bytes += entry.size_bytes();
         let proposal = self.accepted.take_if(|(_, accepted)| *accepted == index);
         let answer = match &entry.payload {
             EntryPayload::Command(bytes) => Some(self.apply_command(index, bytes)),
@@ -376,11 +384,13 @@
         let manifest_bytes = (self.state.manifest().source.len() + document_bytes).max(1) as u64;
         let entries =
             (MAX_REPLAY_BYTES / manifest_bytes).clamp(MIN_SNAPSHOT_ENTRIES, MAX_SNAPSHOT_ENTRIES);
-        if applied < self.snapshot_index + entries {
+        let has_few_bytes = self.applied_bytes < SNAPSHOT_BYTES.max(2 * manifest_bytes as usize);
+        if applied < self.snapshot_index + entries && has_few_bytes {
             return;
         }
         if let Ok(snapshot) = self.state.snapshot() {
             self.snapshot_index = applied;
+            self.applied_bytes = 0;
             let input = RaftInput::Compacted { index: applied, snapshot };
             let outputs = self.node.step(self.now(), input);
             self.carry_out(outputs);
