--- a/crates/wheel_gateway/src/ingress_dialect.rs
+++ b/crates/wheel_gateway/src/ingress_dialect.rs
@@ -35,6 +35,17 @@
     Unsigned,
 }
 
+/// What an answer says of the limit that its upstream asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum NamedLimit {
+    /// It names none.
+    None,
+    /// The upstream takes so many requests a second from all instances together.
+    PerSecond(f64),
+    /// It names a value that can't be read, which is included.
+    Malformed(String),
+}
+
 /// Decodes callers' requests, sets headers for upstreams and classifies their answers.
 pub trait IngressDialect: Send + Sync + 'static {
     /// Decodes the head of a request.
@@ -52,6 +63,9 @@
     /// Whether an upstream announces in an answer that it leaves.
     fn is_leaving(&self, headers: &HeaderMap) -> bool;
 
+    /// The limit on requests that an upstream names in an answer.
+    fn named_limit(&self, headers: &HeaderMap) -> NamedLimit;
+
     /// Classifies an answer by its head.
     fn classify_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerClass;
 }
--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -28,7 +28,7 @@
 pub use active_config::ActiveConfig;
 pub use event_splitter::EventSplitter;
 pub use fleet_state::FleetState;
-pub use ingress_dialect::{AnswerClass, ForwardHeaders, IngressDialect};
+pub use ingress_dialect::{AnswerClass, ForwardHeaders, IngressDialect, NamedLimit};
 pub use ingress_request::{GenerationRequest, IngressRequest, PromptPart};
 pub use proxy_settings::ProxySettings;
 pub use request_guard::RequestGuard;
--- a/crates/wheel_gateway/src/send_classifier.rs
+++ b/crates/wheel_gateway/src/send_classifier.rs
@@ -7,9 +7,9 @@
 use wheel_route::EngineInfo;
 use wheel_upstream::{CallFailure, FailureKind, SentState, ServiceAnswer, asked_rest};
 
-use crate::AnswerClass;
 use crate::proxy_context::ProxyContext;
 use crate::request_log::RequestLog;
+use crate::{AnswerClass, NamedLimit};
 
 /// What the answer to a send, or its absence, means for the request.
 pub(crate) enum SendClass {
@@ -45,6 +45,7 @@
             Err(failure) => return self.failure(&failure),
         };
         self.record_leaving(info, &answer);
+        self.record_limit(info, &answer);
         let rest = self.record_rest(info, &answer);
         match self.context.dialect.classify_answer(answer.status, &answer.headers) {
             AnswerClass::Ran => SendClass::Answer(Box::new(answer)),
@@ -79,6 +80,21 @@
         }
     }
 
+    /// Logs the limit that the upstream names.
+    fn record_limit(&self, info: &EngineInfo, answer: &ServiceAnswer) {
+        match self.context.dialect.named_limit(&answer.headers) {
+            NamedLimit::None => {}
+            NamedLimit::PerSecond(rate) => {
+                self.log
+                    .step("upstream_limited", &format!("{} takes {rate} a second", info.id.name));
+            }
+            NamedLimit::Malformed(value) => {
+                counter!("wheel_upstream_limits_malformed_total").increment(1);
+                self.log.step("limit_malformed", &value);
+            }
+        }
+    }
+
     /// Records the time for which a busy upstream asks this instance not to call it.
     fn record_rest(&self, info: &EngineInfo, answer: &ServiceAnswer) -> Option<Duration> {
         let rest = asked_rest(answer.status, &answer.headers)?;
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use wheel_gateway::{
     AnswerClass, FleetState, ForwardHeaders, GenerationRequest, IngressDialect, IngressRequest,
-    ProxySettings, RequestProxy,
+    NamedLimit, ProxySettings, RequestProxy,
 };
 use wheel_ingress::{AnswerBody, AnswerError, DrainDeadline, HttpLimits, HttpServer, full_body};
 use wheel_policy::SharedBudgetSettings;
@@ -291,6 +291,11 @@
         headers.contains_key("x-leaving")
     }
 
+    fn named_limit(&self, headers: &HeaderMap) -> NamedLimit {
+        let rate = headers.get("x-limit").and_then(|rate| rate.to_str().ok()?.parse().ok());
+        rate.map_or(NamedLimit::None, NamedLimit::PerSecond)
+    }
+
     fn classify_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerClass {
         match status {
             StatusCode::MISDIRECTED_REQUEST => AnswerClass::Misdirected,
