Keep the limit that an upstream names, for all instances together

Cause: nothing read Server-Limit. Class: what an upstream asks of all instances together, known at first only to those that it told.

Change: answers' limits are ordered by when their requests were sent (LimitTable), reported with syncs and spread with the fleet's view. The leader gives out permissions at the rate named (LimitGrantor), control instances pass them on, ingress instances use them by rank (LimitShare); whoever hears of no leader uses a part that doesn't add up to too much. Each send counts: first ones, repeats, resumed streams. What no upstream can serve in time is refused at once.

--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -8,6 +8,7 @@
 use snafu::ResultExt;
 use spdlog::{error, info};
 use tokio::sync::watch;
+use wheel_agreement::RoleName;
 use wheel_control::{
     AddressResolver, ControlNode, ControlSettings, DocumentState, GroupClient, ManifestState,
 };
@@ -207,6 +208,7 @@
             }
             group.set_control_instances(&known_control(&registry, &seeds));
             let Some(status) = control.status().await else { return };
+            registry.set_leading(status.role == RoleName::Leader);
             let leader = status.leader.filter(|leader| leader.instance != status.id.instance);
             let Some(leader) = leader.and_then(|leader| leader.instance.as_str().parse().ok())
             else {
--- a/crates/wheel_daemon/src/fleet_router.rs
+++ b/crates/wheel_daemon/src/fleet_router.rs
@@ -88,6 +88,7 @@
 
 async fn sync(parts: &RouterParts, request: SyncRequest) -> SyncReply {
     let hold = Duration::from_millis(u64::from(request.hold_ms)).min(MAX_HOLD);
+    let instance = Arc::clone(&request.instance);
     parts.registry.record(request);
     if !hold.is_zero() {
         let _ = tokio::time::timeout(hold, parts.registry.changed()).await;
@@ -104,6 +105,7 @@
         version,
         fleet: parts.registry.view(),
         control,
+        limit_grants: parts.registry.grant_limits(&instance),
         proof_age_ms: proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
     }
 }
--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -4,14 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
+use wheel_policy::LimitShare;
 use wheel_route::{
     DemandCount, DemandKey, EngineId, EngineInfo, FleetConfig, FleetView, OpenRequestCount,
     SyncReply, SyncRequest, UpstreamState,
 };
-use wheel_seams::is_planted;
+use wheel_seams::{boot_now, is_planted};
 
 use crate::crash_reports::CrashReports;
 use crate::{ActiveConfig, PromptPart};
@@ -25,6 +26,9 @@
 /// Longer than any upstream goes on after that.
 const ANNOUNCED_LIFETIME: Duration = Duration::from_secs(600);
 
+/// Age of a control instance's proof of its configuration up to which it is taken to know a leader.
+const MAX_LED_AGE: Duration = Duration::from_secs(1);
+
 /// How long a control instance may delay its reply until a change while requests wait here, in
 /// milliseconds.
 const HOLD_MS: u32 = 150;
@@ -59,6 +63,7 @@
     leaving: Mutex<HashMap<EngineId, Instant>>,
     stale_engines: Mutex<HashSet<EngineId>>,
     crash_reports: Mutex<CrashReports>,
+    limits: Mutex<LimitShare>,
     urgent: Notify,
 }
 
@@ -73,6 +78,7 @@
             leaving: Mutex::default(),
             stale_engines: Mutex::default(),
             crash_reports: Mutex::default(),
+            limits: Mutex::new(LimitShare::open(rand::random())),
             urgent: Notify::new(),
         }
     }
@@ -237,6 +243,24 @@
         Some(barred)
     }
 
+    /// The part of upstreams' limits that this instance has.
+    pub(crate) fn limits(&self) -> MutexGuard<'_, LimitShare> {
+        self.limits.lock()
+    }
+
+    /// Adjusts the number of requests of `rank` that wait until an upstream's limit lets them be
+    /// sent there. The first one triggers a sync at once.
+    pub(crate) fn count_limit_waiting(&self, engines: &[EngineId], rank: u8, change: i32) {
+        let mut limits = self.limits.lock();
+        for engine in engines {
+            limits.count_waiting(engine, rank, change);
+        }
+        drop(limits);
+        if change > 0 && !engines.is_empty() {
+            self.urgent.notify_one();
+        }
+    }
+
     /// Completes when a sync should happen at once.
     pub async fn urgent(&self) {
         self.urgent.notified().await;
@@ -270,6 +294,10 @@
             let mut reports = self.crash_reports.lock();
             (reports.crashes(), reports.sound_parts(&view), reports.take_barred_requests())
         };
+        let (limits, limit_wants) = {
+            let (now, mut limits) = (boot_now(), self.limits.lock());
+            (limits.news(now), limits.wants(now))
+        };
         SyncRequest {
             instance,
             is_ingress: true,
@@ -283,6 +311,8 @@
             crashes,
             sound_parts,
             barred_requests,
+            limits,
+            limit_wants,
             hold_ms: if self.has_waiting() { HOLD_MS } else { 0 },
         }
     }
@@ -290,6 +320,15 @@
     /// Stores the fleet view of a reply. Its configuration needs a dialect and is handled
     /// elsewhere.
     pub fn apply_reply(&self, reply: &SyncReply) {
+        let is_led = reply.proof_age().is_some_and(|age| age <= MAX_LED_AGE);
+        let now = boot_now();
+        let mut limits = self.limits.lock();
+        limits.receive(now, &reply.limit_grants, is_led);
+        if let Some(view) = &reply.fleet {
+            limits.merge(now, &view.limits, view.ingress_count);
+            limits.retain(|id| view.engines.iter().any(|info| info.id == *id));
+        }
+        drop(limits);
         if let Some(view) = &reply.fleet {
             self.set_view(view.clone());
         }
--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet_state;
 mod ingress_dialect;
 mod ingress_request;
+mod limit_wait;
 mod local_answer;
 mod proxy_context;
 mod proxy_settings;
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 use wheel_ingress::{AnswerBody, DrainDeadline, full_body};
 use wheel_route::{EngineId, EngineInfo, RouteSpec};
-use wheel_seams::is_planted;
+use wheel_seams::{boot_now, is_planted};
 use wheel_types::UpstreamName;
 use wheel_upstream::{CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall};
 
@@ -277,7 +277,7 @@
         let max_connections = spec.map_or(0, |spec| spec.max_connections);
         let ingress_count = self.context.state.view().ingress_count;
         let client = self.context.upstreams.client(info, max_connections, ingress_count);
-        let began = Instant::now();
+        let (began, sent) = (Instant::now(), boot_now());
         self.last_send = Some((info.id.clone(), began));
         self.is_sending = true;
         let answer = client.call(self.call(info, resume_after)).await;
@@ -293,7 +293,7 @@
             })
         );
         let class =
-            SendClassifier { context: &self.context, log: &self.log }.classify(info, answer);
+            SendClassifier { context: &self.context, log: &self.log, sent }.classify(info, answer);
         let succeeded = !matches!(class, SendClass::Broken);
         let now = self.context.now();
         match is_unreachable {
--- a/crates/wheel_gateway/src/send_classifier.rs
+++ b/crates/wheel_gateway/src/send_classifier.rs
@@ -5,6 +5,8 @@
 use http::StatusCode;
 use metrics::counter;
 use wheel_route::EngineInfo;
+use wheel_seams::boot_now;
+use wheel_types::MonotonicTime;
 use wheel_upstream::{CallFailure, FailureKind, SentState, ServiceAnswer, asked_rest};
 
 use crate::proxy_context::ProxyContext;
@@ -31,6 +33,8 @@
 pub(crate) struct SendClassifier<'a> {
     pub(crate) context: &'a ProxyContext,
     pub(crate) log: &'a RequestLog,
+    /// When the request was sent.
+    pub(crate) sent: MonotonicTime,
 }
 
 impl SendClassifier<'_> {
@@ -80,18 +84,23 @@
         }
     }
 
-    /// Logs the limit that the upstream names.
+    /// Records the limit that the upstream names. A value that can't be read changes nothing.
     fn record_limit(&self, info: &EngineInfo, answer: &ServiceAnswer) {
-        match self.context.dialect.named_limit(&answer.headers) {
-            NamedLimit::None => {}
-            NamedLimit::PerSecond(rate) => {
-                self.log
-                    .step("upstream_limited", &format!("{} takes {rate} a second", info.id.name));
-            }
+        let dialect = &self.context.dialect;
+        if dialect.is_other_upstream(&answer.headers, &info.id.name) {
+            return;
+        }
+        let rate = match dialect.named_limit(&answer.headers) {
+            NamedLimit::None => None,
+            NamedLimit::PerSecond(rate) => Some(rate),
             NamedLimit::Malformed(value) => {
                 counter!("wheel_upstream_limits_malformed_total").increment(1);
-                self.log.step("limit_malformed", &value);
+                return self.log.step("limit_malformed", &value);
             }
+        };
+        if self.context.state.limits().record(&info.id, rate, (self.sent, boot_now())) {
+            let rate = rate.map_or("no limit".to_owned(), |rate| format!("{rate} a second"));
+            self.log.step("upstream_limit", &format!("{}: {rate}", info.id.name));
         }
     }
 
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -6,10 +6,12 @@
 use rand::Rng;
 use tokio::time::{Instant, sleep_until};
 use wheel_policy::{ModelResidency, UpstreamCandidate, choose_upstream};
-use wheel_route::{DemandKey, EngineInfo, FleetView, RouteSpec};
+use wheel_route::{DemandKey, EngineId, EngineInfo, FleetView, RouteSpec};
+use wheel_seams::boot_now;
 use wheel_types::UpstreamName;
 
 use crate::IngressRequest;
+use crate::limit_wait::LimitWait;
 use crate::proxy_context::ProxyContext;
 use crate::request_log::RequestLog;
 use crate::tried_upstreams::TriedUpstreams;
@@ -42,6 +44,31 @@
     pub(crate) eta: Option<Duration>,
 }
 
+/// How long upstreams that have all that a request needs keep it away.
+#[derive(Clone, Copy, Debug)]
+struct BlockedTime {
+    /// Until the first of them may be called again.
+    rest: Option<Duration>,
+    /// Until the limit of the first of them lets the request be sent.
+    limit: Option<Duration>,
+}
+
+impl BlockedTime {
+    fn shortest(self) -> Option<Duration> {
+        self.rest.into_iter().chain(self.limit).min()
+    }
+
+    fn reason(self) -> Option<&'static str> {
+        match (self.rest, self.limit) {
+            (Some(rest), limit) if limit.is_none_or(|limit| rest <= limit) => {
+                Some("upstreams_rest")
+            }
+            (_, Some(_)) => Some("upstreams_limited"),
+            _ => None,
+        }
+    }
+}
+
 /// A search for an upstream, with its inputs.
 pub(crate) struct UpstreamSearch<'a> {
     pub(crate) context: &'a ProxyContext,
@@ -69,6 +96,7 @@
         let mut views = self.context.state.watch_view();
         let mut drain = self.context.drain.watch();
         let mut waiting = None;
+        let mut limit_waiting = None;
         loop {
             views.mark_unchanged();
             drain.mark_unchanged();
@@ -83,20 +111,29 @@
             let ready = self.context.state.ready_indices(&view, self.service);
             // Read once, so that a rest can't end between the choice and the decision to wait.
             let rests = self.rests_of(&view, &ready);
-            if let Some(index) = self.choose(&view, &ready, &rests) {
-                return Ok(view.engines[index].clone());
+            let limits = self.limit_waits(&view, &ready);
+            if let Some(index) = self.choose(&view, &ready, &rests, &limits) {
+                if self.take_permission(&view, index, &ready, &limits) {
+                    return Ok(view.engines[index].clone());
+                }
+                continue;
             }
-            let rest = self.shortest_rest(&view, &ready, &rests);
+            let rest = self.shortest(&view, &ready, &rests);
+            let limit = self.shortest(&view, &ready, &limits);
+            if limit.is_some() {
+                limit_waiting.get_or_insert_with(|| self.begin_limit_wait(&view, &ready, &limits));
+            }
+            let blocked = BlockedTime { rest, limit };
             // A model can only be loaded if its service has an upstream.
             let key = self.demand_key().filter(|_| !ready.is_empty());
             let wait_end = match &key {
-                None if rest.is_none() => {
+                None if blocked.shortest().is_none() => {
                     return Err(NoUpstream::new("no_upstream", CAPACITY_RETRY));
                 }
-                key => self.wait_end(key.as_ref(), rest, report_deadline)?,
+                key => self.wait_end(key.as_ref(), blocked, report_deadline)?,
             };
             waiting.get_or_insert_with(|| {
-                self.log_wait(wait_end, rest);
+                self.log_wait(wait_end, blocked);
                 key.map(|key| WaitGuard::begin(&self.context.state, key))
             });
             let rest_end = rest.map(|rest| Instant::now() + rest);
@@ -127,29 +164,77 @@
     }
 
     /// Logs the maximum wait, what it waits for, and the age of the view on which it is based.
-    fn log_wait(&self, wait_end: Instant, rest: Option<Duration>) {
+    fn log_wait(&self, wait_end: Instant, blocked: BlockedTime) {
         let now = Instant::now();
         let wait = wait_end.saturating_duration_since(now).as_millis();
         let left = self.deadline.saturating_duration_since(now).as_millis();
         let age = self.context.state.view_age().as_millis();
-        let reason = if rest.is_some() { "upstreams_rest" } else { "model_not_loaded" };
+        let reason = blocked.reason().unwrap_or("model_not_loaded");
         let inputs = format!("{reason}, wait_ms {wait}, left_ms {left}, view_age_ms {age}");
         self.log.step("waits", &inputs);
     }
 
-    /// The time until the first upstream that has all that the request needs may be called again.
-    fn shortest_rest(
+    /// The time until the first upstream that has all that the request needs may be called again, of
+    /// those in `times`.
+    fn shortest(
         &self,
         view: &FleetView,
         ready: &[usize],
-        rests: &[Option<Duration>],
+        times: &[Option<Duration>],
     ) -> Option<Duration> {
-        let is_usable = |info: &EngineInfo| {
-            self.residency(info) == ModelResidency::Full && !self.tried.contains(&info.id)
-        };
-        let rests = ready.iter().zip(rests);
-        let usable = rests.filter(|(index, _)| is_usable(&view.engines[**index]));
-        usable.filter_map(|(_, rest)| *rest).min()
+        let usable =
+            ready.iter().zip(times).filter(|(index, _)| self.is_usable(&view.engines[**index]));
+        usable.filter_map(|(_, time)| *time).min()
+    }
+
+    /// Whether the upstream has all that the request needs and the request wasn't sent there yet.
+    fn is_usable(&self, info: &EngineInfo) -> bool {
+        self.residency(info) == ModelResidency::Full && !self.tried.contains(&info.id)
+    }
+
+    /// How long the limit of each of the `ready` upstreams keeps the request away.
+    fn limit_waits(&self, view: &FleetView, ready: &[usize]) -> Vec<Option<Duration>> {
+        let now = boot_now();
+        let mut limits = self.context.state.limits();
+        let wait = |index: &usize| limits.wait(now, &view.engines[*index].id, self.route.rank);
+        ready.iter().map(wait).collect()
+    }
+
+    /// The usable upstreams whose limits keep the request away.
+    fn limited<'v>(
+        &self,
+        view: &'v FleetView,
+        ready: &[usize],
+        limits: &[Option<Duration>],
+    ) -> Vec<&'v EngineId> {
+        let limited = ready.iter().zip(limits).filter(|(_, limit)| limit.is_some());
+        let limited = limited.map(|(index, _)| &view.engines[*index]);
+        limited.filter(|info| self.is_usable(info)).map(|info| &info.id).collect()
+    }
+
+    /// Uses a permission for the chosen upstream if it has a limit; false if another request has
+    /// taken the last one. Upstreams that the request would have gone to as well are recorded.
+    fn take_permission(
+        &self,
+        view: &FleetView,
+        index: usize,
+        ready: &[usize],
+        limits: &[Option<Duration>],
+    ) -> bool {
+        let missed = self.limited(view, ready, limits);
+        let mut share = self.context.state.limits();
+        missed.into_iter().for_each(|engine| share.record_missed(engine));
+        share.take(boot_now(), &view.engines[index].id, self.route.rank)
+    }
+
+    fn begin_limit_wait(
+        &self,
+        view: &FleetView,
+        ready: &[usize],
+        limits: &[Option<Duration>],
+    ) -> LimitWait {
+        let engines = self.limited(view, ready, limits).into_iter().cloned().collect();
+        LimitWait::begin(&self.context.state, engines, self.route.rank)
     }
 
     /// When a request that upstreams refused may come back: once the first one that has all that it
@@ -158,8 +243,10 @@
         let view = self.context.state.view();
         let mut ready = self.context.state.ready_indices(&view, self.service);
         ready.retain(|index| self.residency(&view.engines[*index]) == ModelResidency::Full);
-        let rests: Option<Vec<Duration>> = self.rests_of(&view, &ready).into_iter().collect();
-        rests.and_then(|rests| rests.into_iter().min()).unwrap_or(CAPACITY_RETRY)
+        let rests = self.rests_of(&view, &ready).into_iter();
+        let blocked = rests.zip(self.limit_waits(&view, &ready));
+        let blocked: Option<Vec<Duration>> = blocked.map(|(rest, limit)| rest.max(limit)).collect();
+        blocked.and_then(|blocked| blocked.into_iter().min()).unwrap_or(CAPACITY_RETRY)
     }
 
     /// What remains of the rest of each of the `ready` upstreams.
@@ -173,7 +260,7 @@
     fn wait_end(
         &self,
         key: Option<&DemandKey>,
-        rest: Option<Duration>,
+        blocked: BlockedTime,
         report_deadline: Instant,
     ) -> Result<Instant, NoUpstream> {
         let now = Instant::now();
@@ -181,7 +268,7 @@
         let load =
             view.loading.iter().find(|(model, _)| key.is_some_and(|key| *model == key.model));
         let load = load.map(|(_, ms)| Duration::from_millis(*ms));
-        let eta = load.into_iter().chain(rest).min();
+        let eta = load.into_iter().chain(blocked.shortest()).min();
         let deadline = self.context.drain.bound(self.deadline);
         let is_draining = deadline < self.deadline;
         let left = deadline.saturating_duration_since(now);
@@ -192,7 +279,7 @@
             Some(eta) => {
                 let reason = match load {
                     _ if is_draining => "draining",
-                    None => "upstreams_rest",
+                    None => blocked.reason().unwrap_or_default(),
                     Some(_) => "load_too_late",
                 };
                 Err(NoUpstream { reason, retry_after: eta, eta: Some(eta) })
@@ -215,12 +302,13 @@
         view: &FleetView,
         ready: &[usize],
         rests: &[Option<Duration>],
+        limits: &[Option<Duration>],
     ) -> Option<usize> {
         let active = self.context.state.active_at(view, ready);
         let now = self.context.now();
         let outliers = self.context.outliers.lock();
         let mut reach = self.context.reach.lock();
-        let candidate = |((index, active), rest): ((&usize, u32), &Option<Duration>)| {
+        let candidate = |((index, active), is_blocked): ((&usize, u32), bool)| {
             let info = &view.engines[*index];
             UpstreamCandidate {
                 slots: info.slots,
@@ -229,12 +317,14 @@
                 residency: self.residency(info),
                 is_suspect: outliers.is_ejected(now, &UpstreamName::from(&*info.id.name)),
                 is_unreachable: reach.is_avoided(now, &info.id, &info.centre),
-                is_resting: rest.is_some(),
+                is_resting: is_blocked,
                 was_tried: self.tried.contains(&info.id),
                 cached_share: 0.0,
             }
         };
-        let inputs = ready.iter().zip(active).zip(rests);
+        let blocked =
+            rests.iter().zip(limits).map(|(rest, limit)| rest.is_some() || limit.is_some());
+        let inputs = ready.iter().zip(active).zip(blocked);
         let candidates: Vec<UpstreamCandidate> = inputs.map(candidate).collect();
         let index = ready[choose_upstream(&candidates, rand::rng().random())?];
         reach.begin_probe(now, &view.engines[index].centre);
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -47,6 +47,8 @@
     RefusedAtTimeLeft,
     /// With a head and a body, and with the announcement that the upstream leaves.
     Leaving(Box<Self>),
+    /// With a head and a body, and with a limit on the requests that the upstream takes.
+    Limited(Box<Self>, &'static str),
     /// With a head alone: status, `Retry-After`, and whether it states that the request wasn't run.
     Busy { status: u16, retry_after: &'static str, refused: bool },
 }
@@ -91,6 +93,11 @@
         Self::Leaving(Box::new(self))
     }
 
+    /// The same answer of an upstream that names a limit.
+    pub(crate) fn limited(self, rate: &'static str) -> Self {
+        Self::Limited(Box::new(self), rate)
+    }
+
     pub(crate) fn cut(body: &str) -> Self {
         Self::Cut(body.into())
     }
@@ -202,6 +209,10 @@
         StreamBody::new(futures_util::StreamExt::chain(first, rest)).boxed_unsync()
     };
     let id = head.headers.get("x-id").cloned().expect("every request has an id");
+    let (reply, limit) = match reply {
+        Some(Reply::Limited(reply, limit)) => (Some(*reply), Some(limit)),
+        reply => (reply, None),
+    };
     let (reply, is_leaving) = match reply {
         Some(Reply::Leaving(reply)) => (Some(*reply), true),
         reply => (reply, false),
@@ -218,7 +229,7 @@
         Reply::Busy { status, refused, .. } => {
             (status, full_body(String::new()), !refused, refused, false)
         }
-        Reply::Leaving(_) => unreachable!("an answer announces it once"),
+        Reply::Leaving(_) | Reply::Limited(..) => unreachable!("an answer announces it once"),
         Reply::Silent => std::future::pending().await,
         Reply::RefusedAtTimeLeft => {
             let left = head.headers.get("x-left").and_then(|left| left.to_str().ok());
@@ -239,6 +250,9 @@
     if is_leaving {
         headers.insert("x-leaving", "1".parse().expect("a value"));
     }
+    if let Some(limit) = limit {
+        headers.insert("x-limit", limit.parse().expect("a value"));
+    }
     if let Some(time) = retry_after {
         headers.insert("retry-after", time.parse().expect("a value"));
     }
--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use spdlog::warn;
+use spdlog::{info, warn};
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use wheel_policy::CrashLedger;
+use wheel_policy::{CrashLedger, LimitGrantor, LimitTable};
 use wheel_route::{
     ControlEndpoint, CrashedPart, DemandCount, DemandKey, EngineId, EngineInfo, FleetView,
-    HeldModel, OpenRequestCount, SoundPart, SyncReply, SyncRequest, UpstreamCrash, UpstreamState,
+    HeldModel, LimitGrant, LimitWant, OpenRequestCount, SoundPart, SyncReply, SyncRequest,
+    UpstreamCrash, UpstreamLimit, UpstreamState,
 };
 use wheel_seams::boot_now;
 use wheel_types::MonotonicTime;
@@ -31,6 +32,9 @@
 const CRASH_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of reports of upstreams that ended in one sync with the leader.
 const MAX_FORWARDED_CRASHES: usize = 64;
+/// Age of the proof of the own configuration up to which a leader gives out permissions: one that
+/// was cut off must not go on beside its successor.
+const MAX_GRANT_AGE: Duration = Duration::from_secs(1);
 /// Maximum number of barred parts taken over from one sync.
 const MAX_BARRED_REQUESTS: usize = 64;
 
@@ -59,9 +63,47 @@
     crashes_updated: Option<MonotonicTime>,
     /// Barred parts with which requests came since the last sync was prepared.
     barred_requests: BTreeSet<u64>,
+    /// The limits that upstreams have named.
+    limits: LimitTable,
+    grantor: LimitGrantor,
+    /// Whether this instance leads the control instances.
+    is_leading: bool,
 }
 
 impl RegistryState {
+    /// What the instances below want of upstreams with limits, by upstream, all but `except`.
+    fn limit_wants(&self, except: &str) -> BTreeMap<EngineId, Vec<LimitWant>> {
+        let mut wants: BTreeMap<EngineId, Vec<LimitWant>> = BTreeMap::new();
+        for (name, (request, received)) in &self.children {
+            if **name != *except && received.elapsed() < CHILD_TIMEOUT {
+                for want in &request.limit_wants {
+                    wants.entry(want.engine.clone()).or_default().push(want.clone());
+                }
+            }
+        }
+        wants
+    }
+
+    /// The limits with the requests that wait for them, as far as known here.
+    fn limits(&self) -> Vec<UpstreamLimit> {
+        let wants = self.limit_wants("");
+        let from_leader = self.leader_view.as_ref().filter(|_| !self.is_leading);
+        let from_leader = from_leader.map_or(&[][..], |(view, _)| &view.limits[..]);
+        let waiting = |engine: &EngineId| {
+            if let Some(limit) = from_leader.iter().find(|limit| limit.news.engine == *engine) {
+                return limit.waiting.clone();
+            }
+            let mut counts: BTreeMap<u8, u32> = BTreeMap::new();
+            for want in wants.get(engine).into_iter().flatten() {
+                *counts.entry(want.rank).or_default() += want.count;
+            }
+            counts.remove(&LimitWant::SPARE_RANK);
+            counts.into_iter().collect()
+        };
+        let news = self.limits.news(boot_now()).into_iter();
+        news.map(|news| UpstreamLimit { waiting: waiting(&news.engine), news }).collect()
+    }
+
     /// Records what an instance below saw of upstreams that ended.
     fn record_crashes(&mut self, request: &SyncRequest) {
         let now = boot_now();
@@ -74,6 +116,12 @@
         for part in &request.barred_requests {
             self.crash_ledger.record_request(now, *part);
         }
+        for news in &request.limits {
+            if self.limits.merge(now, news) {
+                let engine = news.engine.name.to_string();
+                info!("upstream_limit", kv: { engine, rate = format!("{:?}", news.rate) });
+            }
+        }
         self.barred_requests.extend(request.barred_requests.iter().take(MAX_BARRED_REQUESTS));
     }
 
@@ -197,6 +245,7 @@
         if let Some(age) = reply.proof_age().filter(|_| held_version >= reply.version) {
             self.proof.record(called.before(age));
         }
+        self.state.lock().grantor.receive(boot_now(), &reply.limit_grants);
         if let Some(view) = reply.fleet {
             self.set_leader_view(view, &reply.control);
         }
@@ -213,6 +262,9 @@
             self.changed.notify_waiters();
         }
         state.crash_ledger.replace_barred(boot_now(), &view.barred_parts);
+        for limit in &view.limits {
+            state.limits.merge(boot_now(), &limit.news);
+        }
         state.leader_view = Some((view, Instant::now()));
         state.held = None;
         let room = MAX_CONTROL_ENDPOINTS.saturating_sub(state.control.len());
@@ -234,6 +286,34 @@
         }
     }
 
+    /// Records whether this instance leads the control instances.
+    pub fn set_leading(&self, is_leading: bool) {
+        self.state.lock().is_leading = is_leading;
+    }
+
+    /// The permissions that an instance gets for its last sync.
+    pub fn grant_limits(&self, instance: &str) -> Vec<LimitGrant> {
+        let now = boot_now();
+        let may_grant = self.proof_age().is_some_and(|age| age <= MAX_GRANT_AGE);
+        let mut state = self.state.lock();
+        let Some((request, _)) = state.children.get(instance) else { return Vec::new() };
+        let mut wants: BTreeMap<EngineId, Vec<LimitWant>> = BTreeMap::new();
+        for want in &request.limit_wants {
+            wants.entry(want.engine.clone()).or_default().push(want.clone());
+        }
+        let others = state.limit_wants(instance);
+        let RegistryState { limits, grantor, is_leading, .. } = &mut *state;
+        let grant = |(engine, wants): (&EngineId, &Vec<LimitWant>)| {
+            let others = others.get(engine).map_or(&[][..], |others| &others[..]);
+            match (*is_leading, limits.rate(engine)) {
+                (false, _) => grantor.pass_on(now, wants, others),
+                (true, Some(rate)) if may_grant => grantor.grant(now, rate, wants, others),
+                (true, _) => None,
+            }
+        };
+        wants.iter().filter_map(grant).collect()
+    }
+
     /// Number of the instances below that haven't put `version` in force yet, by their last syncs.
     pub fn count_behind(&self, version: u64) -> usize {
         let state = self.state.lock();
@@ -303,6 +383,8 @@
             crashes: state.crashes(),
             sound_parts: state.sound_parts(),
             barred_requests: std::mem::take(&mut state.barred_requests).into_iter().collect(),
+            limits: state.limits.news(boot_now()),
+            limit_wants: sum_limit_wants(&state),
             hold_ms: 0,
         }
     }
@@ -311,6 +393,9 @@
     pub fn view(&self) -> Option<FleetView> {
         let (listed, age) = self.list.current()?;
         let mut state = self.state.lock();
+        let is_listed = |id: &EngineId| listed.iter().any(|info| info.id == *id);
+        state.limits.retain(is_listed);
+        state.grantor.retain(is_listed);
         state.update_crashes();
         let is_leaving = |id: &EngineId| {
             state.leaving.get(id).is_some_and(|recorded| recorded.elapsed() < LEAVING_LIFETIME)
@@ -363,10 +448,32 @@
             loading,
             watched_parts,
             barred_parts: state.crash_ledger.barred(boot_now()),
+            limits: state.limits(),
         })
     }
 }
 
+/// What the instances below want of upstreams with limits, beyond what is left for them here.
+fn sum_limit_wants(state: &RegistryState) -> Vec<LimitWant> {
+    let mut sums: Vec<LimitWant> = Vec::new();
+    for (engine, mut wants) in state.limit_wants("") {
+        let mut held = state.grantor.received(&engine);
+        wants.sort_by_key(|want| want.rank);
+        for want in wants {
+            let lacking = want.count.saturating_sub(held);
+            held = held.saturating_sub(want.count);
+            match sums.last_mut() {
+                _ if lacking == 0 => {}
+                Some(sum) if sum.engine == want.engine && sum.rank == want.rank => {
+                    sum.count += lacking;
+                }
+                _ => sums.push(LimitWant { count: lacking, ..want }),
+            }
+        }
+    }
+    sums
+}
+
 fn sum_open_requests(state: &RegistryState) -> Vec<OpenRequestCount> {
     let mut sums: BTreeMap<EngineId, (u32, u64)> = BTreeMap::new();
     let fresh = state.children.values().filter(|(_, received)| received.elapsed() < CHILD_TIMEOUT);
--- a/crates/wheel_placement/tests/large_documents.rs
+++ b/crates/wheel_placement/tests/large_documents.rs
@@ -49,6 +49,7 @@
             version: self.documents.version(),
             fleet: None,
             control: Vec::new(),
+            limit_grants: Vec::new(),
             proof_age_ms: Some(0),
         };
         async move {
@@ -181,6 +182,8 @@
         crashes: Vec::new(),
         sound_parts: Vec::new(),
         barred_requests: Vec::new(),
+        limits: Vec::new(),
+        limit_wants: Vec::new(),
         hold_ms: 0,
     }
 }
--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -44,6 +44,7 @@
             version: 0,
             fleet: None,
             control: Vec::new(),
+            limit_grants: Vec::new(),
             proof_age_ms: Some(self.proof_age_ms.load(Ordering::SeqCst)),
         };
         async move { Ok(postcard::to_stdvec(&reply).expect("a reply has an encoding")) }.boxed()
@@ -144,6 +145,8 @@
         crashes: Vec::new(),
         sound_parts: Vec::new(),
         barred_requests: Vec::new(),
+        limits: Vec::new(),
+        limit_wants: Vec::new(),
         hold_ms: 0,
     }
 }
--- a/crates/wheel_policy/src/lib.rs
+++ b/crates/wheel_policy/src/lib.rs
@@ -9,6 +9,8 @@
 //!   [`HedgePolicy`] limit the cost of faults and retries.
 //! - [`PlacementPlanner`] decides what the engines of one data centre load and unload;
 //!   [`DemandForecast`] gives it the expected requests.
+//! - [`LimitTable`], [`LimitGrantor`] and [`LimitShare`] keep the limits that upstreams name for all
+//!   instances together.
 //! - [`DecisionLog`] keeps recent decisions and their reasons.
 
 mod adapter_pass;
@@ -31,6 +33,9 @@
 mod fleet_view;
 mod hedge_policy;
 mod idle_pass;
+mod limit_grantor;
+mod limit_share;
+mod limit_table;
 mod load_candidate;
 mod load_pass;
 mod moving_average;
@@ -75,6 +80,9 @@
 pub use fleet_planner::FleetPlanner;
 pub use fleet_view::{EngineView, FleetView, PlacedAdapter, PlacedModel};
 pub use hedge_policy::{HedgeDecision, HedgePolicy, HedgeQuery};
+pub use limit_grantor::LimitGrantor;
+pub use limit_share::LimitShare;
+pub use limit_table::LimitTable;
 pub use outlier_detector::{OutlierDetector, OutlierSettings};
 pub use placement_planner::PlacementPlanner;
 pub use placement_settings::PlacementSettings;
--- a/crates/wheel_policy/src/upstream_choice.rs
+++ b/crates/wheel_policy/src/upstream_choice.rs
@@ -26,7 +26,7 @@
     pub is_suspect: bool,
     /// Whether it couldn't be reached recently; it isn't chosen then.
     pub is_unreachable: bool,
-    /// Whether it has asked not to be called now; it isn't chosen then.
+    /// Whether it has asked not to be called now, or its limit is used up; it isn't chosen then.
     pub is_resting: bool,
     /// Whether this request was already sent there.
     pub was_tried: bool,
--- a/crates/wheel_route/src/fleet_view.rs
+++ b/crates/wheel_route/src/fleet_view.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{BarredPart, EngineInfo, OpenRequestCount};
+use crate::{BarredPart, EngineInfo, OpenRequestCount, UpstreamLimit};
 
 /// The upstreams, and the number of requests that all instances have open at each.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -24,4 +24,6 @@
     pub watched_parts: Vec<u64>,
     /// Parts of prompts with which requests aren't sent.
     pub barred_parts: Vec<BarredPart>,
+    /// Limits that upstreams have named.
+    pub limits: Vec<UpstreamLimit>,
 }
--- a/crates/wheel_route/src/lib.rs
+++ b/crates/wheel_route/src/lib.rs
@@ -19,6 +19,7 @@
 mod route_table;
 mod sync_message;
 mod upstream_crash;
+mod upstream_limit;
 
 pub use config_error::ConfigError;
 pub use demand_count::{DemandCount, DemandKey};
@@ -34,3 +35,4 @@
 pub use route_table::RouteTable;
 pub use sync_message::{ControlEndpoint, OpenRequestCount, SyncReply, SyncRequest};
 pub use upstream_crash::{BarredPart, CrashedPart, SoundPart, UpstreamCrash};
+pub use upstream_limit::{LimitGrant, LimitNews, LimitWant, UpstreamLimit};
--- a/crates/wheel_route/src/sync_message.rs
+++ b/crates/wheel_route/src/sync_message.rs
@@ -6,7 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{DemandCount, EngineId, FleetView, SoundPart, UpstreamCrash};
+use crate::{
+    DemandCount, EngineId, FleetView, LimitGrant, LimitNews, LimitWant, SoundPart, UpstreamCrash,
+};
 
 /// Open requests at one upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -59,6 +61,10 @@
     pub sound_parts: Vec<SoundPart>,
     /// Barred parts with which requests came since the last sync.
     pub barred_requests: Vec<u64>,
+    /// Limits that upstreams have named.
+    pub limits: Vec<LimitNews>,
+    /// Requests for which permissions to send to upstreams with limits are asked.
+    pub limit_wants: Vec<LimitWant>,
     /// How long the reply may be delayed until engines' loaded models change, in milliseconds.
     pub hold_ms: u32,
 }
@@ -74,6 +80,8 @@
     pub fleet: Option<FleetView>,
     /// The known control instances.
     pub control: Vec<ControlEndpoint>,
+    /// Permissions to send to upstreams with limits.
+    pub limit_grants: Vec<LimitGrant>,
     /// Milliseconds since the last moment for which it is proven that `version` was the newest
     /// configuration; `None` without a proof.
     pub proof_age_ms: Option<u64>,
