Count replicas on an upstream with a limit as no room, and load models elsewhere first

Callers of a model whose only replica is on such an upstream waited or were refused, though others had room. A limited engine's replicas don't count as usable, as cover of a data centre or as a checkpoint near by, and a load there costs more than anywhere else; it isn't unhealthy, and is neither drained nor ejected. Both new tests failed without is_limited in the planner.

--- a/crates/wheel_placement/src/directed_engine.rs
+++ b/crates/wheel_placement/src/directed_engine.rs
@@ -101,6 +101,7 @@
     engine: &DirectedEngine,
     open_requests: &[OpenRequestCount],
     is_resting: bool,
+    is_limited: bool,
 ) -> PlanEngine {
     let inventory = engine.inventory.lock();
     let failing = engine.reads.lock().failing_since;
@@ -121,5 +122,6 @@
         in_memory: status.map(|status| status.in_memory.clone()).unwrap_or_default(),
         on_disk: status.map(|status| status.on_disk.clone()).unwrap_or_default(),
         active: count.map_or(0, |count| count.active),
+        is_limited,
     }
 }
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -242,7 +242,10 @@
             .engines
             .values()
             .filter(|engine| engine.info.service == *service)
-            .map(|engine| plan_engine(engine, open_requests, self.is_resting(engine)))
+            .map(|engine| {
+                let is_limited = self.context.registry.is_limited(&engine.info.id);
+                plan_engine(engine, open_requests, self.is_resting(engine), is_limited)
+            })
             .collect();
         let demand: BTreeMap<_, _> = self
             .demand
--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -286,6 +286,11 @@
         }
     }
 
+    /// Whether an upstream has named a limit on its requests.
+    pub(crate) fn is_limited(&self, engine: &EngineId) -> bool {
+        self.state.lock().limits.rate(engine).is_some()
+    }
+
     /// Records whether this instance leads the control instances.
     pub fn set_leading(&self, is_leading: bool) {
         self.state.lock().is_leading = is_leading;
--- a/crates/wheel_policy/src/fleet_plan.rs
+++ b/crates/wheel_policy/src/fleet_plan.rs
@@ -36,6 +36,8 @@
     pub on_disk: Vec<Arc<str>>,
     /// Requests in progress.
     pub active: u32,
+    /// Whether it takes only a limited number of requests per second.
+    pub is_limited: bool,
 }
 
 /// One step of the plan.
--- a/crates/wheel_policy/src/fleet_planner.rs
+++ b/crates/wheel_policy/src/fleet_planner.rs
@@ -35,6 +35,9 @@
 const SPARE_REPLICA_LOSS: f64 = 0.2;
 /// Loss of unloading a replica of a model that afterwards can only be loaded from the store.
 const LAST_REPLICA_LOSS: f64 = 0.5;
+/// Cost of loading a model on an engine that takes only a limited number of requests, compared with
+/// another one.
+const LIMITED_COST: f64 = 5.0;
 /// Expected duration of an unload: running requests of the model end first.
 const UNLOAD_TIME: Duration = Duration::from_millis(30);
 /// Expected time until an engine is free to load a model from its memory or disk.
@@ -215,10 +218,12 @@
         values.retain(|model, _| input.profile.model(model).is_some());
         for engine in input.engines.iter().filter(|engine| engine.accepts_work) {
             let reserved = self.reservations.get(&engine.id).map(|(model, _)| model);
+            // Replicas on an engine with a limit serve few requests, so that they don't count.
+            let has_room = usize::from(!engine.is_limited);
             for model in engine.possible.iter().chain(reserved) {
-                values.entry(Arc::clone(model)).or_default().possible += 1;
+                values.entry(Arc::clone(model)).or_default().possible += has_room;
             }
-            for model in &engine.usable {
+            for model in engine.usable.iter().filter(|_| !engine.is_limited) {
                 let value = values.entry(Arc::clone(model)).or_default();
                 value.usable += 1;
                 *value.centres.entry(Arc::clone(&engine.centre)).or_default() += 1;
@@ -248,7 +253,8 @@
         let holds = |engine: &&PlanEngine| {
             let reserved =
                 self.reservations.get(&engine.id).is_some_and(|(reserved, _)| reserved == model);
-            engine.accepts_work && (reserved || engine.possible.contains(model))
+            let has_room = engine.accepts_work && !engine.is_limited;
+            has_room && (reserved || engine.possible.contains(model))
         };
         input.engines.iter().filter(holds).map(|engine| &engine.centre).collect()
     }
@@ -268,8 +274,9 @@
             .get(model)
             .is_some_and(|value| value.possible >= value.needed.max(2) && value.wants_spread());
         // Waiting briefly for an engine with a checkpoint pays: the store takes many times as long.
+        let has_room = |engine: &PlanEngine| engine.accepts_work && !engine.is_limited;
         let any_checkpoint =
-            input.engines.iter().any(|engine| engine.accepts_work && has_checkpoint(engine, model));
+            input.engines.iter().any(|engine| has_room(engine) && has_checkpoint(engine, model));
         let value = values.get(model);
         // A further replica of a busy model is loaded from the store even where another engine has
         // a checkpoint.
@@ -302,7 +309,8 @@
             let fill = f64::from(engine.active) / f64::from(input.profile.slots.max(1));
             let same_centre = if holding.contains(&engine.centre) { 0.3 } else { 0.0 };
             let time_cost = expected_duration.as_secs_f64() * LOAD_COST_PER_S;
-            let cost = loss + time_cost + same_centre + 0.2 * fill;
+            let limited = if engine.is_limited { LIMITED_COST } else { 0.0 };
+            let cost = loss + time_cost + same_centre + limited + 0.2 * fill;
             if best.as_ref().is_none_or(|best| cost < best.cost) {
                 let victim = victim.map(|(victim, _)| victim);
                 best = Some(LoadOption { index, victim, expected_duration, from_store, cost });
--- a/crates/wheel_policy/tests/fleet_planner.rs
+++ b/crates/wheel_policy/tests/fleet_planner.rs
@@ -51,6 +51,7 @@
         in_memory: Vec::new(),
         on_disk: held.into_iter().chain(disk.iter().map(|model| name(*model))).collect(),
         active: 0,
+        is_limited: false,
     }
 }
 
@@ -339,3 +340,35 @@
     assert_eq!(plan.steps.len(), 1, "{:?}", plan.steps);
     assert!(simulation.plan(&demand).steps.is_empty(), "until that load has started");
 }
+
+/// The only replica of a requested model is on an engine that takes few requests: all others would
+/// wait there or be refused.
+#[test]
+fn replica_on_a_limited_engine_gets_another_one_elsewhere() {
+    let mut engines = vec![engine(1, "a", &[0], &[]), engine(2, "b", &[1], &[0])];
+    let demand = demand_of(&[(0, 0.2, 0), (1, 0.2, 0)]);
+    let plans_load = |engines: &[PlanEngine]| {
+        let mut simulation = Simulation::new(engines.to_vec());
+        let plan = simulation.plan(&demand);
+        let load = ModelChange::LoadModel(name(0));
+        plan.steps.iter().any(|step| step.change == load && &*step.engine.name == "e2")
+    };
+    engines[1].on_disk.clear();
+    engines[1].centre = "a".into();
+    assert!(!plans_load(&engines), "one replica is enough");
+    engines[0].is_limited = true;
+    assert!(plans_load(&engines));
+}
+
+/// A model that is on no engine isn't loaded where few requests are taken, if there is room elsewhere.
+#[test]
+fn load_goes_to_an_engine_without_a_limit() {
+    let mut engines = vec![engine(1, "a", &[], &[0]), engine(2, "a", &[], &[])];
+    engines[0].is_limited = true;
+    let mut simulation = Simulation::new(engines);
+    let plan = simulation.plan(&demand_of(&[(0, 0.2, 1)]));
+    let load = ModelChange::LoadModel(name(0));
+    let loads = plan.steps.iter().filter(|step| step.change == load);
+    let loads: Vec<&str> = loads.map(|step| &*step.engine.name).collect();
+    assert_eq!(loads, ["e2"]);
+}
