--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -252,11 +252,10 @@
     /// sent there. The first one triggers a sync at once.
     pub(crate) fn count_limit_waiting(&self, engines: &[EngineId], rank: u8, change: i32) {
         let mut limits = self.limits.lock();
-        for engine in engines {
-            limits.count_waiting(engine, rank, change);
-        }
+        let counts = engines.iter().map(|engine| limits.count_waiting(engine, rank, change));
+        let has_first = counts.filter(|count| *count == 1).count() > 0;
         drop(limits);
-        if change > 0 && !engines.is_empty() {
+        if change > 0 && has_first {
             self.urgent.notify_one();
         }
     }
--- a/crates/wheel_placement/tests/large_documents.rs
+++ b/crates/wheel_placement/tests/large_documents.rs
@@ -173,18 +173,8 @@
         instance: "me".into(),
         is_ingress: true,
         version,
-        control: None,
-        open_requests: Vec::new(),
-        demand: Vec::new(),
-        leaving: Vec::new(),
-        stale_engines: Vec::new(),
         ingress_count: 1,
-        crashes: Vec::new(),
-        sound_parts: Vec::new(),
-        barred_requests: Vec::new(),
-        limits: Vec::new(),
-        limit_wants: Vec::new(),
-        hold_ms: 0,
+        ..SyncRequest::default()
     }
 }
 
--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -135,19 +135,8 @@
     SyncRequest {
         instance: "me".into(),
         is_ingress: true,
-        version: 0,
-        control: None,
-        open_requests: Vec::new(),
-        demand: Vec::new(),
-        leaving: Vec::new(),
-        stale_engines: Vec::new(),
         ingress_count: 1,
-        crashes: Vec::new(),
-        sound_parts: Vec::new(),
-        barred_requests: Vec::new(),
-        limits: Vec::new(),
-        limit_wants: Vec::new(),
-        hold_ms: 0,
+        ..SyncRequest::default()
     }
 }
 
--- a/crates/wheel_policy/src/limit_share.rs
+++ b/crates/wheel_policy/src/limit_share.rs
@@ -139,12 +139,14 @@
         self.missed.insert(engine.clone());
     }
 
-    /// Adjusts the number of requests of `rank` that wait for the upstream.
-    pub fn count_waiting(&mut self, engine: &EngineId, rank: u8, change: i32) {
+    /// Adjusts the number of requests of `rank` that wait for the upstream. Returns how many wait
+    /// there now.
+    pub fn count_waiting(&mut self, engine: &EngineId, rank: u8, change: i32) -> u32 {
         let stock = self.stocks.entry(engine.clone()).or_default();
         let count = stock.waiting.entry(rank).or_default();
         *count = count.saturating_add_signed(change);
         stock.waiting.retain(|_, count| *count > 0);
+        stock.waiting.values().sum()
     }
 
     /// What to ask the control instance for.
--- a/crates/wheel_route/src/sync_message.rs
+++ b/crates/wheel_route/src/sync_message.rs
@@ -33,7 +33,7 @@
 }
 
 /// Reports the state of an instance to its parent, a control instance.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct SyncRequest {
     /// The reporting instance.
