Tell callers the reason and the time of a wait for a limit or a rest that ends in vain

Found while reading the change. Also: limits are recorded by a method of their own, and a candidate is blocked by a rest or a limit.

--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -136,15 +136,17 @@
                 self.log_wait(wait_end, blocked);
                 key.map(|key| WaitGuard::begin(&self.context.state, key))
             });
-            let rest_end = rest.map(|rest| Instant::now() + rest);
-            let retry_at = self.tried.next_end().into_iter().chain(rest_end).min();
+            let block_end = blocked.shortest().map(|time| Instant::now() + time);
+            let retry_at = self.tried.next_end().into_iter().chain(block_end).min();
             let retry_at = retry_at.unwrap_or(wait_end);
             tokio::select! {
                 _ = views.changed() => {}
                 _ = drain.changed() => {}
                 () = sleep_until(retry_at), if retry_at < wait_end => {}
                 () = sleep_until(wait_end) => {
-                    return Err(NoUpstream::new("model_not_loaded", CAPACITY_RETRY));
+                    let retry_after = blocked.shortest().unwrap_or(CAPACITY_RETRY);
+                    let reason = blocked.reason().unwrap_or("model_not_loaded");
+                    return Err(NoUpstream::new(reason, retry_after));
                 }
             }
         }
@@ -317,7 +319,7 @@
                 residency: self.residency(info),
                 is_suspect: outliers.is_ejected(now, &UpstreamName::from(&*info.id.name)),
                 is_unreachable: reach.is_avoided(now, &info.id, &info.centre),
-                is_resting: is_blocked,
+                is_blocked,
                 was_tried: self.tried.contains(&info.id),
                 cached_share: 0.0,
             }
--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -104,6 +104,17 @@
         news.map(|news| UpstreamLimit { waiting: waiting(&news.engine), news }).collect()
     }
 
+    /// Records the limits that upstreams named to an instance below.
+    fn record_limits(&mut self, request: &SyncRequest) {
+        for news in &request.limits {
+            if self.limits.merge(boot_now(), news) {
+                let engine = news.engine.name.to_string();
+                let rate = news.rate.map_or("none".to_owned(), |rate| rate.to_string());
+                info!("upstream_limit", kv: { engine, rate });
+            }
+        }
+    }
+
     /// Records what an instance below saw of upstreams that ended.
     fn record_crashes(&mut self, request: &SyncRequest) {
         let now = boot_now();
@@ -116,12 +127,6 @@
         for part in &request.barred_requests {
             self.crash_ledger.record_request(now, *part);
         }
-        for news in &request.limits {
-            if self.limits.merge(now, news) {
-                let engine = news.engine.name.to_string();
-                info!("upstream_limit", kv: { engine, rate = format!("{:?}", news.rate) });
-            }
-        }
         self.barred_requests.extend(request.barred_requests.iter().take(MAX_BARRED_REQUESTS));
     }
 
@@ -220,6 +225,7 @@
             state.control.insert(endpoint);
         }
         state.record_crashes(&request);
+        state.record_limits(&request);
         state.children.insert(Arc::clone(&request.instance), (request, now));
         drop(state);
         if is_urgent {
--- a/crates/wheel_policy/src/upstream_choice.rs
+++ b/crates/wheel_policy/src/upstream_choice.rs
@@ -27,7 +27,7 @@
     /// Whether it couldn't be reached recently; it isn't chosen then.
     pub is_unreachable: bool,
     /// Whether it has asked not to be called now, or its limit is used up; it isn't chosen then.
-    pub is_resting: bool,
+    pub is_blocked: bool,
     /// Whether this request was already sent there.
     pub was_tried: bool,
     /// Share of the prompt that is probably in its cache, 0 to 1.
@@ -52,7 +52,7 @@
         candidate.residency == ModelResidency::Full
             && !candidate.was_tried
             && !candidate.is_unreachable
-            && !candidate.is_resting
+            && !candidate.is_blocked
     };
     let count = candidates.len();
     let indexes = (0..count).map(|step| (step + (draw as usize % count.max(1))) % count);
--- a/crates/wheel_policy/tests/fleet_demand.rs
+++ b/crates/wheel_policy/tests/fleet_demand.rs
@@ -86,7 +86,7 @@
         residency: ModelResidency::Full,
         is_suspect: false,
         is_unreachable: false,
-        is_resting: false,
+        is_blocked: false,
         was_tried: false,
         cached_share: 0.0,
     }
@@ -111,8 +111,8 @@
     let tried = UpstreamCandidate { was_tried: true, ..candidate(0) };
     let without = UpstreamCandidate { residency: ModelResidency::ModelOnly, ..candidate(0) };
     let cut = UpstreamCandidate { is_unreachable: true, ..candidate(0) };
-    let resting = UpstreamCandidate { is_resting: true, ..candidate(0) };
-    assert_eq!(choose_upstream(&[tried, without, cut, resting], 0), None);
+    let blocked = UpstreamCandidate { is_blocked: true, ..candidate(0) };
+    assert_eq!(choose_upstream(&[tried, without, cut, blocked], 0), None);
     let suspect = UpstreamCandidate { is_suspect: true, ..candidate(0) };
     assert_eq!(choose_upstream(&[suspect, candidate(12)], 0), Some(1));
     assert_eq!(choose_upstream(&[suspect], 0), Some(0), "a suspect one is better than none");
