Give the limits at a control instance a type of their own, and each of their terms one name

A report of a limit, the demand for permits and a permit were called news, wants and permissions as well. Behaviour is unchanged: the demand of an instance counts for 2 s after its sync, as before. Tests of the policy, the gateway, placement and the platform's limits, rests and formats pass; no check was changed but for the names.

--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -293,9 +293,9 @@
             let mut reports = self.crash_reports.lock();
             (reports.crashes(), reports.sound_parts(&view), reports.take_barred_requests())
         };
-        let (limits, limit_wants) = {
+        let (limits, limit_demand) = {
             let (now, mut limits) = (boot_now(), self.limits.lock());
-            (limits.news(now), limits.wants(now))
+            (limits.reports(now), limits.demand(now))
         };
         SyncRequest {
             instance,
@@ -311,7 +311,7 @@
             sound_parts,
             barred_requests,
             limits,
-            limit_wants,
+            limit_demand,
             hold_ms: if self.has_waiting() { HOLD_MS } else { 0 },
         }
     }
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -113,7 +113,7 @@
             let rests = self.rests_of(&view, &ready);
             let limits = self.limit_waits(&view, &ready);
             if let Some(index) = self.choose(&view, &ready, &rests, &limits) {
-                if self.take_permission(&view, index, &ready, &limits) {
+                if self.take_permit(&view, index, &ready, &limits) {
                     return Ok(view.engines[index].clone());
                 }
                 continue;
@@ -214,9 +214,9 @@
         limited.filter(|info| self.is_usable(info)).map(|info| &info.id).collect()
     }
 
-    /// Uses a permission for the chosen upstream if it has a limit; false if another request has
+    /// Uses a permit for the chosen upstream if it has a limit; false if another request has
     /// taken the last one. Upstreams that the request would have gone to as well are recorded.
-    fn take_permission(
+    fn take_permit(
         &self,
         view: &FleetView,
         index: usize,
--- a/crates/wheel_gateway/tests/limited_upstreams.rs
+++ b/crates/wheel_gateway/tests/limited_upstreams.rs
@@ -1,5 +1,5 @@
 //! Upstreams that name in an answer how many requests they take from all instances together. From
-//! that answer on, a request of any kind reaches them only with a permission, by whichever way it is
+//! that answer on, a request of any kind reaches them only with a permit, by whichever way it is
 //! sent.
 
 #![allow(clippy::expect_used)]
@@ -20,11 +20,11 @@
 ];
 const EVENT: &str = "id: 1\ndata: t1\n\n";
 
-/// Lets a control instance reply that knows a leader, with permissions for the first upstream.
-fn reply(ingress: &TestIngress, permissions: u32) {
+/// Lets a control instance reply that knows a leader, with permits for the first upstream.
+fn reply(ingress: &TestIngress, permits: u32) {
     let view = ingress.state.view();
     let engine = view.engines[0].id.clone();
-    let grant = LimitGrant { engine, count: permissions, life_ms: 1_000 };
+    let grant = LimitGrant { engine, count: permits, life_ms: 1_000 };
     ingress.state.apply_reply(&SyncReply {
         version: 1,
         fleet: None,
@@ -57,7 +57,7 @@
             assert_eq!(limited.seen().len(), 1, "{context}");
             let request = ingress.state.prepare_sync("me".into());
             assert_eq!(request.limits.len(), 1, "{context}");
-            assert_eq!(request.limit_wants.len(), 1, "{context}");
+            assert_eq!(request.limit_demand.len(), 1, "{context}");
         }
     }
 }
@@ -79,7 +79,7 @@
 
 #[tokio::test]
 async fn limit_of_the_only_upstream_is_told_to_callers_at_once() {
-    // The route allows two seconds; the next permission would come up after five.
+    // The route allows two seconds; the next permit would come up after five.
     let named = Reply::ran(200, EVENT).limited("0");
     let limited = TestUpstream::bind("u1", vec![named]).await;
     let ingress = TestIngress::bind(RouteKind::NonIdempotent, &[&limited]).await;
@@ -93,7 +93,7 @@
                 .prepare_sync("me".into())
                 .limits
                 .into_iter()
-                .map(|news| wheel_route::UpstreamLimit { news, waiting: vec![(0, 1)] })
+                .map(|report| wheel_route::UpstreamLimit { report, waiting: vec![(0, 1)] })
                 .collect(),
             ..(*ingress.state.view()).clone()
         }),
@@ -111,7 +111,7 @@
 }
 
 #[tokio::test]
-async fn permission_lets_one_request_be_sent() {
+async fn permit_lets_one_request_be_sent() {
     let replies = vec![Reply::ran(200, EVENT).limited("5"), Reply::ran(200, EVENT).limited("5")];
     let limited = TestUpstream::bind("u1", replies).await;
     let other = TestUpstream::bind("u2", vec![Reply::ran(200, EVENT); 3]).await;
--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -5,18 +5,19 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use spdlog::{info, warn};
+use spdlog::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use wheel_policy::{CrashLedger, LimitGrantor, LimitTable};
+use wheel_policy::CrashLedger;
 use wheel_route::{
     ControlEndpoint, CrashedPart, DemandCount, DemandKey, EngineId, EngineInfo, FleetView,
-    HeldModel, LimitGrant, LimitWant, OpenRequestCount, SoundPart, SyncReply, SyncRequest,
-    UpstreamCrash, UpstreamLimit, UpstreamState,
+    HeldModel, LimitGrant, OpenRequestCount, SoundPart, SyncReply, SyncRequest, UpstreamCrash,
+    UpstreamState,
 };
 use wheel_seams::boot_now;
 use wheel_types::MonotonicTime;
 
+use crate::limit_registry::LimitRegistry;
 use crate::{ConfigProof, ListWatch};
 
 /// Time without a sync after which an instance counts as gone.
@@ -32,9 +33,6 @@
 const CRASH_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of reports of upstreams that ended in one sync with the leader.
 const MAX_FORWARDED_CRASHES: usize = 64;
-/// Age of the proof of the own configuration up to which a leader gives out permissions: one that
-/// was cut off must not go on beside its successor.
-const MAX_GRANT_AGE: Duration = Duration::from_secs(1);
 /// Maximum number of barred parts taken over from one sync.
 const MAX_BARRED_REQUESTS: usize = 64;
 
@@ -63,58 +61,9 @@
     crashes_updated: Option<MonotonicTime>,
     /// Barred parts with which requests came since the last sync was prepared.
     barred_requests: BTreeSet<u64>,
-    /// The limits that upstreams have named.
-    limits: LimitTable,
-    grantor: LimitGrantor,
-    /// Whether this instance leads the control instances.
-    is_leading: bool,
 }
 
 impl RegistryState {
-    /// What the instances below want of upstreams with limits, by upstream, all but `except`.
-    fn limit_wants(&self, except: &str) -> BTreeMap<EngineId, Vec<LimitWant>> {
-        let mut wants: BTreeMap<EngineId, Vec<LimitWant>> = BTreeMap::new();
-        for (name, (request, received)) in &self.children {
-            if **name != *except && received.elapsed() < CHILD_TIMEOUT {
-                for want in &request.limit_wants {
-                    wants.entry(want.engine.clone()).or_default().push(want.clone());
-                }
-            }
-        }
-        wants
-    }
-
-    /// The limits with the requests that wait for them, as far as known here.
-    fn limits(&self) -> Vec<UpstreamLimit> {
-        let wants = self.limit_wants("");
-        let from_leader = self.leader_view.as_ref().filter(|_| !self.is_leading);
-        let from_leader = from_leader.map_or(&[][..], |(view, _)| &view.limits[..]);
-        let waiting = |engine: &EngineId| {
-            if let Some(limit) = from_leader.iter().find(|limit| limit.news.engine == *engine) {
-                return limit.waiting.clone();
-            }
-            let mut counts: BTreeMap<u8, u32> = BTreeMap::new();
-            for want in wants.get(engine).into_iter().flatten() {
-                *counts.entry(want.rank).or_default() += want.count;
-            }
-            counts.remove(&LimitWant::SPARE_RANK);
-            counts.into_iter().collect()
-        };
-        let news = self.limits.news(boot_now()).into_iter();
-        news.map(|news| UpstreamLimit { waiting: waiting(&news.engine), news }).collect()
-    }
-
-    /// Records the limits that upstreams named to an instance below.
-    fn record_limits(&mut self, request: &SyncRequest) {
-        for news in &request.limits {
-            if self.limits.merge(boot_now(), news) {
-                let engine = news.engine.name.to_string();
-                let rate = news.rate.map_or("none".to_owned(), |rate| rate.to_string());
-                info!("upstream_limit", kv: { engine, rate });
-            }
-        }
-    }
-
     /// Records what an instance below saw of upstreams that ended.
     fn record_crashes(&mut self, request: &SyncRequest) {
         let now = boot_now();
@@ -181,11 +130,13 @@
 
 /// Collects the syncs of the instances below and provides the fleet view for replies.
 ///
-/// The state is behind a single lock that is only held for a few lines.
+/// The state and the limits have a lock each, which is only held for a few lines, none while the
+/// other one is held.
 pub struct FleetRegistry {
     list: Arc<ListWatch>,
     proof: Arc<ConfigProof>,
     state: Mutex<RegistryState>,
+    limits: Mutex<LimitRegistry>,
     urgent: Notify,
     urgent_sync: Notify,
     changed: Notify,
@@ -199,6 +150,7 @@
             list,
             proof,
             state: Mutex::default(),
+            limits: Mutex::default(),
             urgent: Notify::new(),
             urgent_sync: Notify::new(),
             changed: Notify::new(),
@@ -207,6 +159,7 @@
 
     /// Records the sync of an instance.
     pub fn record(&self, request: SyncRequest) {
+        self.limits.lock().record(boot_now(), &request);
         let now = Instant::now();
         let is_urgent = request.demand.iter().any(|count| count.waiting > 0);
         let mut state = self.state.lock();
@@ -225,7 +178,6 @@
             state.control.insert(endpoint);
         }
         state.record_crashes(&request);
-        state.record_limits(&request);
         state.children.insert(Arc::clone(&request.instance), (request, now));
         drop(state);
         if is_urgent {
@@ -251,7 +203,8 @@
         if let Some(age) = reply.proof_age().filter(|_| held_version >= reply.version) {
             self.proof.record(called.before(age));
         }
-        self.state.lock().grantor.receive(boot_now(), &reply.limit_grants);
+        let limits = reply.fleet.as_ref().map_or(&[][..], |view| &view.limits[..]);
+        self.limits.lock().take_leader_reply(boot_now(), limits, &reply.limit_grants);
         if let Some(view) = reply.fleet {
             self.set_leader_view(view, &reply.control);
         }
@@ -268,9 +221,6 @@
             self.changed.notify_waiters();
         }
         state.crash_ledger.replace_barred(boot_now(), &view.barred_parts);
-        for limit in &view.limits {
-            state.limits.merge(boot_now(), &limit.news);
-        }
         state.leader_view = Some((view, Instant::now()));
         state.held = None;
         let room = MAX_CONTROL_ENDPOINTS.saturating_sub(state.control.len());
@@ -294,35 +244,17 @@
 
     /// Whether an upstream has named a limit on its requests.
     pub(crate) fn is_limited(&self, engine: &EngineId) -> bool {
-        self.state.lock().limits.rate(engine).is_some()
+        self.limits.lock().is_limited(engine)
     }
 
     /// Records whether this instance leads the control instances.
     pub fn set_leading(&self, is_leading: bool) {
-        self.state.lock().is_leading = is_leading;
+        self.limits.lock().set_leading(is_leading);
     }
 
-    /// The permissions that an instance gets for its last sync.
+    /// The permits that an instance gets for its last sync.
     pub fn grant_limits(&self, instance: &str) -> Vec<LimitGrant> {
-        let now = boot_now();
-        let may_grant = self.proof_age().is_some_and(|age| age <= MAX_GRANT_AGE);
-        let mut state = self.state.lock();
-        let Some((request, _)) = state.children.get(instance) else { return Vec::new() };
-        let mut wants: BTreeMap<EngineId, Vec<LimitWant>> = BTreeMap::new();
-        for want in &request.limit_wants {
-            wants.entry(want.engine.clone()).or_default().push(want.clone());
-        }
-        let others = state.limit_wants(instance);
-        let RegistryState { limits, grantor, is_leading, .. } = &mut *state;
-        let grant = |(engine, wants): (&EngineId, &Vec<LimitWant>)| {
-            let others = others.get(engine).map_or(&[][..], |others| &others[..]);
-            match (*is_leading, limits.rate(engine)) {
-                (false, _) => grantor.pass_on(now, wants, others),
-                (true, Some(rate)) if may_grant => grantor.grant(now, rate, wants, others),
-                (true, _) => None,
-            }
-        };
-        wants.iter().filter_map(grant).collect()
+        self.limits.lock().grant(boot_now(), instance, self.proof_age())
     }
 
     /// Number of the instances below that haven't put `version` in force yet, by their last syncs.
@@ -368,6 +300,10 @@
 
     /// Sums up the syncs of the instances below. Each arrival is reported only once.
     pub fn prepare_sync(&self, instance: Arc<str>, version: u64) -> SyncRequest {
+        let (limits, limit_demand) = {
+            let (now, limits) = (boot_now(), self.limits.lock());
+            (limits.table().reports(now), limits.unmet_demand(now))
+        };
         let mut state = self.state.lock();
         state.children.retain(|_, (_, received)| received.elapsed() < CHILD_TIMEOUT);
         state.leaving.retain(|_, recorded| recorded.elapsed() < LEAVING_LIFETIME);
@@ -394,8 +330,8 @@
             crashes: state.crashes(),
             sound_parts: state.sound_parts(),
             barred_requests: std::mem::take(&mut state.barred_requests).into_iter().collect(),
-            limits: state.limits.news(boot_now()),
-            limit_wants: sum_limit_wants(&state),
+            limits,
+            limit_demand,
             hold_ms: 0,
         }
     }
@@ -403,10 +339,12 @@
     /// The fleet as known to this instance; `None` until the list has been read.
     pub fn view(&self) -> Option<FleetView> {
         let (listed, age) = self.list.current()?;
+        let limits = {
+            let mut limits = self.limits.lock();
+            limits.retain(|id| listed.iter().any(|info| info.id == *id));
+            limits.limits(boot_now())
+        };
         let mut state = self.state.lock();
-        let is_listed = |id: &EngineId| listed.iter().any(|info| info.id == *id);
-        state.limits.retain(is_listed);
-        state.grantor.retain(is_listed);
         state.update_crashes();
         let is_leaving = |id: &EngineId| {
             state.leaving.get(id).is_some_and(|recorded| recorded.elapsed() < LEAVING_LIFETIME)
@@ -459,32 +397,11 @@
             loading,
             watched_parts,
             barred_parts: state.crash_ledger.barred(boot_now()),
-            limits: state.limits(),
+            limits,
         })
     }
 }
 
-/// What the instances below want of upstreams with limits, beyond what is left for them here.
-fn sum_limit_wants(state: &RegistryState) -> Vec<LimitWant> {
-    let mut sums: Vec<LimitWant> = Vec::new();
-    for (engine, mut wants) in state.limit_wants("") {
-        let mut held = state.grantor.received(&engine);
-        wants.sort_by_key(|want| want.rank);
-        for want in wants {
-            let lacking = want.count.saturating_sub(held);
-            held = held.saturating_sub(want.count);
-            match sums.last_mut() {
-                _ if lacking == 0 => {}
-                Some(sum) if sum.engine == want.engine && sum.rank == want.rank => {
-                    sum.count += lacking;
-                }
-                _ => sums.push(LimitWant { count: lacking, ..want }),
-            }
-        }
-    }
-    sums
-}
-
 fn sum_open_requests(state: &RegistryState) -> Vec<OpenRequestCount> {
     let mut sums: BTreeMap<EngineId, (u32, u64)> = BTreeMap::new();
     let fresh = state.children.values().filter(|(_, received)| received.elapsed() < CHILD_TIMEOUT);
--- a/crates/wheel_placement/src/lib.rs
+++ b/crates/wheel_placement/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet_dialect;
 mod fleet_director;
 mod fleet_registry;
+mod limit_registry;
 mod list_watch;
 mod order_authority;
 mod parent_sync;
--- a/crates/wheel_policy/src/limit_grantor.rs
+++ b/crates/wheel_policy/src/limit_grantor.rs
@@ -3,16 +3,16 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use wheel_route::{EngineId, LimitGrant, LimitWant};
+use wheel_route::{EngineId, LimitDemand, LimitGrant};
 use wheel_types::MonotonicTime;
 
-/// How long a permission that was given out may be used.
+/// How long a permit that was given out may be used.
 const GRANT_LIFETIME: Duration = Duration::from_secs(1);
-/// Time whose permissions are kept for instances that haven't asked yet, and their least number.
+/// Time whose permits are kept for instances that haven't asked yet, and their least number.
 const BURST_TIME: f64 = 0.5;
 const MIN_BURST: f64 = 2.0;
 
-/// The permissions for one upstream that may be given out.
+/// The permits for one upstream that may be given out.
 #[derive(Clone, Copy, Debug)]
 struct GrantBucket {
     level: f64,
@@ -27,12 +27,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct LimitGrantor {
     buckets: BTreeMap<EngineId, GrantBucket>,
-    /// Permissions from the leader, with their ends.
+    /// Permits from the leader, with their ends.
     received: BTreeMap<EngineId, VecDeque<MonotonicTime>>,
 }
 
 impl LimitGrantor {
-    /// Takes permissions from the leader.
+    /// Takes permits from the leader.
     pub fn receive(&mut self, now: MonotonicTime, grants: &[LimitGrant]) {
         for grant in grants {
             let end = now + Duration::from_millis(grant.life_ms);
@@ -42,7 +42,7 @@
         self.drop_lapsed(now);
     }
 
-    /// The permissions from the leader that are left.
+    /// The permits from the leader that are left.
     pub fn received(&self, engine: &EngineId) -> u32 {
         self.received.get(engine).map_or(0, |ends| ends.len() as u32)
     }
@@ -52,8 +52,8 @@
         &mut self,
         now: MonotonicTime,
         rate: f64,
-        wants: &[LimitWant],
-        others: &[LimitWant],
+        wants: &[LimitDemand],
+        others: &[LimitDemand],
     ) -> Option<LimitGrant> {
         let engine = &wants.first()?.engine;
         let burst = (rate * BURST_TIME).max(MIN_BURST);
@@ -72,8 +72,8 @@
     pub fn pass_on(
         &mut self,
         now: MonotonicTime,
-        wants: &[LimitWant],
-        others: &[LimitWant],
+        wants: &[LimitDemand],
+        others: &[LimitDemand],
     ) -> Option<LimitGrant> {
         self.drop_lapsed(now);
         let engine = &wants.first()?.engine;
@@ -98,10 +98,10 @@
     }
 }
 
-/// How many of the `available` permissions an instance gets. What more urgent requests of `others`
+/// How many of the `available` permits an instance gets. What more urgent requests of `others`
 /// want is left for them.
-fn share_of(available: u32, wants: &[LimitWant], others: &[LimitWant]) -> u32 {
-    let mut wants: Vec<&LimitWant> = wants.iter().collect();
+fn share_of(available: u32, wants: &[LimitDemand], others: &[LimitDemand]) -> u32 {
+    let mut wants: Vec<&LimitDemand> = wants.iter().collect();
     wants.sort_by_key(|want| want.rank);
     let mut given = 0;
     for want in wants {
--- a/crates/wheel_policy/src/limit_share.rs
+++ b/crates/wheel_policy/src/limit_share.rs
@@ -3,36 +3,36 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use wheel_route::{EngineId, LimitGrant, LimitNews, LimitWant, UpstreamLimit};
+use wheel_route::{EngineId, LimitDemand, LimitGrant, LimitReport, UpstreamLimit};
 use wheel_types::MonotonicTime;
 
 use crate::{LimitTable, SeededRandom};
 
-/// Time without a control instance that can give out permissions, after which this instance uses an
+/// Time without a control instance that can give out permits, after which this instance uses an
 /// equal part of the limit by itself.
 const ALONE_AGE: Duration = Duration::from_secs(2);
 /// The share of an upstream's limit that all instances use which are on their own.
 const ALONE_SHARE: f64 = 0.5;
-/// Time until a permission arrives that is there: two syncs.
+/// Time until a permit arrives that is there: two syncs.
 const GRANT_DELAY: Duration = Duration::from_millis(400);
 
-/// Permissions to send to one upstream, and the requests that wait for them.
+/// Permits to send to one upstream, and the requests that wait for them.
 #[derive(Clone, Debug, Default)]
 struct LimitStock {
-    /// When each permission lapses.
+    /// When each permit lapses.
     ends: VecDeque<MonotonicTime>,
     /// Requests that no other upstream can serve, by rank.
     waiting: BTreeMap<u8, u32>,
     /// Such requests in the whole fleet.
     fleet_waiting: BTreeMap<u8, u32>,
-    /// The part of a permission that has come up while this instance is on its own.
+    /// The part of a permit that has come up while this instance is on its own.
     alone: Option<(f64, MonotonicTime)>,
 }
 
 /// Decides which requests of an ingress instance may go to upstreams that have named a limit, which
 /// holds for all instances together.
 ///
-/// Permissions are given out by the leader of the control instances, as this one asks for them, and
+/// Permits are given out by the leader of the control instances, as this one asks for them, and
 /// lapse soon. Without any, requests go elsewhere or wait. While no leader is known, each instance
 /// has a part that doesn't add up to more than the upstream bears beside those that have one.
 #[derive(Clone, Debug)]
@@ -74,13 +74,13 @@
     pub fn merge(&mut self, now: MonotonicTime, limits: &[UpstreamLimit], instances: u32) {
         self.instances = instances;
         for limit in limits {
-            self.table.merge(now, &limit.news);
-            let stock = self.stocks.entry(limit.news.engine.clone()).or_default();
+            self.table.merge(now, &limit.report);
+            let stock = self.stocks.entry(limit.report.engine.clone()).or_default();
             stock.fleet_waiting = limit.waiting.iter().copied().collect();
         }
     }
 
-    /// Takes permissions. `is_led` tells whether the control instance knows a leader.
+    /// Takes permits. `is_led` tells whether the control instance knows a leader.
     pub fn receive(&mut self, now: MonotonicTime, grants: &[LimitGrant], is_led: bool) {
         if is_led {
             self.led = Some(now);
@@ -120,7 +120,7 @@
         Some(GRANT_DELAY + Duration::from_secs_f64(f64::from(ahead) / rate))
     }
 
-    /// Uses a permission for a request of `rank`; false if the upstream has a limit and there is
+    /// Uses a permit for a request of `rank`; false if the upstream has a limit and there is
     /// none left by more urgent requests.
     pub fn take(&mut self, now: MonotonicTime, engine: &EngineId, rank: u8) -> bool {
         if self.wait(now, engine, rank).is_some() {
@@ -150,9 +150,9 @@
     }
 
     /// What to ask the control instance for.
-    pub fn wants(&mut self, now: MonotonicTime) -> Vec<LimitWant> {
+    pub fn demand(&mut self, now: MonotonicTime) -> Vec<LimitDemand> {
         let missed = std::mem::take(&mut self.missed);
-        let mut wants = Vec::new();
+        let mut demand = Vec::new();
         for engine in self.table.limited() {
             let stock = self.stocks.entry(engine.clone()).or_default();
             stock.drop_lapsed(now);
@@ -161,20 +161,24 @@
                 let lacking = count.saturating_sub(held);
                 held = held.saturating_sub(*count);
                 if lacking > 0 {
-                    wants.push(LimitWant { engine: engine.clone(), rank: *rank, count: lacking });
+                    demand.push(LimitDemand {
+                        engine: engine.clone(),
+                        rank: *rank,
+                        count: lacking,
+                    });
                 }
             }
             if held == 0 && missed.contains(engine) {
-                let rank = LimitWant::SPARE_RANK;
-                wants.push(LimitWant { engine: engine.clone(), rank, count: 1 });
+                let rank = LimitDemand::SPARE_RANK;
+                demand.push(LimitDemand { engine: engine.clone(), rank, count: 1 });
             }
         }
-        wants
+        demand
     }
 
     /// What this instance knows of limits, for the control instance.
-    pub fn news(&self, now: MonotonicTime) -> Vec<LimitNews> {
-        self.table.news(now)
+    pub fn reports(&self, now: MonotonicTime) -> Vec<LimitReport> {
+        self.table.reports(now)
     }
 
     /// Drops the upstreams for which `keep` is false.
@@ -210,7 +214,7 @@
         self.alone = Some((if is_due { 0.0 } else { level.min(1.0) }, now));
     }
 
-    /// Permissions that no more urgent request waits for.
+    /// Permits that no more urgent request waits for.
     fn free_for(&self, rank: u8) -> u32 {
         (self.ends.len() as u32).saturating_sub(self.waiting_before(rank))
     }
--- a/crates/wheel_policy/src/limit_table.rs
+++ b/crates/wheel_policy/src/limit_table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use wheel_route::{EngineId, LimitNews};
+use wheel_route::{EngineId, LimitReport};
 use wheel_types::MonotonicTime;
 
 /// Maximum number of upstreams whose limits are kept.
@@ -18,7 +18,7 @@
     rate: Option<f64>,
     /// When the request of that answer was sent, and when the answer was received.
     sent: MonotonicTime,
-    heard: MonotonicTime,
+    received: MonotonicTime,
 }
 
 /// The last limit that each upstream is known to have named, from answers to this instance and from
@@ -34,17 +34,17 @@
 
 impl LimitTable {
     /// Records what an answer said whose request was sent at `sent` and which was received at
-    /// `heard`. Returns whether that changes the upstream's limit.
+    /// `received`. Returns whether that changes the upstream's limit.
     pub fn record(
         &mut self,
         engine: &EngineId,
         rate: Option<f64>,
-        (sent, heard): (MonotonicTime, MonotonicTime),
+        (sent, received): (MonotonicTime, MonotonicTime),
     ) -> bool {
-        let record = LimitRecord { rate, sent, heard };
+        let record = LimitRecord { rate, sent, received };
         let is_full = self.limits.len() >= MAX_LIMITS;
         match self.limits.get_mut(engine) {
-            Some(known) if known.rate == rate || sent < known.heard => return false,
+            Some(known) if known.rate == rate || sent < known.received => return false,
             Some(known) => *known = record,
             None if rate.is_none() || is_full => return false,
             None => drop(self.limits.insert(engine.clone(), record)),
@@ -53,10 +53,10 @@
     }
 
     /// Records what another instance reported.
-    pub fn merge(&mut self, now: MonotonicTime, news: &LimitNews) -> bool {
-        let sent = now.before(Duration::from_millis(news.sent_age_ms));
-        let heard = now.before(Duration::from_millis(news.heard_age_ms));
-        self.record(&news.engine, news.rate, (sent, heard))
+    pub fn merge(&mut self, now: MonotonicTime, report: &LimitReport) -> bool {
+        let sent = now.before(Duration::from_millis(report.sent_age_ms));
+        let received = now.before(Duration::from_millis(report.received_age_ms));
+        self.record(&report.engine, report.rate, (sent, received))
     }
 
     /// The requests per second that may be sent to an upstream; `None` without a limit.
@@ -71,15 +71,15 @@
     }
 
     /// All that is known, for other instances.
-    pub fn news(&self, now: MonotonicTime) -> Vec<LimitNews> {
+    pub fn reports(&self, now: MonotonicTime) -> Vec<LimitReport> {
         let age_ms = |at: MonotonicTime| now.since(at).as_millis() as u64;
-        let news = self.limits.iter().map(|(engine, known)| LimitNews {
+        let reports = self.limits.iter().map(|(engine, known)| LimitReport {
             engine: engine.clone(),
             rate: known.rate,
             sent_age_ms: age_ms(known.sent),
-            heard_age_ms: age_ms(known.heard),
+            received_age_ms: age_ms(known.received),
         });
-        news.collect()
+        reports.collect()
     }
 
     /// Drops the upstreams for which `keep` is false.
--- a/crates/wheel_policy/tests/limits.rs
+++ b/crates/wheel_policy/tests/limits.rs
@@ -10,7 +10,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use wheel_policy::{LimitGrantor, LimitShare, LimitTable};
-use wheel_route::{EngineId, LimitGrant, LimitNews, LimitWant, UpstreamLimit};
+use wheel_route::{EngineId, LimitDemand, LimitGrant, LimitReport, UpstreamLimit};
 use wheel_types::MonotonicTime;
 
 /// The window in which requests are counted.
@@ -31,13 +31,17 @@
 
 fn limit(rate: f64, age: Duration) -> UpstreamLimit {
     let age_ms = age.as_millis() as u64;
-    let news =
-        LimitNews { engine: engine(), rate: Some(rate), sent_age_ms: age_ms, heard_age_ms: age_ms };
-    UpstreamLimit { news, waiting: Vec::new() }
+    let report = LimitReport {
+        engine: engine(),
+        rate: Some(rate),
+        sent_age_ms: age_ms,
+        received_age_ms: age_ms,
+    };
+    UpstreamLimit { report, waiting: Vec::new() }
 }
 
-fn want(rank: u8, count: u32) -> LimitWant {
-    LimitWant { engine: engine(), rank, count }
+fn want(rank: u8, count: u32) -> LimitDemand {
+    LimitDemand { engine: engine(), rank, count }
 }
 
 /// What a simulated fleet does besides sending requests.
@@ -60,7 +64,7 @@
     let mut random = StdRng::seed_from_u64(seed);
     let mut shares: Vec<LimitShare> =
         (0..plan.ingress).map(|index| LimitShare::open(seed * 1_000 + index as u64)).collect();
-    let mut wants: Vec<Vec<LimitWant>> = vec![Vec::new(); plan.ingress];
+    let mut wants: Vec<Vec<LimitDemand>> = vec![Vec::new(); plan.ingress];
     let mut grantors: Vec<LimitGrantor> = (0..CONTROLS).map(|_| LimitGrantor::default()).collect();
     // Requests that wait at each ingress instance, with the time at which they leave.
     let mut waiting: Vec<Vec<MonotonicTime>> = vec![Vec::new(); plan.ingress];
@@ -89,11 +93,11 @@
             }
             let is_due = step % 10 == index as u64 % 10;
             // A sync is prepared also if nobody replies.
-            let asked = if is_due { shares[index].wants(now) } else { Vec::new() };
+            let asked = if is_due { shares[index].demand(now) } else { Vec::new() };
             if is_due && !is_cut {
                 wants[index] = asked;
                 let parent = index % CONTROLS;
-                let others: Vec<LimitWant> = (0..plan.ingress)
+                let others: Vec<LimitDemand> = (0..plan.ingress)
                     .filter(|other| *other != index && other % CONTROLS == parent)
                     .flat_map(|other| wants[other].clone())
                     .collect();
@@ -204,7 +208,7 @@
 }
 
 #[test]
-fn take_leaves_permissions_to_more_urgent_requests() {
+fn take_leaves_permits_to_more_urgent_requests() {
     let mut share = LimitShare::open(1);
     share.merge(at(0), &[limit(1.0, Duration::ZERO)], 2);
     share.count_waiting(&engine(), 0, 1);
@@ -229,7 +233,7 @@
     let mut table = LimitTable::default();
     assert!(!table.record(&engine(), None, (at(0), at(10))), "no limit is the usual case");
     assert!(table.record(&engine(), Some(2.0), (at(100), at(150))));
-    // Sent before the limit was heard of: it may be older.
+    // Sent before the limit was received of: it may be older.
     assert!(!table.record(&engine(), None, (at(120), at(400))));
     assert_eq!(table.rate(&engine()), Some(2.0));
     assert!(table.record(&engine(), None, (at(160), at(200))));
@@ -245,16 +249,16 @@
     first.record(&engine(), Some(5.0), (at(100), at(110)));
     second.record(&engine(), Some(5.0), (at(100), at(110)));
     second.record(&engine(), Some(1.0), (at(500), at(510)));
-    for news in second.news(at(600)) {
-        first.merge(at(600), &news);
+    for report in second.reports(at(600)) {
+        first.merge(at(600), &report);
     }
-    let older: BTreeMap<u64, LimitNews> =
-        first.news(at(600)).into_iter().map(|news| (news.heard_age_ms, news)).collect();
+    let older: BTreeMap<u64, LimitReport> =
+        first.reports(at(600)).into_iter().map(|report| (report.received_age_ms, report)).collect();
     assert_eq!(older.keys().copied().collect::<Vec<_>>(), [90]);
     let mut stale = LimitTable::default();
     stale.record(&engine(), Some(5.0), (at(100), at(110)));
-    for news in stale.news(at(700)) {
-        assert!(!first.merge(at(700), &news));
+    for report in stale.reports(at(700)) {
+        assert!(!first.merge(at(700), &report));
     }
     assert_eq!(first.rate(&engine()), Some(1.0));
 }
--- a/crates/wheel_route/src/lib.rs
+++ b/crates/wheel_route/src/lib.rs
@@ -35,4 +35,4 @@
 pub use route_table::RouteTable;
 pub use sync_message::{ControlEndpoint, OpenRequestCount, SyncReply, SyncRequest};
 pub use upstream_crash::{BarredPart, CrashedPart, SoundPart, UpstreamCrash};
-pub use upstream_limit::{LimitGrant, LimitNews, LimitWant, UpstreamLimit};
+pub use upstream_limit::{LimitDemand, LimitGrant, LimitReport, UpstreamLimit};
--- a/crates/wheel_route/src/sync_message.rs
+++ b/crates/wheel_route/src/sync_message.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    DemandCount, EngineId, FleetView, LimitGrant, LimitNews, LimitWant, SoundPart, UpstreamCrash,
+    DemandCount, EngineId, FleetView, LimitDemand, LimitGrant, LimitReport, SoundPart,
+    UpstreamCrash,
 };
 
 /// Open requests at one upstream.
@@ -62,9 +63,9 @@
     /// Barred parts with which requests came since the last sync.
     pub barred_requests: Vec<u64>,
     /// Limits that upstreams have named.
-    pub limits: Vec<LimitNews>,
-    /// Requests for which permissions to send to upstreams with limits are asked.
-    pub limit_wants: Vec<LimitWant>,
+    pub limits: Vec<LimitReport>,
+    /// Requests for which permits to send to upstreams with limits are asked.
+    pub limit_demand: Vec<LimitDemand>,
     /// How long the reply may be delayed until engines' loaded models change, in milliseconds.
     pub hold_ms: u32,
 }
@@ -80,7 +81,7 @@
     pub fleet: Option<FleetView>,
     /// The known control instances.
     pub control: Vec<ControlEndpoint>,
-    /// Permissions to send to upstreams with limits.
+    /// Permits to send to upstreams with limits.
     pub limit_grants: Vec<LimitGrant>,
     /// Milliseconds since the last moment for which it is proven that `version` was the newest
     /// configuration; `None` without a proof.
