Let a new limit take the room of one that has ended

At most 256 limits are kept, and those that had ended stayed until their upstream left the list: after 256 of them, further limits were ignored. Found while reading the change once more. record_of_a_limit_takes_the_room_of_one_that_has_ended failed before (at the 257th) and passes.

--- a/crates/wheel_policy/src/limit_table.rs
+++ b/crates/wheel_policy/src/limit_table.rs
@@ -42,6 +42,9 @@
         (sent, received): (MonotonicTime, MonotonicTime),
     ) -> bool {
         let record = LimitRecord { rate, sent, received };
+        if rate.is_some() {
+            self.make_room();
+        }
         let is_full = self.limits.len() >= MAX_LIMITS;
         match self.limits.get_mut(engine) {
             Some(known) if known.rate == rate || sent < known.received => return false,
@@ -52,6 +55,15 @@
         true
     }
 
+    /// Drops a limit that has ended if there is no room for another one.
+    fn make_room(&mut self) {
+        if self.limits.len() >= MAX_LIMITS {
+            let ended = self.limits.iter().find(|(_, known)| known.rate.is_none());
+            let ended = ended.map(|(engine, _)| engine.clone());
+            ended.map(|engine| self.limits.remove(&engine));
+        }
+    }
+
     /// Records what another instance reported.
     pub fn merge(&mut self, now: MonotonicTime, report: &LimitReport) -> bool {
         let sent = now.before(Duration::from_millis(report.sent_age_ms));
--- a/crates/wheel_policy/tests/limits.rs
+++ b/crates/wheel_policy/tests/limits.rs
@@ -263,6 +263,17 @@
     assert_eq!(first.rate(&engine()), Some(1.0));
 }
 
+#[test]
+fn record_of_a_limit_takes_the_room_of_one_that_has_ended() {
+    let mut table = LimitTable::default();
+    let id = |number: u64| EngineId { name: format!("e{number}").into(), started_unix_ms: 1 };
+    for number in 0..1_000 {
+        assert!(table.record(&id(number), Some(1.0), (at(number * 100), at(number * 100 + 10))));
+        assert!(table.record(&id(number), None, (at(number * 100 + 20), at(number * 100 + 30))));
+    }
+    assert!(table.reports(at(100_000)).len() < 1_000, "what is kept is bounded");
+}
+
 #[test]
 fn rate_of_a_new_start_has_no_limit() {
     let mut table = LimitTable::default();
