Share the hubs and ports of the tests of placement and control

NoHandler, bind_hub, request and free_address stood in two or three test files each. Ports now come from FreePorts, which hands out none that an outgoing connection may take between its allocation and its use.

--- a/crates/wheel_control/tests/large_documents.rs
+++ b/crates/wheel_control/tests/large_documents.rs
@@ -14,7 +14,7 @@
 use wheel_control::{
     AddressResolver, ControlNode, ControlSettings, DocumentState, GroupCall, GroupClient,
 };
-use wheel_harness::{LinkRelay, LinkState};
+use wheel_harness::{FreePorts, LinkRelay, LinkState};
 use wheel_peer::{
     PeerAddress, PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings,
 };
@@ -82,7 +82,10 @@
         let instance = voters[index].clone();
         let handler = TestHandler::default();
         let settings = PeerSettings::new("test", instance.clone(), Handle::current());
-        let hub = PeerHub::bind(settings.listen(free_address()), Arc::new(handler.clone()));
+        let hub = PeerHub::bind(
+            settings.listen(FreePorts.take().expect("a free port")),
+            Arc::new(handler.clone()),
+        );
         let hub = hub.expect("loopback can be listened on");
         let link = LinkRelay::bind_at(names[index], hub.local_addr(), None).await;
         let folder = tempfile::tempdir().expect("a folder");
@@ -128,14 +131,9 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    probe.local_addr().expect("an address")
-}
-
 /// Three nodes with a leader, the leader first.
 async fn open_group() -> Vec<TestNode> {
-    let names: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
+    let names: Vec<SocketAddr> = (0..3).map(|_| FreePorts.take().expect("a free port")).collect();
     let mut nodes = Vec::new();
     for index in 0..names.len() {
         nodes.push(TestNode::open(index, &names).await);
--- a/crates/wheel_placement/tests/config_service.rs
+++ b/crates/wheel_placement/tests/config_service.rs
@@ -3,20 +3,19 @@
 
 #![allow(clippy::expect_used)]
 
+mod support;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::FutureExt;
-use futures_util::future::BoxFuture;
+use support::NoHandler;
 use tokio::runtime::Handle;
 use wheel_control::{
     AddressResolver, ControlNode, ControlSettings, DocumentState, GroupClient, ManifestState,
 };
-use wheel_peer::{
-    PeerAddress, PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings,
-};
+use wheel_peer::{PeerAddress, PeerHub, PeerSettings};
 use wheel_placement::{AuthorityTimes, ConfigDialect, ConfigService, OrderAuthority, PutOutcome};
 use wheel_route::{ConfigError, FleetConfig};
 use wheel_types::InstanceName;
@@ -43,19 +42,6 @@
     }
 }
 
-struct NoHandler;
-
-impl PeerHandler for NoHandler {
-    fn handle(
-        &self,
-        _: PeerIdentity,
-        _: PeerChannel,
-        _: Vec<u8>,
-    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
-        async { Err(PeerRefusal::new("nothing is served here")) }.boxed()
-    }
-}
-
 /// A group with a single instance.
 struct TestGroup {
     control: ControlNode,
--- a/crates/wheel_placement/tests/large_documents.rs
+++ b/crates/wheel_placement/tests/large_documents.rs
@@ -4,6 +4,8 @@
 
 #![allow(clippy::expect_used)]
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,14 +13,13 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
-use tokio::runtime::Handle;
+use support::{NoHandler, bind_hub, request};
 use wheel_agreement::StoredDocument;
 use wheel_control::DocumentState;
-use wheel_harness::{LinkRate, LinkRelay, LinkState};
-use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings};
+use wheel_harness::{FreePorts, LinkRate, LinkRelay, LinkState};
+use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal};
 use wheel_placement::{DocumentFetch, DocumentSource, ParentSync, SyncSettings};
-use wheel_route::{SyncReply, SyncRequest};
-use wheel_types::InstanceName;
+use wheel_route::SyncReply;
 
 /// Time within which an acknowledged configuration must be in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
@@ -82,10 +83,10 @@
         let (mut seeds, mut links, mut hubs) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..count {
             // A control instance is named by the address at which it is called.
-            let seed = free_address();
+            let seed = FreePorts.take().expect("a free port");
             let source = Arc::new(DocumentSource::new(Arc::clone(&documents)));
             let control = TestControl { documents: Arc::clone(&documents), source };
-            let hub = bind_hub(seed, free_address(), Arc::new(control));
+            let hub = bind_hub(seed, FreePorts.take().expect("a free port"), Arc::new(control));
             let link = LinkRelay::bind_at(seed, hub.local_addr(), Some(Arc::clone(&rate))).await;
             links.push(link.expect("the address is free"));
             seeds.push(seed);
@@ -108,7 +109,7 @@
 
 impl TestIngress {
     fn spawn(seeds: &[SocketAddr]) -> Self {
-        let own = free_address();
+        let own = FreePorts.take().expect("a free port");
         let hub = bind_hub(own, own, Arc::new(NoHandler));
         let settings =
             SyncSettings { own, centre: "here".into(), interval: Duration::from_millis(200) };
@@ -143,41 +144,6 @@
     }
 }
 
-struct NoHandler;
-
-impl PeerHandler for NoHandler {
-    fn handle(
-        &self,
-        _: PeerIdentity,
-        _: PeerChannel,
-        _: Vec<u8>,
-    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
-        async { Err(PeerRefusal::new("nothing is served here")) }.boxed()
-    }
-}
-
-fn free_address() -> SocketAddr {
-    let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    probe.local_addr().expect("an address")
-}
-
-/// A hub that is named `name` and listens at `listen`.
-fn bind_hub(name: SocketAddr, listen: SocketAddr, handler: Arc<dyn PeerHandler>) -> PeerHub {
-    let name = InstanceName::from(name.to_string().as_str());
-    let settings = PeerSettings::new("test", name, Handle::current()).listen(listen);
-    PeerHub::bind(settings, handler).expect("loopback can be listened on")
-}
-
-fn request(version: u64) -> SyncRequest {
-    SyncRequest {
-        instance: "me".into(),
-        is_ingress: true,
-        version,
-        ingress_count: 1,
-        ..SyncRequest::default()
-    }
-}
-
 /// A document with `routes` routes, whose names look random. The last one depends on the version.
 fn document(version: u64, routes: u64) -> Vec<u8> {
     let route = |number: u64| {
--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::expect_used)]
 
-use std::net::{Ipv4Addr, SocketAddr};
+mod support;
+
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -10,12 +12,12 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
-use tokio::runtime::Handle;
+use support::{bind_hub, request};
 use tokio::task::JoinHandle;
-use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings};
+use wheel_harness::FreePorts;
+use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal};
 use wheel_placement::{DocumentFetch, ParentSync, SyncSettings};
-use wheel_route::{SyncReply, SyncRequest};
-use wheel_types::InstanceName;
+use wheel_route::SyncReply;
 
 /// Time within which a configuration must be known, which bounds the time without a reply.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
@@ -51,12 +53,6 @@
     }
 }
 
-/// A free loopback address. An instance's name is its address, so it must be known in advance.
-fn free_address() -> SocketAddr {
-    let probe = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    probe.local_addr().expect("an address")
-}
-
 /// A control instance with the switches that make it silent or change the age of its proof.
 struct BoundControl {
     hub: PeerHub,
@@ -68,9 +64,7 @@
 
 impl BoundControl {
     fn bind(proof_age_ms: u64) -> Self {
-        let address = free_address();
-        let name = InstanceName::from(address.to_string().as_str());
-        let settings = PeerSettings::new("test", name, Handle::current()).listen(address);
+        let address = FreePorts.take().expect("a free port");
         let (calls, is_silent) = <(Arc<AtomicUsize>, Arc<AtomicBool>)>::default();
         let proof_age_ms = Arc::new(AtomicU64::new(proof_age_ms));
         let control = TestControl {
@@ -78,7 +72,7 @@
             calls: Arc::clone(&calls),
             is_silent: Arc::clone(&is_silent),
         };
-        let hub = PeerHub::bind(settings, Arc::new(control)).expect("loopback can be listened on");
+        let hub = bind_hub(address, address, Arc::new(control));
         Self { hub, address, calls, is_silent, proof_age_ms }
     }
 }
@@ -108,7 +102,8 @@
             }
             reply.version
         };
-        let running = tokio::spawn(Arc::clone(&sync).run(request, take, std::future::pending));
+        let running =
+            tokio::spawn(Arc::clone(&sync).run(|| request(0), take, std::future::pending));
         Self { sync, replies, running }
     }
 
@@ -131,15 +126,6 @@
     ParentSync::open(settings, hub, fetch, seeds)
 }
 
-fn request() -> SyncRequest {
-    SyncRequest {
-        instance: "me".into(),
-        is_ingress: true,
-        ingress_count: 1,
-        ..SyncRequest::default()
-    }
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn run_leaves_detached_control() {
     let detached = BoundControl::bind(60_000);
@@ -157,7 +143,7 @@
         counted.fetch_add(1, Ordering::SeqCst);
         reply.version
     };
-    let running = tokio::spawn(Arc::clone(&sync).run(request, take, std::future::pending));
+    let running = tokio::spawn(Arc::clone(&sync).run(|| request(0), take, std::future::pending));
     // Only the detached instance is known at first, so it is certain to be called.
     wait_for(&replies, 1).await;
     sync.add_seeds(&[healthy.address]);
