Confirm the version in a read, and answer it with the document held here

What operators saw: nothing yet; with a configuration of some megabytes, each read at another instance than the leader would have been answered 503.

Cause: the leader's answer to a read carried the whole document, in 0.6 s and in pieces with a round trip each.

Evidence: read_of_a_large_document_is_confirmed_at_each_instance, 2 MB over links of 2.7 MB/s, failed: no answer in 0.9 s.

Change: the answer names the version that a majority confirmed; the instance that was asked replies with its own document once that is as new, within the same 0.9 s. A document that it lacks comes by the log or by the transfer from the leader, as for its own proof.

--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -257,8 +257,8 @@
                     self.reply(proposal, &SubmitAnswer::Unresolved);
                 }
                 RaftOutput::ReadReady { read, .. } => {
-                    let document = self.state.document().cloned().map(Arc::new);
-                    let answer = ReadAnswer { term: self.node.term(), document };
+                    let version = self.state.document().map_or(0, |document| document.version);
+                    let answer = ReadAnswer { term: self.node.term(), version };
                     self.answer_read(read, Some(answer));
                 }
                 RaftOutput::ReadRefused { read, .. } => self.answer_read(read, None),
--- a/crates/wheel_control/tests/large_documents.rs
+++ b/crates/wheel_control/tests/large_documents.rs
@@ -22,6 +22,8 @@
 
 /// Time within which a configuration must be acknowledged.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Time within which a read must be answered, so that operators don't go elsewhere.
+const READ_LIMIT: Duration = Duration::from_millis(900);
 /// Time for each 16 KiB of a connection: 2.7 MB/s, and a round trip of 12 ms.
 const LINK_DELAY: Duration = Duration::from_millis(6);
 const DOCUMENT_BYTES: usize = 2 << 20;
@@ -185,3 +187,19 @@
     let expected = 2 * DOCUMENT_BYTES as u64;
     assert!(sent < expected + expected / 4, "acknowledged {acks:?}, sent {sent}");
 }
+
+/// A read at another instance than the leader must be answered in the time for one attempt, however
+/// large the document is.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn read_of_a_large_document_is_confirmed_at_each_instance() {
+    let nodes = open_group().await;
+    let bytes: Arc<[u8]> = vec![7; DOCUMENT_BYTES].into();
+    let action = GroupAction::AdoptDocument { version: 1, bytes };
+    let deadline = Instant::now() + ACK_LIMIT;
+    nodes[0].client.submit(action, deadline.into()).await.expect("a leader");
+    nodes.iter().for_each(|node| node.link.set(LinkState::Delayed(LINK_DELAY)));
+    for node in &nodes {
+        let deadline = Instant::now() + READ_LIMIT;
+        assert!(node.client.read(deadline.into()).await.is_some());
+    }
+}
--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -123,8 +123,10 @@
             source: DocumentSource::new(Arc::clone(&documents)),
             registry: Arc::clone(&registry),
         });
+        let configs =
+            ConfigService::new(group.clone(), Arc::clone(&documents), Arc::clone(&dialects.config));
+        let configs = Arc::new(configs);
         spawn_leader_sync(settings, hub, &control, &group, (registry, documents), own);
-        let configs = Arc::new(ConfigService::new(group, Arc::clone(&dialects.config)));
         let drain = DrainDeadline::default();
         let service = OperatorService {
             configs,
--- a/crates/wheel_placement/src/config_service.rs
+++ b/crates/wheel_placement/src/config_service.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use spdlog::info;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use wheel_agreement::{DocumentAnswer, GroupAction, GroupAnswer, StoredDocument};
-use wheel_control::GroupClient;
+use wheel_control::{DocumentState, GroupClient};
 use wheel_route::ConfigError;
 
 use crate::ConfigDialect;
@@ -32,13 +32,19 @@
 /// Submits configurations to the group, and reads the newest one back.
 pub struct ConfigService {
     group: GroupClient,
+    documents: Arc<DocumentState>,
     dialect: Arc<dyn ConfigDialect>,
 }
 
 impl ConfigService {
-    /// Creates a service that submits to `group` and parses with `dialect`.
-    pub fn new(group: GroupClient, dialect: Arc<dyn ConfigDialect>) -> Self {
-        Self { group, dialect }
+    /// Creates a service that submits to `group`, whose committed documents this instance receives
+    /// in `documents`, and parses with `dialect`.
+    pub fn new(
+        group: GroupClient,
+        documents: Arc<DocumentState>,
+        dialect: Arc<dyn ConfigDialect>,
+    ) -> Self {
+        Self { group, documents, dialect }
     }
 
     /// Submits a configuration. The submission continues if the operator abandons the call: the
@@ -77,13 +83,19 @@
         result
     }
 
-    /// The newest configuration.
+    /// The newest configuration. Waits until this instance holds one as new as the group confirms.
     ///
     /// # Errors
-    /// The read couldn't be confirmed, so the newest configuration is unknown.
+    /// The read couldn't be confirmed, or the configuration hasn't arrived here in time.
     #[allow(clippy::result_unit_err)]
     pub async fn read(&self) -> Result<Option<Arc<StoredDocument>>, ()> {
-        let answer = self.group.read(Instant::now() + READ_TIMEOUT).await;
-        answer.map(|answer| answer.document).ok_or(())
+        let deadline = Instant::now() + READ_TIMEOUT;
+        let answer = self.group.read(deadline).await.ok_or(())?;
+        let mut changes = self.documents.subscribe();
+        let is_new = |held: &Option<Arc<StoredDocument>>| {
+            held.as_ref().map_or(0, |held| held.version) >= answer.version
+        };
+        let held = timeout_at(deadline, changes.wait_for(is_new)).await;
+        held.map_err(|_| ())?.map(|held| held.clone()).map_err(|_| ())
     }
 }
--- a/crates/wheel_placement/tests/config_service.rs
+++ b/crates/wheel_placement/tests/config_service.rs
@@ -76,7 +76,8 @@
     )
     .expect("the folder can be used");
     let group = GroupClient::new(hub, addresses, Some(control.clone()), &[name]);
-    let service = Arc::new(ConfigService::new(group, Arc::new(NumberDialect)));
+    let service =
+        Arc::new(ConfigService::new(group, Arc::clone(&documents), Arc::new(NumberDialect)));
     TestGroup { control, documents, service }
 }
 
