Keep places for a quorum's own connections at a hub, and refuse others' calls without a handshake

Cause: a hub accepted 256 connections and dropped the rest, whoever they came from. Without a leader no reply proves anything, so each of 295 ingress instances calls every control instance in turn and keeps the connections; the voters' own were among those dropped. Whoever depends on the group shared a bound with the group, and calls it more the longer it has no leader.

Now AdmissionTable, a pure decision, gives connections that carry the log or leases places of their own, which a connection takes with its first such message: no list of members is reliable at that moment. Whoever connects last can enter, by closing the oldest connection without an admitted call. Others have a bounded part; an idle one makes way, and a call beyond that is refused over the kept connection, without another handshake. A refused caller pauses, longer each time, drawn at random. Calls and bytes in progress are split in the same way. A link to a further address takes the place of the longest unused one instead of failing. Both programs use the same hub.

--- a/crates/wheel_control/tests/large_documents.rs
+++ b/crates/wheel_control/tests/large_documents.rs
@@ -3,22 +3,19 @@
 
 #![allow(clippy::expect_used)]
 
+mod support;
+
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures_util::FutureExt;
-use futures_util::future::{BoxFuture, join_all};
+use futures_util::future::join_all;
+use support::{ControlHandler, NamedAddresses, name_of, spawn_control};
 use tokio::runtime::Handle;
-use wheel_agreement::{GroupAction, NodeId, RaftMessage, RoleName, decode, encode};
-use wheel_control::{
-    AddressResolver, ControlNode, ControlSettings, DocumentState, GroupCall, GroupClient,
-};
+use wheel_agreement::{GroupAction, RoleName};
+use wheel_control::{ControlNode, DocumentState, GroupClient};
 use wheel_harness::{FreePorts, LinkRelay, LinkState};
-use wheel_peer::{
-    PeerAddress, PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal, PeerSettings,
-};
-use wheel_types::InstanceName;
+use wheel_peer::{PeerChannel, PeerHub, PeerSettings};
 
 /// Time within which a configuration must be acknowledged.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
@@ -30,43 +27,6 @@
 /// Operators send a change again after this time without an answer.
 const RESEND_TIME: Duration = Duration::from_secs(1);
 
-/// Instances are named by their addresses.
-struct NamedAddresses;
-
-impl AddressResolver for NamedAddresses {
-    fn peer_address(&self, instance: &InstanceName) -> Option<PeerAddress> {
-        Some(PeerAddress::new(instance.clone(), instance.as_str().parse().ok()?))
-    }
-}
-
-#[derive(Clone, Default)]
-struct TestHandler {
-    control: Arc<OnceLock<ControlNode>>,
-}
-
-impl PeerHandler for TestHandler {
-    fn handle(
-        &self,
-        _: PeerIdentity,
-        channel: PeerChannel,
-        body: Vec<u8>,
-    ) -> BoxFuture<'static, Result<Vec<u8>, PeerRefusal>> {
-        let control = Arc::clone(&self.control);
-        async move {
-            let control = control.get().ok_or_else(|| PeerRefusal::new("not started"))?;
-            if channel == PeerChannel::Agreement {
-                let (from, to, message): (NodeId, NodeId, RaftMessage) =
-                    decode(&body).expect("a message");
-                control.receive_message(from, &to, message);
-                return Ok(Vec::new());
-            }
-            let call: GroupCall = decode(&body).expect("a call");
-            Ok(encode(&control.answer(call).await).expect("a reply has an encoding"))
-        }
-        .boxed()
-    }
-}
-
 /// A control instance that the others reach over a slow link.
 struct TestNode {
     control: ControlNode,
@@ -79,10 +39,9 @@
 
 impl TestNode {
     async fn open(index: usize, names: &[SocketAddr]) -> Self {
-        let voters: Vec<InstanceName> =
-            names.iter().map(|name| InstanceName::from(name.to_string().as_str())).collect();
+        let voters: Vec<_> = names.iter().map(name_of).collect();
         let instance = voters[index].clone();
-        let handler = TestHandler::default();
+        let handler = ControlHandler::default();
         let settings = PeerSettings::new("test", instance.clone(), Handle::current());
         let hub = PeerHub::bind(
             settings.listen(FreePorts.take().expect("a free port")),
@@ -91,27 +50,10 @@
         let hub = hub.expect("loopback can be listened on");
         let link = LinkRelay::bind_at(names[index], hub.local_addr(), None).await;
         let folder = tempfile::tempdir().expect("a folder");
-        let settings = ControlSettings {
-            instance,
-            voters: voters.clone(),
-            folder: folder.path().to_owned(),
-            seed: index as u64,
-            start: Instant::now(),
-            may_bootstrap: true,
-            target_voters: Some(names.len()),
-            replace_voter_after: Duration::from_secs(3),
-        };
         let documents: Arc<DocumentState> = Arc::default();
-        let addresses: Arc<dyn AddressResolver> = Arc::new(NamedAddresses);
-        let control = ControlNode::spawn(
-            settings,
-            hub.clone(),
-            Arc::clone(&addresses),
-            Arc::default(),
-            Arc::clone(&documents),
-        );
-        let control = control.expect("the folder can be used");
-        let _ = handler.control.set(control.clone());
+        let control = spawn_control(index, names, &hub, folder.path(), &documents);
+        handler.set(control.clone());
+        let addresses = Arc::new(NamedAddresses);
         let client = GroupClient::new(hub.clone(), addresses, Some(control.clone()), &voters);
         Self {
             control,
--- a/crates/wheel_daemon/src/peer_metrics.rs
+++ b/crates/wheel_daemon/src/peer_metrics.rs
@@ -10,6 +10,8 @@
     describe_counter!("wheel_peer_wire_bytes_total", "bytes on sockets between instances");
     describe_counter!("wheel_peer_retired_total", "connections given up as silent");
     describe_counter!("wheel_peer_turned_away_total", "connections that weren't authenticated");
+    describe_counter!("wheel_peer_refused_total", "calls without a place for their connection");
+    describe_counter!("wheel_peer_displaced_total", "connections closed in favor of others");
 }
 
 /// Copies a snapshot of the counters into the metrics.
@@ -37,4 +39,6 @@
     }
     counter!("wheel_peer_retired_total").absolute(counters.retired);
     counter!("wheel_peer_turned_away_total").absolute(counters.rejected);
+    counter!("wheel_peer_refused_total").absolute(counters.refused);
+    counter!("wheel_peer_displaced_total").absolute(counters.displaced);
 }
--- a/crates/wheel_peer/src/counter_table.rs
+++ b/crates/wheel_peer/src/counter_table.rs
@@ -23,6 +23,8 @@
     pub(crate) opened: AtomicU64,
     pub(crate) accepted: AtomicU64,
     pub(crate) rejected: AtomicU64,
+    pub(crate) refused: AtomicU64,
+    pub(crate) displaced: AtomicU64,
     pub(crate) retired: AtomicU64,
 }
 
@@ -39,6 +41,8 @@
             opened: read(&self.opened),
             accepted: read(&self.accepted),
             rejected: read(&self.rejected),
+            refused: read(&self.refused),
+            displaced: read(&self.displaced),
             retired: read(&self.retired),
         }
     }
--- a/crates/wheel_peer/src/hub_context.rs
+++ b/crates/wheel_peer/src/hub_context.rs
@@ -16,6 +16,7 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use crate::call_limiter::CallLimiter;
+use crate::connection_registry::ConnectionRegistry;
 use crate::counter_table::CounterTable;
 use crate::metered_half::MeteredHalf;
 use crate::stream_monitor::StreamMonitor;
@@ -46,6 +47,7 @@
     pub(crate) handler: Arc<dyn PeerHandler>,
     pub(crate) counters: Arc<CounterTable>,
     pub(crate) limiter: CallLimiter,
+    pub(crate) connections: Rc<ConnectionRegistry>,
     pub(crate) draining: Cell<bool>,
 }
 
@@ -56,7 +58,8 @@
         counters: Arc<CounterTable>,
     ) -> Self {
         let limiter = CallLimiter::new(&settings.limits);
-        Self { settings, handler, counters, limiter, draining: Cell::new(false) }
+        let connections = ConnectionRegistry::open(settings.limits.admission.clone());
+        Self { settings, handler, counters, limiter, connections, draining: Cell::new(false) }
     }
 
     pub(crate) fn identity(&self) -> PeerIdentity {
--- a/crates/wheel_peer/src/hub_worker.rs
+++ b/crates/wheel_peer/src/hub_worker.rs
@@ -10,7 +10,7 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Duration, interval, sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -23,7 +23,7 @@
 use crate::peer_gate::PeerGate;
 use crate::peer_link::PeerLink;
 use crate::stream_monitor::StreamMonitor;
-use crate::{PeerAddress, PeerError, PeerHandler, PeerSettings};
+use crate::{ConnectionId, PeerAddress, PeerError, PeerHandler, PeerSettings};
 
 /// Time between two searches for idle connections.
 const SWEEP_PERIOD: Duration = Duration::from_secs(10);
@@ -70,19 +70,16 @@
     links: RefCell<HashMap<PeerAddress, Rc<PeerLink>>>,
     calls: TaskTracker,
     connections: TaskTracker,
-    accepted: Arc<Semaphore>,
     shutdown: CancellationToken,
 }
 
 impl HubLoop {
     fn new(context: Rc<HubContext>) -> Self {
-        let accepted = Arc::new(Semaphore::new(context.settings.limits.max_accepted));
         Self {
             context,
             links: RefCell::default(),
             calls: TaskTracker::new(),
             connections: TaskTracker::new(),
-            accepted,
             shutdown: CancellationToken::new(),
         }
     }
@@ -141,7 +138,9 @@
             return Some(link.clone());
         }
         if links.len() >= self.context.settings.limits.max_peers {
-            return None;
+            let idle = links.iter().filter(|(_, link)| link.is_idle());
+            let oldest = idle.min_by_key(|(_, link)| link.last_used())?.0.clone();
+            links.remove(&oldest)?.close();
         }
         let link = Rc::new(PeerLink::new(self.context.clone(), peer.clone()));
         links.insert(peer.clone(), link.clone());
@@ -149,14 +148,13 @@
     }
 
     fn start_serving(&self, stream: TcpStream, address: SocketAddr) {
-        let Ok(permit) = self.accepted.clone().try_acquire_owned() else {
-            return count(&self.context.counters.rejected, 1);
-        };
         let context = self.context.clone();
         let shutdown = self.shutdown.clone();
+        let (id, closer) = context.connections.accept();
         self.connections.spawn_local(async move {
-            serve(context, stream, address, shutdown).await;
-            drop(permit);
+            let connection = AcceptedConnection { id, closer, address };
+            serve(context.clone(), stream, connection, shutdown).await;
+            context.connections.remove(id);
         });
     }
 
@@ -181,17 +179,26 @@
     }
 }
 
-/// Serves one accepted connection until it ends, misses the time for authentication, or the hub
-/// shuts down.
+/// A connection that another instance has opened.
+struct AcceptedConnection {
+    id: ConnectionId,
+    /// Cancelled when the connection is to be closed in favor of another one.
+    closer: CancellationToken,
+    address: SocketAddr,
+}
+
+/// Serves one accepted connection until it ends, misses the time for authentication, gives way to
+/// another one, or the hub shuts down.
 async fn serve(
     context: Rc<HubContext>,
     stream: TcpStream,
-    address: SocketAddr,
+    connection: AcceptedConnection,
     shutdown: CancellationToken,
 ) {
+    let AcceptedConnection { id, closer, address } = connection;
     let monitor = Rc::new(StreamMonitor::new());
     let entered = CancellationToken::new();
-    let gate = PeerGate::new(context.clone(), address, monitor.clone(), entered.clone());
+    let gate = PeerGate::new(context.clone(), (id, address), monitor.clone(), entered.clone());
     let gate: gate::Client = new_client(gate);
     let system = context.start_rpc(stream, Side::Server, &monitor, Some(gate.client));
     let Ok(system) = system else { return count(&context.counters.rejected, 1) };
@@ -201,6 +208,7 @@
     let authenticated = tokio::select! {
         entered = handshake => entered.is_ok(),
         () = shutdown.cancelled() => false,
+        () = closer.cancelled() => false,
         _ = &mut system => false,
     };
     if !authenticated {
@@ -210,6 +218,7 @@
     tokio::select! {
         _ = &mut system => return,
         () = shutdown.cancelled() => {}
+        () = closer.cancelled() => count(&context.counters.displaced, 1),
     }
     let _closed = disconnect.await;
     let _ended = system.await;
--- a/crates/wheel_peer/src/lib.rs
+++ b/crates/wheel_peer/src/lib.rs
@@ -5,8 +5,10 @@
 //! interpret. The two sides of a connection prove to each other that they know the group's
 //! [`PeerSecret`]; the messages after that aren't encrypted.
 
+mod admission_table;
 mod call_limiter;
 mod client_handshake;
+mod connection_registry;
 mod counter_table;
 mod hub_context;
 mod hub_worker;
@@ -33,6 +35,9 @@
 mod peer_upload;
 mod stream_monitor;
 
+pub use admission_table::{
+    Admission, AdmissionLimits, AdmissionTable, ConnectionClass, ConnectionId,
+};
 pub use handshake_transcript::PROTOCOL_VERSION;
 pub use peer_address::PeerAddress;
 pub use peer_channel::PeerChannel;
--- a/crates/wheel_peer/src/peer_channel.rs
+++ b/crates/wheel_peer/src/peer_channel.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Whether the channel carries the messages by which a quorum works. Instances of the quorum must
+    /// get them through while everyone who depends on it calls.
+    pub(crate) fn is_quorum(self) -> bool {
+        matches!(self, Self::Agreement | Self::Lease)
+    }
+
     /// The index of the channel in [`PeerChannel::ALL`].
     pub fn index(self) -> usize {
         self as usize
--- a/crates/wheel_peer/src/peer_counters.rs
+++ b/crates/wheel_peer/src/peer_counters.rs
@@ -30,6 +30,10 @@
     pub accepted: u64,
     /// Incoming connections that ended before they were authenticated, or exceeded the limit.
     pub rejected: u64,
+    /// Calls from other instances that were refused because there was no place for their connection.
+    pub refused: u64,
+    /// Connections from other instances that were closed in favor of another one.
+    pub displaced: u64,
     /// Connections to other instances that were closed because they were silent.
     pub retired: u64,
 }
--- a/crates/wheel_peer/src/peer_download.rs
+++ b/crates/wheel_peer/src/peer_download.rs
@@ -6,6 +6,7 @@
 use capnp::Error;
 
 use crate::call_limiter::CallPermit;
+use crate::connection_registry::ActiveCall;
 use crate::hub_context::PIECE_BYTES;
 use crate::peer_capnp::download;
 
@@ -15,11 +16,12 @@
     bytes: Vec<u8>,
     next: Cell<usize>,
     _permit: CallPermit,
+    _active: ActiveCall,
 }
 
 impl PeerDownload {
-    pub(crate) fn new(bytes: Vec<u8>, permit: CallPermit) -> Self {
-        Self { bytes, next: Cell::new(0), _permit: permit }
+    pub(crate) fn new(bytes: Vec<u8>, permit: CallPermit, active: ActiveCall) -> Self {
+        Self { bytes, next: Cell::new(0), _permit: permit, _active: active }
     }
 }
 
--- a/crates/wheel_peer/src/peer_gate.rs
+++ b/crates/wheel_peer/src/peer_gate.rs
@@ -8,18 +8,19 @@
 use capnp_rpc::new_client;
 use tokio_util::sync::CancellationToken;
 
-use crate::PROTOCOL_VERSION;
 use crate::counter_table::count;
 use crate::handshake_transcript::{HandshakeTranscript, PeerGreeting, ProofSide};
 use crate::hub_context::HubContext;
 use crate::peer_capnp::gate;
 use crate::peer_session::PeerSession;
 use crate::stream_monitor::StreamMonitor;
+use crate::{ConnectionId, PROTOCOL_VERSION};
 
 /// The bootstrap object of an accepted connection; it returns the session once the client is
 /// authenticated.
 pub(crate) struct PeerGate {
     context: Rc<HubContext>,
+    id: ConnectionId,
     address: SocketAddr,
     monitor: Rc<StreamMonitor>,
     entered: CancellationToken,
@@ -30,11 +31,11 @@
     /// `entered` is cancelled when the client is authenticated.
     pub(crate) fn new(
         context: Rc<HubContext>,
-        address: SocketAddr,
+        (id, address): (ConnectionId, SocketAddr),
         monitor: Rc<StreamMonitor>,
         entered: CancellationToken,
     ) -> Self {
-        Self { context, address, monitor, entered, transcript: RefCell::default() }
+        Self { context, id, address, monitor, entered, transcript: RefCell::default() }
     }
 }
 
@@ -83,7 +84,8 @@
         self.monitor.remove_limit();
         self.entered.cancel();
         count(&self.context.counters.accepted, 1);
-        let session = PeerSession::new(self.context.clone(), transcript.client.identity.clone());
+        let identity = transcript.client.identity.clone();
+        let session = PeerSession::new(self.context.clone(), self.id, identity);
         let mut entered = answer.init_entered();
         entered.set_session(new_client(session));
         entered.set_proof(&transcript.make_proof(ProofSide::Server, secret));
--- a/crates/wheel_peer/src/peer_limits.rs
+++ b/crates/wheel_peer/src/peer_limits.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
+use crate::AdmissionLimits;
+
 /// Sizes, counts and times that limit the memory and the waits of a hub.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerLimits {
     /// Largest body, and largest answer, in bytes.
     pub max_body_bytes: usize,
-    /// Connections from other instances; further ones are closed at once.
-    pub max_accepted: usize,
-    /// Addresses that are called; calls to further ones fail as overloaded.
+    /// Connections from other instances.
+    pub admission: AdmissionLimits,
+    /// Addresses that are called. For a further one the link that has been idle for longest is
+    /// closed; calls fail as overloaded while all are in use.
     pub max_peers: usize,
     /// Calls in progress to one address; further ones fail as overloaded.
     pub max_calls_per_peer: usize,
@@ -18,6 +21,10 @@
     /// Bytes of the received bodies of calls in progress; calls beyond that are refused as
     /// overloaded.
     pub max_handled_bytes: u32,
+    /// The same for calls over connections that carry the traffic of a quorum.
+    pub max_member_calls: u32,
+    /// The same for calls over connections that carry the traffic of a quorum.
+    pub max_member_bytes: u32,
     /// Bodies and answers that are concurrently sent in pieces over one connection. A small call
     /// waits for at most one piece of each.
     pub max_transfers: usize,
@@ -45,11 +52,18 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 8 << 20,
-            max_accepted: 256,
+            admission: AdmissionLimits {
+                max_entering: 256,
+                max_members: 64,
+                max_guests: 256,
+                idle_time: Duration::from_secs(1),
+            },
             max_peers: 256,
             max_calls_per_peer: 256,
             max_handled: 1_024,
             max_handled_bytes: 32 << 20,
+            max_member_calls: 256,
+            max_member_bytes: 16 << 20,
             max_transfers: 4,
             handshake_timeout: Duration::from_secs(2),
             silence_timeout: Duration::from_millis(500),
--- a/crates/wheel_peer/src/peer_link.rs
+++ b/crates/wheel_peer/src/peer_link.rs
@@ -35,6 +35,8 @@
     peer: PeerAddress,
     state: RefCell<LinkState>,
     backoff: Cell<Duration>,
+    /// Until when no calls are made because the peer had no place for one.
+    refused_until: Cell<Option<Instant>>,
     /// Number of calls in progress.
     calls: Cell<usize>,
     last_used: Cell<Instant>,
@@ -48,6 +50,7 @@
             peer,
             state: RefCell::new(LinkState::Idle),
             backoff,
+            refused_until: Cell::new(None),
             calls: Cell::new(0),
             last_used: Cell::new(Instant::now()),
         }
@@ -90,6 +93,9 @@
         call: &OutgoingCall,
         sent: &Cell<bool>,
     ) -> Result<Vec<u8>, PeerError> {
+        if self.is_paused() {
+            return Err(PeerError::Overloaded);
+        }
         let connection = self.connection().await?;
         let row = self.context.counters.row(call.channel);
         count(&row.calls_sent, 1);
@@ -102,9 +108,28 @@
             () = connection.wait_closed() => Err(PeerError::Lost { sent: sent.get() }),
         };
         pending.finish();
+        match &answer {
+            Err(PeerError::Overloaded) if !self.is_paused() => {
+                self.refused_until.set(Some(self.next_attempt()));
+            }
+            Err(PeerError::Overloaded | PeerError::Lost { .. } | PeerError::TimedOut { .. }) => {}
+            Ok(_) | Err(_) => self.backoff.set(self.context.settings.limits.backoff),
+        }
         answer
     }
 
+    fn is_paused(&self) -> bool {
+        self.refused_until.get().is_some_and(|until| Instant::now() < until)
+    }
+
+    /// When the next attempt is due after one that failed. The pause grows with each in a row, and
+    /// is drawn at random so that instances that failed together don't come back together.
+    fn next_attempt(&self) -> Instant {
+        let pause = self.backoff.get();
+        self.backoff.set((pause * 2).min(self.context.settings.limits.backoff_max));
+        Instant::now() + pause.mul_f64(rand::random_range(0.5..1.0))
+    }
+
     /// A connection that isn't known to be silent: one idle for long is probed first.
     async fn connection(self: &Rc<Self>) -> OpenResult {
         let limits = &self.context.settings.limits;
@@ -147,18 +172,9 @@
 
     async fn attempt(&self) -> OpenResult {
         let outcome = PeerConnection::open(&self.context, &self.peer).await;
-        let limits = &self.context.settings.limits;
         let state = match &outcome {
-            Ok(connection) => {
-                self.backoff.set(limits.backoff);
-                LinkState::Open(connection.clone())
-            }
-            Err(error) => {
-                let pause = self.backoff.get();
-                self.backoff.set((pause * 2).min(limits.backoff_max));
-                let retry_at = Instant::now() + pause.mul_f64(rand::random_range(0.5..1.0));
-                LinkState::Failed { error: error.clone(), retry_at }
-            }
+            Ok(connection) => LinkState::Open(connection.clone()),
+            Err(error) => LinkState::Failed { error: error.clone(), retry_at: self.next_attempt() },
         };
         self.state.replace(state);
         outcome
@@ -219,9 +235,19 @@
         }
     }
 
+    /// Whether no call is in progress.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.calls.get() == 0
+    }
+
+    /// When the last call ended.
+    pub(crate) fn last_used(&self) -> Instant {
+        self.last_used.get()
+    }
+
     /// Closes the connection if it is idle; true if the link is no longer needed.
     pub(crate) fn sweep(&self) -> bool {
-        let idle = self.calls.get() == 0
+        let idle = self.is_idle()
             && self.last_used.get().elapsed() >= self.context.settings.limits.idle_close;
         if idle {
             self.close();
--- a/crates/wheel_peer/src/peer_session.rs
+++ b/crates/wheel_peer/src/peer_session.rs
@@ -6,12 +6,13 @@
 use capnp_rpc::new_client;
 
 use crate::call_limiter::CallPermit;
+use crate::connection_registry::ActiveCall;
 use crate::counter_table::count;
 use crate::hub_context::{HubContext, PIECE_BYTES};
 use crate::peer_capnp::{Failure, call_answer, session};
 use crate::peer_download::PeerDownload;
 use crate::peer_upload::PeerUpload;
-use crate::{PeerChannel, PeerIdentity, PeerRefusal};
+use crate::{ConnectionId, PeerChannel, PeerIdentity, PeerRefusal};
 
 /// Longest reason of a refusal, in bytes; longer ones are truncated.
 const MAX_REASON_BYTES: usize = 1_024;
@@ -20,6 +21,7 @@
 #[derive(Clone)]
 pub(crate) struct PeerSession {
     context: Rc<HubContext>,
+    connection: ConnectionId,
     peer: PeerIdentity,
 }
 
@@ -27,11 +29,16 @@
 pub(crate) struct AdmittedCall {
     pub(crate) channel: PeerChannel,
     permit: CallPermit,
+    active: ActiveCall,
 }
 
 impl PeerSession {
-    pub(crate) fn new(context: Rc<HubContext>, peer: PeerIdentity) -> Self {
-        Self { context, peer }
+    pub(crate) fn new(
+        context: Rc<HubContext>,
+        connection: ConnectionId,
+        peer: PeerIdentity,
+    ) -> Self {
+        Self { context, connection, peer }
     }
 
     /// Admits a call with a body of `size` bytes, or says why not.
@@ -43,8 +50,13 @@
         if size > self.context.settings.limits.max_body_bytes {
             return Err(Failure::TooLarge);
         }
-        let permit = self.context.limiter.acquire(size).ok_or(Failure::Overloaded)?;
-        Ok(AdmittedCall { channel, permit })
+        let admitted = self.context.connections.begin_call(self.connection, channel.is_quorum());
+        let Some((class, active)) = admitted else {
+            count(&self.context.counters.refused, 1);
+            return Err(Failure::Overloaded);
+        };
+        let permit = self.context.limiter.acquire(class, size).ok_or(Failure::Overloaded)?;
+        Ok(AdmittedCall { channel, permit, active })
     }
 
     /// Runs the handler on the runtime of the settings and writes its answer.
@@ -54,7 +66,7 @@
         body: Vec<u8>,
         answer: call_answer::Builder<'_>,
     ) {
-        let AdmittedCall { channel, permit } = call;
+        let AdmittedCall { channel, permit, active } = call;
         let row = self.context.counters.row(channel);
         count(&row.calls_handled, 1);
         count(&row.bytes_received, body.len());
@@ -63,7 +75,7 @@
         let work = async move { (handler.handle(peer, channel, body).await, permit) };
         let handled = self.context.settings.runtime.spawn(work).await;
         match handled {
-            Ok((Ok(bytes), permit)) => self.write_bytes(channel, bytes, permit, answer),
+            Ok((Ok(bytes), permit)) => self.write_bytes(channel, bytes, (permit, active), answer),
             Ok((Err(refusal), _)) => write_refusal(&refusal, answer),
             Err(_) => write_failure(Failure::HandlerFailed, answer),
         }
@@ -73,7 +85,7 @@
         &self,
         channel: PeerChannel,
         bytes: Vec<u8>,
-        permit: CallPermit,
+        (permit, active): (CallPermit, ActiveCall),
         mut answer: call_answer::Builder<'_>,
     ) {
         let size = bytes.len();
@@ -86,7 +98,7 @@
         }
         let mut pieces = answer.init_pieces();
         pieces.set_size(size as u32);
-        pieces.set_download(new_client(PeerDownload::new(bytes, permit)));
+        pieces.set_download(new_client(PeerDownload::new(bytes, permit, active)));
     }
 }
 
--- a/crates/wheel_peer/tests/invalid_input.rs
+++ b/crates/wheel_peer/tests/invalid_input.rs
@@ -23,7 +23,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
-use wheel_peer::{PeerAddress, PeerChannel, PeerError, PeerHub, PeerLimits};
+use wheel_peer::{AdmissionLimits, PeerAddress, PeerChannel, PeerError, PeerHub, PeerLimits};
 
 /// Number of randomly damaged greetings, and how many of them are sent at once.
 const DAMAGED_GREETINGS: u64 = 960;
@@ -131,7 +131,8 @@
 
 #[tokio::test]
 async fn accept_beyond_limit_rejects_then_recovers() {
-    let limits = PeerLimits { max_accepted: 2, ..quick_limits() };
+    let admission = AdmissionLimits { max_entering: 2, ..quick_limits().admission };
+    let limits = PeerLimits { admission, ..quick_limits() };
     let server = bind(settings("isan-b1").limits(limits));
     let idle = (0..3).map(|_| send_invalid(&server, b""));
     join_all(idle).await;
