Send what has changed in the fleet's view instead of the whole view

Each sync carried the whole fleet: 127 upstreams, five times a second and again for each change while requests wait, to each of 295 ingress instances. While the group has no leader each of them calls control instances in all data centres in turn.

Now ViewLedger, which is pure, records at which revision each upstream's description, its loaded models and its open requests changed last. A sync names the view that is held of that control instance, and the reply carries what has changed since. No old views are kept, so that memory doesn't grow with the instances and what they hold. An instance keeps the last view of up to 8 control instances. A whole view is changes since the empty one; there is no second form. The view is built once for all who ask within 20 ms, unless models were loaded or unloaded meanwhile, instead of once for each sync.

Weighed: keeping the views sent to each instance (grows with both), and a ring of old views (none fits at 10,000 engines).

--- a/crates/wheel_daemon/src/fleet_router.rs
+++ b/crates/wheel_daemon/src/fleet_router.rs
@@ -12,7 +12,7 @@
 use wheel_control::{ControlNode, DocumentState, GroupCall};
 use wheel_peer::{PeerChannel, PeerHandler, PeerIdentity, PeerRefusal};
 use wheel_placement::{DocumentSource, FleetRegistry};
-use wheel_route::{ControlEndpoint, DocumentRequest, SyncReply, SyncRequest};
+use wheel_route::{ControlEndpoint, DocumentRequest, SyncAnswer, SyncReply, SyncRequest};
 
 /// Longest time for which a reply is delayed to wait for a change.
 const MAX_HOLD: Duration = Duration::from_millis(300);
@@ -86,9 +86,9 @@
     }
 }
 
-async fn sync(parts: &RouterParts, request: SyncRequest) -> SyncReply {
+async fn sync(parts: &RouterParts, request: SyncRequest) -> SyncAnswer {
     let hold = Duration::from_millis(u64::from(request.hold_ms)).min(MAX_HOLD);
-    let instance = Arc::clone(&request.instance);
+    let (instance, held_view) = (Arc::clone(&request.instance), request.held_view);
     parts.registry.record(request);
     if !hold.is_zero() {
         let _ = tokio::time::timeout(hold, parts.registry.changed()).await;
@@ -101,13 +101,14 @@
     if !control.contains(&parts.own) {
         control.push(parts.own.clone());
     }
-    SyncReply {
+    let reply = SyncReply {
         version,
-        fleet: parts.registry.view(),
+        fleet: None,
         control,
         limit_grants: parts.registry.grant_limits(&instance),
         proof_age_ms: proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-    }
+    };
+    SyncAnswer { reply, view: parts.registry.view_update(held_view) }
 }
 
 fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, PeerRefusal> {
--- a/crates/wheel_gateway/src/fleet_state.rs
+++ b/crates/wheel_gateway/src/fleet_state.rs
@@ -312,6 +312,7 @@
             barred_requests,
             limits,
             limit_demand,
+            held_view: None,
             hold_ms: if self.has_waiting() { HOLD_MS } else { 0 },
         }
     }
--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -12,7 +13,7 @@
 use wheel_route::{
     ControlEndpoint, CrashedPart, DemandCount, DemandKey, EngineId, EngineInfo, FleetView,
     HeldModel, LimitGrant, OpenRequestCount, SoundPart, SyncReply, SyncRequest, UpstreamCrash,
-    UpstreamState,
+    UpstreamState, ViewLedger, ViewStamp, ViewUpdate,
 };
 use wheel_seams::boot_now;
 use wheel_types::MonotonicTime;
@@ -26,6 +27,9 @@
 const LEADER_VIEW_LIFETIME: Duration = Duration::from_secs(3);
 /// Time for which the report that an upstream is leaving is passed on.
 const LEAVING_LIFETIME: Duration = Duration::from_secs(6);
+/// Time for which a view is passed on without being built anew, unless models have been loaded or
+/// unloaded since.
+const MIN_VIEW_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of known control instances.
 const MAX_CONTROL_ENDPOINTS: usize = 64;
 
@@ -128,15 +132,25 @@
     }
 }
 
+/// The last view that was published.
+#[derive(Debug)]
+struct PublishedViews {
+    ledger: ViewLedger,
+    built_at: Option<Instant>,
+}
+
 /// Collects the syncs of the instances below and provides the fleet view for replies.
 ///
 /// The state and the limits have a lock each, which is only held for a few lines, none while the
-/// other one is held.
+/// other one is held. That of the published views is held while a view is built.
 pub struct FleetRegistry {
     list: Arc<ListWatch>,
     proof: Arc<ConfigProof>,
     state: Mutex<RegistryState>,
     limits: Mutex<LimitRegistry>,
+    published: Mutex<PublishedViews>,
+    /// Whether the engines' loaded models have changed since a view was published.
+    is_changed: AtomicBool,
     urgent: Notify,
     urgent_sync: Notify,
     changed: Notify,
@@ -151,6 +165,11 @@
             proof,
             state: Mutex::default(),
             limits: Mutex::default(),
+            published: Mutex::new(PublishedViews {
+                ledger: ViewLedger::open(rand::random()),
+                built_at: None,
+            }),
+            is_changed: AtomicBool::new(false),
             urgent: Notify::new(),
             urgent_sync: Notify::new(),
             changed: Notify::new(),
@@ -218,7 +237,7 @@
         };
         if state.leader_view.as_ref().is_none_or(|(previous, _)| models(previous) != models(&view))
         {
-            self.changed.notify_waiters();
+            self.notify_changed();
         }
         state.crash_ledger.replace_barred(boot_now(), &view.barred_parts);
         state.leader_view = Some((view, Instant::now()));
@@ -238,10 +257,15 @@
             is_changed
         };
         if is_changed {
-            self.changed.notify_waiters();
+            self.notify_changed();
         }
     }
 
+    fn notify_changed(&self) {
+        self.is_changed.store(true, Ordering::Release);
+        self.changed.notify_waiters();
+    }
+
     /// Whether an upstream has named a limit on its requests.
     pub(crate) fn is_limited(&self, engine: &EngineId) -> bool {
         self.limits.lock().is_limited(engine)
@@ -332,10 +356,24 @@
             barred_requests: std::mem::take(&mut state.barred_requests).into_iter().collect(),
             limits,
             limit_demand,
+            held_view: None,
             hold_ms: 0,
         }
     }
 
+    /// The fleet as known to this instance, as changes since `held`; `None` until the list has been
+    /// read.
+    pub fn view_update(&self, held: Option<ViewStamp>) -> Option<ViewUpdate> {
+        let mut published = self.published.lock();
+        let is_old =
+            published.built_at.is_none_or(|built_at| built_at.elapsed() >= MIN_VIEW_INTERVAL);
+        if self.is_changed.swap(false, Ordering::AcqRel) || is_old {
+            published.ledger.publish(self.view()?);
+            published.built_at = Some(Instant::now());
+        }
+        Some(published.ledger.update_since(held))
+    }
+
     /// The fleet as known to this instance; `None` until the list has been read.
     pub fn view(&self) -> Option<FleetView> {
         let (listed, age) = self.list.current()?;
--- a/crates/wheel_placement/src/lib.rs
+++ b/crates/wheel_placement/src/lib.rs
@@ -21,6 +21,7 @@
 mod list_watch;
 mod order_authority;
 mod parent_sync;
+mod view_table;
 
 pub use authority_ledger::{AuthorityLedger, AuthorityTimes};
 pub use config_proof::ConfigProof;
--- a/crates/wheel_placement/src/parent_sync.rs
+++ b/crates/wheel_placement/src/parent_sync.rs
@@ -13,10 +13,11 @@
 use spdlog::{info, warn};
 use tokio::time::{Instant, sleep_until};
 use wheel_peer::{PeerAddress, PeerChannel, PeerHub};
-use wheel_route::{SyncReply, SyncRequest};
+use wheel_route::{SyncAnswer, SyncReply, SyncRequest};
 use wheel_seams::boot_now;
 use wheel_types::{InstanceName, MonotonicTime};
 
+use crate::view_table::ViewTable;
 use crate::{ConfigProof, ControlTable, DocumentFetch};
 
 /// Time limit for a reply.
@@ -68,6 +69,7 @@
     hub: PeerHub,
     fetch: Arc<DocumentFetch>,
     controls: Mutex<ControlTable>,
+    views: Mutex<ViewTable>,
     /// Proof that the configuration in force here was the newest one.
     proof: ConfigProof,
     /// Proof of which version was the newest one, whether its document has arrived or not.
@@ -88,6 +90,7 @@
             hub,
             fetch,
             controls: Mutex::new(controls),
+            views: Mutex::default(),
             proof: ConfigProof::default(),
             newest: ConfigProof::default(),
         })
@@ -210,12 +213,18 @@
 
     /// Makes one call to the given control instance; `None` if no valid reply is received.
     pub async fn call(&self, control: SocketAddr, request: &SyncRequest) -> Option<SyncReply> {
-        let body = postcard::to_stdvec(request).ok()?;
+        let held_view = self.views.lock().stamp(control);
+        let request = SyncRequest { held_view, ..request.clone() };
+        let body = postcard::to_stdvec(&request).ok()?;
         let address = PeerAddress::new(InstanceName::from(control.to_string().as_str()), control);
         let (called, received) = (Instant::now(), self.hub.counters().wire_received);
         let answer = self.hub.call(&address, PeerChannel::Report, body, REPLY_TIMEOUT).await;
         match answer {
-            Ok(answer) => postcard::from_bytes(&answer).ok(),
+            Ok(answer) => {
+                let SyncAnswer { reply, view } = postcard::from_bytes(&answer).ok()?;
+                let fleet = view.and_then(|update| self.views.lock().apply(control, update));
+                Some(SyncReply { fleet, ..reply })
+            }
             Err(error) => {
                 // Bytes that came from any instance meanwhile tell a full link from a silent peer.
                 let received = self.hub.counters().wire_received - received;
--- a/crates/wheel_placement/tests/large_documents.rs
+++ b/crates/wheel_placement/tests/large_documents.rs
@@ -19,7 +19,7 @@
 use wheel_harness::{FreePorts, LinkRate, LinkRelay, LinkState};
 use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal};
 use wheel_placement::{DocumentFetch, DocumentSource, ParentSync, SyncSettings};
-use wheel_route::SyncReply;
+use wheel_route::{SyncAnswer, SyncReply};
 
 /// Time within which an acknowledged configuration must be in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
@@ -59,7 +59,7 @@
                     let request = postcard::from_bytes(&body).expect("a request");
                     postcard::to_stdvec(&source.answer(&request).await)
                 }
-                _ => postcard::to_stdvec(&reply),
+                _ => postcard::to_stdvec(&SyncAnswer { reply, view: None }),
             };
             Ok(bytes.expect("a reply has an encoding"))
         }
--- a/crates/wheel_placement/tests/parent_sync.rs
+++ b/crates/wheel_placement/tests/parent_sync.rs
@@ -17,7 +17,7 @@
 use wheel_harness::FreePorts;
 use wheel_peer::{PeerChannel, PeerHandler, PeerHub, PeerIdentity, PeerRefusal};
 use wheel_placement::{DocumentFetch, ParentSync, SyncSettings};
-use wheel_route::SyncReply;
+use wheel_route::{SyncAnswer, SyncReply};
 
 /// Time within which a configuration must be known, which bounds the time without a reply.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
@@ -49,7 +49,8 @@
             limit_grants: Vec::new(),
             proof_age_ms: Some(self.proof_age_ms.load(Ordering::SeqCst)),
         };
-        async move { Ok(postcard::to_stdvec(&reply).expect("a reply has an encoding")) }.boxed()
+        let answer = SyncAnswer { reply, view: None };
+        async move { Ok(postcard::to_stdvec(&answer).expect("a reply has an encoding")) }.boxed()
     }
 }
 
--- a/crates/wheel_route/src/lib.rs
+++ b/crates/wheel_route/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! A [`FleetConfig`] is a complete configuration; [`RouteTable`] finds the route of a request in
 //! it. [`FleetView`] is a snapshot of what is known about the upstreams. [`SyncRequest`] and
-//! [`SyncReply`] carry the snapshot and the version of the newest configuration between instances,
-//! [`DocumentRequest`] and [`DocumentPart`] its document.
+//! [`SyncAnswer`] carry its changes and the version of the newest configuration between instances,
+//! [`DocumentRequest`] and [`DocumentPart`] its document. [`ViewLedger`] and [`HeldView`] turn views
+//! into changes and back.
 
 mod config_error;
 mod demand_count;
@@ -13,6 +14,7 @@
 mod fleet_config;
 mod fleet_service;
 mod fleet_view;
+mod held_view;
 mod ingress_limits;
 mod route_kind;
 mod route_spec;
@@ -20,6 +22,8 @@
 mod sync_message;
 mod upstream_crash;
 mod upstream_limit;
+mod view_ledger;
+mod view_update;
 
 pub use config_error::ConfigError;
 pub use demand_count::{DemandCount, DemandKey};
@@ -29,10 +33,13 @@
 pub use fleet_config::FleetConfig;
 pub use fleet_service::FleetService;
 pub use fleet_view::FleetView;
+pub use held_view::HeldView;
 pub use ingress_limits::IngressLimits;
 pub use route_kind::RouteKind;
 pub use route_spec::{RouteSpec, RouteTarget};
 pub use route_table::RouteTable;
-pub use sync_message::{ControlEndpoint, OpenRequestCount, SyncReply, SyncRequest};
+pub use sync_message::{ControlEndpoint, OpenRequestCount, SyncAnswer, SyncReply, SyncRequest};
 pub use upstream_crash::{BarredPart, CrashedPart, SoundPart, UpstreamCrash};
 pub use upstream_limit::{LimitDemand, LimitGrant, LimitReport, UpstreamLimit};
+pub use view_ledger::ViewLedger;
+pub use view_update::{PlacedCount, ViewStamp, ViewUpdate};
--- a/crates/wheel_route/src/sync_message.rs
+++ b/crates/wheel_route/src/sync_message.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     DemandCount, EngineId, FleetView, LimitDemand, LimitGrant, LimitReport, SoundPart,
-    UpstreamCrash,
+    UpstreamCrash, ViewStamp, ViewUpdate,
 };
 
 /// Open requests at one upstream.
@@ -66,10 +66,22 @@
     pub limits: Vec<LimitReport>,
     /// Requests for which permits to send to upstreams with limits are asked.
     pub limit_demand: Vec<LimitDemand>,
+    /// The view last received from the instance that is called; the reply builds on it.
+    pub held_view: Option<ViewStamp>,
     /// How long the reply may be delayed until engines' loaded models change, in milliseconds.
     pub hold_ms: u32,
 }
 
+/// The control instance's reply as it is sent.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SyncAnswer {
+    /// The reply without the fleet.
+    pub reply: SyncReply,
+    /// The fleet; `None` if nothing is known yet.
+    pub view: Option<ViewUpdate>,
+}
+
 /// The control instance's reply.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -77,7 +89,8 @@
     /// The version that the replying instance holds; 0 without a configuration. Its document, which
     /// may be large, is requested apart from this (see [`DocumentRequest`](crate::DocumentRequest)).
     pub version: u64,
-    /// The fleet; `None` if nothing is known yet.
+    /// The fleet; `None` if nothing is known yet. It is sent as [`SyncAnswer::view`].
+    #[serde(skip)]
     pub fleet: Option<FleetView>,
     /// The known control instances.
     pub control: Vec<ControlEndpoint>,
