Don't let placement wait for engines that answer late or not at all

Cause: a round of placement awaited the reports of all engines that were due, for 0.5 s each, and an engine whose state isn't known is due again 250 ms later. So one silent engine made each round take half a second, and a load needs two or three rounds: unload, load, publish.

Now a round waits 50 ms for the reports; later ones go on by themselves and a round follows each. The first round of a term still waits for the report's time limit: without reports it would load from the store what engines hold. Reads and orders in progress share their state with the entry that replaces an engine's when the list describes it differently; before, what they brought went to the replaced one.

Test: requests that need an unload and a load each, with and without an engine that accepts connections and answers nothing.

--- a/crates/wheel_placement/src/directed_engine.rs
+++ b/crates/wheel_placement/src/directed_engine.rs
@@ -22,12 +22,15 @@
 /// Time without reports after which placement treats an engine as unavailable.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
-/// An engine with the state derived from its reports and from orders sent.
+/// An engine with the state derived from its reports and from orders sent. Reads and orders in
+/// progress share the state with the entry that replaces this one when the list describes the
+/// engine differently.
+#[derive(Clone)]
 pub(crate) struct DirectedEngine {
     pub(crate) info: EngineInfo,
-    pub(crate) inventory: Mutex<EngineInventory>,
+    pub(crate) inventory: Arc<Mutex<EngineInventory>>,
     pub(crate) client: DirectClient,
-    pub(crate) reads: Mutex<ReadState>,
+    pub(crate) reads: Arc<Mutex<ReadState>>,
 }
 
 /// When an engine's report may be read, and since when that fails.
@@ -35,6 +38,8 @@
 pub(crate) struct ReadState {
     /// The earliest time of the next read.
     pub(crate) next: Instant,
+    /// Whether a read is in progress.
+    pub(crate) is_reading: bool,
     pub(crate) failing_since: Option<Instant>,
 }
 
@@ -54,6 +59,7 @@
         Err(failure) => Err(failure.to_string()),
     };
     let mut reads = engine.reads.lock();
+    reads.is_reading = false;
     reads.next = Instant::now() + REPORT_PAUSE;
     match read {
         Ok(status)
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -29,6 +29,12 @@
 /// Minimum time between two rounds: urgent syncs arrive from many ingress instances at once, and a
 /// round looks at every model and engine.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
+/// How long a round waits for the reports that it reads: several round trips between data centres. An
+/// engine that answers later, or not at all, must not delay the orders to all others.
+const READ_PATIENCE: Duration = Duration::from_millis(50);
+/// The same for the first round of a term, which knows of no engine what it holds: the time limit of
+/// a report.
+const FIRST_READ_PATIENCE: Duration = Duration::from_millis(500);
 /// Delay until a report shows a finished order: reports are some hundred milliseconds old.
 const REPORT_LAG: Duration = Duration::from_millis(250);
 /// Added to the stated duration of an order that counts as finished without a report.
@@ -128,6 +134,10 @@
     async fn round(&mut self, term: u64) {
         let Some(config) = self.context.config.borrow_and_update().clone() else { return };
         let now = boot_now();
+        let patience = match self.term == term {
+            true => READ_PATIENCE,
+            false => FIRST_READ_PATIENCE,
+        };
         if self.term != term {
             self.begin_term(term, &config, now);
         }
@@ -138,7 +148,7 @@
         for engine in totals.stale_engines.iter().filter_map(|id| self.engines.get(id)) {
             engine.inventory.lock().invalidate();
         }
-        self.read_due_engines().await;
+        self.read_due_engines(patience).await;
         self.remove_finished_loads();
         self.backlog.clear();
         for service in &config.services {
@@ -190,36 +200,47 @@
                 continue;
             }
             let engine = match known {
-                Some(known) => DirectedEngine {
-                    info: info.clone(),
-                    inventory: Mutex::new(known.inventory.lock().clone()),
-                    client: known.client.clone(),
-                    reads: Mutex::new(*known.reads.lock()),
-                },
+                Some(known) => DirectedEngine { info: info.clone(), ..(**known).clone() },
                 None => DirectedEngine {
                     client: DirectClient::open(info.address, ConnectionLimits::default()),
                     info: info.clone(),
-                    inventory: Mutex::default(),
-                    reads: Mutex::new(ReadState { next: Instant::now(), failing_since: None }),
+                    inventory: Arc::default(),
+                    reads: Arc::new(Mutex::new(ReadState {
+                        next: Instant::now(),
+                        is_reading: false,
+                        failing_since: None,
+                    })),
                 },
             };
             self.engines.insert(info.id.clone(), Arc::new(engine));
         }
     }
 
-    /// Reads the reports of engines that are due for a read.
-    async fn read_due_engines(&self) {
+    /// Reads the reports of engines that are due for a read. Waits for them for `patience`; reads
+    /// that take longer go on, and a round follows them.
+    async fn read_due_engines(&self, patience: Duration) {
         let (now, clock) = (boot_now(), Instant::now());
         let is_due = |engine: &&Arc<DirectedEngine>| {
             let is_resting = self.is_resting(engine);
             let mut inventory = engine.inventory.lock();
             inventory.expire(now);
             let is_wanted = inventory.next_read_at().is_some_and(|at| now >= at);
-            is_wanted && !is_resting && clock >= engine.reads.lock().next
+            let reads = engine.reads.lock();
+            is_wanted && !is_resting && !reads.is_reading && clock >= reads.next
         };
         let due: Vec<Arc<DirectedEngine>> = self.engines.values().filter(is_due).cloned().collect();
-        let dialect = &*self.context.dialect;
-        join_all(due.iter().map(|engine| read_engine(engine, dialect, &self.rests))).await;
+        let read = |engine: Arc<DirectedEngine>| {
+            engine.reads.lock().is_reading = true;
+            let (dialect, rests) = (Arc::clone(&self.context.dialect), Arc::clone(&self.rests));
+            let registry = Arc::clone(&self.context.registry);
+            tokio::spawn(async move {
+                read_engine(&engine, &*dialect, &rests).await;
+                if clock.elapsed() >= patience {
+                    registry.wake();
+                }
+            })
+        };
+        let _late = tokio::time::timeout(patience, join_all(due.into_iter().map(read))).await;
     }
 
     fn is_resting(&self, engine: &DirectedEngine) -> bool {
