Count what an order that is on its way changes

A round of placement that runs while an order waits for its answer didn't count the model as being loaded, nor as being unloaded: with slow or lossy links the same model was loaded elsewhere as well, and requests were sent to one on its way out. EngineInventory now holds the change from the moment at which it is sent; finish_order no longer takes it a second time, and an answer that comes after a restart of the engine is dropped instead of counted. The test of the inventory states both; it can't be written against the old interface, which didn't know the change before the answer.

--- a/crates/wheel_lease/src/engine_inventory.rs
+++ b/crates/wheel_lease/src/engine_inventory.rs
@@ -92,8 +92,8 @@
     open: Vec<SentChange>,
     /// Models whose load was accepted, and when it should be done.
     loaded: Vec<(Arc<str>, MonotonicTime)>,
-    /// Whether an order is being sent.
-    is_sending: bool,
+    /// The change of an order that is being sent.
+    sending: Option<ModelChange>,
     /// Whether the engine must be read again before the next order.
     needs_read: bool,
 }
@@ -127,12 +127,12 @@
     pub fn is_free(&self) -> bool {
         let status = self.status.as_ref();
         let can_take = status.is_some_and(|status| !status.is_busy && !status.is_leaving);
-        can_take && self.current.is_none() && !self.is_sending && !self.needs_read
+        can_take && self.current.is_none() && self.sending.is_none() && !self.needs_read
     }
 
     /// Whether `model` is being loaded, or any order is being sent.
     pub fn is_loading(&self, model: &str) -> bool {
-        self.is_sending || self.loading().is_some_and(|(loading, _)| &**loading == model)
+        self.sending.is_some() || self.loading().is_some_and(|(loading, _)| &**loading == model)
     }
 
     /// The last reported status.
@@ -145,23 +145,23 @@
         self.accepted
     }
 
-    /// Marks that an order is being sent.
-    pub fn begin_order(&mut self) {
-        self.is_sending = true;
+    /// Records that an order for `change` is being sent.
+    pub fn begin_order(&mut self, change: ModelChange) {
+        self.sending = Some(change);
     }
 
-    /// Records how the call of an order ended; `duration` is the time that the engine needs for it.
+    /// Records how the call of the order that is being sent ended; `duration` is the time that the engine needs for it.
     /// After an [`OrderDuration::Certain`] the next order is sent without reading the engine: if
     /// this one isn't done by then, the engine refuses the next, and that triggers a read.
     pub fn finish_order(
         &mut self,
         now: MonotonicTime,
-        change: ModelChange,
         expected_count: u64,
         duration: OrderDuration,
         outcome: ChangeOutcome,
     ) {
-        self.is_sending = false;
+        // An engine that has started again meanwhile doesn't carry it out.
+        let Some(change) = self.sending.take() else { return };
         let (duration, is_certain) = match duration {
             OrderDuration::Certain(duration) => (duration, true),
             OrderDuration::Expected(duration) => (duration, false),
@@ -224,8 +224,8 @@
     pub fn possible_models(&self) -> Vec<Arc<str>> {
         let held = self.status.iter().flat_map(|status| &status.models);
         let mut models: Vec<Arc<str>> = held.map(|entry| Arc::clone(&entry.model)).collect();
-        for sent in self.open_changes() {
-            if let ModelChange::LoadModel(model) = &sent.change
+        for change in self.open_changes() {
+            if let ModelChange::LoadModel(model) = change
                 && !models.contains(model)
             {
                 models.push(Arc::clone(model));
@@ -243,8 +243,8 @@
             });
             adapters.extend(held.chain(status.loading_adapters.iter().cloned()));
         }
-        for sent in self.open_changes() {
-            if let ModelChange::LoadAdapter(model, adapter) = &sent.change {
+        for change in self.open_changes() {
+            if let ModelChange::LoadAdapter(model, adapter) = change {
                 adapters.push((Arc::clone(model), Arc::clone(adapter)));
             }
         }
@@ -257,8 +257,8 @@
     pub fn usable_models(&self) -> Vec<ReportedModel> {
         let mut entries: Vec<ReportedModel> =
             self.status.iter().flat_map(|status| status.models.clone()).collect();
-        for sent in self.open_changes() {
-            match &sent.change {
+        for change in self.open_changes() {
+            match change {
                 ModelChange::UnloadModel(model) => entries.retain(|entry| entry.model != *model),
                 ModelChange::UnloadAdapter(model, adapter) => entries
                     .iter_mut()
@@ -286,8 +286,10 @@
         }
     }
 
-    fn open_changes(&self) -> impl Iterator<Item = &SentChange> {
-        self.current.iter().map(|(sent, _)| sent).chain(&self.open)
+    /// Changes that are being carried out, or may still be.
+    fn open_changes(&self) -> impl Iterator<Item = &ModelChange> {
+        let sent = self.current.iter().map(|(sent, _)| sent).chain(&self.open);
+        sent.map(|sent| &sent.change).chain(&self.sending)
     }
 }
 
--- a/crates/wheel_lease/tests/engine_inventory.rs
+++ b/crates/wheel_lease/tests/engine_inventory.rs
@@ -33,8 +33,8 @@
 fn observe_stale_status() {
     let mut inventory = EngineInventory::default();
     assert!(inventory.observe(status(0, false, &["a"])));
-    inventory.begin_order();
-    inventory.finish_order(at(1), load("b"), 0, LOAD, ChangeOutcome::Accepted);
+    inventory.begin_order(load("b"));
+    inventory.finish_order(at(1), 0, LOAD, ChangeOutcome::Accepted);
     assert!(!inventory.is_free());
     // A status from before the order must not make the engine look idle again.
     assert!(!inventory.observe(status(0, false, &["a"])));
@@ -49,18 +49,12 @@
 fn finish_order_unknown_counts_until_superseded() {
     let mut inventory = EngineInventory::default();
     inventory.observe(status(4, false, &["a"]));
-    inventory.begin_order();
-    inventory.finish_order(at(1), load("b"), 4, LOAD, ChangeOutcome::Unknown);
+    inventory.begin_order(load("b"));
+    inventory.finish_order(at(1), 4, LOAD, ChangeOutcome::Unknown);
     inventory.observe(status(4, false, &["a"]));
     assert_eq!(inventory.possible_models().len(), 2, "the load may still be executed");
-    inventory.begin_order();
-    inventory.finish_order(
-        at(2),
-        ModelChange::UnloadModel("a".into()),
-        4,
-        LOAD,
-        ChangeOutcome::Accepted,
-    );
+    inventory.begin_order(ModelChange::UnloadModel("a".into()));
+    inventory.finish_order(at(2), 4, LOAD, ChangeOutcome::Accepted);
     inventory.observe(status(5, false, &[]));
     assert!(
         inventory.possible_models().is_empty(),
@@ -72,8 +66,8 @@
 fn finish_order_unknown_expires() {
     let mut inventory = EngineInventory::default();
     inventory.observe(status(0, false, &[]));
-    inventory.begin_order();
-    inventory.finish_order(at(0), load("b"), 0, LOAD, ChangeOutcome::Unknown);
+    inventory.begin_order(load("b"));
+    inventory.finish_order(at(0), 0, LOAD, ChangeOutcome::Unknown);
     inventory.expire(at(12));
     assert_eq!(inventory.possible_models().len(), 1);
     inventory.expire(at(20));
@@ -93,14 +87,8 @@
 fn usable_models_without_unloading() {
     let mut inventory = EngineInventory::default();
     inventory.observe(status(0, false, &["a", "b"]));
-    inventory.begin_order();
-    inventory.finish_order(
-        at(0),
-        ModelChange::UnloadModel("a".into()),
-        0,
-        LOAD,
-        ChangeOutcome::Unknown,
-    );
+    inventory.begin_order(ModelChange::UnloadModel("a".into()));
+    inventory.finish_order(at(0), 0, LOAD, ChangeOutcome::Unknown);
     let usable: Vec<_> = inventory.usable_models().into_iter().map(|entry| entry.model).collect();
     assert_eq!(usable, vec!["b".into()]);
 }
@@ -119,22 +107,31 @@
 fn expire_certain_order() {
     let mut inventory = EngineInventory::default();
     inventory.observe(status(0, false, &["a"]));
-    inventory.begin_order();
+    inventory.begin_order(ModelChange::UnloadModel("a".into()));
     let duration = OrderDuration::Certain(Duration::from_secs(1));
-    inventory.finish_order(
-        at(1),
-        ModelChange::UnloadModel("a".into()),
-        0,
-        duration,
-        ChangeOutcome::Accepted,
-    );
+    inventory.finish_order(at(1), 0, duration, ChangeOutcome::Accepted);
     inventory.expire(at(1));
     assert!(!inventory.is_free());
     inventory.expire(at(3));
     assert!(inventory.is_free());
     assert!(inventory.possible_models().is_empty());
     // A refusal shows that it wasn't done after all: no order is sent before the next read.
-    inventory.begin_order();
-    inventory.finish_order(at(3), load("b"), 1, LOAD, ChangeOutcome::Refused);
+    inventory.begin_order(load("b"));
+    inventory.finish_order(at(3), 1, LOAD, ChangeOutcome::Refused);
     assert!(!inventory.is_free());
 }
+
+/// A round of placement may run while an order is on its way. It must not load the model elsewhere as
+/// well, nor count on one that is being unloaded.
+#[test]
+fn begin_order_counts_before_its_answer() {
+    let mut inventory = EngineInventory::default();
+    inventory.observe(status(0, false, &["a"]));
+    inventory.begin_order(load("b"));
+    assert_eq!(inventory.possible_models().len(), 2);
+    inventory.finish_order(at(1), 0, LOAD, ChangeOutcome::NotSent);
+    assert_eq!(inventory.possible_models().len(), 1);
+    inventory.begin_order(ModelChange::UnloadModel("a".into()));
+    assert!(inventory.usable_models().is_empty());
+    assert_eq!(inventory.possible_models().len(), 1, "its memory isn't free yet");
+}
--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -349,7 +349,7 @@
         let Some(engine) = self.engines.get(&step.engine).cloned() else { return };
         let expect = {
             let mut inventory = engine.inventory.lock();
-            inventory.begin_order();
+            inventory.begin_order(step.change.clone());
             inventory.accepted_count()
         };
         let order = FleetOrder {
@@ -383,13 +383,7 @@
                 true => OrderDuration::Expected(step.expected_duration + REPORT_LAG),
                 false => OrderDuration::Certain(step.expected_duration + ORDER_MARGIN),
             };
-            engine.inventory.lock().finish_order(
-                boot_now(),
-                step.change.clone(),
-                expect,
-                duration,
-                end,
-            );
+            engine.inventory.lock().finish_order(boot_now(), expect, duration, end);
             counter!("wheel_orders_total", "end" => format!("{end:?}")).increment(1);
             info!("order_sent", kv: {
                 upstream = order.engine.name.to_string(), change:? = step.change,
