Give the store's few loads to models that no disk has before further replicas of busy ones

The store loads three or four at once, 7.8 s each, and its free slots all went to further replicas of two busy models, whose gain in requests is always larger. Before the traffic, the slots were used twice for the same model: a prefetch whose memory had just been freed no longer had its reservation and wasn't loaded yet, so that the same round chose it again. And the time told counted all models that wait, most of them for an engine that has their checkpoint.

Now models that only the store can provide come first, each is prefetched once, and only models that wait for the store count as being ahead in its queue. Tests, one load pattern each, fail before: a rare model beside one with 40 requests a second (the store loads the busy one), four prefetches (two models twice), and a backlog of five models that wait for engines (15 s told in place of 7.5).

--- a/crates/wheel_policy/src/fleet_planner.rs
+++ b/crates/wheel_policy/src/fleet_planner.rs
@@ -77,17 +77,13 @@
         free_store_loads = free_store_loads.saturating_sub(self.reserved_store_loads(input));
         steps.extend(plan_adapters(input, &mut taken));
         let mut backlog = Vec::new();
-        let mut wanted: Vec<(f64, Arc<str>)> =
-            values.iter().map(|(model, value)| (value.gain(), Arc::clone(model))).collect();
-        wanted.sort_by(|left, right| right.0.total_cmp(&left.0));
-        for (gain, model) in wanted {
-            if gain < MIN_GAIN {
-                break;
-            }
+        let mut waiting_for_store = 0;
+        for WantedModel { gain, model, needs_store } in wanted_models(input, &values) {
             let option = self.find_option(input, &model, &values, &taken, gain, free_store_loads);
             let Some(option) = option else {
                 if values.get(&model).is_some_and(|value| value.possible == 0) {
-                    let eta = backlog_eta(input, &model, backlog.len(), free_store_loads);
+                    let eta = backlog_eta(input, &model, waiting_for_store, free_store_loads);
+                    waiting_for_store += usize::from(needs_store);
                     backlog.push((model, eta));
                 }
                 continue;
@@ -115,7 +111,7 @@
             };
             steps.push(PlanStep { engine, change, expected_duration, from_store, gain });
         }
-        if let Some(step) = self.plan_prefetch(input, &values, &taken, free_store_loads) {
+        if let Some(step) = self.plan_prefetch(input, &values, &taken, free_store_loads, &steps) {
             steps.push(step);
         }
         FleetPlan { steps, backlog }
@@ -170,6 +166,7 @@
         values: &BTreeMap<Arc<str>, ReplicaValue>,
         taken: &BTreeSet<usize>,
         free_store_loads: usize,
+        steps: &[PlanStep],
     ) -> Option<PlanStep> {
         let has_demand = input.demand.values().any(|level| level.rate > 0.0);
         let all_known =
@@ -182,6 +179,9 @@
                 let held = engine.possible.iter().chain(&engine.in_memory).chain(&engine.on_disk);
                 !held.into_iter().any(|held| held == *model)
             }) && !self.reservations.values().any(|(reserved, _)| reserved == *model)
+                && !steps
+                    .iter()
+                    .any(|step| step.change == ModelChange::LoadModel(Arc::clone(model)))
         };
         let mut models = input.profile.models.iter().map(|model| &model.name);
         let model = models.find(is_missing).cloned()?;
@@ -320,6 +320,41 @@
     }
 }
 
+/// A model of which another replica is wanted.
+struct WantedModel {
+    gain: f64,
+    model: Arc<str>,
+    /// Whether it can only be loaded from the store.
+    needs_store: bool,
+}
+
+/// The models of which another replica is worth a load. Those that only the store can provide come
+/// first: it loads few at once, and a further replica of a busy model would keep them from being
+/// served at all for as long as the model stays busy. The others follow by their gain.
+fn wanted_models(
+    input: &PlanInput<'_>,
+    values: &BTreeMap<Arc<str>, ReplicaValue>,
+) -> Vec<WantedModel> {
+    let able = |engine: &&PlanEngine| engine.accepts_work;
+    let checkpoints: BTreeSet<&Arc<str>> = input
+        .engines
+        .iter()
+        .filter(able)
+        .flat_map(|engine| engine.on_disk.iter().chain(&engine.in_memory))
+        .collect();
+    let wanted = values.iter().map(|(model, value)| WantedModel {
+        gain: value.gain(),
+        model: Arc::clone(model),
+        needs_store: value.possible == 0 && !checkpoints.contains(model),
+    });
+    let mut wanted: Vec<WantedModel> = wanted.filter(|wanted| wanted.gain >= MIN_GAIN).collect();
+    wanted.sort_by(|left, right| {
+        let by_gain = right.gain.total_cmp(&left.gain);
+        right.needs_store.cmp(&left.needs_store).then(by_gain)
+    });
+    wanted
+}
+
 /// Running requests of each model, estimated: those of an engine are divided among its models in
 /// proportion to the request rate of each replica. An overloaded engine thus shows which of its
 /// models need more replicas, however long their requests take.
@@ -356,8 +391,8 @@
     }
 }
 
-/// Expected time until a model that has to wait is loaded: after the `before` loads ahead of it in
-/// the store's queue, or once an engine that has a checkpoint is free.
+/// Expected time until a model that has to wait is loaded: after the `before` models ahead of it that
+/// wait for the store, too, or once an engine that has a checkpoint is free.
 fn backlog_eta(
     input: &PlanInput<'_>,
     model: &Arc<str>,
--- a/crates/wheel_policy/tests/fleet_planner.rs
+++ b/crates/wheel_policy/tests/fleet_planner.rs
@@ -178,6 +178,57 @@
     assert!(*eta < Duration::from_secs(2));
 }
 
+/// All memory is in use, so that each prefetch needs an unload first. The store is slow: a model that
+/// is loaded twice takes the place of another one that no disk has.
+#[test]
+fn plan_prefetches_each_missing_model_once() {
+    let models = [[0, 1, 2], [3, 4, 5], [6, 7, 8]];
+    let engines = models.iter().enumerate();
+    let engines = engines.map(|(number, models)| engine(number, "a", models, &[])).collect();
+    let mut simulation = Simulation::new(engines);
+    let mut loaded: Vec<Arc<str>> = Vec::new();
+    for _ in 0..8 {
+        let plan = simulation.plan(&BTreeMap::new());
+        loaded.extend(loads(&plan).into_iter().cloned());
+        simulation.carry_out(&plan);
+        simulation.free_store_loads -= loads(&plan).len().min(simulation.free_store_loads);
+    }
+    let distinct: std::collections::BTreeSet<&Arc<str>> = loaded.iter().collect();
+    assert!(loaded.len() >= 3, "{loaded:?}");
+    assert_eq!(distinct.len(), loaded.len(), "{loaded:?}");
+}
+
+/// A model that only the store has is requested now and then, while another one stays so busy that
+/// further replicas of it are always worth more. The store's only free slot goes to the first one, or
+/// it is never served.
+#[test]
+fn plan_store_serves_a_model_that_no_disk_has_before_a_busy_one() {
+    let engines: Vec<PlanEngine> = (0..4)
+        .map(|number| PlanEngine { active: 16, ..engine(number, "a", &[0], &[]) })
+        .chain((4..8).map(|number| engine(number, "b", &[1, 2], &[])))
+        .collect();
+    let mut simulation = Simulation::new(engines);
+    simulation.free_store_loads = 1;
+    let plan = simulation.plan(&demand_of(&[(0, 40.0, 0), (5, 0.1, 1)]));
+    let from_store = plan.steps.iter().filter(|step| step.from_store);
+    let from_store: Vec<&ModelChange> = from_store.map(|step| &step.change).collect();
+    assert_eq!(from_store, [&ModelChange::LoadModel(name(5))], "{:?}", plan.steps);
+}
+
+/// Many models wait for an engine that has their checkpoint. One that waits for the store isn't
+/// behind them, and its callers must not be told so.
+#[test]
+fn plan_backlog_for_the_store_excludes_models_that_wait_for_engines() {
+    let mut busy = engine(0, "a", &[0, 1, 2], &[3, 4, 5, 6, 7]);
+    busy.accepts_orders = false;
+    let mut simulation = Simulation::new(vec![busy]);
+    simulation.free_store_loads = 0;
+    let waiting = [(3, 0.5, 3), (4, 0.5, 3), (5, 0.5, 3), (6, 0.5, 3), (7, 0.5, 3), (9, 0.1, 1)];
+    let plan = simulation.plan(&demand_of(&waiting));
+    let (_, eta) = plan.backlog.iter().find(|(model, _)| *model == name(9)).expect("it waits");
+    assert!(*eta <= Duration::from_secs(6).mul_f64(1.25), "{eta:?}");
+}
+
 #[test]
 fn plan_backlog_tells_when_store_is_free() {
     // No engine has a checkpoint and the store is full: the backlog tells when each model is
