Refuse requests that come too late in a drain to be answered in full

The connections that are accepted until 3.2 s are for readiness checks and for what was being opened; the platform lets a process cut only what was sent within 3 s.

Requests that arrive later than 2.95 s after the signal, the time until a signal is handled left out, are refused at once, with Retry-After, before anything is read or sent on.

--- a/crates/wheel_daemon/src/fleet_ingress.rs
+++ b/crates/wheel_daemon/src/fleet_ingress.rs
@@ -33,6 +33,10 @@
 /// Time between the signal and the end of accepting, in which the load balancer notices: two
 /// readiness checks, one per second, and the connections that were being opened.
 const NOTICE_TIME: Duration = Duration::from_millis(3_200);
+/// Time between the signal and the last request that is accepted while connections still are: the
+/// platform lets a process cut what was sent within 3 s of the signal, less the time until a signal
+/// is handled. Later requests are refused, so that their callers go elsewhere.
+const ACCEPT_TIME: Duration = Duration::from_millis(2_950);
 /// Time before the end of the grace period by which all accepted requests are answered. It is for
 /// writing the last answers and for the process to exit by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
@@ -109,6 +113,7 @@
         let end = Instant::now() + self.grace.saturating_sub(EXIT_MARGIN);
         self.is_draining.store(!is_planted("drain_stays_ready"), Ordering::Release);
         self.drain.begin(end);
+        self.drain.refuse_after(Instant::now() + ACCEPT_TIME);
         self.callers.close_after_answers();
         tokio::time::sleep(NOTICE_TIME.min(self.grace / 2)).await;
         let left = end.saturating_duration_since(Instant::now()) + ANSWER_TIME;
--- a/crates/wheel_gateway/src/request_proxy.rs
+++ b/crates/wheel_gateway/src/request_proxy.rs
@@ -16,6 +16,7 @@
 use crate::request_end::answer_request;
 use crate::request_log::RequestLog;
 use crate::request_run::{ArrivedRequest, RequestRun};
+use crate::upstream_search::CAPACITY_RETRY;
 use crate::{FleetState, IngressDialect, ProxySettings};
 
 /// The `Retry-After` of an instance that has no configuration yet.
@@ -59,6 +60,11 @@
                 return refusal(StatusCode::BAD_REQUEST, &reason, None);
             }
         };
+        if self.context.drain.is_too_late() {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            log_refusal(request.id.as_str(), status, "draining");
+            return refusal(status, "draining", Some(CAPACITY_RETRY));
+        }
         let Some(active) = self.context.state.config() else {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             log_refusal(request.id.as_str(), status, "not_ready");
--- a/crates/wheel_ingress/src/drain_deadline.rs
+++ b/crates/wheel_ingress/src/drain_deadline.rs
@@ -26,11 +26,15 @@
 #[derive(Clone, Debug)]
 pub struct DrainDeadline {
     end: Arc<watch::Sender<Option<Instant>>>,
+    last_arrival: Arc<watch::Sender<Option<Instant>>>,
 }
 
 impl Default for DrainDeadline {
     fn default() -> Self {
-        Self { end: Arc::new(watch::Sender::new(None)) }
+        Self {
+            end: Arc::new(watch::Sender::new(None)),
+            last_arrival: Arc::new(watch::Sender::new(None)),
+        }
     }
 }
 
@@ -46,6 +50,17 @@
         });
     }
 
+    /// Has requests refused that arrive after `last_arrival`, since too little time is left for their
+    /// answers.
+    pub fn refuse_after(&self, last_arrival: Instant) {
+        self.last_arrival.send_replace(Some(last_arrival));
+    }
+
+    /// Whether a request that arrives now comes too late to be accepted.
+    pub fn is_too_late(&self) -> bool {
+        self.last_arrival.borrow().is_some_and(|last_arrival| Instant::now() > last_arrival)
+    }
+
     /// The end, once the drain has started.
     pub fn end(&self) -> Option<Instant> {
         *self.end.borrow()
--- a/crates/wheel_ingress/tests/drain_deadline.rs
+++ b/crates/wheel_ingress/tests/drain_deadline.rs
@@ -31,3 +31,14 @@
     assert!(waiting.await.is_ok());
     assert_eq!(start.elapsed(), Duration::from_secs(2));
 }
+
+#[tokio::test(start_paused = true)]
+async fn refuse_after_counts_from_its_moment() {
+    let drain = DrainDeadline::default();
+    assert!(!drain.is_too_late());
+    drain.refuse_after(Instant::now() + Duration::from_secs(3));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(!drain.is_too_late());
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    assert!(drain.is_too_late());
+}
