Give the published views of the fleet a file and a type of their own

Read as a newcomer would: fleet_registry.rs had grown by a second type with the decision when a view is built anew. PublishedViews takes it over; nothing else changes.

--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -13,12 +13,13 @@
 use wheel_route::{
     ControlEndpoint, CrashedPart, DemandCount, DemandKey, EngineId, EngineInfo, FleetView,
     HeldModel, LimitGrant, OpenRequestCount, SoundPart, SyncReply, SyncRequest, UpstreamCrash,
-    UpstreamState, ViewLedger, ViewStamp, ViewUpdate,
+    UpstreamState, ViewStamp, ViewUpdate,
 };
 use wheel_seams::boot_now;
 use wheel_types::MonotonicTime;
 
 use crate::limit_registry::LimitRegistry;
+use crate::published_views::PublishedViews;
 use crate::{ConfigProof, ListWatch};
 
 /// Time without a sync after which an instance counts as gone.
@@ -27,9 +28,6 @@
 const LEADER_VIEW_LIFETIME: Duration = Duration::from_secs(3);
 /// Time for which the report that an upstream is leaving is passed on.
 const LEAVING_LIFETIME: Duration = Duration::from_secs(6);
-/// Time for which a view is passed on without being built anew, unless models have been loaded or
-/// unloaded since.
-const MIN_VIEW_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of known control instances.
 const MAX_CONTROL_ENDPOINTS: usize = 64;
 
@@ -132,13 +130,6 @@
     }
 }
 
-/// The last view that was published.
-#[derive(Debug)]
-struct PublishedViews {
-    ledger: ViewLedger,
-    built_at: Option<Instant>,
-}
-
 /// Collects the syncs of the instances below and provides the fleet view for replies.
 ///
 /// The state and the limits have a lock each, which is only held for a few lines, none while the
@@ -165,10 +156,7 @@
             proof,
             state: Mutex::default(),
             limits: Mutex::default(),
-            published: Mutex::new(PublishedViews {
-                ledger: ViewLedger::open(rand::random()),
-                built_at: None,
-            }),
+            published: Mutex::new(PublishedViews::open()),
             is_changed: AtomicBool::new(false),
             urgent: Notify::new(),
             urgent_sync: Notify::new(),
@@ -365,13 +353,8 @@
     /// read.
     pub fn view_update(&self, held: Option<ViewStamp>) -> Option<ViewUpdate> {
         let mut published = self.published.lock();
-        let is_old =
-            published.built_at.is_none_or(|built_at| built_at.elapsed() >= MIN_VIEW_INTERVAL);
-        if self.is_changed.swap(false, Ordering::AcqRel) || is_old {
-            published.ledger.publish(self.view()?);
-            published.built_at = Some(Instant::now());
-        }
-        Some(published.ledger.update_since(held))
+        let is_changed = self.is_changed.swap(false, Ordering::AcqRel);
+        published.update_since(held, is_changed, || self.view())
     }
 
     /// The fleet as known to this instance; `None` until the list has been read.
--- a/crates/wheel_placement/src/lib.rs
+++ b/crates/wheel_placement/src/lib.rs
@@ -21,6 +21,7 @@
 mod list_watch;
 mod order_authority;
 mod parent_sync;
+mod published_views;
 mod view_table;
 
 pub use authority_ledger::{AuthorityLedger, AuthorityTimes};
