Wait for the engine's own word that a request given up has ended before its model is unloaded

Cause, found by reading: the director unloads a drained replica once its owner reports that nothing uses it. The owner counts its own requests. One that it gives up, because the caller or the ingress instance has gone, is no longer counted from that moment, but the engine runs it until the cancel arrives. Requests that the engine runs and the owner doesn't know make the replica count as used, too, but that is taken from the last read of the engine, which may have begun before the request did: state and load are read together, so the state may be old by the time that both are there, the more so on a busy machine. Ruled out: the fake ends a run before the last event is flushed; upstreams that a new manifest leaves unchanged keep their counts; a draining replica accepts nothing, and each report reads the drain before the usage.

Now a replica is reported as draining without use only if the engine was read after its last request had ended; until then the engine is read each 25 ms, as during a load.

Test: drain_report::drain_request_given_up_since_the_last_read_isnt_over, with an engine whose answer to a read takes 300 ms (a new fault of the fake); it failed before: the report said drained while the engine ran the request.

--- a/crates/wheel_fakes/src/fake_engine.rs
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -163,7 +163,12 @@
                 Err(_) => Ok(json_answer(StatusCode::BAD_REQUEST, &json!({"accepted": false}))),
             },
             (&Method::POST, "/engine/v1/cancel") => Ok(self.cancel(&sent)),
-            (&Method::GET, "/engine/v1/state") => Ok(json_answer(StatusCode::OK, &self.state())),
+            (&Method::GET, "/engine/v1/state") => {
+                let state = self.state();
+                let faults = self.faults.lock().clone();
+                faults.delay_state().await;
+                Ok(json_answer(StatusCode::OK, &state))
+            }
             (&Method::GET, "/engine/v1/load") => Ok(json_answer(StatusCode::OK, &self.load())),
             (&Method::GET, "/engine/v1/cache-events") => Ok(self.cache_events(&query)),
             (&Method::POST, "/engine/v1/kv/export") => Ok(self.export_prefix(&sent)),
--- a/crates/wheel_fakes/src/fault_plan.rs
+++ b/crates/wheel_fakes/src/fault_plan.rs
@@ -14,6 +14,8 @@
 pub struct FaultPlan {
     /// Delay between the run and the answer, in milliseconds.
     pub answer_delay_ms: u64,
+    /// Delay between reading the engine's state and the answer, in milliseconds.
+    pub state_delay_ms: u64,
     /// Answers carry this id instead of their own.
     pub answer_id: Option<RequestId>,
     /// Each event of a stream is sent twice.
@@ -49,9 +51,18 @@
 
     /// Waits for the delay between run and answer.
     pub(crate) async fn delay_answer(&self) {
-        // Even a sleep of zero duration takes a tick of the timer.
-        if self.answer_delay_ms > 0 {
-            tokio::time::sleep(Duration::from_millis(self.answer_delay_ms)).await;
-        }
+        delay(self.answer_delay_ms).await;
+    }
+
+    /// Waits for the delay between reading the state and the answer.
+    pub(crate) async fn delay_state(&self) {
+        delay(self.state_delay_ms).await;
+    }
+}
+
+async fn delay(delay_ms: u64) {
+    // Even a sleep of zero duration takes a tick of the timer.
+    if delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
 }
--- a/crates/wheel_serving/src/engine_watch.rs
+++ b/crates/wheel_serving/src/engine_watch.rs
@@ -12,8 +12,8 @@
 
 /// Interval for reading an engine's state.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// The same while the engine is loading, because requests wait for the end of the load.
-const LOADING_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// The same while a load or the end of a drain is waited for.
+const CHANGE_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Time after which an unchanged state is reported again. A lost report is resent at once and a
 /// restarted instance requests all reports, so this only repairs losses that weren't detected.
 const REPORT_INTERVAL: Duration = Duration::from_secs(20);
@@ -40,6 +40,8 @@
     leaving: bool,
     load: LoadReport,
     external_running: u32,
+    /// When the last read of the state began.
+    read_began: Option<Instant>,
     failed_reads: u32,
     reported: Option<(Instant, EngineReport)>,
     sequence: u64,
@@ -71,9 +73,9 @@
             }
             self.update_leaving(&strong, &mut state);
             self.report_change(&strong, &mut state, is_requested);
+            let interval = state.poll_interval(&strong);
             drop(strong);
-            is_requested =
-                tokio::time::timeout(state.poll_interval(), due.notified()).await.is_ok();
+            is_requested = tokio::time::timeout(interval, due.notified()).await.is_ok();
         }
     }
 
@@ -103,6 +105,10 @@
     fn report(&self, upstream: &OwnedUpstream, state: &WatchState) -> EngineReport {
         let spec = upstream.spec();
         let (queued, _) = upstream.queue().depth();
+        // Must be read before the usage, see OwnedUpstream::generate.
+        let draining = upstream.draining().at(&spec.name);
+        let usage = upstream.usage().usage();
+        let is_read = |model: &ModelName| !state.has_unread_end(upstream, model);
         EngineReport {
             upstream: spec.name.clone(),
             centre: spec.data_centre.clone(),
@@ -116,9 +122,8 @@
             load: state.load,
             queued: queued as u32,
             external_running: state.external_running,
-            // Must be read before the usage, see OwnedUpstream::generate.
-            draining: upstream.draining().at(&spec.name),
-            usage: upstream.usage().usage(),
+            draining: draining.into_iter().filter(is_read).collect(),
+            usage,
             memory_checkpoints: state.engine.memory_checkpoints.clone(),
             disk_checkpoints: state.engine.disk_checkpoints.clone(),
         }
@@ -130,13 +135,22 @@
         self.failed_reads < MAX_FAILED_READS
     }
 
-    fn poll_interval(&self) -> Duration {
+    /// Whether a request of the model ended after the engine was read. One that was given up may still
+    /// be running there, and the engine alone can tell when that is over.
+    fn has_unread_end(&self, upstream: &OwnedUpstream, model: &ModelName) -> bool {
+        self.read_began.is_none_or(|began| upstream.usage().has_ended_since(model, began))
+    }
+
+    fn poll_interval(&self, upstream: &OwnedUpstream) -> Duration {
+        let draining = upstream.draining().at(&upstream.spec().name);
         let loading = self.engine.models.iter().any(|model| {
             model.phase == ModelPhase::Loading
                 || model.adapters.iter().any(|adapter| adapter.phase == ModelPhase::Loading)
         });
-        match loading {
-            true => LOADING_POLL_INTERVAL,
+        let is_waited_for =
+            loading || draining.iter().any(|model| self.has_unread_end(upstream, model));
+        match is_waited_for {
+            true => CHANGE_POLL_INTERVAL,
             false => POLL_INTERVAL,
         }
     }
@@ -144,10 +158,12 @@
 
 async fn read_engine(upstream: &OwnedUpstream, state: &mut WatchState) {
     let Some(client) = upstream.engine() else { return };
+    let began = Instant::now();
     let (engine, load) = tokio::join!(client.state(), client.load());
     match engine {
         Ok(engine) => {
             state.failed_reads = 0;
+            state.read_began = Some(began);
             let last_start = state.last_start.replace(engine.incarnation);
             if last_start.is_some_and(|last_start| last_start != engine.incarnation) {
                 upstream.rest.clear();
--- a/crates/wheel_serving/src/usage_table.rs
+++ b/crates/wheel_serving/src/usage_table.rs
@@ -51,6 +51,13 @@
         usage
     }
 
+    /// Whether a request of the model has ended since `since`, whatever its adapter.
+    pub fn has_ended_since(&self, model: &ModelName, since: Instant) -> bool {
+        let counts = self.counts.lock();
+        let mut of_model = counts.iter().filter(|((used, _), _)| used == model);
+        of_model.any(|(_, count)| count.last_end >= since)
+    }
+
     /// Drops idle entries of models that the engine doesn't hold.
     pub fn retain_models(&self, held: impl Fn(&ModelName) -> bool) {
         self.counts.lock().retain(|(model, _), count| count.in_use > 0 || held(model));
