Tell callers of the models for which memory is being freed, and don't give up a load between two orders

Cause, from that log: once memory is being freed for a model, it counts as one that will be there, so it is no longer in the backlog, and it isn't loading either until the unload has ended, which waits for running requests. Views in between show neither, and a request that has waited for a second is refused with the first of them. And of two loads that a view names for a model, the first in the list counted, not the first to end.

Now the plan's backlog also names models for which memory is being freed; a request whose load was in the last view waits for another 0.8 s when it is missing in the next one; the earliest load counts.

Tests, all failed before: fleet_planner::plan_backlog_names_models_for_which_memory_is_being_freed, request_path::cold_model_missing_from_a_view_between_two_orders_is_waited_for, cold_model_is_waited_for_until_its_first_load_ends.

--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -92,11 +92,12 @@
     /// The best upstream. Waits for a load of the model if it can end in time.
     pub(crate) async fn find(&self) -> Result<EngineInfo, NoUpstream> {
         let wait = (self.route.objective / 2).clamp(REPORT_WAIT[0], REPORT_WAIT[1]);
-        let report_deadline = Instant::now() + wait;
+        let mut report_deadline = Instant::now() + wait;
         let mut views = self.context.state.watch_view();
         let mut drain = self.context.drain.watch();
         let mut waiting = None;
         let mut limit_waiting = None;
+        let mut was_reported = false;
         loop {
             views.mark_unchanged();
             drain.mark_unchanged();
@@ -126,11 +127,16 @@
             let blocked = BlockedTime { rest, limit };
             // A model can only be loaded if its service has an upstream.
             let key = self.demand_key().filter(|_| !ready.is_empty());
+            let load = key.as_ref().and_then(|key| shortest_load(&view, key));
+            if std::mem::replace(&mut was_reported, load.is_some()) && load.is_none() {
+                // Between two orders for a load, a view may show neither.
+                report_deadline = report_deadline.max(Instant::now() + REPORT_WAIT[0]);
+            }
             let wait_end = match &key {
                 None if blocked.shortest().is_none() => {
                     return Err(NoUpstream::new("no_upstream", CAPACITY_RETRY));
                 }
-                key => self.wait_end(key.as_ref(), blocked, report_deadline)?,
+                _ => self.wait_end(load, blocked, report_deadline)?,
             };
             waiting.get_or_insert_with(|| {
                 self.log_wait(wait_end, blocked);
@@ -258,18 +264,15 @@
         ready.iter().map(|index| rests.remaining(now, &view.engines[*index].id)).collect()
     }
 
-    /// When to stop waiting for a load or the end of a rest; an error if a wait is pointless.
+    /// When to stop waiting for a load that takes `load`, if one is reported, or for the end of a rest;
+    /// an error if a wait is pointless.
     fn wait_end(
         &self,
-        key: Option<&DemandKey>,
+        load: Option<Duration>,
         blocked: BlockedTime,
         report_deadline: Instant,
     ) -> Result<Instant, NoUpstream> {
         let now = Instant::now();
-        let view = self.context.state.view();
-        let load =
-            view.loading.iter().find(|(model, _)| key.is_some_and(|key| *model == key.model));
-        let load = load.map(|(_, ms)| Duration::from_millis(*ms));
         let eta = load.into_iter().chain(blocked.shortest()).min();
         let deadline = self.context.drain.bound(self.deadline);
         let is_draining = deadline < self.deadline;
@@ -354,3 +357,9 @@
         })
     }
 }
+
+/// The time until the first of the loads of a model ends that are reported.
+fn shortest_load(view: &FleetView, key: &DemandKey) -> Option<Duration> {
+    let loads = view.loading.iter().filter(|(model, _)| *model == key.model);
+    loads.map(|(_, ms)| Duration::from_millis(*ms)).min()
+}
--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -178,6 +178,39 @@
     assert_eq!(answer.status, 200);
 }
 
+#[tokio::test]
+async fn cold_model_missing_from_a_view_between_two_orders_is_waited_for() {
+    // Memory has been freed for the model, and the order to load it is on its way.
+    let upstream = TestUpstream::bind("u1", vec![Reply::ran(200, &events(1..=2))]).await;
+    let ingress = TestIngress::bind(STREAM, &[&upstream]).await;
+    ingress.set_models("u1", &[]);
+    ingress.set_loading("m", Duration::from_millis(800));
+    let waiting = ingress.post("/a/", &[("x-model", "m")]);
+    let loading = async {
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        ingress.set_loads(&[]);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        ingress.set_models("u1", &["m"]);
+    };
+    let (answer, ()) = tokio::join!(waiting, loading);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+#[tokio::test]
+async fn cold_model_is_waited_for_until_its_first_load_ends() {
+    let upstream = TestUpstream::bind("u1", vec![Reply::ran(200, &events(1..=2))]).await;
+    let ingress = TestIngress::bind(STREAM, &[&upstream]).await;
+    ingress.set_models("u1", &[]);
+    ingress.set_loads(&[("m", Duration::from_secs(30)), ("m", Duration::from_millis(300))]);
+    let waiting = ingress.post("/a/", &[("x-model", "m")]);
+    let loading = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        ingress.set_models("u1", &["m"]);
+    };
+    let (answer, ()) = tokio::join!(waiting, loading);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
 #[tokio::test]
 async fn cold_model_too_late_is_refused_at_once() {
     let upstream = TestUpstream::bind("u1", vec![]).await;
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -445,8 +445,13 @@
     }
 
     pub(crate) fn set_loading(&self, model: &str, eta: Duration) {
+        self.set_loads(&[(model, eta)]);
+    }
+
+    pub(crate) fn set_loads(&self, loads: &[(&str, Duration)]) {
         let mut view = (*self.state.view()).clone();
-        view.loading = vec![(model.into(), eta.as_millis() as u64)];
+        let load = |(model, eta): &(&str, Duration)| ((*model).into(), eta.as_millis() as u64);
+        view.loading = loads.iter().map(load).collect();
         self.state.set_view(view);
     }
 
--- a/crates/wheel_policy/src/fleet_plan.rs
+++ b/crates/wheel_policy/src/fleet_plan.rs
@@ -76,7 +76,7 @@
 pub struct FleetPlan {
     /// The steps, at most one for each engine.
     pub steps: Vec<PlanStep>,
-    /// Requested models that wait for the store or an engine, with the expected time until they are
+    /// Models that wait for the store, an engine or memory, with the expected time until they are
     /// loaded.
     pub backlog: Vec<(Arc<str>, Duration)>,
 }
--- a/crates/wheel_policy/src/fleet_planner.rs
+++ b/crates/wheel_policy/src/fleet_planner.rs
@@ -114,9 +114,20 @@
         if let Some(step) = self.plan_prefetch(input, &values, &taken, free_store_loads, &steps) {
             steps.push(step);
         }
+        backlog.extend(self.reserved_loads(input));
         FleetPlan { steps, backlog }
     }
 
+    /// The models for which memory is being freed, with the expected time until they are loaded.
+    fn reserved_loads(&self, input: &PlanInput<'_>) -> Vec<(Arc<str>, Duration)> {
+        let load = |engine: &PlanEngine| {
+            let (model, _) = self.reservations.get(&engine.id)?;
+            let (load, _) = load_time(input.profile.model(model)?, engine);
+            Some((Arc::clone(model), UNLOAD_TIME + load))
+        };
+        input.engines.iter().filter_map(load).collect()
+    }
+
     /// Loads the models for which memory was freed.
     fn load_reserved(
         &mut self,
--- a/crates/wheel_policy/tests/fleet_planner.rs
+++ b/crates/wheel_policy/tests/fleet_planner.rs
@@ -229,6 +229,24 @@
     assert!(*eta <= Duration::from_secs(6).mul_f64(1.25), "{eta:?}");
 }
 
+#[test]
+fn plan_backlog_names_models_for_which_memory_is_being_freed() {
+    // All memory is taken; a model on the disk is requested. Its engine unloads another one first,
+    // which takes until the requests of that end. Callers must hear all the while that it comes.
+    let mut simulation = Simulation::new(vec![engine(1, "a", &[0, 1, 2], &[3])]);
+    let demand = demand_of(&[(3, 0.2, 1)]);
+    let plan = simulation.plan(&demand);
+    assert!(matches!(plan.steps[0].change, ModelChange::UnloadModel(_)), "{:?}", plan.steps);
+    let is_named = |plan: &FleetPlan| {
+        let eta = plan.backlog.iter().find(|(model, _)| *model == name(3)).map(|(_, eta)| *eta);
+        eta.is_some_and(|eta| eta < Duration::from_secs(1))
+    };
+    assert!(is_named(&plan), "{:?}", plan.backlog);
+    simulation.engines[0].accepts_orders = false;
+    let plan = simulation.plan(&demand);
+    assert!(plan.steps.is_empty() && is_named(&plan), "{plan:?}");
+}
+
 #[test]
 fn plan_backlog_tells_when_store_is_free() {
     // No engine has a checkpoint and the store is full: the backlog tells when each model is
