--- a/review/stand_ins/stand_ins.py
+++ b/review/stand_ins/stand_ins.py
@@ -708,7 +708,7 @@
             Engine(record, ip, f"i-app{i}{random.getrandbits(16):04x}", "circ-app", ZONES[i % 3], 6)
             for i in range(apps)
         ]
-        self.models = models
+        self.config = configuration(7, models)
         self.operator = Operator(record, self.deployment)
         self.consumers = Consumers(record, self.deployment)
 
@@ -728,7 +728,7 @@
         self.platform.show()
         self.deployment.list_address = self.platform.address
         await self.deployment.start_all()
-        if await self.operator.put(configuration(7, self.models)) != 200:
+        if await self.operator.put(self.config) != 200:
             raise CannotRun("the first configuration has no ack")
         await until_ready(self.record, self.deployment)
         # Traffic starts 10 s after the machines do.
