--- a/review/stand_ins/stand_ins.py
+++ b/review/stand_ins/stand_ins.py
@@ -13,7 +13,9 @@
 import socket
 import sys
 import tempfile
+import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "release", "wisteriawheel-platform")
@@ -31,6 +33,8 @@
 DEADLINE = "x-wisteriawheel-deadline-ms"
 MODEL = "x-wisteriawheel-model"
 
+# All processes that this one has started.
+started = []
 with_trouble = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -235,6 +239,7 @@
         machine.process = await asyncio.create_subprocess_exec(
             PROGRAM, *ARGUMENTS, cwd=ROOT, env=environment, stdout=log, stderr=log,
             stdin=asyncio.subprocess.DEVNULL)
+        started.append(machine.process)
         log.close()
         self.record.line(f"process {machine.name} started at {machine.ip}")
 
@@ -277,7 +282,7 @@
                 machine.process.kill()
         for machine in self.machines():
             if machine.process:
-                await machine.process.wait()
+                await asyncio.wait([asyncio.ensure_future(machine.process.wait())], timeout=5)
         if os.environ.get("KEEP") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -354,6 +359,8 @@
         self.arrivals, self.runs, self.ended = [], [], []
         self.writers = set()
         self.on_event = None
+        # How much longer than `gap_s` the engine takes before an event, in seconds.
+        self.pause_before = None
         self.on_report = None
 
     async def start(self):
@@ -457,7 +464,8 @@
         closed = asyncio.ensure_future(reader.read(1))
         try:
             for number in range(last + 1, self.events + 1):
-                await asyncio.sleep(self.gap_s)
+                pause_s = self.pause_before(self, attempt, number) if self.pause_before else 0.0
+                await asyncio.wait({closed}, timeout=self.gap_s + pause_s)
                 if closed.done() or writer.is_closing():
                     self.record.line(f"engine {self.id} sees {attempt} closed at event {number}")
                     return False
@@ -475,6 +483,8 @@
         finally:
             if not closed.done():
                 closed.cancel()
+            elif not closed.cancelled():
+                closed.exception()
 
     async def json(self, writer, status, value):
         return await self.plain(writer, status, json.dumps(value).encode(),
@@ -670,26 +680,36 @@
     record = Record(folder)
     record.line("with the disruption" if with_trouble else "without the disruption")
 
+    def finish(code, verdict):
+        """Ends at once, without waiting for what the stand-ins still do."""
+        record.line(verdict)
+        record.close()
+        print(verdict, flush=True)
+        os._exit(code)
+
+    def give_up():
+        for process in started:
+            if process.returncode is None:
+                process.kill()
+        finish(2, "couldn't run: the case didn't end")
+
     async def run():
-        task = asyncio.ensure_future(asyncio.wait_for(case(record), 116))
+        task = asyncio.ensure_future(asyncio.wait_for(case(record), 114))
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-        return await task
-
-    try:
-        broken = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
-        record.line(f"couldn't run: {error!r}")
-        print(f"couldn't run: {error!r}")
-        sys.exit(2)
-    except Exception as error:  # A fault of the stand-ins.
-        record.line(f"couldn't run: {error!r}")
-        record.close()
-        raise SystemExit(2) from error
-    record.line(f"RULE BROKEN: {broken}" if broken else "the rule held")
-    print(f"RULE BROKEN: {broken}" if broken else "the rule held")
-    record.close()
-    sys.exit(1 if broken else 0)
+        try:
+            broken = await task
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
+            finish(2, f"couldn't run: {error!r}")
+        except Exception as error:  # A fault of the stand-ins.
+            traceback.print_exc()
+            finish(2, f"couldn't run: {error!r}")
+        finish(1 if broken else 0, f"RULE BROKEN: {broken}" if broken else "the rule held")
+
+    watchdog = threading.Timer(118, give_up)
+    watchdog.daemon = True
+    watchdog.start()
+    asyncio.run(run())
 
 
 class System:
