--- a/review/stand_ins/stand_ins.py
+++ b/review/stand_ins/stand_ins.py
@@ -359,8 +359,6 @@
         self.arrivals, self.runs, self.ended = [], [], []
         self.writers = set()
         self.on_event = None
-        # How much longer than `gap_s` the engine takes before an event, in seconds.
-        self.pause_before = None
         self.on_report = None
 
     async def start(self):
@@ -464,8 +462,7 @@
         closed = asyncio.ensure_future(reader.read(1))
         try:
             for number in range(last + 1, self.events + 1):
-                pause_s = self.pause_before(self, attempt, number) if self.pause_before else 0.0
-                await asyncio.wait({closed}, timeout=self.gap_s + pause_s)
+                await asyncio.wait({closed}, timeout=self.gap_s)
                 if closed.done() or writer.is_closing():
                     self.record.line(f"engine {self.id} sees {attempt} closed at event {number}")
                     return False
