Log what a request that is open at the drain deadline waits for

A caller's stream ended at the drain deadline without an answer, and the log couldn't tell why: `request_ended` had `status=200 reason=drain_ended`, whether the upstream had sent nothing, its events had stopped, or the stream was between two upstreams.

Each request that the drain deadline ends now has one line, `request_drained`: its phase and upstream, what it waited for (`request_body`, `upstream`, `answer_head`, `answer_body`, `first_event` or `next_event`), whether its caller had been given the head of the answer, how many events it had, and the time since the last byte from the upstream. `AnswerBody` has an `ArrivalClock` for that time, which stays readable while the body is being read. No decision depends on it yet.

--- a/crates/wheel_gateway/src/request_end.rs
+++ b/crates/wheel_gateway/src/request_end.rs
@@ -36,6 +36,7 @@
 ) -> Response<AnswerBody> {
     run.possible_runs += 1;
     run.log.enter(RequestPhase::Answering);
+    run.log.forwarded_head();
     let ServiceAnswer { status, mut headers, body, .. } = answer;
     run.log.answered(status, "stream_cut");
     let kind = match run.arrived.route.kind {
@@ -98,6 +99,7 @@
 
 /// The answer to a request that is still open at the drain deadline.
 fn end_drained(mut run: RequestRun) -> Response<AnswerBody> {
+    run.log.open_at_drain_deadline();
     if run.is_sending {
         run.possible_runs += 1;
     }
--- a/crates/wheel_gateway/src/request_log.rs
+++ b/crates/wheel_gateway/src/request_log.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use wheel_route::RouteSpec;
 use wheel_types::RequestId;
-use wheel_upstream::AnswerFraming;
+use wheel_upstream::{AnswerFraming, ArrivalClock};
 
 use crate::{GenerationRequest, IngressRequest};
 
@@ -51,6 +51,12 @@
     engine: Arc<str>,
     sends: u32,
     phase: RequestPhase,
+    /// When the request was sent to the last upstream.
+    sent_at: Option<Instant>,
+    /// When bytes of that upstream's answer arrived, once its head has.
+    arrivals: Option<ArrivalClock>,
+    /// Whether the caller has been given the head of a stream.
+    is_head_forwarded: bool,
     /// How the last upstream marks the end of its answer.
     framing: Option<AnswerFraming>,
     events: u64,
@@ -89,6 +95,9 @@
             engine: "-".into(),
             sends: 0,
             phase: RequestPhase::Reading,
+            sent_at: None,
+            arrivals: None,
+            is_head_forwarded: false,
             framing: None,
             events: 0,
             partial_bytes: 0,
@@ -109,6 +118,8 @@
         self.engine = Arc::clone(engine);
         self.sends += 1;
         self.phase = RequestPhase::Sent;
+        self.sent_at = Some(Instant::now());
+        self.arrivals = None;
     }
 
     /// Records that the request enters a phase.
@@ -116,9 +127,10 @@
         self.phase = phase;
     }
 
-    /// Records how the upstream marks the end of its answer.
-    pub(crate) fn framed(&mut self, framing: AnswerFraming) {
+    /// Records that the head of the upstream's answer has arrived, and how its end is marked.
+    pub(crate) fn head_arrived(&mut self, framing: AnswerFraming, arrivals: &ArrivalClock) {
         self.framing = Some(framing);
+        self.arrivals = Some(arrivals.clone());
         counter!("wheel_upstream_answers_total", "framing" => framing.as_str()).increment(1);
     }
 
@@ -133,6 +145,11 @@
         self.reason = reason;
     }
 
+    /// Records that the caller is given the head of a stream.
+    pub(crate) fn forwarded_head(&mut self) {
+        self.is_head_forwarded = true;
+    }
+
     /// Records an event that is forwarded.
     pub(crate) fn forwarded_event(&mut self) {
         self.events += 1;
@@ -149,6 +166,32 @@
         self.reason = reason;
     }
 
+    /// Logs what a request that is open at the drain deadline was waiting for.
+    pub(crate) fn open_at_drain_deadline(&self) {
+        let silent_since = self.arrivals.as_ref().map(ArrivalClock::last).or(self.sent_at);
+        let silent_ms = silent_since.map(|since| since.elapsed().as_millis().to_string());
+        info!("request_drained", kv: {
+            id = self.id.as_str(), route = self.route.name.to_string(),
+            upstream = self.engine.to_string(), phase = self.phase.as_str(),
+            waits_for = self.awaited(), head_forwarded = self.is_head_forwarded,
+            events = self.events, sends = self.sends,
+            silent_ms = silent_ms.as_deref().unwrap_or("-"),
+            ms = self.arrival.elapsed().as_millis()
+        });
+    }
+
+    /// What the request waits for.
+    fn awaited(&self) -> &'static str {
+        match self.phase {
+            RequestPhase::Reading => "request_body",
+            RequestPhase::Searching => "upstream",
+            RequestPhase::Sent => "answer_head",
+            RequestPhase::Answering if !self.route.kind.is_stream() => "answer_body",
+            RequestPhase::Answering if self.events == 0 => "first_event",
+            RequestPhase::Answering => "next_event",
+        }
+    }
+
     /// Logs that the connection to an upstream ended under the request, with the prompt's shared
     /// parts: requests under which several upstreams ended may have one in common.
     pub(crate) fn broke(&self, reason: &str) {
--- a/crates/wheel_gateway/src/request_proxy.rs
+++ b/crates/wheel_gateway/src/request_proxy.rs
@@ -90,6 +90,7 @@
         let body = tokio::select! {
             body = read_body(body, &limits) => body,
             () = self.context.drain.passed() => {
+                log.open_at_drain_deadline();
                 let message = "the instance ends before the request's body came";
                 Err(RequestRefusal::new(RefusalCode::BodyTimeout, message))
             }
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -308,7 +308,7 @@
         self.is_unsent = matches!(class, SendClass::Unsent);
         match class {
             SendClass::Answer(answer) => {
-                self.log.framed(answer.body.framing());
+                self.log.head_arrived(answer.body.framing(), answer.body.arrivals());
                 SendOutcome::Answer(answer, guard)
             }
             SendClass::Resting => {
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -93,6 +93,7 @@
                 biased;
                 chunk = body.next() => chunk,
                 () = &mut self.drained => {
+                    self.run.log.open_at_drain_deadline();
                     self.end("drain_ended");
                     let reason = "the instance ends".to_owned();
                     return Some(Err(AnswerError::BrokeOff { reason }));
@@ -185,7 +186,10 @@
         let resumed = tokio::select! {
             biased;
             resumed = self.run.resume(self.last) => resumed.ok_or("stream_broke"),
-            () = &mut self.drained => Err("drain_ended"),
+            () = &mut self.drained => {
+                self.run.log.open_at_drain_deadline();
+                Err("drain_ended")
+            }
         };
         let (answer, guard) = resumed?;
         self.body = Some(answer.body);
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -6,7 +6,7 @@
 use hyper::body::{Body, Incoming};
 
 use crate::pooled_call::PooledCall;
-use crate::{AnswerFraming, CallFailure, FailureKind};
+use crate::{AnswerFraming, ArrivalClock, CallFailure, FailureKind};
 
 /// The body of an answer. Bytes are read from the connection only as fast as the reader asks for
 /// them.
@@ -14,6 +14,7 @@
     call: PooledCall,
     body: Incoming,
     framing: AnswerFraming,
+    arrivals: ArrivalClock,
     begun: bool,
     ended: bool,
 }
@@ -21,7 +22,8 @@
 impl AnswerBody {
     pub(crate) fn new(call: PooledCall, body: Incoming, head: &Parts) -> Self {
         let framing = AnswerFraming::of(head.status, &head.headers);
-        let mut answer = Self { call, body, framing, begun: false, ended: false };
+        let arrivals = ArrivalClock::start();
+        let mut answer = Self { call, body, framing, arrivals, begun: false, ended: false };
         if answer.body.is_end_stream() && framing.has_explicit_end() {
             answer.finish();
         }
@@ -33,6 +35,11 @@
         self.framing
     }
 
+    /// When its bytes arrived; the head counts as the first.
+    pub fn arrivals(&self) -> &ArrivalClock {
+        &self.arrivals
+    }
+
     /// The next piece; `None` after a complete body and after a failure. Cancel-safe: dropping the
     /// future loses no data.
     ///
@@ -45,6 +52,7 @@
             match self.call.wait(limit, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     self.call.record_arrival();
+                    self.arrivals.record();
                     self.begun = true;
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
--- a/crates/wheel_upstream/src/lib.rs
+++ b/crates/wheel_upstream/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod answer_body;
 mod answer_framing;
+mod arrival_clock;
 mod asked_rest;
 mod attempt_id;
 mod cache_event;
@@ -44,6 +45,7 @@
 
 pub use answer_body::AnswerBody;
 pub use answer_framing::AnswerFraming;
+pub use arrival_clock::ArrivalClock;
 pub use asked_rest::asked_rest;
 pub use attempt_id::AttemptId;
 pub use cache_event::{CacheEvent, CacheEventKind, CacheEvents};
