Hold back the head of a stream until its first event has come

The head was passed on as soon as the upstream answered 200, which it may do while the request still waits in its queue. From then on the request could only be cut: it couldn't be refused, answered with a failure, or sent to another upstream with a head of its own. The same happened without a stop whenever an upstream broke off before its first event.

`RequestRun::hold_stream` now reads the answer up to its first complete events, its first bytes if it isn't made of events (a failure), or its end. Only then is the head forwarded. Until then the request is still part of `RequestRun::serve`: at the drain deadline it ends with a whole 504 (it may have run); an upstream that breaks off leads to another send where the route allows it, with the caller's own `Last-Event-Id`, else to a whole 502. The head is held always, not only in a drain, because the signal may come after it. No event is held: the first one is forwarded with the head when it arrives. The part of `ResumedStream` that reads one upstream is a type of its own, `StreamReader`; what is too large is found before the next read, so that complete events before it are still forwarded.

`stream_closed_before_its_first_event_is_cut` accepted a connection that ended, with or without a head. Its place is taken by a stricter test: a whole 502 without an upstream's signature, and the second upstream isn't called, as the route's streams may not be repeated.

--- a/crates/wheel_gateway/src/request_end.rs
+++ b/crates/wheel_gateway/src/request_end.rs
@@ -1,17 +1,14 @@
 //! Turns the outcome of a request into the answer to its caller.
 
-use http::{Method, Response, StatusCode, header};
+use http::{Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
 use wheel_ingress::AnswerBody;
 use wheel_seams::is_planted;
-use wheel_upstream::ServiceAnswer;
 
-use crate::RequestGuard;
 use crate::local_answer::refusal;
-use crate::request_log::RequestPhase;
-use crate::request_run::{RequestRun, ServeOutcome};
-use crate::resumed_stream::{ResumedStream, StreamKind};
+use crate::request_run::{HeldStream, RequestRun, ServeOutcome};
+use crate::resumed_stream::ResumedStream;
 use crate::upstream_search::{CAPACITY_RETRY, MIN_ANSWER_TIME, NoUpstream};
 
 /// The largest share of a caller's remaining time that callers still honour in a `Retry-After`.
@@ -21,7 +18,7 @@
 pub(crate) async fn answer_request(mut run: RequestRun) -> Response<AnswerBody> {
     match run.serve().await {
         ServeOutcome::Complete(response) => response,
-        ServeOutcome::Stream(answer, guard) => forward_stream(run, *answer, guard),
+        ServeOutcome::Stream(held) => forward_stream(run, *held),
         ServeOutcome::NoUpstream(none) => refuse(run, &none),
         ServeOutcome::NoAnswer => give_up(run),
         ServeOutcome::Drained => end_drained(run),
@@ -29,29 +26,12 @@
 }
 
 /// Forwards a stream as it arrives.
-fn forward_stream(
-    mut run: RequestRun,
-    answer: ServiceAnswer,
-    guard: RequestGuard,
-) -> Response<AnswerBody> {
-    run.possible_runs += 1;
-    run.log.enter(RequestPhase::Answering);
+fn forward_stream(mut run: RequestRun, held: HeldStream) -> Response<AnswerBody> {
     run.log.forwarded_head();
-    let ServiceAnswer { status, mut headers, body, .. } = answer;
-    run.log.answered(status, "stream_cut");
-    let kind = match run.arrived.route.kind {
-        _ if !status.is_success() || run.arrived.head.method == Method::HEAD => StreamKind::Opaque,
-        kind if kind.is_repeatable() => StreamKind::Resumable,
-        _ => StreamKind::Final,
-    };
-    if kind == StreamKind::Resumable {
-        headers.remove(header::CONTENT_LENGTH);
-    }
-    let last = run.arrived.request.resume_after;
-    let stream = ResumedStream::begin(run, body, guard, kind, last);
-    let mut response = Response::new(stream.into_body());
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
+    run.log.answered(held.status, "stream_cut");
+    let mut response = Response::new(ResumedStream::begin(run, held.reader).into_body());
+    *response.status_mut() = held.status;
+    *response.headers_mut() = held.headers;
     response
 }
 
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Response;
 use http::request::Parts;
+use http::{HeaderMap, Method, Response, StatusCode, header};
 use metrics::counter;
 use rand::Rng;
 use tokio::time::Instant;
@@ -18,6 +18,7 @@
 use crate::proxy_context::ProxyContext;
 use crate::request_log::{RequestLog, RequestPhase};
 use crate::send_classifier::{SendClass, SendClassifier};
+use crate::stream_reader::{StreamFault, StreamKind, StreamReader};
 use crate::tried_upstreams::TriedUpstreams;
 use crate::upstream_search::{MIN_ANSWER_TIME, NoUpstream, UpstreamSearch};
 use crate::{
@@ -76,8 +77,8 @@
 pub(crate) enum ServeOutcome {
     /// The upstream's complete answer.
     Complete(Response<AnswerBody>),
-    /// The head of a stream, with the guard that counts the request as open.
-    Stream(Box<ServiceAnswer>, RequestGuard),
+    /// The head of a stream, whose first events have arrived or whose body has ended.
+    Stream(Box<HeldStream>),
     /// There is no upstream to send to.
     NoUpstream(NoUpstream),
     /// No send was answered, and no further send is allowed.
@@ -86,6 +87,13 @@
     Drained,
 }
 
+/// An upstream's stream whose head the caller hasn't been given.
+pub(crate) struct HeldStream {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) reader: StreamReader,
+}
+
 /// The outcome of one send.
 pub(crate) enum SendOutcome {
     /// The upstream's answer, with the guard that counts the request as open.
@@ -154,7 +162,10 @@
             };
             match self.send(&info, self.arrived.request.resume_after).await {
                 SendOutcome::Answer(answer, guard) if self.arrived.route.kind.is_stream() => {
-                    return ServeOutcome::Stream(answer, guard);
+                    // With its head forwarded, a request can't be refused or given up any more.
+                    if let Some(held) = self.hold_stream(*answer, guard).await {
+                        return ServeOutcome::Stream(Box::new(held));
+                    }
                 }
                 SendOutcome::Answer(answer, guard) => match self.complete(*answer, guard).await {
                     Some(response) if !response.status().is_server_error() => {
@@ -173,6 +184,36 @@
         self.failure.take().map_or(ServeOutcome::NoAnswer, ServeOutcome::Complete)
     }
 
+    /// Reads a stream up to its first events; `None` if it broke off before them.
+    async fn hold_stream(
+        &mut self,
+        answer: ServiceAnswer,
+        guard: RequestGuard,
+    ) -> Option<HeldStream> {
+        self.possible_runs += 1;
+        self.log.enter(RequestPhase::Answering);
+        let ServiceAnswer { status, mut headers, body, .. } = answer;
+        let kind = match self.arrived.route.kind {
+            _ if !status.is_success() || self.arrived.head.method == Method::HEAD => {
+                StreamKind::Opaque
+            }
+            kind if kind.is_repeatable() => StreamKind::Resumable,
+            _ => StreamKind::Final,
+        };
+        if kind == StreamKind::Resumable {
+            headers.remove(header::CONTENT_LENGTH);
+        }
+        let last = self.arrived.request.resume_after;
+        let mut reader = StreamReader::begin(body, guard, kind, last);
+        match reader.fill().await {
+            Ok(()) => Some(HeldStream { status, headers, reader }),
+            Err(fault) => {
+                self.record_fault(&fault, reader.partial_len());
+                None
+            }
+        }
+    }
+
     /// Finds an upstream and sends the rest of a stream there, after the event `last`.
     pub(crate) async fn resume(
         &mut self,
@@ -245,6 +286,15 @@
         }
     }
 
+    /// Records that the stream of an upstream broke off.
+    pub(crate) fn record_fault(&mut self, fault: &StreamFault, partial_bytes: usize) {
+        self.log.record_partial_event(partial_bytes);
+        if let Some(reason) = fault.broken {
+            self.record_broken(reason);
+        }
+        self.log.step("stream_broke", &fault.reason);
+    }
+
     /// Records that this request ended well.
     pub(crate) fn record_sound(&self) {
         self.context.state.record_sound(self.shared_parts());
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -1,7 +1,5 @@
 //! A caller's stream, which can outlive the engines that produce it.
 
-use std::collections::VecDeque;
-
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::{FutureExt, stream};
@@ -11,65 +9,23 @@
 use wheel_seams::is_planted;
 
 use crate::request_run::RequestRun;
-use crate::{EventSplitter, RequestGuard};
-
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-/// Maximum size of a body that isn't made of events, in bytes; the same as of any other failure.
-const MAX_OPAQUE_BYTES: usize = 4 << 20;
+use crate::stream_reader::{StreamKind, StreamReader};
 
-/// Forwards a stream in complete events. One that ends inside an event has broken off, however its
-/// connection ends. When its engine fails, a resumable stream resumes at another engine after the
-/// last forwarded event.
+/// Forwards a stream whose head the caller has been given. When its engine fails, a resumable
+/// stream resumes at another engine after the last forwarded event.
 pub(crate) struct ResumedStream {
     run: RequestRun,
-    body: Option<wheel_upstream::AnswerBody>,
-    guard: Option<RequestGuard>,
-    splitter: EventSplitter,
-    ready: VecDeque<Bytes>,
-    kind: StreamKind,
-    /// Bytes that have been forwarded of a body that isn't made of events.
-    opaque_bytes: usize,
-    /// Whether the current upstream has sent a complete event.
-    has_event: bool,
-    /// The id of the last forwarded event.
-    last: Option<u64>,
+    reader: StreamReader,
     /// Completes when the drain deadline has passed.
     drained: BoxFuture<'static, ()>,
 }
 
-/// How a stream is forwarded.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum StreamKind {
-    /// Events, which another engine can resume.
-    Resumable,
-    /// Events that only their own engine can deliver.
-    Final,
-    /// Bytes that aren't events, such as those of a failure.
-    Opaque,
-}
-
 impl ResumedStream {
-    pub(crate) fn begin(
-        run: RequestRun,
-        body: wheel_upstream::AnswerBody,
-        guard: RequestGuard,
-        kind: StreamKind,
-        last: Option<u64>,
-    ) -> Self {
+    pub(crate) fn begin(run: RequestRun, reader: StreamReader) -> Self {
         let drain = run.drain();
-        Self {
-            drained: async move { drain.passed().await }.boxed(),
-            run,
-            body: Some(body),
-            guard: Some(guard),
-            splitter: EventSplitter::default(),
-            ready: VecDeque::new(),
-            kind,
-            opaque_bytes: 0,
-            has_event: false,
-            last,
-        }
+        let mut stream = Self { drained: async move { drain.passed().await }.boxed(), run, reader };
+        stream.note_end();
+        stream
     }
 
     /// The body of the caller's answer.
@@ -84,122 +40,66 @@
 
     async fn next(&mut self) -> Option<Result<Bytes, AnswerError>> {
         loop {
-            if let Some(event) = self.ready.pop_front() {
+            if let Some(event) = self.reader.take_ready() {
                 self.run.log.forwarded_event();
                 return Some(Ok(event));
             }
-            let Some(body) = &mut self.body else { return None };
-            let chunk = tokio::select! {
+            if self.reader.is_ended() {
+                return None;
+            }
+            let filled = tokio::select! {
                 biased;
-                chunk = body.next() => chunk,
+                filled = self.reader.fill() => filled,
                 () = &mut self.drained => {
                     self.run.log.open_at_drain_deadline();
-                    self.end("drain_ended");
-                    let reason = "the instance ends".to_owned();
-                    return Some(Err(AnswerError::BrokeOff { reason }));
+                    return Some(Err(self.break_off("drain_ended", "the instance ends".to_owned())));
                 }
             };
-            let fault = match chunk {
-                Ok(Some(chunk)) => self.push_chunk(chunk),
-                Ok(None) => {
-                    self.end_body().inspect_err(|_| self.run.record_broken("stream_ended_early"))
-                }
-                Err(failure) => {
-                    if failure.is_closed_by_upstream() {
-                        self.run.record_broken("stream_cut");
-                    }
-                    Err(failure.to_string())
-                }
+            let Err(fault) = filled else {
+                self.note_end();
+                continue;
             };
-            let Err(fault) = fault else { continue };
-            self.run.log.step("stream_broke", &fault);
+            self.run.record_fault(&fault, self.reader.partial_len());
             if let Err(reason) = self.resume().await {
-                self.end(reason);
-                return Some(Err(AnswerError::BrokeOff { reason: fault }));
+                return Some(Err(self.break_off(reason, fault.reason)));
             }
         }
     }
 
-    /// Ends the stream at the end of its upstream's body; an error if the body isn't complete.
-    fn end_body(&mut self) -> Result<(), String> {
-        let partial = self.splitter.partial_len();
-        self.run.log.record_partial_event(partial);
-        let has_explicit_end =
-            self.body.as_ref().is_some_and(|body| body.framing().has_explicit_end());
-        match self.kind {
-            StreamKind::Opaque => {}
-            _ if partial > 0 => return Err(format!("ended after {partial} bytes of an event")),
-            _ if !self.has_event && !has_explicit_end => {
-                return Err("closed before its first event".to_owned());
-            }
-            StreamKind::Resumable | StreamKind::Final => {}
+    /// Records the end of the upstream's complete body.
+    fn note_end(&mut self) {
+        if !self.reader.is_ended() {
+            return;
         }
-        self.end("stream_ended");
-        if self.kind != StreamKind::Opaque {
+        self.run.log.set_reason("stream_ended");
+        if self.reader.kind() != StreamKind::Opaque {
             self.run.record_sound();
         }
-        let rest = self.splitter.take_rest();
-        if !rest.is_empty() {
-            self.ready.push_back(rest);
-        }
-        Ok(())
-    }
-
-    /// Makes the complete events ready; an error if an event is too large.
-    fn push_chunk(&mut self, chunk: Bytes) -> Result<(), String> {
-        if self.kind == StreamKind::Opaque {
-            self.opaque_bytes += chunk.len();
-            if self.opaque_bytes > MAX_OPAQUE_BYTES {
-                return Err("the body is too large".to_owned());
-            }
-            self.ready.push_back(chunk);
-            return Ok(());
-        }
-        self.splitter.push(&chunk);
-        let mut complete = Vec::new();
-        while let Some((id, event)) = self.splitter.next_event() {
-            self.has_event = true;
-            if self.kind == StreamKind::Resumable && id.is_some() && id <= self.last {
-                continue;
-            }
-            self.last = id.or(self.last);
-            complete.extend_from_slice(&event);
-        }
-        if !complete.is_empty() {
-            self.ready.push_back(complete.into());
-        }
-        if self.splitter.partial_len() > MAX_EVENT_BYTES {
-            return Err("an event is too large".to_owned());
-        }
-        Ok(())
     }
 
     /// Resumes at another engine; otherwise returns the reason for which the stream ends.
     async fn resume(&mut self) -> Result<(), &'static str> {
-        self.body = None;
-        self.guard = None;
-        self.splitter.clear();
-        self.has_event = false;
-        if self.kind != StreamKind::Resumable {
+        self.reader.close();
+        if self.reader.kind() != StreamKind::Resumable {
             return Err("stream_broke");
         }
+        let last = self.reader.last();
         let resumed = tokio::select! {
             biased;
-            resumed = self.run.resume(self.last) => resumed.ok_or("stream_broke"),
+            resumed = self.run.resume(last) => resumed.ok_or("stream_broke"),
             () = &mut self.drained => {
                 self.run.log.open_at_drain_deadline();
                 Err("drain_ended")
             }
         };
         let (answer, guard) = resumed?;
-        self.body = Some(answer.body);
-        self.guard = Some(guard);
+        self.reader = StreamReader::begin(answer.body, guard, StreamKind::Resumable, last);
         Ok(())
     }
 
-    fn end(&mut self, reason: &'static str) {
-        self.body = None;
-        self.guard = None;
+    fn break_off(&mut self, reason: &'static str, message: String) -> AnswerError {
+        self.reader.close();
         self.run.log.set_reason(reason);
+        AnswerError::BrokeOff { reason: message }
     }
 }
--- /dev/null
+++ b/crates/wheel_gateway/src/stream_reader.rs
@@ -0,0 +1,176 @@
+//! Reads a stream from one upstream.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use wheel_upstream::AnswerBody;
+
+use crate::{EventSplitter, RequestGuard};
+
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of a body that isn't made of events, in bytes; the same as of any other failure.
+const MAX_OPAQUE_BYTES: usize = 4 << 20;
+
+/// How a stream is forwarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StreamKind {
+    /// Events, which another engine can resume.
+    Resumable,
+    /// Events that only their own engine can deliver.
+    Final,
+    /// Bytes that aren't events, such as those of a failure.
+    Opaque,
+}
+
+/// Why an upstream's stream can't be read any further.
+#[derive(Debug)]
+pub(crate) struct StreamFault {
+    pub(crate) reason: String,
+    /// How the upstream ended the connection, if it was the upstream that did.
+    pub(crate) broken: Option<&'static str>,
+}
+
+/// Reads a stream in complete events. One that ends inside an event has broken off, however its
+/// connection ends.
+pub(crate) struct StreamReader {
+    /// The body, and the guard that counts the request as open; `None` after the end.
+    source: Option<(AnswerBody, RequestGuard)>,
+    splitter: EventSplitter,
+    ready: VecDeque<Bytes>,
+    kind: StreamKind,
+    /// Bytes that were read of a body that isn't made of events.
+    opaque_bytes: usize,
+    /// Whether the upstream has sent a complete event.
+    has_event: bool,
+    /// The id of the last event that was made ready, by this upstream or one before.
+    last: Option<u64>,
+}
+
+impl StreamFault {
+    /// A fault in the bytes that the upstream sends.
+    fn of_content(reason: impl Into<String>) -> Self {
+        Self { reason: reason.into(), broken: None }
+    }
+}
+
+impl StreamReader {
+    /// Begins to read; events up to the id `last` are skipped if the stream is resumable.
+    pub(crate) fn begin(
+        body: AnswerBody,
+        guard: RequestGuard,
+        kind: StreamKind,
+        last: Option<u64>,
+    ) -> Self {
+        Self {
+            source: Some((body, guard)),
+            splitter: EventSplitter::default(),
+            ready: VecDeque::new(),
+            kind,
+            opaque_bytes: 0,
+            has_event: false,
+            last,
+        }
+    }
+
+    /// Reads until complete events are ready or the stream has ended. Cancel-safe.
+    ///
+    /// # Errors
+    /// [`StreamFault`] if the stream breaks off or its content is malformed.
+    pub(crate) async fn fill(&mut self) -> Result<(), StreamFault> {
+        while self.ready.is_empty() {
+            if self.splitter.partial_len() > MAX_EVENT_BYTES {
+                return Err(StreamFault::of_content("an event is too large"));
+            }
+            let Some((body, _)) = &mut self.source else { break };
+            match body.next().await {
+                Ok(Some(chunk)) => self.push_chunk(chunk)?,
+                Ok(None) => self.end_body()?,
+                Err(failure) => {
+                    let broken = failure.is_closed_by_upstream().then_some("stream_cut");
+                    return Err(StreamFault { reason: failure.to_string(), broken });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes complete events that are ready.
+    pub(crate) fn take_ready(&mut self) -> Option<Bytes> {
+        self.ready.pop_front()
+    }
+
+    /// Stops reading and closes the call; complete events that are ready are kept.
+    pub(crate) fn close(&mut self) {
+        self.source = None;
+    }
+
+    /// Whether nothing more is read.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.source.is_none()
+    }
+
+    pub(crate) fn kind(&self) -> StreamKind {
+        self.kind
+    }
+
+    /// The id of the last event that was made ready.
+    pub(crate) fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Number of bytes after the last complete event.
+    pub(crate) fn partial_len(&self) -> usize {
+        self.splitter.partial_len()
+    }
+
+    /// Ends the stream at the end of its upstream's body; an error if the body isn't complete.
+    fn end_body(&mut self) -> Result<(), StreamFault> {
+        let partial = self.splitter.partial_len();
+        let has_explicit_end =
+            self.source.as_ref().is_some_and(|(body, _)| body.framing().has_explicit_end());
+        let reason = match self.kind {
+            StreamKind::Opaque => None,
+            _ if partial > 0 => Some(format!("ended after {partial} bytes of an event")),
+            _ if !self.has_event && !has_explicit_end => {
+                Some("closed before its first event".to_owned())
+            }
+            StreamKind::Resumable | StreamKind::Final => None,
+        };
+        if let Some(reason) = reason {
+            return Err(StreamFault { reason, broken: Some("stream_ended_early") });
+        }
+        self.close();
+        let rest = self.splitter.take_rest();
+        if !rest.is_empty() {
+            self.ready.push_back(rest);
+        }
+        Ok(())
+    }
+
+    /// Makes the complete events ready.
+    fn push_chunk(&mut self, chunk: Bytes) -> Result<(), StreamFault> {
+        if self.kind == StreamKind::Opaque {
+            self.opaque_bytes += chunk.len();
+            if self.opaque_bytes > MAX_OPAQUE_BYTES {
+                return Err(StreamFault::of_content("the body is too large"));
+            }
+            self.ready.push_back(chunk);
+            return Ok(());
+        }
+        self.splitter.push(&chunk);
+        let mut complete = Vec::new();
+        while let Some((id, event)) = self.splitter.next_event() {
+            self.has_event = true;
+            if self.kind == StreamKind::Resumable && id.is_some() && id <= self.last {
+                continue;
+            }
+            self.last = id.or(self.last);
+            complete.extend_from_slice(&event);
+        }
+        if !complete.is_empty() {
+            self.ready.push_back(complete.into());
+        }
+        Ok(())
+    }
+}
--- a/crates/wheel_gateway/tests/broken_streams.rs
+++ b/crates/wheel_gateway/tests/broken_streams.rs
@@ -106,12 +106,57 @@
 }
 
 #[tokio::test]
-async fn stream_closed_before_its_first_event_is_cut() {
-    let upstream = TestUpstream::bind_raw("u1", vec![closed("")]).await;
-    let ingress = TestIngress::bind(FINAL_STREAM, &[&upstream]).await;
-    // The connection may end before the head of the answer is written.
-    let answer = ingress.try_post("/a/", &[]).await;
-    assert!(answer.is_none_or(|answer| !answer.is_whole), "nothing must not look like the whole");
+async fn stream_closed_before_its_first_event_is_a_whole_failure() {
+    let first = TestUpstream::bind_raw("u1", vec![closed("")]).await;
+    let second = TestUpstream::bind("u2", vec![Reply::ran(200, &events(1..=3))]).await;
+    let ingress = TestIngress::bind(FINAL_STREAM, &[&first, &second]).await;
+    ingress.prefer("u1");
+    let answer = ingress.post("/a/", &[]).await;
+    assert_eq!((answer.status, answer.is_whole), (502, true), "it may have run");
+    assert!(answer.header("x-signature").is_none(), "no upstream's answer");
+    assert!(second.seen().is_empty(), "it may not run twice");
+}
+
+#[tokio::test]
+async fn stream_broken_before_its_first_event_is_sent_again_as_it_came() {
+    // Bytes of an event that was never complete haven't reached the caller.
+    let first = TestUpstream::bind("u1", vec![Reply::cut("id: 8\nda")]).await;
+    let second = TestUpstream::bind("u2", vec![Reply::ran(200, &events(8..=9))]).await;
+    let ingress = TestIngress::bind(STREAM, &[&first, &second]).await;
+    ingress.prefer("u1");
+    let answer = ingress.post("/a/", &[("last-event-id", "7")]).await;
+    assert_eq!((answer.body.as_str(), answer.is_whole), (events(8..=9).as_str(), true));
+    assert_eq!(
+        answer.headers("x-signature"),
+        ["signed-by-u2"],
+        "one head, of the one that answers"
+    );
+    assert_eq!(second.seen()[0].header("last-event-id"), Some("7"));
+}
+
+#[tokio::test]
+async fn stream_broken_before_its_first_event_everywhere_is_a_whole_failure() {
+    let first = TestUpstream::bind("u1", vec![Reply::cut("id: 1\nda")]).await;
+    let second = TestUpstream::bind("u2", vec![Reply::cut("")]).await;
+    let ingress = TestIngress::bind(STREAM, &[&first, &second]).await;
+    let answer = ingress.post("/a/", &[]).await;
+    assert_eq!((answer.status, answer.is_whole), (502, true));
+    assert_eq!((first.seen().len(), second.seen().len()), (1, 1));
+}
+
+#[tokio::test]
+async fn stream_events_arent_held_beyond_their_arrival() {
+    let pieces = [(300, "id: 1\ndata: t1\n\n"), (300, "id: 2\ndata: t2\n\n")];
+    let upstream = TestUpstream::bind("u1", vec![Reply::paced(&pieces); 2]).await;
+    for kind in [STREAM, FINAL_STREAM] {
+        let ingress = TestIngress::bind(kind, &[&upstream]).await;
+        let answer = ingress.post("/a/", &[]).await;
+        assert_eq!((answer.body, answer.is_whole), (events(1..=2), true));
+        let millis = answer.arrivals.iter().map(std::time::Duration::as_millis);
+        let millis: Vec<u128> = millis.collect();
+        let [_, first, second] = millis[..] else { panic!("{millis:?}") };
+        assert!((300..550).contains(&first) && second >= 600, "{millis:?}");
+    }
 }
 
 #[tokio::test]
--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -290,6 +290,23 @@
     assert_eq!((failing.seen().len(), silent.seen().len()), (1, 1));
 }
 
+#[tokio::test]
+async fn drain_ended_before_the_first_event_isnt_a_cut() {
+    // The drain begins after the head of the upstream's answer has arrived.
+    let upstream = TestUpstream::bind("u1", vec![Reply::falls_silent(&[]); 2]).await;
+    for kind in [STREAM, FINAL_STREAM] {
+        let ingress = TestIngress::bind(kind, &[&upstream]).await;
+        let streaming = ingress.post("/a/", &[]);
+        let draining = async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            ingress.drain.begin(Instant::now() + Duration::from_millis(300));
+        };
+        let (answer, ()) = tokio::join!(streaming, draining);
+        assert_eq!((answer.status, answer.is_whole), (504, true), "it may have run");
+        assert!(answer.header("x-signature").is_none());
+    }
+}
+
 #[tokio::test]
 async fn drain_ended_cuts_a_stream_whose_resumption_is_silent() {
     // The resumption may take the request's whole time, which is longer than the drain that begins
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -39,6 +39,9 @@
     Answer { status: u16, body: String, signed: bool, refused: bool, other_id: bool },
     /// With a success whose body is cut short.
     Cut(String),
+    /// With a success whose body comes in pieces, each after a pause; it ends after the last one if
+    /// `ends` is set.
+    Paced { pieces: Vec<(Duration, String)>, ends: bool },
     /// Not at all: the connection is closed after the request was read.
     Reset,
     /// Not at all, with the connection left open.
@@ -83,6 +86,21 @@
         Self::Answer { status, body, signed: false, refused: true, other_id: false }
     }
 
+    /// A success whose body comes in pieces, each after a pause.
+    pub(crate) fn paced(pieces: &[(u64, &str)]) -> Self {
+        let pieces =
+            pieces.iter().map(|(ms, piece)| (Duration::from_millis(*ms), (*piece).to_owned()));
+        Self::Paced { pieces: pieces.collect(), ends: true }
+    }
+
+    /// A success whose body falls silent for good after `pieces`.
+    pub(crate) fn falls_silent(pieces: &[(u64, &str)]) -> Self {
+        match Self::paced(pieces) {
+            Self::Paced { pieces, .. } => Self::Paced { pieces, ends: false },
+            reply => reply,
+        }
+    }
+
     /// As not run, with a request for rest.
     pub(crate) fn resting(retry_after: &'static str) -> Self {
         Self::Busy { status: 503, retry_after, refused: true }
@@ -226,6 +244,7 @@
             (status, full_body(body), signed, refused, other_id)
         }
         Reply::Cut(part) => (200, broken(part), true, false, false),
+        Reply::Paced { pieces, ends } => (200, paced(pieces, ends), true, false, false),
         Reply::Busy { status, refused, .. } => {
             (status, full_body(String::new()), !refused, refused, false)
         }
@@ -262,6 +281,22 @@
     response
 }
 
+/// A body in pieces, each after a pause.
+fn paced(pieces: Vec<(Duration, String)>, ends: bool) -> AnswerBody {
+    let pieces = futures_util::stream::iter(pieces);
+    let pieces = futures_util::StreamExt::then(pieces, |(pause, piece)| async move {
+        tokio::time::sleep(pause).await;
+        Ok(Frame::data(Bytes::from(piece)))
+    });
+    match ends {
+        true => StreamBody::new(pieces).boxed_unsync(),
+        false => {
+            let silence = futures_util::stream::pending();
+            StreamBody::new(futures_util::StreamExt::chain(pieces, silence)).boxed_unsync()
+        }
+    }
+}
+
 fn cut_short() -> AnswerError {
     AnswerError::BrokeOff { reason: "the fake upstream cuts its answer short".into() }
 }
@@ -349,6 +384,8 @@
     pub(crate) status: u16,
     pub(crate) body: String,
     pub(crate) is_whole: bool,
+    /// When the head and the pieces of the body arrived, since the request was sent.
+    pub(crate) arrivals: Vec<Duration>,
     headers: HeaderMap,
 }
 
@@ -356,6 +393,11 @@
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
+
+    /// All values of a header.
+    pub(crate) fn headers(&self, name: &str) -> Vec<&str> {
+        self.headers.get_all(name).iter().filter_map(|value| value.to_str().ok()).collect()
+    }
 }
 
 /// An ingress instance with one route `/a/`.
@@ -474,12 +516,17 @@
             request = request.header(*name, *value);
         }
         let request = request.body(Full::new(Bytes::from_static(b"asked"))).expect("a request");
+        let sent = std::time::Instant::now();
         let answer = client.request(request).await.ok()?;
+        let mut arrivals = vec![sent.elapsed()];
         let (head, mut body) = answer.into_parts();
         let (mut bytes, mut is_whole) = (Vec::new(), true);
         while let Some(frame) = body.frame().await {
             match frame {
-                Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
+                Ok(frame) => {
+                    arrivals.push(sent.elapsed());
+                    bytes.extend(frame.into_data().unwrap_or_default());
+                }
                 Err(_) => {
                     is_whole = false;
                     break;
@@ -487,7 +534,8 @@
             }
         }
         let body = String::from_utf8(bytes).expect("text");
-        Some(TestAnswer { status: head.status.as_u16(), body, is_whole, headers: head.headers })
+        let (status, headers) = (head.status.as_u16(), head.headers);
+        Some(TestAnswer { status, body, is_whole, arrivals, headers })
     }
 }
 
