Count each run of a resumed stream as an attempt

`may_send_again` compares `possible_runs` with the route's attempts, but `RequestRun::resume` didn't count the runs that it began: neither an answer with success nor one with a failure that it dropped. Only the first answer and sends without an answer were counted, each at another place. `RequestRun::send` now counts every send that an upstream answered, as it already counted those without an answer, and the other places don't count any more, so no path can leave a run out.

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -190,7 +190,6 @@
         answer: ServiceAnswer,
         guard: RequestGuard,
     ) -> Option<HeldStream> {
-        self.possible_runs += 1;
         self.log.enter(RequestPhase::Answering);
         let ServiceAnswer { status, mut headers, body, .. } = answer;
         let kind = match self.arrived.route.kind {
@@ -358,6 +357,7 @@
         self.is_unsent = matches!(class, SendClass::Unsent);
         match class {
             SendClass::Answer(answer) => {
+                self.possible_runs += 1;
                 self.log.head_arrived(answer.body.framing(), answer.body.arrivals());
                 SendOutcome::Answer(answer, guard)
             }
@@ -430,7 +430,6 @@
         mut answer: ServiceAnswer,
         _guard: RequestGuard,
     ) -> Option<Response<AnswerBody>> {
-        self.possible_runs += 1;
         self.log.enter(RequestPhase::Answering);
         match answer.body.collect(MAX_BUFFERED_BYTES).await {
             Ok(body) => {
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 // Each test program uses a part of it.
 #![allow(dead_code)]
 
+use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,6 +47,11 @@
     Reset,
     /// Not at all, with the connection left open.
     Silent,
+    /// With the events after `Last-Event-Id`, `events` of them at most, up to the id `total`. It is
+    /// cut short unless that is its last event.
+    Continued { events: u64, total: u64 },
+    /// Like another reply, but only after a pause.
+    Late(Duration, Box<Self>),
     /// As not run, once the time given in the request is over.
     RefusedAtTimeLeft,
     /// With a head and a body, and with the announcement that the upstream leaves.
@@ -106,6 +112,11 @@
         Self::Busy { status: 503, retry_after, refused: true }
     }
 
+    /// The same answer, whose head comes after a pause.
+    pub(crate) fn late(self, ms: u64) -> Self {
+        Self::Late(Duration::from_millis(ms), Box::new(self))
+    }
+
     /// The same answer of an upstream that leaves.
     pub(crate) fn leaving(self) -> Self {
         Self::Leaving(Box::new(self))
@@ -121,6 +132,9 @@
     }
 }
 
+/// The replies of several fake upstreams, in the order of the requests that they receive.
+pub(crate) type SharedReplies = Arc<Mutex<VecDeque<Reply>>>;
+
 /// A request that a fake upstream received.
 #[derive(Clone, Debug)]
 pub(crate) struct SeenRequest {
@@ -145,8 +159,12 @@
 
 impl TestUpstream {
     pub(crate) async fn bind(name: &'static str, replies: Vec<Reply>) -> Self {
+        Self::bind_sharing(name, Arc::new(Mutex::new(replies.into()))).await
+    }
+
+    /// An upstream that takes its replies from a queue that it shares with others.
+    pub(crate) async fn bind_sharing(name: &'static str, replies: SharedReplies) -> Self {
         let seen: Arc<Mutex<Vec<SeenRequest>>> = Arc::default();
-        let replies = Arc::new(Mutex::new(std::collections::VecDeque::from(replies)));
         let recorded = Arc::clone(&seen);
         let server = HttpServer::bind(LOOPBACK, HttpLimits::default(), move |request| {
             let (recorded, reply) = (Arc::clone(&recorded), replies.lock().pop_front());
@@ -227,6 +245,13 @@
         StreamBody::new(futures_util::StreamExt::chain(first, rest)).boxed_unsync()
     };
     let id = head.headers.get("x-id").cloned().expect("every request has an id");
+    let reply = match reply {
+        Some(Reply::Late(pause, reply)) => {
+            tokio::time::sleep(pause).await;
+            Some(*reply)
+        }
+        reply => reply,
+    };
     let (reply, limit) = match reply {
         Some(Reply::Limited(reply, limit)) => (Some(*reply), Some(limit)),
         reply => (reply, None),
@@ -244,11 +269,21 @@
             (status, full_body(body), signed, refused, other_id)
         }
         Reply::Cut(part) => (200, broken(part), true, false, false),
+        Reply::Continued { events, total } => {
+            let last = head.headers.get("last-event-id").and_then(|last| last.to_str().ok());
+            let last: u64 = last.map_or(0, |last| last.parse().expect("an id"));
+            let end = (last + events).min(total);
+            let text: String =
+                (last + 1..=end).map(|id| format!("id: {id}\ndata: t{id}\n\n")).collect();
+            (200, if end < total { broken(text) } else { full_body(text) }, true, false, false)
+        }
         Reply::Paced { pieces, ends } => (200, paced(pieces, ends), true, false, false),
         Reply::Busy { status, refused, .. } => {
             (status, full_body(String::new()), !refused, refused, false)
         }
-        Reply::Leaving(_) | Reply::Limited(..) => unreachable!("an answer announces it once"),
+        Reply::Leaving(_) | Reply::Limited(..) | Reply::Late(..) => {
+            unreachable!("an answer announces it once")
+        }
         Reply::Silent => std::future::pending().await,
         Reply::RefusedAtTimeLeft => {
             let left = head.headers.get("x-left").and_then(|left| left.to_str().ok());
@@ -425,8 +460,25 @@
         Self::with_budget(10.0).await
     }
 
+    /// An ingress instance whose route is changed by `change`.
+    pub(crate) async fn with_route(
+        kind: RouteKind,
+        upstreams: &[&TestUpstream],
+        change: impl FnOnce(&mut RouteSpec),
+    ) -> Self {
+        let ingress = Self::without_config().await;
+        let mut config = config(kind);
+        change(&mut config.routes[0]);
+        ingress.set_config(config, upstreams);
+        ingress
+    }
+
     fn set_fleet(&self, kind: RouteKind, upstreams: &[&TestUpstream]) {
-        self.state.adopt(config(kind));
+        self.set_config(config(kind), upstreams);
+    }
+
+    fn set_config(&self, config: FleetConfig, upstreams: &[&TestUpstream]) {
+        self.state.adopt(config);
         let engines = upstreams.iter().map(|upstream| engine_info(upstream)).collect();
         self.state.set_view(FleetView { engines, ..FleetView::default() });
     }
@@ -465,6 +517,15 @@
         self.state.set_view(view);
     }
 
+    /// Lists one more upstream, at which other instances have `active` requests open.
+    pub(crate) fn add_upstream(&self, upstream: &TestUpstream, active: u32) {
+        let mut view = (*self.state.view()).clone();
+        let info = engine_info(upstream);
+        view.open_requests.push(OpenRequestCount { engine: info.id.clone(), active, tokens: 0 });
+        view.engines.push(info);
+        self.state.set_view(view);
+    }
+
     pub(crate) fn set_models(&self, name: &str, models: &[&str]) {
         let mut view = (*self.state.view()).clone();
         let held = models.iter().map(|model| HeldModel {
