Don't end an answer because its upstream is silent

A sound upstream may fall silent for a second or so and go on. Requests that may be sent again had limits on such a silence: max(4 x targetGapMs, 3 x targetLatencyMs, 1 s) between two pieces, and as much or two thirds of the time left up to the head. Beyond it the call was closed, its work thrown away and a retry spent, whether another upstream was there or not: streams were cut in the middle and answers given up with 502.

Calls of a request now run to its deadline. `StallWatch` waits beside each step of a call with the same limits as before. When the upstream has been silent for so long, it looks for another one that can serve the request at once: it holds the model, has a free slot, isn't resting, limited, suspect or unreachable, and attempts, budget and time allow another run. Only then the request leaves; the call is closed first, and a stream goes on after its last forwarded event. Otherwise it stays, is counted as waiting for its model (as before, so that a load elsewhere is ordered if the upstream is down), and looks again with each new view of the fleet. An upstream that isn't left is neither a crash nor a failure for the outlier detector.

A connection may also be silent for good. `CallTimeouts::suspicion` has the pool avoid idle connections that are as old, as `Silent` did, without ending the call; such a call isn't ended by `retired_grace` either, which closed sound ones 2 s after a newer connection had answered. If the suspected connection answers after all, the others are trusted again.

Two new tests in `wheel_upstream/silent_connections` cover the pool.

`RequestRun` keeps a failure's answer as bytes, because it is now shared with a waiting future.

--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod request_run;
 mod resumed_stream;
 mod send_classifier;
+mod stall_watch;
 mod stream_reader;
 mod tried_upstreams;
 mod upstream_search;
--- a/crates/wheel_gateway/src/request_end.rs
+++ b/crates/wheel_gateway/src/request_end.rs
@@ -3,7 +3,7 @@
 use http::{Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
-use wheel_ingress::AnswerBody;
+use wheel_ingress::{AnswerBody, full_body};
 use wheel_seams::is_planted;
 
 use crate::local_answer::refusal;
@@ -84,7 +84,7 @@
         run.possible_runs += 1;
     }
     match run.failure.take() {
-        Some(response) => response,
+        Some(response) => response.map(full_body),
         None if run.possible_runs == 0 => refuse(run, &NoUpstream::new("draining", CAPACITY_RETRY)),
         None => {
             run.log.answered(StatusCode::GATEWAY_TIMEOUT, "drain_ended");
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -8,19 +8,24 @@
 use http::{HeaderMap, Method, Response, StatusCode, header};
 use metrics::counter;
 use rand::Rng;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use wheel_ingress::{AnswerBody, DrainDeadline, full_body};
-use wheel_route::{EngineId, EngineInfo, RouteSpec};
+use wheel_route::{EngineId, EngineInfo, FleetView, RouteSpec};
 use wheel_seams::{boot_now, is_planted};
 use wheel_types::UpstreamName;
-use wheel_upstream::{CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall};
+use wheel_upstream::{
+    ArrivalClock, CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall,
+};
 
 use crate::proxy_context::ProxyContext;
 use crate::request_log::{RequestLog, RequestPhase};
 use crate::send_classifier::{SendClass, SendClassifier};
+use crate::stall_watch::StallWatch;
 use crate::stream_reader::{StreamFault, StreamKind, StreamReader};
 use crate::tried_upstreams::TriedUpstreams;
 use crate::upstream_search::{MIN_ANSWER_TIME, NoUpstream, UpstreamSearch};
+use crate::wait_guard::WaitGuard;
 use crate::{
     ActiveConfig, ForwardHeaders, GenerationRequest, IngressRequest, PromptPart, RequestGuard,
 };
@@ -37,6 +42,8 @@
 /// How much earlier than the drain deadline an upstream's time ends, so that its refusal still
 /// arrives: a round trip between data centres, and the scheduling delay of a busy instance.
 const REFUSAL_TIME: Duration = Duration::from_millis(150);
+/// Minimum silence of an upstream after which another one is looked for; sound ones may pause.
+const MIN_SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Maximum number of sends refused as not run after which the request may be sent again.
 const MAX_REJECTED: u32 = 3;
 /// Maximum size of an answer that is buffered until it is complete, in bytes.
@@ -68,8 +75,10 @@
     pub(crate) is_sending: bool,
     /// The upstream of the last send, and when that began.
     last_send: Option<(EngineId, Instant)>,
+    /// The upstream for which the request has left one that is silent.
+    replacement: Option<EngineInfo>,
     /// An upstream's answer with a server error, used if no other answer is received.
-    pub(crate) failure: Option<Response<AnswerBody>>,
+    pub(crate) failure: Option<Response<Bytes>>,
     pub(crate) log: RequestLog,
 }
 
@@ -129,6 +138,7 @@
             is_unsent: false,
             is_sending: false,
             last_send: None,
+            replacement: None,
             failure: None,
             log,
         };
@@ -154,8 +164,7 @@
     /// Sends the request until it has an answer or may not be sent again.
     async fn find_answer(&mut self) -> ServeOutcome {
         loop {
-            self.log.enter(RequestPhase::Searching);
-            let info = match self.search().find().await {
+            let info = match self.next_upstream().await {
                 Ok(info) => info,
                 Err(_) if self.failure.is_some() => break,
                 Err(none) => return ServeOutcome::NoUpstream(none),
@@ -169,19 +178,20 @@
                 }
                 SendOutcome::Answer(answer, guard) => match self.complete(*answer, guard).await {
                     Some(response) if !response.status().is_server_error() => {
-                        return ServeOutcome::Complete(response);
+                        return ServeOutcome::Complete(response.map(full_body));
                     }
                     Some(response) => self.failure = Some(response),
                     None => {}
                 },
                 SendOutcome::Rejected | SendOutcome::Broken => {}
             }
-            if !self.may_send_again() {
+            if self.replacement.is_none() && !self.may_send_again() {
                 break;
             }
             self.log.step("send_again", "last_send_failed");
         }
-        self.failure.take().map_or(ServeOutcome::NoAnswer, ServeOutcome::Complete)
+        let failure = self.failure.take().map(|failure| failure.map(full_body));
+        failure.map_or(ServeOutcome::NoAnswer, ServeOutcome::Complete)
     }
 
     /// Reads a stream up to its first events; `None` if it broke off before them.
@@ -204,9 +214,14 @@
         }
         let last = self.arrived.request.resume_after;
         let mut reader = StreamReader::begin(body, guard, kind, last);
-        match reader.fill().await {
-            Ok(()) => Some(HeldStream { status, headers, reader }),
-            Err(fault) => {
+        let watch = self.stall_watch(reader.arrivals(), false);
+        match watch.wait(reader.fill()).await {
+            Ok(Ok(())) => Some(HeldStream { status, headers, reader }),
+            Err(replacement) => {
+                self.leave_for(replacement);
+                None
+            }
+            Ok(Err(fault)) => {
                 self.record_fault(&fault, reader.partial_len());
                 None
             }
@@ -218,9 +233,8 @@
         &mut self,
         last: Option<u64>,
     ) -> Option<(ServiceAnswer, RequestGuard)> {
-        while self.may_send_again() {
-            self.log.enter(RequestPhase::Searching);
-            let info = self.search().find().await.ok()?;
+        while self.replacement.is_some() || self.may_send_again() {
+            let info = self.next_upstream().await.ok()?;
             match self.send(&info, last.or(self.arrived.request.resume_after)).await {
                 SendOutcome::Answer(answer, guard) if answer.status.is_success() => {
                     self.log.enter(RequestPhase::Answering);
@@ -232,6 +246,60 @@
         None
     }
 
+    /// The replacement of a silent upstream, or the one that a search finds.
+    async fn next_upstream(&mut self) -> Result<EngineInfo, NoUpstream> {
+        self.log.enter(RequestPhase::Searching);
+        match self.replacement.take() {
+            Some(info) => Ok(info),
+            None => self.search().find().await,
+        }
+    }
+
+    /// Has the next send go to `replacement`.
+    pub(crate) fn leave_for(&mut self, replacement: EngineInfo) {
+        self.replacement = Some(replacement);
+    }
+
+    /// Another upstream that can serve the request at once, with a retry spent for it.
+    pub(crate) fn find_replacement(&self) -> Option<EngineInfo> {
+        if !self.may_leave() || self.remaining_retries() < 1.0 {
+            return None;
+        }
+        let info = self.search().find_now()?;
+        self.spend_retry().then_some(info)
+    }
+
+    /// Whether the request may leave an upstream that is still working on it, for another one.
+    fn may_leave(&self) -> bool {
+        let runs = self.possible_runs + u32::from(self.is_sending);
+        self.arrived.route.kind.is_repeatable()
+            && runs < self.arrived.route.max_attempts
+            && self.rejected <= MAX_REJECTED
+            && Instant::now() + MIN_ANSWER_TIME < self.deadline()
+    }
+
+    /// Counts the request as waiting for its model, so that it is loaded elsewhere if the silent
+    /// upstream is down.
+    pub(crate) fn begin_wait(&self) -> Option<WaitGuard> {
+        let key = self.search().demand_key().filter(|_| self.may_leave())?;
+        Some(WaitGuard::begin(&self.context.state, key))
+    }
+
+    /// Subscribes to changes of the fleet.
+    pub(crate) fn watch_view(&self) -> watch::Receiver<Arc<FleetView>> {
+        self.context.state.watch_view()
+    }
+
+    /// Watches the present upstream for silence; `has_begun` is whether the body has.
+    pub(crate) fn stall_watch(
+        &self,
+        arrivals: Option<ArrivalClock>,
+        has_begun: bool,
+    ) -> StallWatch<'_> {
+        let left = self.arrived.deadline.saturating_duration_since(Instant::now());
+        StallWatch { run: self, limit: self.silence_limit(left, has_begun), arrivals }
+    }
+
     pub(crate) fn search(&self) -> UpstreamSearch<'_> {
         UpstreamSearch {
             context: &self.context,
@@ -257,6 +325,12 @@
         is_repeatable && has_attempts && has_time && (self.is_unsent || self.spend_retry())
     }
 
+    /// The retries that the service's budget has left.
+    fn remaining_retries(&self) -> f64 {
+        let service = UpstreamName::from(&*self.service);
+        self.context.retries.lock().remaining(self.context.now(), &service)
+    }
+
     /// Takes a retry from the service's budget; false if there is none left.
     fn spend_retry(&self) -> bool {
         let service = UpstreamName::from(&*self.service);
@@ -329,8 +403,21 @@
         let (began, sent) = (Instant::now(), boot_now());
         self.last_send = Some((info.id.clone(), began));
         self.is_sending = true;
-        let answer = client.call(self.call(info, resume_after)).await;
+        let call = client.call(self.call(info, resume_after));
+        let answer = self.stall_watch(None, false).wait(call).await;
         self.is_sending = false;
+        let name = UpstreamName::from(&*info.id.name);
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(replacement) => {
+                let mut outliers = self.context.outliers.lock();
+                outliers.observe(self.context.now(), &name, began.elapsed(), false);
+                drop(outliers);
+                self.possible_runs += 1;
+                self.leave_for(replacement);
+                return SendOutcome::Broken;
+            }
+        };
         if answer.as_ref().is_err_and(CallFailure::is_closed_by_upstream) {
             self.record_broken("no_answer");
         }
@@ -352,7 +439,6 @@
             }
             false => self.context.reach.lock().record_success(&info.id, &info.centre),
         }
-        let name = UpstreamName::from(&*info.id.name);
         self.context.outliers.lock().observe(now, &name, began.elapsed(), succeeded);
         self.is_unsent = matches!(class, SendClass::Unsent);
         match class {
@@ -408,36 +494,46 @@
         }
     }
 
-    /// Timeouts of a send. A request that may be sent again doesn't wait for a silent upstream
-    /// until its deadline.
+    /// Timeouts of a send. Silence doesn't end it; the connection of a call that may be sent again
+    /// is suspected meanwhile, so that later calls don't use connections as old.
     fn timeouts(&self, left: Duration) -> CallTimeouts {
         let all = CallTimeouts::default().connect(CONNECT_TIMEOUT).total(left);
-        match self.arrived.route.kind.is_repeatable()
-            && self.possible_runs + 1 < self.arrived.route.max_attempts
-        {
-            true => {
-                let silence_limit = (self.arrived.route.objective * 3).max(Duration::from_secs(1));
-                let pause = self.arrived.route.gap.map_or(silence_limit, |gap| gap * 4);
-                all.first_byte(silence_limit.min(left * 2 / 3)).progress(pause.max(silence_limit))
-            }
-            false => all.first_byte(left).progress(left),
+        let all = all.first_byte(left).progress(left);
+        match self.arrived.route.kind.is_repeatable() {
+            true => all.suspicion(self.silence_limit(left, false)),
+            false => all,
         }
     }
 
+    /// Silence after which another upstream is looked for, with `left` until the deadline.
+    fn silence_limit(&self, left: Duration, has_begun: bool) -> Duration {
+        let limit = (self.arrived.route.objective * 3).max(MIN_SILENCE_LIMIT);
+        let pause = self.arrived.route.gap.map_or(limit, |gap| gap * 4);
+        if has_begun { pause.max(limit) } else { limit.min(left * 2 / 3) }
+    }
+
     /// The upstream's answer once it is complete; `None` if it was cut short.
     async fn complete(
         &mut self,
         mut answer: ServiceAnswer,
         _guard: RequestGuard,
-    ) -> Option<Response<AnswerBody>> {
+    ) -> Option<Response<Bytes>> {
         self.log.enter(RequestPhase::Answering);
-        match answer.body.collect(MAX_BUFFERED_BYTES).await {
+        let watch = self.stall_watch(Some(answer.body.arrivals().clone()), true);
+        let collected = match watch.wait(answer.body.collect(MAX_BUFFERED_BYTES)).await {
+            Ok(collected) => collected,
+            Err(replacement) => {
+                self.leave_for(replacement);
+                return None;
+            }
+        };
+        match collected {
             Ok(body) => {
                 self.log.answered(answer.status, "answered");
                 if answer.status.is_success() {
                     self.record_sound();
                 }
-                let mut response = Response::new(full_body(body));
+                let mut response = Response::new(body);
                 *response.status_mut() = answer.status;
                 *response.headers_mut() = answer.headers;
                 Some(response)
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -47,21 +47,31 @@
             if self.reader.is_ended() {
                 return None;
             }
+            let watch = self.run.stall_watch(self.reader.arrivals(), true);
             let filled = tokio::select! {
                 biased;
-                filled = self.reader.fill() => filled,
+                filled = watch.wait(self.reader.fill()) => filled,
                 () = &mut self.drained => {
                     self.run.log.open_at_drain_deadline();
                     return Some(Err(self.break_off("drain_ended", "the instance ends".to_owned())));
                 }
             };
-            let Err(fault) = filled else {
-                self.note_end();
-                continue;
+            let fault = match filled {
+                Ok(Ok(())) => {
+                    self.note_end();
+                    continue;
+                }
+                Ok(Err(fault)) => {
+                    self.run.record_fault(&fault, self.reader.partial_len());
+                    fault.reason
+                }
+                Err(replacement) => {
+                    self.run.leave_for(replacement);
+                    "the upstream is silent".to_owned()
+                }
             };
-            self.run.record_fault(&fault, self.reader.partial_len());
             if let Err(reason) = self.resume().await {
-                return Some(Err(self.break_off(reason, fault.reason)));
+                return Some(Err(self.break_off(reason, fault)));
             }
         }
     }
--- a/crates/wheel_gateway/src/stream_reader.rs
+++ b/crates/wheel_gateway/src/stream_reader.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use wheel_upstream::AnswerBody;
+use wheel_upstream::{AnswerBody, ArrivalClock};
 
 use crate::{EventSplitter, RequestGuard};
 
@@ -110,6 +110,11 @@
         self.source.is_none()
     }
 
+    /// When bytes of the body arrived; `None` after the end.
+    pub(crate) fn arrivals(&self) -> Option<ArrivalClock> {
+        self.source.as_ref().map(|(body, _)| body.arrivals().clone())
+    }
+
     pub(crate) fn kind(&self) -> StreamKind {
         self.kind
     }
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -158,6 +158,26 @@
         }
     }
 
+    /// An upstream that can serve the request at once and that nothing speaks against, to replace
+    /// one that may still answer.
+    pub(crate) fn find_now(&self) -> Option<EngineInfo> {
+        if self.has_no_time() || self.barred_part().is_some() {
+            return None;
+        }
+        let view = self.context.state.view();
+        let ready = self.context.state.ready_indices(&view, self.service);
+        let rests = self.rests_of(&view, &ready);
+        let limits = self.limit_waits(&view, &ready);
+        let index = self.choose(&view, &ready, &rests, &limits)?;
+        let info = &view.engines[index];
+        let active = self.context.state.active_at(&view, &[index]);
+        let is_full = info.slots > 0 && active.first().is_some_and(|active| *active >= info.slots);
+        let name = UpstreamName::from(&*info.id.name);
+        let is_suspect = self.context.outliers.lock().is_ejected(self.context.now(), &name);
+        let is_usable = !is_full && !is_suspect;
+        (is_usable && self.take_permit(&view, index, &ready, &limits)).then(|| info.clone())
+    }
+
     /// A part of the request's prompt with which requests aren't sent.
     fn barred_part(&self) -> Option<u64> {
         let parts = self.request.generation.as_ref()?.shared_parts();
--- a/crates/wheel_upstream/src/call_timeouts.rs
+++ b/crates/wheel_upstream/src/call_timeouts.rs
@@ -13,6 +13,9 @@
     pub first_byte: Duration,
     /// Between two pieces of the answer.
     pub progress: Duration,
+    /// Silence after which the connection is suspected to be dead: idle ones that are as old aren't
+    /// used, and the call goes on; `None` to suspect it only when a step's timeout passes.
+    pub suspicion: Option<Duration>,
     /// The whole call; `None` for no limit beyond those of the steps.
     pub total: Option<Duration>,
 }
@@ -23,6 +26,7 @@
             connect: Duration::from_millis(500),
             first_byte: Duration::from_secs(10),
             progress: Duration::from_secs(5),
+            suspicion: None,
             total: None,
         }
     }
@@ -47,6 +51,13 @@
         self
     }
 
+    /// Sets the silence after which the connection is suspected to be dead. The call doesn't end
+    /// sooner because its connection is retired.
+    pub fn suspicion(mut self, suspicion: Duration) -> Self {
+        self.suspicion = Some(suspicion);
+        self
+    }
+
     /// Sets the timeout for the whole call.
     pub fn total(mut self, total: Duration) -> Self {
         self.total = Some(total);
--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -47,8 +47,14 @@
     /// Ordered by idle time, longest first.
     idle: VecDeque<IdleConnection>,
     trackers: Vec<Weak<ConnectionTracker>>,
-    /// When a connection was last found silent; `None` once a newer one has answered.
-    silent_at: Option<Instant>,
+    /// The last silence; `None` once its connection or a newer one has answered.
+    silence: Option<SeenSilence>,
+}
+
+/// A connection on which nothing arrived.
+struct SeenSilence {
+    at: Instant,
+    connection: Weak<ConnectionTracker>,
 }
 
 struct IdleConnection {
@@ -134,26 +140,32 @@
     }
 
     /// Records that nothing arrived on a connection. Idle connections opened before now aren't used
-    /// until a newer one has answered.
-    pub(crate) fn record_silence(&self) {
+    /// until a newer one has answered, or this one has.
+    pub(crate) fn record_silence(&self, tracker: &Arc<ConnectionTracker>) {
         self.counters.silent_calls.add_one();
-        self.table.lock().silent_at = Some(Instant::now());
+        let silence = SeenSilence { at: Instant::now(), connection: Arc::downgrade(tracker) };
+        self.table.lock().silence = Some(silence);
         self.silence_recorded.store(true, Ordering::Release);
     }
 
     /// Records that bytes arrived on a connection. If it was opened after another one was found
     /// silent, all that were opened before then are retired.
-    pub(crate) fn record_answer(&self, tracker: &ConnectionTracker) {
+    pub(crate) fn record_answer(&self, tracker: &Arc<ConnectionTracker>) {
         if !self.silence_recorded.load(Ordering::Acquire) {
             return;
         }
         let mut table = self.table.lock();
-        let silent_at = match table.silent_at {
-            Some(silent_at) if silent_at < tracker.opened_at => silent_at,
-            _ => return,
-        };
-        table.silent_at = None;
+        let Some(silence) = &table.silence else { return };
+        let silent_at = silence.at;
+        let is_suspect = silence.connection.as_ptr() == Arc::as_ptr(tracker);
+        if !is_suspect && silent_at >= tracker.opened_at {
+            return;
+        }
+        table.silence = None;
         self.silence_recorded.store(false, Ordering::Release);
+        if is_suspect {
+            return;
+        }
         let older = table.trackers.iter().filter_map(Weak::upgrade);
         for older in older.filter(|older| older.opened_at <= silent_at) {
             older.retired.cancel();
@@ -187,7 +199,7 @@
     /// Removes the most recently used idle connection that isn't suspected to be silent.
     fn pop_idle(&self) -> Option<IdleConnection> {
         let mut table = self.table.lock();
-        let silent_at = table.silent_at;
+        let silent_at = table.silence.as_ref().map(|silence| silence.at);
         let is_trusted = |idle: &IdleConnection| {
             let tracker = &idle.connection.tracker;
             idle.connection.is_usable() && silent_at.is_none_or(|silent| tracker.opened_at > silent)
@@ -218,7 +230,7 @@
             Err(_) => {
                 self.counters.probe_failures.add_one();
                 connection.gate.seal();
-                self.record_silence();
+                self.record_silence(&connection.tracker);
                 false
             }
         }
--- a/crates/wheel_upstream/src/pooled_call.rs
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -12,7 +12,7 @@
 
 use crate::call_body::CallBody;
 use crate::connection_pool::{ConnectionChoice, ConnectionPool};
-use crate::upstream_connection::UpstreamConnection;
+use crate::upstream_connection::{ConnectionTracker, UpstreamConnection};
 use crate::{AnswerBody, CallFailure, CallTimeouts, FailureKind, SentState};
 
 /// A call that holds its connection from the first byte to the last.
@@ -91,14 +91,19 @@
         let Some(connection) = &self.connection else { return Err(FailureKind::CutShort) };
         let tracker = connection.tracker.clone();
         let mut silent_at = Instant::now() + limit;
-        let mut watched = self.resendable;
+        let mut suspect_at = self.timeouts.suspicion.map(|silence| Instant::now() + silence);
+        let mut watched = self.resendable && self.timeouts.suspicion.is_none();
         tokio::pin!(step);
         loop {
             let ends_at = self.deadline.map_or(silent_at, |deadline| deadline.min(silent_at));
             tokio::select! {
                 biased;
                 arrived = &mut step => return Ok(arrived),
-                () = sleep_until(ends_at) => return Err(self.expired(ends_at)),
+                () = sleep_until(ends_at) => return Err(self.expired(ends_at, &tracker)),
+                () = sleep_until(suspect_at.unwrap_or(ends_at)), if suspect_at.is_some() => {
+                    suspect_at = None;
+                    self.pool.record_silence(&tracker);
+                }
                 () = tracker.retired.cancelled(), if watched => {
                     watched = false;
                     let grace = self.pool.limits().retired_grace;
@@ -140,11 +145,11 @@
         &self.timeouts
     }
 
-    fn expired(&self, ends_at: Instant) -> FailureKind {
+    fn expired(&self, ends_at: Instant, tracker: &Arc<ConnectionTracker>) -> FailureKind {
         if self.deadline == Some(ends_at) {
             return FailureKind::Deadline;
         }
-        self.pool.record_silence();
+        self.pool.record_silence(tracker);
         FailureKind::Silent
     }
 }
--- a/crates/wheel_upstream/tests/silent_connections.rs
+++ b/crates/wheel_upstream/tests/silent_connections.rs
@@ -9,9 +9,11 @@
 use common::{LONG, SHORT, SilencingRelay, booking, engine, eventually, generate, read_all};
 use common::{service, service_client, timeouts};
 use http::Method;
+use wheel_fakes::FaultPlan;
 use wheel_types::RequestId;
 use wheel_upstream::{
-    ConnectionLimits, EngineClient, EngineSettings, FailureKind, StreamEvent, TokenStream,
+    ConnectionLimits, EngineClient, EngineSettings, FailureKind, ServiceCall, ServiceClient,
+    ServiceSettings, StreamEvent, TokenStream,
 };
 
 fn client_of(relay: &SilencingRelay, limits: ConnectionLimits) -> EngineClient {
@@ -70,11 +72,11 @@
     let mut active = client.generate(active).await.expect("stream");
     assert!(matches!(active.next().await, Ok(StreamEvent::Token(_))));
     // A call times out as silent although the network works, and a new connection answers.
-    engine.set_faults(wheel_fakes::FaultPlan { never_answer: true, ..Default::default() });
+    engine.set_faults(FaultPlan { never_answer: true, ..Default::default() });
     let mut call = generate("r-2", 2);
     call.timeouts.first_byte = Duration::from_millis(50);
     assert!(client.generate(call).await.is_err());
-    engine.set_faults(wheel_fakes::FaultPlan::default());
+    engine.set_faults(FaultPlan::default());
     client.state().await.expect("state");
     eventually(|| client.status().retired > 0).await;
     let (tokens, end) = read_all(&mut active).await;
@@ -115,3 +117,53 @@
     answer.body.collect(1_000).await.expect("body");
     assert_eq!(service.runs(&RequestId::new("r-2")), 1);
 }
+
+/// A repeatable call that only suspects its connection after `SHORT`.
+fn look_up(id: &str) -> ServiceCall {
+    let mut call = booking(id);
+    (call.method, call.idempotent) = (Method::GET, true);
+    call.timeouts = timeouts().suspicion(SHORT);
+    call
+}
+
+async fn look_up_whole(client: &ServiceClient, id: &str) {
+    let mut answer = client.call(look_up(id)).await.expect("answer");
+    answer.body.collect(1_000).await.expect("body");
+}
+
+#[tokio::test]
+async fn call_after_a_silence_avoids_idle_connections_and_ends_no_call() {
+    let (service, _) = service().await;
+    let relay = SilencingRelay::bind(service.local_addr()).await;
+    let limits = ConnectionLimits { retired_grace: SHORT, ..ConnectionLimits::default() };
+    let settings = ServiceSettings::new("service".into(), relay.address).limits(limits);
+    let client = ServiceClient::open(settings);
+    tokio::join!(look_up_whole(&client, "r-1"), look_up_whole(&client, "r-2"));
+    eventually(|| client.status().idle == 2).await;
+    relay.silence();
+    let silent = tokio::spawn({
+        let client = client.clone();
+        async move { client.call(look_up("r-3")).await.err() }
+    });
+    eventually(|| client.status().silent_calls == 1).await;
+    tokio::time::timeout(LONG / 2, look_up_whole(&client, "r-4")).await.expect("a new connection");
+    assert_eq!((client.status().opened, client.status().retired), (3, 2));
+    // The call may still be answered: its upstream may only be slow.
+    tokio::time::sleep(SHORT * 3).await;
+    assert!(!silent.is_finished(), "a silent call must not end sooner than it has to");
+    silent.abort();
+}
+
+#[tokio::test]
+async fn call_answered_after_a_silence_keeps_its_connection() {
+    let (service, client) = service().await;
+    tokio::join!(look_up_whole(&client, "r-1"), look_up_whole(&client, "r-2"));
+    eventually(|| client.status().idle == 2).await;
+    let faults = FaultPlan { answer_delay_ms: 800, ..FaultPlan::default() };
+    service.set_faults(faults);
+    look_up_whole(&client, "r-3").await;
+    service.set_faults(FaultPlan::default());
+    tokio::join!(look_up_whole(&client, "r-4"), look_up_whole(&client, "r-5"));
+    let status = client.status();
+    assert_eq!((status.silent_calls, status.opened, status.retired), (1, 2, 0));
+}
