Break off at once a stream that can't go on in a planned stop

A stream whose upstream broke, with events forwarded, was searched another upstream for, and waited up to 2 s or to the drain deadline for a load that nobody had reported.

In a drain that ends before the request's own deadline, the rest of a stream now waits only for what is known to come in time: a reported load, the end of a rest or of a limit. Otherwise the stream breaks off at once. Requests whose caller has nothing yet wait as before, since they can still be refused truthfully. A search without a result is logged (`step=not_resumed`, with its reason); it was dropped silently.

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -164,7 +164,7 @@
     /// Sends the request until it has an answer or may not be sent again.
     async fn find_answer(&mut self) -> ServeOutcome {
         loop {
-            let info = match self.next_upstream().await {
+            let info = match self.next_upstream(false).await {
                 Ok(info) => info,
                 Err(_) if self.failure.is_some() => break,
                 Err(none) => return ServeOutcome::NoUpstream(none),
@@ -234,7 +234,13 @@
         last: Option<u64>,
     ) -> Option<(ServiceAnswer, RequestGuard)> {
         while self.replacement.is_some() || self.may_send_again() {
-            let info = self.next_upstream().await.ok()?;
+            let info = match self.next_upstream(true).await {
+                Ok(info) => info,
+                Err(none) => {
+                    self.log.step("not_resumed", none.reason);
+                    return None;
+                }
+            };
             match self.send(&info, last.or(self.arrived.request.resume_after)).await {
                 SendOutcome::Answer(answer, guard) if answer.status.is_success() => {
                     self.log.enter(RequestPhase::Answering);
@@ -247,11 +253,11 @@
     }
 
     /// The replacement of a silent upstream, or the one that a search finds.
-    async fn next_upstream(&mut self) -> Result<EngineInfo, NoUpstream> {
+    async fn next_upstream(&mut self, is_resumption: bool) -> Result<EngineInfo, NoUpstream> {
         self.log.enter(RequestPhase::Searching);
         match self.replacement.take() {
             Some(info) => Ok(info),
-            None => self.search().find().await,
+            None => UpstreamSearch { is_resumption, ..self.search() }.find().await,
         }
     }
 
@@ -308,6 +314,7 @@
             service: &self.service,
             tried: &self.tried,
             deadline: self.arrived.deadline,
+            is_resumption: false,
             log: &self.log,
         }
     }
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -78,6 +78,8 @@
     /// Upstreams that the request was sent to before.
     pub(crate) tried: &'a TriedUpstreams,
     pub(crate) deadline: Instant,
+    /// Whether the caller has a part of the answer, and the search is for the rest.
+    pub(crate) is_resumption: bool,
     pub(crate) log: &'a RequestLog,
 }
 
@@ -310,6 +312,10 @@
                 Err(NoUpstream { reason, retry_after: eta, eta: Some(eta) })
             }
             None if left <= MIN_ANSWER_TIME => Err(NoUpstream::new("no_time_left", CAPACITY_RETRY)),
+            // Nothing is known to become available, and the caller can resume at another instance.
+            None if is_draining && self.is_resumption => {
+                Err(NoUpstream::new("draining", CAPACITY_RETRY))
+            }
             // Syncs don't reach the control plane, so it won't order a load for this request.
             None if self.context.state.view_age() > MAX_VIEW_AGE => {
                 Err(NoUpstream::new("control_unheard", STALE_VIEW_RETRY))
--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -290,6 +290,37 @@
     assert_eq!((failing.seen().len(), silent.seen().len()), (1, 1));
 }
 
+#[tokio::test]
+async fn drain_stream_that_cant_go_on_here_ends_at_once() {
+    // Its caller may resume it at another instance; until the deadline nothing would work on it.
+    let first = TestUpstream::bind("u1", vec![Reply::cut(&events(1..=3))]).await;
+    let without_model = TestUpstream::bind("u2", vec![]).await;
+    let ingress = TestIngress::bind(STREAM, &[&first, &without_model]).await;
+    ingress.set_models("u1", &["m"]);
+    ingress.drain.begin(Instant::now() + Duration::from_millis(1_200));
+    let began = Instant::now();
+    let answer = ingress.post("/a/", &[("x-model", "m")]).await;
+    assert_eq!((answer.body, answer.is_whole), (events(1..=3), false));
+    assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn drain_stream_whose_model_is_being_loaded_elsewhere_goes_on_there() {
+    let first = TestUpstream::bind("u1", vec![Reply::cut(&events(1..=3))]).await;
+    let second = TestUpstream::bind("u2", vec![Reply::ran(200, &events(4..=6))]).await;
+    let ingress = TestIngress::bind(STREAM, &[&first, &second]).await;
+    ingress.set_models("u1", &["m"]);
+    ingress.set_loading("m", Duration::from_millis(400));
+    ingress.drain.begin(Instant::now() + Duration::from_millis(1_500));
+    let streaming = ingress.post("/a/", &[("x-model", "m")]);
+    let loading = async {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        ingress.set_models("u2", &["m"]);
+    };
+    let (answer, ()) = tokio::join!(streaming, loading);
+    assert_eq!((answer.body, answer.is_whole), (events(1..=6), true));
+}
+
 #[tokio::test]
 async fn drain_ended_before_the_first_event_isnt_a_cut() {
     // The drain begins after the head of the upstream's answer has arrived.
