Histograms that nobody reads take no more memory

Cause: the recorder of metrics keeps each value of a histogram until the metrics are rendered or `run_upkeep` is called, and nothing called it. Both programs install the recorder themselves, without the library's own server, which would.

Change: one function, `install_recorder`, in place of two copies of the same lines. It installs the recorder and moves the values of histograms to their buckets every 5 s, so that what is kept is bounded by the requests of 5 s, not by the time since the last read.

--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime};
 
-use metrics_exporter_prometheus::PrometheusBuilder;
 use parking_lot::Mutex;
 use rand::Rng;
 use snafu::{ResultExt, Snafu};
@@ -37,15 +36,13 @@
 use crate::demand_sender::DemandSender;
 use crate::director_bridge::DirectorBridge;
 use crate::list_reader::ListReader;
+use crate::metrics_recorder::{UPKEEP_INTERVAL, install_recorder};
 use crate::peer_metrics::describe_peer_metrics;
 use crate::{
     AdminOperations, DaemonParts, DaemonSettings, ExitStatus, GroupClaimStore, InstanceDirectory,
     MemberDriver, PeerRouter, ReportSender,
 };
 
-/// Upper bounds of the histogram buckets, in seconds.
-pub(crate) const HISTOGRAM_BUCKETS_S: [f64; 12] =
-    [0.001, 0.003, 0.01, 0.03, 0.064, 0.1, 0.3, 1.0, 1.4, 3.0, 10.0, 60.0];
 /// Time between two checks for silent owners.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for other instances to notice that this one drains, before it accepts no more work.
@@ -110,10 +107,7 @@
     /// # Errors
     /// [`StartError`] if one can't start.
     pub async fn spawn(settings: DaemonSettings) -> Result<Self, StartError> {
-        let recorder = PrometheusBuilder::new()
-            .set_buckets(&HISTOGRAM_BUCKETS_S)
-            .and_then(PrometheusBuilder::install_recorder)
-            .map_err(|error| StartError::Metrics { reason: error.to_string() })?;
+        let recorder = install_recorder(UPKEEP_INTERVAL)?;
         describe_peer_metrics();
         let router = PeerRouter::default();
         let incarnation = new_incarnation();
--- a/crates/wheel_daemon/src/running_fleet.rs
+++ b/crates/wheel_daemon/src/running_fleet.rs
@@ -1,13 +1,14 @@
 //! Runs an instance of a fleet with service discovery until it is drained.
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use snafu::ResultExt;
 use spdlog::info;
 use wheel_ingress::{HttpLimits, HttpServer, full_body};
 
 use crate::fleet_control::FleetControl;
 use crate::fleet_ingress::FleetIngress;
-use crate::running_daemon::{HISTOGRAM_BUCKETS_S, ListenSnafu};
+use crate::metrics_recorder::{UPKEEP_INTERVAL, install_recorder};
+use crate::running_daemon::ListenSnafu;
 use crate::{FleetDialects, FleetRole, FleetSettings, StartError};
 
 /// A running instance.
@@ -29,10 +30,7 @@
         settings: FleetSettings,
         dialects: FleetDialects,
     ) -> Result<Self, StartError> {
-        let recorder = PrometheusBuilder::new()
-            .set_buckets(&HISTOGRAM_BUCKETS_S)
-            .and_then(PrometheusBuilder::install_recorder)
-            .map_err(|error| StartError::Metrics { reason: error.to_string() })?;
+        let recorder = install_recorder(UPKEEP_INTERVAL)?;
         if let Some(address) = settings.metrics {
             bind_metrics(address, recorder).await?;
         }
