A stream of returns is kept without a limit no longer

An upstream that sends carriage returns without end, where an event should come, was read until its caller's time was over, and the ingress instance kept all of it. The stream then ended as a whole one, with the returns forwarded.

Cause: the limit on an event compares `partial_len`, which is 0 while the buffer has blank bytes only, since blank lines may follow the last event. A line ends with LF, so no event ever ends in returns alone: the buffer grows and its limit isn't seen. Beside it, each piece of an incomplete event made the splitter look through the whole buffer again.

Evidence: `broken_streams::stream_of_returns_without_end_is_cut` failed before with "2097152 returns are no end of a stream"; the limit of an event is 1 MiB.

Change: the limit compares all bytes that are kept (`buffered_len`); `partial_len` still decides whether a stream ended inside an event.

--- a/crates/wheel_gateway/src/event_splitter.rs
+++ b/crates/wheel_gateway/src/event_splitter.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Bytes of the buffer in which no event ends.
+    scanned: usize,
 }
 
 impl EventSplitter {
@@ -28,7 +30,12 @@
 
     /// The next complete event, with its id if it has one.
     pub fn next_event(&mut self) -> Option<(Option<u64>, Bytes)> {
-        let end = event_end(&self.buffer)?;
+        let Some(end) = event_end(&self.buffer, self.scanned) else {
+            // The last two bytes may belong to a blank line that isn't complete.
+            self.scanned = self.buffer.len().saturating_sub(2);
+            return None;
+        };
+        self.scanned = 0;
         let event = self.buffer.split_to(end).freeze();
         Some((event_id(&event), event))
     }
@@ -39,20 +46,29 @@
         if is_blank { 0 } else { self.buffer.len() }
     }
 
+    /// Number of bytes that are kept, blank ones included.
+    pub fn buffered_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards a partial event that will never be completed.
     pub fn clear(&mut self) {
         self.buffer.clear();
+        self.scanned = 0;
     }
 
     /// Takes the bytes that follow the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
         self.buffer.split().freeze()
     }
 }
 
 /// The length of the first event with the blank line that ends it. Lines end with LF or CRLF.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+/// None ends in the first `scanned` bytes.
+fn event_end(bytes: &[u8], scanned: usize) -> Option<usize> {
+    let unscanned = bytes.iter().enumerate().skip(scanned);
+    let mut line_ends = unscanned.filter(|(_, byte)| **byte == b'\n');
     line_ends.find_map(|(end, _)| match &bytes[end + 1..] {
         [b'\n', ..] => Some(end + 2),
         [b'\r', b'\n', ..] => Some(end + 3),
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -167,7 +167,7 @@
         if !complete.is_empty() {
             self.ready.push_back(complete.into());
         }
-        if self.splitter.partial_len() > MAX_EVENT_BYTES {
+        if self.splitter.buffered_len() > MAX_EVENT_BYTES {
             return Err("an event is too large".to_owned());
         }
         Ok(())
--- a/crates/wheel_gateway/tests/broken_streams.rs
+++ b/crates/wheel_gateway/tests/broken_streams.rs
@@ -156,3 +156,17 @@
     assert!(!answer.is_whole);
     assert!(answer.body.len() <= 4 << 20, "{} bytes", answer.body.len());
 }
+
+/// Returns alone end no line, so that no event ends in them, and they aren't the blank end of a
+/// stream either: they must not be kept for as long as they come.
+#[tokio::test]
+async fn stream_of_returns_without_end_is_cut() {
+    for returns in [2 << 20, 8 << 20] {
+        let answer = closed(&format!("{}{}", events(1..=3), "\r".repeat(returns)));
+        let upstream = TestUpstream::bind_raw("u1", vec![answer]).await;
+        let ingress = TestIngress::bind(FINAL_STREAM, &[&upstream]).await;
+        let answer = ingress.post("/a/", &[]).await;
+        assert!(!answer.is_whole, "{returns} returns are no end of a stream");
+        assert_eq!(answer.body, events(1..=3));
+    }
+}
