One budget of bytes for all answers that a process keeps

A faulty engine sent bytes that were no answer, without end. Each request that had reached it kept up to 4 MB of them, and nothing limited their sum: the process ran out of memory, and the requests of other callers at that instance ended with it.

Cause: each reader has a limit of its own (4 MiB a body, 1 MiB an event, 64 KiB a head), but one engine is called by many requests at once, so that 65 of them fill an instance of 260 MB.

Change: a new crate, `wheel_memory`, with a pure `ByteBudget`: leases take bytes from it and return them when they are dropped, and the bytes of a whole answer carry their lease until the last clone is gone. Answers that are buffered (of engines, services, lists, reports, orders) and incomplete events take their memory there. An announced length beyond the limit fails at the head, and probes drop their bodies instead of keeping them.

--- a/crates/wheel_daemon/src/fleet_settings.rs
+++ b/crates/wheel_daemon/src/fleet_settings.rs
@@ -75,6 +75,8 @@
     pub secret: Arc<[u8]>,
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
+    /// Memory that the process may use, in bytes, if that is known.
+    pub memory: Option<usize>,
     /// Limits of the deployment.
     pub bounds: FleetBounds,
 }
--- a/crates/wheel_daemon/src/metrics_recorder.rs
+++ b/crates/wheel_daemon/src/metrics_recorder.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use metrics::gauge;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use wheel_memory::process_budget;
 
 use crate::StartError;
 
@@ -28,6 +30,7 @@
         loop {
             tokio::time::sleep(upkeep).await;
             maintained.run_upkeep();
+            gauge!("wheel_held_bytes").set(process_budget().held() as f64);
         }
     });
     Ok(recorder)
--- a/crates/wheel_daemon/src/running_fleet.rs
+++ b/crates/wheel_daemon/src/running_fleet.rs
@@ -4,6 +4,7 @@
 use snafu::ResultExt;
 use spdlog::info;
 use wheel_ingress::{HttpLimits, HttpServer, full_body};
+use wheel_memory::process_budget;
 
 use crate::fleet_control::FleetControl;
 use crate::fleet_ingress::FleetIngress;
@@ -11,6 +12,10 @@
 use crate::running_daemon::ListenSnafu;
 use crate::{FleetDialects, FleetRole, FleetSettings, StartError};
 
+/// Eighths of the process's memory that may hold bytes of upstreams and callers. The rest is for the
+/// process itself and for the buffers of its connections.
+const FOREIGN_EIGHTHS: usize = 3;
+
 /// A running instance.
 pub struct RunningFleet {
     instance: RoleInstance,
@@ -31,6 +36,9 @@
         dialects: FleetDialects,
     ) -> Result<Self, StartError> {
         let recorder = install_recorder(UPKEEP_INTERVAL)?;
+        if let Some(memory) = settings.memory {
+            process_budget().set_limit(memory / 8 * FOREIGN_EIGHTHS);
+        }
         if let Some(address) = settings.metrics {
             bind_metrics(address, recorder).await?;
         }
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use wheel_ingress::{AnswerBody, AnswerError};
+use wheel_memory::ByteLease;
 use wheel_seams::is_planted;
 
 use crate::request_run::RequestRun;
@@ -26,6 +27,8 @@
     body: Option<wheel_upstream::AnswerBody>,
     guard: Option<RequestGuard>,
     splitter: EventSplitter,
+    /// Covers the bytes of the splitter.
+    lease: ByteLease,
     ready: VecDeque<Bytes>,
     kind: StreamKind,
     /// Bytes that have been forwarded of a body that isn't made of events.
@@ -61,6 +64,7 @@
         Self {
             drained: async move { drain.passed().await }.boxed(),
             run,
+            lease: body.lease(),
             body: Some(body),
             guard: Some(guard),
             splitter: EventSplitter::default(),
@@ -170,7 +174,8 @@
         if self.splitter.buffered_len() > MAX_EVENT_BYTES {
             return Err("an event is too large".to_owned());
         }
-        Ok(())
+        let leased = self.lease.resize(self.splitter.buffered_len());
+        leased.map_err(|refused| format!("no memory for an event: {refused}"))
     }
 
     /// Resumes at another engine; otherwise returns the reason for which the stream ends.
@@ -178,6 +183,8 @@
         self.body = None;
         self.guard = None;
         self.splitter.clear();
+        // Always possible for less.
+        let _ = self.lease.resize(0);
         self.has_event = false;
         if self.kind != StreamKind::Resumable {
             return Err("stream_broke");
@@ -188,6 +195,7 @@
             () = &mut self.drained => Err("drain_ended"),
         };
         let (answer, guard) = resumed?;
+        self.lease = answer.body.lease();
         self.body = Some(answer.body);
         self.guard = Some(guard);
         Ok(())
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -4,6 +4,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use wheel_memory::{ByteLease, LeasedBuffer};
 
 use crate::pooled_call::PooledCall;
 use crate::{AnswerFraming, CallFailure, FailureKind};
@@ -61,16 +62,25 @@
     /// Reads the whole body, up to `limit` bytes.
     ///
     /// # Errors
-    /// [`CallFailure`] as for [`AnswerBody::next`], or if the body is larger than `limit`.
+    /// [`CallFailure`] as for [`AnswerBody::next`], or if the body is larger than `limit` or than
+    /// the memory for it.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, CallFailure> {
-        let mut whole = Vec::new();
+        if self.body.size_hint().lower() > limit as u64 {
+            return Err(self.fail(FailureKind::TooLarge));
+        }
+        let mut whole = LeasedBuffer::new(self.lease());
         while let Some(piece) = self.next().await? {
             if whole.len() + piece.len() > limit {
                 return Err(self.fail(FailureKind::TooLarge));
             }
-            whole.extend_from_slice(&piece);
+            whole.push(&piece).map_err(|refused| self.fail(FailureKind::NoMemory { refused }))?;
         }
-        Ok(whole.into())
+        Ok(whole.freeze())
+    }
+
+    /// A lease for bytes of the body that are kept.
+    pub fn lease(&self) -> ByteLease {
+        self.call.lease()
     }
 
     /// Closes the connection and returns the failure for `kind`.
--- a/crates/wheel_upstream/src/call_failure.rs
+++ b/crates/wheel_upstream/src/call_failure.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use snafu::Snafu;
+use wheel_memory::BudgetExhausted;
 use wheel_types::RequestOutcome;
 
 /// Whether a byte of a call may have been sent.
@@ -95,6 +96,12 @@
     /// The answer, or one event of it, is larger than the limit.
     #[snafu(display("answer too large"))]
     TooLarge,
+    /// There is no memory for the rest of the answer.
+    #[snafu(display("no memory for the answer: {refused}"))]
+    NoMemory {
+        /// Whose limit is reached.
+        refused: BudgetExhausted,
+    },
 }
 
 impl CallFailure {
--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -8,16 +8,21 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use parking_lot::Mutex;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, timeout};
+use wheel_memory::{ByteBudget, ByteLease, process_budget};
 
 use crate::call_body::CallBody;
 use crate::client_status::StatusCounters;
 use crate::upstream_connection::{ConnectionTracker, UpstreamConnection};
 use crate::{CallFailure, ClientStatus, ConnectionLimits, FailureKind};
 
+/// The part of the process's budget that the answers of one address may hold, as its divisor.
+const UPSTREAM_DIVISOR: usize = 4;
+
 /// Which connections a call may go over.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ConnectionChoice {
@@ -37,6 +42,7 @@
     probe: Option<Request<Bytes>>,
     calls: Arc<Semaphore>,
     connecting: Semaphore,
+    budget: ByteBudget,
     silence_recorded: AtomicBool,
     table: Mutex<PoolTable>,
     pub(crate) counters: StatusCounters,
@@ -69,6 +75,7 @@
             probe,
             calls: Arc::new(Semaphore::new(limits.max_open)),
             connecting: Semaphore::new(limits.max_connecting),
+            budget: process_budget().part(UPSTREAM_DIVISOR),
             silence_recorded: AtomicBool::new(false),
             table: Mutex::default(),
             counters: StatusCounters::default(),
@@ -80,6 +87,11 @@
         &self.limits
     }
 
+    /// A lease for bytes of one answer.
+    pub(crate) fn lease(&self) -> ByteLease {
+        self.budget.lease()
+    }
+
     /// The counters, with the present numbers of open calls and idle connections.
     pub(crate) fn status(&self) -> ClientStatus {
         let open_calls = self.limits.max_open - self.calls.available_permits();
@@ -205,8 +217,7 @@
             let answer = connection.send.send_request(probe.map(CallBody::new)).await?;
             // The connection is closed if the answer is larger than that.
             connection.gate.end_head();
-            let body = Limited::new(answer.into_body(), self.limits.max_answer_bytes);
-            Ok::<_, hyper::Error>(body.collect().await.is_ok())
+            skip_body(answer.into_body(), self.limits.max_answer_bytes).await
         };
         match timeout(self.limits.probe_timeout, probing).await {
             Ok(Ok(true)) => true,
@@ -232,3 +243,15 @@
         table.trackers.push(Arc::downgrade(tracker));
     }
 }
+
+/// Reads a body whose bytes aren't needed; false if it is larger than `limit`.
+async fn skip_body(mut body: Incoming, limit: usize) -> Result<bool, hyper::Error> {
+    let mut size = 0_usize;
+    while let Some(frame) = body.frame().await {
+        size += frame?.data_ref().map_or(0, Bytes::len);
+        if size > limit {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
--- a/crates/wheel_upstream/src/order_connection.rs
+++ b/crates/wheel_upstream/src/order_connection.rs
@@ -5,8 +5,10 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::time::timeout;
+use wheel_memory::{LeasedBuffer, process_budget};
 use wheel_types::{EngineOrder, OrderReason, OrderReply};
 
 use crate::call_body::CallBody;
@@ -74,11 +76,23 @@
         let answer = self.connection.send.send_request(request).await.ok()?;
         self.connection.gate.end_head();
         let (head, body) = answer.into_parts();
-        let body = Limited::new(body, self.settings.limits.max_answer_bytes);
-        Some((head.status, body.collect().await.ok()?.to_bytes()))
+        Some((head.status, read_body(body, self.settings.limits.max_answer_bytes).await?))
     }
 }
 
+/// Reads a whole body of at most `limit` bytes.
+async fn read_body(mut body: Incoming, limit: usize) -> Option<Bytes> {
+    let mut whole = LeasedBuffer::new(process_budget().lease());
+    while let Some(frame) = body.frame().await {
+        let Ok(piece) = frame.ok()?.into_data() else { continue };
+        if whole.len() + piece.len() > limit {
+            return None;
+        }
+        whole.push(&piece).ok()?;
+    }
+    Some(whole.freeze())
+}
+
 /// The reply, if it belongs to this order and agrees with the status.
 fn read_reply(
     dialect: &dyn EngineDialect,
--- a/crates/wheel_upstream/src/pooled_call.rs
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, sleep_until};
+use wheel_memory::ByteLease;
 
 use crate::call_body::CallBody;
 use crate::connection_pool::{ConnectionChoice, ConnectionPool};
@@ -108,6 +109,11 @@
         }
     }
 
+    /// A lease for bytes of the answer.
+    pub(crate) fn lease(&self) -> ByteLease {
+        self.pool.lease()
+    }
+
     /// Records that the upstream sent something.
     pub(crate) fn record_arrival(&self) {
         if let Some(connection) = &self.connection {
--- a/crates/wheel_upstream/src/token_stream.rs
+++ b/crates/wheel_upstream/src/token_stream.rs
@@ -7,6 +7,7 @@
 use tokio::runtime::Handle;
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, LinesCodec, LinesCodecError};
+use wheel_memory::ByteLease;
 
 use crate::cancel_guard::CancelGuard;
 use crate::{AnswerBody, CallFailure, FailureKind};
@@ -41,6 +42,7 @@
     body: Option<AnswerBody>,
     lines: LinesCodec,
     buffer: BytesMut,
+    lease: ByteLease,
     next_index: u64,
     guard: CancelGuard,
 }
@@ -49,7 +51,8 @@
     pub(crate) fn new(body: AnswerBody, guard: CancelGuard, next_index: u64) -> Self {
         let max_length = guard.core().pool.limits().max_event_bytes;
         let lines = LinesCodec::new_with_max_length(max_length);
-        Self { body: Some(body), lines, buffer: BytesMut::new(), next_index, guard }
+        let lease = body.lease();
+        Self { body: Some(body), lines, buffer: BytesMut::new(), lease, next_index, guard }
     }
 
     /// The index of the next token; all before it have been yielded.
@@ -82,7 +85,12 @@
             }
             let Some(body) = &mut self.body else { return Err(FailureKind::CutShort) };
             match body.next().await {
-                Ok(Some(piece)) => self.buffer.extend_from_slice(&piece),
+                Ok(Some(piece)) => {
+                    let size = self.buffer.len() + piece.len();
+                    let leased = self.lease.resize(size);
+                    leased.map_err(|refused| FailureKind::NoMemory { refused })?;
+                    self.buffer.extend_from_slice(&piece);
+                }
                 Ok(None) => return Err(FailureKind::CutShort),
                 Err(failure) => return Err(failure.kind),
             }
