--- a/crates/wheel_gateway/src/request_proxy.rs
+++ b/crates/wheel_gateway/src/request_proxy.rs
@@ -100,7 +100,7 @@
                 let mut log = log;
                 let status = error.code.status();
                 log.answered(status, "body_not_read");
-                return refusal(status, &error.message, None);
+                return refusal(status, &error.message, error.retry_after);
             }
         };
         let deadline = arrival + limit;
