An upstream whose answers turn out to be none is avoided

A faulty engine that answers each request with a sound head and bytes that are no answer got each further request too, while other engines of its service were free: each of them cost its caller a failure or a retry.

Cause: the outlier detector counts a send as a success as soon as the head has come, and nothing told it of the body. A head that never ends, or is no HTTP, was taken for a closed connection, so that the engine counted as crashed under the request, and the parts of its prompt were suspected.

Change: `CallFailure::is_no_answer` names the failures that only the upstream's bytes explain: malformed, too large, or beyond its part of the memory. The proxy counts such an answer by `observe_false_answer`, which takes the head's success back, so that three in a row eject the upstream as three failures do; sound answers between them keep it. Heads get the kind `TooLarge` or `BadAnswer` instead of `Closed`; such a request may still have run. The step `false_answer` and the metric `wheel_false_answers_total` show it.

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -245,6 +245,15 @@
         }
     }
 
+    /// Records that the answer whose head has arrived is none.
+    pub(crate) fn record_false_answer(&self, reason: &str) {
+        let Some((engine, _)) = &self.last_send else { return };
+        counter!("wheel_false_answers_total").increment(1);
+        self.log.step("false_answer", reason);
+        let name = UpstreamName::from(&*engine.name);
+        self.context.outliers.lock().observe_false_answer(self.context.now(), &name);
+    }
+
     /// Records that this request ended well.
     pub(crate) fn record_sound(&self) {
         self.context.state.record_sound(self.shared_parts());
@@ -398,6 +407,9 @@
                 if failure.is_closed_by_upstream() {
                     self.record_broken("answer_cut");
                 }
+                if failure.is_no_answer() {
+                    self.record_false_answer(&failure.to_string());
+                }
                 None
             }
         }
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -103,7 +103,9 @@
                 }
             };
             let fault = match chunk {
-                Ok(Some(chunk)) => self.push_chunk(chunk),
+                Ok(Some(chunk)) => {
+                    self.push_chunk(chunk).inspect_err(|fault| self.run.record_false_answer(fault))
+                }
                 Ok(None) => {
                     self.end_body().inspect_err(|_| self.run.record_broken("stream_ended_early"))
                 }
--- a/crates/wheel_policy/src/outlier_detector.rs
+++ b/crates/wheel_policy/src/outlier_detector.rs
@@ -58,6 +58,8 @@
 #[derive(Clone, Debug)]
 struct UpstreamRecord {
     consecutive_failures: u32,
+    /// Consecutive failures before the last success.
+    failures_before_success: u32,
     failure_share: MovingAverage,
     latency_s: MovingAverage,
     ejections: u32,
@@ -96,6 +98,7 @@
     /// Counts the end of a call to an upstream.
     pub fn observe_end(&mut self, now: MonotonicTime, upstream: &UpstreamName, succeeded: bool) {
         let record = self.records.entry(upstream.clone()).or_default();
+        record.failures_before_success = if succeeded { record.consecutive_failures } else { 0 };
         record.consecutive_failures = if succeeded { 0 } else { record.consecutive_failures + 1 };
         record.failure_share.add(if succeeded { 0.0 } else { 1.0 });
         let (ejected, probing) = (record.probe_at.is_some(), record.probing);
@@ -108,6 +111,13 @@
         }
     }
 
+    /// Counts an answer as a failure whose head was counted as a success.
+    pub fn observe_false_answer(&mut self, now: MonotonicTime, upstream: &UpstreamName) {
+        let record = self.records.entry(upstream.clone()).or_default();
+        record.consecutive_failures += record.failures_before_success;
+        self.observe_end(now, upstream, false);
+    }
+
     /// Whether an upstream is ejected and gets only probes.
     pub fn is_ejected(&self, _now: MonotonicTime, upstream: &UpstreamName) -> bool {
         self.records.get(upstream).is_some_and(|record| record.probe_at.is_some())
@@ -184,6 +194,7 @@
     fn default() -> Self {
         Self {
             consecutive_failures: 0,
+            failures_before_success: 0,
             failure_share: new_average(),
             latency_s: new_average(),
             ejections: 0,
--- a/crates/wheel_upstream/src/call_failure.rs
+++ b/crates/wheel_upstream/src/call_failure.rs
@@ -1,11 +1,13 @@
 //! Why a call failed, and whether it may have run.
 
+use std::error::Error;
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::StatusCode;
 use snafu::Snafu;
-use wheel_memory::BudgetExhausted;
+use wheel_memory::{BudgetExhausted, BudgetScope};
 use wheel_types::RequestOutcome;
 
 /// Whether a byte of a call may have been sent.
@@ -104,6 +106,17 @@
     },
 }
 
+impl FailureKind {
+    /// What an error before the end of an answer's head means.
+    pub(crate) fn of_head(error: &hyper::Error) -> Self {
+        match error {
+            error if error.is_parse_too_large() || is_beyond_limit(error) => Self::TooLarge,
+            error if error.is_parse() => Self::BadAnswer { message: error.to_string() },
+            error => Self::Closed { message: error.to_string() },
+        }
+    }
+}
+
 impl CallFailure {
     /// A failure before any byte was sent.
     pub(crate) fn not_sent(kind: FailureKind) -> Self {
@@ -130,6 +143,16 @@
             && self.sent == SentState::MaybeSent
     }
 
+    /// Whether the upstream sent bytes that are no answer: malformed, or more than an answer may
+    /// have.
+    pub fn is_no_answer(&self) -> bool {
+        match &self.kind {
+            FailureKind::TooLarge | FailureKind::BadAnswer { .. } => true,
+            FailureKind::NoMemory { refused } => refused.scope == BudgetScope::Part,
+            _ => false,
+        }
+    }
+
     /// What a caller may be told: `not-run` only if nothing was sent or the upstream reported it.
     pub fn outcome(&self) -> RequestOutcome {
         match self.sent {
@@ -139,3 +162,9 @@
         }
     }
 }
+
+/// Whether the socket gave up because too many bytes came before the end of the head.
+fn is_beyond_limit(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|source| source.kind() == io::ErrorKind::ConnectionAborted)
+}
--- a/crates/wheel_upstream/src/pooled_call.rs
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -78,7 +78,7 @@
                 self.record_arrival();
                 Ok(answer)
             }
-            Ok(Err(error)) => Err(self.fail(FailureKind::Closed { message: error.to_string() })),
+            Ok(Err(error)) => Err(self.fail(FailureKind::of_head(&error))),
             Err(kind) => Err(self.fail(kind)),
         }
     }
--- a/crates/wheel_upstream/tests/endless_answers.rs
+++ b/crates/wheel_upstream/tests/endless_answers.rs
@@ -200,6 +200,25 @@
     }
 }
 
+/// Such an upstream hasn't ended under the request. Were it taken for a crash, the request's prompt
+/// would be blamed for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn head_without_end_is_no_answer_and_no_crash() {
+    let heads = ["fields", "a field's line", "a status line", "bytes before an answer"];
+    let is_fast_head = |endless: &Endless| heads.contains(&endless.name) && endless.pause.is_zero();
+    // Many at once, so that the limit is reached before the deadline.
+    let interim = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(1_000);
+    let interim = endless("interim answers", "", &interim);
+    for endless in all_endless().into_iter().filter(is_fast_head).chain([interim]) {
+        let name = endless.name;
+        let upstream = EndlessUpstream::bind(endless, 0).await;
+        let failure = service(upstream.address).call(call()).await.err().expect("no answer");
+        assert!(failure.is_no_answer(), "{name}: {failure}");
+        assert!(!failure.is_closed_by_upstream(), "{name}: {failure}");
+        assert_eq!(failure.outcome(), RequestOutcome::Unknown, "{name}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn fetch_without_end_is_closed() {
     for endless in all_endless() {
