--- a/crates/wheel_gateway/src/stream_reader.rs
+++ b/crates/wheel_gateway/src/stream_reader.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
+use wheel_memory::{BudgetScope, ByteLease};
 use wheel_upstream::{AnswerBody, ArrivalClock};
 
 use crate::{EventSplitter, RequestGuard};
@@ -29,6 +30,8 @@
     pub(crate) reason: String,
     /// How the upstream ended the connection, if it was the upstream that did.
     pub(crate) broken: Option<&'static str>,
+    /// Whether the bytes can't be an answer.
+    pub(crate) is_no_answer: bool,
 }
 
 /// Reads a stream in complete events. One that ends inside an event has broken off, however its
@@ -37,6 +40,8 @@
     /// The body, and the guard that counts the request as open; `None` after the end.
     source: Option<(AnswerBody, RequestGuard)>,
     splitter: EventSplitter,
+    /// Covers the bytes of the splitter.
+    lease: ByteLease,
     ready: VecDeque<Bytes>,
     kind: StreamKind,
     /// Bytes that were read of a body that isn't made of events.
@@ -50,7 +55,7 @@
 impl StreamFault {
     /// A fault in the bytes that the upstream sends.
     fn of_content(reason: impl Into<String>) -> Self {
-        Self { reason: reason.into(), broken: None }
+        Self { reason: reason.into(), broken: None, is_no_answer: true }
     }
 }
 
@@ -63,6 +68,7 @@
         last: Option<u64>,
     ) -> Self {
         Self {
+            lease: body.lease(),
             source: Some((body, guard)),
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
@@ -79,16 +85,15 @@
     /// [`StreamFault`] if the stream breaks off or its content is malformed.
     pub(crate) async fn fill(&mut self) -> Result<(), StreamFault> {
         while self.ready.is_empty() {
-            if self.splitter.partial_len() > MAX_EVENT_BYTES {
-                return Err(StreamFault::of_content("an event is too large"));
-            }
+            self.lease_partial_event()?;
             let Some((body, _)) = &mut self.source else { break };
             match body.next().await {
                 Ok(Some(chunk)) => self.push_chunk(chunk)?,
                 Ok(None) => self.end_body()?,
                 Err(failure) => {
                     let broken = failure.is_closed_by_upstream().then_some("stream_cut");
-                    return Err(StreamFault { reason: failure.to_string(), broken });
+                    let is_no_answer = failure.is_no_answer();
+                    return Err(StreamFault { reason: failure.to_string(), broken, is_no_answer });
                 }
             }
         }
@@ -129,6 +134,19 @@
         self.splitter.partial_len()
     }
 
+    /// Takes memory for the bytes that are kept until their event is complete.
+    fn lease_partial_event(&mut self) -> Result<(), StreamFault> {
+        let bytes = self.splitter.buffered_len();
+        if bytes > MAX_EVENT_BYTES {
+            return Err(StreamFault::of_content("an event is too large"));
+        }
+        self.lease.resize(bytes).map_err(|refused| StreamFault {
+            reason: format!("no memory for an event: {refused}"),
+            broken: None,
+            is_no_answer: refused.scope == BudgetScope::Part,
+        })
+    }
+
     /// Ends the stream at the end of its upstream's body; an error if the body isn't complete.
     fn end_body(&mut self) -> Result<(), StreamFault> {
         let partial = self.splitter.partial_len();
@@ -143,7 +161,8 @@
             StreamKind::Resumable | StreamKind::Final => None,
         };
         if let Some(reason) = reason {
-            return Err(StreamFault { reason, broken: Some("stream_ended_early") });
+            let broken = Some("stream_ended_early");
+            return Err(StreamFault { reason, broken, is_no_answer: false });
         }
         self.close();
         let rest = self.splitter.take_rest();
