RawEntries splits a list by brackets and strings, so that each entry can be parsed by itself

A parser that reads a list in one go loses all of it by one entry: serde_json refuses what nests deeper than 128 levels, numbers out of range and half surrogate pairs, wherever they are. Its `RawValue` needs valid UTF-8, and an error inside an entry still ends the parse of the list around it.

`RawEntries` finds where entries begin and end by brackets and strings alone: no recursion, no numbers, no escapes and no UTF-8 are interpreted, and a level of nesting takes one byte. What an entry means is left to its own parse.

An entry whose brackets or strings don't end takes what follows with it. Such a list is marked as damaged from that entry on (`widen_damage` moves this back to the first entry that isn't valid JSON, as an opening bracket may have swallowed the next entries), and `salvage` looks in the rest for objects that the caller accepts. What it can't tell apart: entries between two that each leave a string open.

--- a/crates/wheel_types/src/lib.rs
+++ b/crates/wheel_types/src/lib.rs
@@ -21,6 +21,7 @@
 mod names;
 mod order_action;
 mod order_reply;
+mod raw_entries;
 mod request_id;
 mod request_outcome;
 mod request_rank;
@@ -45,6 +46,7 @@
 };
 pub use order_action::OrderAction;
 pub use order_reply::{OrderReason, OrderReply};
+pub use raw_entries::RawEntries;
 pub use request_id::RequestId;
 pub use request_outcome::RequestOutcome;
 pub use request_rank::RequestRank;
