Long heads of many callers share a limit

An ingress instance with 160 MB was over its memory when 3,800 callers each had sent most of a head, although none had sent a request: it ends then, with the requests of all others.

Cause: a connection's buffer grows with the head that is awaited, up to the limit for one head with the margin for what is read ahead; 4,096 connections are accepted whatever that comes to.

Change: `HeadMeter` counts what a caller's connection reads while a head is awaited.

--- a/crates/wheel_ingress/src/caller_stream.rs
+++ b/crates/wheel_ingress/src/caller_stream.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::head_meter::HeadMeter;
 use crate::open_answer::OpenAnswer;
 
 /// A TCP stream that ends with a reset if it is dropped during an answer that only the end of the
@@ -15,12 +16,14 @@
 pub(crate) struct CallerStream {
     stream: TcpStream,
     answer: Arc<OpenAnswer>,
+    heads: Arc<HeadMeter>,
 }
 
 impl CallerStream {
-    /// Creates a stream that is reset if it is dropped while `answer` is open.
-    pub(crate) fn new(stream: TcpStream, answer: Arc<OpenAnswer>) -> Self {
-        Self { stream, answer }
+    /// Creates a stream that is reset if it is dropped while `answer` is open, and that ends if
+    /// `heads` has no memory for the head of a request.
+    pub(crate) fn new(stream: TcpStream, answer: Arc<OpenAnswer>, heads: Arc<HeadMeter>) -> Self {
+        Self { stream, answer, heads }
     }
 }
 
@@ -38,7 +41,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let outcome = Pin::new(&mut self.stream).poll_read(cx, buf);
+        match self.heads.record_read(buf.filled().len() - filled) {
+            Ok(()) => outcome,
+            Err(refused) => Poll::Ready(Err(io::Error::new(io::ErrorKind::OutOfMemory, refused))),
+        }
     }
 }
 
--- a/crates/wheel_ingress/src/http_server.rs
+++ b/crates/wheel_ingress/src/http_server.rs
@@ -23,6 +23,7 @@
 use wheel_types::RequestOutcome;
 
 use crate::caller_stream::CallerStream;
+use crate::head_meter::HeadMeter;
 use crate::open_answer::OpenAnswer;
 use crate::{AnswerBody, DrainDeadline, HttpLimits, RefusalCode, RequestRefusal, header_names};
 
@@ -264,21 +265,24 @@
         let _ = stream.set_nodelay(true);
         let (closing, drain) = (Arc::clone(&self.closing), self.drain.clone());
         let open_answer: Arc<OpenAnswer> = Arc::default();
-        let stream = CallerStream::new(stream, Arc::clone(&open_answer));
+        let heads: Arc<HeadMeter> = Arc::default();
+        let stream = CallerStream::new(stream, Arc::clone(&open_answer), Arc::clone(&heads));
         let service = service_fn(move |request: Request<Incoming>| {
+            heads.end_head();
             let id = request.headers().get(header_names::REQUEST_ID).cloned();
             // Before HTTP/1.1 only the end of the connection marks the end of a streamed answer.
             let ends_by_close =
                 request.version() < Version::HTTP_11 && request.method() != Method::HEAD;
             let response = answer(request);
             let (closing, drain) = (Arc::clone(&closing), drain.clone());
-            let open_answer = Arc::clone(&open_answer);
+            let (open_answer, heads) = (Arc::clone(&open_answer), Arc::clone(&heads));
             async move {
                 let mut response = tokio::select! {
                     biased;
                     response = response => response,
                     () = drain.passed() => closing_answer(id.as_ref(), drain_refusal()),
                 };
+                heads.begin_head();
                 if closing.load(Ordering::Acquire) {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/wheel_ingress/src/lib.rs
+++ b/crates/wheel_ingress/src/lib.rs
@@ -24,6 +24,7 @@
 mod request_metrics;
 mod request_refusal;
 
+mod head_meter;
 pub mod header_names;
 
 pub use admin_handler::{AdminHandler, AdminReply, ApplyRequest};
