One odd entry in the list hides no other, names no upstream, and takes nothing from what is known

Cause: the page was parsed at once, and most of an entry's fields had defaults. Ids and addresses were taken as they came, two entries for one of them as two upstreams, and whatever wasn't in the list was forgotten.

Now each entry is parsed by itself, first as JSON, also the fields that aren't used, then as an upstream, which needs id, service, address, zone, version, slots, state and the time that it stays slow; `born`, `phase` and `models` may be missing, and must have their types. An id must be fit for a header, a port must not be 0, a start not after 2100. A damaged page is searched for whole entries and for the token of the next page; if that can't be found, the list is cut. Tokens are percent-encoded, and a page that names itself as the next one ends the read.

`ListLedger` merges a read with what is known. An upstream whose entry can't be read any more keeps its last state, so also a drain, for 30 s; it is recognized by id or address, or because it vanished as an entry without either came. A cut list keeps all others as long as it is cut. Of several entries for an id the latest start counts, then the one that was known, and a drain of that same start holds; at an address, the service that was known there keeps it until its entry is gone. Ingress instances that read the list themselves begin with the fleet that they know.

Each such entry is logged once with its reason (`list_entry_unused`, at most 64 remembered), and counted in `wheel_list_odd_entries` and `wheel_list_odd_entries_total`.

--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -98,7 +98,7 @@
         .context(ControlSnafu)?;
         let group = GroupClient::new(hub.clone(), addresses, Some(control.clone()), &seeds);
         let list = ListSettings { address: settings.list_address, interval: LIST_INTERVAL };
-        let list = ListWatch::spawn(list, Arc::clone(&dialects.fleet), || true);
+        let list = ListWatch::spawn(list, Arc::clone(&dialects.fleet), || true, Vec::new);
         let proof: Arc<ConfigProof> = Arc::default();
         let registry = FleetRegistry::open(Arc::clone(&list), Arc::clone(&proof));
         let own = ControlEndpoint { address: settings.peer, centre: Arc::clone(&settings.centre) };
--- a/crates/wheel_daemon/src/fleet_ingress.rs
+++ b/crates/wheel_daemon/src/fleet_ingress.rs
@@ -228,10 +228,11 @@
     state: &Arc<FleetState>,
 ) {
     let list = ListSettings { address: settings.list_address, interval: LIST_INTERVAL };
-    let request_state = Arc::clone(state);
-    let watch = ListWatch::spawn(list, Arc::clone(&dialects.fleet), move || {
-        request_state.config().is_some() && request_state.view_age() > LIST_FALLBACK_AGE
-    });
+    let (request_state, known_state) = (Arc::clone(state), Arc::clone(state));
+    let is_needed =
+        move || request_state.config().is_some() && request_state.view_age() > LIST_FALLBACK_AGE;
+    let known = move || known_state.view().engines.clone();
+    let watch = ListWatch::spawn(list, Arc::clone(&dialects.fleet), is_needed, known);
     let state = Arc::clone(state);
     tokio::spawn(async move {
         loop {
--- a/crates/wheel_placement/src/fleet_dialect.rs
+++ b/crates/wheel_placement/src/fleet_dialect.rs
@@ -9,15 +9,19 @@
 use wheel_types::ModelChange;
 use wheel_upstream::OrderCallOutcome;
 
+use crate::OddEntry;
+
 /// One page of the list of upstreams.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ListPage {
     /// The entries that could be parsed.
     pub engines: Vec<EngineInfo>,
-    /// Number of entries that couldn't be parsed; their upstreams aren't used.
-    pub unreadable: usize,
+    /// The entries that couldn't be parsed; their upstreams aren't used.
+    pub odd: Vec<OddEntry>,
     /// Token of the next page.
     pub next: Option<String>,
+    /// Whether the token of the next page couldn't be found.
+    pub is_cut: bool,
 }
 
 /// An order with its preconditions.
--- a/crates/wheel_placement/src/lib.rs
+++ b/crates/wheel_placement/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane of a discovered fleet.
 //!
-//! [`ListWatch`] reads the list of upstreams. [`FleetRegistry`] collects the syncs of other
+//! [`ListWatch`] reads the list of upstreams, and a [`ListLedger`] merges what it reads with what is
+//! known. [`FleetRegistry`] collects the syncs of other
 //! instances and provides the replies. [`FleetDirector`] reads engines' reports and sends orders
 //! while this instance holds the [`OrderAuthority`]. [`ConfigService`] accepts operators'
 //! configurations. [`ParentSync`] tells an instance which configuration is the newest one;
@@ -18,7 +19,10 @@
 mod fleet_director;
 mod fleet_registry;
 mod limit_registry;
+mod list_entry;
+mod list_ledger;
 mod list_watch;
+mod odd_entry_log;
 mod order_authority;
 mod parent_sync;
 mod published_views;
@@ -33,6 +37,9 @@
 pub use fleet_dialect::{ConfigDialect, FleetDialect, FleetOrder, ListPage};
 pub use fleet_director::{DirectorContext, FleetDirector};
 pub use fleet_registry::FleetRegistry;
+pub use list_entry::{OddEntry, OddKind};
+pub use list_ledger::{ListLedger, ListRead, MergedList};
 pub use list_watch::{ListSettings, ListWatch};
+pub use odd_entry_log::OddEntryLog;
 pub use order_authority::OrderAuthority;
 pub use parent_sync::{ParentSync, SyncSettings};
--- a/crates/wheel_placement/src/list_watch.rs
+++ b/crates/wheel_placement/src/list_watch.rs
@@ -9,14 +9,17 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wheel_route::EngineInfo;
+use wheel_seams::boot_now;
 use wheel_upstream::{ConnectionLimits, DirectAnswer, DirectClient};
 
-use crate::FleetDialect;
+use crate::{FleetDialect, ListLedger, ListRead, OddEntryLog};
 
 /// Time limit for a page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum number of pages of the list. A longer list is treated as an error.
 const MAX_PAGES: usize = 1_000;
+/// Maximum number of entries of the list. A longer list is treated as an error.
+const MAX_ENTRIES: usize = 100_000;
 
 /// Address and polling interval of the list.
 #[derive(Clone, Copy, Debug)]
@@ -40,15 +43,17 @@
 }
 
 impl ListWatch {
-    /// Starts to poll the list whenever `is_needed` returns true.
+    /// Starts to poll the list whenever `is_needed` returns true. `known` returns the upstreams that
+    /// are known from elsewhere whenever polling begins.
     pub fn spawn(
         settings: ListSettings,
         dialect: Arc<dyn FleetDialect>,
         is_needed: impl Fn() -> bool + Send + 'static,
+        known: impl Fn() -> Vec<EngineInfo> + Send + 'static,
     ) -> Arc<Self> {
         let watch = Arc::new(Self { latest: watch::Sender::new(None) });
         let client = DirectClient::open(settings.address, ConnectionLimits::default());
-        tokio::spawn(Arc::clone(&watch).run(settings, client, dialect, is_needed));
+        tokio::spawn(Arc::clone(&watch).run(settings, client, dialect, is_needed, known));
         watch
     }
 
@@ -69,17 +74,35 @@
         client: DirectClient,
         dialect: Arc<dyn FleetDialect>,
         is_needed: impl Fn() -> bool,
+        known: impl Fn() -> Vec<EngineInfo>,
     ) {
         let mut is_failing = false;
+        let mut was_needed = false;
+        let mut ledger = ListLedger::default();
+        let mut odd_log = OddEntryLog::default();
         loop {
-            if is_needed() {
+            let is_needed = is_needed();
+            if is_needed && !was_needed {
+                ledger.learn(boot_now(), &known());
+            }
+            was_needed = is_needed;
+            if is_needed {
                 match read_all(&client, &*dialect).await {
-                    Ok(engines) => {
+                    Ok(read) => {
+                        let is_cut = read.is_cut;
+                        let merged = ledger.merge(boot_now(), read);
+                        odd_log.record(boot_now(), &merged.odd);
+                        for id in &merged.kept {
+                            info!("list_entry_kept", kv: { upstream = id.name.to_string(), is_cut });
+                        }
+                        for id in &merged.dropped {
+                            info!("list_entry_dropped", kv: { upstream = id.name.to_string() });
+                        }
                         if std::mem::take(&mut is_failing) {
-                            info!("list_regained", kv: { upstreams = engines.len() });
+                            info!("list_regained", kv: { upstreams = merged.engines.len() });
                         }
-                        let snapshot =
-                            ListSnapshot { engines: engines.into(), read_at: Instant::now() };
+                        let engines = merged.engines.into();
+                        let snapshot = ListSnapshot { engines, read_at: Instant::now() };
                         self.latest.send_replace(Some(snapshot));
                     }
                     Err(reason) if !is_failing => {
@@ -95,11 +118,8 @@
     }
 }
 
-async fn read_all(
-    client: &DirectClient,
-    dialect: &dyn FleetDialect,
-) -> Result<Vec<EngineInfo>, String> {
-    let mut engines = Vec::new();
+async fn read_all(client: &DirectClient, dialect: &dyn FleetDialect) -> Result<ListRead, String> {
+    let mut list = ListRead::default();
     let mut page: Option<String> = None;
     for _ in 0..MAX_PAGES {
         let answer = client.fetch(dialect.list(page.as_deref()), PAGE_TIMEOUT).await;
@@ -108,10 +128,18 @@
             return Err(format!("status {status}"));
         }
         let read = dialect.read_list(&body)?;
-        engines.extend(read.engines);
+        list.engines.extend(read.engines);
+        list.odd.extend(read.odd);
+        list.is_cut |= read.is_cut;
+        if list.engines.len() + list.odd.len() > MAX_ENTRIES {
+            return Err(format!("the list has over {MAX_ENTRIES} entries"));
+        }
         match read.next {
+            Some(next) if page.as_ref() == Some(&next) => {
+                return Err("a page names itself as the next one".to_owned());
+            }
             Some(next) => page = Some(next),
-            None => return Ok(engines),
+            None => return Ok(list),
         }
     }
     Err("the list doesn't end".to_owned())
--- a/crates/wheel_soak/src/upstream_state.rs
+++ b/crates/wheel_soak/src/upstream_state.rs
@@ -215,7 +215,8 @@
         self.finish_change();
         let state = if self.phase == UpstreamPhase::Draining { "draining" } else { "ready" };
         json!({"id": self.id, "service": self.service, "address": address.to_string(),
-            "zone": zone, "born": self.started_unix_ms, "slots": SLOTS, "state": state,
+            "zone": zone, "version": "v1", "born": self.started_unix_ms, "slots": SLOTS,
+            "state": state, "coldRemainingMs": 0,
             "models": self.loaded_models()})
     }
 
