--- a/crates/wheel_soak/src/call_record.rs
+++ b/crates/wheel_soak/src/call_record.rs
@@ -1,5 +1,6 @@
 //! The observations of one request, and the guarantees that it violates.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
     pub(crate) kind: CallKind,
     pub(crate) deadline: Duration,
     pub(crate) is_kept: bool,
+    pub(crate) max_engines: usize,
 }
 
 /// A run of a request at an upstream.
@@ -92,6 +94,7 @@
         found.extend(self.check_end(context));
         found.extend(self.check_answer(id));
         found.extend(self.check_runs());
+        found.extend(self.check_engines(context));
         let at = self.end.as_ref().map_or(self.last_seen, |(at, _)| *at);
         let violation = |(guarantee, line): (SystemGuarantee, String)| {
             let process = self.process.iter();
@@ -229,6 +232,20 @@
         self.runs.iter().any(|run| run.upstream == *upstream)
     }
 
+    /// Checks that the request ran at no more upstreams than its route allows, besides those that
+    /// ended or were cut off meanwhile.
+    fn check_engines(&self, context: CheckContext<'_>) -> Option<(SystemGuarantee, String)> {
+        let sent = self.sent.as_ref()?;
+        let (from, to) = (sent.at.saturating_sub(context.bounds.fault_span), self.last_seen);
+        let upstreams: BTreeSet<&Arc<str>> = self.runs.iter().map(|run| &run.upstream).collect();
+        let counted = upstreams.iter().filter(|name| !context.faults.cuts_off(name, from, to));
+        let counted: Vec<&str> = counted.map(|name| &***name).collect();
+        (counted.len() > sent.max_engines).then(|| {
+            let (names, limit) = (counted.join(", "), sent.max_engines);
+            (SystemGuarantee::AttemptsKept, format!("ran at {names}, allowed {limit}"))
+        })
+    }
+
     /// Checks that a refused request never runs, and that a non-repeatable one runs at most once.
     pub(crate) fn check_runs(&self) -> Option<(SystemGuarantee, String)> {
         let refusal = match &self.end {
--- a/crates/wheel_soak/src/caller_settings.rs
+++ b/crates/wheel_soak/src/caller_settings.rs
@@ -17,6 +17,8 @@
     pub kind: CallKind,
     /// The caller's deadline, which doesn't exceed the route's own time limit.
     pub deadline: Duration,
+    /// Maximum number of upstreams at which one request may run.
+    pub max_engines: usize,
     /// Whether requests name a model.
     pub has_model: bool,
 }
--- a/crates/wheel_soak/src/config_document.rs
+++ b/crates/wheel_soak/src/config_document.rs
@@ -6,6 +6,8 @@
 pub const ROUTE_HOST: &str = "soak.example";
 /// Path prefix of streams that may be resumed at another upstream.
 pub const RESUMABLE_PREFIX: &str = "/chat/";
+/// Path prefix of streams that may be resumed, but only at the upstream that they began at.
+pub const LIMITED_PREFIX: &str = "/brief/";
 /// Path prefix of streams that run at most once.
 pub const CLOSED_PREFIX: &str = "/talk/";
 /// Path prefix of plain answers of a model, which may be repeated.
@@ -29,6 +31,8 @@
 pub const LOADS_PER_S: f64 = 4.0;
 /// Maximum number of requests that an upstream runs concurrently.
 pub(crate) const SLOTS: usize = 32;
+/// Maximum number of upstreams of a request, on all routes but that of [`LIMITED_PREFIX`].
+pub(crate) const MAX_ENGINES: usize = 3;
 /// Timeout of the routes, in milliseconds.
 pub(crate) const TIME_LIMIT_MS: u64 = 8_000;
 
@@ -70,9 +74,10 @@
 
     fn value(&self) -> Value {
         let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
+            let max_attempts = max_engines(prefix);
             json!({"name": prefix, "host": ROUTE_HOST, "pathPrefix": prefix, "routeType": kind,
                 "timeoutMs": TIME_LIMIT_MS, "targetLatencyMs": 1_000 + self.variant, "service": service,
-                "maxAttempts": 3, "resumable": resumable})
+                "maxAttempts": max_attempts, "resumable": resumable})
         };
         let probe = format!("/probe-{}/", self.version);
         let models: Vec<Value> = MODELS
@@ -86,6 +91,7 @@
             "version": self.version,
             "routes": [
                 route(RESUMABLE_PREFIX, "streaming", ENGINE_SERVICE, true),
+                route(LIMITED_PREFIX, "streaming", ENGINE_SERVICE, true),
                 route(CLOSED_PREFIX, "streaming", ENGINE_SERVICE, false),
                 route(MODEL_PREFIX, "idempotent", ENGINE_SERVICE, false),
                 route(IDEMPOTENT_PREFIX, "idempotent", PLAIN_SERVICE, false),
@@ -100,3 +106,8 @@
         })
     }
 }
+
+/// Maximum number of upstreams of a request on the route of `prefix`.
+pub(crate) fn max_engines(prefix: &str) -> usize {
+    if prefix == LIMITED_PREFIX { 1 } else { MAX_ENGINES }
+}
--- a/crates/wheel_soak/src/fault_driver.rs
+++ b/crates/wheel_soak/src/fault_driver.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use tokio::task::JoinSet;
 use wheel_harness::{LinkRelay, LinkState};
 
@@ -86,6 +87,11 @@
                 self.upstreams[index].set_link(LinkState::Open);
             }
             FaultTarget::Upstream(index) => self.inject_upstream_fault(number, index, &fault).await,
+            FaultTarget::AllUpstreams => {
+                let indexes = 0..self.upstreams.len();
+                join_all(indexes.map(|index| self.inject_upstream_fault(number, index, &fault)))
+                    .await;
+            }
             FaultTarget::List => {
                 if let FaultKind::List(list_fault) = fault.kind {
                     self.list.set_fault(Some(list_fault));
@@ -125,6 +131,7 @@
                 vec![self.upstreams[index].id(), self.upstreams[self.exchange_partner(index)].id()]
             }
             FaultTarget::Upstream(index) => vec![self.upstreams[index].id()],
+            FaultTarget::AllUpstreams => self.upstreams.iter().map(UpstreamStub::id).collect(),
             FaultTarget::List => vec!["list".into()],
             FaultTarget::Operators => vec!["operators".into()],
         }
--- a/crates/wheel_soak/src/fault_history.rs
+++ b/crates/wheel_soak/src/fault_history.rs
@@ -7,6 +7,9 @@
 /// Names of groups at one end of a link, as in `entries>engine-2`.
 const SIDES: [&str; 2] = ["callers", "entries"];
 
+/// Kinds of fault that end an upstream.
+const ENDING_KINDS: [&str; 3] = ["address_reused", "upstream_crash", "upstream_replaced"];
+
 #[derive(Debug)]
 struct FaultSpan {
     kind: Arc<str>,
@@ -73,6 +76,14 @@
         spans.any(|span| names_in(&span.target).filter(is_single).eq([name]))
     }
 
+    /// Whether the upstream `name` ended or was cut off between `from` and `to`.
+    pub(crate) fn cuts_off(&self, name: &str, from: Duration, to: Duration) -> bool {
+        let is_cutting = |kind: &str| kind.starts_with("link_") || ENDING_KINDS.contains(&kind);
+        let mut spans = self.spans.iter().filter(|span| span.overlaps(from, to));
+        spans
+            .any(|span| is_cutting(&span.kind) && names_in(&span.target).any(|found| found == name))
+    }
+
     pub(crate) fn remove_before(&mut self, before: Duration) {
         self.spans.retain(|span| span.ended.is_none_or(|ended| ended >= before));
     }
--- a/crates/wheel_soak/src/fault_kind.rs
+++ b/crates/wheel_soak/src/fault_kind.rs
@@ -30,6 +30,8 @@
     Freeze,
     /// A control instance is killed and restarted without its data.
     Wipe,
+    /// The same before the first configuration is acknowledged; it returns with `bootstrap` false.
+    WipeAtStart,
     /// Syncs of a control instance's disk are slow; needs a program with test seams.
     DiskSlow,
     /// Writes and syncs of a control instance's disk hang; needs test seams.
@@ -83,6 +85,8 @@
     UpstreamLink(usize),
     /// An upstream.
     Upstream(usize),
+    /// All upstreams.
+    AllUpstreams,
     /// The instance list.
     List,
     /// The operators.
--- a/crates/wheel_soak/src/guarantee_bounds.rs
+++ b/crates/wheel_soak/src/guarantee_bounds.rs
@@ -50,14 +50,16 @@
     /// Number of consecutive calls without any answer, at a process that reports that it is ready,
     /// that is a violation.
     pub unanswered_limit: usize,
+    /// Maximum memory that a process may have of its own, in megabytes.
+    pub memory_mb: u64,
     /// Time from the end of the last fault until requests must be served.
     pub recovery_time: Duration,
     /// Minimum share of the requests after the recovery time that are served, 0 to 1.
     pub served_share: f64,
     /// Minimum number of requests after the recovery time.
     pub min_recovered_calls: usize,
-    /// Kinds of fault that excuse no violation, such as signals and configuration changes, because
-    /// they are planned work.
+    /// Kinds of fault that excuse no violation: signals and configuration changes, because they are
+    /// planned work; silences of a sound upstream; and odd entries of the list, since the others hold.
     pub planned_kinds: BTreeSet<Arc<str>>,
     /// The control instances; their faults excuse ingress instances and leaving upstreams.
     pub control: BTreeSet<Arc<str>>,
@@ -69,7 +71,15 @@
 
 impl Default for GuaranteeBounds {
     fn default() -> Self {
-        let names = ["configuration", "reload", "restart", "second_signal", "terminate"];
+        let names = [
+            "configuration",
+            "list_odd",
+            "reload",
+            "restart",
+            "second_signal",
+            "terminate",
+            "upstream_silent",
+        ];
         Self {
             answer_slack: Duration::from_millis(500),
             no_end_time: Duration::from_secs(20),
@@ -90,6 +100,7 @@
             drain_report_time: Duration::from_secs(1),
             ready_age: Duration::from_secs(2),
             unanswered_limit: 7,
+            memory_mb: 160,
             recovery_time: Duration::from_secs(12),
             served_share: 0.9,
             min_recovered_calls: 20,
--- a/crates/wheel_soak/src/guarantee_checker.rs
+++ b/crates/wheel_soak/src/guarantee_checker.rs
@@ -129,11 +129,12 @@
                 record.began = Some(at);
                 record.process = Some(Arc::clone(process));
             }
-            SeenEvent::CallSent { id, kind, process, deadline, is_kept } => {
+            SeenEvent::CallSent { id, kind, process, deadline, is_kept, max_engines } => {
                 let record = self.record(at, id);
                 record.process = Some(Arc::clone(process));
-                let (kind, deadline, is_kept) = (*kind, *deadline, *is_kept);
-                record.sent = Some(SentCall { at, kind, deadline, is_kept });
+                let (kind, deadline) = (*kind, *deadline);
+                let (is_kept, max_engines) = (*is_kept, *max_engines);
+                record.sent = Some(SentCall { at, kind, deadline, is_kept, max_engines });
             }
             SeenEvent::CallEnded { id, end } => return self.end_call(at, id, end),
             SeenEvent::RunBegan { id, upstream, resumed_after } => {
@@ -168,6 +169,12 @@
             SeenEvent::Readiness { process, is_ready } => {
                 return self.processes.record_readiness(at, process, *is_ready, context);
             }
+            SeenEvent::MemoryUsed { process, mb } if *mb > self.bounds.memory_mb => {
+                let line = format!("{process} uses {mb} MB of memory");
+                let guarantee = SystemGuarantee::MemoryBounded;
+                return vec![GuaranteeViolation::new(guarantee, at, &[process], line)];
+            }
+            SeenEvent::MemoryUsed { .. } => {}
             SeenEvent::ProcessStarted { process } => {
                 self.processes.record_start(at, process);
                 self.changes.reset(process);
--- a/crates/wheel_soak/src/lib.rs
+++ b/crates/wheel_soak/src/lib.rs
@@ -41,8 +41,8 @@
 
 pub use caller_settings::{CallRoute, CallerSettings};
 pub use config_document::{
-    CLOSED_PREFIX, ConfigDocument, IDEMPOTENT_PREFIX, LOADS_PER_S, MODEL_PREFIX, MODELS,
-    ONCE_PREFIX, RESUMABLE_PREFIX, ROUTE_HOST,
+    CLOSED_PREFIX, ConfigDocument, IDEMPOTENT_PREFIX, LIMITED_PREFIX, LOADS_PER_S, MODEL_PREFIX,
+    MODELS, ONCE_PREFIX, RESUMABLE_PREFIX, ROUTE_HOST,
 };
 pub use failed_call::FailedCall;
 pub use fault_driver::FaultDriver;
@@ -51,7 +51,7 @@
 pub use guarantee_bounds::GuaranteeBounds;
 pub use guarantee_checker::GuaranteeChecker;
 pub use guarantee_violation::GuaranteeViolation;
-pub use list_stub::{ListFault, ListStub};
+pub use list_stub::{ListFault, ListStub, OddEntry};
 pub use log_coverage::{CoverageFailure, LogCoverage};
 pub use observation::{CallEnd, CallKind, Observation, ObservationSink, SeenEvent, SeenOrder};
 pub use operator_client::OperatorClient;
@@ -62,4 +62,4 @@
 pub use soak_run::{FAULT_FREE_TIME, RunOutcome, RunSettings, run_soak};
 pub use soak_system::{CONTROL_COUNT, GRACE, LEASE, SoakSystem};
 pub use system_guarantee::SystemGuarantee;
-pub use upstream_stub::{UpstreamFault, UpstreamStub};
+pub use upstream_stub::{AnswerPhase, UpstreamFault, UpstreamStub};
--- a/crates/wheel_soak/src/list_stub.rs
+++ b/crates/wheel_soak/src/list_stub.rs
@@ -31,6 +31,61 @@
     Fails,
     /// Some entries are unreadable, lack fields or name no valid service.
     Unreadable,
+    /// It has one odd entry beside the sound ones.
+    Odd(OddEntry),
+}
+
+/// An entry of another writer, which names no upstream to use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OddEntry {
+    /// Thousands of arrays in one another.
+    Nested,
+    /// A number beyond the range of a double.
+    HugeNumber,
+    /// Half of a surrogate pair in a text.
+    Surrogate,
+    /// Bytes that aren't UTF-8.
+    Bytes,
+    /// A port beyond 65535.
+    Port,
+    /// A negative number of slots.
+    Slots,
+    /// Neither id nor service.
+    Nameless,
+    /// The id of a listed upstream, without the fields that an upstream needs.
+    Twin,
+    /// An unknown id at the address of a listed upstream.
+    SameAddress,
+}
+
+/// Depth of a nested entry.
+const NESTED_DEPTH: usize = 5_000;
+
+impl OddEntry {
+    /// The bytes of the entry beside `entries`; the one that it resembles is a leaving one, if any leaves.
+    fn bytes(self, entries: &[Value]) -> Vec<u8> {
+        let leaving = entries.iter().find(|entry| entry["state"] == "draining");
+        let sound = leaving.or(entries.first()).cloned().unwrap_or_default();
+        let with = |id: Value, field: &str, value: Value| {
+            let mut entry = sound.clone();
+            (entry["id"], entry[field], entry["state"]) = (id, value, json!("ready"));
+            entry.to_string().into_bytes()
+        };
+        let text = |part: &str| format!("{{\"id\":\"odd\",\"extra\":{part}}}").into_bytes();
+        match self {
+            Self::Nested => text(&("[".repeat(NESTED_DEPTH) + &"]".repeat(NESTED_DEPTH))),
+            Self::HugeNumber => text("1e999"),
+            Self::Surrogate => text("\"\\ud800\""),
+            Self::Bytes => [&b"{\"id\":\""[..], &[0xff, 0xc3], b"\"}"].concat(),
+            Self::Port => with(sound["id"].clone(), "address", json!("127.0.0.1:99999")),
+            Self::Slots => with(sound["id"].clone(), "slots", json!(-4)),
+            Self::Nameless => {
+                json!({"address": sound["address"], "state": "ready"}).to_string().into()
+            }
+            Self::Twin => json!({"id": sound["id"], "state": "ready"}).to_string().into(),
+            Self::SameAddress => with(json!("odd"), "service", json!("nobody")),
+        }
+    }
 }
 
 /// A running stub of the list.
@@ -97,6 +152,17 @@
     }
 }
 
+/// The list as JSON, with the odd entry of the fault before and after the sound ones.
+fn write_page(entries: &[Value], fault: Option<ListFault>) -> Vec<u8> {
+    let odd = match fault {
+        Some(ListFault::Odd(odd)) => Some(odd.bytes(entries)),
+        _ => None,
+    };
+    let sound = entries.iter().map(|entry| entry.to_string().into_bytes());
+    let parts: Vec<Vec<u8>> = odd.clone().into_iter().chain(sound).chain(odd).collect();
+    [&b"{\"instances\":["[..], &parts.join(&b','), b"],\"nextToken\":null}"].concat()
+}
+
 impl WireHandler for ListShared {
     async fn serve(&self, stream: &mut TcpStream) -> ConnectionAction {
         let (read, mut write) = stream.split();
@@ -109,8 +175,7 @@
                 entries.push(json!({"id": "nowhere", "service": 7}));
                 entries.push(json!({"id": 3, "state": "melting"}));
             }
-            let mut bytes =
-                json!({"instances": entries, "nextToken": null}).to_string().into_bytes();
+            let mut bytes = write_page(&entries, fault);
             let written = match fault {
                 Some(ListFault::Fails) => write_json(&mut write, 500, &json!({})).await,
                 Some(ListFault::Unreadable) => {
--- a/crates/wheel_soak/src/observation.rs
+++ b/crates/wheel_soak/src/observation.rs
@@ -92,6 +92,8 @@
         deadline: Duration,
         /// Whether the connection has been used before.
         is_kept: bool,
+        /// Maximum number of upstreams at which it may run.
+        max_engines: usize,
     },
     /// A caller's exchange ended.
     CallEnded {
@@ -169,6 +171,13 @@
         /// Its answer; `None` if it didn't answer.
         is_ready: Option<bool>,
     },
+    /// A process uses more memory of its own than ever since its start.
+    MemoryUsed {
+        /// The process.
+        process: Arc<str>,
+        /// The memory, in megabytes.
+        mb: u64,
+    },
     /// A process was started.
     ProcessStarted {
         /// The process.
--- a/crates/wheel_soak/src/soak_caller.rs
+++ b/crates/wheel_soak/src/soak_caller.rs
@@ -19,10 +19,12 @@
 use crate::call_plan::CallPlan;
 use crate::caller_connection::{CallBody, CallerConnection};
 use crate::platform_headers::{ATTEMPT_ID, DEADLINE, MODEL, PROMPT, SIGNATURE, TOKEN_USAGE};
-use crate::{CallEnd, CallKind, CallerSettings, ObservationSink, SeenEvent};
+use crate::{CallEnd, CallKind, CallRoute, CallerSettings, ObservationSink, SeenEvent};
 
 /// Maximum number of open requests of a caller; at the limit it waits.
 const MAX_OPEN: usize = 256;
+/// A caller closes the connection of an answer that is longer, in bytes; no sound one is.
+const MAX_ANSWER: usize = 8 << 20;
 /// Minimum time left before the deadline for the answer to a resend.
 const MIN_RESEND_TIME: Duration = Duration::from_millis(200);
 
@@ -120,9 +122,9 @@
             None => CallerConnection::open(*address, self.sink.clone()).await,
         };
         let Some(mut connection) = opened else { return CallEnd::NotConnected };
-        let (kind, deadline) = (plan.route.kind, plan.route.deadline);
+        let CallRoute { kind, deadline, max_engines, .. } = plan.route;
         let id_ = Arc::clone(id);
-        let sent = SeenEvent::CallSent { id: id_, kind, process, deadline, is_kept };
+        let sent = SeenEvent::CallSent { id: id_, kind, process, deadline, is_kept, max_engines };
         let marker = format!("the end of {id}");
         let Some(request) = request(id, plan, &marker) else { return CallEnd::NotConnected };
         connection.notifier.arm(sent, &marker);
@@ -202,6 +204,9 @@
             Ok(Some(Ok(frame))) => {
                 body.extend(frame.into_data().unwrap_or_default());
                 chunks += 1;
+                if body.len() > MAX_ANSWER {
+                    break false;
+                }
             }
             Ok(Some(Err(_))) => break false,
             Ok(None) => break true,
--- a/crates/wheel_soak/src/soak_process.rs
+++ b/crates/wheel_soak/src/soak_process.rs
@@ -23,6 +23,10 @@
 /// Time from an exit to the restart, unless a fault specifies another.
 const RESTART_TIME: Duration = Duration::from_millis(300);
 
+/// Interval at which the memory of a process is read, and the growth that is recorded.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(100);
+const MEMORY_STEP_MB: u64 = 4;
+
 /// The name and files of a process.
 #[derive(Clone, Debug)]
 pub struct ProcessFiles {
@@ -47,6 +51,9 @@
     was_killed: bool,
     is_frozen: bool,
     wipes_data: bool,
+    /// Most memory since its start, as recorded, in megabytes.
+    memory_mb: u64,
+    memory_read: Instant,
     /// Time from its exit to its next start.
     pause: Duration,
     start_at: Option<Instant>,
@@ -71,6 +78,8 @@
             was_killed: false,
             is_frozen: false,
             wipes_data: false,
+            memory_mb: 0,
+            memory_read: Instant::now(),
             pause: RESTART_TIME,
             start_at: None,
         };
@@ -96,6 +105,7 @@
         let child =
             ChildProcess::spawn_logged(PROGRAM, &self.files.name, &variables, &self.files.log)?;
         self.child = Some(child);
+        self.memory_mb = 0;
         (self.terminated, self.was_killed, self.is_frozen) = (None, false, false);
         self.sink.record(SeenEvent::ProcessStarted { process: self.files.name.clone() });
         Ok(())
@@ -162,6 +172,7 @@
             (Some(child), _) => {
                 let Some(status) = child.ended()? else {
                     self.enforce_grace();
+                    self.read_memory();
                     return Ok(());
                 };
                 let process = self.files.name.clone();
@@ -184,6 +195,25 @@
         }
     }
 
+    /// Records growth of the process's memory.
+    fn read_memory(&mut self) {
+        let Some(child) = &self.child else { return };
+        if self.memory_read.elapsed() < MEMORY_INTERVAL {
+            return;
+        }
+        self.memory_read = Instant::now();
+        // A process that is exiting has no memory of its own any more.
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        let mb = kilobytes.and_then(|text| text.parse::<u64>().ok()).unwrap_or_default() / 1024;
+        if mb >= self.memory_mb + MEMORY_STEP_MB {
+            self.memory_mb = mb;
+            self.sink.record(SeenEvent::MemoryUsed { process: self.files.name.clone(), mb });
+        }
+    }
+
     /// Kills the process after its grace period. This isn't recorded as a kill by the soak.
     fn enforce_grace(&self) {
         if self.terminated.is_some_and(|terminated_at| terminated_at.elapsed() > self.grace) {
--- a/crates/wheel_soak/src/soak_run.rs
+++ b/crates/wheel_soak/src/soak_run.rs
@@ -13,16 +13,16 @@
 use wheel_platform::wire_names;
 
 use crate::config_document::{
-    CLOSED_PREFIX, ENGINE_SERVICE, IDEMPOTENT_PREFIX, LOADS_PER_S, MODEL_PREFIX, MODELS,
-    ONCE_PREFIX, PLAIN_SERVICE, RESUMABLE_PREFIX, ROUTE_HOST,
+    CLOSED_PREFIX, ENGINE_SERVICE, IDEMPOTENT_PREFIX, LIMITED_PREFIX, LOADS_PER_S, MODEL_PREFIX,
+    MODELS, ONCE_PREFIX, PLAIN_SERVICE, RESUMABLE_PREFIX, ROUTE_HOST, max_engines,
 };
 use crate::soak_error::{IoSnafu, NotServingSnafu};
 use crate::soak_system::{CONTROL_COUNT, LEASE, process_name};
 use crate::{
-    CallEnd, CallKind, CallRoute, CallerSettings, FailedCall, FaultDriver, FaultPlan,
+    CallEnd, CallKind, CallRoute, CallerSettings, FailedCall, FaultDriver, FaultPlan, FaultTarget,
     GuaranteeBounds, GuaranteeChecker, GuaranteeViolation, ListStub, LogCoverage, Observation,
-    ObservationSink, OperatorClient, PlanScope, SeenEvent, SoakCaller, SoakError, SoakReport,
-    SoakSystem, UpstreamStub,
+    ObservationSink, OperatorClient, PlanScope, PlannedFault, SeenEvent, SoakCaller, SoakError,
+    SoakReport, SoakSystem, SystemGuarantee, UpstreamStub,
 };
 
 /// Number of upstreams with and without models.
@@ -58,7 +58,7 @@
     (MODEL_PREFIX, "1000x50", CallKind::Idempotent, 4_000, true),
     (IDEMPOTENT_PREFIX, "100x30", CallKind::Idempotent, 4_000, false),
     (ONCE_PREFIX, "10x200", CallKind::NonIdempotent, 4_000, false),
-    (RESUMABLE_PREFIX, "50x100", CallKind::ResumableStream, 8_000, true),
+    (LIMITED_PREFIX, "50x100", CallKind::ResumableStream, 8_000, true),
     (CLOSED_PREFIX, "50x100", CallKind::ClosedStream, 8_000, true),
 ];
 
@@ -122,7 +122,17 @@
     let (sink, observations) = ObservationSink::open();
     let checking = check(observations, &settings.folder, report);
     let (system_result, mut outcome) = tokio::join!(run_system(settings, &plan, sink), checking);
-    system_result?;
+    match system_result {
+        // The loss of one control instance may delay the first start, and must not prevent it.
+        Err(fault @ SoakError::NotServing { .. }) if plan.start_loss.is_some() => {
+            let line = fault.to_string();
+            let guarantee = SystemGuarantee::ServedAgain;
+            let violation = GuaranteeViolation::new(guarantee, START_LIMIT, &[], line);
+            report.add_violations(vec![violation.clone()]);
+            outcome.violations.push(violation);
+        }
+        result => result?,
+    }
     let logs: Vec<PathBuf> = (0..settings.processes)
         .map(|index| settings.folder.join(format!("{}.log", process_name(index))))
         .collect();
@@ -146,7 +156,11 @@
     let system = SoakSystem::spawn(settings.processes, &settings.folder, list.address(), &sink)?;
     let system = Arc::new(system);
     let operators = OperatorClient::new(Arc::clone(&system), sink.clone());
-    wait_serving(&system, &operators, &settings.folder).await?;
+    let starting = wait_serving(&system, &operators, &settings.folder);
+    let losing = lose_at_start(&system, plan, &sink);
+    let (started, lost) = tokio::join!(starting, losing);
+    lost?;
+    started?;
     let mut links = Vec::new();
     for index in CONTROL_COUNT..system.count() {
         links.push(LinkRelay::bind(system.caller_address(index)).await?);
@@ -168,6 +182,25 @@
     Ok(())
 }
 
+/// Injects the plan's loss of a control instance during the first start.
+async fn lose_at_start(
+    system: &SoakSystem,
+    plan: &FaultPlan,
+    sink: &ObservationSink,
+) -> Result<(), SoakError> {
+    let Some(PlannedFault { at, duration, name, target: FaultTarget::Process(index), .. }) =
+        plan.start_loss
+    else {
+        return Ok(());
+    };
+    tokio::time::sleep(at).await;
+    let (kind, target): (Arc<str>, _) = (name.into(), system.name(index));
+    sink.record(SeenEvent::FaultBegan { kind: Arc::clone(&kind), target: Arc::clone(&target) });
+    system.lose_at_start(index, duration)?;
+    sink.record(SeenEvent::FaultEnded { kind, target });
+    Ok(())
+}
+
 /// Starts all callers of the run.
 fn spawn_callers(driver: &FaultDriver, seed: u64, stop: &watch::Receiver<bool>) -> Vec<SoakCaller> {
     let name = |index: usize| driver.system.name(CONTROL_COUNT + index);
@@ -178,6 +211,7 @@
         path: format!("{prefix}{amount}").into(),
         kind,
         deadline: Duration::from_millis(deadline_ms),
+        max_engines: max_engines(prefix),
         has_model,
     };
     let caller = |number: u64| CallerSettings {
--- a/crates/wheel_soak/src/soak_system.rs
+++ b/crates/wheel_soak/src/soak_system.rs
@@ -85,6 +85,16 @@
         (0..self.processes.len()).try_for_each(|index| self.shared.write(index, false))
     }
 
+    /// Kills the process `index`, which restarts after `pause` without its data and joins the system.
+    ///
+    /// # Errors
+    /// [`SoakError::Io`] if the settings can't be written.
+    pub fn lose_at_start(&self, index: usize, pause: Duration) -> Result<(), SoakError> {
+        self.shared.write(index, false)?;
+        self.with(index, |process| process.kill(pause, true));
+        Ok(())
+    }
+
     /// The number of processes.
     pub fn count(&self) -> usize {
         self.processes.len()
--- a/crates/wheel_soak/src/system_guarantee.rs
+++ b/crates/wheel_soak/src/system_guarantee.rs
@@ -28,6 +28,10 @@
     LeavingUnused,
     /// A process exits by itself after SIGTERM, within its grace period, and never otherwise.
     EndsInGrace,
+    /// A process uses a bounded amount of memory, whatever its upstreams and the list send.
+    MemoryBounded,
+    /// A request runs at no more upstreams than its route allows, resumed runs included.
+    AttemptsKept,
     /// A process reports its readiness correctly.
     ReadinessTrue,
     /// Requests are served again after the last fault.
--- a/crates/wheel_soak/src/upstream_state.rs
+++ b/crates/wheel_soak/src/upstream_state.rs
@@ -201,12 +201,11 @@
         Duration::from_secs_f64(seconds)
     }
 
-    /// Its status report.
+    /// Its status report. Only the list shows that it leaves, as for every planned stop.
     pub(crate) fn report(&mut self) -> Value {
         self.finish_change();
-        let state = if self.phase == UpstreamPhase::Draining { "draining" } else { "ready" };
         json!({"phase": "combined", "models": self.loaded_models(), "busy": self.change.is_some(),
-            "born": self.started_unix_ms, "sequence": self.accepted, "state": state,
+            "born": self.started_unix_ms, "sequence": self.accepted,
             "available": {"inMemory": self.in_memory, "onDisk": self.on_disk}})
     }
 
--- a/crates/wheel_soak/src/upstream_stub.rs
+++ b/crates/wheel_soak/src/upstream_stub.rs
@@ -19,7 +19,7 @@
     ATTEMPT_ID, DEADLINE, INSTANCE, MODEL, NOT_EXECUTED, ORDER_PATH, REPORT_PATH, SIGNATURE, TARGET,
 };
 
-use crate::config_document::{CLOSED_PREFIX, ENGINE_SERVICE, RESUMABLE_PREFIX};
+use crate::config_document::{CLOSED_PREFIX, ENGINE_SERVICE, LIMITED_PREFIX, RESUMABLE_PREFIX};
 use crate::upstream_state::{RunAdmission, UpstreamPhase, UpstreamState};
 use crate::wire_request::WireRequest;
 use crate::wire_server::{ConnectionAction, WireHandler, bind_wire, write_json};
@@ -35,6 +35,26 @@
 const RUN_LIMIT: Duration = Duration::from_secs(20);
 /// One in this many requests during a fault is affected by it.
 const FAULT_SHARE: u64 = 2;
+/// Shortest silence of a sound upstream, and the span above it, in milliseconds.
+const SILENCE_MS: u64 = 500;
+const SILENCE_SPAN_MS: u64 = 1_501;
+/// Spreads the silences of successive requests over the span; has no factor in common with it.
+const SILENCE_STEP_MS: u64 = 379;
+/// Bytes without end are sent in pieces of this size with a pause between them, so that the soak
+/// itself doesn't use all of the machine.
+static ENDLESS_PIECE: [u8; 64 * 1024] = [b'x'; 64 * 1024];
+const ENDLESS_PAUSE: Duration = Duration::from_millis(4);
+
+/// The part of an answer at which a fault acts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerPhase {
+    /// Before the head, or in it.
+    Head,
+    /// After the head, before the first event or byte of the body.
+    FirstEvent,
+    /// In the middle of the body.
+    Middle,
+}
 
 /// A fault that affects some requests at an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -56,6 +76,14 @@
     Cut,
     /// Its stream has neither a length nor chunks and closes in order in the middle of an event.
     Closed,
+    /// It is sound, sends nothing for 0.5 to 2 s and goes on.
+    Silent(AnswerPhase),
+    /// It sends a head with 200 and nothing else.
+    HeadOnly,
+    /// It sends bytes without end in place of this part.
+    Endless(AnswerPhase),
+    /// It resets each stream after its first event.
+    Breaks,
 }
 
 /// A running stub behind a link.
@@ -282,13 +310,14 @@
         let limit = limit.map_or(RUN_LIMIT, Duration::from_millis).min(RUN_LIMIT);
         let is_stream = service == ENGINE_SERVICE && is_stream(&request.path);
         let fault = fault.and_then(|fault| self.take_fault(fault, is_stream));
+        let silence = self.silence();
         let answer = match is_stream {
             true => head.stream(request, resumed_after.unwrap_or_default(), fault),
             false => head.plain(request, fault),
         };
         // Like most engines, drops a request when its connection closes, and like all at its deadline.
         let after = tokio::select! {
-            written = answer.write(write, fault) => written?,
+            written = answer.write(write, fault, silence) => written?,
             () = tokio::time::sleep(limit) => return Ok(ConnectionAction::Reset),
             () = wait_closed(reader) => return Ok(ConnectionAction::Reset),
         };
@@ -297,12 +326,19 @@
         Ok(after)
     }
 
+    /// How long the next request's upstream is silent, if it is.
+    fn silence(&self) -> Duration {
+        let offset = *self.candidates.lock() * SILENCE_STEP_MS % SILENCE_SPAN_MS;
+        Duration::from_millis(SILENCE_MS + offset)
+    }
+
     /// The fault that affects the next request, if any.
     fn take_fault(&self, fault: UpstreamFault, is_stream: bool) -> Option<UpstreamFault> {
         let mut candidates = self.candidates.lock();
         *candidates += 1;
         let is_second = candidates.is_multiple_of(2 * FAULT_SHARE);
         match fault {
+            UpstreamFault::Breaks => is_stream.then_some(fault),
             _ if !candidates.is_multiple_of(FAULT_SHARE) => None,
             UpstreamFault::Cut if is_stream && is_second => Some(UpstreamFault::Closed),
             fault => Some(fault),
@@ -310,6 +346,17 @@
     }
 }
 
+/// The bytes that a faulty upstream repeats without end.
+fn endless_piece(phase: AnswerPhase) -> Vec<u8> {
+    match phase {
+        AnswerPhase::Head => ENDLESS_PIECE.to_vec(),
+        _ => {
+            let size = format!("{:x}\r\n", ENDLESS_PIECE.len());
+            [size.as_bytes(), &ENDLESS_PIECE, b"\r\n"].concat()
+        }
+    }
+}
+
 async fn wait_closed(reader: &mut BufReader<ReadHalf<'_>>) {
     // A pipelined request waits until this one is answered.
     if let Ok([_, ..]) = reader.fill_buf().await {
@@ -326,6 +373,8 @@
 /// An answer in chunks, with a pause before each.
 struct PlannedAnswer {
     chunks: Vec<Vec<u8>>,
+    /// Size of the head, which the first chunk begins with, in bytes.
+    head_size: usize,
     pause: Duration,
     /// The complete body.
     body: Vec<u8>,
@@ -366,9 +415,14 @@
         let (extra, pause) = parse_workload(&request.path).unwrap_or(DEFAULT_ANSWER);
         let mut body = format!("{} {}\n", self.id, request.body.len()).into_bytes();
         body.resize(body.len() + usize::try_from(extra).unwrap_or_default(), b'.');
-        let head = self.text(&format!("content-length: {}", body.len()), fault);
+        let framing = match fault {
+            Some(UpstreamFault::Endless(_)) => "transfer-encoding: chunked".to_owned(),
+            _ => format!("content-length: {}", body.len()),
+        };
+        let head = self.text(&framing, fault);
         let chunks = vec![[head.as_bytes(), &body].concat()];
-        PlannedAnswer { chunks, pause: Duration::from_millis(pause), body }
+        let head_size = head.len();
+        PlannedAnswer { chunks, head_size, pause: Duration::from_millis(pause), body }
     }
 
     fn stream(
@@ -386,6 +440,7 @@
         let event = |number: u64| format!("id: {number}\ndata: {}-{number}\n\n", self.id);
         let events: Vec<String> = (resumed_after + 1..=count).map(event).collect();
         let mut chunks = vec![self.text(framing, fault).into_bytes()];
+        let head_size = chunks[0].len();
         if is_closed {
             chunks.extend(events.iter().map(|event| event.clone().into_bytes()));
         } else {
@@ -394,15 +449,37 @@
             chunks.push(b"0\r\n\r\n".to_vec());
         }
         let body = events.concat().into_bytes();
-        PlannedAnswer { chunks, pause: Duration::from_millis(pause), body }
+        PlannedAnswer { chunks, head_size, pause: Duration::from_millis(pause), body }
     }
 }
 
 impl PlannedAnswer {
+    /// The chunk in which a fault acts, and the number of its bytes that are sent before.
+    fn fault_position(&self, fault: Option<UpstreamFault>) -> Option<(usize, usize)> {
+        let middle = self.chunks.len() / 2;
+        let size = self.chunks[middle].len();
+        match fault? {
+            UpstreamFault::Hang => Some((middle, 0)),
+            UpstreamFault::Cut | UpstreamFault::Closed => Some((middle, size / 2)),
+            UpstreamFault::Silent(AnswerPhase::Head)
+            | UpstreamFault::Endless(AnswerPhase::Head) => Some((0, 0)),
+            UpstreamFault::Silent(AnswerPhase::Middle) if middle > 0 => Some((middle, size / 2)),
+            UpstreamFault::Silent(AnswerPhase::Middle) => Some((0, self.head_size.midpoint(size))),
+            UpstreamFault::Endless(AnswerPhase::Middle) if middle > 0 => Some((middle, 0)),
+            UpstreamFault::Silent(_) | UpstreamFault::Endless(_) | UpstreamFault::HeadOnly => {
+                Some((0, self.head_size))
+            }
+            // An answer that only has its end left is sent whole.
+            UpstreamFault::Breaks if self.chunks.len() > 2 => Some((1, self.chunks[1].len())),
+            _ => None,
+        }
+    }
+
     async fn write(
         &self,
         to: &mut (impl AsyncWrite + Unpin),
         fault: Option<UpstreamFault>,
+        silence: Duration,
     ) -> io::Result<ConnectionAction> {
         match fault {
             Some(UpstreamFault::Late) => tokio::time::sleep(LATE_DELAY).await,
@@ -412,23 +489,33 @@
             }
             _ => {}
         }
-        let middle = self.chunks.len() / 2;
+        let position = self.fault_position(fault);
         for (number, chunk) in self.chunks.iter().enumerate() {
             tokio::time::sleep(self.pause).await;
-            match fault {
-                Some(UpstreamFault::Hang) if number == middle => std::future::pending().await,
-                Some(UpstreamFault::Cut) if number == middle => {
-                    to.write_all(&chunk[..chunk.len() / 2]).await?;
+            let (_, size) = position.filter(|(at, _)| *at == number).unwrap_or((0, chunk.len()));
+            to.write_all(&chunk[..size]).await?;
+            match fault.filter(|_| position.is_some_and(|(at, _)| at == number)) {
+                Some(UpstreamFault::Hang | UpstreamFault::HeadOnly) => std::future::pending().await,
+                Some(UpstreamFault::Cut | UpstreamFault::Breaks) => {
                     // Data written immediately before a reset may be lost.
                     tokio::time::sleep(self.pause).await;
                     return Ok(ConnectionAction::Reset);
                 }
-                Some(UpstreamFault::Closed) if number == middle => {
-                    to.write_all(&chunk[..chunk.len() / 2]).await?;
-                    return Ok(ConnectionAction::Close);
+                Some(UpstreamFault::Closed) => return Ok(ConnectionAction::Close),
+                Some(UpstreamFault::Silent(_)) => tokio::time::sleep(silence).await,
+                Some(UpstreamFault::Endless(phase)) => {
+                    if phase == AnswerPhase::Head {
+                        to.write_all(b"HTTP/1.1 200 OK\r\nx-endless: ").await?;
+                    }
+                    let piece = endless_piece(phase);
+                    loop {
+                        to.write_all(&piece).await?;
+                        tokio::time::sleep(ENDLESS_PAUSE).await;
+                    }
                 }
-                _ => to.write_all(chunk).await?,
+                _ => {}
             }
+            to.write_all(&chunk[size..]).await?;
         }
         if fault == Some(UpstreamFault::Doubled) {
             to.write_all(&self.chunks.concat()).await?;
@@ -438,7 +525,8 @@
 }
 
 fn is_stream(path: &str) -> bool {
-    path.starts_with(RESUMABLE_PREFIX) || path.starts_with(CLOSED_PREFIX)
+    let prefixes = [RESUMABLE_PREFIX, LIMITED_PREFIX, CLOSED_PREFIX];
+    prefixes.iter().any(|prefix| path.starts_with(prefix))
 }
 
 /// Parses the workload `AxB` at the end of a path.
--- a/crates/wheel_soak/tests/guarantee_checker.rs
+++ b/crates/wheel_soak/tests/guarantee_checker.rs
@@ -10,6 +10,7 @@
 
 const DEADLINE: Duration = Duration::from_secs(3);
 const GRACE: Duration = Duration::from_secs(6);
+const MAX_ENGINES: usize = 2;
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 /// The part of the stream after event 1.
 const REST: &[u8] = b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n";
@@ -42,8 +43,17 @@
         let process = name("entry-1");
         let began = SeenEvent::CallBegan { id: name(id), process: Arc::clone(&process) };
         let deadline = DEADLINE;
-        self.add(at, began)
-            .add(at, SeenEvent::CallSent { id: name(id), kind, process, deadline, is_kept })
+        self.add(at, began).add(
+            at,
+            SeenEvent::CallSent {
+                id: name(id),
+                kind,
+                process,
+                deadline,
+                is_kept,
+                max_engines: MAX_ENGINES,
+            },
+        )
     }
 
     fn run_started(self, at: u64, id: &str, upstream: &str) -> Self {
@@ -369,7 +379,10 @@
     let (kind, deadline, is_kept) = (CallKind::ClosedStream, DEADLINE, false);
     Schedule::default()
         .add(100, SeenEvent::CallBegan { id: name("r"), process: name("entry-1") })
-        .add(2_100, SeenEvent::CallSent { id, kind, process, deadline, is_kept })
+        .add(
+            2_100,
+            SeenEvent::CallSent { id, kind, process, deadline, is_kept, max_engines: MAX_ENGINES },
+        )
         .run_started(2_110, "r", "engine-1")
         .run_ended(3_100, "r", "engine-1", None)
         .ended(3_110, "r", part)
@@ -853,3 +866,106 @@
     // Twenty per second for the minute that they are kept.
     assert!(peak <= 20 * 62, "{peak} requests were kept at one time");
 }
+
+/// A stream that its caller sees only a part of, with its one run from `at` to `run_end`.
+fn cut_stream(at: u64, run_end: u64, end: u64) -> Schedule {
+    let part = answer(200, "r", Some("llm-0"), b"id: 1\ndata: a\n\n", false);
+    Schedule::default()
+        .sent(at, "r", CallKind::ClosedStream)
+        .run_started(at + 10, "r", "llm-0")
+        .run_ended(run_end, "r", "llm-0", None)
+        .ended(end, "r", part)
+}
+
+#[test]
+fn answered_cut_beside_a_silence_is_found() {
+    let cut = || cut_stream(9_000, 10_500, 10_500);
+    cut()
+        .fault(8_500, 12_000, "upstream_silent", "llm-0")
+        .assert_violation(SystemGuarantee::Answered, "answered partially");
+    cut().fault(8_500, 12_000, "upstream_head_only", "llm-0").assert_no_violation();
+    cut().fault(8_500, 12_000, "upstream_endless", "llm-0").assert_no_violation();
+    cut()
+        .fault(8_500, 12_000, "upstream_endless", "llm-1")
+        .assert_violation(SystemGuarantee::Answered, "answered partially");
+}
+
+/// At the end of the grace only what an upstream still works on may be cut, not a request that
+/// waits between two upstreams or for the first one.
+#[test]
+fn answered_cut_at_the_end_of_the_grace_without_a_run_is_found() {
+    // The grace ends 6 s after SIGTERM, its last sixth begins at 5 s.
+    let working = cut_stream(4_000, 9_100, 9_100).terminated(3_900);
+    working.exited(9_600, Some(0), false).assert_violation(SystemGuarantee::Answered, "took 5.1s");
+    let working = cut_stream(6_800, 9_100, 9_100).terminated(3_900);
+    working.exited(9_600, Some(0), false).assert_no_violation();
+    let between = cut_stream(6_800, 8_000, 9_100).terminated(3_900);
+    between
+        .exited(9_600, Some(0), false)
+        .assert_violation(SystemGuarantee::Answered, "while its process drained");
+    let waiting = Schedule::default().sent(6_800, "r", CallKind::Idempotent).terminated(3_900);
+    waiting
+        .ended(9_100, "r", CallEnd::Closed)
+        .exited(9_600, Some(0), false)
+        .assert_violation(SystemGuarantee::Answered, "closed without an answer");
+}
+
+/// A resumable stream that each of `upstreams` breaks off after an event.
+fn broken_stream(upstreams: &[&str]) -> Schedule {
+    let mut schedule = Schedule::default().sent(9_000, "r", CallKind::ResumableStream);
+    for (at, upstream) in (9_010..).step_by(100).zip(upstreams) {
+        schedule = schedule
+            .run_started(at, "r", upstream)
+            .run_ended(at + 50, "r", upstream, None)
+            .fault(8_000, 9_500, "upstream_breaks", upstream);
+    }
+    schedule.ended(9_400, "r", answer(502, "r", None, b"", true))
+}
+
+#[test]
+fn attempts_within_the_limit_pass() {
+    broken_stream(&["llm-0", "llm-1"]).assert_no_violation();
+    broken_stream(&["llm-0", "llm-1", "llm-0"]).assert_no_violation();
+    let three = || broken_stream(&["llm-0", "llm-1", "llm-2"]);
+    three().fault(9_000, 9_500, "upstream_crash", "llm-1").assert_no_violation();
+    three().fault(9_000, 9_500, "link_reset", "entries>llm-1").assert_no_violation();
+}
+
+#[test]
+fn attempts_at_one_upstream_too_many_are_found() {
+    let three = || broken_stream(&["llm-0", "llm-1", "llm-2"]);
+    let guarantee = SystemGuarantee::AttemptsKept;
+    three().assert_violation(guarantee, "ran at llm-0, llm-1, llm-2, allowed 2");
+    let elsewhere = three().fault(9_000, 9_500, "upstream_crash", "llm-3");
+    elsewhere.assert_violation(guarantee, "ran at llm-0, llm-1, llm-2, allowed 2");
+}
+
+#[test]
+fn leaving_upstream_with_new_work_beside_an_odd_entry_is_found() {
+    served("r", 9_000)
+        .add(1_000, SeenEvent::UpstreamLeaves { upstream: name("app-0") })
+        .fault(500, 9_500, "list_odd", "list")
+        .assert_violation(SystemGuarantee::LeavingUnused, "had left long before");
+}
+
+#[test]
+fn ends_in_grace_exit_beside_foreign_bytes_is_found() {
+    for (kind, target) in [("list_odd", "list"), ("upstream_endless", "llm-0")] {
+        let schedule = Schedule::default().fault(1_000, 5_000, kind, target);
+        schedule
+            .exited(2_000, None, false)
+            .assert_violation(SystemGuarantee::EndsInGrace, "without a signal");
+    }
+}
+
+#[test]
+fn memory_beyond_its_limit_is_found() {
+    let used = |mb| {
+        let process = name("entry-1");
+        let schedule = Schedule::default().add(2_000, SeenEvent::MemoryUsed { process, mb });
+        schedule.fault(1_000, 5_000, "upstream_endless", "llm-0")
+    };
+    let limit = bounds().memory_mb;
+    used(limit).assert_no_violation();
+    used(limit + 1).assert_violation(SystemGuarantee::MemoryBounded, "MB of memory");
+}
--- a/crates/wheel_soak/tests/guarantee_properties.rs
+++ b/crates/wheel_soak/tests/guarantee_properties.rs
@@ -109,7 +109,7 @@
     if !matches!(outcome, CallOutcome::NotConnected) {
         let (id, process, deadline) =
             (Arc::clone(&id), Arc::clone(&process), Duration::from_millis(DEADLINE_MS));
-        add(at, SeenEvent::CallSent { id, kind, process, deadline, is_kept });
+        add(at, SeenEvent::CallSent { id, kind, process, deadline, is_kept, max_engines: 3 });
     }
     let answer = |status: u16, by: Option<&Arc<str>>, body: Vec<u8>, is_whole: bool| {
         let (answered_id, signed_by) = (Some(Arc::clone(&id_)), by.cloned());
--- a/crates/wheel_soak/tests/short_soak.rs
+++ b/crates/wheel_soak/tests/short_soak.rs
@@ -9,6 +9,8 @@
 
 /// Seed of the run.
 const SEED: u64 = 2;
+/// Seeds whose plans have every kind together, half of them in either order of the draw.
+const SEEDS: [u64; 4] = [1, 3, 4, 5];
 /// Maximum number of observations shown with a failure.
 const MAX_LINES: usize = 40;
 /// Duration of the run, most of which is the fault-free end.
@@ -54,15 +56,18 @@
 }
 
 #[test]
-fn plan_has_every_kind_within_its_length() {
+fn plans_have_every_kind_within_their_length() {
     let length = Duration::from_secs(1_200);
-    let scope = PlanScope { seed: 1, processes: 6, upstreams: 6, has_seams: true, length };
-    let kinds = |plan: &FaultPlan| -> BTreeSet<String> {
-        plan.faults.iter().map(|fault| format!("{:?}", fault.kind)).collect()
+    // Half of the plans draw the faults of upstreams and list first, which leaves less room for others.
+    let scope = |seed, has_seams| PlanScope { seed, processes: 6, upstreams: 6, has_seams, length };
+    let kinds = |has_seams| -> BTreeSet<String> {
+        let plans = SEEDS.into_iter().map(|seed| FaultPlan::draw(&scope(seed, has_seams)));
+        let faults = plans.flat_map(|plan| {
+            assert!(plan.faults.iter().all(|fault| fault.at < length));
+            plan.start_loss.into_iter().chain(plan.faults)
+        });
+        faults.map(|fault| format!("{:?}", fault.kind)).collect()
     };
-    let plan = FaultPlan::draw(&scope);
-    assert_eq!(kinds(&plan).len(), 37, "{:?}", kinds(&plan));
-    let without_seams = FaultPlan::draw(&PlanScope { has_seams: false, ..scope });
-    assert_eq!(kinds(&without_seams).len(), 32, "{:?}", kinds(&without_seams));
-    assert!(plan.faults.iter().all(|fault| fault.at < length));
+    assert_eq!(kinds(true).len(), 55, "{:?}", kinds(true));
+    assert_eq!(kinds(false).len(), 50, "{:?}", kinds(false));
 }
--- a/crates/wheel_soak/tests/soak_caller.rs
+++ b/crates/wheel_soak/tests/soak_caller.rs
@@ -123,7 +123,7 @@
     CallerSettings {
         name: "c".into(),
         processes: vec![("entry-0".into(), address), ("entry-1".into(), address)],
-        routes: vec![CallRoute { host, path, kind, deadline, has_model }],
+        routes: vec![CallRoute { host, path, kind, deadline, max_engines: 3, has_model }],
         models: vec!["m0".into(), "m1/a1".into()],
         rate_per_s: 60.0,
         seed: 16,
--- a/crates/wheel_soak/tests/soak_report.rs
+++ b/crates/wheel_soak/tests/soak_report.rs
@@ -65,6 +65,7 @@
         process: process(),
         deadline: Duration::from_secs(1),
         is_kept: false,
+        max_engines: 3,
     };
     record(11.0, sent);
     record(11.5, SeenEvent::CallEnded { id: id.clone(), end: answer(200, true) });
--- a/crates/wheel_soak/tests/stubs.rs
+++ b/crates/wheel_soak/tests/stubs.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::expect_used)]
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::Method;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -12,8 +12,8 @@
     ATTEMPT_ID, MODEL, NOT_EXECUTED, ORDER_PATH, REPORT_PATH, TARGET,
 };
 use wheel_soak::{
-    ListFault, ListStub, ONCE_PREFIX, Observation, ObservationSink, RESUMABLE_PREFIX, SeenEvent,
-    UpstreamFault, UpstreamStub,
+    AnswerPhase, ListFault, ListStub, ONCE_PREFIX, Observation, ObservationSink, OddEntry,
+    RESUMABLE_PREFIX, SeenEvent, UpstreamFault, UpstreamStub,
 };
 
 /// Timeout for an answer.
@@ -35,10 +35,24 @@
     let mut headers = vec![(ATTEMPT_ID, "id-1"), (MODEL, "m0"), (TARGET, "llm-0")];
     headers.retain(|(name, _)| extra_headers.iter().all(|(other, _)| other != name));
     headers.extend(extra_headers);
+    call(upstream, path, &headers, LIMIT).await
+}
+
+async fn request_within(upstream: &UpstreamStub, path: &str, limit: Duration) -> Option<HttpReply> {
+    let headers = [(ATTEMPT_ID, "id-1"), (MODEL, "m0"), (TARGET, "llm-0")];
+    call(upstream, path, &headers, limit).await
+}
+
+async fn call(
+    upstream: &UpstreamStub,
+    path: &str,
+    headers: &[(&str, &str)],
+    limit: Duration,
+) -> Option<HttpReply> {
     // Opens a new connection, since the previous answer might have broken a reused one.
     let client = HttpClient::default();
-    let response = client.call(Method::POST, upstream.address(), path, &headers, "body");
-    tokio::time::timeout(LIMIT, response).await.ok()?.ok()
+    let response = client.call(Method::POST, upstream.address(), path, headers, "body");
+    tokio::time::timeout(limit, response).await.ok()?.ok()
 }
 
 async fn order(upstream: &UpstreamStub, operation: &str, model: &str, fencing: u64) -> u16 {
@@ -200,3 +214,68 @@
     list.set_fault(Some(ListFault::Fails));
     assert_eq!(read().await.status.as_u16(), 500);
 }
+
+#[tokio::test]
+async fn upstream_silence_ends_and_other_bytes_do_not() {
+    let (sink, mut seen) = ObservationSink::open();
+    let upstream = UpstreamStub::bind("llm-0".into(), "llm", "z0", sink).await.expect("a port");
+    load(&upstream, "m0").await;
+    let path = format!("{RESUMABLE_PREFIX}4x1");
+    for phase in [AnswerPhase::Head, AnswerPhase::FirstEvent, AnswerPhase::Middle] {
+        upstream.set_fault(Some(UpstreamFault::Silent(phase)));
+        request(&upstream, &path, &[]).await.expect("a request that isn't affected");
+        let began = Instant::now();
+        let reply = request_within(&upstream, &path, 2 * LIMIT).await.expect("an answer");
+        assert!(reply.complete && began.elapsed() > LIMIT / 4, "{:?}", began.elapsed());
+        upstream.set_fault(Some(UpstreamFault::Endless(phase)));
+        request(&upstream, &path, &[]).await.expect("a request that isn't affected");
+        assert!(request(&upstream, &path, &[]).await.is_none(), "{phase:?}");
+    }
+    upstream.set_fault(Some(UpstreamFault::HeadOnly));
+    request(&upstream, &path, &[]).await.expect("a request that isn't affected");
+    assert!(request(&upstream, &path, &[]).await.is_none());
+    // The stub notices the close of the connection later than its client.
+    tokio::time::sleep(LIMIT / 10).await;
+    let sound = [true, true, true, false].repeat(3);
+    assert_eq!(ends(&mut seen), [sound, vec![true, false]].concat());
+}
+
+#[tokio::test]
+async fn upstream_breaks_each_stream_after_an_event() {
+    let (upstream, _seen) = engine().await;
+    load(&upstream, "m0").await;
+    upstream.set_fault(Some(UpstreamFault::Breaks));
+    let path = format!("{RESUMABLE_PREFIX}3x1");
+    for event in 1..=3 {
+        let after = (event - 1).to_string();
+        let reply = request(&upstream, &path, &[("last-event-id", &after)]).await;
+        let reply = reply.expect("a part");
+        assert_eq!(reply.text(), format!("id: {event}\ndata: id-1-{event}\n\n"));
+        assert!(!reply.complete);
+    }
+}
+
+/// The odd entry stands beside the sound ones, whose bytes stay as they are.
+#[tokio::test]
+async fn list_with_an_odd_entry_keeps_the_sound_ones() {
+    let (upstream, _seen) = engine().await;
+    let upstreams: Arc<[UpstreamStub]> = vec![upstream].into();
+    let list = ListStub::bind(Arc::clone(&upstreams)).await.expect("a port");
+    tokio::time::sleep(LIST_TIME).await;
+    let client = HttpClient::default();
+    let read = || async { client.get(list.address(), "/instances").await.expect("a list").body };
+    let sound = read().await;
+    let [start, end] = [&br#"{"instances":["#[..], br#"],"nextToken":null}"#];
+    let entry = &sound[start.len()..sound.len() - end.len()];
+    let odd_entries = {
+        use OddEntry::*;
+        [Nested, HugeNumber, Surrogate, Bytes, Port, Slots, Nameless, Twin, SameAddress]
+    };
+    for odd in odd_entries {
+        list.set_fault(Some(ListFault::Odd(odd)));
+        let body = read().await;
+        let at = body.windows(entry.len()).position(|part| part == entry);
+        let at = at.expect("the sound entry");
+        assert!(at > start.len() && at + entry.len() + end.len() < body.len(), "{odd:?}");
+    }
+}
