--- a/crates/wheel_daemon/src/running_fleet.rs
+++ b/crates/wheel_daemon/src/running_fleet.rs
@@ -1,15 +1,21 @@
 //! Runs an instance of a fleet with service discovery until it is drained.
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use snafu::ResultExt;
 use spdlog::info;
 use wheel_ingress::{HttpLimits, HttpServer, full_body};
+use wheel_memory::process_budget;
 
 use crate::fleet_control::FleetControl;
 use crate::fleet_ingress::FleetIngress;
-use crate::running_daemon::{HISTOGRAM_BUCKETS_S, ListenSnafu};
+use crate::metrics_recorder::{UPKEEP_INTERVAL, install_recorder};
+use crate::running_daemon::ListenSnafu;
 use crate::{FleetDialects, FleetRole, FleetSettings, StartError};
 
+/// Eighths of the process's memory that may hold bytes of upstreams and callers. The rest is for the
+/// process itself and for the buffers of its connections.
+const FOREIGN_EIGHTHS: usize = 3;
+
 /// A running instance.
 pub struct RunningFleet {
     instance: RoleInstance,
@@ -29,10 +35,10 @@
         settings: FleetSettings,
         dialects: FleetDialects,
     ) -> Result<Self, StartError> {
-        let recorder = PrometheusBuilder::new()
-            .set_buckets(&HISTOGRAM_BUCKETS_S)
-            .and_then(PrometheusBuilder::install_recorder)
-            .map_err(|error| StartError::Metrics { reason: error.to_string() })?;
+        let recorder = install_recorder(UPKEEP_INTERVAL)?;
+        if let Some(memory) = settings.memory {
+            process_budget().set_limit(memory / 8 * FOREIGN_EIGHTHS);
+        }
         if let Some(address) = settings.metrics {
             bind_metrics(address, recorder).await?;
         }
--- a/crates/wheel_gateway/src/request_proxy.rs
+++ b/crates/wheel_gateway/src/request_proxy.rs
@@ -90,6 +90,7 @@
         let body = tokio::select! {
             body = read_body(body, &limits) => body,
             () = self.context.drain.passed() => {
+                log.open_at_drain_deadline();
                 let message = "the instance ends before the request's body came";
                 Err(RequestRefusal::new(RefusalCode::BodyTimeout, message))
             }
@@ -100,7 +101,7 @@
                 let mut log = log;
                 let status = error.code.status();
                 log.answered(status, "body_not_read");
-                return refusal(status, &error.message, None);
+                return refusal(status, &error.message, error.retry_after);
             }
         };
         let deadline = arrival + limit;
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -78,6 +78,8 @@
     /// Upstreams that the request was sent to before.
     pub(crate) tried: &'a TriedUpstreams,
     pub(crate) deadline: Instant,
+    /// Whether the caller has a part of the answer, and the search is for the rest.
+    pub(crate) is_resumption: bool,
     pub(crate) log: &'a RequestLog,
 }
 
@@ -158,6 +160,26 @@
         }
     }
 
+    /// An upstream that can serve the request at once and that nothing speaks against, to replace
+    /// one that may still answer.
+    pub(crate) fn find_now(&self) -> Option<EngineInfo> {
+        if self.has_no_time() || self.barred_part().is_some() {
+            return None;
+        }
+        let view = self.context.state.view();
+        let ready = self.context.state.ready_indices(&view, self.service);
+        let rests = self.rests_of(&view, &ready);
+        let limits = self.limit_waits(&view, &ready);
+        let index = self.choose(&view, &ready, &rests, &limits)?;
+        let info = &view.engines[index];
+        let active = self.context.state.active_at(&view, &[index]);
+        let is_full = info.slots > 0 && active.first().is_some_and(|active| *active >= info.slots);
+        let name = UpstreamName::from(&*info.id.name);
+        let is_suspect = self.context.outliers.lock().is_ejected(self.context.now(), &name);
+        let is_usable = !is_full && !is_suspect;
+        (is_usable && self.take_permit(&view, index, &ready, &limits)).then(|| info.clone())
+    }
+
     /// A part of the request's prompt with which requests aren't sent.
     fn barred_part(&self) -> Option<u64> {
         let parts = self.request.generation.as_ref()?.shared_parts();
@@ -290,6 +312,10 @@
                 Err(NoUpstream { reason, retry_after: eta, eta: Some(eta) })
             }
             None if left <= MIN_ANSWER_TIME => Err(NoUpstream::new("no_time_left", CAPACITY_RETRY)),
+            // Nothing is known to become available, and the caller can resume at another instance.
+            None if is_draining && self.is_resumption => {
+                Err(NoUpstream::new("draining", CAPACITY_RETRY))
+            }
             // Syncs don't reach the control plane, so it won't order a load for this request.
             None if self.context.state.view_age() > MAX_VIEW_AGE => {
                 Err(NoUpstream::new("control_unheard", STALE_VIEW_RETRY))
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -4,9 +4,10 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use wheel_memory::{ByteLease, LeasedBuffer};
 
 use crate::pooled_call::PooledCall;
-use crate::{AnswerFraming, CallFailure, FailureKind};
+use crate::{AnswerFraming, ArrivalClock, CallFailure, FailureKind};
 
 /// The body of an answer. Bytes are read from the connection only as fast as the reader asks for
 /// them.
@@ -14,6 +15,7 @@
     call: PooledCall,
     body: Incoming,
     framing: AnswerFraming,
+    arrivals: ArrivalClock,
     begun: bool,
     ended: bool,
 }
@@ -21,7 +23,8 @@
 impl AnswerBody {
     pub(crate) fn new(call: PooledCall, body: Incoming, head: &Parts) -> Self {
         let framing = AnswerFraming::of(head.status, &head.headers);
-        let mut answer = Self { call, body, framing, begun: false, ended: false };
+        let arrivals = ArrivalClock::start();
+        let mut answer = Self { call, body, framing, arrivals, begun: false, ended: false };
         if answer.body.is_end_stream() && framing.has_explicit_end() {
             answer.finish();
         }
@@ -33,6 +36,11 @@
         self.framing
     }
 
+    /// When its bytes arrived; the head counts as the first.
+    pub fn arrivals(&self) -> &ArrivalClock {
+        &self.arrivals
+    }
+
     /// The next piece; `None` after a complete body and after a failure. Cancel-safe: dropping the
     /// future loses no data.
     ///
@@ -45,6 +53,7 @@
             match self.call.wait(limit, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     self.call.record_arrival();
+                    self.arrivals.record();
                     self.begun = true;
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
@@ -61,16 +70,25 @@
     /// Reads the whole body, up to `limit` bytes.
     ///
     /// # Errors
-    /// [`CallFailure`] as for [`AnswerBody::next`], or if the body is larger than `limit`.
+    /// [`CallFailure`] as for [`AnswerBody::next`], or if the body is larger than `limit` or than
+    /// the memory for it.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, CallFailure> {
-        let mut whole = Vec::new();
+        if self.body.size_hint().lower() > limit as u64 {
+            return Err(self.fail(FailureKind::TooLarge));
+        }
+        let mut whole = LeasedBuffer::new(self.lease());
         while let Some(piece) = self.next().await? {
             if whole.len() + piece.len() > limit {
                 return Err(self.fail(FailureKind::TooLarge));
             }
-            whole.extend_from_slice(&piece);
+            whole.push(&piece).map_err(|refused| self.fail(FailureKind::NoMemory { refused }))?;
         }
-        Ok(whole.into())
+        Ok(whole.freeze())
+    }
+
+    /// A lease for bytes of the body that are kept.
+    pub fn lease(&self) -> ByteLease {
+        self.call.lease()
     }
 
     /// Closes the connection and returns the failure for `kind`.
--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -8,16 +8,21 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use parking_lot::Mutex;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, timeout};
+use wheel_memory::{ByteBudget, ByteLease, process_budget};
 
 use crate::call_body::CallBody;
 use crate::client_status::StatusCounters;
 use crate::upstream_connection::{ConnectionTracker, UpstreamConnection};
 use crate::{CallFailure, ClientStatus, ConnectionLimits, FailureKind};
 
+/// The part of the process's budget that the answers of one address may hold, as its divisor.
+const UPSTREAM_DIVISOR: usize = 4;
+
 /// Which connections a call may go over.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ConnectionChoice {
@@ -37,6 +42,7 @@
     probe: Option<Request<Bytes>>,
     calls: Arc<Semaphore>,
     connecting: Semaphore,
+    budget: ByteBudget,
     silence_recorded: AtomicBool,
     table: Mutex<PoolTable>,
     pub(crate) counters: StatusCounters,
@@ -47,8 +53,14 @@
     /// Ordered by idle time, longest first.
     idle: VecDeque<IdleConnection>,
     trackers: Vec<Weak<ConnectionTracker>>,
-    /// When a connection was last found silent; `None` once a newer one has answered.
-    silent_at: Option<Instant>,
+    /// The last silence; `None` once its connection or a newer one has answered.
+    silence: Option<SeenSilence>,
+}
+
+/// A connection on which nothing arrived.
+struct SeenSilence {
+    at: Instant,
+    connection: Weak<ConnectionTracker>,
 }
 
 struct IdleConnection {
@@ -69,6 +81,7 @@
             probe,
             calls: Arc::new(Semaphore::new(limits.max_open)),
             connecting: Semaphore::new(limits.max_connecting),
+            budget: process_budget().part(UPSTREAM_DIVISOR),
             silence_recorded: AtomicBool::new(false),
             table: Mutex::default(),
             counters: StatusCounters::default(),
@@ -80,6 +93,11 @@
         &self.limits
     }
 
+    /// A lease for bytes of one answer.
+    pub(crate) fn lease(&self) -> ByteLease {
+        self.budget.lease()
+    }
+
     /// The counters, with the present numbers of open calls and idle connections.
     pub(crate) fn status(&self) -> ClientStatus {
         let open_calls = self.limits.max_open - self.calls.available_permits();
@@ -134,26 +152,32 @@
     }
 
     /// Records that nothing arrived on a connection. Idle connections opened before now aren't used
-    /// until a newer one has answered.
-    pub(crate) fn record_silence(&self) {
+    /// until a newer one has answered, or this one has.
+    pub(crate) fn record_silence(&self, tracker: &Arc<ConnectionTracker>) {
         self.counters.silent_calls.add_one();
-        self.table.lock().silent_at = Some(Instant::now());
+        let silence = SeenSilence { at: Instant::now(), connection: Arc::downgrade(tracker) };
+        self.table.lock().silence = Some(silence);
         self.silence_recorded.store(true, Ordering::Release);
     }
 
     /// Records that bytes arrived on a connection. If it was opened after another one was found
     /// silent, all that were opened before then are retired.
-    pub(crate) fn record_answer(&self, tracker: &ConnectionTracker) {
+    pub(crate) fn record_answer(&self, tracker: &Arc<ConnectionTracker>) {
         if !self.silence_recorded.load(Ordering::Acquire) {
             return;
         }
         let mut table = self.table.lock();
-        let silent_at = match table.silent_at {
-            Some(silent_at) if silent_at < tracker.opened_at => silent_at,
-            _ => return,
-        };
-        table.silent_at = None;
+        let Some(silence) = &table.silence else { return };
+        let silent_at = silence.at;
+        let is_suspect = silence.connection.as_ptr() == Arc::as_ptr(tracker);
+        if !is_suspect && silent_at >= tracker.opened_at {
+            return;
+        }
+        table.silence = None;
         self.silence_recorded.store(false, Ordering::Release);
+        if is_suspect {
+            return;
+        }
         let older = table.trackers.iter().filter_map(Weak::upgrade);
         for older in older.filter(|older| older.opened_at <= silent_at) {
             older.retired.cancel();
@@ -187,7 +211,7 @@
     /// Removes the most recently used idle connection that isn't suspected to be silent.
     fn pop_idle(&self) -> Option<IdleConnection> {
         let mut table = self.table.lock();
-        let silent_at = table.silent_at;
+        let silent_at = table.silence.as_ref().map(|silence| silence.at);
         let is_trusted = |idle: &IdleConnection| {
             let tracker = &idle.connection.tracker;
             idle.connection.is_usable() && silent_at.is_none_or(|silent| tracker.opened_at > silent)
@@ -205,8 +229,7 @@
             let answer = connection.send.send_request(probe.map(CallBody::new)).await?;
             // The connection is closed if the answer is larger than that.
             connection.gate.end_head();
-            let body = Limited::new(answer.into_body(), self.limits.max_answer_bytes);
-            Ok::<_, hyper::Error>(body.collect().await.is_ok())
+            skip_body(answer.into_body(), self.limits.max_answer_bytes).await
         };
         match timeout(self.limits.probe_timeout, probing).await {
             Ok(Ok(true)) => true,
@@ -218,7 +241,7 @@
             Err(_) => {
                 self.counters.probe_failures.add_one();
                 connection.gate.seal();
-                self.record_silence();
+                self.record_silence(&connection.tracker);
                 false
             }
         }
@@ -232,3 +255,15 @@
         table.trackers.push(Arc::downgrade(tracker));
     }
 }
+
+/// Reads a body whose bytes aren't needed; false if it is larger than `limit`.
+async fn skip_body(mut body: Incoming, limit: usize) -> Result<bool, hyper::Error> {
+    let mut size = 0_usize;
+    while let Some(frame) = body.frame().await {
+        size += frame?.data_ref().map_or(0, Bytes::len);
+        if size > limit {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
