Go back to a silent upstream when its replacement doesn't take the request

A review of the change for silent upstreams found that a request which leaves a silent upstream for another one ended there if that one refused it as not run, asked for rest or couldn't be reached: the upstream that it had left counted as tried, so that the search found nothing. A resumable stream was cut after two of four events, also in a planned stop with 3 s left, and an idempotent request got 502, although their upstream would have gone on at 1.5 s.

The request remembers the upstream that it left until it may have run at another one. If the next send wasn't run, it may be sent to the first one again, for the rest of the stream, within the same attempts and the same budget.

With an empty retry budget such a stream still ends, and so does one whose replacement breaks off; a request that kept both calls until the new head has come would avoid that, but runs at two upstreams at a time.

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -77,6 +77,8 @@
     last_send: Option<(EngineId, Instant)>,
     /// The upstream for which the request has left one that is silent.
     replacement: Option<EngineInfo>,
+    /// The silent upstream that the request has left, until it may have run at another one.
+    left: Option<EngineId>,
     /// An upstream's answer with a server error, used if no other answer is received.
     pub(crate) failure: Option<Response<Bytes>>,
     pub(crate) log: RequestLog,
@@ -139,6 +141,7 @@
             is_sending: false,
             last_send: None,
             replacement: None,
+            left: None,
             failure: None,
             log,
         };
@@ -264,6 +267,7 @@
     /// Has the next send go to `replacement`.
     pub(crate) fn leave_for(&mut self, replacement: EngineInfo) {
         self.replacement = Some(replacement);
+        self.left = self.last_send.as_ref().map(|(engine, _)| engine.clone());
     }
 
     /// Another upstream that can serve the request at once, with a retry spent for it.
@@ -461,6 +465,12 @@
         }
         self.context.outliers.lock().observe(now, &name, began.elapsed(), succeeded);
         self.is_unsent = matches!(class, SendClass::Unsent);
+        let left = self.left.take();
+        if !matches!(class, SendClass::Answer(_) | SendClass::Broken)
+            && let Some(left) = &left
+        {
+            self.tried.forget(left);
+        }
         match class {
             SendClass::Answer(answer) => {
                 self.possible_runs += 1;
--- a/crates/wheel_gateway/src/tried_upstreams.rs
+++ b/crates/wheel_gateway/src/tried_upstreams.rs
@@ -34,6 +34,11 @@
         self.tried.pop();
     }
 
+    /// Forgets an upstream, so that the request may be sent there again.
+    pub(crate) fn forget(&mut self, id: &EngineId) {
+        self.tried.retain(|(tried, _)| tried != id);
+    }
+
     /// Whether an upstream is excluded now.
     pub(crate) fn contains(&self, id: &EngineId) -> bool {
         let now = Instant::now();
--- a/crates/wheel_gateway/tests/silent_upstreams.rs
+++ b/crates/wheel_gateway/tests/silent_upstreams.rs
@@ -163,3 +163,34 @@
     assert_eq!((answer.body, answer.is_whole), (events(1..=3), true));
     assert!(full.seen().is_empty());
 }
+
+/// The rest of a stream, or the whole of a request, that its silent upstream would still deliver.
+async fn expect_asked_again(kind: RouteKind, drain: Option<Duration>, other: TestUpstream) {
+    let (first, rest) = (events(1..=2), events(3..=4));
+    let replies = match kind {
+        STREAM => vec![Reply::paced(&[(0, &first), (1_500, &rest)]), Reply::ran(200, &rest)],
+        _ => vec![Reply::ran(200, &events(1..=4)).late(1_500), Reply::ran(200, &events(1..=4))],
+    };
+    let silent = TestUpstream::bind("u1", replies).await;
+    let ingress = ingress(kind, &[&silent, &other]).await;
+    if let Some(left) = drain {
+        ingress.drain.begin(Instant::now() + left);
+    }
+    let answer = ingress.post("/a/", &[]).await;
+    assert_eq!((answer.status, answer.body, answer.is_whole), (200, events(1..=4), true));
+}
+
+/// A request leaves its silent upstream for one that then refuses it or can't be reached.
+#[tokio::test]
+async fn request_whose_replacement_doesnt_take_it_goes_back() {
+    let refusing = || TestUpstream::bind("u2", vec![Reply::not_executed(503); 4]);
+    let resting = TestUpstream::bind("u2", vec![Reply::resting("1"); 4]).await;
+    let drain = Some(Duration::from_secs(4));
+    tokio::join!(
+        expect_asked_again(STREAM, None, refusing().await),
+        expect_asked_again(STREAM, drain, refusing().await),
+        expect_asked_again(STREAM, None, resting),
+        expect_asked_again(STREAM, None, TestUpstream::closed("u2")),
+        expect_asked_again(RouteKind::Idempotent, None, refusing().await),
+    );
+}
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -174,6 +174,31 @@
         Self { name, address, seen, _reserved: None }
     }
 
+    /// An upstream that writes one answer byte for byte, with a pause between its two parts. `ID` in
+    /// the first one stands for the request's id.
+    pub(crate) async fn bind_raw_paused(
+        name: &'static str,
+        first: String,
+        pause_ms: u64,
+        second: &'static str,
+    ) -> Self {
+        let listener = tokio::net::TcpListener::bind(LOOPBACK).await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let seen: Arc<Mutex<Vec<SeenRequest>>> = Arc::default();
+        let recorded = Arc::clone(&seen);
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let request = read_raw(&mut stream).await;
+            let id = request.header("x-id").expect("every request has an id").to_owned();
+            recorded.lock().push(request);
+            stream.write_all(first.replace("ID", &id).as_bytes()).await.expect("a caller");
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            let _ = stream.write_all(second.as_bytes()).await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        });
+        Self { name, address, seen, _reserved: None }
+    }
+
     /// An upstream that writes the given answers byte for byte, each on a connection of its own,
     /// which it then closes in an orderly way. `ID` in an answer stands for the request's id.
     pub(crate) async fn bind_raw(name: &'static str, answers: Vec<String>) -> Self {
@@ -443,6 +468,11 @@
 }
 
 impl TestIngress {
+    /// Where callers connect.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     pub(crate) async fn bind(kind: RouteKind, upstreams: &[&TestUpstream]) -> Self {
         let ingress = Self::without_config().await;
         ingress.set_fleet(kind, upstreams);
