An answer that its caller is slow to read isn't held against its upstream

Answers that had been made became failures, and each was logged as a false answer of the upstream, three of which in a row eject it.

A whole answer leaves its upstream's part once it is complete; from then on it counts in the budget of the process alone (`ByteLease::leave_part`). The part limits what an upstream can make an instance keep, not what callers are slow to take.

slow_callers::answers_that_nobody_reads_arent_refused_to_their_upstream gets six answers with 200 and their whole bodies now. Callers that read nothing can still hold the part of the budget for large answers; there is no limit on how long a caller may take to read.

--- a/crates/wheel_memory/src/byte_budget.rs
+++ b/crates/wheel_memory/src/byte_budget.rs
@@ -136,6 +136,13 @@
         }
     }
 
+    /// Gives `bytes` of a lease back to this part alone; the whole still holds them.
+    pub(crate) fn leave(&self, bytes: usize) -> Option<ByteBudget> {
+        let BudgetLimit::Part { whole, .. } = &self.state.limit else { return None };
+        self.state.held.fetch_sub(bytes, Ordering::Relaxed);
+        Some(whole.clone())
+    }
+
     /// Gives back bytes of a lease.
     pub(crate) fn give_back(&self, bytes: usize) {
         self.state.held.fetch_sub(bytes, Ordering::Relaxed);
--- a/crates/wheel_memory/src/byte_lease.rs
+++ b/crates/wheel_memory/src/byte_lease.rs
@@ -31,6 +31,13 @@
         self.bytes = bytes;
         Ok(())
     }
+
+    /// Counts in the whole budget alone from now on, if it was taken from a part of one.
+    pub fn leave_part(&mut self) {
+        if let Some(whole) = self.budget.leave(self.bytes) {
+            self.budget = whole;
+        }
+    }
 }
 
 impl Drop for ByteLease {
--- a/crates/wheel_memory/src/leased_buffer.rs
+++ b/crates/wheel_memory/src/leased_buffer.rs
@@ -66,6 +66,11 @@
         let _ = self.lease.resize(0);
     }
 
+    /// Counts in the whole budget alone from now on.
+    pub fn leave_part(&mut self) {
+        self.lease.leave_part();
+    }
+
     /// The bytes, which keep the lease.
     pub fn freeze(mut self) -> Bytes {
         if self.buffer.is_empty() {
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -83,6 +83,8 @@
             }
             whole.push(&piece).map_err(|refused| self.fail(FailureKind::NoMemory { refused }))?;
         }
+        // Kept for as long as the caller takes to read it, which isn't the upstream's doing.
+        whole.leave_part();
         Ok(whole.freeze())
     }
 
