Try an ejected upstream again after its ejection

Up to 30 % of the engines can be lost so at an ingress instance until it restarts. Leaving silent upstreams and false answers lead there more often.

An upstream that wants a probe isn't suspect in the gateway's choice, and the send that goes there is counted as the probe.

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -425,12 +425,18 @@
         let ingress_count = self.context.state.view().ingress_count;
         let client = self.context.upstreams.client(info, max_connections, ingress_count);
         let (began, sent) = (Instant::now(), boot_now());
+        let name = UpstreamName::from(&*info.id.name);
+        {
+            let mut outliers = self.context.outliers.lock();
+            if outliers.wants_probe(self.context.now(), &name) {
+                outliers.begin_probe(self.context.now(), &name);
+            }
+        }
         self.last_send = Some((info.id.clone(), began));
         self.is_sending = true;
         let call = client.call(self.call(info, resume_after));
         let answer = self.stall_watch(None, false).wait(call).await;
         self.is_sending = false;
-        let name = UpstreamName::from(&*info.id.name);
         let answer = match answer {
             Ok(answer) => answer,
             Err(replacement) => {
--- a/crates/wheel_gateway/src/upstream_search.rs
+++ b/crates/wheel_gateway/src/upstream_search.rs
@@ -338,6 +338,9 @@
         let active = self.context.state.active_at(view, ready);
         let now = self.context.now();
         let outliers = self.context.outliers.lock();
+        let is_suspect = |name: &UpstreamName| {
+            outliers.is_ejected(now, name) && !outliers.wants_probe(now, name)
+        };
         let mut reach = self.context.reach.lock();
         let candidate = |((index, active), is_blocked): ((&usize, u32), bool)| {
             let info = &view.engines[*index];
@@ -346,7 +349,7 @@
                 active,
                 is_local: info.centre == self.context.settings.centre,
                 residency: self.residency(info),
-                is_suspect: outliers.is_ejected(now, &UpstreamName::from(&*info.id.name)),
+                is_suspect: is_suspect(&UpstreamName::from(&*info.id.name)),
                 is_unreachable: reach.is_avoided(now, &info.id, &info.centre),
                 is_blocked,
                 was_tried: self.tried.contains(&info.id),
