Hold a stream's head until an event with data, and stay with a failure's silent upstream

A stream that begins with a comment, a blank line or a setting had its head forwarded, although the request may not have begun yet; at the drain deadline its caller had 200 and a cut where 504 is due. And on a resumable route an upstream's own 404 that paused for 1.5 s midway was left for another upstream, although only a stream of events can be resumed: its caller got half of the failure's body and a cut.

`StreamReader::fill_first` reads until an event with a data line; what is held until then counts in the lease and against the limit of an event. A body that isn't made of events is read without a stall watch, held or forwarded.

--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -218,7 +218,12 @@
         let last = self.arrived.request.resume_after;
         let mut reader = StreamReader::begin(body, guard, kind, last);
         let watch = self.stall_watch(reader.arrivals(), false);
-        match watch.wait(reader.fill()).await {
+        let filled = match kind {
+            // Only its own upstream has the rest of a body that isn't made of events.
+            StreamKind::Opaque => Ok(reader.fill_first().await),
+            _ => watch.wait(reader.fill_first()).await,
+        };
+        match filled {
             Ok(Ok(())) => Some(HeldStream { status, headers, reader }),
             Err(replacement) => {
                 self.leave_for(replacement);
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -48,9 +48,15 @@
                 return None;
             }
             let watch = self.run.stall_watch(self.reader.arrivals(), true);
+            let filling = async {
+                match self.reader.kind() {
+                    StreamKind::Opaque => Ok(self.reader.fill().await),
+                    _ => watch.wait(self.reader.fill()).await,
+                }
+            };
             let filled = tokio::select! {
                 biased;
-                filled = watch.wait(self.reader.fill()) => filled,
+                filled = filling => filled,
                 () = &mut self.drained => {
                     self.run.log.open_at_drain_deadline();
                     return Some(Err(self.break_off("drain_ended", "the instance ends".to_owned())));
--- a/crates/wheel_gateway/src/stream_reader.rs
+++ b/crates/wheel_gateway/src/stream_reader.rs
@@ -84,22 +84,37 @@
     /// # Errors
     /// [`StreamFault`] if the stream breaks off or its content is malformed.
     pub(crate) async fn fill(&mut self) -> Result<(), StreamFault> {
-        while self.ready.is_empty() {
-            self.lease_partial_event()?;
-            let Some((body, _)) = &mut self.source else { break };
-            match body.next().await {
-                Ok(Some(chunk)) => self.push_chunk(chunk)?,
-                Ok(None) => self.end_body()?,
-                Err(failure) => {
-                    let broken = failure.is_closed_by_upstream().then_some("stream_cut");
-                    let is_no_answer = failure.is_no_answer();
-                    return Err(StreamFault { reason: failure.to_string(), broken, is_no_answer });
-                }
-            }
+        while self.ready.is_empty() && !self.is_ended() {
+            self.read().await?;
+        }
+        Ok(())
+    }
+
+    /// Reads until the first event is ready or the stream has ended; comments are none. Cancel-safe.
+    ///
+    /// # Errors
+    /// [`StreamFault`] as for [`Self::fill`].
+    pub(crate) async fn fill_first(&mut self) -> Result<(), StreamFault> {
+        while !self.has_event && !self.is_ended() {
+            self.read().await?;
         }
         Ok(())
     }
 
+    async fn read(&mut self) -> Result<(), StreamFault> {
+        self.lease_kept_bytes()?;
+        let Some((body, _)) = &mut self.source else { return Ok(()) };
+        match body.next().await {
+            Ok(Some(chunk)) => self.push_chunk(chunk),
+            Ok(None) => self.end_body(),
+            Err(failure) => {
+                let broken = failure.is_closed_by_upstream().then_some("stream_cut");
+                let is_no_answer = failure.is_no_answer();
+                Err(StreamFault { reason: failure.to_string(), broken, is_no_answer })
+            }
+        }
+    }
+
     /// Takes complete events that are ready.
     pub(crate) fn take_ready(&mut self) -> Option<Bytes> {
         self.ready.pop_front()
@@ -134,9 +149,9 @@
         self.splitter.partial_len()
     }
 
-    /// Takes memory for the bytes that are kept until their event is complete.
-    fn lease_partial_event(&mut self) -> Result<(), StreamFault> {
-        let bytes = self.splitter.buffered_len();
+    /// Takes memory for the bytes that are kept until their event, or the first one, is complete.
+    fn lease_kept_bytes(&mut self) -> Result<(), StreamFault> {
+        let bytes = self.splitter.buffered_len() + self.ready.iter().map(Bytes::len).sum::<usize>();
         if bytes > MAX_EVENT_BYTES {
             return Err(StreamFault::of_content("an event is too large"));
         }
@@ -175,6 +190,7 @@
     /// Makes the complete events ready.
     fn push_chunk(&mut self, chunk: Bytes) -> Result<(), StreamFault> {
         if self.kind == StreamKind::Opaque {
+            self.has_event = true;
             self.opaque_bytes += chunk.len();
             if self.opaque_bytes > MAX_OPAQUE_BYTES {
                 return Err(StreamFault::of_content("the body is too large"));
@@ -185,7 +201,7 @@
         self.splitter.push(&chunk);
         let mut complete = Vec::new();
         while let Some((id, event)) = self.splitter.next_event() {
-            self.has_event = true;
+            self.has_event |= has_data(&event);
             if self.kind == StreamKind::Resumable && id.is_some() && id <= self.last {
                 continue;
             }
@@ -198,3 +214,8 @@
         Ok(())
     }
 }
+
+/// Whether an event is more than a comment or a setting of the stream.
+fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+}
--- a/crates/wheel_gateway/tests/request_path.rs
+++ b/crates/wheel_gateway/tests/request_path.rs
@@ -413,3 +413,15 @@
     assert_eq!(answer.status, 200, "{}", answer.body);
     assert_eq!(upstream.seen().len(), 2);
 }
+
+/// Comments and settings of a stream are no event: the request may not have begun yet.
+#[tokio::test]
+async fn drain_ended_after_a_comment_and_no_event_isnt_a_cut() {
+    for lead in [": queued\n\n", "\n\n", "retry: 500\n\n"] {
+        let upstream = TestUpstream::bind("u1", vec![Reply::falls_silent(&[(0, lead)])]).await;
+        let ingress = TestIngress::bind(FINAL_STREAM, &[&upstream]).await;
+        ingress.drain.begin(Instant::now() + Duration::from_millis(600));
+        let answer = ingress.post("/a/", &[]).await;
+        assert_eq!((answer.status, answer.is_whole), (504, true), "{lead:?}");
+    }
+}
--- a/crates/wheel_gateway/tests/silent_upstreams.rs
+++ b/crates/wheel_gateway/tests/silent_upstreams.rs
@@ -194,3 +194,45 @@
         expect_asked_again(RouteKind::Idempotent, None, refusing().await),
     );
 }
+
+/// A failure's body can't be resumed, so that a request that left it would be cut.
+#[tokio::test]
+async fn failure_silent_midway_isnt_cut() {
+    let head =
+        "HTTP/1.1 404 Not Found\r\nx-id: ID\r\nx-signature: s\r\ncontent-length: 4\r\n\r\nno";
+    let slow = TestUpstream::bind_raw_paused("u1", head.to_owned(), 1_500, "pe").await;
+    let other = TestUpstream::bind("u2", vec![Reply::ran(200, &events(1..=2)); 2]).await;
+    let ingress = ingress(STREAM, &[&slow, &other]).await;
+    let answer = ingress.post("/a/", &[]).await;
+    assert_eq!((answer.status, answer.body.as_str(), answer.is_whole), (404, "nope", true));
+    assert!(other.seen().is_empty());
+}
+
+/// Three requests that leave one upstream at once eject it; it must be tried again later.
+#[tokio::test]
+async fn upstream_ejected_for_a_silence_is_used_again() {
+    let mut replies = vec![Reply::ran(200, "ok").late(1_400); 3];
+    replies.extend(vec![Reply::ran(200, "back"); 20]);
+    let silent = TestUpstream::bind("u1", replies).await;
+    let sound = || vec![Reply::ran(200, "ok"); 30];
+    let others = [
+        TestUpstream::bind("u2", sound()).await,
+        TestUpstream::bind("u3", sound()).await,
+        TestUpstream::bind("u4", sound()).await,
+    ];
+    let [second, third, fourth] = &others;
+    let ingress = ingress(RouteKind::Idempotent, &[&silent, second, third, fourth]).await;
+    for name in ["u2", "u3", "u4"] {
+        ingress.prefer(name);
+        ingress.post("/a/", &[]).await;
+    }
+    ingress.prefer("u1");
+    futures_util::future::join_all((0..3).map(|_| ingress.post("/a/", &[]))).await;
+    let reached = silent.seen().len();
+    let began = Instant::now();
+    while silent.seen().len() == reached {
+        assert!(began.elapsed() < Duration::from_secs(10), "never used again");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(ingress.post("/a/", &[]).await.status, 200);
+    }
+}
