Hold the head of a generation's stream back until its first event

A caller of wisteriawheeld got the head of a stream, 200, as soon as the engine had sent its own head. The engine may still hold the request in its queue then, or be silent. At the drain limit, at a second signal or when the engine failed, nothing but an error event in a broken body was left: neither an answer nor a refusal was possible any more.

Before the change, drain_stream_without_a_token_is_answered_as_unknown and drain_second_signal_answers_a_relayed_stream_without_a_token failed with status 200 where 502 is expected; the body was one event, "this instance ended before the stream".

TokenStream::begin waits for the first event, which next yields afterwards. The owner waits for it before it answers a relayed call, so that its drain answers with a refusal in place of a broken body, and the ingress waits for it before its own head, since an owner may be lost in between. Until then the request is one attempt like any other: the drain answers 502 with outcome unknown, which is true, and a failed attempt is made again elsewhere within the request's deadline. After the first event nothing changes.

--- a/crates/wheel_fakes/src/fake_engine.rs
+++ b/crates/wheel_fakes/src/fake_engine.rs
@@ -373,8 +373,11 @@
         let engine = self.engine.lock();
         let runs: HashMap<_, _> =
             engine.runs.iter().map(|(id, runs)| (id.as_str(), runs)).collect();
+        let resumes: HashMap<_, _> =
+            engine.resumes.iter().map(|(id, resumes)| (id.as_str(), resumes)).collect();
         let counters = json!({
             "runs": runs,
+            "resumes": resumes,
             "orders_carried": engine.orders_carried,
             "max_used_mib": engine.max_used_mib,
             "calls_unloaded": engine.calls_unloaded,
--- a/crates/wheel_harness/tests/drain.rs
+++ b/crates/wheel_harness/tests/drain.rs
@@ -10,7 +10,9 @@
 
 use http::{Method, StatusCode};
 use serde_json::json;
-use support::{LIMIT, book, booking_runs, generate, neighbour, owner_of, set_faults, start};
+use support::{
+    LIMIT, book, booking_runs, engine_runs, generate, neighbour, owner_of, set_faults, start,
+};
 use tokio::task::JoinHandle;
 use wheel_harness::{ClusterSettings, HttpReply, LocalCluster, ProcessSignal};
 use wheel_types::CentreName;
@@ -198,6 +200,61 @@
     assert_eq!(end_code(&mut cluster, index), Some(3));
 }
 
+/// Sends a request for a stream to `at` whose engine sends the head of its answer and no token, and
+/// returns once the engine runs it.
+async fn generate_without_token(cluster: &LocalCluster, at: SocketAddr) -> JoinHandle<HttpReply> {
+    let client = cluster.client.clone();
+    let stream = tokio::spawn(async move { generate(&client, at, "guide", 5, 30_000).await });
+    cluster
+        .wait_until("the stream at the engine", LIMIT, || async {
+            (engine_runs(cluster).await.len() == 1).then_some(())
+        })
+        .await
+        .expect("a running stream");
+    stream
+}
+
+/// Settings of engines that take 60 s for each token.
+fn without_tokens(mut settings: ClusterSettings) -> ClusterSettings {
+    settings.engine_flags =
+        ["--token-us", "60000000", "--load-ms", "60000"].map(str::to_owned).into();
+    settings.preload = vec!["engine-a=guide".to_owned()];
+    settings
+}
+
+/// Asserts that a stream without a token got an answer of its own, and not the head of a stream.
+fn assert_unknown_stream(reply: &HttpReply) {
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{}", reply.text());
+    assert_eq!(reply.header("wheel-outcome"), "unknown");
+    assert!(reply.complete, "a whole answer");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_stream_without_a_token_is_answered_as_unknown() {
+    let mut cluster = start(without_tokens(short_drain())).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    let index = owner_of(&cluster, seen_at, "engine-a").await;
+    let stream = generate_without_token(&cluster, cluster.instances[index].ports.callers).await;
+    cluster.instances[index].signal(ProcessSignal::Terminate);
+    assert_unknown_stream(&stream.await.expect("an answer before the process ends"));
+    assert_eq!(end_code(&mut cluster, index), Some(3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_second_signal_answers_a_relayed_stream_without_a_token() {
+    let mut cluster = start(without_tokens(long_drain())).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    let owner = owner_of(&cluster, seen_at, "engine-a").await;
+    let index = neighbour(&cluster, owner);
+    let stream = generate_without_token(&cluster, cluster.instances[index].ports.callers).await;
+    cluster.instances[index].signal(ProcessSignal::Terminate);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert!(!stream.is_finished(), "the drain has time");
+    cluster.instances[index].signal(ProcessSignal::Terminate);
+    assert_unknown_stream(&stream.await.expect("an answer before the process ends"));
+    assert_eq!(end_code(&mut cluster, index), Some(3));
+}
+
 /// Sends a manifest change to `at`, and returns while it is pending.
 async fn apply_held(cluster: &LocalCluster, at: SocketAddr) -> JoinHandle<Option<HttpReply>> {
     let source = format!("{}\n# edited\n", cluster.source);
--- a/crates/wheel_harness/tests/support/mod.rs
+++ b/crates/wheel_harness/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Helpers of the process-level tests.
 #![allow(dead_code, clippy::expect_used)]
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -103,6 +104,23 @@
     runs
 }
 
+/// Number of runs of each generation on the fake engines, resumed ones included, by request id.
+pub(crate) async fn engine_runs(cluster: &LocalCluster) -> BTreeMap<String, u64> {
+    let mut runs = BTreeMap::new();
+    for (name, address) in &cluster.addresses {
+        if name.as_str().starts_with("engine") {
+            let counters = cluster.client.get(*address, "/fake/counters").await;
+            let counters = counters.expect("the fake answers").json();
+            for kind in ["runs", "resumes"] {
+                for (request, count) in counters[kind].as_object().expect("counts by request") {
+                    *runs.entry(request.clone()).or_default() += count.as_u64().expect("a count");
+                }
+            }
+        }
+    }
+    runs
+}
+
 /// Number of models that the fake engines hold, in total.
 pub(crate) async fn orders_carried(cluster: &LocalCluster) -> u64 {
     let mut carried = 0;
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -48,7 +48,7 @@
     next_index: u64,
 }
 
-/// The head of an answer from one upstream.
+/// The head of an answer from one upstream; that of a stream counts once its first event is there.
 enum AnswerHead {
     Stream(Box<TokenSource>),
     Whole(Bytes),
@@ -201,8 +201,12 @@
         let client = self.pipeline.context.relays.client(&route.owner, route.relay).engine;
         let generate = self.generate_call(headers);
         if self.target.stream {
-            let stream =
-                client.generate(generate).await.map_err(|failure| relay_failure(&failure))?;
+            let begun = async {
+                let mut stream = client.generate(generate).await?;
+                stream.begin().await?;
+                Ok(stream)
+            };
+            let stream = begun.await.map_err(|failure| relay_failure(&failure))?;
             return Ok(AnswerHead::Stream(Box::new(TokenSource::Relayed(stream))));
         }
         let CompleteAnswer { body } =
--- a/crates/wheel_serving/src/owned_upstream.rs
+++ b/crates/wheel_serving/src/owned_upstream.rs
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Runs a generation to the head of its answer, after a wait in the queue.
+    /// Runs a generation to its first event or its whole answer, after a wait in the queue.
     pub(crate) async fn generate(
         &self,
         call: &RelayCall,
@@ -148,7 +148,7 @@
         if self.draining.contains(&self.spec.name, &model) {
             return Err(RelayRefusal::elsewhere("the replica drains"));
         }
-        let slot = self.acquire_slot(call).await?;
+        let mut slot = self.acquire_slot(call).await?;
         let engine_call = GenerateCall {
             call: EngineCall {
                 request_id: call.request_id.clone(),
@@ -161,8 +161,13 @@
             timeouts: CallTimeouts::default(),
         };
         if stream {
-            let stream =
-                client.generate(engine_call).await.map_err(|failure| self.refusal(&failure))?;
+            let begun = async {
+                let mut stream = client.generate(engine_call).await?;
+                stream.begin().await?;
+                Ok(stream)
+            };
+            let stream = begun.await.map_err(|failure| self.refusal(&failure))?;
+            slot.record_first_byte();
             let stream = OwnedStream { slot, _usage: usage, stream };
             return Ok(OwnedAnswer::Stream(Box::new(stream)));
         }
--- a/crates/wheel_upstream/src/token_stream.rs
+++ b/crates/wheel_upstream/src/token_stream.rs
@@ -42,6 +42,8 @@
     lines: LinesCodec,
     buffer: BytesMut,
     next_index: u64,
+    /// The event that [`TokenStream::begin`] has read and [`TokenStream::next`] has yet to yield.
+    first: Option<StreamEvent>,
     guard: CancelGuard,
 }
 
@@ -49,10 +51,24 @@
     pub(crate) fn new(body: AnswerBody, guard: CancelGuard, next_index: u64) -> Self {
         let max_length = guard.core().pool.limits().max_event_bytes;
         let lines = LinesCodec::new_with_max_length(max_length);
-        Self { body: Some(body), lines, buffer: BytesMut::new(), next_index, guard }
+        let (buffer, first) = (BytesMut::new(), None);
+        Self { body: Some(body), lines, buffer, next_index, first, guard }
     }
 
-    /// The index of the next token; all before it have been yielded.
+    /// Waits for the first event, which the next call of [`TokenStream::next`] yields. An engine
+    /// may send the head of its answer long before: until its first event it can still fail, and
+    /// the request can still be answered in any way. Cancel-safe.
+    ///
+    /// # Errors
+    /// As for [`TokenStream::next`].
+    pub async fn begin(&mut self) -> Result<(), CallFailure> {
+        if self.first.is_none() {
+            self.first = Some(self.next().await?);
+        }
+        Ok(())
+    }
+
+    /// The index of the next token; all before it have been read.
     pub fn next_index(&self) -> u64 {
         self.next_index
     }
@@ -63,6 +79,9 @@
     /// [`CallFailure`] if the stream fails, and with [`FailureKind::CutShort`] after an end or an
     /// earlier failure.
     pub async fn next(&mut self) -> Result<StreamEvent, CallFailure> {
+        if let Some(event) = self.first.take() {
+            return Ok(event);
+        }
         match self.read_event().await {
             Ok(event) => Ok(event),
             Err(kind) => Err(self.fail(kind)),
