Count each run of a generation against its attempts, resumed ones too

A stream of wisteriawheeld that broke off was resumed with a new count of attempts each time, so that one which breaks again and again ran on engines without a limit, and each resumption counted as a new request that earned the upstream more retries.

The count belongs to the GenerateRun now. When the runs are used up the stream ends with its error event. That a run may have happened is kept as well, so that a refusal during a resumption isn't told as not run.

The fake engine cuts a stream after the time of one more token. It cut at once before, and its server then threw the last event away, so that cut_after: 1 sent none; the wheel_upstream tests that use it still pass.

--- a/crates/wheel_fakes/src/engine_stream.rs
+++ b/crates/wheel_fakes/src/engine_stream.rs
@@ -89,7 +89,11 @@
         }
         match () {
             () if self.done => Ok(None),
-            () if self.faults.cut_after.is_some_and(|after| self.sent >= after) => Err(FakeAbort),
+            () if self.faults.cut_after.is_some_and(|after| self.sent >= after) => {
+                // When a body fails, the server discards what it hasn't written yet.
+                self.make_token().await?;
+                Err(FakeAbort)
+            }
             () if self.next_index >= self.max_tokens => {
                 self.done = true;
                 Ok(Some(Bytes::from_static(b"data: [DONE]\n\n")))
--- a/crates/wheel_harness/tests/request_path.rs
+++ b/crates/wheel_harness/tests/request_path.rs
@@ -10,8 +10,8 @@
 use http::{Method, StatusCode};
 use serde_json::json;
 use support::{
-    LIMIT, assert_whole, book, booking_runs, generate, neighbour, orders_carried, owner_of,
-    preloaded, refused_calls, set_faults, start, start_manifest,
+    LIMIT, assert_whole, book, booking_runs, engine_runs, generate, neighbour, orders_carried,
+    owner_of, preloaded, refused_calls, set_faults, start, start_manifest, token_indexes,
 };
 use wheel_harness::{ClusterSettings, ProcessSignal};
 
@@ -63,6 +63,81 @@
     assert_whole(&reply, 100);
 }
 
+/// The most runs of one generation, resumed ones included.
+const MAX_RUNS: u64 = 6;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_broken_after_each_token_ends_after_the_allowed_runs() {
+    let settings = preloaded(&["engine-a=guide"], "2000");
+    let cluster = start(settings).await;
+    let at = cluster.instances[0].ports.callers;
+    set_faults(&cluster, "engine-a", json!({ "cut_after": 1 })).await;
+    let stream = generate(&cluster.client, at, "guide", 40, 20_000);
+    let reply = tokio::time::timeout(LIMIT, stream).await.expect("an end");
+    let runs = engine_runs(&cluster).await;
+    assert_eq!(runs.into_values().collect::<Vec<_>>(), [MAX_RUNS], "{}", reply.text());
+    assert_eq!(token_indexes(&reply), (0..MAX_RUNS).collect::<Vec<_>>());
+    assert!(!reply.complete, "a partial answer must not look complete");
+    assert!(reply.text().contains("\"error\""), "{}", reply.text());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_broken_before_its_first_token_gets_an_answer() {
+    let settings = preloaded(&["engine-a=guide"], "2000");
+    let mut cluster = start(settings).await;
+    set_faults(&cluster, "engine-a", json!({ "cut_after": 0 })).await;
+    // Data centre a has the owner, so that the call from c is relayed.
+    for instance in ["a1", "c1"] {
+        let at = cluster.instance(instance).ports.callers;
+        let reply = generate(&cluster.client, at, "guide", 5, 4_000).await;
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{}", reply.text());
+        assert_eq!(reply.header("wheel-outcome"), "unknown");
+        assert!(reply.complete, "a whole answer");
+    }
+    assert!(engine_runs(&cluster).await.into_values().all(|runs| runs <= MAX_RUNS));
+}
+
+/// Random failures of all engines. Whatever fails, a request runs on no more engines than allowed,
+/// its answer is whole or says that it isn't, and `not-run` is true.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_random_failures_keep_the_limit_of_runs() {
+    let settings = preloaded(&["engine-a=guide", "engine-b=guide", "engine-c=guide"], "500");
+    let cluster = start_manifest(&support::replicated_manifest(), settings).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    for engine in ["engine-a", "engine-b", "engine-c"] {
+        owner_of(&cluster, seen_at, engine).await;
+    }
+    let mut random = 11_u64;
+    let mut draw = |below: u64| {
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (random >> 33) % below
+    };
+    for round in 0..40 {
+        for engine in ["engine-a", "engine-b", "engine-c"] {
+            let faults = match draw(6) {
+                0 => json!({}),
+                1 => json!({ "refuse": true }),
+                2 => json!({ "close_before_answer": true }),
+                _ => json!({ "cut_after": draw(4) }),
+            };
+            set_faults(&cluster, engine, faults).await;
+        }
+        let at = cluster.instances[draw(cluster.instances.len() as u64) as usize].ports.callers;
+        let reply = generate(&cluster.client, at, "guide", 12, 3_000).await;
+        let id = reply.header("wheel-request-id").to_owned();
+        let runs = engine_runs(&cluster).await.get(&id).copied().unwrap_or_default();
+        assert!(runs <= MAX_RUNS, "round {round}: {runs} runs");
+        let indexes = token_indexes(&reply);
+        assert_eq!(indexes, (0..indexes.len() as u64).collect::<Vec<_>>(), "round {round}");
+        match reply.status {
+            StatusCode::OK if reply.complete => assert_whole(&reply, 12),
+            StatusCode::OK => assert!(reply.text().contains("\"error\""), "round {round}"),
+            _ if reply.header("wheel-outcome") == "not-run" => assert_eq!(runs, 0, "round {round}"),
+            _ => assert_eq!(reply.header("wheel-outcome"), "unknown", "round {round}"),
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn booking_resent_through_another_instance_runs_once() {
     let cluster = start(ClusterSettings::default()).await;
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -34,7 +34,7 @@
 const RESUME_LIMIT: Duration = Duration::from_secs(30);
 /// Time to write the error event of a broken stream, which is one small write.
 const EVENT_WRITE_TIME: Duration = Duration::from_millis(50);
-/// Limit of attempts to get the head of an answer.
+/// Limit of the engines' runs of one request, resumed runs included.
 const MAX_ATTEMPTS: u32 = 6;
 /// Time that the owner may exceed the deadline before it counts as silent.
 const OWNER_GRACE: Duration = Duration::from_millis(500);
@@ -46,6 +46,10 @@
     search: RouteSearch,
     /// Index of the next token.
     next_index: u64,
+    /// Engines that the request was sent to so far.
+    attempts: u32,
+    /// Whether it may have run on one of them without a whole answer.
+    may_have_run: bool,
 }
 
 /// The head of an answer from one upstream; that of a stream counts once its first event is there.
@@ -107,7 +111,8 @@
         let prefix = prefix_hint(&request.body);
         let (model, adapter) = (target.model.clone(), target.adapter.clone());
         let search = pipeline.new_search(request, model, adapter, Some(prefix), true);
-        let mut run = Self { pipeline, target, search, next_index: 0 };
+        let (next_index, attempts, may_have_run) = (0, 0, false);
+        let mut run = Self { pipeline, target, search, next_index, attempts, may_have_run };
         let RoutedHead { route, head, sent } = run.fetch_head().await?;
         Ok(match head {
             AnswerHead::Whole(body) => {
@@ -123,13 +128,11 @@
 
     /// Gets the head of an answer, trying other upstreams as the retry budget allows.
     async fn fetch_head(&mut self) -> Result<RoutedHead, RequestRefusal> {
-        let mut attempts = 0;
-        let mut may_have_run = false;
         loop {
-            attempts += 1;
             let route = self.pipeline.locate(&mut self.search).await;
-            let route = route.map_err(|refusal| refusal.after_attempts(may_have_run))?;
-            if attempts == 1 {
+            let route = route.map_err(|refusal| refusal.after_attempts(self.may_have_run))?;
+            self.attempts += 1;
+            if self.attempts == 1 {
                 self.pipeline.count_request(&route.upstream);
             }
             let sent = SentRequest::begin(
@@ -143,10 +146,14 @@
                     Ok(head) => return Ok(RoutedHead { route, head, sent }),
                     Err(refusal) => refusal,
                 };
-            may_have_run |= refusal.outcome != RequestOutcome::NotRun;
+            let not_run = refusal.outcome == RequestOutcome::NotRun;
+            self.may_have_run |= !not_run;
             if self.pipeline.handle_unreachable_owner(&route, &refusal) {
-                attempts -= 1;
-                continue;
+                // What was never sent has run on no engine.
+                self.attempts -= u32::from(not_run);
+                if self.attempts < MAX_ATTEMPTS {
+                    continue;
+                }
             }
             let is_final =
                 !matches!(refusal.code, RelayCode::Elsewhere | RelayCode::UpstreamFailed);
@@ -161,7 +168,7 @@
                 reason:? = refusal.message
             });
             let may_retry = !is_final
-                && attempts < MAX_ATTEMPTS
+                && self.attempts < MAX_ATTEMPTS
                 && self.pipeline.may_retry(&mut self.search, &route.upstream);
             if !may_retry {
                 let message = refusal.message.clone();
@@ -170,7 +177,7 @@
                     format!("refused by {}", route.upstream),
                     message,
                 );
-                return Err(refusal.into_refusal().after_attempts(may_have_run));
+                return Err(refusal.into_refusal().after_attempts(self.may_have_run));
             }
         }
     }
@@ -321,8 +328,14 @@
             request = self.run.search.request.id.as_str(),
             upstream = self.route.upstream.as_str(),
             next_token = self.run.next_index,
+            attempts = self.run.attempts,
             reason:? = failure.to_string()
         });
+        self.run.may_have_run = true;
+        if self.run.attempts >= MAX_ATTEMPTS {
+            let message = "the stream broke off on each engine that it may run on";
+            return Err(RequestRefusal::new(RefusalCode::UpstreamFailed, message));
+        }
         self.run.search.request.deadline = Instant::now() + RESUME_LIMIT;
         self.run.search.query.tried = vec![self.route.upstream.clone()];
         let RoutedHead { route, head, sent } = self.run.fetch_head().await?;
