Form the group with a majority of the voters' first folders

Only the first of the configured voters could form the group, only with bootstrap, and only once all of them had said that they are empty.

An instance's first folder, one that is created with bootstrap, now has an identity that follows from the instance's name; any other folder has a random one. Id and members of the new group follow from the settings' list of voters, so that there is nothing to agree on. A first folder starts in the group once a majority of the voters reported empty first folders, or a member says that it exists. wisteriawheeld, whose settings don't tell a first folder from a later one, forms its group as before.

Why it is safe. (1) All who form the group form the same one: its id and members are a function of the list, and an instance with another list isn't answered. Forming with all voters is refused if one of them is a first folder, so that the two ways never mix. (2) A first folder that hasn't started yet is a voter with an empty log in term 0 that has granted and confirmed nothing; before it records that it started it neither votes nor confirms. From then on votes, terms and entries are synced before a message leaves, as in any group of fixed voters, and nothing is acknowledged without a majority. (3) This needs that no two folders have one identity. A lost folder comes back without bootstrap, with a random identity: it can't grant as if it remembered, isn't counted as an empty first folder, and replaces the lost voter through the leader. A first folder keeps its identity if it is restarted without bootstrap, before it started.

Evidence. raft_scenarios::founding_loss_of_one_at_any_moment_forms_the _group plays 2,484 starts: six orders, each instance lost at each 20 ms of the first 0.9 s, back with its folder, with an empty one, or not at all; then a second instance fails.

While its folder is empty an instance logs start_waits with the voters that it hasn't heard of, and an operator whose configuration has no clear outcome gets the reason in the 503's body (config_put_unresolved). empty_folder_forms_no_second_group checks the reason as well now.

--- a/crates/wheel_agreement/src/group_id.rs
+++ b/crates/wheel_agreement/src/group_id.rs
@@ -14,8 +14,8 @@
     /// No group: the data folder is empty.
     pub const NONE: Self = Self(0);
 
-    /// The group that the initial `voters` form. Their identities are random, so that a group that
-    /// is formed again has another id.
+    /// The group that the initial `voters` form. Where their identities are random, a group that is
+    /// formed again has another id; the first folders of the same instances form but one.
     pub fn of_voters<'a>(voters: impl Iterator<Item = &'a NodeId>) -> Self {
         let mut hasher = blake3::Hasher::new();
         for voter in voters {
--- a/crates/wheel_agreement/src/lib.rs
+++ b/crates/wheel_agreement/src/lib.rs
@@ -40,6 +40,7 @@
 mod request_digest;
 mod restored_raft;
 mod snapshot_chunk;
+mod start_wait;
 mod stored_document;
 mod voter_change;
 
@@ -72,6 +73,7 @@
 pub use request_digest::RequestDigest;
 pub use restored_raft::RestoredRaft;
 pub use snapshot_chunk::SnapshotChunk;
+pub use start_wait::StartWait;
 pub use stored_document::StoredDocument;
 pub use voter_change::VoterChange;
 
--- a/crates/wheel_agreement/src/node_id.rs
+++ b/crates/wheel_agreement/src/node_id.rs
@@ -24,6 +24,16 @@
         Self { instance: instance.into(), identity: FolderIdentity(identity) }
     }
 
+    /// The first folder of `instance`, see [`FolderIdentity::of_founder`].
+    pub fn founder(instance: InstanceName) -> Self {
+        Self { identity: FolderIdentity::of_founder(&instance), instance }
+    }
+
+    /// Whether this is the first folder of its instance.
+    pub fn is_founder(&self) -> bool {
+        self.identity == FolderIdentity::of_founder(&self.instance)
+    }
+
     /// Addresses an instance whose folder's identity isn't known.
     pub fn any(instance: InstanceName) -> Self {
         Self { instance, identity: FolderIdentity::ANY }
--- a/crates/wheel_agreement/src/raft_node/joining.rs
+++ b/crates/wheel_agreement/src/raft_node/joining.rs
@@ -6,8 +6,8 @@
 
 use crate::raft_role::{LeaderState, RaftRole};
 use crate::{
-    EntryPayload, FolderIdentity, GroupId, GroupMembers, NodeId, RaftBody, RaftNode, RaftSnapshot,
-    VoterChange,
+    EntryPayload, FolderIdentity, GroupId, GroupMembers, NodeId, RaftBody, RaftNode, RaftSettings,
+    RaftSnapshot, StartWait, VoterChange,
 };
 
 impl RaftNode {
@@ -67,10 +67,67 @@
         }
     }
 
+    /// What this participant waits for, as long as its folder is empty.
+    pub fn start_wait(&self) -> Option<StartWait> {
+        let RaftRole::Joining(state) = &self.role else {
+            return None;
+        };
+        let RaftSettings { id, voters, may_bootstrap, .. } = &*self.settings;
+        let founds = id.is_founder();
+        let has_answered = |voter: &InstanceName| match state.empty.get(voter) {
+            _ if *voter == id.instance => true,
+            Some(identity) => !founds || *identity == FolderIdentity::of_founder(voter),
+            None => false,
+        };
+        let silent: Vec<InstanceName> =
+            voters.iter().filter(|voter| !has_answered(voter)).cloned().collect();
+        let answered = voters.len() - silent.len();
+        Some(match founds {
+            true => StartWait::Voters { more: (voters.len() / 2 + 1) - answered, of: silent },
+            false if *may_bootstrap => StartWait::Voters { more: silent.len(), of: silent },
+            false => StartWait::Group { leader: state.leader.clone() },
+        })
+    }
+
+    fn form_group(&mut self) {
+        match self.settings.id.is_founder() {
+            true => self.form_with_majority(),
+            false => self.form_with_all(),
+        }
+    }
+
+    /// Forms the group of the voters' first folders once a majority of these is empty.
+    ///
+    /// Its id and its members follow from the settings, so that whoever forms it forms the same
+    /// one, and a voter that is away is a member already. A first folder that never started has
+    /// voted for nobody and confirmed nothing: it counts as a voter that hasn't been heard yet.
+    fn form_with_majority(&mut self) {
+        let id = self.settings.id.clone();
+        let RaftRole::Joining(state) = &self.role else {
+            return;
+        };
+        let founders = self.settings.voters.iter().cloned().map(NodeId::founder);
+        let members = GroupMembers::of_voters(founders);
+        let is_empty = |voter: &NodeId| {
+            *voter == id || state.empty.get(&voter.instance) == Some(&voter.identity)
+        };
+        let empty: Vec<NodeId> =
+            members.voters.iter().filter(|voter| is_empty(voter)).cloned().collect();
+        if !members.voters.contains(&id) || empty.len() < members.quorum() {
+            return;
+        }
+        // If all stood for election at once, they would split the votes.
+        let is_first = empty.first() == Some(&id);
+        self.start_new_group(members);
+        if is_first {
+            self.start_pre_vote();
+        }
+    }
+
     /// Forms a new group once every configured voter has reported that its folder is empty. Only
     /// the first of them does so, and it records the group before it sends anything: a crash leaves
     /// either no group or this one.
-    fn form_group(&mut self) {
+    fn form_with_all(&mut self) {
         let id = self.settings.id.clone();
         let RaftRole::Joining(state) = &self.role else {
             return;
@@ -86,16 +143,26 @@
         let is_first =
             self.settings.may_bootstrap && self.settings.voters.first() == Some(&id.instance);
         let voters: Option<Vec<NodeId>> = self.settings.voters.iter().map(voter_of).collect();
-        let Some(voters) = voters.filter(|_| is_first) else {
+        // First folders may have formed their group since they reported.
+        let has_founder = |voters: &Vec<NodeId>| voters.iter().any(NodeId::is_founder);
+        let Some(voters) = voters.filter(|voters| is_first && !has_founder(voters)) else {
             return;
         };
-        let group = GroupId::of_voters(voters.iter());
-        let members = GroupMembers::of_voters(voters.iter().cloned());
-        self.start_in_group(group, members.into());
-        voters.iter().filter(|voter| **voter != id).for_each(|voter| self.send_welcome(voter));
+        self.start_new_group(GroupMembers::of_voters(voters));
         self.start_pre_vote();
     }
 
+    /// Starts in the new group of `members` and tells them to start as well.
+    fn start_new_group(&mut self, members: GroupMembers) {
+        let id = self.settings.id.clone();
+        let members = Arc::new(members);
+        let group = GroupId::of_voters(members.voters.iter());
+        self.start_in_group(group, Arc::clone(&members));
+        for voter in members.voters.iter().filter(|voter| **voter != id) {
+            self.send_welcome(voter);
+        }
+    }
+
     fn start_in_group(&mut self, group: GroupId, members: Arc<GroupMembers>) {
         let index = RaftSnapshot::FIRST_INDEX;
         let snapshot = RaftSnapshot { group, index, members, ..Default::default() };
--- a/crates/wheel_agreement/src/raft_settings.rs
+++ b/crates/wheel_agreement/src/raft_settings.rs
@@ -19,8 +19,9 @@
     pub election_timeout_min: Duration,
     /// The longest such time; also how long a leader continues without messages from a quorum.
     pub election_timeout_max: Duration,
-    /// Whether this participant may form a new group. A participant of an existing group must not:
-    /// with an empty folder it waits until it may join.
+    /// Whether this participant may form a new group with all of the voters. A participant of an
+    /// existing group must not: with an empty folder it waits until it may join. The first folder
+    /// of a voter forms one with a majority regardless, see [`NodeId::is_founder`].
     pub may_bootstrap: bool,
     /// How many voters the group maintains automatically. Any other participant that asks becomes a
     /// learner, and a learner replaces a voter that has gone silent. `None` leaves this to
--- a/crates/wheel_agreement/tests/raft_exploration.rs
+++ b/crates/wheel_agreement/tests/raft_exploration.rs
@@ -16,6 +16,7 @@
 use raft_model::{
     Fault, ModelBudget, ModelEvent, ModelState, RaftModel, SearchReport, Violation, search,
 };
+use wheel_agreement::RoleName;
 
 const ALL: [usize; 3] = [0, 1, 2];
 const A: usize = 0;
@@ -32,6 +33,15 @@
     search(&mut model, &state, name)
 }
 
+/// Searches from a state of the instances `a`, `b`, `c` whose first folders form the group.
+fn check_founders(name: &str, start: StartState, budget: ModelBudget, fault: Option<Fault>) {
+    let mut model = RaftModel::open_founders(&["a", "b", "c"], fault);
+    let state = start(&mut model, budget);
+    let report = search(&mut model, &state, name);
+    let has_fault = fault.is_some();
+    assert_eq!(report.violation.is_some(), has_fault, "{name}: {:?}", report.violation);
+}
+
 /// Searches without a fault, and with each planted one, which must lead to its violation.
 fn check(name: &str, start: StartState, budget: ModelBudget, planted: &[(Fault, Violation)]) {
     assert_eq!(run(name, None, start, budget).violation, None, "{name}");
@@ -216,3 +226,41 @@
     check("forming", empty, budget, &[]);
     check("half formed", half_formed, budget, &[(Fault::ClaimEmpty, Violation::TwoGroups)]);
 }
+
+/// `a` and `b` formed the group of first folders, and `a` leads it; `c` hasn't heard of it.
+fn founded_by_two(model: &mut RaftModel, budget: ModelBudget) -> ModelState {
+    let state = model.empty_state(budget);
+    let state = model.force(&state, A, ModelEvent::Tick);
+    let state = model.settle(state, &[A, B]);
+    assert_eq!(model.status(&state, A).role, RoleName::Leader, "two of three are enough");
+    assert_eq!(model.status(&state, C).role, RoleName::Joining);
+    model.without_messages(&state)
+}
+
+#[test]
+fn search_founding() {
+    let budget = ModelBudget {
+        events: 12,
+        max_term: 2,
+        ticks: 3,
+        crashes: 1,
+        losses: 1,
+        ..Default::default()
+    };
+    check_founders("founding", empty, budget, None);
+}
+
+#[test]
+fn search_founded_by_two() {
+    let budget = ModelBudget {
+        events: 14,
+        max_term: 2,
+        ticks: 3,
+        proposals: 1,
+        crashes: 1,
+        losses: 1,
+        ..Default::default()
+    };
+    check_founders("founded by two", founded_by_two, budget, None);
+    check_founders("founded by two, again", founded_by_two, budget, Some(Fault::FoundAgain));
+}
--- a/crates/wheel_agreement/tests/raft_model/mod.rs
+++ b/crates/wheel_agreement/tests/raft_model/mod.rs
@@ -71,6 +71,8 @@
 pub(crate) struct RaftModel {
     names: Vec<InstanceName>,
     fault: Option<Fault>,
+    /// Whether the first folders of the instances form the group, and no other folder may.
+    has_founders: bool,
     nodes: Interner<ModelNode>,
     envelopes: Interner<Envelope>,
     entries: Interner<LogEntry>,
@@ -86,6 +88,7 @@
         Self {
             names: names.iter().map(|name| InstanceName::new(*name)).collect(),
             fault,
+            has_founders: false,
             nodes: Interner::default(),
             envelopes: Interner::default(),
             entries: Interner::default(),
@@ -93,6 +96,11 @@
         }
     }
 
+    /// The same with instances whose first folders are known to be that.
+    pub(crate) fn open_founders(names: &[&str], fault: Option<Fault>) -> Self {
+        Self { has_founders: true, ..Self::open(names, fault) }
+    }
+
     /// The state in which all folders are empty.
     pub(crate) fn empty_state(&mut self, budget: ModelBudget) -> ModelState {
         self.state_of(&RestoredRaft::default(), budget)
@@ -181,8 +189,20 @@
     }
 
     fn id_at(&self, node_index: usize, folder: u64) -> NodeId {
-        let identity = FolderIdentity(folder * 10 + node_index as u64);
-        NodeId { instance: self.names[node_index].clone(), identity }
+        let instance = self.names[node_index].clone();
+        match self.has_founders && folder == 1 {
+            true => NodeId::founder(instance),
+            false => NodeId { instance, identity: FolderIdentity(folder * 10 + node_index as u64) },
+        }
+    }
+
+    /// The id of the folder that follows that of `id`.
+    fn next_id(&self, node_index: usize, id: &NodeId) -> NodeId {
+        match self.fault {
+            Some(Fault::KeepIdentity | Fault::FoundAgain) => id.clone(),
+            _ if id.is_founder() => self.id_at(node_index, 2),
+            _ => self.id_at(node_index, id.identity.0 / 10 + 1),
+        }
     }
 
     fn open_node(&self, id: NodeId, disk: &RestoredRaft) -> RaftNode {
@@ -191,6 +211,10 @@
         settings.replace_folder_after = TIMEOUT;
         settings.trailing_entries = 0;
         settings.max_chunk_bytes = 5;
+        if self.has_founders {
+            settings.may_bootstrap = false;
+            settings.target_voters = Some(self.names.len());
+        }
         RaftNode::open(settings, disk.clone(), MonotonicTime::default(), 0)
     }
 
@@ -344,11 +368,7 @@
             }
             ModelEvent::LoseFolder => {
                 let lost = self.lost_folder(&disk);
-                let folder = status.id.identity.0 / 10 + 1;
-                let id = match self.fault {
-                    Some(Fault::KeepIdentity) => status.id.clone(),
-                    _ => self.id_at(node_index, folder),
-                };
+                let id = self.next_id(node_index, &status.id);
                 disk = lost;
                 node = self.open_node(id, &disk);
                 Vec::new()
--- a/crates/wheel_agreement/tests/raft_model/planted_fault.rs
+++ b/crates/wheel_agreement/tests/raft_model/planted_fault.rs
@@ -21,6 +21,8 @@
     ReadAtOnce,
     /// Snapshots claim to cover one entry more than they do.
     ShiftSnapshot,
+    /// A lost folder comes back as the first folder of its instance, and empty.
+    FoundAgain,
     /// A node that belongs to a group reports that its folder is empty.
     ClaimEmpty,
 }
--- a/crates/wheel_agreement/tests/raft_scenarios.rs
+++ b/crates/wheel_agreement/tests/raft_scenarios.rs
@@ -7,7 +7,7 @@
 use test_group::TestGroup;
 use wheel_agreement::{
     EntryPayload, LogEntry, NodeId, ProposalId, ProposalRefusal, RaftInput, RaftOutput,
-    RaftSettings, ReadId, RoleName, VoterChange,
+    RaftSettings, ReadId, RoleName, StartWait, VoterChange,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -431,3 +431,119 @@
         assert!(accepted(&group, 1), "round {round}");
     }
 }
+
+/// What becomes of an instance that loses power during the first start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum PowerLoss {
+    /// It is back a second later with its folder.
+    KeepsFolder,
+    /// It is back a second later with an empty folder, which isn't its first one.
+    LosesFolder,
+    /// It stays away.
+    StaysAway,
+}
+
+/// The first folders of three instances, none of which has started yet.
+fn founders_to_start() -> TestGroup {
+    let mut group = TestGroup::open_with(&["a", "b", "c"], |settings| {
+        maintain_three_voters(settings);
+        settings.may_bootstrap = false;
+    });
+    for name in ["a", "b", "c"] {
+        group.stop(name);
+    }
+    group
+}
+
+/// Starts the instances in `order`, 150 ms apart; `lost` loses power after `loss`.
+fn start_with_loss(order: [&str; 3], lost: &str, loss: Duration, kind: PowerLoss) -> TestGroup {
+    let mut group = founders_to_start();
+    let began = group.now;
+    let mut records = None;
+    for step in 0..=250 {
+        let at = Duration::from_millis(10 * step);
+        group.run(at.saturating_sub(group.now.since(began)));
+        for (name, start) in order.iter().zip([0, 150, 300]) {
+            let is_due = at == Duration::from_millis(start);
+            if is_due && !(*name == lost && at >= loss) {
+                group.start(NodeId::founder((*name).into()), Vec::new());
+            }
+        }
+        if at == loss && group.nodes.contains_key(lost) {
+            records = Some(group.stop(lost));
+        }
+        let is_back = at == loss + SECOND;
+        match (kind, records.take_if(|_| is_back)) {
+            (PowerLoss::KeepsFolder, Some(records)) => {
+                group.start(NodeId::founder(lost.into()), records);
+            }
+            (PowerLoss::LosesFolder, _) if is_back => {
+                group.start(NodeId::new(lost, 77), Vec::new());
+            }
+            _ => {}
+        }
+    }
+    group
+}
+
+/// One instance loses power at any moment of the first start, in each order of starts. Were the
+/// first configured voter, or all voters, needed to form the group, there would be none after some
+/// of these losses. Once all are back, a second instance may fail.
+#[test]
+fn founding_loss_of_one_at_any_moment_forms_the_group() {
+    let orders = [
+        ["a", "b", "c"],
+        ["a", "c", "b"],
+        ["b", "a", "c"],
+        ["b", "c", "a"],
+        ["c", "a", "b"],
+        ["c", "b", "a"],
+    ];
+    let kinds = [PowerLoss::KeepsFolder, PowerLoss::LosesFolder, PowerLoss::StaysAway];
+    let losses = (0..=45).map(|step| Duration::from_millis(20 * step));
+    for ((order, lost), (loss, kind)) in orders
+        .iter()
+        .flat_map(|order| ["a", "b", "c"].map(|lost| (*order, lost)))
+        .flat_map(|case| losses.clone().map(move |loss| (case, loss)))
+        .flat_map(|(case, loss)| kinds.map(|kind| (case, (loss, kind))))
+    {
+        let case = format!("{order:?}, {lost} after {loss:?}: {kind:?}");
+        let mut group = start_with_loss(order, lost, loss, kind);
+        group.run(SECOND * 4);
+        let leader = group.leader().unwrap_or_else(|| panic!("no group: {case}"));
+        group.propose(&leader, 1, b"kept");
+        group.run(SECOND / 2);
+        assert!(accepted(&group, 1), "{case}");
+        if !group.nodes.contains_key(lost) {
+            continue;
+        }
+        let members = group.nodes[&*leader].node.status().members;
+        let running: std::collections::BTreeSet<NodeId> =
+            group.nodes.values().map(|test| test.node.status().id).collect();
+        assert_eq!(members.voters, running, "{case}");
+        let second = others(&leader).into_iter().find(|name| name != lost);
+        group.stop(&second.unwrap_or(leader));
+        let leader = group.run_to_leader();
+        group.propose(&leader, 2, b"kept as well");
+        group.run(SECOND / 2);
+        assert!(accepted(&group, 2), "{case}");
+        assert_eq!(commands(&group, &leader), [&b"kept"[..], b"kept as well"], "{case}");
+    }
+}
+
+#[test]
+fn founding_alone_waits_and_says_for_whom() {
+    let mut group = founders_to_start();
+    group.start(NodeId::founder("a".into()), Vec::new());
+    group.run(SECOND * 5);
+    let wait = group.nodes["a"].node.start_wait();
+    assert_eq!(wait, Some(StartWait::Voters { more: 1, of: vec!["b".into(), "c".into()] }));
+    // A later folder of another voter says nothing about what its first one did.
+    group.start(NodeId::new("b", 7), Vec::new());
+    group.run(SECOND * 5);
+    assert_eq!(group.nodes["a"].node.start_wait(), wait);
+    assert_eq!(group.nodes["b"].node.start_wait(), Some(StartWait::Group { leader: None }));
+    group.start(NodeId::founder("c".into()), Vec::new());
+    group.run_to_leader();
+    assert_eq!(group.nodes["a"].node.start_wait(), None);
+}
--- a/crates/wheel_control/src/control_folder.rs
+++ b/crates/wheel_control/src/control_folder.rs
@@ -4,7 +4,8 @@
 
 use snafu::{ResultExt, Snafu};
 use wheel_agreement::{
-    CodecError, HardState, LogEntry, PersistRecord, RaftSnapshot, RestoredRaft, decode, encode,
+    CodecError, FolderIdentity, HardState, LogEntry, PersistRecord, RaftSnapshot, RestoredRaft,
+    decode, encode,
 };
 use wheel_storage::{LogRecord, LogStore, StorageError, StoredEntry, StoredSnapshot, StoredVote};
 
@@ -47,9 +48,17 @@
 }
 
 impl ControlFolder {
-    /// Opens the folder at `path`.
-    pub(crate) fn open(path: &Path) -> Result<OpenedFolder, FolderError> {
-        let (store, held) = LogStore::open(path).context(StorageSnafu)?;
+    /// Opens the folder at `path`. One that is created now gets `first_identity`, if there is any,
+    /// or else a random one.
+    pub(crate) fn open(
+        path: &Path,
+        first_identity: Option<FolderIdentity>,
+    ) -> Result<OpenedFolder, FolderError> {
+        let opened = match first_identity {
+            Some(identity) => LogStore::open_as(path, identity.0),
+            None => LogStore::open(path),
+        };
+        let (store, held) = opened.context(StorageSnafu)?;
         let mut restored = RestoredRaft::default();
         if let Some(vote) = held.vote {
             restored.hard_state = decode::<HardState>(&vote.voted_for).context(RecordSnafu)?;
--- a/crates/wheel_control/src/control_node.rs
+++ b/crates/wheel_control/src/control_node.rs
@@ -13,7 +13,8 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use wheel_agreement::{
-    GroupAction, GroupLimits, NodeId, RaftMessage, RaftNode, RaftSettings, RaftStatus, VoterChange,
+    FolderIdentity, GroupAction, GroupLimits, NodeId, RaftMessage, RaftNode, RaftSettings,
+    RaftStatus, VoterChange,
 };
 use wheel_peer::PeerHub;
 use wheel_types::{InstanceName, MonotonicTime};
@@ -49,6 +50,10 @@
     pub start: Instant,
     /// Whether it may form a new group; see [`RaftSettings::may_bootstrap`].
     pub may_bootstrap: bool,
+    /// Whether a folder that is created now is the first one of this instance. A majority of the
+    /// voters' first folders forms a new group. It must be false once the instance has lost a
+    /// folder: the new one would count as the old one, whose votes and entries it doesn't hold.
+    pub is_first_folder: bool,
     /// The number of voters that the group maintains automatically; see
     /// [`RaftSettings::target_voters`].
     pub target_voters: Option<usize>,
@@ -81,6 +86,7 @@
     inputs: SyncSender<WorkerInput>,
     worker: Arc<Mutex<Option<JoinHandle<()>>>>,
     is_stopping: Arc<AtomicBool>,
+    start_wait: Arc<Mutex<Option<String>>>,
     id: NodeId,
 }
 
@@ -98,17 +104,17 @@
         documents: Arc<DocumentState>,
     ) -> Result<Self, ControlError> {
         let path = settings.folder;
-        let opened = ControlFolder::open(&path).context(FolderSnafu { path: &path })?;
+        let founds = settings.is_first_folder && settings.voters.contains(&settings.instance);
+        let first = founds.then(|| FolderIdentity::of_founder(&settings.instance));
+        let opened = ControlFolder::open(&path, first).context(FolderSnafu { path: &path })?;
         let OpenedFolder { folder, identity, restored, repaired } = opened;
         if let Some(cut) = repaired {
             warn!("log_tail_cut", kv: { folder:? = path.display().to_string(), cut:? = cut });
         }
-        let id = NodeId {
-            instance: settings.instance,
-            identity: wheel_agreement::FolderIdentity(identity),
-        };
+        let id = NodeId { instance: settings.instance, identity: FolderIdentity(identity) };
         info!("control_started", kv: {
             identity = id.identity.to_string(),
+            is_first_folder = id.is_founder(),
             term = restored.hard_state.term,
             snapshot = restored.snapshot.index,
             entries = restored.entries.len()
@@ -127,14 +133,15 @@
         let limits = GroupLimits::default();
         let is_stopping = Arc::new(AtomicBool::new(false));
         let states = (manifest, documents);
-        let stopping = Arc::clone(&is_stopping);
+        let start_wait: Arc<Mutex<Option<String>>> = Arc::default();
+        let shared = (Arc::clone(&is_stopping), Arc::clone(&start_wait));
         let worker =
-            ControlWorker::new(settings.start, node, folder, sender, states, limits, stopping);
+            ControlWorker::new(settings.start, node, folder, sender, states, limits, shared);
         let thread = std::thread::Builder::new()
             .name("wheel-control".to_owned())
             .spawn(move || worker.run(&receiver))
             .context(ThreadSnafu)?;
-        Ok(Self { inputs, worker: Arc::new(Mutex::new(Some(thread))), is_stopping, id })
+        Ok(Self { inputs, worker: Arc::new(Mutex::new(Some(thread))), is_stopping, start_wait, id })
     }
 
     /// This participant's id.
@@ -142,10 +149,15 @@
         &self.id
     }
 
+    /// What this participant waits for to take part in a group; `None` once it does.
+    pub fn start_wait(&self) -> Option<String> {
+        self.start_wait.lock().clone()
+    }
+
     /// Queues a message of the replicated log; it is dropped if the queue is full.
     pub fn receive_message(&self, from: NodeId, to: &NodeId, message: RaftMessage) {
         let is_for_this_node =
-            to.identity == wheel_agreement::FolderIdentity::ANY || to.identity == self.id.identity;
+            to.identity == FolderIdentity::ANY || to.identity == self.id.identity;
         if is_for_this_node {
             let _ = self.inputs.try_send(WorkerInput::Message { from, message });
         }
--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use spdlog::{critical, info, warn};
 use tokio::sync::oneshot;
 use wheel_agreement::{
@@ -35,6 +36,8 @@
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two attempts to write to a full disk.
 const FULL_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two log lines about what an empty folder waits for.
+const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Inputs of the worker.
 pub(crate) enum WorkerInput {
@@ -69,6 +72,9 @@
     snapshot_index: u64,
     /// Bytes of the entries applied since the snapshot.
     applied_bytes: usize,
+    /// What an empty folder waits for, for operators.
+    start_wait: Arc<Mutex<Option<String>>>,
+    wait_logged: Option<Instant>,
     /// Set before the worker is told to stop, so that it doesn't wait for a full disk.
     is_stopping: Arc<AtomicBool>,
     /// Whether it was stopped before its last records could be written; it carries out no further
@@ -84,7 +90,7 @@
         sender: PeerSender,
         (manifest, documents): (Arc<ManifestState>, Arc<DocumentState>),
         limits: GroupLimits,
-        is_stopping: Arc<AtomicBool>,
+        (is_stopping, start_wait): (Arc<AtomicBool>, Arc<Mutex<Option<String>>>),
     ) -> Self {
         Self {
             start,
@@ -104,6 +110,8 @@
             accepted: None,
             snapshot_index: 0,
             applied_bytes: 0,
+            start_wait,
+            wait_logged: None,
             is_stopping,
             is_aborted: false,
         }
@@ -144,6 +152,7 @@
                 return;
             }
             self.update_role();
+            self.update_start_wait();
             self.compact_if_due();
         }
     }
@@ -378,6 +387,21 @@
         self.role = role;
     }
 
+    /// Logs what an empty folder waits for, when that changes and from time to time.
+    fn update_start_wait(&mut self) {
+        let wait = self.node.start_wait().map(|wait| wait.to_string());
+        let is_due = self.wait_logged.is_none_or(|at| at.elapsed() >= WAIT_LOG_INTERVAL);
+        let mut held = self.start_wait.lock();
+        if *held == wait && (wait.is_none() || !is_due) {
+            return;
+        }
+        if let Some(waits_for) = &wait {
+            warn!("start_waits", kv: { waits_for = waits_for.as_str() });
+        }
+        self.wait_logged = Some(Instant::now());
+        *held = wait;
+    }
+
     fn compact_if_due(&mut self) {
         let applied = self.state.applied();
         let document_bytes = self.state.document().map_or(0, |document| document.bytes.len());
--- a/crates/wheel_control/src/group_client.rs
+++ b/crates/wheel_control/src/group_client.rs
@@ -127,6 +127,11 @@
         None
     }
 
+    /// What the own control instance waits for to take part in the group, if it doesn't yet.
+    pub fn start_wait(&self) -> Option<String> {
+        self.own.as_ref()?.start_wait()
+    }
+
     /// Replaces the list of control instances.
     pub fn set_control_instances(&self, control_instances: &[InstanceName]) {
         *self.control_instances.lock() = control_instances.into();
--- a/crates/wheel_control/tests/support/mod.rs
+++ b/crates/wheel_control/tests/support/mod.rs
@@ -80,6 +80,7 @@
         seed: index as u64,
         start: Instant::now(),
         may_bootstrap: true,
+        is_first_folder: false,
         target_voters: Some(names.len()),
         replace_voter_after: Duration::from_secs(3),
     };
--- a/crates/wheel_daemon/src/fleet_control.rs
+++ b/crates/wheel_daemon/src/fleet_control.rs
@@ -83,6 +83,7 @@
             seed: rand::rng().random(),
             start: Instant::now(),
             may_bootstrap: *may_bootstrap,
+            is_first_folder: *may_bootstrap,
             target_voters: Some(*voters),
             replace_voter_after: settings.bounds.contact_timeout,
         };
--- a/crates/wheel_daemon/src/operator_service.rs
+++ b/crates/wheel_daemon/src/operator_service.rs
@@ -63,7 +63,11 @@
             *response.status_mut() = StatusCode::BAD_REQUEST;
             response
         }
-        PutOutcome::Unresolved => status_answer(StatusCode::SERVICE_UNAVAILABLE),
+        PutOutcome::Unresolved { reason } => {
+            let mut response = Response::new(full_body(format!("{reason}\n")));
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            response
+        }
     }
 }
 
--- a/crates/wheel_daemon/src/running_daemon.rs
+++ b/crates/wheel_daemon/src/running_daemon.rs
@@ -347,6 +347,7 @@
         seed,
         start,
         may_bootstrap: true,
+        is_first_folder: false,
         target_voters: None,
         replace_voter_after: Duration::MAX,
     };
--- a/crates/wheel_placement/src/config_service.rs
+++ b/crates/wheel_placement/src/config_service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::time::{Instant, timeout_at};
 use wheel_agreement::{DocumentAnswer, GroupAction, GroupAnswer, StoredDocument};
 use wheel_control::{DocumentState, GroupClient};
@@ -26,7 +26,10 @@
     /// It is invalid and changes nothing.
     Invalid(ConfigError),
     /// It may be in force, or may still come into force.
-    Unresolved,
+    Unresolved {
+        /// Why there is no clear outcome.
+        reason: String,
+    },
 }
 
 /// Submits configurations to the group, and reads the newest one back.
@@ -51,7 +54,7 @@
     /// change was requested, and a retry finds it done.
     pub async fn put(self: Arc<Self>, bytes: Bytes) -> PutOutcome {
         let task = tokio::spawn(async move { self.submit(&bytes).await });
-        task.await.unwrap_or(PutOutcome::Unresolved)
+        task.await.unwrap_or_else(|error| PutOutcome::Unresolved { reason: error.to_string() })
     }
 
     async fn submit(&self, bytes: &Bytes) -> PutOutcome {
@@ -75,14 +78,27 @@
                 let reason = "it is larger than the group takes".to_owned();
                 (PutOutcome::Invalid(ConfigError::Unreadable { reason }), "too_large")
             }
-            Ok(_) | Err(_) => (PutOutcome::Unresolved, "unresolved"),
+            Ok(_) => (self.unresolved("another answer than to a configuration"), "unresolved"),
+            Err(error) => (self.unresolved(&error.to_string()), "unresolved"),
         };
+        if let PutOutcome::Unresolved { reason } = &result {
+            warn!("config_put_unresolved", kv: { version, reason:? = reason });
+        }
         info!("config_put", kv: {
             version, outcome = outcome, ms = began.elapsed().as_millis()
         });
         result
     }
 
+    /// No clear outcome, with what this instance waits for if it takes no part in the group yet.
+    fn unresolved(&self, error: &str) -> PutOutcome {
+        let reason = match self.group.start_wait() {
+            Some(wait) => format!("{error}; this instance waits for {wait}"),
+            None => error.to_owned(),
+        };
+        PutOutcome::Unresolved { reason }
+    }
+
     /// The newest configuration. Waits until this instance holds one as new as the group confirms.
     ///
     /// # Errors
--- a/crates/wheel_placement/tests/config_service.rs
+++ b/crates/wheel_placement/tests/config_service.rs
@@ -61,6 +61,7 @@
         seed: 1,
         start: Instant::now(),
         may_bootstrap,
+        is_first_folder: may_bootstrap,
         target_voters: Some(1),
         replace_voter_after: Duration::from_secs(3),
     };
@@ -118,7 +119,8 @@
     let folder = tempfile::tempdir().expect("a folder");
     let group = open_group(folder.path(), false);
     let outcome = Arc::clone(&group.service).put(bytes("1")).await;
-    assert_eq!(outcome, PutOutcome::Unresolved);
+    let PutOutcome::Unresolved { reason } = outcome else { panic!("{outcome:?}") };
+    assert!(reason.contains("waits for a group to join"), "{reason}");
     assert!(group.service.read().await.is_err(), "a read without a group isn't confirmed");
     group.control.stop();
 }
--- a/crates/wheel_storage/src/log_store.rs
+++ b/crates/wheel_storage/src/log_store.rs
@@ -40,10 +40,24 @@
         Self::open_on(folder, default_device(folder))
     }
 
+    /// Like [`LogStore::open`]; a folder that is created now gets `identity` in place of a random
+    /// one.
+    pub fn open_as(folder: &Path, identity: u64) -> Result<(Self, RestoredFolder), StorageError> {
+        Self::open_new_as(folder, default_device(folder), identity)
+    }
+
     /// Like [`LogStore::open`], with `device` in place of the local file system.
     pub fn open_on(
+        folder: &Path,
+        device: Box<dyn StorageDevice>,
+    ) -> Result<(Self, RestoredFolder), StorageError> {
+        Self::open_new_as(folder, device, rand::random())
+    }
+
+    fn open_new_as(
         folder: &Path,
         mut device: Box<dyn StorageDevice>,
+        new_identity: u64,
     ) -> Result<(Self, RestoredFolder), StorageError> {
         std::fs::create_dir_all(folder).context(IoSnafu { action: "create", file: folder })?;
         let lock = lock_folder(folder)?;
@@ -51,7 +65,7 @@
         let numbers = list_segments(device.as_mut(), folder)?;
         let number = match numbers.last() {
             Some(number) => *number,
-            None => create_log(folder, device.as_mut(), snapshot.as_ref())?,
+            None => create_log(folder, device.as_mut(), snapshot.as_ref(), new_identity)?,
         };
         let path = LogSegment::path(folder, number);
         let mut segment = LogSegment::read(device.as_mut(), &path)?;
@@ -249,16 +263,17 @@
     Ok(numbers)
 }
 
-/// Creates the first segment of a new folder with a fresh identity.
+/// Creates the first segment of a new folder.
 fn create_log(
     folder: &Path,
     device: &mut dyn StorageDevice,
     snapshot: Option<&SnapshotFile>,
+    identity: u64,
 ) -> Result<u64, StorageError> {
     let reason = "the snapshot exists, but the log is missing";
     let file = SnapshotFile::path(folder);
     ensure!(snapshot.is_none(), CorruptSnafu { file, offset: 0_u64, reason });
-    let header = SegmentHeader { identity: rand::random(), number: 1, ..SegmentHeader::default() };
+    let header = SegmentHeader { identity, number: 1, ..SegmentHeader::default() };
     let path = LogSegment::path(folder, header.number);
     replace_file(folder, device, &path, &header.encode())?;
     if let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
--- a/crates/wheel_storage/src/restored_folder.rs
+++ b/crates/wheel_storage/src/restored_folder.rs
@@ -5,7 +5,9 @@
 /// Everything that [`LogStore::open`](crate::LogStore::open) found in the folder.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RestoredFolder {
-    /// Random identity, generated when the folder is created. A wiped folder gets another one.
+    /// Identity, set when the folder is created: random, or as [`LogStore::open_as`] was told.
+    ///
+    /// [`LogStore::open_as`]: crate::LogStore::open_as
     pub identity: u64,
     /// The last vote.
     pub vote: Option<StoredVote>,
