Tests of wisteriawheeld with an engine that is silent for a while

A sound engine may send nothing for a second or so and go on. An engine process is frozen twice, with a stream under way and a request that arrives meanwhile: all streams must end whole, with one run each.

With 1.2 s it holds, in 4 runs of 4. With 2 s one stream is ended in the second silence and run again, in 8 runs of 8 (runs [2, 1, 1] where [1, 1, 1] is expected); callers get each token once, but work is thrown away. By reading: a connection that was retired after the first silence leaves its streams retired_grace, 2 s, for each later pause, whatever has come on it since.

--- a/crates/wheel_harness/tests/request_path.rs
+++ b/crates/wheel_harness/tests/request_path.rs
@@ -97,6 +97,41 @@
     assert!(engine_runs(&cluster).await.into_values().all(|runs| runs <= MAX_RUNS));
 }
 
+/// A sound engine may send nothing for a while, before its first token and after it. Its streams
+/// go on there: they aren't ended, and run nowhere else.
+async fn assert_silence_ends_no_stream(silence: Duration) {
+    let settings = preloaded(&["engine-a=guide", "engine-b=guide"], "20000");
+    let cluster = start_manifest(&support::replicated_manifest(), settings).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    owner_of(&cluster, seen_at, "engine-a").await;
+    owner_of(&cluster, seen_at, "engine-b").await;
+    // The ingress is in data centre a, so the local engine answers.
+    let (at, client) = (cluster.instances[0].ports.callers, cluster.client.clone());
+    let begun = tokio::spawn(async move { generate(&client, at, "guide", 150, 20_000).await });
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    for _ in 0..2 {
+        cluster.upstreams["engine-a"].signal(ProcessSignal::Stop);
+        let client = cluster.client.clone();
+        let waiting = tokio::spawn(async move { generate(&client, at, "guide", 5, 20_000).await });
+        tokio::time::sleep(silence).await;
+        cluster.upstreams["engine-a"].signal(ProcessSignal::Continue);
+        assert_whole(&waiting.await.expect("the stream's task"), 5);
+    }
+    assert_whole(&begun.await.expect("the stream's task"), 150);
+    let runs: Vec<u64> = engine_runs(&cluster).await.into_values().collect();
+    assert_eq!(runs, [1, 1, 1], "each runs once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_at_an_engine_silent_for_a_second_goes_on_there() {
+    assert_silence_ends_no_stream(Duration::from_millis(1_200)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_at_an_engine_silent_for_two_seconds_goes_on_there() {
+    assert_silence_ends_no_stream(Duration::from_secs(2)).await;
+}
+
 /// Random failures of all engines. Whatever fails, a request runs on no more engines than allowed,
 /// its answer is whole or says that it isn't, and `not-run` is true.
 #[tokio::test(flavor = "multi_thread")]
