--- a/crates/wheel_gateway/tests/silent_upstreams.rs
+++ b/crates/wheel_gateway/tests/silent_upstreams.rs
@@ -236,3 +236,15 @@
         assert_eq!(ingress.post("/a/", &[]).await.status, 200);
     }
 }
+
+/// Without ids nothing tells where a stream goes on, so that another upstream begins anew.
+#[tokio::test]
+async fn stream_without_ids_isnt_repeated_after_a_silence() {
+    let slow = Reply::paced(&[(0, "data: a\n\n"), (1_500, "data: b\n\n")]);
+    let slow = TestUpstream::bind("u1", vec![slow]).await;
+    let whole = "data: a\n\ndata: b\n\n";
+    let other = TestUpstream::bind("u2", vec![Reply::ran(200, whole)]).await;
+    let ingress = ingress(STREAM, &[&slow, &other]).await;
+    let answer = ingress.post("/a/", &[]).await;
+    assert_eq!((answer.body.as_str(), answer.is_whole), (whole, true));
+}
