--- a/crates/wheel_gateway/tests/slow_callers.rs
+++ b/crates/wheel_gateway/tests/slow_callers.rs
@@ -69,7 +69,7 @@
     let upstream = TestUpstream::bind("u1", vec![Reply::ran(200, &body)]).await;
     let limit = Duration::from_secs(1);
     let ingress = TestIngress::with_route(RouteKind::Idempotent, &[&upstream], |route| {
-        route.time_limit = limit
+        route.time_limit = limit;
     })
     .await;
     let before = process_budget().held();
