Streams pass events of their own alone, and end as complete only if that is proved

Callers found the text of an error, or the whole head of a failure, in the middle of their streams, and streams of which a part was missing ended as complete. Of an engine's success on a stream's route only the framing was judged: a blank line made an event of any bytes, and any orderly end of the engine that went on with a broken stream ended it.

Now an event has only fields of text/event-stream and those that the dialect adds, and its id is above the last one of its run; other bytes end the stream at that engine as a fault of content, after the events that came before them. Ids decide what an event with the name `error` is: it is the stream's own if it has a further id, and isn't one without. A continuation must have the media type of the first answer and a further event before its end; otherwise the stream goes on at another engine, within attempts and budget, or is cut. An engine's own answer to the caller may be empty as before, if a length or chunks say so: nothing is joined to it. To a caller that resumes, events that it has prove nothing either. A stream with an event without an id is resumed or left no more, since nothing tells another engine where it goes on.

Since a fault can now be known together with the events before it, the body waits once before it breaks off: the server discards what it hasn't written, and the caller would get neither the events nor the head.

Refused continuations are logged as continuation_refused with the reason.

--- a/crates/wheel_gateway/src/ingress_dialect.rs
+++ b/crates/wheel_gateway/src/ingress_dialect.rs
@@ -66,6 +66,9 @@
     /// The limit on requests that an upstream names in an answer.
     fn named_limit(&self, headers: &HeaderMap) -> NamedLimit;
 
+    /// Whether events of upstreams may have the field `name`, beside those of `text/event-stream`.
+    fn is_event_field(&self, name: &str) -> bool;
+
     /// Classifies an answer by its head.
     fn classify_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerClass;
 }
--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod active_config;
 mod crash_reports;
+mod event_fields;
 mod event_splitter;
 mod fleet_state;
 mod ingress_dialect;
 mod ingress_request;
 mod limit_wait;
 mod local_answer;
+mod media_type;
 mod proxy_context;
 mod proxy_settings;
 mod request_end;
--- a/crates/wheel_gateway/src/request_end.rs
+++ b/crates/wheel_gateway/src/request_end.rs
@@ -7,6 +7,7 @@
 use wheel_seams::is_planted;
 
 use crate::local_answer::refusal;
+use crate::media_type::MediaType;
 use crate::request_run::{HeldStream, RequestRun, ServeOutcome};
 use crate::resumed_stream::ResumedStream;
 use crate::upstream_search::{CAPACITY_RETRY, MIN_ANSWER_TIME, NoUpstream};
@@ -29,7 +30,9 @@
 fn forward_stream(mut run: RequestRun, held: HeldStream) -> Response<AnswerBody> {
     run.log.forwarded_head();
     run.log.answered(held.status, "stream_cut");
-    let mut response = Response::new(ResumedStream::begin(run, held.reader).into_body());
+    let media_type = MediaType::of(&held.headers);
+    let stream = ResumedStream::begin(run, held.reader, media_type);
+    let mut response = Response::new(stream.into_body());
     *response.status_mut() = held.status;
     *response.headers_mut() = held.headers;
     response
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -18,6 +18,7 @@
     ArrivalClock, CallFailure, CallTimeouts, FailureKind, ServiceAnswer, ServiceCall,
 };
 
+use crate::media_type::MediaType;
 use crate::proxy_context::ProxyContext;
 use crate::request_log::{RequestLog, RequestPhase};
 use crate::send_classifier::{SendClass, SendClassifier};
@@ -79,6 +80,8 @@
     replacement: Option<EngineInfo>,
     /// The silent upstream that the request has left, until it may have run at another one.
     left: Option<EngineId>,
+    /// Whether only the present upstream can deliver the rest of the stream.
+    has_to_stay: bool,
     /// An upstream's answer with a server error, used if no other answer is received.
     pub(crate) failure: Option<Response<Bytes>>,
     pub(crate) log: RequestLog,
@@ -142,6 +145,7 @@
             last_send: None,
             replacement: None,
             left: None,
+            has_to_stay: false,
             failure: None,
             log,
         };
@@ -216,12 +220,13 @@
             headers.remove(header::CONTENT_LENGTH);
         }
         let last = self.arrived.request.resume_after;
-        let mut reader = StreamReader::begin(body, guard, kind, last);
+        let dialect = Arc::clone(&self.context.dialect);
+        let mut reader = StreamReader::begin(body, guard, dialect, kind, last);
         let watch = self.stall_watch(reader.arrivals(), false);
         let filled = match kind {
             // Only its own upstream has the rest of a body that isn't made of events.
-            StreamKind::Opaque => Ok(reader.fill_first().await),
-            _ => watch.wait(reader.fill_first()).await,
+            StreamKind::Opaque => Ok(reader.fill().await),
+            _ => watch.wait(reader.fill()).await,
         };
         match filled {
             Ok(Ok(())) => Some(HeldStream { status, headers, reader }),
@@ -230,17 +235,18 @@
                 None
             }
             Ok(Err(fault)) => {
-                self.record_fault(&fault, reader.partial_len());
+                self.record_fault("stream_broke", &fault, reader.partial_len());
                 None
             }
         }
     }
 
-    /// Finds an upstream and sends the rest of a stream there, after the event `last`.
+    /// Finds an upstream that goes on with a stream of the type `media_type` after the event `last`.
     pub(crate) async fn resume(
         &mut self,
         last: Option<u64>,
-    ) -> Option<(ServiceAnswer, RequestGuard)> {
+        media_type: &MediaType,
+    ) -> Option<StreamReader> {
         while self.replacement.is_some() || self.may_send_again() {
             let info = match self.next_upstream(true).await {
                 Ok(info) => info,
@@ -250,11 +256,20 @@
                 }
             };
             match self.send(&info, last.or(self.arrived.request.resume_after)).await {
-                SendOutcome::Answer(answer, guard) if answer.status.is_success() => {
+                SendOutcome::Answer(answer, _) if !answer.status.is_success() => {
+                    self.log.step("continuation_refused", answer.status.as_str());
+                }
+                SendOutcome::Answer(answer, _)
+                    if !media_type.allows(&MediaType::of(&answer.headers)) =>
+                {
+                    self.log.step("continuation_refused", "another media type");
+                }
+                SendOutcome::Answer(answer, guard) => {
                     self.log.enter(RequestPhase::Answering);
-                    return Some((*answer, guard));
+                    let dialect = Arc::clone(&self.context.dialect);
+                    return Some(StreamReader::resume(answer.body, guard, dialect, last));
                 }
-                SendOutcome::Answer(..) | SendOutcome::Rejected | SendOutcome::Broken => {}
+                SendOutcome::Rejected | SendOutcome::Broken => {}
             }
         }
         None
@@ -284,10 +299,16 @@
         self.spend_retry().then_some(info)
     }
 
+    /// Has the request stay at its upstream, since no other one can deliver the rest of the stream.
+    pub(crate) fn stay(&mut self) {
+        self.has_to_stay = true;
+    }
+
     /// Whether the request may leave an upstream that is still working on it, for another one.
     fn may_leave(&self) -> bool {
         let runs = self.possible_runs + u32::from(self.is_sending);
         self.arrived.route.kind.is_repeatable()
+            && !self.has_to_stay
             && runs < self.arrived.route.max_attempts
             && self.rejected <= MAX_REJECTED
             && Instant::now() + MIN_ANSWER_TIME < self.deadline()
@@ -376,13 +397,18 @@
         }
     }
 
-    /// Records that the stream of an upstream broke off.
-    pub(crate) fn record_fault(&mut self, fault: &StreamFault, partial_bytes: usize) {
+    /// Records that the stream of an upstream ends as `step`.
+    pub(crate) fn record_fault(
+        &mut self,
+        step: &'static str,
+        fault: &StreamFault,
+        partial_bytes: usize,
+    ) {
         self.log.record_partial_event(partial_bytes);
         if let Some(reason) = fault.broken {
             self.record_broken(reason);
         }
-        self.log.step("stream_broke", &fault.reason);
+        self.log.step(step, &fault.reason);
         if fault.is_no_answer {
             self.record_false_answer(&fault.reason);
         }
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -8,6 +8,7 @@
 use wheel_ingress::{AnswerBody, AnswerError};
 use wheel_seams::is_planted;
 
+use crate::media_type::MediaType;
 use crate::request_run::RequestRun;
 use crate::stream_reader::{StreamKind, StreamReader};
 
@@ -16,14 +17,17 @@
 pub(crate) struct ResumedStream {
     run: RequestRun,
     reader: StreamReader,
+    /// That of the first upstream's answer, whose head the caller has.
+    media_type: MediaType,
     /// Completes when the drain deadline has passed.
     drained: BoxFuture<'static, ()>,
 }
 
 impl ResumedStream {
-    pub(crate) fn begin(run: RequestRun, reader: StreamReader) -> Self {
+    pub(crate) fn begin(run: RequestRun, reader: StreamReader, media_type: MediaType) -> Self {
         let drain = run.drain();
-        let mut stream = Self { drained: async move { drain.passed().await }.boxed(), run, reader };
+        let drained = async move { drain.passed().await }.boxed();
+        let mut stream = Self { run, reader, media_type, drained };
         stream.note_end();
         stream
     }
@@ -47,6 +51,9 @@
             if self.reader.is_ended() {
                 return None;
             }
+            if self.reader.kind() == StreamKind::Final {
+                self.run.stay();
+            }
             let watch = self.run.stall_watch(self.reader.arrivals(), true);
             let filling = async {
                 match self.reader.kind() {
@@ -59,7 +66,8 @@
                 filled = filling => filled,
                 () = &mut self.drained => {
                     self.run.log.open_at_drain_deadline();
-                    return Some(Err(self.break_off("drain_ended", "the instance ends".to_owned())));
+                    let message = "the instance ends".to_owned();
+                    return Some(Err(self.break_off("drain_ended", message).await));
                 }
             };
             let fault = match filled {
@@ -68,7 +76,9 @@
                     continue;
                 }
                 Ok(Err(fault)) => {
-                    self.run.record_fault(&fault, self.reader.partial_len());
+                    let is_refused = !self.reader.has_event();
+                    let step = if is_refused { "continuation_refused" } else { "stream_broke" };
+                    self.run.record_fault(step, &fault, self.reader.partial_len());
                     fault.reason
                 }
                 Err(replacement) => {
@@ -77,7 +87,7 @@
                 }
             };
             if let Err(reason) = self.resume().await {
-                return Some(Err(self.break_off(reason, fault)));
+                return Some(Err(self.break_off(reason, fault).await));
             }
         }
     }
@@ -102,20 +112,23 @@
         let last = self.reader.last();
         let resumed = tokio::select! {
             biased;
-            resumed = self.run.resume(last) => resumed.ok_or("stream_broke"),
+            resumed = self.run.resume(last, &self.media_type) => resumed.ok_or("stream_broke"),
             () = &mut self.drained => {
                 self.run.log.open_at_drain_deadline();
                 Err("drain_ended")
             }
         };
-        let (answer, guard) = resumed?;
-        self.reader = StreamReader::begin(answer.body, guard, StreamKind::Resumable, last);
+        self.reader = resumed?;
         Ok(())
     }
 
-    fn break_off(&mut self, reason: &'static str, message: String) -> AnswerError {
+    /// Ends the caller's body as broken off.
+    async fn break_off(&mut self, reason: &'static str, message: String) -> AnswerError {
         self.reader.close();
         self.run.log.set_reason(reason);
+        // The server writes what was forwarded only when the body is pending; after an error it
+        // discards it, with the head.
+        tokio::task::yield_now().await;
         AnswerError::BrokeOff { reason: message }
     }
 }
--- a/crates/wheel_gateway/src/stream_reader.rs
+++ b/crates/wheel_gateway/src/stream_reader.rs
@@ -1,12 +1,14 @@
 //! Reads a stream from one upstream.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use wheel_memory::{BudgetScope, ByteLease};
 use wheel_upstream::{AnswerBody, ArrivalClock};
 
-use crate::{EventSplitter, RequestGuard};
+use crate::event_fields::EventFields;
+use crate::{EventSplitter, IngressDialect, RequestGuard};
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -44,12 +46,21 @@
     lease: ByteLease,
     ready: VecDeque<Bytes>,
     kind: StreamKind,
+    dialect: Arc<dyn IngressDialect>,
     /// Bytes that were read of a body that isn't made of events.
     opaque_bytes: usize,
-    /// Whether the upstream has sent a complete event.
+    /// Whether the upstream has sent a complete event that the caller doesn't have.
     has_event: bool,
+    /// Whether the caller has events of the stream that came before this body.
+    is_continuation: bool,
+    /// Whether the upstream has sent an event that the caller has.
+    has_repeated: bool,
+    /// The id of the last event that this upstream sent.
+    last_sent: Option<u64>,
     /// The id of the last event that was made ready, by this upstream or one before.
     last: Option<u64>,
+    /// What ends the stream after the events that are ready.
+    fault: Option<StreamFault>,
 }
 
 impl StreamFault {
@@ -64,6 +75,7 @@
     pub(crate) fn begin(
         body: AnswerBody,
         guard: RequestGuard,
+        dialect: Arc<dyn IngressDialect>,
         kind: StreamKind,
         last: Option<u64>,
     ) -> Self {
@@ -73,35 +85,45 @@
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
             kind,
+            dialect,
             opaque_bytes: 0,
             has_event: false,
-            last,
+            is_continuation: false,
+            has_repeated: false,
+            last_sent: None,
+            last: last.filter(|_| kind == StreamKind::Resumable),
+            fault: None,
         }
     }
 
-    /// Reads until complete events are ready or the stream has ended. Cancel-safe.
-    ///
-    /// # Errors
-    /// [`StreamFault`] if the stream breaks off or its content is malformed.
-    pub(crate) async fn fill(&mut self) -> Result<(), StreamFault> {
-        while self.ready.is_empty() && !self.is_ended() {
-            self.read().await?;
-        }
-        Ok(())
+    /// Begins to read the rest of a stream of which the caller has the events up to the id `last`.
+    /// It must hold a further event.
+    pub(crate) fn resume(
+        body: AnswerBody,
+        guard: RequestGuard,
+        dialect: Arc<dyn IngressDialect>,
+        last: Option<u64>,
+    ) -> Self {
+        let begun = Self::begin(body, guard, dialect, StreamKind::Resumable, last);
+        Self { is_continuation: true, ..begun }
     }
 
-    /// Reads until the first event is ready or the stream has ended; comments are none. Cancel-safe.
+    /// Reads until complete events are ready or the stream has ended. Comments are kept until the
+    /// first event is complete. Cancel-safe.
     ///
     /// # Errors
-    /// [`StreamFault`] as for [`Self::fill`].
-    pub(crate) async fn fill_first(&mut self) -> Result<(), StreamFault> {
-        while !self.has_event && !self.is_ended() {
+    /// [`StreamFault`] if the stream breaks off or its content is malformed.
+    pub(crate) async fn fill(&mut self) -> Result<(), StreamFault> {
+        while (self.ready.is_empty() || !self.has_event) && !self.is_ended() {
             self.read().await?;
         }
         Ok(())
     }
 
     async fn read(&mut self) -> Result<(), StreamFault> {
+        if let Some(fault) = self.fault.take() {
+            return Err(fault);
+        }
         self.lease_kept_bytes()?;
         let Some((body, _)) = &mut self.source else { return Ok(()) };
         match body.next().await {
@@ -135,10 +157,17 @@
         self.source.as_ref().map(|(body, _)| body.arrivals().clone())
     }
 
+    /// How the stream is forwarded; a resumable one becomes final once it has an event without an
+    /// id, since nothing tells another upstream where it goes on.
     pub(crate) fn kind(&self) -> StreamKind {
         self.kind
     }
 
+    /// Whether the upstream has sent a complete event that the caller didn't have.
+    pub(crate) fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// The id of the last event that was made ready.
     pub(crate) fn last(&self) -> Option<u64> {
         self.last
@@ -167,16 +196,20 @@
         let partial = self.splitter.partial_len();
         let has_explicit_end =
             self.source.as_ref().is_some_and(|(body, _)| body.framing().has_explicit_end());
-        let reason = match self.kind {
+        let broken = Some("stream_ended_early");
+        let fault = match self.kind {
             StreamKind::Opaque => None,
-            _ if partial > 0 => Some(format!("ended after {partial} bytes of an event")),
+            _ if partial > 0 => Some((format!("ended after {partial} bytes of an event"), broken)),
             _ if !self.has_event && !has_explicit_end => {
-                Some("closed before its first event".to_owned())
+                Some(("closed before its first event".to_owned(), broken))
+            }
+            // Joined to what the caller has, an end without an event proves nothing.
+            _ if !self.has_event && (self.is_continuation || self.has_repeated) => {
+                Some(("ended without an event that the caller doesn't have".to_owned(), None))
             }
             StreamKind::Resumable | StreamKind::Final => None,
         };
-        if let Some(reason) = reason {
-            let broken = Some("stream_ended_early");
+        if let Some((reason, broken)) = fault {
             return Err(StreamFault { reason, broken, is_no_answer: false });
         }
         self.close();
@@ -187,7 +220,7 @@
         Ok(())
     }
 
-    /// Makes the complete events ready.
+    /// Makes the complete events ready, up to the first one that isn't part of the stream.
     fn push_chunk(&mut self, chunk: Bytes) -> Result<(), StreamFault> {
         if self.kind == StreamKind::Opaque {
             self.has_event = true;
@@ -201,21 +234,45 @@
         self.splitter.push(&chunk);
         let mut complete = Vec::new();
         while let Some((id, event)) = self.splitter.next_event() {
-            self.has_event |= has_data(&event);
-            if self.kind == StreamKind::Resumable && id.is_some() && id <= self.last {
-                continue;
+            match self.accept(id, &event) {
+                Ok(true) => complete.extend_from_slice(&event),
+                Ok(false) => {}
+                Err(fault) => {
+                    self.splitter.clear();
+                    self.fault = Some(fault);
+                    break;
+                }
             }
-            self.last = id.or(self.last);
-            complete.extend_from_slice(&event);
         }
         if !complete.is_empty() {
             self.ready.push_back(complete.into());
         }
         Ok(())
     }
-}
 
-/// Whether an event is more than a comment or a setting of the stream.
-fn has_data(event: &[u8]) -> bool {
-    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+    /// Whether an event is new to the caller; an error if it isn't part of the stream. Ids increase
+    /// within a run, and either all events have one or only this upstream can deliver the rest.
+    fn accept(&mut self, id: Option<u64>, event: &[u8]) -> Result<bool, StreamFault> {
+        let fields = EventFields::read(event, &*self.dialect).map_err(StreamFault::of_content)?;
+        match id {
+            Some(id) if self.last_sent.is_some_and(|last| id <= last) => {
+                return Err(StreamFault::of_content("an event's id doesn't increase"));
+            }
+            Some(id) => {
+                self.last_sent = Some(id);
+                if self.kind == StreamKind::Resumable && Some(id) <= self.last {
+                    self.has_repeated = true;
+                    return Ok(false);
+                }
+                self.last = Some(id);
+            }
+            None if !fields.has_data => return Ok(true),
+            None if self.last.is_some() => {
+                return Err(StreamFault::of_content("an event has no id"));
+            }
+            None => self.kind = StreamKind::Final,
+        }
+        self.has_event |= fields.has_data;
+        Ok(true)
+    }
 }
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -405,6 +405,10 @@
         rate.map_or(NamedLimit::None, NamedLimit::PerSecond)
     }
 
+    fn is_event_field(&self, name: &str) -> bool {
+        name == "x-version"
+    }
+
     fn classify_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerClass {
         match status {
             StatusCode::MISDIRECTED_REQUEST => AnswerClass::Misdirected,
