The log says why a request stays at a silent upstream

A step upstream_silent said "kept, next -", which was the same whether the route's requests run at most once, attempts, time or the retry budget were over, or no other upstream could serve it at once.

--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod resumed_stream;
 mod send_classifier;
 mod stall_watch;
+mod stay_reason;
 mod stream_reader;
 mod tried_upstreams;
 mod upstream_search;
--- a/crates/wheel_gateway/src/request_run.rs
+++ b/crates/wheel_gateway/src/request_run.rs
@@ -23,6 +23,7 @@
 use crate::request_log::{RequestLog, RequestPhase};
 use crate::send_classifier::{SendClass, SendClassifier};
 use crate::stall_watch::StallWatch;
+use crate::stay_reason::StayReason;
 use crate::stream_reader::{StreamFault, StreamKind, StreamReader};
 use crate::tried_upstreams::TriedUpstreams;
 use crate::upstream_search::{MIN_ANSWER_TIME, NoUpstream, UpstreamSearch};
@@ -291,12 +292,16 @@
     }
 
     /// Another upstream that can serve the request at once, with a retry spent for it.
-    pub(crate) fn find_replacement(&self) -> Option<EngineInfo> {
-        if !self.may_leave() || self.remaining_retries() < 1.0 {
-            return None;
+    ///
+    /// # Errors
+    /// Why the request stays.
+    pub(crate) fn find_replacement(&self) -> Result<EngineInfo, StayReason> {
+        self.check_leave()?;
+        if self.remaining_retries() < 1.0 {
+            return Err(StayReason::NoRetry);
         }
-        let info = self.search().find_now()?;
-        self.spend_retry().then_some(info)
+        let info = self.search().find_now().ok_or(StayReason::NoUpstream)?;
+        if self.spend_retry() { Ok(info) } else { Err(StayReason::NoRetry) }
     }
 
     /// Has the request stay at its upstream, since no other one can deliver the rest of the stream.
@@ -305,19 +310,22 @@
     }
 
     /// Whether the request may leave an upstream that is still working on it, for another one.
-    fn may_leave(&self) -> bool {
+    fn check_leave(&self) -> Result<(), StayReason> {
         let runs = self.possible_runs + u32::from(self.is_sending);
-        self.arrived.route.kind.is_repeatable()
-            && !self.has_to_stay
-            && runs < self.arrived.route.max_attempts
-            && self.rejected <= MAX_REJECTED
-            && Instant::now() + MIN_ANSWER_TIME < self.deadline()
+        let has_attempts = runs < self.arrived.route.max_attempts && self.rejected <= MAX_REJECTED;
+        match self.arrived.route.kind {
+            kind if !kind.is_repeatable() => Err(StayReason::NotRepeatable),
+            _ if self.has_to_stay => Err(StayReason::NoEventId),
+            _ if !has_attempts => Err(StayReason::NoAttempt),
+            _ if Instant::now() + MIN_ANSWER_TIME >= self.deadline() => Err(StayReason::NoTime),
+            _ => Ok(()),
+        }
     }
 
     /// Counts the request as waiting for its model, so that it is loaded elsewhere if the silent
     /// upstream is down.
     pub(crate) fn begin_wait(&self) -> Option<WaitGuard> {
-        let key = self.search().demand_key().filter(|_| self.may_leave())?;
+        let key = self.search().demand_key().filter(|_| self.check_leave().is_ok())?;
         Some(WaitGuard::begin(&self.context.state, key))
     }
 
--- a/crates/wheel_gateway/src/stall_watch.rs
+++ b/crates/wheel_gateway/src/stall_watch.rs
@@ -49,20 +49,23 @@
                 continue;
             }
             look_at = Instant::now() + self.limit;
-            if let Some(info) = self.run.find_replacement() {
-                self.record("left", silence, &info.id.name);
-                return Err(info);
-            }
+            let reason = match self.run.find_replacement() {
+                Ok(info) => {
+                    self.record("left", silence, &format!("next {}", info.id.name));
+                    return Err(info);
+                }
+                Err(reason) => reason,
+            };
             if waiting.is_none() {
-                self.record("kept", silence, "-");
+                self.record("kept", silence, reason.as_str());
                 waiting = Some(self.run.begin_wait());
             }
         }
     }
 
-    fn record(&self, outcome: &'static str, silence: Duration, next: &str) {
+    fn record(&self, outcome: &'static str, silence: Duration, cause: &str) {
         counter!("wheel_upstream_silences_total", "outcome" => outcome).increment(1);
-        let inputs = format!("{outcome}, silent_ms {}, next {next}", silence.as_millis());
+        let inputs = format!("{outcome}, silent_ms {}, {cause}", silence.as_millis());
         self.run.log.step("upstream_silent", &inputs);
     }
 }
