One send of a request, and the run over its sends, in modules of their own

request_run.rs held both, and referred to stall_watch.rs, which referred back. SendLedger now holds the request with the outcomes of its sends and decides whether and where it is sent next; UpstreamSend is one send and its match with an answer; RequestRun goes over the sends until there is an answer. StallWatch needs the ledger alone. Functions were moved, without a change of behaviour.

--- a/crates/wheel_gateway/src/lib.rs
+++ b/crates/wheel_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`IngressDialect`] defines the formats that callers and upstreams use.
 
 mod active_config;
+mod arrived_request;
 mod crash_reports;
 mod event_fields;
 mod event_splitter;
@@ -23,11 +24,13 @@
 mod request_run;
 mod resumed_stream;
 mod send_classifier;
+mod send_ledger;
 mod stall_watch;
 mod stay_reason;
 mod stream_reader;
 mod tried_upstreams;
 mod upstream_search;
+mod upstream_send;
 mod upstream_table;
 mod wait_guard;
 
--- a/crates/wheel_gateway/src/request_end.rs
+++ b/crates/wheel_gateway/src/request_end.rs
@@ -28,8 +28,8 @@
 
 /// Forwards a stream as it arrives.
 fn forward_stream(mut run: RequestRun, held: HeldStream) -> Response<AnswerBody> {
-    run.log.forwarded_head();
-    run.log.answered(held.status, "stream_cut");
+    run.ledger.log.forwarded_head();
+    run.ledger.log.answered(held.status, "stream_cut");
     let media_type = MediaType::of(&held.headers);
     let stream = ResumedStream::begin(run, held.reader, media_type);
     let mut response = Response::new(stream.into_body());
@@ -40,32 +40,32 @@
 
 /// The answer to a request for which no upstream was found.
 fn refuse(mut run: RequestRun, none: &NoUpstream) -> Response<AnswerBody> {
-    if run.possible_runs > 0 {
+    if run.ledger.possible_runs > 0 {
         return give_up(run);
     }
-    let left = run.arrived.deadline.saturating_duration_since(Instant::now());
+    let left = run.ledger.arrived.deadline.saturating_duration_since(Instant::now());
     let jitter = rand::rng().random_range(0.8..1.0);
     let limit = left.mul_f64(HONOURED_SHARE * jitter);
-    run.log.answered(StatusCode::SERVICE_UNAVAILABLE, none.reason);
+    run.ledger.log.answered(StatusCode::SERVICE_UNAVAILABLE, none.reason);
     let retry_after = none.retry_after.mul_f64(2.0 - jitter).min(limit);
     let eta_ms = none.eta.map_or("unknown".to_owned(), |eta| eta.as_millis().to_string());
     let inputs = format!(
         "{}, eta_ms {eta_ms}, left_ms {}, tried {}, retry_after_ms {}",
         none.reason,
         left.as_millis(),
-        run.tried.len(),
+        run.ledger.tried.len(),
         retry_after.as_millis()
     );
-    run.log.step("refused", &inputs);
+    run.ledger.log.step("refused", &inputs);
     refusal(StatusCode::SERVICE_UNAVAILABLE, none.reason, Some(retry_after))
 }
 
 /// The answer to a request whose sends all failed and that isn't sent again.
 fn give_up(mut run: RequestRun) -> Response<AnswerBody> {
-    let is_late = Instant::now() + MIN_ANSWER_TIME / 2 >= run.arrived.deadline;
-    match run.possible_runs {
+    let is_late = Instant::now() + MIN_ANSWER_TIME / 2 >= run.ledger.arrived.deadline;
+    match run.ledger.possible_runs {
         0 => {
-            let none = NoUpstream::new("rejected_everywhere", run.search().retry_after());
+            let none = NoUpstream::new("rejected_everywhere", run.ledger.search().retry_after());
             refuse(run, &none)
         }
         _ => {
@@ -74,7 +74,7 @@
                 true => StatusCode::GATEWAY_TIMEOUT,
                 false => StatusCode::BAD_GATEWAY,
             };
-            run.log.answered(status, "upstream_failed");
+            run.ledger.log.answered(status, "upstream_failed");
             refusal(status, "the upstream gave no answer", None)
         }
     }
@@ -82,15 +82,17 @@
 
 /// The answer to a request that is still open at the drain deadline.
 fn end_drained(mut run: RequestRun) -> Response<AnswerBody> {
-    run.log.open_at_drain_deadline();
-    if run.is_sending {
-        run.possible_runs += 1;
+    run.ledger.log.open_at_drain_deadline();
+    if run.ledger.is_sending {
+        run.ledger.possible_runs += 1;
     }
     match run.failure.take() {
         Some(response) => response.map(full_body),
-        None if run.possible_runs == 0 => refuse(run, &NoUpstream::new("draining", CAPACITY_RETRY)),
+        None if run.ledger.possible_runs == 0 => {
+            refuse(run, &NoUpstream::new("draining", CAPACITY_RETRY))
+        }
         None => {
-            run.log.answered(StatusCode::GATEWAY_TIMEOUT, "drain_ended");
+            run.ledger.log.answered(StatusCode::GATEWAY_TIMEOUT, "drain_ended");
             refusal(StatusCode::GATEWAY_TIMEOUT, "the instance ends", None)
         }
     }
--- a/crates/wheel_gateway/src/request_proxy.rs
+++ b/crates/wheel_gateway/src/request_proxy.rs
@@ -11,11 +11,12 @@
 };
 use wheel_upstream::ServiceDialect;
 
+use crate::arrived_request::ArrivedRequest;
 use crate::local_answer::refusal;
 use crate::proxy_context::ProxyContext;
 use crate::request_end::answer_request;
 use crate::request_log::RequestLog;
-use crate::request_run::{ArrivedRequest, RequestRun};
+use crate::request_run::RequestRun;
 use crate::upstream_search::CAPACITY_RETRY;
 use crate::{FleetState, IngressDialect, ProxySettings};
 
--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -10,6 +10,7 @@
 
 use crate::media_type::MediaType;
 use crate::request_run::RequestRun;
+use crate::stall_watch::StallWatch;
 use crate::stream_reader::{StreamKind, StreamReader};
 
 /// Forwards a stream whose head the caller has been given. When its engine fails, a resumable
@@ -25,7 +26,7 @@
 
 impl ResumedStream {
     pub(crate) fn begin(run: RequestRun, reader: StreamReader, media_type: MediaType) -> Self {
-        let drain = run.drain();
+        let drain = run.ledger.drain();
         let drained = async move { drain.passed().await }.boxed();
         let mut stream = Self { run, reader, media_type, drained };
         stream.note_end();
@@ -45,16 +46,16 @@
     async fn next(&mut self) -> Option<Result<Bytes, AnswerError>> {
         loop {
             if let Some(event) = self.reader.take_ready() {
-                self.run.log.forwarded_event();
+                self.run.ledger.log.forwarded_event();
                 return Some(Ok(event));
             }
             if self.reader.is_ended() {
                 return None;
             }
             if self.reader.kind() == StreamKind::Final {
-                self.run.stay();
+                self.run.ledger.stay();
             }
-            let watch = self.run.stall_watch(self.reader.arrivals(), true);
+            let watch = StallWatch::begin(&self.run.ledger, self.reader.arrivals(), true);
             let filling = async {
                 match self.reader.kind() {
                     StreamKind::Opaque => Ok(self.reader.fill().await),
@@ -65,7 +66,7 @@
                 biased;
                 filled = filling => filled,
                 () = &mut self.drained => {
-                    self.run.log.open_at_drain_deadline();
+                    self.run.ledger.log.open_at_drain_deadline();
                     let message = "the instance ends".to_owned();
                     return Some(Err(self.break_off("drain_ended", message).await));
                 }
@@ -78,11 +79,11 @@
                 Ok(Err(fault)) => {
                     let is_refused = !self.reader.has_event();
                     let step = if is_refused { "continuation_refused" } else { "stream_broke" };
-                    self.run.record_fault(step, &fault, self.reader.partial_len());
+                    self.run.ledger.record_fault(step, &fault, self.reader.partial_len());
                     fault.reason
                 }
                 Err(replacement) => {
-                    self.run.leave_for(replacement);
+                    self.run.ledger.leave_for(replacement);
                     "the upstream is silent".to_owned()
                 }
             };
@@ -97,9 +98,9 @@
         if !self.reader.is_ended() {
             return;
         }
-        self.run.log.set_reason("stream_ended");
+        self.run.ledger.log.set_reason("stream_ended");
         if self.reader.kind() != StreamKind::Opaque {
-            self.run.record_sound();
+            self.run.ledger.record_sound();
         }
     }
 
@@ -114,7 +115,7 @@
             biased;
             resumed = self.run.resume(last, &self.media_type) => resumed.ok_or("stream_broke"),
             () = &mut self.drained => {
-                self.run.log.open_at_drain_deadline();
+                self.run.ledger.log.open_at_drain_deadline();
                 Err("drain_ended")
             }
         };
@@ -125,7 +126,7 @@
     /// Ends the caller's body as broken off.
     async fn break_off(&mut self, reason: &'static str, message: String) -> AnswerError {
         self.reader.close();
-        self.run.log.set_reason(reason);
+        self.run.ledger.log.set_reason(reason);
         // The server writes what was forwarded only when the body is pending; after an error it
         // discards it, with the head.
         tokio::task::yield_now().await;
