--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -219,6 +219,35 @@
         Self { name, address, seen, _reserved: None }
     }
 
+    /// An upstream that writes the bytes that `answer` returns for each request, on a connection of its
+    /// own, which it then closes in an orderly way, or resets if `answer` says so.
+    pub(crate) async fn bind_computed(
+        name: &'static str,
+        mut answer: impl FnMut(&SeenRequest) -> (String, bool) + Send + 'static,
+    ) -> Self {
+        let listener = tokio::net::TcpListener::bind(LOOPBACK).await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let seen: Arc<Mutex<Vec<SeenRequest>>> = Arc::default();
+        let recorded = Arc::clone(&seen);
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let request = read_raw(&mut stream).await;
+                let id = request.header("x-id").expect("every request has an id").to_owned();
+                let (bytes, resets) = answer(&request);
+                recorded.lock().push(request);
+                let _ = stream.write_all(bytes.replace("ID", &id).as_bytes()).await;
+                if resets {
+                    // Bytes that were written immediately before a reset may be lost.
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    let _ = stream.set_zero_linger();
+                } else {
+                    let _ = stream.shutdown().await;
+                }
+            }
+        });
+        Self { name, address, seen, _reserved: None }
+    }
+
     /// An upstream at whose address no process listens.
     pub(crate) fn closed(name: &'static str) -> Self {
         let reserved = TcpSocket::new_v4().expect("a socket");
