Planted faults for the content and the end of streams

empty_end_believed takes the end of a continuation without a further event for the end of the stream; false_bytes_pass forwards bytes that aren't events of it.

--- a/crates/wheel_gateway/src/stream_reader.rs
+++ b/crates/wheel_gateway/src/stream_reader.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use wheel_memory::{BudgetScope, ByteLease};
+use wheel_seams::is_planted;
 use wheel_upstream::{AnswerBody, ArrivalClock};
 
 use crate::event_fields::EventFields;
@@ -204,7 +205,10 @@
                 Some(("closed before its first event".to_owned(), broken))
             }
             // Joined to what the caller has, an end without an event proves nothing.
-            _ if !self.has_event && (self.is_continuation || self.has_repeated) => {
+            _ if !self.has_event
+                && (self.is_continuation || self.has_repeated)
+                && !is_planted("empty_end_believed") =>
+            {
                 Some(("ended without an event that the caller doesn't have".to_owned(), None))
             }
             StreamKind::Resumable | StreamKind::Final => None,
@@ -237,6 +241,7 @@
             match self.accept(id, &event) {
                 Ok(true) => complete.extend_from_slice(&event),
                 Ok(false) => {}
+                Err(_) if is_planted("false_bytes_pass") => complete.extend_from_slice(&event),
                 Err(fault) => {
                     self.splitter.clear();
                     self.fault = Some(fault);
--- a/crates/wheel_seams/src/planted_fault.rs
+++ b/crates/wheel_seams/src/planted_fault.rs
@@ -9,11 +9,13 @@
 
 /// The faults that can be planted.
 #[cfg(feature = "fault-injection")]
-pub const PLANTED_NAMES: [&str; 15] = [
+pub const PLANTED_NAMES: [&str; 17] = [
     "answer_of_another",
     "attempts_unlimited",
     "drain_stays_ready",
     "drain_without_deadline",
+    "empty_end_believed",
+    "false_bytes_pass",
     "leaving_ignored",
     "log_lags",
     "odd_entry_ends_process",
