Tests of what isn't a stream on a stream's route, and of callers that resume

Failures with events, a head and text in their bodies pass byte for byte and break off when cut, a HEAD's answer passes without a body, and a stream that its caller resumed goes on elsewhere after the newest event. All three pass; they guard the checks of events against reaching further than streams.

--- a/crates/wheel_gateway/tests/stream_content.rs
+++ b/crates/wheel_gateway/tests/stream_content.rs
@@ -6,6 +6,8 @@
 mod support;
 
 use support::{Reply, TestIngress, TestUpstream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use wheel_route::RouteKind;
 
 const STREAM: RouteKind = RouteKind::Streaming { resumable: true };
@@ -258,3 +260,67 @@
         assert_eq!((answer.status, answer.body.as_str(), answer.is_whole), (200, "", true));
     }
 }
+
+/// The rest of a stream that its caller resumed must be asked for after the newest event, and events that the
+/// caller has mustn't come again.
+#[tokio::test]
+async fn stream_resumed_by_its_caller_goes_on_after_the_newest_event() {
+    let first = TestUpstream::bind("u1", vec![Reply::cut(&events(2..=5))]).await;
+    let second = TestUpstream::bind("u2", vec![Reply::ran(200, &events(4..=7))]).await;
+    let ingress = TestIngress::bind(STREAM, &[&first, &second]).await;
+    ingress.prefer("u1");
+    let answer = ingress.post("/a/", &[("last-event-id", "3")]).await;
+    assert_eq!((answer.body, answer.is_whole), (events(4..=7), true));
+    assert_eq!(first.seen()[0].header("last-event-id"), Some("3"));
+    assert_eq!(second.seen()[0].header("last-event-id"), Some("5"));
+}
+
+/// A failure's body isn't a stream: it passes as it is, and a part of it doesn't look like the whole.
+#[tokio::test]
+async fn failure_on_a_stream_route_passes_as_it_is() {
+    let body = format!("{}{FALSE_HEAD}failed\n\n", events(1..=2));
+    let as_failure = |answer: String| answer.replace("200 OK", "500 Internal Server Error");
+    for kind in [STREAM, FINAL_STREAM] {
+        for frame in [sized, chunked, closed] {
+            let answer = as_failure(frame(&body));
+            let upstream = TestUpstream::bind_raw("u1", vec![answer]).await;
+            let ingress = TestIngress::bind(kind, &[&upstream]).await;
+            let answer = ingress.post("/a/", &[]).await;
+            assert_eq!((answer.status, answer.body.as_str(), answer.is_whole), (500, &*body, true));
+        }
+        for frame in [sized, chunked] {
+            let mut answer = as_failure(frame(&body));
+            answer.truncate(answer.len() - 8);
+            let upstream = TestUpstream::bind_raw("u1", vec![answer]).await;
+            let ingress = TestIngress::bind(kind, &[&upstream]).await;
+            let answer = ingress.post("/a/", &[]).await;
+            assert_eq!((answer.status, answer.is_whole), (500, false));
+            assert!(body.starts_with(&answer.body), "{}", answer.body);
+        }
+    }
+}
+
+/// The answer to a `HEAD` announces a body that never comes, and has no event to wait for.
+#[tokio::test]
+async fn head_of_a_stream_passes_without_a_body() {
+    for (kind, resume) in [(STREAM, ""), (STREAM, "last-event-id: 3\r\n"), (FINAL_STREAM, "")] {
+        let answer = format!("{HEAD}content-length: 32\r\ncontent-type: text/event-stream\r\n\r\n");
+        let upstream = TestUpstream::bind_raw("u1", vec![answer]).await;
+        let other = TestUpstream::bind("u2", vec![]).await;
+        let ingress = TestIngress::bind(kind, &[&upstream, &other]).await;
+        ingress.prefer("u1");
+        let mut stream = TcpStream::connect(ingress.address()).await.expect("a connection");
+        let request = format!(
+            "HEAD /a/ HTTP/1.1\r\nhost: test\r\nx-id: id-1\r\n{resume}connection: close\r\n\
+             content-length: 5\r\n\r\nasked"
+        );
+        stream.write_all(request.as_bytes()).await.expect("a sent request");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+        assert!(answer.contains("content-length: 32\r\n"), "{answer}");
+        assert!(answer.contains("x-signature: signed-by-u\r\n"), "{answer}");
+        assert!(answer.ends_with("\r\n\r\n"), "{answer}");
+        assert!(other.seen().is_empty());
+    }
+}
