Log when the head of an upstream's answer arrives

After the fact it couldn't be told whether a request that ended without an answer had waited for its upstream's head or, with the head there, for the first event: request_ended has the time of the first event alone. It has head_ms now, the time from the arrival to the head of the last upstream's answer, 0 without one. No decision reads it.

--- a/crates/wheel_gateway/src/request_log.rs
+++ b/crates/wheel_gateway/src/request_log.rs
@@ -59,6 +59,8 @@
     is_head_forwarded: bool,
     /// How the last upstream marks the end of its answer.
     framing: Option<AnswerFraming>,
+    /// Time from the arrival to the head of the last upstream's answer.
+    head_ms: Option<u128>,
     events: u64,
     /// Bytes after the last complete event when the upstream's body ended.
     partial_bytes: usize,
@@ -99,6 +101,7 @@
             arrivals: None,
             is_head_forwarded: false,
             framing: None,
+            head_ms: None,
             events: 0,
             partial_bytes: 0,
             status: None,
@@ -120,6 +123,7 @@
         self.phase = RequestPhase::Sent;
         self.sent_at = Some(Instant::now());
         self.arrivals = None;
+        self.head_ms = None;
     }
 
     /// Records that the request enters a phase.
@@ -130,6 +134,7 @@
     /// Records that the head of the upstream's answer has arrived, and how its end is marked.
     pub(crate) fn head_arrived(&mut self, framing: AnswerFraming, arrivals: &ArrivalClock) {
         self.framing = Some(framing);
+        self.head_ms = Some(self.arrival.elapsed().as_millis());
         self.arrivals = Some(arrivals.clone());
         counter!("wheel_upstream_answers_total", "framing" => framing.as_str()).increment(1);
     }
@@ -236,6 +241,7 @@
             model = self.model.as_str(), upstream = self.engine.to_string(), sends = self.sends,
             status = status, reason = self.reason, phase = self.phase.as_str(),
             framing = self.framing.map_or("-", AnswerFraming::as_str),
+            head_ms = self.head_ms.unwrap_or_default(),
             events = self.events, partial_bytes = self.partial_bytes,
             first_ms = self.first_ms.unwrap_or_default(),
             ms = took.as_millis(), version = self.version, view_age_ms = self.view_age_ms
