Tests: a refusal that is written once more is taken for the next send's answer

What callers saw: told not run, or answered by a second run, while an upstream ran their request.

An upstream refuses a request, is sent it again over the same connection, and writes its refusal once more before it runs the request.

ScriptedUpstream puts the request's id in place of ID, for answers that have to bear it.

--- a/crates/wheel_upstream/tests/common/mod.rs
+++ b/crates/wheel_upstream/tests/common/mod.rs
@@ -159,7 +159,8 @@
     }
 }
 
-/// Answers the requests of each connection with scripted bytes, then closes it.
+/// Answers the requests of each connection with scripted bytes, then closes it. `ID` in an answer
+/// stands for the id of its request.
 pub struct ScriptedUpstream {
     pub address: SocketAddr,
     pub requests: Arc<AtomicU64>,
@@ -174,12 +175,9 @@
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
                 for answer in &answers {
-                    // The tests' small requests arrive in one piece.
-                    if !matches!(stream.read(&mut [0; 65_536]).await, Ok(1..)) {
-                        break;
-                    }
+                    let Some(id) = read_id(&mut stream).await else { break };
                     requests.fetch_add(1, Ordering::Relaxed);
-                    stream.write_all(answer.as_bytes()).await.expect("write");
+                    stream.write_all(answer.replace("ID", &id).as_bytes()).await.expect("write");
                 }
             }
         });
@@ -191,6 +189,62 @@
     }
 }
 
+/// Answers the requests of all connections in order, each after it has written the last answer of
+/// the connection once more. `ID` in an answer stands for the id of its request; one that names
+/// `connection: close` ends its connection.
+pub struct RepeatingUpstream {
+    pub address: SocketAddr,
+    requests: Arc<AtomicU64>,
+}
+
+impl RepeatingUpstream {
+    pub async fn bind(answers: &[&'static str]) -> Self {
+        let listener = TcpListener::bind(ANY_PORT).await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let (requests, answers) = (Arc::<AtomicU64>::default(), Arc::from(answers));
+        let upstream = Self { address, requests: requests.clone() };
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(repeat(stream, Arc::clone(&answers), requests.clone()));
+            }
+        });
+        upstream
+    }
+
+    pub fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
+async fn repeat(mut stream: TcpStream, answers: Arc<[&'static str]>, requests: Arc<AtomicU64>) {
+    let mut earlier = String::new();
+    while let Some(id) = read_id(&mut stream).await {
+        let number = requests.fetch_add(1, Ordering::Relaxed) as usize;
+        let answer = answers.get(number).expect("an answer for each request").replace("ID", &id);
+        if stream.write_all(earlier.as_bytes()).await.is_err() {
+            return;
+        }
+        // The earlier answer arrives alone.
+        tokio::time::sleep(SHORT).await;
+        if stream.write_all(answer.as_bytes()).await.is_err()
+            || answer.contains("connection: close")
+        {
+            return;
+        }
+        earlier = answer;
+    }
+}
+
+/// Reads a request, which arrives in one piece since it is small, and returns its id, empty if it
+/// has none; `None` if the connection ends.
+async fn read_id(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = vec![0; 65_536];
+    let read = stream.read(&mut bytes).await.ok().filter(|read| *read > 0)?;
+    let text = String::from_utf8_lossy(&bytes[..read]);
+    let id = text.lines().find_map(|line| line.strip_prefix("wheel-request-id: "));
+    Some(id.unwrap_or_default().to_owned())
+}
+
 async fn pass(mut inbound: TcpStream, target: SocketAddr, mut silenced: watch::Receiver<u64>) {
     let Ok(mut outbound) = TcpStream::connect(target).await else { return };
     tokio::select! {
