A success that ends before its first byte isn't complete

An upstream that wrote a whole head with neither a length nor chunks, and closed, gave the caller a 200 with an empty body that was marked as whole, on idempotent and non-idempotent routes. For streams this was already a failure.

Cause: the orderly end of a connection completed any answer without a marked end, whether a byte of it had come or not. Bytes and an orderly close may be a whole answer, and a reset never is; nothing at all shows no more than that the head was written.

AnswerBody now fails as cut short if a success whose only mark is the end of its connection ends without a byte: a request that may be repeated goes elsewhere, another one gets 502. Failures, 204, 304, HEAD, a length of 0 and a last chunk alone are as before.

A cut inside a head never was a success.

--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -132,6 +132,15 @@
     }
 }
 
+/// How an upstream ends a connection after it has written its bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RawEnd {
+    /// In an orderly way.
+    Close,
+    /// By a reset.
+    Reset,
+}
+
 /// The replies of several fake upstreams, in the order of the requests that they receive.
 pub(crate) type SharedReplies = Arc<Mutex<VecDeque<Reply>>>;
 
@@ -202,6 +211,15 @@
     /// An upstream that writes the given answers byte for byte, each on a connection of its own,
     /// which it then closes in an orderly way. `ID` in an answer stands for the request's id.
     pub(crate) async fn bind_raw(name: &'static str, answers: Vec<String>) -> Self {
+        Self::bind_raw_ending(name, answers, RawEnd::Close).await
+    }
+
+    /// Like [`Self::bind_raw`], with connections that end in the way of `end`.
+    pub(crate) async fn bind_raw_ending(
+        name: &'static str,
+        answers: Vec<String>,
+        end: RawEnd,
+    ) -> Self {
         let listener = tokio::net::TcpListener::bind(LOOPBACK).await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let seen: Arc<Mutex<Vec<SeenRequest>>> = Arc::default();
@@ -213,7 +231,10 @@
                 let id = request.header("x-id").expect("every request has an id").to_owned();
                 recorded.lock().push(request);
                 stream.write_all(answer.replace("ID", &id).as_bytes()).await.expect("a caller");
-                stream.shutdown().await.expect("a caller");
+                match end {
+                    RawEnd::Close => stream.shutdown().await.expect("a caller"),
+                    RawEnd::Reset => stream.set_zero_linger().expect("a socket"),
+                }
             }
         });
         Self { name, address, seen, _reserved: None }
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -11,10 +11,14 @@
 
 /// The body of an answer. Bytes are read from the connection only as fast as the reader asks for
 /// them.
+///
+/// A success that only the end of its connection completes has broken off if it has no byte: nothing
+/// shows that its upstream meant to end there.
 pub struct AnswerBody {
     call: PooledCall,
     body: Incoming,
     framing: AnswerFraming,
+    is_success: bool,
     arrivals: ArrivalClock,
     begun: bool,
     ended: bool,
@@ -22,9 +26,16 @@
 
 impl AnswerBody {
     pub(crate) fn new(call: PooledCall, body: Incoming, head: &Parts) -> Self {
-        let framing = AnswerFraming::of(head.status, &head.headers);
-        let arrivals = ArrivalClock::start();
-        let mut answer = Self { call, body, framing, arrivals, begun: false, ended: false };
+        let framing = AnswerFraming::of(head, !body.is_end_stream());
+        let mut answer = Self {
+            call,
+            body,
+            framing,
+            is_success: head.status.is_success(),
+            arrivals: ArrivalClock::start(),
+            begun: false,
+            ended: false,
+        };
         if answer.body.is_end_stream() && framing.has_explicit_end() {
             answer.finish();
         }
@@ -60,6 +71,7 @@
                     }
                 }
                 Ok(Some(Err(_))) => return Err(self.fail(FailureKind::CutShort)),
+                Ok(None) if self.is_unproved() => return Err(self.fail(FailureKind::CutShort)),
                 Ok(None) => self.finish(),
                 Err(kind) => return Err(self.fail(kind)),
             }
@@ -100,6 +112,11 @@
         CallFailure::maybe_sent(self.call.fail(kind).kind)
     }
 
+    /// Whether nothing that has arrived shows that the answer is complete.
+    fn is_unproved(&self) -> bool {
+        self.is_success && self.framing == AnswerFraming::Close && !self.begun
+    }
+
     fn finish(&mut self) {
         self.ended = true;
         self.call.finish();
--- a/crates/wheel_upstream/src/answer_framing.rs
+++ b/crates/wheel_upstream/src/answer_framing.rs
@@ -1,12 +1,13 @@
 //! How the end of an answer's body is marked.
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::response::Parts;
 use http::{HeaderMap, StatusCode};
 
 /// How the end of an answer's body is marked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerFraming {
-    /// The status allows no body.
+    /// The status or the method allows no body.
     Bodiless,
     /// By a length in the head.
     Length,
@@ -17,14 +18,17 @@
 }
 
 impl AnswerFraming {
-    /// The framing that the head of an answer states.
-    pub(crate) fn of(status: StatusCode, headers: &HeaderMap) -> Self {
-        match status {
+    /// The framing that the head of an answer states. `has_body` is false if no body follows it,
+    /// such as after a `HEAD`.
+    pub(crate) fn of(head: &Parts, has_body: bool) -> Self {
+        let headers = &head.headers;
+        match head.status {
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Self::Bodiless,
             _ if is_chunked(headers) => Self::Chunks,
             // A length beside another transfer coding isn't that of the body.
-            _ if headers.contains_key(TRANSFER_ENCODING) => Self::Close,
+            _ if headers.contains_key(TRANSFER_ENCODING) && has_body => Self::Close,
             _ if headers.contains_key(CONTENT_LENGTH) => Self::Length,
+            _ if !has_body => Self::Bodiless,
             _ => Self::Close,
         }
     }
