Bytes in an unknown transfer coding are no answer

Answers with `Transfer-Encoding: gzip`, `chunked, gzip` or `gzip, chunked` reached callers as whole successes of every kind of route: the header was taken off as one of the connection, and the coded bytes, for `chunked, gzip` even the sizes of the chunks, were passed on as the body. An unasked `101 Switching Protocols` was passed on as the final answer.

Cause: any transfer coding whose list ended in chunks, and any that didn't, counted as a known framing of the body's own bytes. No request allows a coding besides chunks (TE is never sent) or another protocol.

AnswerFraming has the new kind Unreadable for them, and AnswerBody fails as a malformed answer before it yields a byte: such an upstream counts as one that sends what is no answer, and the request goes elsewhere or gets 502.

Evidence, before: framing_that_is_unclear_is_no_success: `a coding over chunks, NonIdempotent, Close: 200 "10\r\nid: 1\ndata: t1\n\n\r\n0\r\n\r\n"` and 19 more; switch_of_protocols_is_no_answer: `HTTP/1.1 101 Switching Protocols`; complete_cut_anywhere_is_a_failure: `another coding, Close: Ok(b"{\"id\":\"r-1\"}")`; generate_cut_anywhere_is_a_failure: a complete stream. Ruled out by the same tables: two lengths that differ, a list of lengths, a length that is no number, a length beside chunks (the chunks count, and the length isn't passed on), one length stated twice.

--- a/crates/wheel_gateway/tests/cut_answers.rs
+++ b/crates/wheel_gateway/tests/cut_answers.rs
@@ -62,6 +62,28 @@
     ]
 }
 
+/// Heads whose body can't be told apart from other bytes.
+fn unclear_framings() -> Vec<(&'static str, String)> {
+    vec![
+        ("two lengths", format!("{HEAD}content-length: 8\r\ncontent-length: 16\r\n\r\n{EVENT}")),
+        ("a list of lengths", format!("{HEAD}content-length: 8, 16\r\n\r\n{EVENT}")),
+        ("a length that is no number", format!("{HEAD}content-length: +16\r\n\r\n{EVENT}")),
+        ("another coding", format!("{HEAD}transfer-encoding: gzip\r\n\r\n{EVENT}")),
+        (
+            "another coding and a length",
+            format!("{HEAD}transfer-encoding: gzip\r\ncontent-length: 8\r\n\r\n{EVENT}"),
+        ),
+        (
+            "a coding over chunks",
+            format!("{HEAD}transfer-encoding: chunked, gzip\r\n\r\n10\r\n{EVENT}\r\n0\r\n\r\n"),
+        ),
+        (
+            "a coding under chunks",
+            format!("{HEAD}transfer-encoding: gzip, chunked\r\n\r\n10\r\n{EVENT}\r\n0\r\n\r\n"),
+        ),
+    ]
+}
+
 /// Sends a request on a route of `kind` to upstreams that all stop after `bytes`; returns what the
 /// caller got if that is a whole success.
 async fn whole_success(kind: RouteKind, bytes: &str, end: RawEnd) -> Option<String> {
@@ -97,6 +119,11 @@
     expect_no_success(cut_bodies()).await;
 }
 
+#[tokio::test]
+async fn framing_that_is_unclear_is_no_success() {
+    expect_no_success(unclear_framings()).await;
+}
+
 #[tokio::test]
 async fn empty_success_ended_by_its_connection_is_no_success() {
     let cut = |status: &str| format!("{HEAD}\r\n").replace("200 OK", status);
@@ -214,3 +241,16 @@
         assert_eq!(got, (200, EVENT, true), "{kind:?} {length}");
     }
 }
+
+/// Nothing asks for another protocol, so that a switch to one is no answer.
+#[tokio::test]
+async fn switch_of_protocols_is_no_answer() {
+    for kind in KINDS {
+        let answer = format!("{HEAD}upgrade: other\r\nconnection: upgrade\r\n\r\n{EVENT}");
+        let answer = answer.replace("200 OK", "101 Switching Protocols");
+        let upstream = TestUpstream::bind_raw("u1", vec![answer; 4]).await;
+        let ingress = TestIngress::bind(kind, &[&upstream]).await;
+        let answer = exchange(ingress.address(), "POST").await;
+        assert!(answer.starts_with("HTTP/1.1 502"), "{kind:?}: {answer}");
+    }
+}
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -56,8 +56,12 @@
     /// future loses no data.
     ///
     /// # Errors
-    /// [`CallFailure`] if the body is cut short or nothing arrives in time.
+    /// [`CallFailure`] if the body is cut short or unreadable, or nothing arrives in time.
     pub async fn next(&mut self) -> Result<Option<Bytes>, CallFailure> {
+        if self.framing == AnswerFraming::Unreadable && !self.ended {
+            let message = "neither plain bytes nor chunks".to_owned();
+            return Err(self.fail(FailureKind::BadAnswer { message }));
+        }
         while !self.ended {
             let timeouts = self.call.timeouts();
             let limit = if self.begun { timeouts.progress } else { timeouts.first_byte };
--- a/crates/wheel_upstream/src/answer_framing.rs
+++ b/crates/wheel_upstream/src/answer_framing.rs
@@ -15,6 +15,8 @@
     Chunks,
     /// Only by the end of the connection, which looks the same if the upstream broke off.
     Close,
+    /// Not at all: the bytes have another transfer coding than chunks, or another protocol.
+    Unreadable,
 }
 
 impl AnswerFraming {
@@ -23,10 +25,11 @@
     pub(crate) fn of(head: &Parts, has_body: bool) -> Self {
         let headers = &head.headers;
         match head.status {
+            status if status.is_informational() => Self::Unreadable,
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => Self::Bodiless,
             _ if is_chunked(headers) => Self::Chunks,
-            // A length beside another transfer coding isn't that of the body.
-            _ if headers.contains_key(TRANSFER_ENCODING) && has_body => Self::Close,
+            // A length beside a transfer coding isn't that of the body.
+            _ if headers.contains_key(TRANSFER_ENCODING) && has_body => Self::Unreadable,
             _ if headers.contains_key(CONTENT_LENGTH) => Self::Length,
             _ if !has_body => Self::Bodiless,
             _ => Self::Close,
@@ -35,7 +38,7 @@
 
     /// Whether the end of the body can be distinguished from a broken connection.
     pub fn has_explicit_end(self) -> bool {
-        self != Self::Close
+        !matches!(self, Self::Close | Self::Unreadable)
     }
 
     /// Its name in logs and metrics.
@@ -45,13 +48,14 @@
             Self::Length => "length",
             Self::Chunks => "chunks",
             Self::Close => "close",
+            Self::Unreadable => "unreadable",
         }
     }
 }
 
-/// Whether chunks are the last transfer coding of a body.
+/// Whether chunks are the only transfer coding of a body; none other is asked for.
 fn is_chunked(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    let last = codings.and_then(|codings| codings.to_str().ok()?.rsplit(',').next());
-    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let only = codings.next().filter(|_| codings.next().is_none());
+    only.is_some_and(|only| only.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked"))
 }
--- a/crates/wheel_upstream/tests/cut_answers.rs
+++ b/crates/wheel_upstream/tests/cut_answers.rs
@@ -155,9 +155,29 @@
     ]
 }
 
+/// Answers with an unclear framing of `body`.
+fn unclear_framings(body: &str) -> Vec<(&'static str, String)> {
+    let size = body.len();
+    let chunked = format!("{size:x}\r\n{body}\r\n0\r\n\r\n");
+    let coded =
+        |coding: &str, rest: &str| format!("{HEAD}transfer-encoding: {coding}\r\n\r\n{rest}");
+    vec![
+        ("two lengths", format!("{HEAD}content-length: 2\r\ncontent-length: {size}\r\n\r\n{body}")),
+        ("no number", format!("{HEAD}content-length: +{size}\r\n\r\n{body}")),
+        ("another coding", coded("gzip", body)),
+        ("a coding over chunks", coded("chunked, gzip", &chunked)),
+        ("a coding under chunks", coded("gzip, chunked", &chunked)),
+        (
+            "a switch of protocols",
+            format!("{HEAD}upgrade: other\r\nconnection: upgrade\r\n\r\n{body}")
+                .replace("200 OK", "101 Switching Protocols"),
+        ),
+    ]
+}
+
 #[tokio::test]
 async fn call_cut_anywhere_is_a_failure() {
-    let cuts = [cut_answers(BODY), cut_ends(BODY)].concat();
+    let cuts = [cut_answers(BODY), cut_ends(BODY), unclear_framings(BODY)].concat();
     for (place, bytes) in cuts {
         for end in ENDS {
             let address = bind(&bytes, end).await;
@@ -173,7 +193,7 @@
 
 #[tokio::test]
 async fn complete_cut_anywhere_is_a_failure() {
-    let cuts = [cut_answers(BODY), cut_ends(BODY)].concat();
+    let cuts = [cut_answers(BODY), cut_ends(BODY), unclear_framings(BODY)].concat();
     for (place, bytes) in cuts {
         for end in ENDS {
             let got = complete(bind(&bytes, end).await).await;
@@ -185,7 +205,7 @@
 #[tokio::test]
 async fn generate_cut_anywhere_is_a_failure() {
     let events = format!("{FIRST}{LAST}{DONE}");
-    for (place, bytes) in cut_answers(&events) {
+    for (place, bytes) in [cut_answers(&events), unclear_framings(&events)].concat() {
         for end in ENDS {
             let got = stream(bind(&bytes, end).await).await;
             assert!(got.is_err(), "{place}, {end:?}: {got:?}");
