Reports and lists: each answer has a connection of its own

What was seen: an upstream that writes a report once more has it taken for the next report, and every later report over that connection is the one before. Reports and pages of the list bear no id, so that nothing else shows which request an answer belongs to.

Evidence: wheel_upstream repeated_answers::fetch_repeated_answer_isnt_taken_for_the_next: before, the second fetch returned the first answer (b"old" for b"new").

Change: DirectClient opens a connection for each fetch, and keeps none. A second answer on it reaches nobody. Weighed: an id in a request header, checked where an answer repeats it. The platform's page shows reports without ids, and says that engines repeat ids of requests; a report that bears an unknown request's id may be counted as a request.

--- a/crates/wheel_upstream/src/direct_client.rs
+++ b/crates/wheel_upstream/src/direct_client.rs
@@ -12,8 +12,9 @@
 use crate::pooled_call::PooledCall;
 use crate::{CallFailure, CallTimeouts, ConnectionLimits, DirectAnswer, asked_rest};
 
-/// Fetches small answers, such as a list or a state, from one address; clones share its
-/// connections.
+/// Fetches small answers, such as a list or a state, from one address; clones share its limits.
+///
+/// Each answer has a connection of its own, since nothing else shows which request it belongs to.
 #[derive(Clone)]
 pub struct DirectClient {
     pool: Arc<ConnectionPool>,
@@ -22,7 +23,7 @@
 }
 
 impl DirectClient {
-    /// Creates a client; connections are opened on demand.
+    /// Creates a client, which opens connections on demand.
     pub fn open(address: SocketAddr, limits: ConnectionLimits) -> Self {
         let pool = ConnectionPool::new(address, limits, None);
         let max_answer = limits.max_answer_bytes;
@@ -41,7 +42,7 @@
         let timeouts =
             CallTimeouts::default().connect(limit).first_byte(limit).progress(limit).total(limit);
         let request = with_host(request, &self.host);
-        let choice = ConnectionChoice::Pooled;
+        let choice = ConnectionChoice::Fresh;
         let sending = PooledCall::send(self.pool.clone(), choice, true, timeouts, request);
         let (head, mut body) = sending.await?.into_parts();
         let body = body.collect(self.max_answer).await?;
--- a/crates/wheel_upstream/tests/repeated_answers.rs
+++ b/crates/wheel_upstream/tests/repeated_answers.rs
@@ -5,9 +5,10 @@
 
 mod common;
 
-use common::{RepeatingUpstream, booking, engine_client, generate, read_all, service_client};
-use http::{Method, StatusCode};
-use wheel_upstream::{FailureKind, ServiceCall};
+use bytes::Bytes;
+use common::{LONG, RepeatingUpstream, booking, engine_client, generate, read_all, service_client};
+use http::{Method, Request, StatusCode};
+use wheel_upstream::{ConnectionLimits, DirectClient, FailureKind, ServiceCall};
 
 const REFUSAL: &str = "HTTP/1.1 503 Full\r\nwheel-request-id: ID\r\nwheel-outcome: not-run\r\n\
                        content-length: 0\r\n\r\n";
@@ -71,3 +72,17 @@
     let failure = client.call(look_up("r-2")).await.err().expect("a failure");
     assert!(matches!(failure.kind, FailureKind::ForeignAnswer) && !failure.reported_not_run);
 }
+
+#[tokio::test]
+async fn fetch_repeated_answer_isnt_taken_for_the_next() {
+    let upstream = RepeatingUpstream::bind(&[
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold",
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nnew",
+    ])
+    .await;
+    let client = DirectClient::open(upstream.address, ConnectionLimits::default());
+    for expected in ["old", "new"] {
+        let answer = client.fetch(Request::new(Bytes::new()), LONG).await.expect("an answer");
+        assert_eq!(answer.body, expected);
+    }
+}
