A connection carries each call id once

What callers saw: an upstream that refuses a request, is sent it again over the kept connection and writes the refusal once more had the old refusal taken for the new answer. The caller was told not run for what ran, or the request was run again there or at another upstream while the first was at work.

Cause: an answer was matched by the id of its request, which all sends of a request share. A repeated answer on a connection can only be taken by a later call over that connection, and only if that bears the same id.

Change: each connection keeps the hashes of the ids that it has carried, the pool hands out only one that hasn't carried the call's id, and a connection is closed after 512 calls, which bounds the hashes to 4 KiB. This is in the pool, so that it holds for ServiceClient and EngineClient, for relays between instances, and for streams resumed at the same engine. Weighed: (1) an id of the sending that engines echo. Only the own protocol could have it, all engines would have to change, and the platform's protocol has the request's id alone. (2) Closing each connection that carried a refusal: refusals come in bursts when upstreams are full, and opening connections costs them; and an answer that isn't a refusal may be repeated too. (3) Forgetting old ids in place of a limit of calls: an answer may be repeated later than the ring reaches back.

Cost: call_with_another_id_keeps_the_connection: 1,000 calls with ids of their own open 2 connections, 500 open 1. call_with_the_same_id_costs_one_connection_each: each further send of an id opens one, unless a connection that hasn't carried it is idle.

Tests that used one id for two calls over one connection use two now; what they check stays: call_on_a_reused_connection_is_never_resent, call_not_idempotent_reuses_no_connection, probe_without_end_is_closed.

--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -16,6 +16,7 @@
 use wheel_memory::{ByteBudget, ByteLease, process_budget};
 
 use crate::call_body::CallBody;
+use crate::carried_calls::{CallMark, MarkSource};
 use crate::client_status::StatusCounters;
 use crate::upstream_connection::{ConnectionTracker, UpstreamConnection};
 use crate::{CallFailure, ClientStatus, ConnectionLimits, FailureKind};
@@ -25,9 +26,13 @@
 
 /// Which connections a call may go over.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ConnectionChoice {
-    /// An idle one that was used or probed recently, otherwise a new one.
-    Pooled,
+pub(crate) enum ConnectionChoice<'a> {
+    /// An idle one that was used or probed recently and hasn't carried a call with this id,
+    /// otherwise a new one.
+    Pooled {
+        /// The id, which the answer repeats.
+        call_id: &'a str,
+    },
     /// Only a new one.
     Fresh,
 }
@@ -43,6 +48,7 @@
     calls: Arc<Semaphore>,
     connecting: Semaphore,
     budget: ByteBudget,
+    marks: MarkSource,
     silence_recorded: AtomicBool,
     table: Mutex<PoolTable>,
     pub(crate) counters: StatusCounters,
@@ -82,6 +88,7 @@
             calls: Arc::new(Semaphore::new(limits.max_open)),
             connecting: Semaphore::new(limits.max_connecting),
             budget: process_budget().part(UPSTREAM_DIVISOR),
+            marks: MarkSource::default(),
             silence_recorded: AtomicBool::new(false),
             table: Mutex::default(),
             counters: StatusCounters::default(),
@@ -113,14 +120,20 @@
     /// Takes an idle connection from the pool or opens one.
     pub(crate) async fn checkout(
         &self,
-        choice: ConnectionChoice,
+        choice: ConnectionChoice<'_>,
         connect: Duration,
     ) -> Result<UpstreamConnection, CallFailure> {
-        if choice == ConnectionChoice::Pooled
-            && let Some(connection) = self.checkout_idle().await
-        {
-            return Ok(connection);
-        }
+        let ConnectionChoice::Pooled { call_id } = choice else { return self.open(connect).await };
+        let call = self.marks.mark(call_id);
+        let mut connection = match self.checkout_idle(call).await {
+            Some(connection) => connection,
+            None => self.open(connect).await?,
+        };
+        connection.carried.record(call);
+        Ok(connection)
+    }
+
+    async fn open(&self, connect: Duration) -> Result<UpstreamConnection, CallFailure> {
         let opening = async {
             let _permit = self.connecting.acquire().await;
             UpstreamConnection::open(self.address, &self.limits, connect).await
@@ -142,7 +155,8 @@
     pub(crate) fn check_in(&self, connection: UpstreamConnection) {
         let now = Instant::now();
         let mut table = self.table.lock();
-        if connection.is_usable() && table.idle.len() < self.limits.max_idle {
+        let is_kept = connection.is_usable() && !connection.carried.is_full();
+        if is_kept && table.idle.len() < self.limits.max_idle {
             table.idle.push_back(IdleConnection { connection, since: now });
         }
         let expired = |idle: &IdleConnection| now - idle.since >= self.limits.idle_timeout;
@@ -187,9 +201,9 @@
         table.trackers.retain(|tracker| tracker.strong_count() > 0);
     }
 
-    async fn checkout_idle(&self) -> Option<UpstreamConnection> {
+    async fn checkout_idle(&self, call: CallMark) -> Option<UpstreamConnection> {
         loop {
-            let IdleConnection { mut connection, since } = self.pop_idle()?;
+            let IdleConnection { mut connection, since } = self.pop_idle(call)?;
             let idle_time = since.elapsed();
             match () {
                 () if idle_time >= self.limits.idle_timeout => continue,
@@ -208,13 +222,16 @@
         }
     }
 
-    /// Removes the most recently used idle connection that isn't suspected to be silent.
-    fn pop_idle(&self) -> Option<IdleConnection> {
+    /// Removes the most recently used idle connection that isn't suspected to be silent and may
+    /// carry this call.
+    fn pop_idle(&self, call: CallMark) -> Option<IdleConnection> {
         let mut table = self.table.lock();
         let silent_at = table.silence.as_ref().map(|silence| silence.at);
         let is_trusted = |idle: &IdleConnection| {
-            let tracker = &idle.connection.tracker;
-            idle.connection.is_usable() && silent_at.is_none_or(|silent| tracker.opened_at > silent)
+            let UpstreamConnection { tracker, carried, .. } = &idle.connection;
+            idle.connection.is_usable()
+                && silent_at.is_none_or(|silent| tracker.opened_at > silent)
+                && carried.allows(call)
         };
         let index = table.idle.iter().rposition(is_trusted)?;
         table.idle.remove(index)
--- a/crates/wheel_upstream/src/engine_client.rs
+++ b/crates/wheel_upstream/src/engine_client.rs
@@ -129,7 +129,7 @@
         let mut guard = CancelGuard::new(self.core.clone(), call.call.request_id.clone(), attempt);
         let sending = PooledCall::send(
             self.core.pool.clone(),
-            ConnectionChoice::Pooled,
+            ConnectionChoice::Pooled { call_id: call.call.request_id.as_str() },
             true,
             call.timeouts,
             with_host(request, &self.core.host),
@@ -164,7 +164,7 @@
         self.dialect.set_id(request.headers_mut(), &id).map_err(CallFailure::not_sent)?;
         let sending = PooledCall::send(
             self.pool.clone(),
-            ConnectionChoice::Pooled,
+            ConnectionChoice::Pooled { call_id: id.as_str() },
             true,
             self.settings.timeouts,
             with_host(request, &self.host),
--- a/crates/wheel_upstream/src/lib.rs
+++ b/crates/wheel_upstream/src/lib.rs
@@ -18,6 +18,7 @@
 mod call_failure;
 mod call_timeouts;
 mod cancel_guard;
+mod carried_calls;
 mod client_status;
 mod complete_answer;
 mod connection_limits;
--- a/crates/wheel_upstream/src/pooled_call.rs
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -37,7 +37,7 @@
     /// ends early because its connection was retired.
     pub(crate) async fn send(
         pool: Arc<ConnectionPool>,
-        choice: ConnectionChoice,
+        choice: ConnectionChoice<'_>,
         resendable: bool,
         timeouts: CallTimeouts,
         request: Request<Bytes>,
@@ -53,7 +53,7 @@
             timeouts,
             deadline,
             resendable,
-            keeps_connection: choice == ConnectionChoice::Pooled,
+            keeps_connection: choice != ConnectionChoice::Fresh,
             slot: Some(slot),
         };
         let answer = call.exchange(request.map(CallBody::new)).await?;
--- a/crates/wheel_upstream/src/service_client.rs
+++ b/crates/wheel_upstream/src/service_client.rs
@@ -46,7 +46,7 @@
         let dialect = &self.settings.dialect;
         let request = dialect.request(&call).map_err(CallFailure::not_sent)?;
         let choice = match call.idempotent {
-            true => ConnectionChoice::Pooled,
+            true => ConnectionChoice::Pooled { call_id: call.request_id.as_str() },
             false => ConnectionChoice::Fresh,
         };
         let sending = PooledCall::send(
--- a/crates/wheel_upstream/src/upstream_connection.rs
+++ b/crates/wheel_upstream/src/upstream_connection.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::call_body::CallBody;
+use crate::carried_calls::CarriedCalls;
 use crate::guarded_stream::{GuardedStream, WriteGate};
 use crate::{CallFailure, ConnectionLimits, FailureKind, OrderPermit};
 
@@ -25,6 +26,7 @@
     pub(crate) send: SendRequest<CallBody>,
     pub(crate) gate: Arc<WriteGate>,
     pub(crate) tracker: Arc<ConnectionTracker>,
+    pub(crate) carried: CarriedCalls,
     driver: AbortHandle,
 }
 
@@ -82,7 +84,7 @@
         };
         let driver = tokio::spawn(driving).abort_handle();
         let tracker = Arc::new(ConnectionTracker { opened_at, retired: CancellationToken::new() });
-        Ok(Self { send, gate, tracker, driver })
+        Ok(Self { send, gate, tracker, carried: CarriedCalls::default(), driver })
     }
 
     /// True if the connection is neither closed nor retired.
--- a/crates/wheel_upstream/tests/repeated_answers.rs
+++ b/crates/wheel_upstream/tests/repeated_answers.rs
@@ -5,10 +5,14 @@
 
 mod common;
 
+use std::ops::Range;
+
 use bytes::Bytes;
-use common::{LONG, RepeatingUpstream, booking, engine_client, generate, read_all, service_client};
+use common::{
+    LONG, RepeatingUpstream, booking, engine_client, generate, read_all, service, service_client,
+};
 use http::{Method, Request, StatusCode};
-use wheel_upstream::{ConnectionLimits, DirectClient, FailureKind, ServiceCall};
+use wheel_upstream::{ConnectionLimits, DirectClient, FailureKind, ServiceCall, ServiceClient};
 
 const REFUSAL: &str = "HTTP/1.1 503 Full\r\nwheel-request-id: ID\r\nwheel-outcome: not-run\r\n\
                        content-length: 0\r\n\r\n";
@@ -86,3 +90,33 @@
         assert_eq!(answer.body, expected);
     }
 }
+
+/// Makes repeatable calls with different ids, one after the other.
+async fn look_up_each(client: &ServiceClient, numbers: Range<u32>) {
+    for number in numbers {
+        let mut answer = client.call(look_up(&format!("r-{number}"))).await.expect("an answer");
+        answer.body.collect(1_000).await.expect("a body");
+    }
+}
+
+#[tokio::test]
+async fn call_with_another_id_keeps_the_connection() {
+    let (_service, client) = service().await;
+    look_up_each(&client, 0..500).await;
+    assert_eq!(client.status().opened, 1);
+    // The ids that a connection has carried are kept, so that their number is limited.
+    look_up_each(&client, 500..1_000).await;
+    assert_eq!(client.status().opened, 2);
+}
+
+#[tokio::test]
+async fn call_with_the_same_id_costs_one_connection_each() {
+    let (_service, client) = service().await;
+    look_up_each(&client, 0..10).await;
+    look_up_each(&client, 0..10).await;
+    assert_eq!(client.status().opened, 2);
+    for opened in 3..=5 {
+        look_up_each(&client, 0..1).await;
+        assert_eq!(client.status().opened, opened);
+    }
+}
--- a/crates/wheel_upstream/tests/service_faults.rs
+++ b/crates/wheel_upstream/tests/service_faults.rs
@@ -150,6 +150,8 @@
     let mut call = booking("r-1");
     (call.method, call.idempotent) = (Method::GET, true);
     client.call(call.clone()).await.expect("answer").body.collect(0).await.expect("body");
+    // A call with the same id would go over a new connection.
+    call.request_id = RequestId::new("r-2");
     let failure = failure_of(&client, call).await;
     assert_eq!((failure.sent, upstream.requests()), (SentState::MaybeSent, 2));
     assert_eq!(client.status().opened, 1);
