A probe takes only the answer that bears its id

What callers saw: a call over an idle connection failed as answered for another request, though the upstream was well.

Cause: the pool's probe had no id and took any answer as its own. An earlier answer that came once more passed for the probe's, and the probe's own answer then came where the answer to the call was expected.

Evidence: wheel_upstream repeated_answers::probe_takes_no_earlier_answer_for_its_own: before, generate ended as ForeignAnswer (MaybeSent); now the connection is closed and the call goes over a new one (one probe, one failed, two opened).

Change: each probe has a fresh id, set by the dialect, and the connection is kept only if the answer bears it, as docs/PROTOCOLS.md asks of every answer. ServiceDialect::probe is given the id; with None, idle connections are closed, as before.

--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use http::{HeaderMap, Request};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
@@ -15,9 +15,11 @@
 use tokio::time::{Instant, timeout};
 use wheel_memory::{ByteBudget, ByteLease, process_budget};
 
+use crate::attempt_id::AttemptSource;
 use crate::call_body::CallBody;
 use crate::carried_calls::{CallMark, MarkSource};
 use crate::client_status::StatusCounters;
+use crate::idle_probe::IdleProbe;
 use crate::upstream_connection::{ConnectionTracker, UpstreamConnection};
 use crate::{CallFailure, ClientStatus, ConnectionLimits, FailureKind};
 
@@ -44,7 +46,8 @@
 pub(crate) struct ConnectionPool {
     address: SocketAddr,
     limits: ConnectionLimits,
-    probe: Option<Request<Bytes>>,
+    probe: Option<Box<dyn IdleProbe>>,
+    probe_ids: AttemptSource,
     calls: Arc<Semaphore>,
     connecting: Semaphore,
     budget: ByteBudget,
@@ -75,16 +78,17 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool. `probe` is a request that a live upstream answers at once.
+    /// Creates an empty pool. Without a `probe`, idle connections are closed instead of probed.
     pub(crate) fn new(
         address: SocketAddr,
         limits: ConnectionLimits,
-        probe: Option<Request<Bytes>>,
+        probe: Option<Box<dyn IdleProbe>>,
     ) -> Self {
         Self {
             address,
             limits,
             probe,
+            probe_ids: AttemptSource::new(),
             calls: Arc::new(Semaphore::new(limits.max_open)),
             connecting: Semaphore::new(limits.max_connecting),
             budget: process_budget().part(UPSTREAM_DIVISOR),
@@ -207,9 +211,13 @@
             let idle_time = since.elapsed();
             match () {
                 () if idle_time >= self.limits.idle_timeout => continue,
-                () if idle_time >= self.limits.probe_after_idle && self.probe.is_none() => continue,
                 () if idle_time >= self.limits.probe_after_idle => {
-                    if !self.probe_idle(&mut connection).await {
+                    let Some(probe) = self.probe.as_deref() else { continue };
+                    let id = self.probe_ids.next().to_request_id();
+                    let Some(request) = probe.request(&id) else { continue };
+                    let is_own =
+                        |headers: &HeaderMap| probe.answer_id(headers) == Some(id.as_str());
+                    if !self.probe_idle(&mut connection, request, is_own).await {
                         return None;
                     }
                 }
@@ -237,8 +245,13 @@
         table.idle.remove(index)
     }
 
-    async fn probe_idle(&self, connection: &mut UpstreamConnection) -> bool {
-        let Some(probe) = self.probe.clone() else { return false };
+    /// Whether the upstream answers `probe`, with headers for which `is_own` holds.
+    async fn probe_idle(
+        &self,
+        connection: &mut UpstreamConnection,
+        probe: Request<Bytes>,
+        is_own: impl Fn(&HeaderMap) -> bool,
+    ) -> bool {
         self.counters.probes.add_one();
         let probing = async {
             connection.send.ready().await?;
@@ -246,6 +259,10 @@
             let answer = connection.send.send_request(probe.map(CallBody::new)).await?;
             // The connection is closed if the answer is larger than that.
             connection.gate.end_head();
+            if !is_own(answer.headers()) {
+                self.counters.foreign_answers.add_one();
+                return Ok(false);
+            }
             skip_body(answer.into_body(), self.limits.max_answer_bytes).await
         };
         match timeout(self.limits.probe_timeout, probing).await {
--- a/crates/wheel_upstream/src/engine_client.rs
+++ b/crates/wheel_upstream/src/engine_client.rs
@@ -11,6 +11,7 @@
 use crate::attempt_id::AttemptSource;
 use crate::cancel_guard::CancelGuard;
 use crate::connection_pool::{ConnectionChoice, ConnectionPool};
+use crate::engine_probe::EngineProbe;
 use crate::order_connection::OrderConnection;
 use crate::pooled_call::PooledCall;
 use crate::{
@@ -42,8 +43,8 @@
     /// Creates a client; connections are opened on demand.
     pub fn open(settings: EngineSettings) -> Self {
         let host = host_of(&settings.address);
-        let probe = with_host(settings.dialect.probe(), &host);
-        let pool = ConnectionPool::new(settings.address, settings.limits, Some(probe));
+        let probe = EngineProbe { dialect: settings.dialect.clone(), host: host.clone() };
+        let pool = ConnectionPool::new(settings.address, settings.limits, Some(Box::new(probe)));
         let core = EngineCore {
             pool: Arc::new(pool),
             dialect: settings.dialect.clone(),
--- a/crates/wheel_upstream/src/engine_dialect.rs
+++ b/crates/wheel_upstream/src/engine_dialect.rs
@@ -25,7 +25,7 @@
 /// Each kind of engine has one implementation; [`WheelDialect`](crate::WheelDialect) is the one of
 /// `docs/PROTOCOLS.md`. Requests carry a path and headers; the client adds the host.
 pub trait EngineDialect: Send + Sync + 'static {
-    /// A request that a live engine answers at once.
+    /// A request that a live engine answers at once; its id is set by [`EngineDialect::set_id`].
     fn probe(&self) -> Request<Bytes>;
 
     /// The request of a generation.
--- a/crates/wheel_upstream/src/service_client.rs
+++ b/crates/wheel_upstream/src/service_client.rs
@@ -10,6 +10,7 @@
 use crate::engine_client::{host_of, with_host};
 use crate::pooled_call::PooledCall;
 use crate::service_dialect::without_hop_headers;
+use crate::service_probe::ServiceProbe;
 use crate::{CallFailure, ClientStatus, FailureKind, ServiceAnswer, ServiceCall, ServiceSettings};
 
 /// Calls one plain service; clones share its connections.
@@ -24,8 +25,8 @@
     /// Creates a client; connections are opened on demand.
     pub fn open(settings: ServiceSettings) -> Self {
         let host = host_of(&settings.address);
-        let probe = settings.dialect.probe().map(|probe| with_host(probe, &host));
-        let pool = ConnectionPool::new(settings.address, settings.limits, probe);
+        let probe = ServiceProbe { dialect: settings.dialect.clone(), host: host.clone() };
+        let pool = ConnectionPool::new(settings.address, settings.limits, Some(Box::new(probe)));
         Self { settings: Arc::new(settings), pool: Arc::new(pool), host }
     }
 
--- a/crates/wheel_upstream/src/service_dialect.rs
+++ b/crates/wheel_upstream/src/service_dialect.rs
@@ -5,7 +5,7 @@
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
-use wheel_types::RequestOutcome;
+use wheel_types::{RequestId, RequestOutcome};
 
 use crate::wheel_dialect::{OUTCOME, REQUEST_ID};
 use crate::{FailureKind, ServiceCall};
@@ -16,9 +16,9 @@
 
 /// Builds the HTTP requests of a service and reads id and outcome from its answers.
 pub trait ServiceDialect: Send + Sync + 'static {
-    /// A request that a live service answers at once; with `None`, idle connections are closed
-    /// instead of probed.
-    fn probe(&self) -> Option<Request<Bytes>>;
+    /// A request that a live service answers at once, with `id` as the id of the answer; with
+    /// `None`, idle connections are closed instead of probed.
+    fn probe(&self, id: &RequestId) -> Option<Request<Bytes>>;
 
     /// The request of a call.
     fn request(&self, call: &ServiceCall) -> Result<Request<Bytes>, FailureKind>;
@@ -40,7 +40,7 @@
 pub struct PlainDialect;
 
 impl ServiceDialect for PlainDialect {
-    fn probe(&self) -> Option<Request<Bytes>> {
+    fn probe(&self, _: &RequestId) -> Option<Request<Bytes>> {
         None
     }
 
--- a/crates/wheel_upstream/tests/repeated_answers.rs
+++ b/crates/wheel_upstream/tests/repeated_answers.rs
@@ -6,13 +6,17 @@
 mod common;
 
 use std::ops::Range;
+use std::time::Duration;
 
 use bytes::Bytes;
 use common::{
     LONG, RepeatingUpstream, booking, engine_client, generate, read_all, service, service_client,
 };
 use http::{Method, Request, StatusCode};
-use wheel_upstream::{ConnectionLimits, DirectClient, FailureKind, ServiceCall, ServiceClient};
+use wheel_upstream::{
+    ConnectionLimits, DirectClient, EngineClient, EngineSettings, FailureKind, ServiceCall,
+    ServiceClient,
+};
 
 const REFUSAL: &str = "HTTP/1.1 503 Full\r\nwheel-request-id: ID\r\nwheel-outcome: not-run\r\n\
                        content-length: 0\r\n\r\n";
@@ -77,6 +81,25 @@
     assert!(matches!(failure.kind, FailureKind::ForeignAnswer) && !failure.reported_not_run);
 }
 
+#[tokio::test]
+async fn probe_takes_no_earlier_answer_for_its_own() {
+    const EVENTS: &str = "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\ncontent-length: 13\r\n\r\n\
+                          {\"events\":[]}";
+    let upstream = RepeatingUpstream::bind(&[EVENTS, ANSWER, STREAM]).await;
+    let limits = ConnectionLimits {
+        probe_after_idle: Duration::ZERO,
+        probe_timeout: LONG,
+        ..ConnectionLimits::default()
+    };
+    let settings = EngineSettings::new("engine".into(), upstream.address).limits(limits);
+    let client = EngineClient::open(settings);
+    client.cache_events(0).await.expect("events");
+    let mut stream = client.generate(generate("r-1", 2)).await.expect("its own answer");
+    assert!(read_all(&mut stream).await.1.is_ok());
+    let status = client.status();
+    assert_eq!((status.probes, status.probe_failures, status.opened), (1, 1, 2));
+}
+
 #[tokio::test]
 async fn fetch_repeated_answer_isnt_taken_for_the_next() {
     let upstream = RepeatingUpstream::bind(&[
