--- a/crates/wheel_upstream/src/engine_client.rs
+++ b/crates/wheel_upstream/src/engine_client.rs
@@ -11,6 +11,7 @@
 use crate::attempt_id::AttemptSource;
 use crate::cancel_guard::CancelGuard;
 use crate::connection_pool::{ConnectionChoice, ConnectionPool};
+use crate::engine_probe::EngineProbe;
 use crate::order_connection::OrderConnection;
 use crate::pooled_call::PooledCall;
 use crate::{
@@ -42,8 +43,8 @@
     /// Creates a client; connections are opened on demand.
     pub fn open(settings: EngineSettings) -> Self {
         let host = host_of(&settings.address);
-        let probe = with_host(settings.dialect.probe(), &host);
-        let pool = ConnectionPool::new(settings.address, settings.limits, Some(probe));
+        let probe = EngineProbe { dialect: settings.dialect.clone(), host: host.clone() };
+        let pool = ConnectionPool::new(settings.address, settings.limits, Some(Box::new(probe)));
         let core = EngineCore {
             pool: Arc::new(pool),
             dialect: settings.dialect.clone(),
@@ -129,7 +130,7 @@
         let mut guard = CancelGuard::new(self.core.clone(), call.call.request_id.clone(), attempt);
         let sending = PooledCall::send(
             self.core.pool.clone(),
-            ConnectionChoice::Pooled,
+            ConnectionChoice::Pooled { call_id: call.call.request_id.as_str() },
             true,
             call.timeouts,
             with_host(request, &self.core.host),
@@ -164,7 +165,7 @@
         self.dialect.set_id(request.headers_mut(), &id).map_err(CallFailure::not_sent)?;
         let sending = PooledCall::send(
             self.pool.clone(),
-            ConnectionChoice::Pooled,
+            ConnectionChoice::Pooled { call_id: id.as_str() },
             true,
             self.settings.timeouts,
             with_host(request, &self.host),
