A load that is done between two syncs ends the wait of the next one

What callers saw: a request that waited for a load waited 100 to 250 ms longer than the load took, now and then with and without a silent engine, and often beside load.

Cause: while requests wait, an ingress instance asks its control instance, and that one the leader, for a reply that is held until loaded models change. `FleetRegistry::changed` only saw changes during the call. A load that was done after a reply and before the next request was in nobody's reply until the next hold of 100 ms (control instances) or 150 ms (ingress instances) had passed. The ends of a short load and of a hold fall on the same moment, so this wasn't rare.

Change: the request for a sync names the view that its sender holds already. `changed` takes its stamp and completes at once if models have changed since, or if the change isn't in a published view yet. A view that was built anew for other reasons ends no wait, so that syncs don't run without pause (`changed_waits_while_models_stay`).

--- a/crates/wheel_daemon/src/fleet_router.rs
+++ b/crates/wheel_daemon/src/fleet_router.rs
@@ -91,7 +91,7 @@
     let (instance, held_view) = (Arc::clone(&request.instance), request.held_view);
     parts.registry.record(request);
     if !hold.is_zero() {
-        let _ = tokio::time::timeout(hold, parts.registry.changed()).await;
+        let _ = tokio::time::timeout(hold, parts.registry.changed(held_view)).await;
     }
     // Read before the configuration, which may only be newer than what was proven.
     let proof_age = parts.registry.proof_age();
--- a/crates/wheel_placement/src/fleet_registry.rs
+++ b/crates/wheel_placement/src/fleet_registry.rs
@@ -282,10 +282,15 @@
         self.urgent.notify_one();
     }
 
-    /// Completes when engines' loaded models or running loads change. Meant for waits of a fraction
-    /// of a second: a change before the call is missed.
-    pub async fn changed(&self) {
-        self.changed.notified().await;
+    /// Completes when engines' loaded models differ from those in the view `held`, also if they
+    /// changed before the call.
+    pub async fn changed(&self, held: Option<ViewStamp>) {
+        let changed = self.changed.notified();
+        let has_news =
+            self.is_changed.load(Ordering::Acquire) || self.published.lock().has_news(held);
+        if !has_news {
+            changed.await;
+        }
     }
 
     /// Completes when a request waits for a load.
--- a/crates/wheel_route/src/view_ledger.rs
+++ b/crates/wheel_route/src/view_ledger.rs
@@ -99,6 +99,11 @@
         self.rest = FleetView { engines: Vec::new(), open_requests: unlisted, ..view };
     }
 
+    /// The stamp of the last view; its revision is 0 before the first one.
+    pub fn stamp(&self) -> ViewStamp {
+        ViewStamp { source: self.source, revision: self.revision }
+    }
+
     /// The changes since the view `held`; the whole view if that isn't one of this ledger.
     pub fn update_since(&self, held: Option<ViewStamp>) -> ViewUpdate {
         let base = held.filter(|held| {
@@ -115,7 +120,7 @@
         let removed = self.removed.iter().filter(|(_, removed)| base > 0 && *removed > base);
         let rest = &self.rest;
         ViewUpdate {
-            stamp: ViewStamp { source: self.source, revision: self.revision },
+            stamp: self.stamp(),
             base,
             age_ms: rest.age_ms,
             ingress_count: rest.ingress_count,
