Orders: the probe and the order are each matched by an id of their own

What was seen: an order was sent to an engine that had answered another request than its probe, and an order was taken for accepted on an answer to another request, as long as its body named the order.

Cause: on an order's connection the ids of docs/PROTOCOLS.md were neither sent nor checked.

Evidence: wheel_upstream order_faults::order_whose_probe_is_answered_for_another_request_isnt_sent (before: Accepted for NotSent), order_answered_under_another_id_is_unknown, with another id and without one (before: Accepted for Unknown).

Change: OrderConnection::exchange takes the id that its request carries and ignores an answer without it: after the probe nothing is sent, after the order its outcome is unknown.

Tests changed: the engines of order_unanswered_is_reset_after_order_life, order_dropped_is_reset and order_accepted_under_an_error_status_is_unknown repeat the id, as the protocol asks; what they check stays.

--- a/crates/wheel_upstream/src/engine_client.rs
+++ b/crates/wheel_upstream/src/engine_client.rs
@@ -160,15 +160,14 @@
     }
 
     /// Sends a short repeatable call and reads the complete answer.
-    async fn read(&self, mut request: Request<Bytes>) -> Result<Bytes, CallFailure> {
-        let id = self.attempts.next().to_request_id();
-        self.dialect.set_id(request.headers_mut(), &id).map_err(CallFailure::not_sent)?;
+    async fn read(&self, request: Request<Bytes>) -> Result<Bytes, CallFailure> {
+        let (id, request) = self.with_id(request).map_err(CallFailure::not_sent)?;
         let sending = PooledCall::send(
             self.pool.clone(),
             ConnectionChoice::Pooled { call_id: id.as_str() },
             true,
             self.settings.timeouts,
-            with_host(request, &self.host),
+            request,
         );
         let mut answer = self.check_id(&id, sending.await?)?;
         let body = answer.body_mut().collect(self.settings.limits.max_answer_bytes).await?;
@@ -217,12 +216,25 @@
         request: Request<Bytes>,
         permit: Arc<dyn OrderPermit>,
     ) -> OrderResponse {
+        let (Ok((probe_id, probe)), Ok((id, request))) =
+            (self.with_id(self.dialect.probe()), self.with_id(request))
+        else {
+            return OrderResponse::NotSent;
+        };
         let opening = OrderConnection::open(&self.settings, permit);
         let Ok(mut connection) = opening.await else { return OrderResponse::NotSent };
-        if !connection.probe(with_host(self.dialect.probe(), &self.host)).await {
+        if !connection.probe(&probe_id, probe).await {
             return OrderResponse::NotSent;
         }
-        connection.send(order, with_host(request, &self.host)).await
+        connection.send(order, &id, request).await
+    }
+
+    /// Adds the host and a fresh id, which the answer has to repeat.
+    fn with_id(&self, request: Request<Bytes>) -> Result<(RequestId, Request<Bytes>), FailureKind> {
+        let id = self.attempts.next().to_request_id();
+        let mut request = with_host(request, &self.host);
+        self.dialect.set_id(request.headers_mut(), &id)?;
+        Ok((id, request))
     }
 
     fn foreign_answer(&self) -> FailureKind {
--- a/crates/wheel_upstream/src/order_connection.rs
+++ b/crates/wheel_upstream/src/order_connection.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use wheel_memory::{LeasedBuffer, process_budget};
-use wheel_types::{EngineOrder, OrderReason, OrderReply};
+use wheel_types::{EngineOrder, OrderReason, OrderReply, RequestId};
 
 use crate::call_body::CallBody;
 use crate::upstream_connection::UpstreamConnection;
@@ -37,11 +37,11 @@
         Ok(Self { connection: connection.await?, settings, permit })
     }
 
-    /// True if the engine answers. A frozen engine would read the order from its socket when it
+    /// True if the engine answers this probe. A frozen engine would read the order from its socket when it
     /// resumes, however late, so that none is sent until it has answered on this connection.
-    pub(crate) async fn probe(&mut self, probe: Request<Bytes>) -> bool {
+    pub(crate) async fn probe(&mut self, id: &RequestId, probe: Request<Bytes>) -> bool {
         let limit = self.settings.limits.probe_timeout;
-        let answered = timeout(limit, self.exchange(probe.map(CallBody::new))).await;
+        let answered = timeout(limit, self.exchange(id, probe.map(CallBody::new))).await;
         let Ok(Some((status, _))) = answered else { return false };
         let ready = timeout(limit, self.connection.send.ready()).await;
         status.is_success() && matches!(ready, Ok(Ok(())))
@@ -51,13 +51,14 @@
     pub(crate) async fn send(
         mut self,
         order: &EngineOrder,
+        id: &RequestId,
         request: Request<Bytes>,
     ) -> OrderResponse {
         let written_before = self.connection.gate.written();
         let (head, body) = request.into_parts();
         let (body, body_read) = CallBody::with_permit(body, self.permit.clone());
         let life = self.settings.order_life;
-        let answer = timeout(life, self.exchange(Request::from_parts(head, body))).await;
+        let answer = timeout(life, self.exchange(id, Request::from_parts(head, body))).await;
         let was_written = self.connection.gate.seal() > written_before;
         let reply = match answer {
             Ok(Some((status, body))) => read_reply(&*self.settings.dialect, order, status, &body),
@@ -71,11 +72,19 @@
         }
     }
 
-    async fn exchange(&mut self, request: Request<CallBody>) -> Option<(StatusCode, Bytes)> {
+    /// Status and body of the answer that bears `id`; `None` if another one arrives, or none.
+    async fn exchange(
+        &mut self,
+        id: &RequestId,
+        request: Request<CallBody>,
+    ) -> Option<(StatusCode, Bytes)> {
         self.connection.gate.begin_head();
         let answer = self.connection.send.send_request(request).await.ok()?;
         self.connection.gate.end_head();
         let (head, body) = answer.into_parts();
+        if self.settings.dialect.answer_id(&head.headers) != Some(id.as_str()) {
+            return None;
+        }
         Some((head.status, read_body(body, self.settings.limits.max_answer_bytes).await?))
     }
 }
--- a/crates/wheel_upstream/tests/common/mod.rs
+++ b/crates/wheel_upstream/tests/common/mod.rs
@@ -167,10 +167,11 @@
 }
 
 impl ScriptedUpstream {
-    pub async fn bind(answers: &[&'static str]) -> Self {
+    pub async fn bind(answers: &[&str]) -> Self {
         let listener = TcpListener::bind(ANY_PORT).await.expect("bind");
         let address = listener.local_addr().expect("address");
-        let (requests, answers) = (Arc::<AtomicU64>::default(), answers.to_vec());
+        let answers: Vec<String> = answers.iter().map(|answer| (*answer).to_owned()).collect();
+        let requests = Arc::<AtomicU64>::default();
         let upstream = Self { address, requests: requests.clone() };
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
@@ -237,7 +238,7 @@
 
 /// Reads a request, which arrives in one piece since it is small, and returns its id, empty if it
 /// has none; `None` if the connection ends.
-async fn read_id(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_id(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = vec![0; 65_536];
     let read = stream.read(&mut bytes).await.ok().filter(|read| *read > 0)?;
     let text = String::from_utf8_lossy(&bytes[..read]);
--- a/crates/wheel_upstream/tests/order_faults.rs
+++ b/crates/wheel_upstream/tests/order_faults.rs
@@ -8,13 +8,18 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use common::{ANY_PORT, LONG, SHORT, ScriptedUpstream, TestPermit, engine, eventually, load_order};
+use common::{
+    ANY_PORT, LONG, SHORT, ScriptedUpstream, TestPermit, engine, eventually, load_order, read_id,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use wheel_fakes::FaultPlan;
 use wheel_types::RequestId;
 use wheel_upstream::{EngineClient, EngineSettings, OrderPermit, OrderResponse};
 
+/// The answer to a probe.
+const PROBED: &str = "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\ncontent-length: 0\r\n\r\n";
+
 /// Valid for a number of checks.
 struct CountedPermit {
     remaining: AtomicU64,
@@ -34,9 +39,9 @@
 async fn stall(listener: TcpListener, answers_probe: bool) -> Option<ErrorKind> {
     let (mut stream, _) = listener.accept().await.expect("accept");
     if answers_probe {
-        assert!(stream.read(&mut [0; 4_096]).await.expect("probe") > 0);
-        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-        stream.write_all(answer).await.expect("write");
+        let id = read_id(&mut stream).await.expect("probe");
+        let answer = PROBED.replace("ID", &id);
+        stream.write_all(answer.as_bytes()).await.expect("write");
     }
     let ended = tokio::time::timeout(LONG, stream.read_to_end(&mut Vec::new())).await;
     ended.expect("in time").err().map(|error| error.kind())
@@ -86,8 +91,8 @@
 #[tokio::test]
 async fn order_accepted_under_an_error_status_is_unknown() {
     let upstream = ScriptedUpstream::bind(&[
-        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
-        "HTTP/1.1 502 Bad Gateway\r\ncontent-length: 34\r\n\r\n{\"order_id\":\"o-1\",\"accepted\":true}",
+        PROBED,
+        "HTTP/1.1 502 Bad Gateway\r\nwheel-request-id: ID\r\ncontent-length: 34\r\n\r\n{\"order_id\":\"o-1\",\"accepted\":true}",
     ])
     .await;
     let (client, permit) =
@@ -96,6 +101,33 @@
     assert_eq!(upstream.requests(), 2);
 }
 
+#[tokio::test]
+async fn order_whose_probe_is_answered_for_another_request_isnt_sent() {
+    let upstream = ScriptedUpstream::bind(&[
+        "HTTP/1.1 200 OK\r\nwheel-request-id: another\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\ncontent-length: 34\r\n\r\n{\"order_id\":\"o-1\",\"accepted\":true}",
+    ])
+    .await;
+    let (client, permit) =
+        (short_order_life_client(upstream.address), Arc::new(TestPermit::default()));
+    assert_eq!(client.order(&load_order("o-1", "n"), permit).await, OrderResponse::NotSent);
+    assert_eq!(upstream.requests(), 1);
+}
+
+#[tokio::test]
+async fn order_answered_under_another_id_is_unknown() {
+    for id in ["wheel-request-id: another\r\n", ""] {
+        let accepted = format!(
+            "HTTP/1.1 200 OK\r\n{id}content-length: 34\r\n\r\n{{\"order_id\":\"o-1\",\"accepted\":true}}"
+        );
+        let upstream = ScriptedUpstream::bind(&[PROBED, &accepted]).await;
+        let (client, permit) =
+            (short_order_life_client(upstream.address), Arc::new(TestPermit::default()));
+        assert_eq!(client.order(&load_order("o-1", "n"), permit).await, OrderResponse::Unknown);
+        assert_eq!(upstream.requests(), 2);
+    }
+}
+
 #[tokio::test]
 async fn order_dead_engine_not_sent() {
     let (engine, client) = engine().await;
