A broken stream gives its slot back before it goes on

Where the instance that serves a caller also owns the engine, a stream that broke off there ended with the error event and a cut, although the engine was free to go on with it. At instances that relay, it went on.

Cause: the running stream kept its broken source, and with it the slot and the request's id in the engine's queue, while it looked for the next run. The queue refused that run as a duplicate of itself, each attempt took a retry, and then none was left.

The source is dropped before the search. A stream without one breaks its body off.

--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -83,7 +83,8 @@
 /// A stream in progress.
 struct RunningStream {
     run: GenerateRun,
-    source: Box<TokenSource>,
+    /// Absent while another engine is looked for, since it holds a slot.
+    source: Option<Box<TokenSource>>,
     route: OwnerRoute,
     /// Present until the stream ends or breaks.
     sent: Option<SentRequest>,
@@ -111,8 +112,8 @@
         let prefix = prefix_hint(&request.body);
         let (model, adapter) = (target.model.clone(), target.adapter.clone());
         let search = pipeline.new_search(request, model, adapter, Some(prefix), true);
-        let (next_index, attempts, may_have_run) = (0, 0, false);
-        let mut run = Self { pipeline, target, search, next_index, attempts, may_have_run };
+        let mut run =
+            Self { pipeline, target, search, next_index: 0, attempts: 0, may_have_run: false };
         let RoutedHead { route, head, sent } = run.fetch_head().await?;
         Ok(match head {
             AnswerHead::Whole(body) => {
@@ -121,7 +122,13 @@
             }
             AnswerHead::Stream(source) => {
                 let phase = StreamPhase::Running;
-                stream_answer(RunningStream { run, source, route, sent: Some(sent), phase })
+                stream_answer(RunningStream {
+                    run,
+                    source: Some(source),
+                    route,
+                    sent: Some(sent),
+                    phase,
+                })
             }
         })
     }
@@ -290,6 +297,10 @@
         }
         let drain = self.run.pipeline.context.drain.clone();
         loop {
+            let Some(source) = &mut self.source else {
+                let reason = "the stream has no source".to_owned();
+                return Some(Err(AnswerError::BrokeOff { reason }));
+            };
             let next = tokio::select! {
                 biased;
                 () = drain.passed() => {
@@ -297,7 +308,7 @@
                     let refusal = RequestRefusal::new(RefusalCode::Unavailable, message);
                     return Some(Ok(self.fail(&refusal)));
                 }
-                next = self.source.next() => next,
+                next = source.next() => next,
             };
             match next {
                 Ok(StreamEvent::Token(token)) => {
@@ -332,6 +343,8 @@
             reason:? = failure.to_string()
         });
         self.run.may_have_run = true;
+        // Its slot may be the only one that the next run can get.
+        self.source = None;
         if self.run.attempts >= MAX_ATTEMPTS {
             let message = "the stream broke off on each engine that it may run on";
             return Err(RequestRefusal::new(RefusalCode::UpstreamFailed, message));
@@ -346,7 +359,7 @@
                     upstream = route.upstream.as_str(),
                     next_token = self.run.next_index
                 });
-                (self.source, self.route, self.sent) = (source, route, Some(sent));
+                (self.source, self.route, self.sent) = (Some(source), route, Some(sent));
                 Ok(())
             }
             AnswerHead::Whole(_) => {
