Rounds of placement don't wait for engines whose reads fail

What callers saw: a load, and the unload before it, began up to 50 ms later each while an engine was due for a read that answers late or not at all; with several such engines nearly every round waited.

Cause: a round waited 50 ms (`READ_PATIENCE`) for each report that it reads, also for those of engines whose last read had failed.

Change: the read of an engine whose last one failed is sent and not awaited; a round follows it if it succeeds.

--- a/crates/wheel_placement/src/fleet_director.rs
+++ b/crates/wheel_placement/src/fleet_director.rs
@@ -30,7 +30,8 @@
 /// round looks at every model and engine.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
 /// How long a round waits for the reports that it reads: several round trips between data centres. An
-/// engine that answers later, or not at all, must not delay the orders to all others.
+/// engine that answers later, or not at all, must not delay the orders to all others; after a read
+/// that failed, no round waits for it until one succeeds.
 const READ_PATIENCE: Duration = Duration::from_millis(50);
 /// The same for the first round of a term, which knows of no engine what it holds: the time limit of
 /// a report.
@@ -216,8 +217,8 @@
         }
     }
 
-    /// Reads the reports of engines that are due for a read. Waits for them for `patience`; reads
-    /// that take longer go on, and a round follows them.
+    /// Reads the reports of engines that are due for a read. Waits for those whose last read didn't
+    /// fail, for `patience`; the other reads go on, and a round follows each that succeeds.
     async fn read_due_engines(&self, patience: Duration) {
         let (now, clock) = (boot_now(), Instant::now());
         let is_due = |engine: &&Arc<DirectedEngine>| {
@@ -230,17 +231,24 @@
         };
         let due: Vec<Arc<DirectedEngine>> = self.engines.values().filter(is_due).cloned().collect();
         let read = |engine: Arc<DirectedEngine>| {
-            engine.reads.lock().is_reading = true;
+            let is_awaited = {
+                let mut reads = engine.reads.lock();
+                reads.is_reading = true;
+                reads.failing_since.is_none()
+            };
             let (dialect, rests) = (Arc::clone(&self.context.dialect), Arc::clone(&self.rests));
             let registry = Arc::clone(&self.context.registry);
-            tokio::spawn(async move {
+            let task = tokio::spawn(async move {
                 read_engine(&engine, &*dialect, &rests).await;
-                if clock.elapsed() >= patience {
+                let has_failed = engine.reads.lock().failing_since.is_some();
+                if !has_failed && (!is_awaited || clock.elapsed() >= patience) {
                     registry.wake();
                 }
-            })
+            });
+            is_awaited.then_some(task)
         };
-        let _late = tokio::time::timeout(patience, join_all(due.into_iter().map(read))).await;
+        let awaited = join_all(due.into_iter().filter_map(read));
+        let _late = tokio::time::timeout(patience, awaited).await;
     }
 
     fn is_resting(&self, engine: &DirectedEngine) -> bool {
