The soak's upstream stub by types

Nothing changes in what the stub does. Each type has its own file, and how an answer is planned and written stands apart from how its connection is handled, so that new faults touch one of them. The tests of the stubs pass unchanged.

--- a/crates/wheel_soak/src/lib.rs
+++ b/crates/wheel_soak/src/lib.rs
@@ -3,6 +3,8 @@
 //! Callers, stubs and operators record what they see in an [`ObservationSink`]; the
 //! [`GuaranteeChecker`] finds violations of the system's guarantees in it.
 
+mod answer_head;
+mod answer_phase;
 mod call_plan;
 mod call_record;
 mod caller_connection;
@@ -23,9 +25,11 @@
 mod observation;
 mod operator_client;
 mod order_tracker;
+mod planned_answer;
 mod platform_headers;
 mod process_tracker;
 mod report_chart;
+mod run_guard;
 mod soak_caller;
 mod soak_error;
 mod soak_process;
@@ -33,12 +37,15 @@
 mod soak_run;
 mod soak_system;
 mod system_guarantee;
+mod upstream_fault;
+mod upstream_shared;
 mod upstream_state;
 mod upstream_stub;
 mod wire_request;
 mod wire_server;
 mod write_notifier;
 
+pub use answer_phase::AnswerPhase;
 pub use caller_settings::{CallRoute, CallerSettings};
 pub use config_document::{
     CLOSED_PREFIX, ConfigDocument, IDEMPOTENT_PREFIX, LIMITED_PREFIX, LOADS_PER_S, MODEL_PREFIX,
@@ -62,4 +69,5 @@
 pub use soak_run::{FAULT_FREE_TIME, RunOutcome, RunSettings, run_soak};
 pub use soak_system::{CONTROL_COUNT, GRACE, LEASE, SoakSystem};
 pub use system_guarantee::SystemGuarantee;
-pub use upstream_stub::{AnswerPhase, UpstreamFault, UpstreamStub};
+pub use upstream_fault::UpstreamFault;
+pub use upstream_stub::UpstreamStub;
