The soak's engines repeat refusals, answer resumed streams falsely and stop in heads

Upstreams now refuse each request once, with Retry-After 0.2, and write that refusal again while they run the request if it comes again on its connection (Refuses); reset streams after an event and answer resumed ones with nothing (length 0, last chunk, 204), text, a head (with a length, or ended by its connection) or an error event (Resumes); stop in a header's name, after a line, in the length's number, before the last line break or after a head without length and chunks, and close or reset (StopsInHead). They are drawn for all upstreams, beside stops in series and storms of changes.

The checker finds three things more: bytes in a stream that are no event with id and data (before, events without an id were passed over); a stream whose last upstream had nothing left although the caller lacks events; a resumable stream that still runs at a reachable upstream 400 ms after it went on at another one. Refusals excuse no violation.

With these checks taken out, answer_stream_with_bytes_that_are_no_event_is_found, answer_resumed_elsewhere_without_its_end_is_found and runs_once_stream_under_way_at_another_upstream_is_found fail.

--- a/crates/wheel_soak/src/answer_head.rs
+++ b/crates/wheel_soak/src/answer_head.rs
@@ -9,10 +9,10 @@
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use wheel_platform::wire_names::{ATTEMPT_ID, INSTANCE, NOT_EXECUTED, SIGNATURE};
 
-use crate::UpstreamFault;
 use crate::planned_answer::PlannedAnswer;
 use crate::wire_request::WireRequest;
 use crate::wire_server::ConnectionAction;
+use crate::{HeadPart, ResumeAnswer, UpstreamFault};
 
 /// Workload of a stream whose path names none: the number of events and the milliseconds before each.
 const DEFAULT_STREAM: (u64, u64) = (5, 50);
@@ -29,6 +29,7 @@
     fn text(&self, framing: &str, fault: Option<UpstreamFault>) -> String {
         let status = match fault {
             Some(UpstreamFault::Fail) => "500 Internal Server Error",
+            Some(UpstreamFault::Resumes(ResumeAnswer::NoContent)) => "204 No Content",
             _ => "200 OK",
         };
         let id = match fault {
@@ -42,14 +43,17 @@
         )
     }
 
+    /// Refuses the request as not run; `rest` is the time to wait until the next call, in seconds.
     pub(crate) async fn refuse(
         &self,
         write: &mut (impl AsyncWrite + Unpin),
         status: &str,
+        rest: Option<&str>,
     ) -> io::Result<ConnectionAction> {
+        let rest = rest.map(|rest| format!("retry-after: {rest}\r\n")).unwrap_or_default();
         let head = format!(
             "HTTP/1.1 {status}\r\n{ATTEMPT_ID}: {}\r\n{NOT_EXECUTED}: 1\r\n\
-             {INSTANCE}: {}\r\ncontent-length: 0\r\n\r\n",
+             {INSTANCE}: {}\r\n{rest}content-length: 0\r\n\r\n",
             self.id, self.upstream
         );
         write.write_all(head.as_bytes()).await?;
@@ -66,12 +70,15 @@
         body.resize(body.len() + usize::try_from(extra).unwrap_or_default(), b'.');
         let framing = match fault {
             Some(UpstreamFault::Endless(_)) => "transfer-encoding: chunked".to_owned(),
+            Some(UpstreamFault::StopsInHead { part: HeadPart::Unbounded, .. }) => {
+                "content-type: text/plain".to_owned()
+            }
             _ => format!("content-length: {}", body.len()),
         };
         let head = self.text(&framing, fault);
         let chunks = vec![[head.as_bytes(), &body].concat()];
         let head_size = head.len();
-        PlannedAnswer { chunks, head_size, pause: Duration::from_millis(pause), body }
+        PlannedAnswer { chunks, head_size, pause: Duration::from_millis(pause), body: Some(body) }
     }
 
     pub(crate) fn stream(
@@ -81,8 +88,18 @@
         fault: Option<UpstreamFault>,
     ) -> PlannedAnswer {
         let (count, pause) = parse_workload(&request.path).unwrap_or(DEFAULT_STREAM);
+        let fault = match fault {
+            Some(UpstreamFault::Resumes(answer)) if resumed_after < count => {
+                return self.odd_rest(answer, pause);
+            }
+            // With nothing left to send, an empty answer is right.
+            Some(UpstreamFault::Resumes(_)) => None,
+            fault => fault,
+        };
         let is_closed = fault == Some(UpstreamFault::Closed);
-        let framing = match is_closed {
+        let is_unbounded =
+            matches!(fault, Some(UpstreamFault::StopsInHead { part: HeadPart::Unbounded, .. }));
+        let framing = match is_closed || is_unbounded {
             true => "content-type: text/event-stream",
             false => "content-type: text/event-stream\r\ntransfer-encoding: chunked",
         };
@@ -98,7 +115,29 @@
             chunks.push(b"0\r\n\r\n".to_vec());
         }
         let body = events.concat().into_bytes();
-        PlannedAnswer { chunks, head_size, pause: Duration::from_millis(pause), body }
+        PlannedAnswer { chunks, head_size, pause: Duration::from_millis(pause), body: Some(body) }
+    }
+    /// An odd answer to a stream that is to be resumed.
+    fn odd_rest(&self, answer: ResumeAnswer, pause: u64) -> PlannedAnswer {
+        let bytes: &[u8] = match answer {
+            ResumeAnswer::NoBytes | ResumeAnswer::NoChunks | ResumeAnswer::NoContent => b"",
+            ResumeAnswer::Text => b"upstream failed\n\n",
+            ResumeAnswer::Head | ResumeAnswer::ClosedHead => {
+                b"HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n"
+            }
+            ResumeAnswer::ErrorEvent => b"event: error\ndata: upstream failed\n\n",
+        };
+        let (framing, body) = match answer {
+            ResumeAnswer::NoContent | ResumeAnswer::ClosedHead => (String::new(), bytes.to_vec()),
+            ResumeAnswer::NoChunks => {
+                ("\r\ntransfer-encoding: chunked".to_owned(), b"0\r\n\r\n".to_vec())
+            }
+            _ => (format!("\r\ncontent-length: {}", bytes.len()), bytes.to_vec()),
+        };
+        let framing = format!("content-type: text/event-stream{framing}");
+        let head = self.text(&framing, Some(UpstreamFault::Resumes(answer))).into_bytes();
+        let (head_size, pause) = (head.len(), Duration::from_millis(pause));
+        PlannedAnswer { chunks: vec![head, body], head_size, pause, body: None }
     }
 }
 
--- a/crates/wheel_soak/src/call_record.rs
+++ b/crates/wheel_soak/src/call_record.rs
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct CallRun {
     pub(crate) upstream: Arc<str>,
+    pub(crate) began: Duration,
     pub(crate) ended: Option<Duration>,
     pub(crate) resumed_after: Option<u64>,
     pub(crate) body: Option<Vec<u8>>,
@@ -95,6 +96,7 @@
         found.extend(self.check_answer(id));
         found.extend(self.check_runs());
         found.extend(self.check_engines(context));
+        found.extend(self.check_overlap(context));
         let at = self.end.as_ref().map_or(self.last_seen, |(at, _)| *at);
         let violation = |(guarantee, line): (SystemGuarantee, String)| {
             let process = self.process.iter();
@@ -216,7 +218,7 @@
                 violation(format!("got a success signed by {signed_by:?}, which didn't run it"))
             }
             () if is_stream && order_error.is_some() => violation(order_error.unwrap_or_default()),
-            () if !is_whole || self.runs.iter().any(|run| matches_body(run, body)) => None,
+            () if !is_whole || self.runs.iter().any(|run| matches_body(run, body, first)) => None,
             () if self.runs.iter().any(|run| run.body.is_some()) => {
                 violation(format!("got {} bytes that no upstream sent", body.len()))
             }
@@ -246,6 +248,27 @@
         })
     }
 
+    /// Checks that a stream doesn't run at an upstream while another one, which can be reached, still
+    /// works on it.
+    fn check_overlap(&self, context: CheckContext<'_>) -> Option<(SystemGuarantee, String)> {
+        let (sent, process) = (self.sent.as_ref()?, self.process.as_ref()?);
+        let CheckContext { bounds, faults, .. } = context;
+        let (from, to) = (sent.at.saturating_sub(bounds.fault_span), self.last_seen);
+        let is_reached = |name: &str| !faults.cuts_off(name, from, to);
+        if sent.kind != CallKind::ResumableStream || faults.affects(process, from, to) {
+            return None;
+        }
+        let is_overlap = |run: &CallRun, next: &CallRun| {
+            let latest = next.began + bounds.leave_run_time;
+            let is_at_work = run.ended.map_or(to > latest, |ended| ended > latest);
+            is_at_work && run.upstream != next.upstream && is_reached(&run.upstream)
+        };
+        let mut pairs = self.runs.iter().zip(self.runs.iter().skip(1));
+        let (run, next) = pairs.find(|(run, next)| is_overlap(run, next))?;
+        let line = format!("ran at {} while {} worked on it", next.upstream, run.upstream);
+        Some((SystemGuarantee::RunsOnce, line))
+    }
+
     /// Checks that a refused request never runs, and that a non-repeatable one runs at most once.
     pub(crate) fn check_runs(&self) -> Option<(SystemGuarantee, String)> {
         let refusal = match &self.end {
@@ -269,14 +292,15 @@
     }
 }
 
-/// Whether a run's complete body is the answer, or the end of the answer if the run resumed a
-/// stream.
-fn matches_body(run: &CallRun, body: &[u8]) -> bool {
+/// Whether a run's complete body is the answer, which begins with the event `first`, or the end of the
+/// answer if the run resumed a stream.
+fn matches_body(run: &CallRun, body: &[u8], first: u64) -> bool {
     match (&run.body, run.resumed_after) {
         (Some(whole), None) => whole == body,
         (Some(whole), Some(after)) => {
             let is_next = EventSequence::read(whole).order_error(after + 1).is_none();
-            is_next && body.ends_with(whole)
+            let before = body.strip_suffix(&**whole).map(EventSequence::read);
+            is_next && before.is_some_and(|before| first + before.len() == after + 1)
         }
         (None, _) => false,
     }
--- a/crates/wheel_soak/src/fault_plan.rs
+++ b/crates/wheel_soak/src/fault_plan.rs
@@ -9,10 +9,9 @@
 use rand::{Rng, SeedableRng};
 
 use crate::fault_driver::{LEAVE_TIME, REUSE_TIME, seam_file};
+use crate::fault_table::{ANSWERS, DISORDERS, DOWNTIME_MS, KINDS, KindRow, TargetGroup};
 use crate::soak_system::{CONTROL_COUNT, GRACE};
-use crate::{
-    AnswerPhase, FaultKind, FaultTarget, ListFault, OddEntry, PlannedFault, UpstreamFault,
-};
+use crate::{FaultKind, FaultTarget, PlannedFault};
 
 /// Maximum number of concurrent faults.
 const MAX_CONCURRENT: usize = 3;
@@ -21,21 +20,19 @@
 /// Time around the loss of a disk in which no other control instance is disturbed, because the lost
 /// data is copied again in this time.
 const CATCH_UP: Duration = Duration::from_secs(6);
-/// Durations of faults in milliseconds: of most faults; of brief ones; of a freeze, which outlasts the
-/// lease and a confirmation of the order authority; and of the downtime of a process.
-const DEFAULT_MS: Range<u64> = 500..4_000;
-const BRIEF_MS: Range<u64> = 50..200;
-const BEYOND_LEASE_MS: Range<u64> = 1_800..4_500;
-const DOWNTIME_MS: Range<u64> = 200..3_000;
-/// Durations of faults that an announced stop or a signal falls into.
-const WIDE_MS: Range<u64> = 4_000..9_000;
-/// Time between the beginnings of two faults of [`DISORDERS`], and from one to its companion.
+/// Time between the beginnings of two faults of [`DISORDERS`] or [`ANSWERS`], and from one to its
+/// companion.
 const DISORDER_GAP_MS: Range<u64> = 1_000..4_000;
 const COMPANION_MS: Range<u64> = 300..1_500;
-/// Faults of [`DISORDERS`] may come on top of as many others as [`MAX_CONCURRENT`].
+/// Faults of [`DISORDERS`] and [`ANSWERS`] may come on top of as many others as [`MAX_CONCURRENT`].
 const MAX_WITH_DISORDER: usize = MAX_CONCURRENT + 2;
 /// Separates the draw of [`DISORDERS`] from that of the other kinds, whose plans stay the same.
 const DISORDER_SEED: u64 = 0x5eed_d150_4de4;
+/// The same for [`ANSWERS`].
+const ANSWER_SEED: u64 = 0x5eed_a425_3e45;
+/// In the plans of one in this many seeds, [`ANSWERS`] are drawn before all others, and so find room
+/// for long faults of all upstreams.
+const ANSWERS_FIRST_SHARE: u64 = 5;
 /// Share of the runs in which a control instance is lost during the first start, and the time of the
 /// loss in milliseconds.
 const START_LOSS_SHARE: f64 = 0.25;
@@ -43,102 +40,6 @@
 /// Share of the faults of all upstreams during which an ingress instance gets SIGTERM.
 const SIGNAL_SHARE: f64 = 0.6;
 
-/// The group that a target is drawn from.
-#[derive(Clone, Copy)]
-enum TargetGroup {
-    /// Any process, with a preference for ingress instances.
-    Process,
-    Entries,
-    /// One control instance.
-    Control,
-    AllControl,
-    /// A link to an ingress instance or to an upstream.
-    Link,
-    Upstream,
-    AllUpstreams,
-    List,
-    Operators,
-}
-
-/// A kind, its name, its weight in the draw, its targets and its duration in milliseconds.
-type KindRow = (FaultKind, &'static str, u32, TargetGroup, Range<u64>);
-
-const KINDS: [KindRow; 37] = {
-    use FaultKind::*;
-    use TargetGroup as On;
-    use UpstreamFault::*;
-    [
-        (Terminate, "terminate", 6, On::Process, DOWNTIME_MS),
-        (TerminateSeries, "terminate", 2, On::Entries, DOWNTIME_MS),
-        (TerminatePair, "terminate", 2, On::Entries, DOWNTIME_MS),
-        (SecondSignal, "second_signal", 2, On::Process, DOWNTIME_MS),
-        (ReloadWhileDraining, "terminate", 2, On::Process, DOWNTIME_MS),
-        (Reload, "reload", 1, On::Process, BRIEF_MS),
-        (RestartAtOnce, "restart", 3, On::Process, BRIEF_MS),
-        (Kill, "kill", 4, On::Process, DOWNTIME_MS),
-        (KillControl, "kill", 1, On::AllControl, DOWNTIME_MS),
-        (Freeze, "freeze", 4, On::Process, BEYOND_LEASE_MS),
-        (Wipe, "wipe", 2, On::Control, DOWNTIME_MS),
-        (DiskSlow, "disk_slow", 2, On::Control, DEFAULT_MS),
-        (DiskStalled, "disk_stalled", 2, On::Control, DEFAULT_MS),
-        (DiskFull, "disk_full", 2, On::Control, DEFAULT_MS),
-        (ClockDay, "clock_day", 2, On::Process, DEFAULT_MS),
-        (ClockBoot, "clock_boot", 2, On::Process, DEFAULT_MS),
-        (LinkDelay, "link_delay", 2, On::Link, DEFAULT_MS),
-        (LinkReset, "link_reset", 3, On::Link, BRIEF_MS),
-        (LinkOneWay, "link_one_way", 2, On::Link, DEFAULT_MS),
-        (LinkSilence, "link_silence", 2, On::Link, DEFAULT_MS),
-        (LinkTrickle, "link_trickle", 2, On::Link, DEFAULT_MS),
-        (Upstream(Hang), "upstream_hang", 2, On::Upstream, DEFAULT_MS),
-        (Upstream(Late), "upstream_late", 2, On::Upstream, DEFAULT_MS),
-        (Upstream(Fail), "upstream_fail", 1, On::Upstream, DEFAULT_MS),
-        (Upstream(Crossed), "upstream_crossed", 2, On::Upstream, DEFAULT_MS),
-        (Upstream(Doubled), "upstream_doubled", 2, On::Upstream, DEFAULT_MS),
-        (Upstream(Unframed), "upstream_unframed", 2, On::Upstream, DEFAULT_MS),
-        (Upstream(Cut), "upstream_cut", 2, On::Upstream, DEFAULT_MS),
-        (UpstreamCrash, "upstream_crash", 3, On::Upstream, DEFAULT_MS),
-        (UpstreamReplaced, "upstream_replaced", 3, On::Upstream, DEFAULT_MS),
-        (AddressReused, "address_reused", 1, On::Upstream, BRIEF_MS),
-        (List(ListFault::Lags), "list_lags", 1, On::List, DEFAULT_MS),
-        (List(ListFault::Fails), "list_fails", 1, On::List, DEFAULT_MS),
-        (List(ListFault::Unreadable), "list_unreadable", 1, On::List, DEFAULT_MS),
-        (ChangeStorm, "configuration", 3, On::Operators, BRIEF_MS),
-        (ChangeRace, "configuration", 3, On::Operators, BRIEF_MS),
-        (InvalidChange, "configuration", 2, On::Operators, BRIEF_MS),
-    ]
-};
-
-/// Faults of upstreams and of the list that leave the process, its connections and its links alone.
-const DISORDERS: [KindRow; 19] = {
-    use AnswerPhase::*;
-    use FaultKind::*;
-    use OddEntry::*;
-    use TargetGroup as On;
-    use UpstreamFault::*;
-    const ODD: &str = "list_odd";
-    [
-        (Upstream(Silent(Head)), "upstream_silent", 3, On::AllUpstreams, WIDE_MS),
-        (Upstream(Silent(FirstEvent)), "upstream_silent", 3, On::AllUpstreams, WIDE_MS),
-        (Upstream(Silent(Middle)), "upstream_silent", 3, On::AllUpstreams, WIDE_MS),
-        (Upstream(HeadOnly), "upstream_head_only", 3, On::Upstream, DEFAULT_MS),
-        (Upstream(Endless(Head)), "upstream_endless", 2, On::Upstream, DEFAULT_MS),
-        (Upstream(Endless(FirstEvent)), "upstream_endless", 2, On::Upstream, DEFAULT_MS),
-        (Upstream(Endless(Middle)), "upstream_endless", 2, On::Upstream, DEFAULT_MS),
-        (Upstream(Crossed), "upstream_crossed", 2, On::AllUpstreams, DEFAULT_MS),
-        (Upstream(Breaks), "upstream_breaks", 4, On::AllUpstreams, WIDE_MS),
-        (UpstreamCrash, "upstream_crash", 2, On::AllUpstreams, BRIEF_MS),
-        (List(ListFault::Odd(Nested)), ODD, 1, On::List, WIDE_MS),
-        (List(ListFault::Odd(HugeNumber)), ODD, 1, On::List, WIDE_MS),
-        (List(ListFault::Odd(Surrogate)), ODD, 1, On::List, WIDE_MS),
-        (List(ListFault::Odd(Bytes)), ODD, 1, On::List, WIDE_MS),
-        (List(ListFault::Odd(Port)), ODD, 1, On::List, WIDE_MS),
-        (List(ListFault::Odd(Slots)), ODD, 1, On::List, WIDE_MS),
-        (List(ListFault::Odd(Nameless)), ODD, 1, On::List, WIDE_MS),
-        (List(ListFault::Odd(Twin)), ODD, 1, On::List, WIDE_MS),
-        (List(ListFault::Odd(SameAddress)), ODD, 1, On::List, WIDE_MS),
-    ]
-};
-
 /// The parameters of a plan.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PlanScope {
@@ -170,7 +71,11 @@
         let start_loss = random.random_bool(START_LOSS_SHARE).then(|| draw_start_loss(&mut random));
         // Long faults of all upstreams fit into few plans that are drawn without regard to them.
         let are_disorders_first = random.random_bool(0.5);
+        let are_answers_first = scope.seed.is_multiple_of(ANSWERS_FIRST_SHARE);
         let mut faults = Vec::new();
+        if are_answers_first {
+            add_answers(&mut faults, scope);
+        }
         if are_disorders_first {
             add_disorders(&mut faults, &mut random, scope);
         }
@@ -178,6 +83,9 @@
         if !are_disorders_first {
             add_disorders(&mut faults, &mut random, scope);
         }
+        if !are_answers_first {
+            add_answers(&mut faults, scope);
+        }
         // A control instance that lost its data at the start may still be catching up.
         let is_early = |fault: &PlannedFault| disturbs_control(fault) && fault.at < CATCH_UP;
         faults.retain(|fault| start_loss.is_none() || !is_early(fault));
@@ -235,6 +143,35 @@
     }
 }
 
+/// Adds faults of [`ANSWERS`], most of them with a planned stop or a change of the configuration.
+fn add_answers(faults: &mut Vec<PlannedFault>, scope: &PlanScope) {
+    let mut random = StdRng::seed_from_u64(scope.seed ^ ANSWER_SEED);
+    let mut at = Duration::from_millis(random.random_range(DISORDER_GAP_MS));
+    while at < scope.length {
+        let fault = draw_fault(&mut random, scope, at, &ANSWERS);
+        let entry = FaultTarget::Process(random.random_range(CONTROL_COUNT..scope.processes));
+        let (kind, name, target) = match random.random_range(0..3) {
+            0 => (FaultKind::TerminateSeries, "terminate", FaultTarget::Entries),
+            1 => (FaultKind::Terminate, "terminate", entry),
+            _ => (FaultKind::ChangeStorm, "configuration", FaultTarget::Operators),
+        };
+        let companion = PlannedFault {
+            at: at + Duration::from_millis(random.random_range(COMPANION_MS)),
+            duration: Duration::from_millis(random.random_range(DOWNTIME_MS)),
+            kind,
+            name,
+            target,
+        };
+        let is_joined = random.random_bool(SIGNAL_SHARE) && companion.at < scope.length;
+        for fault in fault.into_iter().chain(is_joined.then_some(companion)) {
+            if may_overlap(faults, &fault, MAX_WITH_DISORDER) {
+                faults.push(fault);
+            }
+        }
+        at += Duration::from_millis(random.random_range(DISORDER_GAP_MS));
+    }
+}
+
 fn draw_start_loss(random: &mut StdRng) -> PlannedFault {
     PlannedFault {
         at: Duration::from_millis(random.random_range(START_LOSS_MS)),
--- a/crates/wheel_soak/src/guarantee_bounds.rs
+++ b/crates/wheel_soak/src/guarantee_bounds.rs
@@ -29,6 +29,8 @@
     pub change_time: Duration,
     /// Time from a probe that showed a version until an ingress must not show an older one.
     pub downgrade_slack: Duration,
+    /// How long an upstream may still work on a stream that has gone on at another one.
+    pub leave_run_time: Duration,
     /// Minimum pause between the last order of one lease holder and the first of the next.
     pub lease_pause: Duration,
     /// An order isn't checked for this long after a fault of its sender or its link.
@@ -59,7 +61,8 @@
     /// Minimum number of requests after the recovery time.
     pub min_recovered_calls: usize,
     /// Kinds of fault that excuse no violation: signals and configuration changes, because they are
-    /// planned work; silences of a sound upstream; and odd entries of the list, since the others hold.
+    /// planned work; silences and refusals of a sound upstream; and odd entries of the list, since the
+    /// others hold.
     pub planned_kinds: BTreeSet<Arc<str>>,
     /// The control instances; their faults excuse ingress instances and leaving upstreams.
     pub control: BTreeSet<Arc<str>>,
@@ -78,6 +81,7 @@
             "restart",
             "second_signal",
             "terminate",
+            "upstream_refuses",
             "upstream_silent",
         ];
         Self {
@@ -90,6 +94,7 @@
             keep_time: Duration::from_secs(60),
             change_time: Duration::from_secs(2),
             downgrade_slack: Duration::from_millis(250),
+            leave_run_time: Duration::from_millis(400),
             lease_pause: Duration::from_secs(1),
             resume_time: Duration::from_millis(300),
             loads_per_s: 10.0,
--- a/crates/wheel_soak/src/guarantee_checker.rs
+++ b/crates/wheel_soak/src/guarantee_checker.rs
@@ -230,7 +230,7 @@
         let leaves = self.leaving.get(upstream).copied();
         let record = self.record(at, id);
         let (upstream, ended) = (Arc::clone(upstream), None);
-        record.runs.push(CallRun { upstream, ended, resumed_after, body: None });
+        record.runs.push(CallRun { upstream, began: at, ended, resumed_after, body: None });
         // A request that has been checked is checked again for this run only.
         let late = record.check_runs().filter(|_| record.is_checked);
         let violation =
--- a/crates/wheel_soak/src/planned_answer.rs
+++ b/crates/wheel_soak/src/planned_answer.rs
@@ -6,8 +6,12 @@
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 
 use crate::wire_server::ConnectionAction;
-use crate::{AnswerPhase, UpstreamFault};
+use crate::{AnswerPhase, HeadPart, ResumeAnswer, UpstreamFault};
 
+/// Number of bytes of a header's name before an answer stops in it.
+const NAME_PART_BYTES: usize = 5;
+/// The end of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
 /// Additional delay of a late answer.
 const LATE_DELAY: Duration = Duration::from_millis(2_500);
 /// Bytes without end are sent in pieces of this size with a pause between them, so that the soak
@@ -21,8 +25,8 @@
     /// Size of the head, which the first chunk begins with, in bytes.
     pub(crate) head_size: usize,
     pub(crate) pause: Duration,
-    /// The complete body.
-    pub(crate) body: Vec<u8>,
+    /// The complete body; `None` if it isn't that of the request.
+    pub(crate) body: Option<Vec<u8>>,
 }
 
 impl PlannedAnswer {
@@ -41,12 +45,29 @@
             UpstreamFault::Silent(_) | UpstreamFault::Endless(_) | UpstreamFault::HeadOnly => {
                 Some((0, self.head_size))
             }
+            UpstreamFault::StopsInHead { part, .. } => Some((0, self.head_position(part))),
             // An answer that only has its end left is sent whole.
             UpstreamFault::Breaks if self.chunks.len() > 2 => Some((1, self.chunks[1].len())),
             _ => None,
         }
     }
 
+    /// Number of bytes of the head before `part` of it.
+    fn head_position(&self, part: HeadPart) -> usize {
+        let head = &self.chunks[0][..self.head_size];
+        let line_ends = head.windows(2).enumerate().filter(|(_, pair)| *pair == b"\r\n");
+        let mut line_starts = line_ends.map(|(at, _)| at + 2);
+        match part {
+            HeadPart::HeaderName => {
+                line_starts.next().map_or(self.head_size, |start| start + NAME_PART_BYTES)
+            }
+            HeadPart::HeaderLine => line_starts.nth(1).unwrap_or(self.head_size),
+            HeadPart::Length => self.head_size - HEAD_END.len() - 1,
+            HeadPart::Unbounded => self.head_size,
+            HeadPart::LastBreak => self.head_size - HEAD_END.len() / 2,
+        }
+    }
+
     pub(crate) async fn write(
         &self,
         to: &mut (impl AsyncWrite + Unpin),
@@ -68,12 +89,18 @@
             to.write_all(&chunk[..size]).await?;
             match fault.filter(|_| position.is_some_and(|(at, _)| at == number)) {
                 Some(UpstreamFault::Hang | UpstreamFault::HeadOnly) => std::future::pending().await,
-                Some(UpstreamFault::Cut | UpstreamFault::Breaks) => {
+                Some(
+                    UpstreamFault::Cut
+                    | UpstreamFault::Breaks
+                    | UpstreamFault::StopsInHead { is_reset: true, .. },
+                ) => {
                     // Data written immediately before a reset may be lost.
                     tokio::time::sleep(self.pause).await;
                     return Ok(ConnectionAction::Reset);
                 }
-                Some(UpstreamFault::Closed) => return Ok(ConnectionAction::Close),
+                Some(
+                    UpstreamFault::Closed | UpstreamFault::StopsInHead { is_reset: false, .. },
+                ) => return Ok(ConnectionAction::Close),
                 Some(UpstreamFault::Silent(_)) => tokio::time::sleep(silence).await,
                 Some(UpstreamFault::Endless(phase)) => {
                     if phase == AnswerPhase::Head {
@@ -89,8 +116,12 @@
             }
             to.write_all(&chunk[size..]).await?;
         }
-        if fault == Some(UpstreamFault::Doubled) {
-            to.write_all(&self.chunks.concat()).await?;
+        match fault {
+            Some(UpstreamFault::Doubled) => to.write_all(&self.chunks.concat()).await?,
+            Some(UpstreamFault::Resumes(ResumeAnswer::ClosedHead)) if self.body.is_none() => {
+                return Ok(ConnectionAction::Close);
+            }
+            _ => {}
         }
         Ok(ConnectionAction::Keep)
     }
--- a/crates/wheel_soak/src/upstream_fault.rs
+++ b/crates/wheel_soak/src/upstream_fault.rs
@@ -1,6 +1,6 @@
 //! The faults of an upstream.
 
-use crate::AnswerPhase;
+use crate::{AnswerPhase, HeadPart, ResumeAnswer};
 
 /// A fault that affects some requests at an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,4 +30,17 @@
     Endless(AnswerPhase),
     /// It resets each stream after its first event.
     Breaks,
+    /// It refuses each request once as not run, and asks not to be called for a fraction of a second.
+    /// If a request comes again on the connection that carried its refusal, it sends that once more
+    /// while it runs the request.
+    Refuses,
+    /// It resets streams after their first event, and answers so to streams that it is to resume.
+    Resumes(ResumeAnswer),
+    /// It stops in the head of its answer and closes the connection, in order or with a reset.
+    StopsInHead {
+        /// The place.
+        part: HeadPart,
+        /// Whether it resets the connection.
+        is_reset: bool,
+    },
 }
--- a/crates/wheel_soak/src/upstream_shared.rs
+++ b/crates/wheel_soak/src/upstream_shared.rs
@@ -1,5 +1,6 @@
 //! The connections of an upstream stub and the requests on them.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +24,9 @@
 const RUN_LIMIT: Duration = Duration::from_secs(20);
 /// One in this many requests during a fault is affected by it.
 const FAULT_SHARE: u64 = 2;
+/// Time for which an upstream that refuses asks not to be called, in seconds.
+const REST_S: &str = "0.2";
+const BUSY: &str = "503 Service Unavailable";
 /// Shortest silence of a sound upstream, and the span above it, in milliseconds.
 const SILENCE_MS: u64 = 500;
 const SILENCE_SPAN_MS: u64 = 1_501;
@@ -47,9 +51,11 @@
         }
         let (read, mut write) = stream.split();
         let mut reader = BufReader::new(read);
+        // The requests that were refused on this connection.
+        let mut refused = BTreeSet::new();
         let serving = async {
             while let Ok(Some(request)) = WireRequest::read(&mut reader).await {
-                match self.answer(&request, &mut reader, &mut write).await {
+                match self.answer(&request, &mut refused, &mut reader, &mut write).await {
                     Ok(ConnectionAction::Keep) => {}
                     Ok(after) => return after,
                     Err(_) => return ConnectionAction::Reset,
@@ -77,6 +83,7 @@
     async fn answer(
         &self,
         request: &WireRequest,
+        refused: &mut BTreeSet<Arc<str>>,
         reader: &mut BufReader<ReadHalf<'_>>,
         write: &mut (impl AsyncWrite + Unpin),
     ) -> io::Result<ConnectionAction> {
@@ -99,7 +106,7 @@
                 }
                 write_json(write, status, &serde_json::json!({})).await
             }
-            _ => self.run(request, reader, write).await,
+            _ => self.run(request, refused, reader, write).await,
         }
     }
 
@@ -114,6 +121,7 @@
     async fn run(
         &self,
         request: &WireRequest,
+        refused: &mut BTreeSet<Arc<str>>,
         reader: &mut BufReader<ReadHalf<'_>>,
         write: &mut (impl AsyncWrite + Unpin),
     ) -> io::Result<ConnectionAction> {
@@ -123,16 +131,20 @@
         let epoch = *self.epoch.borrow();
         let (admission, upstream, service, fault) = {
             let mut state = self.state.lock();
-            let admission = state.admit(target, model);
+            let admission = state.admit(target, model, &id);
             (admission, Arc::clone(&state.id), state.service, state.fault)
         };
         let head = AnswerHead { id: &id, upstream: &upstream };
         match admission {
             RunAdmission::Runs => {}
             RunAdmission::Misdirected => {
-                return head.refuse(write, "421 Misdirected Request").await;
+                return head.refuse(write, "421 Misdirected Request", None).await;
+            }
+            RunAdmission::Busy => return head.refuse(write, BUSY, None).await,
+            RunAdmission::Resting => {
+                refused.insert(Arc::clone(&id));
+                return head.refuse(write, BUSY, Some(REST_S)).await;
             }
-            RunAdmission::Busy => return head.refuse(write, "503 Service Unavailable").await,
         }
         let resumed_after = request.number("last-event-id");
         self.sink.record(SeenEvent::RunBegan {
@@ -148,10 +160,14 @@
             body: None,
             epoch,
         };
+        if fault == Some(UpstreamFault::Refuses) && refused.contains(&id) {
+            head.refuse(write, BUSY, Some(REST_S)).await?;
+        }
         let limit = request.number(DEADLINE);
         let limit = limit.map_or(RUN_LIMIT, Duration::from_millis).min(RUN_LIMIT);
         let is_stream = service == ENGINE_SERVICE && is_stream(&request.path);
-        let fault = fault.and_then(|fault| self.take_fault(fault, is_stream));
+        let fault =
+            fault.and_then(|fault| self.take_fault(fault, is_stream, resumed_after.is_some()));
         let silence = self.silence();
         let answer = match is_stream {
             true => head.stream(request, resumed_after.unwrap_or_default(), fault),
@@ -164,7 +180,7 @@
             () = wait_closed(reader) => return Ok(ConnectionAction::Reset),
         };
         let is_correct = after == ConnectionAction::Keep && fault != Some(UpstreamFault::Crossed);
-        guard.body = is_correct.then_some(answer.body);
+        guard.body = answer.body.filter(|_| is_correct);
         Ok(after)
     }
 
@@ -175,13 +191,21 @@
     }
 
     /// The fault that affects the next request, if any.
-    fn take_fault(&self, fault: UpstreamFault, is_stream: bool) -> Option<UpstreamFault> {
+    fn take_fault(
+        &self,
+        fault: UpstreamFault,
+        is_stream: bool,
+        is_resumed: bool,
+    ) -> Option<UpstreamFault> {
         let mut candidates = self.candidates.lock();
         *candidates += 1;
         let is_second = candidates.is_multiple_of(2 * FAULT_SHARE);
         match fault {
             UpstreamFault::Breaks => is_stream.then_some(fault),
+            UpstreamFault::Refuses => None,
+            UpstreamFault::Resumes(_) if !is_stream => None,
             _ if !candidates.is_multiple_of(FAULT_SHARE) => None,
+            UpstreamFault::Resumes(_) if !is_resumed => Some(UpstreamFault::Breaks),
             UpstreamFault::Cut if is_stream && is_second => Some(UpstreamFault::Closed),
             fault => Some(fault),
         }
--- a/crates/wheel_soak/src/upstream_state.rs
+++ b/crates/wheel_soak/src/upstream_state.rs
@@ -44,6 +44,8 @@
     Misdirected,
     /// All slots are in use, or its model is being loaded or unloaded.
     Busy,
+    /// It is refused by [`UpstreamFault::Refuses`].
+    Resting,
 }
 
 /// State of the upstream at an address, reset at each restart.
@@ -63,6 +65,8 @@
     fencing: u64,
     /// Number of running requests by model.
     runs: BTreeMap<String, usize>,
+    /// Requests that were refused by [`UpstreamFault::Refuses`].
+    refused: BTreeSet<Arc<str>>,
 }
 
 impl UpstreamState {
@@ -80,6 +84,7 @@
             accepted: 0,
             fencing: 0,
             runs: BTreeMap::new(),
+            refused: BTreeSet::new(),
         }
     }
 
@@ -120,8 +125,13 @@
         self.models.iter().chain(loading).filter_map(|model| size_mb(model)).sum()
     }
 
-    /// Admits or refuses a request, and counts an admitted one.
-    pub(crate) fn admit(&mut self, target: Option<&str>, model: &str) -> RunAdmission {
+    /// Admits or refuses the request `id`, and counts an admitted one.
+    pub(crate) fn admit(
+        &mut self,
+        target: Option<&str>,
+        model: &str,
+        id: &Arc<str>,
+    ) -> RunAdmission {
         self.finish_change();
         let is_engine = self.service == ENGINE_SERVICE;
         let is_changing = match &self.change {
@@ -137,6 +147,9 @@
             RunAdmission::Misdirected
         } else if self.runs.values().sum::<usize>() >= SLOTS {
             RunAdmission::Busy
+        } else if self.fault == Some(UpstreamFault::Refuses) && self.refused.insert(Arc::clone(id))
+        {
+            RunAdmission::Resting
         } else {
             *self.runs.entry(model.to_owned()).or_default() += 1;
             RunAdmission::Runs
--- a/crates/wheel_soak/tests/guarantee_checker.rs
+++ b/crates/wheel_soak/tests/guarantee_checker.rs
@@ -969,3 +969,108 @@
     used(limit).assert_no_violation();
     used(limit + 1).assert_violation(SystemGuarantee::MemoryBounded, "MB of memory");
 }
+
+/// A stream whose first upstream breaks after event 1, and whose next one completes nothing.
+fn badly_resumed(at: u64, end: CallEnd) -> Schedule {
+    let (id, upstream, resumed_after) = (name("r"), name("engine-2"), Some(1));
+    Schedule::default()
+        .sent(at, "r", CallKind::ResumableStream)
+        .fault(at, at + 100, "upstream_resumes", "engine-1")
+        .run_started(at + 10, "r", "engine-1")
+        .run_ended(at + 50, "r", "engine-1", None)
+        .add(at + 60, SeenEvent::RunBegan { id, upstream, resumed_after })
+        .run_ended(at + 100, "r", "engine-2", None)
+        .ended(at + 110, "r", end)
+}
+
+#[test]
+fn answer_resumed_with_nothing_that_looks_whole_is_found() {
+    let part = b"id: 1\ndata: a\n\n";
+    badly_resumed(100, answer(200, "r", Some("engine-1"), part, true))
+        .assert_violation(SystemGuarantee::PartNeverWhole, "no upstream completed it");
+    badly_resumed(100, answer(200, "r", Some("engine-1"), part, false)).assert_no_violation();
+}
+
+#[test]
+fn answer_resumed_elsewhere_without_its_end_is_found() {
+    // A third upstream has nothing left to send, and the caller lacks event 2 and 3.
+    let (id, upstream, resumed_after) = (name("r"), name("engine-3"), Some(3));
+    let part = b"id: 1\ndata: a\n\n";
+    badly_resumed(100, answer(200, "r", Some("engine-1"), part, true))
+        .add(205, SeenEvent::RunBegan { id, upstream, resumed_after })
+        .run_ended(208, "r", "engine-3", Some(b""))
+        .fault(100, 300, "upstream_crash", "engine-3")
+        .assert_violation(SystemGuarantee::AnswerBelongs, "no upstream sent");
+}
+
+#[test]
+fn answer_stream_with_bytes_that_are_no_event_is_found() {
+    let foreign = [
+        "upstream failed\n\n",
+        "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n",
+        "event: error\ndata: upstream failed\n\n",
+        "id: 2\nevent: error\ndata: b\n\n",
+    ];
+    for bytes in foreign {
+        let body = ["id: 1\ndata: a\n\n", bytes].concat();
+        for is_whole in [false, true] {
+            badly_resumed(100, answer(200, "r", Some("engine-1"), body.as_bytes(), is_whole))
+                .assert_violation(SystemGuarantee::AnswerBelongs, "where event 2 was expected");
+        }
+    }
+}
+
+#[test]
+fn answer_success_without_its_body_is_found() {
+    for body in [&b""[..], b"who"] {
+        let empty = Schedule::default()
+            .sent(100, "r", CallKind::Idempotent)
+            .fault(100, 200, "upstream_stops_in_head", "app-0")
+            .run_started(110, "r", "app-0")
+            .run_ended(150, "r", "app-0", None)
+            .answered(160, "r", "app-0", body);
+        empty.assert_violation(SystemGuarantee::PartNeverWhole, "no upstream completed it");
+    }
+}
+
+#[test]
+fn refused_beside_a_refusal_that_came_twice_is_found() {
+    for status in [429, 503] {
+        Schedule::default()
+            .sent(100, "r", CallKind::ResumableStream)
+            .fault(50, 900, "upstream_refuses", "engine-1")
+            .run_started(310, "r", "engine-1")
+            .ended(320, "r", refusal(status, "r"))
+            .run_ended(800, "r", "engine-1", Some(STREAM))
+            .assert_violation(SystemGuarantee::RefusedNeverRuns, "as not run and ran at engine-1");
+    }
+}
+
+/// A stream that goes on at another upstream at 200 ms, after event 1.
+fn left_stream(run_end: u64) -> Schedule {
+    let (id, upstream, resumed_after) = (name("r"), name("engine-2"), Some(1));
+    Schedule::default()
+        .sent(100, "r", CallKind::ResumableStream)
+        .run_started(110, "r", "engine-1")
+        .add(200, SeenEvent::RunBegan { id, upstream, resumed_after })
+        .run_ended(run_end, "r", "engine-1", None)
+        .run_ended(1_000, "r", "engine-2", Some(REST))
+        .answered(1_010, "r", "engine-1", STREAM)
+}
+
+#[test]
+fn runs_once_upstream_that_was_left_in_time_passes() {
+    left_stream(590).assert_no_violation();
+    // It can't be told to stop.
+    left_stream(900).fault(150, 900, "link_silence", "entries>engine-1").assert_no_violation();
+    left_stream(900).fault(150, 900, "freeze", "entry-1").assert_no_violation();
+}
+
+#[test]
+fn runs_once_stream_under_way_at_another_upstream_is_found() {
+    let reports = "ran at engine-2 while engine-1 worked on it";
+    left_stream(610).assert_violation(SystemGuarantee::RunsOnce, reports);
+    left_stream(900)
+        .fault(50, 900, "upstream_refuses", "engine-1")
+        .assert_violation(SystemGuarantee::RunsOnce, reports);
+}
--- a/crates/wheel_soak/tests/stubs.rs
+++ b/crates/wheel_soak/tests/stubs.rs
@@ -6,14 +6,16 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use wheel_harness::{HttpClient, HttpReply};
 use wheel_platform::wire_names::{
     ATTEMPT_ID, MODEL, NOT_EXECUTED, ORDER_PATH, REPORT_PATH, TARGET,
 };
 use wheel_soak::{
-    AnswerPhase, ListFault, ListStub, ONCE_PREFIX, Observation, ObservationSink, OddEntry,
-    RESUMABLE_PREFIX, SeenEvent, UpstreamFault, UpstreamStub,
+    AnswerPhase, HeadPart, ListFault, ListStub, ONCE_PREFIX, Observation, ObservationSink,
+    OddEntry, RESUMABLE_PREFIX, ResumeAnswer, SeenEvent, UpstreamFault, UpstreamStub,
 };
 
 /// Timeout for an answer.
@@ -279,3 +281,118 @@
         assert!(at > start.len() && at + entry.len() + end.len() < body.len(), "{odd:?}");
     }
 }
+
+/// The head of an answer to a request with `extra` headers, and the bytes that follow it; empty if the
+/// connection ended before.
+async fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => head.push(byte),
+            Err(_) => break,
+        }
+    }
+    String::from_utf8_lossy(&head).into_owned()
+}
+
+async fn send_raw(stream: &mut TcpStream, path: &str, id: &str) {
+    let request = format!(
+        "POST {path} HTTP/1.1\r\n{ATTEMPT_ID}: {id}\r\n{MODEL}: m0\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.expect("a request");
+}
+
+#[tokio::test]
+async fn upstream_refusal_comes_twice_on_its_connection_alone() {
+    let (upstream, mut seen) = engine().await;
+    load(&upstream, "m0").await;
+    upstream.set_fault(Some(UpstreamFault::Refuses));
+    let path = format!("{RESUMABLE_PREFIX}2x1");
+    let mut kept = TcpStream::connect(upstream.address()).await.expect("a connection");
+    send_raw(&mut kept, &path, "id-1").await;
+    let refusal = read_head(&mut kept).await;
+    assert!(
+        refusal.starts_with("HTTP/1.1 503") && refusal.contains("retry-after: 0.2"),
+        "{refusal}"
+    );
+    assert_eq!(ends(&mut seen), [false; 0]);
+    send_raw(&mut kept, &path, "id-1").await;
+    assert_eq!(read_head(&mut kept).await, refusal);
+    assert!(read_head(&mut kept).await.starts_with("HTTP/1.1 200"));
+    // The same request on another connection is run, and only its first refusal was one.
+    let mut other = TcpStream::connect(upstream.address()).await.expect("a connection");
+    send_raw(&mut other, &path, "id-1").await;
+    assert!(read_head(&mut other).await.starts_with("HTTP/1.1 200"));
+    tokio::time::sleep(LIMIT / 10).await;
+    assert_eq!(ends(&mut seen), [true; 2]);
+}
+
+#[tokio::test]
+async fn upstream_odd_answers_to_resumed_streams_have_no_event() {
+    let (upstream, mut seen) = engine().await;
+    load(&upstream, "m0").await;
+    let path = format!("{RESUMABLE_PREFIX}3x1");
+    let odd_answers = {
+        use ResumeAnswer::*;
+        [NoBytes, NoChunks, NoContent, Text, Head, ClosedHead, ErrorEvent]
+    };
+    for answer in odd_answers {
+        upstream.set_fault(None);
+        request(&upstream, &path, &[]).await.expect("an answer without a fault");
+        upstream.set_fault(Some(UpstreamFault::Resumes(answer)));
+        request(&upstream, &path, &[]).await.expect("a request that isn't affected");
+        let broken = request(&upstream, &path, &[]).await.expect("a part");
+        assert!(!broken.complete && broken.text().starts_with("id: 1\n"), "{answer:?}");
+        let resumed = [("last-event-id", "1")];
+        request(&upstream, &path, &resumed).await.expect("a request that isn't affected");
+        let odd = request(&upstream, &path, &resumed).await.expect("an odd answer");
+        assert!(odd.status.is_success() && odd.complete, "{answer:?}");
+        assert!(!odd.text().contains("id:"), "{answer:?}: {}", odd.text());
+        let is_empty = {
+            use ResumeAnswer::*;
+            matches!(answer, NoBytes | NoChunks | NoContent)
+        };
+        assert_eq!(odd.text().is_empty(), is_empty, "{answer:?}");
+        // With nothing left to send, an empty answer is right.
+        let end = [("last-event-id", "3")];
+        request(&upstream, &path, &end).await.expect("a request that isn't affected");
+        let end = request(&upstream, &path, &end).await.expect("an answer");
+        assert!(end.complete && end.text().is_empty(), "{answer:?}");
+        tokio::time::sleep(LIMIT / 10).await;
+        let sound = [true, true, false, true, false, true, true];
+        assert_eq!(ends(&mut seen), sound, "{answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn upstream_that_stops_in_its_head_sends_the_part_before() {
+    let (sink, _seen) = ObservationSink::open();
+    let upstream = UpstreamStub::bind("app-0".into(), "app", "z0", sink).await.expect("a port");
+    let path = format!("{ONCE_PREFIX}100x20");
+    let ends = [
+        (HeadPart::HeaderName, "\r\nx-wis"),
+        (HeadPart::HeaderLine, "-id: id-1\r\n"),
+        (HeadPart::Length, "\r\ncontent-length: 10"),
+        (HeadPart::LastBreak, "\r\ncontent-length: 107\r\n"),
+        (HeadPart::Unbounded, "\r\ncontent-type: text/plain\r\n\r\n"),
+    ];
+    for (part, end) in ends {
+        for is_reset in [false, true] {
+            upstream.set_fault(None);
+            request(&upstream, &path, &[(TARGET, "app-0")]).await.expect("an answer");
+            upstream.set_fault(Some(UpstreamFault::StopsInHead { part, is_reset }));
+            let mut stream = TcpStream::connect(upstream.address()).await.expect("a connection");
+            for is_affected in [false, true] {
+                send_raw(&mut stream, &path, "id-1").await;
+                let head = read_head(&mut stream).await;
+                match is_affected {
+                    true => assert!(head.ends_with(end), "{part:?}: {head:?}"),
+                    false => assert!(head.ends_with("\r\n\r\n"), "{part:?}: {head:?}"),
+                }
+                let mut body = [0; 107];
+                let rest = stream.read_exact(&mut body).await;
+                assert_eq!(rest.is_err(), is_affected, "{part:?}");
+            }
+        }
+    }
+}
