--- a/crates/wheel_upstream/tests/repeated_answers.rs
+++ b/crates/wheel_upstream/tests/repeated_answers.rs
@@ -5,9 +5,18 @@
 
 mod common;
 
-use common::{RepeatingUpstream, booking, engine_client, generate, read_all, service_client};
-use http::{Method, StatusCode};
-use wheel_upstream::{FailureKind, ServiceCall};
+use std::ops::Range;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{
+    LONG, RepeatingUpstream, booking, engine_client, generate, read_all, service, service_client,
+};
+use http::{Method, Request, StatusCode};
+use wheel_upstream::{
+    ConnectionLimits, DirectClient, EngineClient, EngineSettings, FailureKind, ServiceCall,
+    ServiceClient,
+};
 
 const REFUSAL: &str = "HTTP/1.1 503 Full\r\nwheel-request-id: ID\r\nwheel-outcome: not-run\r\n\
                        content-length: 0\r\n\r\n";
@@ -71,3 +80,66 @@
     let failure = client.call(look_up("r-2")).await.err().expect("a failure");
     assert!(matches!(failure.kind, FailureKind::ForeignAnswer) && !failure.reported_not_run);
 }
+
+#[tokio::test]
+async fn probe_takes_no_earlier_answer_for_its_own() {
+    const EVENTS: &str = "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\ncontent-length: 13\r\n\r\n\
+                          {\"events\":[]}";
+    let upstream = RepeatingUpstream::bind(&[EVENTS, ANSWER, STREAM]).await;
+    let limits = ConnectionLimits {
+        probe_after_idle: Duration::ZERO,
+        probe_timeout: LONG,
+        ..ConnectionLimits::default()
+    };
+    let settings = EngineSettings::new("engine".into(), upstream.address).limits(limits);
+    let client = EngineClient::open(settings);
+    client.cache_events(0).await.expect("events");
+    let mut stream = client.generate(generate("r-1", 2)).await.expect("its own answer");
+    assert!(read_all(&mut stream).await.1.is_ok());
+    let status = client.status();
+    assert_eq!((status.probes, status.probe_failures, status.opened), (1, 1, 2));
+}
+
+#[tokio::test]
+async fn fetch_repeated_answer_isnt_taken_for_the_next() {
+    let upstream = RepeatingUpstream::bind(&[
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold",
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nnew",
+    ])
+    .await;
+    let client = DirectClient::open(upstream.address, ConnectionLimits::default());
+    for expected in ["old", "new"] {
+        let answer = client.fetch(Request::new(Bytes::new()), LONG).await.expect("an answer");
+        assert_eq!(answer.body, expected);
+    }
+}
+
+/// Makes repeatable calls with different ids, one after the other.
+async fn look_up_each(client: &ServiceClient, numbers: Range<u32>) {
+    for number in numbers {
+        let mut answer = client.call(look_up(&format!("r-{number}"))).await.expect("an answer");
+        answer.body.collect(1_000).await.expect("a body");
+    }
+}
+
+#[tokio::test]
+async fn call_with_another_id_keeps_the_connection() {
+    let (_service, client) = service().await;
+    look_up_each(&client, 0..500).await;
+    assert_eq!(client.status().opened, 1);
+    // The ids that a connection has carried are kept, so that their number is limited.
+    look_up_each(&client, 500..1_000).await;
+    assert_eq!(client.status().opened, 2);
+}
+
+#[tokio::test]
+async fn call_with_the_same_id_costs_one_connection_each() {
+    let (_service, client) = service().await;
+    look_up_each(&client, 0..10).await;
+    look_up_each(&client, 0..10).await;
+    assert_eq!(client.status().opened, 2);
+    for opened in 3..=5 {
+        look_up_each(&client, 0..1).await;
+        assert_eq!(client.status().opened, opened);
+    }
+}
