The daemon reads each instance list over a connection of its own

What was seen: the instance list bears no id. One that came once more over the kept connection was taken for the next reading, and every later reading was the one before, so that what leaves was seen a reading late, for as long as the connection held.

Cause: the list was read by a client of its own, which kept its connection.

Evidence: wheel_daemon list_connections::list_is_read_over_a_connection_of_its_own: before, no connection was closed in 30 s of readings; now each carries one request.

Cost: a connection a second to the platform's list, from each instance that is given one.

--- a/crates/wheel_daemon/src/list_reader.rs
+++ b/crates/wheel_daemon/src/list_reader.rs
@@ -6,14 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Collected, Empty, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use http::Request;
 use spdlog::{info, warn};
 use wheel_placement::OddEntryLog;
 use wheel_seams::boot_now;
 use wheel_types::UpstreamName;
+use wheel_upstream::{ConnectionLimits, DirectClient};
 
 use crate::member_driver::listed_instance;
 use crate::{DaemonParts, LeavingList};
@@ -29,8 +27,7 @@
 /// heartbeats and from the upstreams themselves.
 pub(crate) struct ListReader {
     parts: Arc<DaemonParts>,
-    address: SocketAddr,
-    client: Client<HttpConnector, Empty<Bytes>>,
+    client: DirectClient,
     list: LeavingList,
     odd_log: OddEntryLog,
     leaving: HashSet<UpstreamName>,
@@ -39,11 +36,11 @@
 
 impl ListReader {
     pub(crate) fn spawn(parts: Arc<DaemonParts>, address: SocketAddr) {
-        let client = Client::builder(TokioExecutor::new()).build_http();
+        let limits =
+            ConnectionLimits { max_answer_bytes: MAX_LIST_BYTES, ..ConnectionLimits::default() };
         let mut reader = Self {
             parts,
-            address,
-            client,
+            client: DirectClient::open(address, limits),
             list: LeavingList::default(),
             odd_log: OddEntryLog::default(),
             leaving: HashSet::new(),
@@ -60,22 +57,16 @@
         });
     }
 
-    async fn fetch(&self) -> Result<Bytes, String> {
-        let uri = format!("http://{}/instances", self.address).parse();
-        let uri = uri.map_err(|error: http::uri::InvalidUri| error.to_string())?;
-        let answer = self.client.get(uri).await.map_err(|error| error.to_string())?;
-        if !answer.status().is_success() {
-            return Err(format!("status {}", answer.status()));
-        }
-        let body = Limited::new(answer.into_body(), MAX_LIST_BYTES).collect().await;
-        body.map(Collected::to_bytes).map_err(|error| error.to_string())
-    }
-
     async fn read(&mut self) -> Result<(), String> {
-        let body = tokio::time::timeout(READ_TIMEOUT, self.fetch()).await;
-        let body = body.unwrap_or_else(|_| Err("no answer in time".to_owned()))?;
+        let request = Request::get("/instances").body(Bytes::new());
+        let request = request.map_err(|error| error.to_string())?;
+        let answer = self.client.fetch(request, READ_TIMEOUT).await;
+        let answer = answer.map_err(|failure| failure.to_string())?;
+        if !answer.status.is_success() {
+            return Err(format!("status {}", answer.status));
+        }
         let now = boot_now();
-        let odd = self.list.read(now, &body)?;
+        let odd = self.list.read(now, &answer.body)?;
         self.odd_log.record(now, &odd);
         Ok(())
     }
--- a/crates/wheel_daemon/tests/support/mod.rs
+++ b/crates/wheel_daemon/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Runs the daemon's program as a separate process.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, ChildStderr, Command, Output, Stdio};
