A stream without its last token never ends as complete

A stream that broke off between its last token and the marker was run once more for nothing, or cut.

Cause: the marker alone counted as proof that every token had come. The protocol puts `finish_reason` in the chunk of the last token, and nobody read it.

An engine's dialect now tells whether a token is the last one. TokenStream fails as cut short at an end marker before it, at the owner and at the ingress alike, and the stream goes on elsewhere or breaks off with the error event. A stream whose caller has the last token ends by itself, so that no engine is asked to go on after it.

--- a/crates/wheel_harness/tests/cut_answers.rs
+++ b/crates/wheel_harness/tests/cut_answers.rs
@@ -10,7 +10,9 @@
 use std::sync::{Arc, Mutex};
 
 use serde_json::json;
-use support::{LIMIT, assert_whole, generate, neighbour, owner_of, preloaded};
+use support::{
+    LIMIT, assert_whole, engine_runs, generate, neighbour, owner_of, preloaded, token_indexes,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +20,7 @@
 
 const MINIMAL: &str = include_str!("../../../examples/minimal.toml");
 const HEAD: &str = "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\n";
+const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
 
 /// Answers that are still to be given instead of the upstream's own.
 type Script = Arc<Mutex<VecDeque<String>>>;
@@ -47,6 +50,10 @@
     fn answer_with(&self, answers: impl IntoIterator<Item = String>) {
         self.script.lock().expect("a script").extend(answers);
     }
+
+    fn is_used_up(&self) -> bool {
+        self.script.lock().expect("a script").is_empty()
+    }
 }
 
 /// Passes one connection on to `target`, except for requests that begin with `marker`.
@@ -133,6 +140,38 @@
     format!("{HEAD}content-type: text/event-stream\r\n\r\n{body}")
 }
 
+/// Sends sound requests, each of which gives an instance a part of a retry back.
+async fn refill_budget(cluster: &LocalCluster, at: SocketAddr, requests: u64) {
+    for _ in 0..requests {
+        assert_whole(&generate(&cluster.client, at, "guide", 1, 20_000).await, 1);
+    }
+}
+
+/// What an engine may answer to the rest of a stream that isn't the rest.
+fn wrong_rests() -> Vec<(&'static str, String)> {
+    let error = "event: error\ndata: {\"error\":{\"message\":\"upstream failed\"}}\n\n";
+    let end = "data: [DONE]\n\n";
+    let sized = |body: &str| {
+        let head = format!("{HEAD}content-type: text/event-stream\r\n");
+        format!("{head}content-length: {}\r\n\r\n{body}", body.len())
+    };
+    vec![
+        ("nothing, with a length", sized("")),
+        ("nothing, in chunks", format!("{HEAD}transfer-encoding: chunked\r\n\r\n0\r\n\r\n")),
+        ("nothing, and a close", closed("")),
+        ("no body", format!("{HEAD}\r\n").replace("200 OK", "204 No Content")),
+        ("the end alone", sized(end)),
+        ("text", sized("upstream failed\n\n")),
+        ("text and the end", sized(&format!("upstream failed\n\n{end}"))),
+        ("a head", sized(FAILURE)),
+        ("a head and the end", sized(&format!("{FAILURE}{end}"))),
+        ("an error event and the end", sized(&format!("{error}{end}"))),
+        ("another content", sized("{}").replace("text/event-stream", "application/json")),
+        ("a cut head", HEAD.to_owned()),
+        ("a failure", FAILURE.replace("\r\n\r\n", "\r\nwheel-request-id: ID\r\n\r\n")),
+    ]
+}
+
 /// The owner of the engine serves the caller itself, so that both runs need a slot of one queue.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_broken_at_its_only_engine_goes_on_there() {
@@ -143,3 +182,60 @@
         assert_whole(&reply, 5);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_resumed_with_something_else_goes_on_to_its_last_token() {
+    let (cluster, engine, at) = start_engine().await;
+    for (name, wrong) in wrong_rests() {
+        for at in at {
+            engine.answer_with([closed(&(token(0, false) + &token(1, false))), wrong.clone()]);
+            let reply = generate(&cluster.client, at, "guide", 5, 20_000).await;
+            assert_eq!(token_indexes(&reply), [0, 1, 2, 3, 4], "{name}: {}", reply.text());
+            assert_whole(&reply, 5);
+            assert!(!reply.text().contains("upstream failed"), "{name}: {}", reply.text());
+            assert!(engine.is_used_up(), "{name}");
+            refill_budget(&cluster, at, 15).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_begins_with_something_else_is_sent_again() {
+    let (cluster, engine, at) = start_engine().await;
+    for (name, wrong) in wrong_rests() {
+        for at in at {
+            engine.answer_with([wrong.clone()]);
+            let reply = generate(&cluster.client, at, "guide", 5, 20_000).await;
+            assert_eq!(reply.status.as_u16(), 200, "{name}: {}", reply.text());
+            assert_whole(&reply, 5);
+            assert!(engine.is_used_up(), "{name}");
+            refill_budget(&cluster, at, 5).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_with_an_end_marker_before_its_last_token_never_looks_complete() {
+    let (cluster, engine, at) = start_engine().await;
+    for at in at {
+        let early = closed(&format!("{}data: [DONE]\n\n", token(0, false)));
+        let again = closed("data: [DONE]\n\n");
+        engine.answer_with([early].into_iter().chain(std::iter::repeat_n(again, 20)));
+        let reply = generate(&cluster.client, at, "guide", 5, 20_000).await;
+        let is_success = reply.complete && reply.status.is_success();
+        assert!(!is_success && !reply.text().contains("[DONE]"), "{}", reply.text());
+        engine.script.lock().expect("a script").clear();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_cut_after_its_last_token_is_complete_without_another_run() {
+    let (cluster, engine, at) = start_engine().await;
+    for at in at {
+        engine.answer_with([closed(&(token(0, false) + &token(1, true)))]);
+        let reply = generate(&cluster.client, at, "guide", 5, 20_000).await;
+        assert_whole(&reply, 2);
+    }
+    let runs = engine_runs(&cluster).await;
+    assert!(runs.is_empty(), "the engine was asked again for nothing: {runs:?}");
+}
--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -46,6 +46,8 @@
     search: RouteSearch,
     /// Index of the next token.
     next_index: u64,
+    /// Whether the caller has the last token.
+    has_last: bool,
     /// Engines that the request was sent to so far.
     attempts: u32,
     /// Whether it may have run on one of them without a whole answer.
@@ -112,8 +114,15 @@
         let prefix = prefix_hint(&request.body);
         let (model, adapter) = (target.model.clone(), target.adapter.clone());
         let search = pipeline.new_search(request, model, adapter, Some(prefix), true);
-        let mut run =
-            Self { pipeline, target, search, next_index: 0, attempts: 0, may_have_run: false };
+        let mut run = Self {
+            pipeline,
+            target,
+            search,
+            next_index: 0,
+            has_last: false,
+            attempts: 0,
+            may_have_run: false,
+        };
         let RoutedHead { route, head, sent } = run.fetch_head().await?;
         Ok(match head {
             AnswerHead::Whole(body) => {
@@ -313,6 +322,7 @@
             match next {
                 Ok(StreamEvent::Token(token)) => {
                     self.run.next_index = token.index + 1;
+                    self.run.has_last = token.is_last;
                     self.phase = StreamPhase::Running;
                     return Some(Ok(event_frame(&token.data)));
                 }
@@ -324,6 +334,10 @@
                     if let Some(sent) = self.sent.take() {
                         sent.fail();
                     }
+                    // Only the end marker is missing, and no engine has more of the stream.
+                    if self.run.has_last {
+                        return Some(Ok(done_frame()));
+                    }
                     if let Err(refusal) = self.resume(&failure).await {
                         return Some(Ok(self.fail(&refusal)));
                     }
--- a/crates/wheel_upstream/src/engine_dialect.rs
+++ b/crates/wheel_upstream/src/engine_dialect.rs
@@ -18,6 +18,8 @@
     pub id: Cow<'a, str>,
     /// The index of the token.
     pub index: u64,
+    /// Whether it is the last token of its request.
+    pub is_last: bool,
 }
 
 /// Builds the HTTP requests of an engine and parses its answers into shared types.
--- a/crates/wheel_upstream/src/token_stream.rs
+++ b/crates/wheel_upstream/src/token_stream.rs
@@ -22,6 +22,8 @@
     pub index: u64,
     /// The data of the event: an OpenAI chunk in JSON.
     pub data: Bytes,
+    /// Whether it is the last token of the request.
+    pub is_last: bool,
 }
 
 /// What a stream yields.
@@ -36,14 +38,16 @@
 /// The tokens of one request, each exactly once and in order.
 ///
 /// A duplicate event is dropped. A missing one, one of another request, silence or an end without
-/// the engine's end marker is a failure; [`TokenStream::next_index`] is then the index to resume
-/// from. Dropping a stream before its end cancels the request at the engine.
+/// the engine's end marker after the last token is a failure; [`TokenStream::next_index`] is then the
+/// index to resume from. Dropping a stream before its end cancels the request at the engine.
 pub struct TokenStream {
     body: Option<AnswerBody>,
     lines: LinesCodec,
     buffer: BytesMut,
     lease: ByteLease,
     next_index: u64,
+    /// Whether the last token has been read.
+    has_last: bool,
     /// The event that [`TokenStream::begin`] has read and [`TokenStream::next`] has yet to yield.
     first: Option<StreamEvent>,
     guard: CancelGuard,
@@ -53,8 +57,16 @@
     pub(crate) fn new(body: AnswerBody, guard: CancelGuard, next_index: u64) -> Self {
         let max_length = guard.core().pool.limits().max_event_bytes;
         let lines = LinesCodec::new_with_max_length(max_length);
-        let (buffer, lease, first) = (BytesMut::new(), body.lease(), None);
-        Self { body: Some(body), lines, buffer, lease, next_index, first, guard }
+        Self {
+            lease: body.lease(),
+            body: Some(body),
+            lines,
+            buffer: BytesMut::new(),
+            next_index,
+            has_last: false,
+            first: None,
+            guard,
+        }
     }
 
     /// Waits for the first event, which the next call of [`TokenStream::next`] yields. An engine
@@ -119,6 +131,9 @@
     fn read_line(&mut self, line: String) -> Result<Option<StreamEvent>, FailureKind> {
         let Some(data) = line.strip_prefix("data:").map(str::trim_start) else { return Ok(None) };
         if data == DONE {
+            if !self.has_last {
+                return Err(FailureKind::CutShort);
+            }
             self.end();
             return Ok(Some(StreamEvent::End));
         }
@@ -138,9 +153,11 @@
             }
             index => {
                 self.next_index += 1;
+                self.has_last = key.is_last;
+                let is_last = key.is_last;
                 let start = line.len() - data.len();
                 let data = Bytes::from(line).slice(start..);
-                Ok(Some(StreamEvent::Token(TokenEvent { index, data })))
+                Ok(Some(StreamEvent::Token(TokenEvent { index, data, is_last })))
             }
         }
     }
--- a/crates/wheel_upstream/src/wheel_dialect.rs
+++ b/crates/wheel_upstream/src/wheel_dialect.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use wheel_types::{EngineOrder, EngineState, LoadReport, OrderReply, RequestId, RequestOutcome};
 
@@ -65,7 +66,8 @@
 
     fn token_key<'a>(&self, event: &'a [u8]) -> Result<TokenKey<'a>, FailureKind> {
         let chunk: TokenChunk<'a> = read(event)?;
-        Ok(TokenKey { id: chunk.id, index: chunk.wheel.index })
+        let is_last = chunk.choices.iter().any(|choice| choice.finish_reason.is_some());
+        Ok(TokenKey { id: chunk.id, index: chunk.wheel.index, is_last })
     }
 
     fn body_id<'a>(&self, body: &'a [u8]) -> Result<Cow<'a, str>, FailureKind> {
@@ -119,9 +121,16 @@
 struct TokenChunk<'a> {
     #[serde(borrow)]
     id: Cow<'a, str>,
+    #[serde(default)]
+    choices: Vec<ChunkChoice>,
     wheel: ChunkPosition,
 }
 
+#[derive(Deserialize)]
+struct ChunkChoice {
+    finish_reason: Option<IgnoredAny>,
+}
+
 #[derive(Deserialize)]
 struct ChunkPosition {
     index: u64,
