A plain answer's head waits for the first piece of its body

A plain service that stopped after its head and before the first byte of its body left its caller with a closed connection and no answer at all, or with a 200 that was cut.

Cause: the head of a plain answer was passed on at once, at the owner and at the ingress. When the body then failed before anything had been written, the server dropped the head with it.

ServiceAnswer::begin reads the first piece, or the end, before the answer is passed on: at the owner, and at an ingress instance that relays. A failure until then is answered with 502 and the outcome `unknown`, or sent again if the call may be; a head that reports `not-run` stands.

Evidence: harness cut_answers::plain_answer_cut_before_its_body_is_a_whole_failure, seven cuts at the owner and relayed, before: `SendRequest, hyper::Error(IncompleteMessage)`.

--- a/crates/wheel_harness/tests/cut_answers.rs
+++ b/crates/wheel_harness/tests/cut_answers.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use http::Method;
 use serde_json::json;
 use support::{
     LIMIT, assert_whole, engine_runs, generate, neighbour, owner_of, preloaded, token_indexes,
@@ -16,7 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
-use wheel_harness::{ClusterManifest, ClusterSettings, LocalCluster};
+use wheel_harness::{ClusterManifest, ClusterSettings, HttpReply, LocalCluster};
 
 const MINIMAL: &str = include_str!("../../../examples/minimal.toml");
 const HEAD: &str = "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\n";
@@ -239,3 +240,41 @@
     let runs = engine_runs(&cluster).await;
     assert!(runs.is_empty(), "the engine was asked again for nothing: {runs:?}");
 }
+
+/// Sends a call to the plain service.
+async fn call_service(cluster: &LocalCluster, at: SocketAddr, method: Method) -> HttpReply {
+    let headers = [("wheel-caller", "hotel")];
+    cluster.client.call(method, at, "/booking/seats", &headers, "").await.expect("an answer")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_answer_cut_before_its_body_is_a_whole_failure() {
+    let chunked = format!("{HEAD}transfer-encoding: chunked\r\n\r\n");
+    let cuts = [
+        ("in the head", HEAD.to_owned()),
+        ("in a length", format!("{HEAD}content-length: 1")),
+        ("without a marked end", format!("{HEAD}\r\n")),
+        ("before a body with a length", format!("{HEAD}content-length: 9\r\n\r\n")),
+        ("before the first chunk", chunked.clone()),
+        ("in the first chunk's size", format!("{chunked}9")),
+        ("with another coding", format!("{HEAD}transfer-encoding: gzip\r\n\r\nabc")),
+    ];
+    let (cluster, service) = start("bookings-a", "POST /", ClusterSettings::default()).await;
+    let seen_at = cluster.instances[0].ports.operators;
+    let owner = owner_of(&cluster, seen_at, "bookings-a").await;
+    for index in [owner, neighbour(&cluster, owner)] {
+        let at = cluster.instances[index].ports.callers;
+        for (place, cut) in &cuts {
+            service.answer_with([cut.clone()]);
+            // The call may also go to the other upstream of the service, which answers it.
+            while !service.is_used_up() {
+                let reply = call_service(&cluster, at, Method::POST).await;
+                if service.is_used_up() {
+                    assert!(reply.complete, "{place}: a whole answer is still possible");
+                    assert_eq!(reply.status.as_u16(), 502, "{place}: {}", reply.text());
+                    assert_eq!(reply.header("wheel-outcome"), "unknown", "{place}");
+                }
+            }
+        }
+    }
+}
--- a/crates/wheel_serving/src/owned_upstream.rs
+++ b/crates/wheel_serving/src/owned_upstream.rs
@@ -176,7 +176,7 @@
         Ok(OwnedAnswer::Whole(OwnedWhole { body: answer.body, _slot: slot, _usage: usage }))
     }
 
-    /// Calls a plain service, after a wait in the queue.
+    /// Calls a plain service up to the first piece of its answer's body, after a wait in the queue.
     pub(crate) async fn call_service(
         &self,
         call: &RelayCall,
@@ -201,10 +201,12 @@
             idempotent: call.repeatable,
             timeouts: CallTimeouts::default(),
         };
-        let answer = client.call(service_call).await.map_err(|failure| self.refusal(&failure))?;
+        let answer = client.call(service_call).await;
+        let mut answer = answer.map_err(|failure| self.refusal(&failure))?;
         if let Some(rest) = asked_rest(answer.status, &answer.headers) {
             self.rest.record(rest);
         }
+        answer.begin().await.map_err(|failure| self.refusal(&failure))?;
         Ok(OwnedPlain { answer, slot })
     }
 
--- a/crates/wheel_serving/src/plain_run.rs
+++ b/crates/wheel_serving/src/plain_run.rs
@@ -204,9 +204,11 @@
     })
 }
 
-/// Distinguishes an owner's refusal from a service's answer that the owner passed on.
+/// Distinguishes an owner's refusal from a service's answer that the owner passed on, whose body has
+/// then begun.
 async fn read_relayed(mut answer: ServiceAnswer) -> Result<PlainHead, RelayRefusal> {
     if !answer.headers.contains_key(RELAY_REFUSAL) {
+        answer.begin().await.map_err(|failure| RelayRefusal::owner_failed(&failure))?;
         return Ok(PlainHead { answer, slot: None });
     }
     let outcome = answer.outcome;
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -20,6 +20,8 @@
     framing: AnswerFraming,
     is_success: bool,
     arrivals: ArrivalClock,
+    /// The piece that [`AnswerBody::begin`] has read and [`AnswerBody::next`] has yet to yield.
+    first: Option<Bytes>,
     begun: bool,
     ended: bool,
 }
@@ -33,6 +35,7 @@
             framing,
             is_success: head.status.is_success(),
             arrivals: ArrivalClock::start(),
+            first: None,
             begun: false,
             ended: false,
         };
@@ -52,12 +55,28 @@
         &self.arrivals
     }
 
+    /// Waits for the first piece, which the next call of [`AnswerBody::next`] yields, or for the end.
+    /// Until then no part of the answer has been forwarded, so that it can still be replaced.
+    /// Cancel-safe.
+    ///
+    /// # Errors
+    /// As for [`AnswerBody::next`].
+    pub async fn begin(&mut self) -> Result<(), CallFailure> {
+        if self.first.is_none() && !self.begun {
+            self.first = self.next().await?;
+        }
+        Ok(())
+    }
+
     /// The next piece; `None` after a complete body and after a failure. Cancel-safe: dropping the
     /// future loses no data.
     ///
     /// # Errors
     /// [`CallFailure`] if the body is cut short or unreadable, or nothing arrives in time.
     pub async fn next(&mut self) -> Result<Option<Bytes>, CallFailure> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
         if self.framing == AnswerFraming::Unreadable && !self.ended {
             let message = "neither plain bytes nor chunks".to_owned();
             return Err(self.fail(FailureKind::BadAnswer { message }));
--- a/crates/wheel_upstream/src/service_answer.rs
+++ b/crates/wheel_upstream/src/service_answer.rs
@@ -3,7 +3,7 @@
 use http::{HeaderMap, StatusCode};
 use wheel_types::RequestOutcome;
 
-use crate::AnswerBody;
+use crate::{AnswerBody, CallFailure};
 
 /// The answer to a call, checked to carry the call's id.
 pub struct ServiceAnswer {
@@ -17,3 +17,15 @@
     /// The body.
     pub body: AnswerBody,
 }
+
+impl ServiceAnswer {
+    /// Waits for the first piece of the body, or for its end, as [`AnswerBody::begin`] does. The
+    /// outcome depends on the head alone, so that a report that nothing ran stands.
+    ///
+    /// # Errors
+    /// [`CallFailure`] if the body breaks off before.
+    pub async fn begin(&mut self) -> Result<(), CallFailure> {
+        let reported_not_run = self.outcome == RequestOutcome::NotRun;
+        self.body.begin().await.map_err(|failure| CallFailure { reported_not_run, ..failure })
+    }
+}
