A killed process resets the answers that only a close completes

A caller of HTTP/1.0 whose stream was open when the process was killed got an orderly end of its connection, which for such an answer is the mark that it is whole.

Cause: the reset of an open answer was set up when the connection was dropped, which a killed process doesn't do; the system then closes its sockets in order.

CallerStream has the system reset the connection from the first write of such an answer on, and takes that back when the answer is complete and everything of it is written.

Evidence: harness cut_answers::stream_for_http_10_from_a_killed_process_is_reset, before: `a part looks like the whole: 0` (read_to_end gave Ok(0)). ingress broken_answers, which shows the reset by a drop and the orderly end of complete answers, passes as before.

--- a/crates/wheel_harness/tests/cut_answers.rs
+++ b/crates/wheel_harness/tests/cut_answers.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use http::Method;
 use serde_json::json;
@@ -278,3 +279,31 @@
         }
     }
 }
+
+/// Only the end of the connection ends such an answer, so that an orderly one would make a part look
+/// like the whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_for_http_10_from_a_killed_process_is_reset() {
+    let settings = preloaded(&["engine-a=guide"], "20000");
+    let (mut cluster, _engine) = start("engine-a", "POST /v1/", settings).await;
+    let mut stream =
+        TcpStream::connect(cluster.instances[0].ports.callers).await.expect("a connection");
+    let body = json!({ "model": "guide", "stream": true, "max_tokens": 500, "messages": [] });
+    let body = body.to_string();
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.0\r\nhost: h\r\nwheel-caller: desk\r\n\
+         wheel-deadline-ms: 20000\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).await.expect("a sent request");
+    let mut answer = Vec::new();
+    while !String::from_utf8_lossy(&answer).contains("\"index\":2}") {
+        let reading = tokio::time::timeout(Duration::from_secs(30), stream.read_buf(&mut answer));
+        let read = reading.await.expect("a token in time").expect("a token");
+        assert!(read > 0, "ended after {}", String::from_utf8_lossy(&answer));
+    }
+    cluster.instances[0].kill();
+    let end = stream.read_to_end(&mut answer).await;
+    let error = end.expect_err("a part looks like the whole");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
--- a/crates/wheel_ingress/src/caller_stream.rs
+++ b/crates/wheel_ingress/src/caller_stream.rs
@@ -4,34 +4,51 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::head_meter::HeadMeter;
 use crate::open_answer::OpenAnswer;
 
-/// A TCP stream that ends with a reset if it is dropped during an answer that only the end of the
-/// connection completes.
+/// A TCP stream that ends with a reset during an answer that only the end of the connection
+/// completes, whether it is dropped or the process is killed.
 pub(crate) struct CallerStream {
     stream: TcpStream,
     answer: Arc<OpenAnswer>,
     heads: Arc<HeadMeter>,
+    /// Whether the system resets the connection instead of closing it.
+    resets: bool,
 }
 
 impl CallerStream {
     /// Creates a stream that is reset if it is dropped while `answer` is open, and that ends if
     /// `heads` has no memory for the head of a request.
     pub(crate) fn new(stream: TcpStream, answer: Arc<OpenAnswer>, heads: Arc<HeadMeter>) -> Self {
-        Self { stream, answer, heads }
+        Self { stream, answer, heads, resets: false }
+    }
+
+    /// Has the connection end with a reset from now on, if an answer is open.
+    fn begin_reset(&mut self) {
+        if self.answer.is_open() && !self.resets {
+            let set = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+            self.resets = set.is_ok();
+        }
+    }
+
+    /// Has the connection end in order again, once everything of an answer is written.
+    fn end_reset(&mut self) {
+        if !self.answer.is_open() && self.resets {
+            self.resets = SockRef::from(&self.stream).set_linger(None).is_err();
+        }
     }
 }
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        if self.answer.is_open() {
-            let _ = self.stream.set_zero_linger();
-        }
+        self.begin_reset();
     }
 }
 
@@ -56,6 +73,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.begin_reset();
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -64,6 +82,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.begin_reset();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -72,10 +91,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.end_reset();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.end_reset();
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
