--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -8,7 +8,9 @@
 use wheel_ingress::{AnswerBody, AnswerError};
 use wheel_seams::is_planted;
 
+use crate::media_type::MediaType;
 use crate::request_run::RequestRun;
+use crate::stall_watch::StallWatch;
 use crate::stream_reader::{StreamKind, StreamReader};
 
 /// Forwards a stream whose head the caller has been given. When its engine fails, a resumable
@@ -16,14 +18,17 @@
 pub(crate) struct ResumedStream {
     run: RequestRun,
     reader: StreamReader,
+    /// That of the first upstream's answer, whose head the caller has.
+    media_type: MediaType,
     /// Completes when the drain deadline has passed.
     drained: BoxFuture<'static, ()>,
 }
 
 impl ResumedStream {
-    pub(crate) fn begin(run: RequestRun, reader: StreamReader) -> Self {
-        let drain = run.drain();
-        let mut stream = Self { drained: async move { drain.passed().await }.boxed(), run, reader };
+    pub(crate) fn begin(run: RequestRun, reader: StreamReader, media_type: MediaType) -> Self {
+        let drain = run.ledger.drain();
+        let drained = async move { drain.passed().await }.boxed();
+        let mut stream = Self { run, reader, media_type, drained };
         stream.note_end();
         stream
     }
@@ -41,13 +46,16 @@
     async fn next(&mut self) -> Option<Result<Bytes, AnswerError>> {
         loop {
             if let Some(event) = self.reader.take_ready() {
-                self.run.log.forwarded_event();
+                self.run.ledger.log.forwarded_event();
                 return Some(Ok(event));
             }
             if self.reader.is_ended() {
                 return None;
             }
-            let watch = self.run.stall_watch(self.reader.arrivals(), true);
+            if self.reader.kind() == StreamKind::Final {
+                self.run.ledger.stay();
+            }
+            let watch = StallWatch::begin(&self.run.ledger, self.reader.arrivals(), true);
             let filling = async {
                 match self.reader.kind() {
                     StreamKind::Opaque => Ok(self.reader.fill().await),
@@ -58,8 +66,9 @@
                 biased;
                 filled = filling => filled,
                 () = &mut self.drained => {
-                    self.run.log.open_at_drain_deadline();
-                    return Some(Err(self.break_off("drain_ended", "the instance ends".to_owned())));
+                    self.run.ledger.log.open_at_drain_deadline();
+                    let message = "the instance ends".to_owned();
+                    return Some(Err(self.break_off("drain_ended", message).await));
                 }
             };
             let fault = match filled {
@@ -68,16 +77,18 @@
                     continue;
                 }
                 Ok(Err(fault)) => {
-                    self.run.record_fault(&fault, self.reader.partial_len());
+                    let is_refused = !self.reader.has_event();
+                    let step = if is_refused { "continuation_refused" } else { "stream_broke" };
+                    self.run.ledger.record_fault(step, &fault, self.reader.partial_len());
                     fault.reason
                 }
                 Err(replacement) => {
-                    self.run.leave_for(replacement);
+                    self.run.ledger.leave_for(replacement);
                     "the upstream is silent".to_owned()
                 }
             };
             if let Err(reason) = self.resume().await {
-                return Some(Err(self.break_off(reason, fault)));
+                return Some(Err(self.break_off(reason, fault).await));
             }
         }
     }
@@ -87,9 +98,9 @@
         if !self.reader.is_ended() {
             return;
         }
-        self.run.log.set_reason("stream_ended");
+        self.run.ledger.log.set_reason("stream_ended");
         if self.reader.kind() != StreamKind::Opaque {
-            self.run.record_sound();
+            self.run.ledger.record_sound();
         }
     }
 
@@ -102,20 +113,23 @@
         let last = self.reader.last();
         let resumed = tokio::select! {
             biased;
-            resumed = self.run.resume(last) => resumed.ok_or("stream_broke"),
+            resumed = self.run.resume(last, &self.media_type) => resumed.ok_or("stream_broke"),
             () = &mut self.drained => {
-                self.run.log.open_at_drain_deadline();
+                self.run.ledger.log.open_at_drain_deadline();
                 Err("drain_ended")
             }
         };
-        let (answer, guard) = resumed?;
-        self.reader = StreamReader::begin(answer.body, guard, StreamKind::Resumable, last);
+        self.reader = resumed?;
         Ok(())
     }
 
-    fn break_off(&mut self, reason: &'static str, message: String) -> AnswerError {
+    /// Ends the caller's body as broken off.
+    async fn break_off(&mut self, reason: &'static str, message: String) -> AnswerError {
         self.reader.close();
-        self.run.log.set_reason(reason);
+        self.run.ledger.log.set_reason(reason);
+        // The server writes what was forwarded only when the body is pending; after an error it
+        // discards it, with the head.
+        tokio::task::yield_now().await;
         AnswerError::BrokeOff { reason: message }
     }
 }
