--- a/crates/wheel_serving/src/generate_run.rs
+++ b/crates/wheel_serving/src/generate_run.rs
@@ -46,6 +46,8 @@
     search: RouteSearch,
     /// Index of the next token.
     next_index: u64,
+    /// Whether the caller has the last token.
+    has_last: bool,
     /// Engines that the request was sent to so far.
     attempts: u32,
     /// Whether it may have run on one of them without a whole answer.
@@ -83,7 +85,8 @@
 /// A stream in progress.
 struct RunningStream {
     run: GenerateRun,
-    source: Box<TokenSource>,
+    /// Absent while another engine is looked for, since it holds a slot.
+    source: Option<Box<TokenSource>>,
     route: OwnerRoute,
     /// Present until the stream ends or breaks.
     sent: Option<SentRequest>,
@@ -111,8 +114,15 @@
         let prefix = prefix_hint(&request.body);
         let (model, adapter) = (target.model.clone(), target.adapter.clone());
         let search = pipeline.new_search(request, model, adapter, Some(prefix), true);
-        let (next_index, attempts, may_have_run) = (0, 0, false);
-        let mut run = Self { pipeline, target, search, next_index, attempts, may_have_run };
+        let mut run = Self {
+            pipeline,
+            target,
+            search,
+            next_index: 0,
+            has_last: false,
+            attempts: 0,
+            may_have_run: false,
+        };
         let RoutedHead { route, head, sent } = run.fetch_head().await?;
         Ok(match head {
             AnswerHead::Whole(body) => {
@@ -121,7 +131,13 @@
             }
             AnswerHead::Stream(source) => {
                 let phase = StreamPhase::Running;
-                stream_answer(RunningStream { run, source, route, sent: Some(sent), phase })
+                stream_answer(RunningStream {
+                    run,
+                    source: Some(source),
+                    route,
+                    sent: Some(sent),
+                    phase,
+                })
             }
         })
     }
@@ -290,6 +306,10 @@
         }
         let drain = self.run.pipeline.context.drain.clone();
         loop {
+            let Some(source) = &mut self.source else {
+                let reason = "the stream has no source".to_owned();
+                return Some(Err(AnswerError::BrokeOff { reason }));
+            };
             let next = tokio::select! {
                 biased;
                 () = drain.passed() => {
@@ -297,11 +317,12 @@
                     let refusal = RequestRefusal::new(RefusalCode::Unavailable, message);
                     return Some(Ok(self.fail(&refusal)));
                 }
-                next = self.source.next() => next,
+                next = source.next() => next,
             };
             match next {
                 Ok(StreamEvent::Token(token)) => {
                     self.run.next_index = token.index + 1;
+                    self.run.has_last = token.is_last;
                     self.phase = StreamPhase::Running;
                     return Some(Ok(event_frame(&token.data)));
                 }
@@ -313,6 +334,10 @@
                     if let Some(sent) = self.sent.take() {
                         sent.fail();
                     }
+                    // Only the end marker is missing, and no engine has more of the stream.
+                    if self.run.has_last {
+                        return Some(Ok(done_frame()));
+                    }
                     if let Err(refusal) = self.resume(&failure).await {
                         return Some(Ok(self.fail(&refusal)));
                     }
@@ -332,6 +357,8 @@
             reason:? = failure.to_string()
         });
         self.run.may_have_run = true;
+        // Its slot may be the only one that the next run can get.
+        self.source = None;
         if self.run.attempts >= MAX_ATTEMPTS {
             let message = "the stream broke off on each engine that it may run on";
             return Err(RequestRefusal::new(RefusalCode::UpstreamFailed, message));
@@ -346,7 +373,7 @@
                     upstream = route.upstream.as_str(),
                     next_token = self.run.next_index
                 });
-                (self.source, self.route, self.sent) = (source, route, Some(sent));
+                (self.source, self.route, self.sent) = (Some(source), route, Some(sent));
                 Ok(())
             }
             AnswerHead::Whole(_) => {
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -11,20 +11,34 @@
 
 /// The body of an answer. Bytes are read from the connection only as fast as the reader asks for
 /// them.
+///
+/// A success that only the end of its connection completes has broken off if it has no byte: nothing
+/// shows that its upstream meant to end there.
 pub struct AnswerBody {
     call: PooledCall,
     body: Incoming,
     framing: AnswerFraming,
+    is_success: bool,
     arrivals: ArrivalClock,
+    /// The piece that [`AnswerBody::begin`] has read and [`AnswerBody::next`] has yet to yield.
+    first: Option<Bytes>,
     begun: bool,
     ended: bool,
 }
 
 impl AnswerBody {
     pub(crate) fn new(call: PooledCall, body: Incoming, head: &Parts) -> Self {
-        let framing = AnswerFraming::of(head.status, &head.headers);
-        let arrivals = ArrivalClock::start();
-        let mut answer = Self { call, body, framing, arrivals, begun: false, ended: false };
+        let framing = AnswerFraming::of(head, !body.is_end_stream());
+        let mut answer = Self {
+            call,
+            body,
+            framing,
+            is_success: head.status.is_success(),
+            arrivals: ArrivalClock::start(),
+            first: None,
+            begun: false,
+            ended: false,
+        };
         if answer.body.is_end_stream() && framing.has_explicit_end() {
             answer.finish();
         }
@@ -41,12 +55,32 @@
         &self.arrivals
     }
 
+    /// Waits for the first piece, which the next call of [`AnswerBody::next`] yields, or for the end.
+    /// Until then no part of the answer has been forwarded, so that it can still be replaced.
+    /// Cancel-safe.
+    ///
+    /// # Errors
+    /// As for [`AnswerBody::next`].
+    pub async fn begin(&mut self) -> Result<(), CallFailure> {
+        if self.first.is_none() && !self.begun {
+            self.first = self.next().await?;
+        }
+        Ok(())
+    }
+
     /// The next piece; `None` after a complete body and after a failure. Cancel-safe: dropping the
     /// future loses no data.
     ///
     /// # Errors
-    /// [`CallFailure`] if the body is cut short or nothing arrives in time.
+    /// [`CallFailure`] if the body is cut short or unreadable, or nothing arrives in time.
     pub async fn next(&mut self) -> Result<Option<Bytes>, CallFailure> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
+        if self.framing == AnswerFraming::Unreadable && !self.ended {
+            let message = "neither plain bytes nor chunks".to_owned();
+            return Err(self.fail(FailureKind::BadAnswer { message }));
+        }
         while !self.ended {
             let timeouts = self.call.timeouts();
             let limit = if self.begun { timeouts.progress } else { timeouts.first_byte };
@@ -60,6 +94,7 @@
                     }
                 }
                 Ok(Some(Err(_))) => return Err(self.fail(FailureKind::CutShort)),
+                Ok(None) if self.is_unproved() => return Err(self.fail(FailureKind::CutShort)),
                 Ok(None) => self.finish(),
                 Err(kind) => return Err(self.fail(kind)),
             }
@@ -100,6 +135,11 @@
         CallFailure::maybe_sent(self.call.fail(kind).kind)
     }
 
+    /// Whether nothing that has arrived shows that the answer is complete.
+    fn is_unproved(&self) -> bool {
+        self.is_success && self.framing == AnswerFraming::Close && !self.begun
+    }
+
     fn finish(&mut self) {
         self.ended = true;
         self.call.finish();
--- a/crates/wheel_upstream/src/engine_dialect.rs
+++ b/crates/wheel_upstream/src/engine_dialect.rs
@@ -18,6 +18,8 @@
     pub id: Cow<'a, str>,
     /// The index of the token.
     pub index: u64,
+    /// Whether it is the last token of its request.
+    pub is_last: bool,
 }
 
 /// Builds the HTTP requests of an engine and parses its answers into shared types.
@@ -25,7 +27,7 @@
 /// Each kind of engine has one implementation; [`WheelDialect`](crate::WheelDialect) is the one of
 /// `docs/PROTOCOLS.md`. Requests carry a path and headers; the client adds the host.
 pub trait EngineDialect: Send + Sync + 'static {
-    /// A request that a live engine answers at once.
+    /// A request that a live engine answers at once; its id is set by [`EngineDialect::set_id`].
     fn probe(&self) -> Request<Bytes>;
 
     /// The request of a generation.
