An id without data is no event, and moves no stream

Callers got a stream as whole although events were missing in its middle: an id without data counted as the last event that the caller has, also in a continuation that was refused, and the next engine was asked for what follows it. A caller that reads such an id itself would resume after it as well, so that it isn't enough to leave the place of the stream alone: an id without data, readable or not, is a fault of content now, like other bytes that aren't events.

--- a/crates/wheel_gateway/src/event_fields.rs
+++ b/crates/wheel_gateway/src/event_fields.rs
@@ -30,6 +30,12 @@
                 _ => return Err("a line is no field of an event"),
             }
         }
-        if ids > 1 { Err("an event has several ids") } else { Ok(fields) }
+        match ids {
+            0 => Ok(fields),
+            // Where a stream goes on follows from ids, so that one must name an event that came.
+            1 if !fields.has_data => Err("an id has no event"),
+            1 => Ok(fields),
+            _ => Err("an event has several ids"),
+        }
     }
 }
