An encoded body that nobody asked for is no success

A signed success with a `Content-Encoding` was passed on as it came. Callers of the platform request bodies without any encoding, so that such bytes aren't the body that they asked for.

AnswerClass has the new kind Encoded, which is treated like a success without a signature: the request may have run, it goes elsewhere if it may be repeated, and gets 502 otherwise. A failure with such a header is passed on, since its status counts.

The case `an encoding that nobody asked for` in wheel_gateway cut_answers covers all kinds of route.

--- a/crates/wheel_gateway/src/ingress_dialect.rs
+++ b/crates/wheel_gateway/src/ingress_dialect.rs
@@ -33,6 +33,8 @@
     Misdirected,
     /// A success without a signature, which must not be treated as a success.
     Unsigned,
+    /// A success whose body has an encoding that no caller asks for, so that it isn't the body.
+    Encoded,
 }
 
 /// What an answer says of the limit that its upstream asks for.
--- a/crates/wheel_gateway/src/send_classifier.rs
+++ b/crates/wheel_gateway/src/send_classifier.rs
@@ -70,6 +70,10 @@
                 self.log.step("unsigned", answer.status.as_str());
                 SendClass::Broken
             }
+            AnswerClass::Encoded => {
+                self.log.step("encoded", answer.status.as_str());
+                SendClass::Broken
+            }
         }
     }
 
--- a/crates/wheel_gateway/tests/cut_answers.rs
+++ b/crates/wheel_gateway/tests/cut_answers.rs
@@ -81,6 +81,10 @@
             "a coding under chunks",
             format!("{HEAD}transfer-encoding: gzip, chunked\r\n\r\n10\r\n{EVENT}\r\n0\r\n\r\n"),
         ),
+        (
+            "an encoding that nobody asked for",
+            format!("{HEAD}content-encoding: gzip\r\ncontent-length: 16\r\n\r\n{EVENT}"),
+        ),
     ]
 }
 
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -433,6 +433,9 @@
             status if status.is_success() && !headers.contains_key("x-signature") => {
                 AnswerClass::Unsigned
             }
+            status if status.is_success() && headers.contains_key("content-encoding") => {
+                AnswerClass::Encoded
+            }
             _ => AnswerClass::Ran,
         }
     }
