Planted fault: a connection carries the same call twice

call_id_carried_twice undoes the pool's match of an answer to its send; repeated_answers::refusal_written_once_more_has_the_request_run_once passes without it and fails with it (three sends for two).

--- a/crates/wheel_seams/src/planted_fault.rs
+++ b/crates/wheel_seams/src/planted_fault.rs
@@ -9,9 +9,10 @@
 
 /// The faults that can be planted.
 #[cfg(feature = "fault-injection")]
-pub const PLANTED_NAMES: [&str; 17] = [
+pub const PLANTED_NAMES: [&str; 18] = [
     "answer_of_another",
     "attempts_unlimited",
+    "call_id_carried_twice",
     "drain_stays_ready",
     "drain_without_deadline",
     "empty_end_believed",
