A stream on a retired connection keeps its own timeouts once bytes have arrived again

What callers saw: a stream at an engine that fell silent twice was ended in the second silence and run again, though it had gone on between them (each ended whole).

Cause: a connection that was retired in the first silence left its calls retired_grace (2 s) for each later pause too. Clearing that at the next bytes would be wrong: those may have waited to be read since before the silence.

Change: a connection notes when a read found nothing to read. Bytes that it reads later arrived after that; if that was after the retirement, they prove the connection, and its calls wait with their own timeouts. It still carries no further call.

--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -198,7 +198,7 @@
         }
         let older = table.trackers.iter().filter_map(Weak::upgrade);
         for older in older.filter(|older| older.opened_at <= silent_at) {
-            older.retired.cancel();
+            older.retire();
             self.counters.retired.add_one();
         }
         table.idle.retain(|idle| idle.connection.is_usable());
--- a/crates/wheel_upstream/src/guarded_stream.rs
+++ b/crates/wheel_upstream/src/guarded_stream.rs
@@ -10,6 +10,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use crate::OrderPermit;
 
@@ -39,6 +40,10 @@
     sealed: bool,
     /// Bytes that may still be read before the end of an answer's head, while that is awaited.
     head_bytes_left: Option<u64>,
+    /// When the last read found nothing more to read.
+    emptied_at: Option<Instant>,
+    /// A time before which none of the last bytes had arrived.
+    arrived_after: Option<Instant>,
 }
 
 impl GuardedStream {
@@ -69,11 +74,22 @@
         self.state.lock().head_bytes_left = None;
     }
 
+    /// Whether bytes have arrived that weren't waiting to be read at `time`.
+    pub(crate) fn has_read_since(&self, time: Instant) -> bool {
+        self.state.lock().arrived_after.is_some_and(|after| after >= time)
+    }
+
+    /// Records that there is nothing more to read for now.
+    fn record_empty(&self) {
+        self.state.lock().emptied_at = Some(Instant::now());
+    }
+
     /// Counts bytes that were read; false if nothing more may be read.
     fn record_read(&self, bytes: usize) -> bool {
         let mut state = self.state.lock();
         let left = state.head_bytes_left.map(|left| left.checked_sub(bytes as u64));
         state.head_bytes_left = left.map(Option::unwrap_or_default);
+        state.arrived_after = state.emptied_at.filter(|_| bytes > 0).or(state.arrived_after);
         !state.sealed && left != Some(None)
     }
 
@@ -106,6 +122,9 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         let outcome = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if outcome.is_pending() {
+            self.gate.record_empty();
+        }
         // The task that reads may not end by itself while bytes keep coming.
         match self.gate.record_read(buf.filled().len() - filled) {
             true => outcome,
--- a/crates/wheel_upstream/src/pooled_call.rs
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -93,7 +93,9 @@
         let tracker = connection.tracker.clone();
         let mut silent_at = Instant::now() + limit;
         let mut suspect_at = self.timeouts.suspicion.map(|silence| Instant::now() + silence);
-        let mut watched = self.resendable && self.timeouts.suspicion.is_none();
+        let mut watched = self.resendable
+            && self.timeouts.suspicion.is_none()
+            && !connection.has_outlived_retirement();
         tokio::pin!(step);
         loop {
             let ends_at = self.deadline.map_or(silent_at, |deadline| deadline.min(silent_at));
--- a/crates/wheel_upstream/src/upstream_connection.rs
+++ b/crates/wheel_upstream/src/upstream_connection.rs
@@ -1,7 +1,7 @@
 //! One connection to an upstream.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use hyper::client::conn::http1::{self, SendRequest};
@@ -34,6 +34,16 @@
 pub(crate) struct ConnectionTracker {
     pub(crate) opened_at: Instant,
     pub(crate) retired: CancellationToken,
+    /// When it was retired.
+    pub(crate) retired_at: OnceLock<Instant>,
+}
+
+impl ConnectionTracker {
+    /// Retires the connection: it carries no further call.
+    pub(crate) fn retire(&self) {
+        self.retired_at.get_or_init(Instant::now);
+        self.retired.cancel();
+    }
 }
 
 impl UpstreamConnection {
@@ -83,10 +93,19 @@
             let _ = connection.await;
         };
         let driver = tokio::spawn(driving).abort_handle();
-        let tracker = Arc::new(ConnectionTracker { opened_at, retired: CancellationToken::new() });
+        let tracker = Arc::new(ConnectionTracker {
+            opened_at,
+            retired: CancellationToken::new(),
+            retired_at: OnceLock::new(),
+        });
         Ok(Self { send, gate, tracker, carried: CarriedCalls::default(), driver })
     }
 
+    /// Whether bytes have arrived since the connection was retired.
+    pub(crate) fn has_outlived_retirement(&self) -> bool {
+        self.tracker.retired_at.get().is_some_and(|at| self.gate.has_read_since(*at))
+    }
+
     /// True if the connection is neither closed nor retired.
     pub(crate) fn is_usable(&self) -> bool {
         !self.send.is_closed() && !self.tracker.retired.is_cancelled()
--- a/crates/wheel_upstream/tests/silent_connections.rs
+++ b/crates/wheel_upstream/tests/silent_connections.rs
@@ -6,9 +6,14 @@
 
 use std::time::Duration;
 
-use common::{LONG, SHORT, SilencingRelay, booking, engine, eventually, generate, read_all};
-use common::{service, service_client, timeouts};
+use common::{
+    ANY_PORT, LONG, SHORT, SilencingRelay, booking, engine, eventually, generate, read_all,
+    read_id, service, service_client, timeouts,
+};
 use http::Method;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
 use wheel_fakes::FaultPlan;
 use wheel_types::RequestId;
 use wheel_upstream::{
@@ -167,3 +172,56 @@
     let status = client.status();
     assert_eq!((status.silent_calls, status.opened, status.retired), (1, 2, 0));
 }
+
+/// Serves a stream of four tokens, whose second one comes after `retired` and whose third one is
+/// followed by a pause, then a call without an answer, and then reads of cache events and cancels.
+async fn serve_paused_stream(listener: TcpListener, retired: oneshot::Receiver<()>) {
+    let token =
+        |index: u32| format!("data: {{\"id\":\"r-1\",\"wheel\":{{\"index\":{index}}}}}\n\n");
+    let (mut stream, _) = listener.accept().await.expect("the stream");
+    read_id(&mut stream).await.expect("a request");
+    let head = "HTTP/1.1 200 OK\r\nwheel-request-id: r-1\r\n\r\n";
+    stream.write_all(format!("{head}{}", token(0)).as_bytes()).await.expect("write");
+    let (mut silent, _) = listener.accept().await.expect("the silent call");
+    read_id(&mut silent).await.expect("a request");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                while let Some(id) = read_id(&mut stream).await {
+                    let head = format!("HTTP/1.1 200 OK\r\nwheel-request-id: {id}\r\n");
+                    let answer = format!("{head}content-length: 13\r\n\r\n{{\"events\":[]}}");
+                    stream.write_all(answer.as_bytes()).await.expect("write");
+                }
+            });
+        }
+    });
+    retired.await.expect("retired");
+    for index in 1..3 {
+        tokio::time::sleep(SHORT / 3).await;
+        stream.write_all(token(index).as_bytes()).await.expect("write");
+    }
+    tokio::time::sleep(SHORT * 4).await;
+    // If the stream was given up meanwhile, the test sees it.
+    let _ = stream.write_all(format!("{}data: [DONE]\n\n", token(3)).as_bytes()).await;
+}
+
+#[tokio::test]
+async fn generate_retired_stream_that_went_on_outlasts_a_later_pause() {
+    let listener = TcpListener::bind(ANY_PORT).await.expect("bind");
+    let limits = ConnectionLimits { retired_grace: SHORT, ..ConnectionLimits::default() };
+    let settings = EngineSettings::new("engine".into(), listener.local_addr().expect("address"));
+    let client = EngineClient::open(settings.limits(limits).timeouts(timeouts()));
+    let (retired, is_retired) = oneshot::channel();
+    tokio::spawn(serve_paused_stream(listener, is_retired));
+    let mut stream = client.generate(generate("r-1", 4)).await.expect("stream");
+    assert!(matches!(stream.next().await, Ok(StreamEvent::Token(_))));
+    let reading = tokio::spawn(async move { read_all(&mut stream).await });
+    let mut call = generate("r-2", 2);
+    call.timeouts.first_byte = SHORT;
+    assert!(client.generate(call).await.is_err(), "nothing arrives");
+    client.cache_events(0).await.expect("events over a new connection");
+    eventually(|| client.status().retired > 0).await;
+    retired.send(()).expect("the upstream runs");
+    let (tokens, end) = reading.await.expect("no panic");
+    assert!(end.is_ok() && tokens.len() == 3, "{} tokens, {end:?}", tokens.len());
+}
