The dialect of the tests of cut answers names a probe's id

ServiceDialect::probe takes the id of the probe now; this test's dialect, which has no probe, was written before and didn't build. Its checks are the same; its 7 tests pass.

--- a/crates/wheel_upstream/tests/cut_answers.rs
+++ b/crates/wheel_upstream/tests/cut_answers.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Request, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use wheel_types::RequestOutcome;
+use wheel_types::{RequestId, RequestOutcome};
 use wheel_upstream::{
     ConnectionLimits, DirectClient, FailureKind, PlainDialect, ServiceCall, ServiceClient,
     ServiceDialect, ServiceSettings,
@@ -60,7 +60,7 @@
 struct ClosingDialect;
 
 impl ServiceDialect for ClosingDialect {
-    fn probe(&self) -> Option<Request<Bytes>> {
+    fn probe(&self, _: &RequestId) -> Option<Request<Bytes>> {
         None
     }
 
