--- a/crates/wheel_soak/src/fault_table.rs
+++ b/crates/wheel_soak/src/fault_table.rs
@@ -8,7 +8,7 @@
 /// lease and a confirmation of the order authority; and of the downtime of a process.
 const DEFAULT_MS: Range<u64> = 500..4_000;
 const BRIEF_MS: Range<u64> = 50..200;
-const BEYOND_LEASE_MS: Range<u64> = 1_800..4_500;
+const BEYOND_LEASE_MS: Range<u64> = 3_800..6_500;
 pub(crate) const DOWNTIME_MS: Range<u64> = 200..3_000;
 /// Durations of faults that an announced stop or a signal falls into.
 const WIDE_MS: Range<u64> = 4_000..9_000;
--- a/crates/wheel_soak/src/soak_system.rs
+++ b/crates/wheel_soak/src/soak_system.rs
@@ -17,8 +17,9 @@
 pub const CONTROL_COUNT: usize = 3;
 /// Grace period from SIGTERM to SIGKILL.
 pub const GRACE: Duration = Duration::from_secs(4);
-/// Pause before a new holder of the order authority sends its first order.
-pub const LEASE: Duration = Duration::from_millis(1_000);
+/// Pause before a new holder of the order authority sends its first order; that of the platform. It
+/// outlasts an election, which a holder that didn't wait would need anyway.
+pub const LEASE: Duration = Duration::from_millis(3_000);
 /// Interval at which the processes are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
