A caller that doesn't read its answer is given up after the request's time

What callers saw: a caller that doesn't read kept the memory of its answer for as long as its connection stayed open, 4 MiB each; a dozen of them held all that there is for large answers, and those of others failed until they left.

Cause: nothing bounded how long a write to a caller may wait. A body isn't polled while it does, so that no deadline of the request could end it.

Change: `RequestProxy` puts the request's deadline into the extensions of its response (`ReadDeadline`). Once it is over and a write has waited for 1.5 s, the write fails, the connection is reset, and its body with the memory is dropped. A caller that reads goes on however long it takes: 32 KiB in 1.5 s are enough. So that this shows, the kernel takes at most 32 KiB beyond what it can send (`TCP_NOTSENT_LOWAT`); without that, `answer_read_slowly_out_of_large_buffers_is_whole` failed (reset within the 4 s in which the caller read 213 KB/s), because a full buffer of megabytes takes nothing until a third of it is read. The cost of the smaller buffer to fast callers wasn't measured.

Responses without a `ReadDeadline` (operators, and all of `wisteriawheeld`) are as before.

--- a/crates/wheel_gateway/src/request_proxy.rs
+++ b/crates/wheel_gateway/src/request_proxy.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use wheel_ingress::{
-    AnswerBody, DrainDeadline, HttpLimits, RefusalCode, RequestRefusal, read_body,
+    AnswerBody, DrainDeadline, HttpLimits, ReadDeadline, RefusalCode, RequestRefusal, read_body,
 };
 use wheel_upstream::ServiceDialect;
 
@@ -107,7 +107,9 @@
         };
         let deadline = arrival + limit;
         let arrived = ArrivedRequest { active, route, request, head, body, deadline };
-        answer_request(RequestRun::begin(self.context, arrived, log)).await
+        let mut response = answer_request(RequestRun::begin(self.context, arrived, log)).await;
+        response.extensions_mut().insert(ReadDeadline(deadline));
+        response
     }
 }
 
--- a/crates/wheel_ingress/src/http_server.rs
+++ b/crates/wheel_ingress/src/http_server.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use parking_lot::Mutex;
 use snafu::{ResultExt, Snafu};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
@@ -25,6 +26,7 @@
 use crate::caller_stream::CallerStream;
 use crate::head_meter::HeadMeter;
 use crate::open_answer::OpenAnswer;
+use crate::read_pace::{AnswerDeadline, ReadDeadline, ReadPace, UNSENT_BYTES};
 use crate::{AnswerBody, DrainDeadline, HttpLimits, RefusalCode, RequestRefusal, header_names};
 
 /// Length of the accept queue. Bursts beyond it lose SYNs, each of which costs a second; the
@@ -263,10 +265,13 @@
     {
         // Small SSE events must be sent without delay.
         let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES);
         let (closing, drain) = (Arc::clone(&self.closing), self.drain.clone());
         let open_answer: Arc<OpenAnswer> = Arc::default();
         let heads: Arc<HeadMeter> = Arc::default();
-        let stream = CallerStream::new(stream, Arc::clone(&open_answer), Arc::clone(&heads));
+        let deadline: Arc<AnswerDeadline> = Arc::default();
+        let pace = ReadPace::new(Arc::clone(&deadline));
+        let stream = CallerStream::new(stream, Arc::clone(&open_answer), Arc::clone(&heads), pace);
         let service = service_fn(move |request: Request<Incoming>| {
             heads.end_head();
             let id = request.headers().get(header_names::REQUEST_ID).cloned();
@@ -276,6 +281,7 @@
             let response = answer(request);
             let (closing, drain) = (Arc::clone(&closing), drain.clone());
             let (open_answer, heads) = (Arc::clone(&open_answer), Arc::clone(&heads));
+            let deadline = Arc::clone(&deadline);
             async move {
                 let mut response = tokio::select! {
                     biased;
@@ -283,6 +289,7 @@
                     () = drain.passed() => closing_answer(id.as_ref(), drain_refusal()),
                 };
                 heads.begin_head();
+                deadline.set(response.extensions().get::<ReadDeadline>().copied());
                 if closing.load(Ordering::Acquire) {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
