--- a/crates/wheel_ingress/src/caller_stream.rs
+++ b/crates/wheel_ingress/src/caller_stream.rs
@@ -12,27 +12,52 @@
 
 use crate::head_meter::HeadMeter;
 use crate::open_answer::OpenAnswer;
+use crate::read_pace::ReadPace;
 
 /// A TCP stream that ends with a reset during an answer that only the end of the connection
-/// completes, whether it is dropped or the process is killed.
+/// completes, whether it is dropped or the process is killed, and if its caller doesn't read.
 pub(crate) struct CallerStream {
     stream: TcpStream,
     answer: Arc<OpenAnswer>,
     heads: Arc<HeadMeter>,
+    pace: ReadPace,
+    /// Whether its caller has left an answer unread for too long.
+    is_given_up: bool,
     /// Whether the system resets the connection instead of closing it.
     resets: bool,
 }
 
 impl CallerStream {
-    /// Creates a stream that is reset if it is dropped while `answer` is open, and that ends if
-    /// `heads` has no memory for the head of a request.
-    pub(crate) fn new(stream: TcpStream, answer: Arc<OpenAnswer>, heads: Arc<HeadMeter>) -> Self {
-        Self { stream, answer, heads, resets: false }
+    /// Creates a stream that is reset if it is dropped while `answer` is open or once `pace` has ended
+    /// a write, and that ends if `heads` has no memory for the head of a request.
+    pub(crate) fn new(
+        stream: TcpStream,
+        answer: Arc<OpenAnswer>,
+        heads: Arc<HeadMeter>,
+        pace: ReadPace,
+    ) -> Self {
+        Self { stream, answer, heads, pace, is_given_up: false, resets: false }
     }
 
-    /// Has the connection end with a reset from now on, if an answer is open.
+    fn check_pace(
+        &mut self,
+        cx: &mut Context<'_>,
+        outcome: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let is_waiting = outcome.is_pending();
+        let outcome = self.pace.check(cx, outcome);
+        self.is_given_up |= is_waiting && outcome.is_ready();
+        outcome
+    }
+
+    /// Whether the connection must not end in order.
+    fn is_cut(&self) -> bool {
+        self.answer.is_open() || self.is_given_up
+    }
+
+    /// Has the connection end with a reset from now on, if an answer is open or was given up.
     fn begin_reset(&mut self) {
-        if self.answer.is_open() && !self.resets {
+        if self.is_cut() && !self.resets {
             let set = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
             self.resets = set.is_ok();
         }
@@ -40,7 +65,7 @@
 
     /// Has the connection end in order again, once everything of an answer is written.
     fn end_reset(&mut self) {
-        if !self.answer.is_open() && self.resets {
+        if !self.is_cut() && self.resets {
             self.resets = SockRef::from(&self.stream).set_linger(None).is_err();
         }
     }
@@ -74,7 +99,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.begin_reset();
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let outcome = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check_pace(cx, outcome)
     }
 
     fn poll_write_vectored(
@@ -83,7 +109,8 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.begin_reset();
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let outcome = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check_pace(cx, outcome)
     }
 
     fn is_write_vectored(&self) -> bool {
