A status without a signature promises nothing

What callers saw: 408, 429 or 503, after which they repeat any request, for one that an upstream may have run.

Cause: only a success had to be signed. Any other answer with the request's id was the upstream's own and was forwarded, although these statuses promise that nothing has run, and only an upstream that says so itself is believed elsewhere.

Change: the dialect tells any answer without a signature as unsigned, and SendClassifier takes it only if its status neither is a success nor promises anything.

The gateway's test dialect classifies as the platform's does.

--- a/crates/wheel_gateway/src/ingress_dialect.rs
+++ b/crates/wheel_gateway/src/ingress_dialect.rs
@@ -24,14 +24,15 @@
 /// How the head of an upstream's answer is classified.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerClass {
-    /// The request ran, and this is its answer. A success is signed.
+    /// The request ran, and this is its signed answer.
     Ran,
     /// The upstream states that it didn't run the request.
     NotExecuted,
     /// The upstream didn't run the request because it lacks the model or isn't the intended
     /// upstream.
     Misdirected,
-    /// A success without a signature, which must not be treated as a success.
+    /// An answer without a signature. As a success, or with a status that promises that the request
+    /// hasn't run, it goes to nobody.
     Unsigned,
     /// A success whose body has an encoding that no caller asks for, so that it isn't the body.
     Encoded,
--- a/crates/wheel_gateway/src/send_classifier.rs
+++ b/crates/wheel_gateway/src/send_classifier.rs
@@ -66,6 +66,9 @@
                 self.context.state.record_stale_engine(&info.id);
                 SendClass::Absent
             }
+            AnswerClass::Unsigned if promises_nothing(answer.status) => {
+                SendClass::Answer(Box::new(answer))
+            }
             AnswerClass::Unsigned => {
                 self.log.step("unsigned", answer.status.as_str());
                 SendClass::Broken
@@ -133,3 +136,15 @@
         }
     }
 }
+
+/// Whether a status neither is a success nor promises callers that the request hasn't run.
+fn promises_nothing(status: StatusCode) -> bool {
+    let is_refusal = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    !status.is_success() && !is_refusal
+}
--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -463,9 +463,7 @@
         match status {
             StatusCode::MISDIRECTED_REQUEST => AnswerClass::Misdirected,
             _ if headers.contains_key("x-not-executed") => AnswerClass::NotExecuted,
-            status if status.is_success() && !headers.contains_key("x-signature") => {
-                AnswerClass::Unsigned
-            }
+            _ if !headers.contains_key("x-signature") => AnswerClass::Unsigned,
             status if status.is_success() && headers.contains_key("content-encoding") => {
                 AnswerClass::Encoded
             }
