--- a/crates/wheel_upstream/tests/repeated_answers.rs
+++ b/crates/wheel_upstream/tests/repeated_answers.rs
@@ -23,7 +23,8 @@
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\ncontent-length: 2\r\n\r\nok";
 const STREAM: &str = "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\nconnection: close\r\n\r\n\
                       data: {\"id\":\"ID\",\"wheel\":{\"index\":0}}\n\n\
-                      data: {\"id\":\"ID\",\"wheel\":{\"index\":1}}\n\ndata: [DONE]\n\n";
+                      data: {\"id\":\"ID\",\"choices\":[{\"finish_reason\":\"length\"}],\
+                      \"wheel\":{\"index\":1}}\n\ndata: [DONE]\n\n";
 const CUT_STREAM: &str = "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\nconnection: close\r\n\r\n\
                           data: {\"id\":\"ID\",\"wheel\":{\"index\":0}}\n\n";
 
--- a/crates/wheel_upstream/tests/silent_connections.rs
+++ b/crates/wheel_upstream/tests/silent_connections.rs
@@ -202,7 +202,9 @@
     }
     tokio::time::sleep(SHORT * 4).await;
     // If the stream was given up meanwhile, the test sees it.
-    let _ = stream.write_all(format!("{}data: [DONE]\n\n", token(3)).as_bytes()).await;
+    let last =
+        token(3).replace("\"wheel\"", "\"choices\":[{\"finish_reason\":\"length\"}],\"wheel\"");
+    let _ = stream.write_all(format!("{last}data: [DONE]\n\n").as_bytes()).await;
 }
 
 #[tokio::test]
