The soak's false head in a resumed stream follows a sound event

Resumes(EventAndHead) takes the place of the head with a length; the head alone stays with the answer that its connection ends.

--- a/crates/wheel_soak/src/answer_head.rs
+++ b/crates/wheel_soak/src/answer_head.rs
@@ -88,9 +88,10 @@
         fault: Option<UpstreamFault>,
     ) -> PlannedAnswer {
         let (count, pause) = parse_workload(&request.path).unwrap_or(DEFAULT_STREAM);
+        let event = |number: u64| format!("id: {number}\ndata: {}-{number}\n\n", self.id);
         let fault = match fault {
             Some(UpstreamFault::Resumes(answer)) if resumed_after < count => {
-                return self.odd_rest(answer, pause);
+                return self.odd_rest(answer, &event(resumed_after + 1), pause);
             }
             // With nothing left to send, an empty answer is right.
             Some(UpstreamFault::Resumes(_)) => None,
@@ -103,7 +104,6 @@
             true => "content-type: text/event-stream",
             false => "content-type: text/event-stream\r\ntransfer-encoding: chunked",
         };
-        let event = |number: u64| format!("id: {number}\ndata: {}-{number}\n\n", self.id);
         let events: Vec<String> = (resumed_after + 1..=count).map(event).collect();
         let mut chunks = vec![self.text(framing, fault).into_bytes()];
         let head_size = chunks[0].len();
@@ -117,27 +117,27 @@
         let body = events.concat().into_bytes();
         PlannedAnswer { chunks, head_size, pause: Duration::from_millis(pause), body: Some(body) }
     }
-    /// An odd answer to a stream that is to be resumed.
-    fn odd_rest(&self, answer: ResumeAnswer, pause: u64) -> PlannedAnswer {
-        let bytes: &[u8] = match answer {
-            ResumeAnswer::NoBytes | ResumeAnswer::NoChunks | ResumeAnswer::NoContent => b"",
-            ResumeAnswer::Text => b"upstream failed\n\n",
-            ResumeAnswer::Head | ResumeAnswer::ClosedHead => {
-                b"HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n"
-            }
-            ResumeAnswer::ErrorEvent => b"event: error\ndata: upstream failed\n\n",
+    /// An odd answer to a stream that is to be resumed with `next_event`.
+    fn odd_rest(&self, answer: ResumeAnswer, next_event: &str, pause: u64) -> PlannedAnswer {
+        const FAILURE_HEAD: &str =
+            "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
+        let body = match answer {
+            ResumeAnswer::NoBytes | ResumeAnswer::NoContent => String::new(),
+            ResumeAnswer::NoChunks => "0\r\n\r\n".to_owned(),
+            ResumeAnswer::Text => "upstream failed\n\n".to_owned(),
+            ResumeAnswer::EventAndHead => [next_event, FAILURE_HEAD].concat(),
+            ResumeAnswer::ClosedHead => FAILURE_HEAD.to_owned(),
+            ResumeAnswer::ErrorEvent => "event: error\ndata: upstream failed\n\n".to_owned(),
         };
-        let (framing, body) = match answer {
-            ResumeAnswer::NoContent | ResumeAnswer::ClosedHead => (String::new(), bytes.to_vec()),
-            ResumeAnswer::NoChunks => {
-                ("\r\ntransfer-encoding: chunked".to_owned(), b"0\r\n\r\n".to_vec())
-            }
-            _ => (format!("\r\ncontent-length: {}", bytes.len()), bytes.to_vec()),
+        let framing = match answer {
+            ResumeAnswer::NoContent | ResumeAnswer::ClosedHead => String::new(),
+            ResumeAnswer::NoChunks => "\r\ntransfer-encoding: chunked".to_owned(),
+            _ => format!("\r\ncontent-length: {}", body.len()),
         };
         let framing = format!("content-type: text/event-stream{framing}");
         let head = self.text(&framing, Some(UpstreamFault::Resumes(answer))).into_bytes();
         let (head_size, pause) = (head.len(), Duration::from_millis(pause));
-        PlannedAnswer { chunks: vec![head, body], head_size, pause, body: None }
+        PlannedAnswer { chunks: vec![head, body.into_bytes()], head_size, pause, body: None }
     }
 }
 
--- a/crates/wheel_soak/src/fault_table.rs
+++ b/crates/wheel_soak/src/fault_table.rs
@@ -129,7 +129,7 @@
         (Upstream(Resumes(NoChunks)), RESUMES, 2, On::AllUpstreams, WIDE_MS),
         (Upstream(Resumes(NoContent)), RESUMES, 2, On::AllUpstreams, WIDE_MS),
         (Upstream(Resumes(Text)), RESUMES, 2, On::AllUpstreams, WIDE_MS),
-        (Upstream(Resumes(Head)), RESUMES, 2, On::AllUpstreams, WIDE_MS),
+        (Upstream(Resumes(EventAndHead)), RESUMES, 2, On::AllUpstreams, WIDE_MS),
         (Upstream(Resumes(ClosedHead)), RESUMES, 2, On::AllUpstreams, WIDE_MS),
         (Upstream(Resumes(ErrorEvent)), RESUMES, 2, On::AllUpstreams, WIDE_MS),
         (stops(HeaderName, false), STOPS, 1, On::AllUpstreams, DEFAULT_MS),
--- a/crates/wheel_soak/src/resume_answer.rs
+++ b/crates/wheel_soak/src/resume_answer.rs
@@ -11,9 +11,9 @@
     NoContent,
     /// The text of an error, and a blank line.
     Text,
-    /// The head of another answer.
-    Head,
-    /// The same, ended by its connection.
+    /// The next event, and then the head of another answer.
+    EventAndHead,
+    /// The head of another answer, ended by its connection.
     ClosedHead,
     /// An event that reports an error.
     ErrorEvent,
--- a/crates/wheel_soak/tests/stubs.rs
+++ b/crates/wheel_soak/tests/stubs.rs
@@ -328,13 +328,13 @@
 }
 
 #[tokio::test]
-async fn upstream_odd_answers_to_resumed_streams_have_no_event() {
+async fn upstream_odd_answers_to_resumed_streams_dont_complete_them() {
     let (upstream, mut seen) = engine().await;
     load(&upstream, "m0").await;
     let path = format!("{RESUMABLE_PREFIX}3x1");
     let odd_answers = {
         use ResumeAnswer::*;
-        [NoBytes, NoChunks, NoContent, Text, Head, ClosedHead, ErrorEvent]
+        [NoBytes, NoChunks, NoContent, Text, EventAndHead, ClosedHead, ErrorEvent]
     };
     for answer in odd_answers {
         upstream.set_fault(None);
@@ -347,7 +347,8 @@
         request(&upstream, &path, &resumed).await.expect("a request that isn't affected");
         let odd = request(&upstream, &path, &resumed).await.expect("an odd answer");
         assert!(odd.status.is_success() && odd.complete, "{answer:?}");
-        assert!(!odd.text().contains("id:"), "{answer:?}: {}", odd.text());
+        let events = usize::from(answer == ResumeAnswer::EventAndHead);
+        assert_eq!(odd.text().matches("id:").count(), events, "{answer:?}: {}", odd.text());
         let is_empty = {
             use ResumeAnswer::*;
             matches!(answer, NoBytes | NoChunks | NoContent)
