Planted faults: a repeated refusal taken, and a cut answer taken

repeated_refusal_taken lets a connection carry an id again (CarriedCalls::allows); cut_answer_taken takes a success that ends before its first byte without a marked end for whole (AnswerBody::is_unproved). The contents and ends of streams have empty_end_believed and false_bytes_pass already.

--- a/crates/wheel_seams/src/planted_fault.rs
+++ b/crates/wheel_seams/src/planted_fault.rs
@@ -9,9 +9,10 @@
 
 /// The faults that can be planted.
 #[cfg(feature = "fault-injection")]
-pub const PLANTED_NAMES: [&str; 17] = [
+pub const PLANTED_NAMES: [&str; 19] = [
     "answer_of_another",
     "attempts_unlimited",
+    "cut_answer_taken",
     "drain_stays_ready",
     "drain_without_deadline",
     "empty_end_believed",
@@ -26,6 +27,7 @@
     "part_looks_whole",
     "refuse_after_send",
     "repeat_unsafe",
+    "repeated_refusal_taken",
     "silence_ends_answer",
 ];
 
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -5,6 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use wheel_memory::{ByteLease, LeasedBuffer};
+use wheel_seams::is_planted;
 
 use crate::pooled_call::PooledCall;
 use crate::{AnswerFraming, ArrivalClock, CallFailure, FailureKind};
@@ -118,7 +119,10 @@
 
     /// Whether nothing that has arrived shows that the answer is complete.
     fn is_unproved(&self) -> bool {
-        self.is_success && self.framing == AnswerFraming::Close && !self.begun
+        self.is_success
+            && self.framing == AnswerFraming::Close
+            && !self.begun
+            && !is_planted("cut_answer_taken")
     }
 
     fn finish(&mut self) {
--- a/crates/wheel_upstream/src/carried_calls.rs
+++ b/crates/wheel_upstream/src/carried_calls.rs
@@ -2,6 +2,8 @@
 
 use std::hash::{BuildHasher, RandomState};
 
+use wheel_seams::is_planted;
+
 /// Maximum number of calls over one connection. It bounds the memory for their ids to 4 KiB.
 const MAX_CALLS: usize = 512;
 
@@ -40,7 +42,8 @@
 
     /// Whether this call may be carried.
     pub(crate) fn allows(&self, call: CallMark) -> bool {
-        !self.is_full() && !self.marks.contains(&call)
+        let is_new = !self.marks.contains(&call) || is_planted("repeated_refusal_taken");
+        !self.is_full() && is_new
     }
 
     /// Records that this call is sent.
