--- a/crates/wheel_seams/src/planted_fault.rs
+++ b/crates/wheel_seams/src/planted_fault.rs
@@ -12,6 +12,7 @@
 pub const PLANTED_NAMES: [&str; 19] = [
     "answer_of_another",
     "attempts_unlimited",
+    "call_id_carried_twice",
     "cut_answer_taken",
     "drain_stays_ready",
     "drain_without_deadline",
@@ -27,7 +28,6 @@
     "part_looks_whole",
     "refuse_after_send",
     "repeat_unsafe",
-    "repeated_refusal_taken",
     "silence_ends_answer",
 ];
 
--- a/crates/wheel_upstream/src/carried_calls.rs
+++ b/crates/wheel_upstream/src/carried_calls.rs
@@ -42,8 +42,7 @@
 
     /// Whether this call may be carried.
     pub(crate) fn allows(&self, call: CallMark) -> bool {
-        let is_new = !self.marks.contains(&call) || is_planted("repeated_refusal_taken");
-        !self.is_full() && is_new
+        !self.is_full() && (!self.marks.contains(&call) || is_planted("call_id_carried_twice"))
     }
 
     /// Records that this call is sent.
