--- a/crates/wheel_seams/src/planted_fault.rs
+++ b/crates/wheel_seams/src/planted_fault.rs
@@ -9,10 +9,11 @@
 
 /// The faults that can be planted.
 #[cfg(feature = "fault-injection")]
-pub const PLANTED_NAMES: [&str; 18] = [
+pub const PLANTED_NAMES: [&str; 19] = [
     "answer_of_another",
     "attempts_unlimited",
     "call_id_carried_twice",
+    "cut_answer_taken",
     "drain_stays_ready",
     "drain_without_deadline",
     "empty_end_believed",
