A stream with a length ends with its last byte

What was seen: whole streams of routes that aren't resumed were logged as stream_cut if their upstream stated a length, and counted neither as sound nor as the end of a call, so that the connection to the upstream was closed.

Cause: the server asks the body for nothing beyond the length, so that the end of the upstream's body was never read.

Evidence: step_logs::stream_with_a_length_is_logged_as_ended: reason=stream_cut before, stream_ended now; the tests of wheel_gateway and wheel_upstream pass.

Change: AnswerBody ends with the last byte of a stated length. StreamReader ends with it, and reports what is wrong with the end after the events that are ready; ResumedStream records the end as it hands out the last of them.

--- a/crates/wheel_gateway/src/resumed_stream.rs
+++ b/crates/wheel_gateway/src/resumed_stream.rs
@@ -20,6 +20,8 @@
     reader: StreamReader,
     /// That of the first upstream's answer, whose head the caller has.
     media_type: MediaType,
+    /// Whether the end of the body has been recorded.
+    is_noted: bool,
     /// Completes when the drain deadline has passed.
     drained: BoxFuture<'static, ()>,
 }
@@ -28,9 +30,7 @@
     pub(crate) fn begin(run: RequestRun, reader: StreamReader, media_type: MediaType) -> Self {
         let drain = run.ledger.drain();
         let drained = async move { drain.passed().await }.boxed();
-        let mut stream = Self { run, reader, media_type, drained };
-        stream.note_end();
-        stream
+        Self { run, reader, media_type, is_noted: false, drained }
     }
 
     /// The body of the caller's answer.
@@ -47,9 +47,12 @@
         loop {
             if let Some(event) = self.reader.take_ready() {
                 self.run.ledger.log.forwarded_event();
+                // The server asks for nothing beyond a stated length.
+                self.note_end();
                 return Some(Ok(event));
             }
             if self.reader.is_ended() {
+                self.note_end();
                 return None;
             }
             if self.reader.kind() == StreamKind::Final {
@@ -72,10 +75,7 @@
                 }
             };
             let fault = match filled {
-                Ok(Ok(())) => {
-                    self.note_end();
-                    continue;
-                }
+                Ok(Ok(())) => continue,
                 Ok(Err(fault)) => {
                     let is_refused = !self.reader.has_event();
                     let step = if is_refused { "continuation_refused" } else { "stream_broke" };
@@ -93,11 +93,12 @@
         }
     }
 
-    /// Records the end of the upstream's complete body.
+    /// Records the end of the upstream's complete body, once all of it is forwarded.
     fn note_end(&mut self) {
-        if !self.reader.is_ended() {
+        if !self.reader.is_ended() || self.reader.has_ready() || self.is_noted {
             return;
         }
+        self.is_noted = true;
         self.run.ledger.log.set_reason("stream_ended");
         if self.reader.kind() != StreamKind::Opaque {
             self.run.ledger.record_sound();
--- a/crates/wheel_gateway/src/stream_reader.rs
+++ b/crates/wheel_gateway/src/stream_reader.rs
@@ -128,7 +128,15 @@
         self.lease_kept_bytes()?;
         let Some((body, _)) = &mut self.source else { return Ok(()) };
         match body.next().await {
-            Ok(Some(chunk)) => self.push_chunk(chunk),
+            Ok(Some(chunk)) => {
+                let is_complete = body.is_complete();
+                self.push_chunk(chunk)?;
+                // Reported after the events that are ready.
+                if is_complete && self.fault.is_none() {
+                    self.fault = self.end_body().err();
+                }
+                Ok(())
+            }
             Ok(None) => self.end_body(),
             Err(failure) => {
                 let broken = failure.is_closed_by_upstream().then_some("stream_cut");
@@ -138,6 +146,11 @@
         }
     }
 
+    /// Whether complete events are ready.
+    pub(crate) fn has_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
     /// Takes complete events that are ready.
     pub(crate) fn take_ready(&mut self) -> Option<Bytes> {
         self.ready.pop_front()
--- a/crates/wheel_gateway/tests/step_logs.rs
+++ b/crates/wheel_gateway/tests/step_logs.rs
@@ -123,3 +123,25 @@
         assert!(lines[0].contains(reason), "{lines:?}");
     }
 }
+
+/// A stream with a length was logged as cut, although its caller had all of it: the server asks for
+/// nothing beyond the length. Its connection must be kept, too.
+#[tokio::test]
+async fn stream_with_a_length_is_logged_as_ended() {
+    let body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let replies = vec![Reply::ran(200, body), Reply::ran(200, body)];
+    let upstream = TestUpstream::bind("sized", replies).await;
+    let ingress = TestIngress::bind(FINAL_STREAM, &[&upstream]).await;
+    for _ in 0..2 {
+        let answer = ingress.post("/a/", &[]).await;
+        assert_eq!((answer.body.as_str(), answer.is_whole), (body, true));
+    }
+    spdlog::default_logger().flush();
+    let text = String::from_utf8(LOG.0.lock().clone()).expect("text");
+    let ended = |line: &&str| line.contains("request_ended") && line.contains("upstream=sized ");
+    let lines: Vec<&str> = text.lines().filter(ended).collect();
+    assert_eq!(lines.len(), 2, "{lines:#?}");
+    for line in lines {
+        assert!(line.contains("reason=stream_ended"), "{line}");
+    }
+}
--- a/crates/wheel_upstream/src/answer_body.rs
+++ b/crates/wheel_upstream/src/answer_body.rs
@@ -90,6 +90,10 @@
                     self.call.record_arrival();
                     self.arrivals.record();
                     self.begun = true;
+                    // A reader that knows the length doesn't ask for the end.
+                    if self.framing == AnswerFraming::Length && self.body.is_end_stream() {
+                        self.finish();
+                    }
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
                     }
@@ -124,6 +128,11 @@
         Ok(whole.freeze())
     }
 
+    /// Whether the whole body has been read.
+    pub fn is_complete(&self) -> bool {
+        self.ended
+    }
+
     /// A lease for bytes of the body that are kept.
     pub fn lease(&self) -> ByteLease {
         self.call.lease()
