Tests: ports that no other thread or program can hold

Cause: a port was tested by listening on it. A child that another thread of the test program forks meanwhile has that listener too, until it executes its own program.

Change: each test program claims blocks of 100 ports below the ephemeral range by a file lock, which ends with the process, and asks by a connection whether somebody else listens, so that no listener is left in a child.

--- a/crates/wheel_harness/src/free_ports.rs
+++ b/crates/wheel_harness/src/free_ports.rs
@@ -1,43 +1,41 @@
 //! Allocation of unused ports.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::Mutex;
 
-use crate::HarnessError;
+use crate::{HarnessError, PortBlock};
 
-/// The first port that is handed out. The range lies below the kernel's ephemeral ports, so that no
-/// outgoing connection takes a port between its allocation and its use.
-const FIRST_PORT: u16 = 20_000;
-/// Size of the port range.
-const PORT_COUNT: u16 = 12_000;
-/// Distance between the start ports of consecutive process ids, so that processes that run at the
-/// same time try different ports.
-const PROCESS_STRIDE: u32 = 769;
-
-/// Number of ports that this process has tried.
-static TRIED: AtomicU16 = AtomicU16::new(0);
+/// The blocks that this process owns, and keeps until it ends.
+static BLOCKS: Mutex<Vec<PortBlock>> = Mutex::new(Vec::new());
 
 /// Hands out free loopback ports, each at most once per process.
+///
+/// Whether a port is free is tested by a connection, not by listening: a child that another thread
+/// has just forked would keep that listener open until it executes its program.
 #[derive(Debug, Default)]
 pub struct FreePorts;
 
 impl FreePorts {
-    /// Returns the address of a port that is currently free.
+    /// Returns the address of a port that nobody listens on.
     ///
     /// # Errors
-    /// [`HarnessError::Io`] if no port is free.
+    /// [`HarnessError::NoPort`] if no port is free, [`HarnessError::Io`] if the lock files of the
+    /// ports can't be used.
     pub fn take(&mut self) -> Result<SocketAddr, HarnessError> {
-        let start = std::process::id().wrapping_mul(PROCESS_STRIDE) % u32::from(PORT_COUNT);
-        for _ in 0..PORT_COUNT {
-            let step = u32::from(TRIED.fetch_add(1, Ordering::Relaxed));
-            let offset = (start + step) % u32::from(PORT_COUNT);
-            let port = FIRST_PORT + offset as u16;
+        let mut blocks = BLOCKS.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        loop {
+            let port = match blocks.last_mut().map(PortBlock::take) {
+                Some(Ok(port)) => port,
+                _ => {
+                    let folder = std::env::temp_dir().join("wisteriawheel-ports");
+                    blocks.push(PortBlock::claim(&folder)?);
+                    continue;
+                }
+            };
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-            if TcpListener::bind(address).is_ok() {
+            if TcpStream::connect(address).is_err() {
                 return Ok(address);
             }
         }
-        let source = std::io::ErrorKind::AddrInUse.into();
-        Err(HarnessError::Io { what: "find a free port".to_owned(), source })
     }
 }
--- a/crates/wheel_harness/src/harness_error.rs
+++ b/crates/wheel_harness/src/harness_error.rs
@@ -16,6 +16,9 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// All ports that tests may use are taken.
+    #[snafu(display("no port is free"))]
+    NoPort,
     /// An HTTP request failed.
     #[snafu(display("{what}: {reason}"))]
     Http {
--- a/crates/wheel_harness/src/lib.rs
+++ b/crates/wheel_harness/src/lib.rs
@@ -11,6 +11,7 @@
 mod link_relay;
 mod local_cluster;
 mod local_instance;
+mod port_block;
 mod program_path;
 
 pub use child_process::{ChildProcess, ProcessSignal};
@@ -22,4 +23,5 @@
 pub use link_relay::{LinkRelay, LinkState};
 pub use local_cluster::{ClusterSettings, LocalCluster};
 pub use local_instance::{InstancePorts, LocalInstance};
+pub use port_block::PortBlock;
 pub use program_path::ProgramPath;
