Tests: an instance that doesn't start shows the end of its log

Two tests failed once each with "start of c2 didn't happen within 20 s", from which no cause can be read. The error now has the last lines of the instance's log.

--- a/crates/wheel_harness/src/harness_error.rs
+++ b/crates/wheel_harness/src/harness_error.rs
@@ -35,6 +35,16 @@
         /// How long it was awaited.
         limit: Duration,
     },
+    /// An instance didn't answer in time after its start.
+    #[snafu(display("{name} didn't start within {limit:?}; the end of its log:\n{log}"))]
+    NotStarted {
+        /// The instance.
+        name: String,
+        /// How long it was awaited.
+        limit: Duration,
+        /// The last lines of its log.
+        log: String,
+    },
     /// The manifest is invalid.
     #[snafu(display("the manifest is invalid: {faults}"))]
     Manifest {
--- a/crates/wheel_harness/src/local_cluster.rs
+++ b/crates/wheel_harness/src/local_cluster.rs
@@ -331,11 +331,15 @@
         for instance in &self.instances {
             let operators = instance.ports.operators;
             let what = format!("start of {}", instance.name);
-            self.wait_until(&what, START_LIMIT, || async {
+            let started = self.wait_until(&what, START_LIMIT, || async {
                 let reply = self.client.get(operators, "/healthz").await.ok()?;
                 (reply.status == StatusCode::OK).then_some(())
-            })
-            .await?;
+            });
+            started.await.map_err(|_| HarnessError::NotStarted {
+                name: instance.name.as_str().to_owned(),
+                limit: START_LIMIT,
+                log: instance.last_log_lines(),
+            })?;
         }
         Ok(())
     }
--- a/crates/wheel_harness/src/local_instance.rs
+++ b/crates/wheel_harness/src/local_instance.rs
@@ -7,6 +7,9 @@
 
 use crate::{ChildProcess, FreePorts, HarnessError, ProcessSignal};
 
+/// Number of lines of a log that are shown with an error.
+const LOG_TAIL_LINES: usize = 20;
+
 /// The addresses that one daemon listens on.
 #[derive(Clone, Copy, Debug)]
 pub struct InstancePorts {
@@ -80,6 +83,13 @@
         self.process.as_mut()
     }
 
+    /// The last lines of its log, for error messages.
+    pub fn last_log_lines(&self) -> String {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let skipped = log.lines().count().saturating_sub(LOG_TAIL_LINES);
+        log.lines().skip(skipped).collect::<Vec<_>>().join("\n")
+    }
+
     /// The path of its log file.
     pub fn log(&self) -> &Path {
         &self.log
