Requests sent ahead on a connection are answered before a drain closes it

What callers saw: a caller that sends a further request on its connection before it has the answer to the one before got no answer to it if the instance was terminated meanwhile: the connection ended after the open answer, with the further request read and dropped. A caller can't tell that from a request that ran.

Cause: from the signal on each answer said `Connection: close`, and the graceful end of a connection was begun 50 ms after the begin of the drain whatever it carried. After both, the HTTP library closes behind the current answer and drops what it has buffered.

Change: `ConnectionActivity` records whether a connection serves, whether its last read found nothing, and whether a write waits for the caller. The library reads whenever its buffer is empty, and only then, so that a read that found nothing shows that no further request waits. An answer says `Connection: close` only then, and the graceful end begins once the connection has been idle for 50 ms. Before it decides, an answer yields once, so that a body that nobody reads isn't taken for a further request. Order and bound are as before: the library answers in order, and at the deadline of the drain open requests get their 504; what is read behind them is refused with 503 as not run and never begins. Connections beyond the limit are treated alike.

Not mended: a request behind a stream that the deadline cuts ends with it, since only the end of the connection shows that the stream isn't whole.

--- a/crates/wheel_ingress/src/caller_stream.rs
+++ b/crates/wheel_ingress/src/caller_stream.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::connection_activity::ConnectionActivity;
 use crate::head_meter::HeadMeter;
 use crate::open_answer::OpenAnswer;
 use crate::read_pace::ReadPace;
@@ -21,6 +22,7 @@
     answer: Arc<OpenAnswer>,
     heads: Arc<HeadMeter>,
     pace: ReadPace,
+    activity: Arc<ConnectionActivity>,
     /// Whether its caller has left an answer unread for too long.
     is_given_up: bool,
     /// Whether the system resets the connection instead of closing it.
@@ -29,14 +31,16 @@
 
 impl CallerStream {
     /// Creates a stream that is reset if it is dropped while `answer` is open or once `pace` has ended
-    /// a write, and that ends if `heads` has no memory for the head of a request.
+    /// a write, and that ends if `heads` has no memory for the head of a request. What it reads and
+    /// writes is recorded in `activity`.
     pub(crate) fn new(
         stream: TcpStream,
         answer: Arc<OpenAnswer>,
         heads: Arc<HeadMeter>,
         pace: ReadPace,
+        activity: Arc<ConnectionActivity>,
     ) -> Self {
-        Self { stream, answer, heads, pace, is_given_up: false, resets: false }
+        Self { stream, answer, heads, pace, activity, is_given_up: false, resets: false }
     }
 
     fn check_pace(
@@ -45,6 +49,7 @@
         outcome: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         let is_waiting = outcome.is_pending();
+        self.activity.record_write(is_waiting);
         let outcome = self.pace.check(cx, outcome);
         self.is_given_up |= is_waiting && outcome.is_ready();
         outcome
@@ -85,7 +90,9 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         let outcome = Pin::new(&mut self.stream).poll_read(cx, buf);
-        match self.heads.record_read(buf.filled().len() - filled) {
+        let count = buf.filled().len() - filled;
+        self.activity.record_read(count > 0);
+        match self.heads.record_read(count) {
             Ok(()) => outcome,
             Err(refused) => Poll::Ready(Err(io::Error::new(io::ErrorKind::OutOfMemory, refused))),
         }
--- a/crates/wheel_ingress/src/drain_deadline.rs
+++ b/crates/wheel_ingress/src/drain_deadline.rs
@@ -66,6 +66,11 @@
         *self.end.borrow()
     }
 
+    /// Whether the drain has ended.
+    pub fn has_passed(&self) -> bool {
+        self.end().is_some_and(|end| Instant::now() >= end)
+    }
+
     /// The earlier of `deadline` and the end.
     pub fn bound(&self, deadline: Instant) -> Instant {
         self.end().map_or(deadline, |end| deadline.min(end))
--- a/crates/wheel_ingress/src/http_server.rs
+++ b/crates/wheel_ingress/src/http_server.rs
@@ -24,6 +24,7 @@
 use wheel_types::RequestOutcome;
 
 use crate::caller_stream::CallerStream;
+use crate::connection_activity::ConnectionActivity;
 use crate::head_meter::HeadMeter;
 use crate::open_answer::OpenAnswer;
 use crate::read_pace::{AnswerDeadline, ReadDeadline, ReadPace, UNSENT_BYTES};
@@ -56,16 +57,17 @@
 /// `Retry-After` of that refusal.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 
-/// Time for which a connection without a request is still read after the drain starts.
+/// Time for which a connection without a request is still read after the drain starts, and after each
+/// answer since then.
 const LAST_READ_TIME: Duration = Duration::from_millis(50);
 /// Time for writing the last answers after the deadline of a drain.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
 
-/// Refuses a request on a connection beyond the limit, and closes the connection.
+/// Refuses a request on a connection beyond the limit.
 async fn refuse_busy(request: Request<Incoming>) -> Response<AnswerBody> {
     let message = "too many connections are open here";
     let refusal = RequestRefusal::new(RefusalCode::Unavailable, message);
-    closing_answer(
+    own_answer(
         request.headers().get(header_names::REQUEST_ID),
         refusal.with_retry_after(BUSY_RETRY),
     )
@@ -77,15 +79,20 @@
     RequestRefusal::new(RefusalCode::DeadlinePassed, message).with_outcome(RequestOutcome::Unknown)
 }
 
-/// Builds the server's own answer to a request, after which the connection closes.
-fn closing_answer(id: Option<&HeaderValue>, refusal: RequestRefusal) -> Response<AnswerBody> {
+/// The refusal of a request that was read by the deadline of the drain and hasn't begun.
+fn late_refusal() -> RequestRefusal {
+    let message = "the instance ends";
+    RequestRefusal::new(RefusalCode::NotReady, message).with_retry_after(BUSY_RETRY)
+}
+
+/// Builds the server's own answer to a request.
+fn own_answer(id: Option<&HeaderValue>, refusal: RequestRefusal) -> Response<AnswerBody> {
     let answer = refusal.into_answer();
     let mut response = Response::new(answer.body);
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
     let headers = response.headers_mut();
     headers.insert(header_names::OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
-    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     // A relaying instance rejects answers that don't repeat the request's id.
     if let Some(id) = id {
         headers.insert(header_names::REQUEST_ID, id.clone());
@@ -118,7 +125,7 @@
     draining: CancellationToken,
     /// Limits for connections accepted from now on.
     limits: Arc<Mutex<HttpLimits>>,
-    /// Whether each answer closes its connection.
+    /// Whether each answer closes its connection, unless a further request waits there.
     closing: Arc<AtomicBool>,
     /// The time at which unanswered requests get the server's own answer.
     drain: DrainDeadline,
@@ -165,14 +172,15 @@
         *self.limits.lock() = limits;
     }
 
-    /// Keeps accepting, but closes each connection after its answer.
+    /// Keeps accepting, but closes each connection after its answer. Requests that were sent ahead on it
+    /// are still answered; the last answer closes it.
     pub fn close_after_answers(&self) {
         self.closing.store(true, Ordering::Release);
     }
 
     /// Stops accepting, waits for open requests, and closes connections as they become idle.
     /// Requests without an answer after `limit`, or at [`Self::abort_drain`], are answered with an
-    /// unknown outcome. Returns true if all connections ended by themselves.
+    /// unknown outcome, and those that wait behind them are refused. Returns true if all connections ended by themselves.
     pub async fn drain(&self, limit: Duration) -> bool {
         self.drain.begin(Instant::now() + limit);
         self.close_after_answers();
@@ -248,7 +256,8 @@
         // immediately.
         if let Ok(permit) = Arc::clone(&limiter.busy_permits).try_acquire_owned() {
             let limits = HttpLimits { header_timeout: BUSY_TIMEOUT, ..limits };
-            let connection = self.clone().serve_connection(stream, permit, limits, refuse_busy);
+            let server = Self { closing: Arc::new(AtomicBool::new(true)), ..self.clone() };
+            let connection = server.serve_connection(stream, permit, limits, refuse_busy);
             self.connections.spawn(connection);
         }
     }
@@ -270,30 +279,46 @@
         let open_answer: Arc<OpenAnswer> = Arc::default();
         let heads: Arc<HeadMeter> = Arc::default();
         let deadline: Arc<AnswerDeadline> = Arc::default();
-        let pace = ReadPace::new(Arc::clone(&deadline));
-        let stream = CallerStream::new(stream, Arc::clone(&open_answer), Arc::clone(&heads), pace);
+        let activity: Arc<ConnectionActivity> = Arc::default();
+        let stream = CallerStream::new(
+            stream,
+            Arc::clone(&open_answer),
+            Arc::clone(&heads),
+            ReadPace::new(Arc::clone(&deadline)),
+            Arc::clone(&activity),
+        );
+        let read = Arc::clone(&activity);
         let service = service_fn(move |request: Request<Incoming>| {
             heads.end_head();
+            let guard = read.begin_request();
             let id = request.headers().get(header_names::REQUEST_ID).cloned();
             // Before HTTP/1.1 only the end of the connection marks the end of a streamed answer.
             let ends_by_close =
                 request.version() < Version::HTTP_11 && request.method() != Method::HEAD;
-            let response = answer(request);
+            let response = (!drain.has_passed()).then(|| answer(request));
             let (closing, drain) = (Arc::clone(&closing), drain.clone());
             let (open_answer, heads) = (Arc::clone(&open_answer), Arc::clone(&heads));
-            let deadline = Arc::clone(&deadline);
+            let (deadline, read) = (Arc::clone(&deadline), Arc::clone(&read));
             async move {
-                let mut response = tokio::select! {
-                    biased;
-                    response = response => response,
-                    () = drain.passed() => closing_answer(id.as_ref(), drain_refusal()),
+                let mut response = match response {
+                    None => own_answer(id.as_ref(), late_refusal()),
+                    Some(response) => tokio::select! {
+                        biased;
+                        response = response => response,
+                        () = drain.passed() => own_answer(id.as_ref(), drain_refusal()),
+                    },
                 };
-                heads.begin_head();
-                deadline.set(response.extensions().get::<ReadDeadline>().copied());
                 if closing.load(Ordering::Acquire) {
-                    let close = HeaderValue::from_static("close");
-                    response.headers_mut().insert(header::CONNECTION, close);
+                    // Has the connection look behind a body that wasn't read to its end.
+                    tokio::task::yield_now().await;
+                    if read.is_read_out() {
+                        let close = HeaderValue::from_static("close");
+                        response.headers_mut().insert(header::CONNECTION, close);
+                    }
                 }
+                heads.begin_head();
+                deadline.set(response.extensions().get::<ReadDeadline>().copied());
+                let response = guard.watch(response);
                 Ok::<_, Infallible>(match ends_by_close {
                     true => open_answer.watch(response),
                     false => response,
@@ -306,16 +331,21 @@
             .max_buf_size(limits.header_bytes)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
+        let idle = async {
+            self.draining.cancelled().await;
+            // A request that was already sent is still read. Before that, a graceful shutdown would
+            // drop what was read behind the request that is served.
+            activity.idle_for(LAST_READ_TIME).await;
+        };
         // Errors are caused by the peer: it disconnected or sent invalid data that hyper has
         // answered.
         tokio::select! {
+            // A request that has just arrived is read first.
+            biased;
             _ = connection.as_mut() => {}
-            () = self.draining.cancelled() => {
-                // A request that was already sent is still read; its answer closes the connection.
-                if tokio::time::timeout(LAST_READ_TIME, connection.as_mut()).await.is_err() {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
-                }
+            () = idle => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
             }
         }
         drop(permit);
--- a/crates/wheel_ingress/src/lib.rs
+++ b/crates/wheel_ingress/src/lib.rs
@@ -7,6 +7,7 @@
 mod admin_handler;
 mod admin_service;
 mod answer_body;
+mod answer_guard;
 mod body_reader;
 mod caller_answer;
 mod caller_request;
@@ -14,6 +15,7 @@
 mod caller_service;
 mod caller_stream;
 mod closed_body;
+mod connection_activity;
 mod drain_deadline;
 mod generate_body;
 mod http_limits;
