wisteriawheeld gives up callers that don't read their answers

What callers saw: in `wisteriawheeld`, a caller that doesn't read held its request open for as long as its connection stayed open: its memory, one of the open requests that an instance allows, and the engine's slot, because a body isn't polled while a write waits.

Change: `CallerService` sets a `ReadDeadline` as the platform's program does. The deadline in `wisteriawheeld` is that of the first byte, and a stream goes on beyond it, with up to 5 s between two pieces. Its caller may pause as long as its upstream, so that `ReadDeadline` has the pause as a field; that of the platform's program stays 1.5 s. `slow_readers` builds it with `ReadDeadline::new` instead of the tuple, nothing else changed there.

Not covered: relayed answers at the owner while their ingress instance is frozen.

--- a/crates/wheel_gateway/src/request_proxy.rs
+++ b/crates/wheel_gateway/src/request_proxy.rs
@@ -108,7 +108,7 @@
         let deadline = arrival + limit;
         let arrived = ArrivedRequest { active, route, request, head, body, deadline };
         let mut response = answer_request(RequestRun::begin(self.context, arrived, log)).await;
-        response.extensions_mut().insert(ReadDeadline(deadline));
+        response.extensions_mut().insert(ReadDeadline::new(deadline));
         response
     }
 }
--- a/crates/wheel_ingress/src/caller_service.rs
+++ b/crates/wheel_ingress/src/caller_service.rs
@@ -17,13 +17,17 @@
 use crate::caller_resolver::{CallerResolver, is_safe_method};
 use crate::{
     AnswerBody, CallerAnswer, CallerRequest, GenerateTarget, HttpLimits, ManifestSource,
-    PlainTarget, RefusalCode, RequestHandler, RequestMetrics, RequestRefusal, RequestTarget,
-    full_body, header_names, read_body,
+    PlainTarget, ReadDeadline, RefusalCode, RequestHandler, RequestMetrics, RequestRefusal,
+    RequestTarget, full_body, header_names, read_body,
 };
 
 /// `Retry-After` of requests that exceed the limit on open requests.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 
+/// Longest pause of a caller after the deadline of its request, which is that of the first byte: as
+/// long as an upstream may pause within an answer.
+const READ_PAUSE: Duration = Duration::from_secs(5);
+
 /// The longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 255;
 
@@ -85,22 +89,25 @@
     pub async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
         let arrival = Instant::now();
         let id = new_request_id();
-        let answer = match self.try_answer(&id, arrival, request).await {
-            Ok(answer) => answer,
+        let (deadline, answer) = match self.try_answer(&id, arrival, request).await {
+            Ok(answered) => answered,
             Err(refusal) => {
                 self.metrics.count_refusal(refusal.code);
-                refusal.into_answer()
+                (arrival, refusal.into_answer())
             }
         };
-        into_response(&id, answer)
+        let mut response = into_response(&id, answer);
+        response.extensions_mut().insert(ReadDeadline::new(deadline).pause(READ_PAUSE));
+        response
     }
 
+    /// The answer, and the deadline of its first byte.
     async fn try_answer(
         &self,
         id: &RequestId,
         arrival: Instant,
         request: Request<Incoming>,
-    ) -> Result<CallerAnswer, RequestRefusal> {
+    ) -> Result<(Instant, CallerAnswer), RequestRefusal> {
         let permit = Arc::clone(&self.open).try_acquire_owned().map_err(|_| {
             RequestRefusal::new(RefusalCode::Overloaded, "too many requests are open here")
                 .with_retry_after(BUSY_RETRY)
@@ -115,7 +122,9 @@
         let context =
             |caller| RequestContext { resolver: &resolver, id, caller, arrival, parts: &parts };
         let typed = match (&parts.method, parts.uri.path()) {
-            (&Method::GET, "/v1/models") => return Ok(list_models(&manifest, &caller)),
+            (&Method::GET, "/v1/models") => {
+                return Ok((arrival, list_models(&manifest, &caller)));
+            }
             (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
                 let body = read_body(body, &self.settings.limits).await?;
                 context(caller).generate_request(body)?
@@ -131,8 +140,9 @@
             }
         };
         let timer = self.metrics.begin(&typed, &manifest);
+        let deadline = typed.deadline;
         let answer = self.handler.serve(typed).await;
-        Ok(timer.watch(answer, permit))
+        Ok((deadline, timer.watch(answer, permit)))
     }
 }
 
--- a/crates/wheel_ingress/src/read_pace.rs
+++ b/crates/wheel_ingress/src/read_pace.rs
@@ -10,9 +10,9 @@
 use parking_lot::Mutex;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-/// Time after the deadline of an answer for which its connection may take none of it. A caller that
-/// reads at least [`UNSENT_BYTES`] in this time keeps its answer.
-const READ_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time after the deadline of an answer for which its connection may take none of it, unless its
+/// service allows another one. A caller that reads at least [`UNSENT_BYTES`] in it keeps its answer.
+const READ_PAUSE: Duration = Duration::from_millis(1_500);
 /// Bytes that the kernel takes of an answer beyond what it can send at once. Without this limit a
 /// connection takes megabytes and then nothing for as long as a slow caller needs for a third of them.
 pub(crate) const UNSENT_BYTES: u32 = 32 << 10;
@@ -20,21 +20,39 @@
 /// Put into the extensions of a response by its service: the end of the request's time. From then on
 /// the caller must read the answer without long pauses. An answer without one may stay unread.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ReadDeadline(pub Instant);
+pub struct ReadDeadline {
+    /// The end of the request's time.
+    pub at: Instant,
+    /// The longest pause from then on.
+    pub pause: Duration,
+}
+
+impl ReadDeadline {
+    /// A deadline with the usual pause.
+    pub fn new(at: Instant) -> Self {
+        Self { at, pause: READ_PAUSE }
+    }
+
+    /// Sets the longest pause.
+    pub fn pause(mut self, pause: Duration) -> Self {
+        self.pause = pause;
+        self
+    }
+}
 
 /// The deadline of the answer that a connection carries.
 #[derive(Debug, Default)]
 pub(crate) struct AnswerDeadline {
-    deadline: Mutex<Option<Instant>>,
+    deadline: Mutex<Option<ReadDeadline>>,
 }
 
 impl AnswerDeadline {
     /// Replaces the deadline as the next answer begins.
     pub(crate) fn set(&self, deadline: Option<ReadDeadline>) {
-        *self.deadline.lock() = deadline.map(|ReadDeadline(at)| at);
+        *self.deadline.lock() = deadline;
     }
 
-    fn get(&self) -> Option<Instant> {
+    fn get(&self) -> Option<ReadDeadline> {
         *self.deadline.lock()
     }
 }
@@ -70,7 +88,7 @@
             self.timer = None;
             return outcome;
         };
-        let due = || deadline.max(Instant::now()) + READ_LIMIT;
+        let due = || deadline.at.max(Instant::now()) + deadline.pause;
         let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(due())));
         timer.as_mut().poll(cx).map(|()| {
             let reason = "the caller doesn't read its answer";
--- a/crates/wheel_ingress/tests/slow_readers.rs
+++ b/crates/wheel_ingress/tests/slow_readers.rs
@@ -29,7 +29,7 @@
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     let server = HttpServer::bind(address, HttpLimits::default(), move |_| async move {
         let mut response = Response::new(full_body(vec![b'x'; bytes]));
-        response.extensions_mut().insert(ReadDeadline(Instant::now() + time));
+        response.extensions_mut().insert(ReadDeadline::new(Instant::now() + time));
         response
     });
     server.await.expect("a server")
