Serving: headers that only the system sets come from the system alone

Callers saw a call of a plain service run twice, or were told that a call that ran wasn't run. A service whose answer carries `wheel-relay-refusal` was taken for its owner by an instance that relayed the call: with the body of a refusal, the call was sent to another upstream. It is enough that a service repeats headers that it was sent, since callers' own headers of that name were passed on to it.

Cause: the owner passed all headers of a service's answer on, and the relaying instance reads the owner's mark and the upstream's headers from the same answer. In the same way a service could set `wheel-replayed` in the answer to a caller, and a caller's `wheel-outcome: not-run` reached the service.

The owner is the only one that talks to a service, so it removes these names from each call and, once the outcome was read, from each answer, before it adds its own.

The scripted upstream of `cut_answers` moved to the tests' support, and records what it is sent.

--- a/crates/wheel_harness/tests/cut_answers.rs
+++ b/crates/wheel_harness/tests/cut_answers.rs
@@ -5,118 +5,20 @@
 
 mod support;
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::Method;
 use serde_json::json;
-use support::{
-    LIMIT, assert_whole, engine_runs, generate, neighbour, owner_of, preloaded, token_indexes,
-};
+use support::scripted_upstream::{ScriptedUpstream, start_scripted as start};
+use support::{assert_whole, engine_runs, generate, neighbour, owner_of, preloaded, token_indexes};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::OwnedWriteHalf;
-use tokio::net::{TcpListener, TcpStream};
-use wheel_harness::{ClusterManifest, ClusterSettings, HttpReply, LocalCluster};
+use tokio::net::TcpStream;
+use wheel_harness::{ClusterSettings, HttpReply, LocalCluster};
 
-const MINIMAL: &str = include_str!("../../../examples/minimal.toml");
 const HEAD: &str = "HTTP/1.1 200 OK\r\nwheel-request-id: ID\r\n";
 const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
 
-/// Answers that are still to be given instead of the upstream's own.
-type Script = Arc<Mutex<VecDeque<String>>>;
-
-/// Stands between the system and one of its upstreams, and answers callers' requests by a script as
-/// long as that has answers. It closes the connection after each.
-struct ScriptedUpstream {
-    address: SocketAddr,
-    script: Script,
-}
-
-impl ScriptedUpstream {
-    async fn bind(target: SocketAddr, marker: &'static str) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let script = Script::default();
-        let answers = Arc::clone(&script);
-        tokio::spawn(async move {
-            while let Ok((inbound, _)) = listener.accept().await {
-                tokio::spawn(serve(inbound, target, marker, Arc::clone(&answers)));
-            }
-        });
-        Self { address, script }
-    }
-
-    /// Answers the next requests with `answers`, in which `ID` stands for the request's id.
-    fn answer_with(&self, answers: impl IntoIterator<Item = String>) {
-        self.script.lock().expect("a script").extend(answers);
-    }
-
-    fn is_used_up(&self) -> bool {
-        self.script.lock().expect("a script").is_empty()
-    }
-}
-
-/// Passes one connection on to `target`, except for requests that begin with `marker`.
-async fn serve(inbound: TcpStream, target: SocketAddr, marker: &'static str, script: Script) {
-    let Ok(outbound) = TcpStream::connect(target).await else { return };
-    let (mut requests, answers) = inbound.into_split();
-    let (mut from_target, mut to_target) = outbound.into_split();
-    let answers = Arc::new(tokio::sync::Mutex::new(answers));
-    let passing = tokio::spawn({
-        let answers = Arc::clone(&answers);
-        async move {
-            let mut piece = vec![0; 65_536];
-            while let Ok(read @ 1..) = from_target.read(&mut piece).await {
-                if answers.lock().await.write_all(&piece[..read]).await.is_err() {
-                    return;
-                }
-            }
-            let _ = answers.lock().await.shutdown().await;
-        }
-    });
-    let mut piece = vec![0; 65_536];
-    // The tests' small requests arrive in one piece.
-    while let Ok(read @ 1..) = requests.read(&mut piece).await {
-        let answer = match piece.starts_with(marker.as_bytes()) {
-            true => script.lock().expect("a script").pop_front(),
-            false => None,
-        };
-        if let Some(answer) = answer {
-            let request = String::from_utf8_lossy(&piece[..read]).into_owned();
-            write_answer(&mut *answers.lock().await, &request, &answer).await;
-            break;
-        }
-        if to_target.write_all(&piece[..read]).await.is_err() {
-            break;
-        }
-    }
-    passing.abort();
-}
-
-async fn write_answer(stream: &mut OwnedWriteHalf, request: &str, answer: &str) {
-    let mut lines = request.lines();
-    let id = lines.find_map(|line| line.strip_prefix("wheel-request-id: ")).unwrap_or_default();
-    let _ = stream.write_all(answer.replace("ID", id).as_bytes()).await;
-    let _ = stream.shutdown().await;
-}
-
-/// A running system with scripts for its upstream `name`.
-async fn start(
-    name: &str,
-    marker: &'static str,
-    settings: ClusterSettings,
-) -> (LocalCluster, ScriptedUpstream) {
-    let manifest = ClusterManifest::parse(MINIMAL).expect("a valid manifest");
-    let mut cluster = LocalCluster::start(&manifest, &settings).await.expect("a started system");
-    let target = cluster.addresses[name];
-    let scripted = ScriptedUpstream::bind(target, marker).await;
-    cluster.source = cluster.source.replacen(&target.to_string(), &scripted.address.to_string(), 1);
-    cluster.apply_first(LIMIT).await.expect("a manifest in force");
-    (cluster, scripted)
-}
-
 /// A system whose only engine with the model is scripted, and where callers are served: at its owner,
 /// and at an instance that relays.
 async fn start_engine() -> (LocalCluster, ScriptedUpstream, [SocketAddr; 2]) {
@@ -226,7 +128,7 @@
         let reply = generate(&cluster.client, at, "guide", 5, 20_000).await;
         let is_success = reply.complete && reply.status.is_success();
         assert!(!is_success && !reply.text().contains("[DONE]"), "{}", reply.text());
-        engine.script.lock().expect("a script").clear();
+        engine.forget_script();
     }
 }
 
--- a/crates/wheel_harness/tests/support/mod.rs
+++ b/crates/wheel_harness/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers of the process-level tests.
 #![allow(dead_code, clippy::expect_used)]
 
+pub(crate) mod scripted_upstream;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/wheel_serving/src/claimed_call.rs
+++ b/crates/wheel_serving/src/claimed_call.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
-use http::{HeaderName, HeaderValue, StatusCode, header};
+use http::{HeaderValue, StatusCode, header};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use spdlog::warn;
@@ -20,10 +20,9 @@
 };
 use wheel_types::RequestOutcome;
 
+use crate::relay_headers::REPLAYED;
 use crate::{ClaimError, RequestPipeline};
 
-/// Header of an answer that was recorded for an earlier request with the same key.
-const REPLAYED: HeaderName = HeaderName::from_static("wheel-replayed");
 /// Interval for checking a claim that another request holds, and for retrying to settle one.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that recording an outcome may take before the caller is answered anyway.
--- a/crates/wheel_serving/src/owned_upstream.rs
+++ b/crates/wheel_serving/src/owned_upstream.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::owned_answer::{OwnedAnswer, OwnedPlain, OwnedStream, OwnedWhole};
+use crate::relay_headers::without_system_headers;
 use crate::relay_refusal::RelayRefusal;
 use crate::upstream_rest::UpstreamRest;
 use crate::{
@@ -195,7 +196,7 @@
             request_id: call.request_id.clone(),
             method,
             path,
-            headers,
+            headers: without_system_headers(headers),
             body,
             idempotency_key,
             idempotent: call.repeatable,
@@ -207,6 +208,7 @@
             self.rest.record(rest);
         }
         answer.begin().await.map_err(|failure| self.refusal(&failure))?;
+        answer.headers = without_system_headers(answer.headers);
         Ok(OwnedPlain { answer, slot })
     }
 
--- a/crates/wheel_serving/src/relay_headers.rs
+++ b/crates/wheel_serving/src/relay_headers.rs
@@ -1,6 +1,7 @@
-//! Headers between ingress instances and owners.
+//! Headers between ingress instances and owners, and those that only the system may set.
 
 use http::{HeaderMap, HeaderName, HeaderValue};
+use wheel_ingress::header_names;
 
 use crate::{RelayCall, RelayKey};
 
@@ -11,6 +12,13 @@
 /// Marks an answer as the owner's refusal, not the upstream's answer.
 pub(crate) const RELAY_REFUSAL: HeaderName = HeaderName::from_static("wheel-relay-refusal");
 
+/// Marks an answer to a caller as recorded for an earlier request with the same key.
+pub(crate) const REPLAYED: HeaderName = HeaderName::from_static("wheel-replayed");
+
+/// The headers that only the system may set. A caller's or a service's would be taken for its own.
+const SYSTEM_HEADERS: [HeaderName; 5] =
+    [RELAY, RELAY_CODE, RELAY_REFUSAL, REPLAYED, header_names::OUTCOME];
+
 /// Creates the headers of a relayed call; `None` if the call isn't valid in a header.
 pub(crate) fn relay_headers(call: &RelayCall, key: Option<&RelayKey>) -> Option<HeaderMap> {
     let json = serde_json::to_vec(call).ok()?;
@@ -30,9 +38,11 @@
     authentic.then(|| serde_json::from_slice(json).ok())?
 }
 
-/// Removes the relay's own headers from a call before it goes to an upstream.
-pub(crate) fn without_relay_headers(mut headers: HeaderMap) -> HeaderMap {
-    headers.remove(RELAY);
-    headers.remove(RELAY_CODE);
+/// Removes what only the system may set from the headers of a caller's call, or of an answer whose
+/// outcome was read.
+pub(crate) fn without_system_headers(mut headers: HeaderMap) -> HeaderMap {
+    for name in &SYSTEM_HEADERS {
+        headers.remove(name);
+    }
     headers
 }
--- a/crates/wheel_serving/src/relay_service.rs
+++ b/crates/wheel_serving/src/relay_service.rs
@@ -17,7 +17,7 @@
 use wheel_upstream::{GeneratePath, StreamEvent};
 
 use crate::owned_answer::{OwnedAnswer, OwnedPlain, OwnedStream};
-use crate::relay_headers::{read_relay_call, without_relay_headers};
+use crate::relay_headers::read_relay_call;
 use crate::relay_refusal::{RelayCode, RelayRefusal, until_drained};
 use crate::{OwnerTable, RelayCall, RelayKey};
 
@@ -97,8 +97,7 @@
         }
         let path = parts.uri.path_and_query().cloned();
         let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
-        let headers = without_relay_headers(parts.headers);
-        let answer = upstream.call_service(&call, parts.method, path, headers, body);
+        let answer = upstream.call_service(&call, parts.method, path, parts.headers, body);
         let answer = until_drained(&self.drain, answer).await?;
         Ok(plain_response(&call.request_id, answer))
     }
