Serving: only a relayed call is answered by the relay, and only the owner's word is a refusal

Callers saw a booking answered with an empty 200 and `ran` that no service ever got: `POST /booking/engine/v1/cancel` through an instance that doesn't own the service. `GET /booking/engine/v1/load` was answered with a load report. And a call that the owner couldn't authenticate was answered to the caller as the service's 403, with `ran`.

Cause: the relay speaks the protocols of engine and service at one port, and told the probes and cancels of its own clients from relayed calls by their path. Its 403 had no mark of a refusal.

A call with the relay's header is always a relayed call, which probes and cancels aren't.

--- a/crates/wheel_harness/tests/system_headers.rs
+++ b/crates/wheel_harness/tests/system_headers.rs
@@ -12,6 +12,8 @@
 use serde_json::json;
 use support::scripted_upstream::{ScriptedUpstream, start_scripted};
 use support::{booking_runs, neighbour, owner_of};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use wheel_harness::{ClusterSettings, HttpReply, LocalCluster};
 
 /// Headers with which instances and callers speak of a call's outcome.
@@ -106,3 +108,38 @@
         }
     }
 }
+
+/// A call that the owner can't authenticate hasn't run, and its answer isn't a service's.
+#[tokio::test(flavor = "multi_thread")]
+async fn relayed_call_of_another_group_is_refused_as_not_run() {
+    let (cluster, _service, [_, owner]) = start().await;
+    let mut stream =
+        TcpStream::connect(cluster.instances[owner].ports.relay).await.expect("a connection");
+    let request = "POST /seats HTTP/1.1\r\nhost: h\r\nwheel-request-id: r-1\r\n\
+                   connection: close\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.expect("a sent request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    for line in ["HTTP/1.1 403", "wheel-relay-refusal: 1", "wheel-outcome: not-run"] {
+        assert!(answer.contains(line), "{answer}");
+    }
+}
+
+/// The owner's relay has paths of its own, with which instances probe connections and cancel calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_call_with_a_path_of_the_relay_reaches_its_service() {
+    let (cluster, _service, at) = start().await;
+    let headers = [("wheel-caller", "hotel")];
+    let calls = [(Method::POST, "/engine/v1/cancel"), (Method::GET, "/engine/v1/load")];
+    for (index, (method, path)) in
+        at.into_iter().flat_map(|index| calls.clone().map(|call| (index, call)))
+    {
+        let at = cluster.instances[index].ports.callers;
+        let reply = cluster
+            .client
+            .call(method, at, &format!("/booking{path}"), &headers, "")
+            .await
+            .expect("an answer");
+        assert_eq!(reply.json()["path"], path, "at {index}: {}", reply.text());
+    }
+}
--- a/crates/wheel_serving/src/relay_refusal.rs
+++ b/crates/wheel_serving/src/relay_refusal.rs
@@ -8,7 +8,7 @@
 use wheel_ingress::{
     AnswerBody, DrainDeadline, RefusalCode, RequestRefusal, full_body, header_names,
 };
-use wheel_types::{RequestId, RequestOutcome};
+use wheel_types::RequestOutcome;
 use wheel_upstream::{CallFailure, FailureKind};
 
 use crate::relay_headers::RELAY_REFUSAL;
@@ -78,8 +78,8 @@
         serde_json::from_slice(body).ok()
     }
 
-    /// The HTTP response that carries it.
-    pub(crate) fn into_response(self, id: &RequestId) -> Response<AnswerBody> {
+    /// The HTTP response that carries it, without the request's id.
+    pub(crate) fn into_response(self) -> Response<AnswerBody> {
         let body = serde_json::to_vec(&self).unwrap_or_default();
         let mut response = Response::new(full_body(body));
         *response.status_mut() = match self.code {
@@ -90,9 +90,6 @@
         headers.insert(RELAY_REFUSAL, HeaderValue::from_static("1"));
         let outcome = HeaderValue::from_static(self.outcome.as_str());
         headers.insert(header_names::OUTCOME, outcome);
-        if let Ok(id) = HeaderValue::from_str(id.as_str()) {
-            headers.insert(header_names::REQUEST_ID, id);
-        }
         response
     }
 
--- a/crates/wheel_serving/src/relay_service.rs
+++ b/crates/wheel_serving/src/relay_service.rs
@@ -17,7 +17,7 @@
 use wheel_upstream::{GeneratePath, StreamEvent};
 
 use crate::owned_answer::{OwnedAnswer, OwnedPlain, OwnedStream};
-use crate::relay_headers::read_relay_call;
+use crate::relay_headers::{RELAY, read_relay_call};
 use crate::relay_refusal::{RelayCode, RelayRefusal, until_drained};
 use crate::{OwnerTable, RelayCall, RelayKey};
 
@@ -49,9 +49,11 @@
     /// Answers one HTTP request.
     pub async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
         let id = request.headers().get(header_names::REQUEST_ID).cloned();
+        // A relayed call of a service may have any path.
+        let is_relayed = request.headers().contains_key(RELAY);
         let mut response = match (request.method(), request.uri().path()) {
-            (&Method::GET, PROBE_PATH) => probe_answer(),
-            (&Method::POST, CANCEL_PATH) => Response::new(empty_body()),
+            (&Method::GET, PROBE_PATH) if !is_relayed => probe_answer(),
+            (&Method::POST, CANCEL_PATH) if !is_relayed => Response::new(empty_body()),
             _ => self.relay(request).await,
         };
         // Clients reject an answer that doesn't repeat the id of their call.
@@ -63,14 +65,14 @@
 
     async fn relay(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let Some(call) = read_relay_call(request.headers(), self.key.as_ref()) else {
-            let mut response = Response::new(full_body("not a relayed call of this group\n"));
+            let refusal = RelayRefusal::elsewhere("not a relayed call of this group");
+            let mut response = refusal.into_response();
             *response.status_mut() = StatusCode::FORBIDDEN;
             return response;
         };
-        let id = call.request_id.clone();
         match self.relay_call(call, request).await {
             Ok(response) => response,
-            Err(refusal) => refusal.into_response(&id),
+            Err(refusal) => refusal.into_response(),
         }
     }
 
