Upstreams: what is there before a request was written doesn't answer it

Callers lost a call over a kept connection whenever an answer to another call, or the connection's end, had arrived on it just before and nobody had read it yet: the request was written, the false answer came back for it, and with one attempt the caller got 502 although nothing was wrong with the next connection. And an order on the platform, whose answer is known by its connection and status alone, counted as accepted by an answer that was there before a byte of it was written; the engine never read it.

Cause: a connection is only known to bear bytes, or to have ended, once its task has read them; the first write came before that.

The socket is looked into under the lock of its first write of each request. If there is anything, nothing is written then or later, so that the call counts as not sent: an order stays unsent, and a call goes over another connection, since the kept one carried nothing of it. Nothing more is believed than before. It costs a system call for each request, and a copy of the request's head for one over a kept connection.

--- a/crates/wheel_upstream/src/connection_pool.rs
+++ b/crates/wheel_upstream/src/connection_pool.rs
@@ -255,7 +255,7 @@
         self.counters.probes.add_one();
         let probing = async {
             connection.send.ready().await?;
-            connection.gate.begin_head();
+            connection.gate.begin_request();
             let answer = connection.send.send_request(probe.map(CallBody::new)).await?;
             // The connection is closed if the answer is larger than that.
             connection.gate.end_head();
--- a/crates/wheel_upstream/src/guarded_stream.rs
+++ b/crates/wheel_upstream/src/guarded_stream.rs
@@ -1,6 +1,7 @@
 //! A socket that counts written bytes and can be closed for writing.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -38,6 +39,8 @@
 struct GateState {
     written: u64,
     sealed: bool,
+    /// Whether the next write is the first of its request.
+    begins_request: bool,
     /// Bytes that may still be read before the end of an answer's head, while that is awaited.
     head_bytes_left: Option<u64>,
     /// When the last read found nothing more to read.
@@ -64,9 +67,12 @@
         self.state.lock().written
     }
 
-    /// Limits the bytes that are read until [`WriteGate::end_head`].
-    pub(crate) fn begin_head(&self) {
-        self.state.lock().head_bytes_left = Some(MAX_BYTES_BEFORE_BODY);
+    /// Begins a request, whose first byte isn't written if bytes have arrived before it, and limits the
+    /// bytes that are read until [`WriteGate::end_head`].
+    pub(crate) fn begin_request(&self) {
+        let mut state = self.state.lock();
+        state.begins_request = true;
+        state.head_bytes_left = Some(MAX_BYTES_BEFORE_BODY);
     }
 
     /// Records that the head of an answer has been read.
@@ -100,13 +106,21 @@
         state.written
     }
 
-    fn write(&self, write: impl FnOnce() -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    fn write(
+        &self,
+        stream: &mut TcpStream,
+        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
         let mut state = self.state.lock();
         let permitted = self.permit.as_ref().is_none_or(|permit| permit.is_valid());
+        let begins_request = permitted && std::mem::take(&mut state.begins_request);
+        if begins_request && has_arrived(stream) {
+            state.sealed = true;
+        }
         if state.sealed || !permitted {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
-        let outcome = write();
+        let outcome = write(Pin::new(stream));
         if let Poll::Ready(Ok(written)) = &outcome {
             state.written += *written as u64;
         }
@@ -114,6 +128,12 @@
     }
 }
 
+/// Whether bytes or the end of the connection have arrived that weren't read. What is there before a
+/// request is written doesn't answer it.
+fn has_arrived(stream: &TcpStream) -> bool {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok()
+}
+
 impl AsyncRead for GuardedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -140,7 +160,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.gate.write(|| Pin::new(&mut this.stream).poll_write(cx, buf))
+        this.gate.write(&mut this.stream, |stream| stream.poll_write(cx, buf))
     }
 
     fn poll_write_vectored(
@@ -149,7 +169,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.gate.write(|| Pin::new(&mut this.stream).poll_write_vectored(cx, bufs))
+        this.gate.write(&mut this.stream, |stream| stream.poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/wheel_upstream/src/order_call.rs
+++ b/crates/wheel_upstream/src/order_call.rs
@@ -56,7 +56,7 @@
         let (head, body) = with_host(request, &host_of(&self.address)).into_parts();
         let (body, body_read) = CallBody::with_permit(body, self.permit);
         let written_before = connection.gate.written();
-        connection.gate.begin_head();
+        connection.gate.begin_request();
         let sending = connection.send.send_request(Request::from_parts(head, body));
         let answer = timeout(self.answer_timeout, sending).await;
         let was_written = connection.gate.seal() > written_before;
--- a/crates/wheel_upstream/src/order_connection.rs
+++ b/crates/wheel_upstream/src/order_connection.rs
@@ -78,7 +78,7 @@
         id: &RequestId,
         request: Request<CallBody>,
     ) -> Option<(StatusCode, Bytes)> {
-        self.connection.gate.begin_head();
+        self.connection.gate.begin_request();
         let answer = self.connection.send.send_request(request).await.ok()?;
         self.connection.gate.end_head();
         let (head, body) = answer.into_parts();
--- a/crates/wheel_upstream/src/pooled_call.rs
+++ b/crates/wheel_upstream/src/pooled_call.rs
@@ -34,32 +34,51 @@
 
 impl PooledCall {
     /// Sends `request` and waits for the head of its answer. A call that isn't `resendable` never
-    /// ends early because its connection was retired.
+    /// ends early because its connection was retired. A kept connection over which nothing could be
+    /// written is replaced.
     pub(crate) async fn send(
         pool: Arc<ConnectionPool>,
         choice: ConnectionChoice<'_>,
         resendable: bool,
         timeouts: CallTimeouts,
-        request: Request<Bytes>,
+        mut request: Request<Bytes>,
     ) -> Result<Response<AnswerBody>, CallFailure> {
         let deadline = timeouts.total.map(|total| Instant::now() + total);
-        let slot = pool.reserve()?;
         let connect = timeouts.total.unwrap_or(timeouts.connect).min(timeouts.connect);
-        let connection = pool.checkout(choice, connect).await?;
-        let mut call = Self {
-            written_before: connection.gate.written(),
-            pool,
-            connection: Some(connection),
-            timeouts,
-            deadline,
-            resendable,
-            keeps_connection: choice != ConnectionChoice::Fresh,
-            slot: Some(slot),
-        };
-        let answer = call.exchange(request.map(CallBody::new)).await?;
-        let (head, body) = answer.into_parts();
-        let body = AnswerBody::new(call, body, &head);
-        Ok(Response::from_parts(head, body))
+        loop {
+            let slot = pool.reserve()?;
+            let connection = pool.checkout(choice, connect).await?;
+            let written_before = connection.gate.written();
+            let was_kept = written_before > 0;
+            let mut call = Self {
+                written_before,
+                pool: Arc::clone(&pool),
+                connection: Some(connection),
+                timeouts,
+                deadline,
+                resendable,
+                keeps_connection: choice != ConnectionChoice::Fresh,
+                slot: Some(slot),
+            };
+            let unsent = was_kept.then(|| request.clone());
+            match (call.exchange(request.map(CallBody::new)).await, unsent) {
+                (Ok(answer), _) => {
+                    let (head, body) = answer.into_parts();
+                    let body = AnswerBody::new(call, body, &head);
+                    return Ok(Response::from_parts(head, body));
+                }
+                // The kept connection had ended, or bore bytes that belong to no call.
+                (
+                    Err(CallFailure {
+                        sent: SentState::NotSent,
+                        kind: FailureKind::Closed { .. },
+                        ..
+                    }),
+                    Some(unsent),
+                ) => request = unsent,
+                (Err(failure), _) => return Err(failure),
+            }
+        }
     }
 
     async fn exchange(
@@ -70,7 +89,7 @@
             return Err(CallFailure::not_sent(FailureKind::CutShort));
         };
         let gate = Arc::clone(&connection.gate);
-        gate.begin_head();
+        gate.begin_request();
         let answering = connection.send.send_request(request);
         match self.wait(self.timeouts.first_byte, answering).await {
             Ok(Ok(answer)) => {
