Lease: an accepted order counts once the engine counts it

On the platform an order's answer is a status on a connection of its own; nothing in it names the order. If one was believed that belongs to something else, the engine was lost to placement until it started again: the count of its accepted orders was taken for one higher than it is, so that the engine refused each further order, and all its reports were ignored as older than that order. And an earlier order whose outcome is unknown, and which the engine may still carry out, was forgotten on the word of that status: memory was counted as free that a late load would take.

A report that was requested 2 s or more after the answer, and doesn't count the order, disproves it: the engine's own count holds, and the order is one that may still be carried out. Orders without an answer are kept until the engine's own count rules them out, instead of the status of a later one; that costs one more read after an order without an answer. The tests pass the time at which a status was requested; what they require is the same.

--- a/crates/wheel_lease/src/engine_inventory.rs
+++ b/crates/wheel_lease/src/engine_inventory.rs
@@ -14,6 +14,10 @@
 /// meanwhile block the engine for others.
 const RECENT_LOAD_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// Time after which a report counts every accepted order: reports are some hundred milliseconds old on
+/// arrival.
+const COUNT_LIMIT: Duration = Duration::from_secs(2);
+
 /// A loaded model with its adapters, as an engine reports it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReportedModel {
@@ -88,6 +92,9 @@
     accepted: u64,
     /// The order that is being executed, and when it should be done.
     current: Option<(SentChange, MonotonicTime)>,
+    /// Orders answered as accepted that the engine hasn't counted in a report yet; of those that can't
+    /// be executed any more, the last one alone.
+    uncounted: Vec<SentChange>,
     /// Orders without an answer that may still be executed.
     open: Vec<SentChange>,
     /// Models whose load was accepted, and when it should be done.
@@ -99,20 +106,28 @@
 }
 
 impl EngineInventory {
-    /// Stores a reported status. Ignores one that is older than the last accepted order and returns
-    /// false.
-    pub fn observe(&mut self, status: ReportedStatus) -> bool {
+    /// Stores a status that was requested at `asked`. Ignores one that is older than the last accepted
+    /// order and returns false. An order that isn't counted long after it was answered as accepted
+    /// wasn't, but may still be.
+    pub fn observe(&mut self, asked: MonotonicTime, status: ReportedStatus) -> bool {
         let is_restart =
             self.status.as_ref().is_some_and(|held| held.started_unix_ms < status.started_unix_ms);
         if is_restart {
             *self = Self::default();
         }
         if status.accepted < self.accepted {
-            return false;
+            let is_due = |order: &SentChange| asked.since(order.sent) >= COUNT_LIMIT;
+            if !self.uncounted.last().is_some_and(is_due) {
+                return false;
+            }
+            self.open.append(&mut self.uncounted);
+            self.loaded.clear();
+            self.current = None;
         }
         if status.accepted > self.accepted {
             self.current = None;
         }
+        self.uncounted.retain(|order| order.expected_count >= status.accepted);
         self.accepted = status.accepted;
         self.needs_read = false;
         self.open.retain(|open| open.expected_count >= status.accepted);
@@ -170,10 +185,10 @@
         match outcome {
             ChangeOutcome::Accepted if self.accepted <= expected_count => {
                 self.accepted = expected_count + 1;
-                self.open.retain(|open| open.expected_count > expected_count);
                 if let ModelChange::LoadModel(model) = &sent.change {
                     self.loaded.push((Arc::clone(model), now + duration));
                 }
+                self.uncounted.push(sent.clone());
                 self.current = Some((sent, now + duration));
             }
             ChangeOutcome::Unknown => self.open.push(sent),
@@ -217,6 +232,9 @@
             apply(&mut status.models, &sent.change);
         }
         self.open.retain(|open| now.since(open.sent) < ORDER_LIFE);
+        let last = self.uncounted.pop();
+        self.uncounted.retain(|order| now.since(order.sent) < ORDER_LIFE);
+        self.uncounted.extend(last);
         self.loaded.retain(|(_, done)| now < *done + RECENT_LOAD_PERIOD);
     }
 
--- a/crates/wheel_placement/src/directed_engine.rs
+++ b/crates/wheel_placement/src/directed_engine.rs
@@ -50,6 +50,7 @@
     dialect: &dyn FleetDialect,
     rests: &Mutex<RestTable>,
 ) {
+    let asked = boot_now();
     let answer = engine.client.fetch(dialect.report(&engine.info.id), REPORT_TIMEOUT).await;
     let rest = answer.as_ref().ok().and_then(|answer| answer.rest);
     record_rest(rests, &engine.info.id, rest);
@@ -76,7 +77,7 @@
                 busy = status.is_busy, models = names(&models),
                 in_memory = names(&status.in_memory), on_disk = names(&status.on_disk)
             });
-            engine.inventory.lock().observe(status);
+            engine.inventory.lock().observe(asked, status);
         }
         Ok(status) => info!("report_of_another_start", kv: {
             upstream = engine.info.id.name.to_string(), born = status.started_unix_ms
