wheel_replay: causes of the longest waits

The two morning traces miss their bound on the tail, and nothing said where their slowest wake-ups spend their time. `--causes` now splits each of the slowest 5 % into waits for memory, for the store's slots, for a decision, the load at full speed and the shared speed, with the nearest checkpoint and when an earlier replica was unloaded. `--host-memory` and `--on-disk` replay with other hardware, for lower bounds.

--- a/crates/wheel_replay/src/demand_tracker.rs
+++ b/crates/wheel_replay/src/demand_tracker.rs
@@ -80,6 +80,11 @@
         self.models.get(model).map(|entry| &entry.spec)
     }
 
+    /// Requests for a model that the forecast expects within its horizon.
+    pub(crate) fn expected(&self, model: &ModelName) -> f64 {
+        self.models.get(model).map_or(0.0, |entry| entry.expected)
+    }
+
     /// Index of the data centre that loads a model unless it can't be reached.
     pub(crate) fn home(&self, model: &ModelName) -> usize {
         self.models.get(model).map_or(0, |entry| entry.home)
--- a/crates/wheel_replay/src/placement_flow.rs
+++ b/crates/wheel_replay/src/placement_flow.rs
@@ -9,6 +9,7 @@
 };
 use wheel_types::{ModelName, ModelPhase};
 
+use crate::load_record::LoadRecord;
 use crate::replay_run::{PLAN_DELAY, ReplayEvent, ReplayRun};
 
 /// Time after which a drained replica may be unloaded.
@@ -153,10 +154,39 @@
             CheckpointSource::Store => 1.0,
         };
         let span = Duration::from_millis(load_ms).mul_f64(share);
+        self.record_load(engine, model, source, span);
         self.store.begin(self.now, engine, model.clone(), source, span);
         self.schedule_loads();
     }
 
+    fn record_load(
+        &mut self,
+        engine: usize,
+        model: &ModelName,
+        source: CheckpointSource,
+        full_speed: Duration,
+    ) {
+        let centre = self.engines[engine].centre;
+        let own = self.engines.iter().filter(|one| one.centre == centre && one.alive);
+        let nearest = own.map(|one| one.view.source(model)).min().unwrap_or_default();
+        let here = self.unloads.iter().filter(|((other, ..), _)| *other == centre);
+        let of_engine = here.clone().filter(|((_, _, other), _)| *other == engine);
+        let of_model = here.filter(|((_, other, _), _)| other == model);
+        self.loads.push(LoadRecord {
+            engine,
+            model: model.clone(),
+            source,
+            nearest,
+            begun: self.now,
+            ended: None,
+            full_speed,
+            memory_freed_at: of_engine.map(|(_, at)| *at).max(),
+            slot_freed_at: self.slot_freed_at,
+            unloaded_at: of_model.map(|(_, at)| *at).max(),
+            expected: self.demand.expected(model),
+        });
+    }
+
     fn begin_unload(&mut self, engine: usize, model: &ModelName) {
         self.counts.unloads += 1;
         let running = self.engines[engine].running.iter();
@@ -179,6 +209,8 @@
         }
         let speed = self.site.speed;
         let size = |name: &ModelName| self.demand.spec(name).map_or(0, |spec| spec.memory_mib);
+        let centre = self.engines[engine].centre;
+        self.unloads.insert((centre, model.clone(), engine), self.now);
         let target = &mut self.engines[engine];
         target.accrue(self.now);
         target.view.models.retain(|placed| &placed.model != model);
@@ -189,8 +221,18 @@
     /// Completes the loads that are done; their checkpoints are kept on disk.
     pub(crate) fn end_loads(&mut self) {
         let speed = self.site.speed;
-        for load in self.store.take_done(self.now) {
+        let was_full = self.store.in_flight() >= self.site.manifest.store.full_speed_loads;
+        let done = self.store.take_done(self.now);
+        if was_full && done.iter().any(|load| load.source == CheckpointSource::Store) {
+            self.slot_freed_at = Some(self.now);
+        }
+        for load in done {
             let now = self.now;
+            let mut records = self.loads.iter_mut().rev();
+            let record = records.find(|one| one.engine == load.engine && one.model == load.model);
+            if let Some(record) = record {
+                record.ended = Some(now);
+            }
             let size = |name: &ModelName| self.demand.spec(name).map_or(0, |spec| spec.memory_mib);
             let target = &mut self.engines[load.engine];
             target.accrue(now);
--- a/crates/wheel_replay/src/replay_report.rs
+++ b/crates/wheel_replay/src/replay_report.rs
@@ -7,10 +7,12 @@
 
 use crate::call_record::{CallOutcome, CallRecord};
 use crate::replay_run::{ReplayRun, TRACE_START};
-use crate::{ReplayPolicy, TraceHeader};
+use crate::{ReplayPolicy, TraceHeader, WakeReport};
 
 /// Current target for the time to the first byte.
 const FIRST_BYTE_TARGET: Duration = Duration::from_millis(1_400);
+/// Share of the wake-ups whose causes are reported.
+const SLOW_SHARE: f64 = 0.05;
 /// How late an answer or refusal may be without counting as late: the time of a hop.
 const LATE_TOLERANCE: Duration = Duration::from_millis(50);
 
@@ -50,6 +52,8 @@
     pub late: u64,
     /// Violated limits: memory, replicas, models unloaded while in use.
     pub violations: Vec<String>,
+    /// Causes of the longest waits of wake-ups.
+    pub slow_wakes: WakeReport,
 }
 
 /// Quantiles of a wait, in milliseconds.
@@ -117,6 +121,7 @@
             unanswered: run.calls.iter().filter(|call| call.outcome.is_none()).count() as u64,
             late: run.calls.iter().filter(|call| is_late(call)).count() as u64,
             violations: run.counts.violations.clone(),
+            slow_wakes: WakeReport::new(run, &waits, SLOW_SHARE),
         }
     }
 
--- a/crates/wheel_replay/src/replay_run.rs
+++ b/crates/wheel_replay/src/replay_run.rs
@@ -8,6 +8,7 @@
 
 use crate::call_record::CallRecord;
 use crate::demand_tracker::DemandTracker;
+use crate::load_record::LoadRecord;
 use crate::virtual_engine::VirtualEngine;
 use crate::virtual_store::VirtualStore;
 use crate::{ModelPlacer, SitePlan, TraceFault};
@@ -84,6 +85,12 @@
     pub(crate) forecast: DemandForecast,
     pub(crate) demand: DemandTracker,
     pub(crate) counts: ReplayCounts,
+    /// All loads, in the order in which they began.
+    pub(crate) loads: Vec<LoadRecord>,
+    /// Last end of an unload, by data centre, model and engine.
+    pub(crate) unloads: BTreeMap<(usize, ModelName, usize), MonotonicTime>,
+    /// When the store last had a slot again after all were taken.
+    pub(crate) slot_freed_at: Option<MonotonicTime>,
     /// Start of the trace, in seconds since 1970.
     pub(crate) start_s: i64,
     /// When the forecast was last advanced.
@@ -125,6 +132,9 @@
             forecast,
             demand: DemandTracker::new(site),
             counts: ReplayCounts::default(),
+            loads: Vec::new(),
+            unloads: BTreeMap::new(),
+            slot_freed_at: None,
             start_s,
             advanced_at: TRACE_START,
             loads_due: None,
--- a/crates/wheel_replay/src/replay_setup.rs
+++ b/crates/wheel_replay/src/replay_setup.rs
@@ -41,6 +41,8 @@
     pub header: TraceHeader,
     /// Settings of the placement.
     pub placement: PlacementSettings,
+    /// Share of the models whose checkpoints are on a disk at the start.
+    pub on_disk_share: f64,
     arrivals: Vec<TraceArrival>,
     faults: Vec<crate::TraceFault>,
     forecast: DemandForecast,
@@ -73,7 +75,15 @@
         }
         forecast.advance(trace.header.start);
         let placement = placement_settings(&site);
-        Self { site, header: trace.header.clone(), placement, arrivals, faults, forecast }
+        Self {
+            site,
+            header: trace.header.clone(),
+            placement,
+            on_disk_share: ON_DISK_SHARE,
+            arrivals,
+            faults,
+            forecast,
+        }
     }
 
     /// The requests of the trace.
@@ -204,7 +214,7 @@
                 (0..engines.len()).filter(|one| engines[*one].centre == index % centres).collect();
             let engine = &mut engines[own[random.next_below(own.len())]];
             let sample = random.next_unit();
-            if sample < ON_DISK_SHARE {
+            if sample < self.on_disk_share {
                 engine.keep_on_disk(&spec.name, &self.site.speed, &size);
             }
             if sample < IN_MEMORY_SHARE {
--- a/crates/wheel_replay/src/site_plan.rs
+++ b/crates/wheel_replay/src/site_plan.rs
@@ -97,6 +97,12 @@
         self
     }
 
+    /// Gives each engine's host memory space for checkpoints of `size` gibibytes.
+    pub fn with_host_memory(mut self, size_gib: u64) -> Self {
+        self.speed.host_memory_mib = size_gib * GIB;
+        self
+    }
+
     fn build(parameters: &SiteParameters, factor: f64) -> Self {
         let models = (parameters.models as f64 * factor) as usize;
         let manifest = DeploymentManifest {
