Control: a reply to another kind of call leaves a submission unresolved

A control instance's reply that belongs to a read, to the status or to another kind of submission was taken by `GroupClient` as proof that nothing was appended. The operator's change, or the claim, was then reported as certainly not made ("no leader of the group could be reached") although the call had reached an instance that may lead. A change of the voters, on the other hand, counted as made by the answer to any other submission.

Evidence, before the change (`wheel_control`, `false_replies`, a control instance that gives the same reply to everything): "left: Some(Unavailable), right: Some(Unresolved)" and "left: Err(Unavailable), right: Err(Unresolved)". 2 of 2 failed.

A submission ends as committed by the answer to its own kind alone; what says nothing of it leaves it unresolved, so that it is submitted again or reported as unknown. 2 of 2 pass, and all tests of `wheel_control`.

--- a/crates/wheel_control/src/group_call.rs
+++ b/crates/wheel_control/src/group_call.rs
@@ -65,6 +65,15 @@
 }
 
 impl SubmitAnswer {
+    /// Whether it reports that a call of this kind was committed.
+    pub(crate) fn is_end_of(&self, call: &GroupCall) -> bool {
+        matches!(
+            (call, self),
+            (GroupCall::Submit(_), Self::Answer(_))
+                | (GroupCall::ChangeVoter(_), Self::VoterChanged)
+        )
+    }
+
     /// Makes the answer with the leader's instance.
     pub(crate) fn not_leader(leader: Option<NodeId>) -> Self {
         Self::NotLeader { leader: leader.map(|node| node.instance) }
--- a/crates/wheel_control/src/group_client.rs
+++ b/crates/wheel_control/src/group_client.rs
@@ -172,9 +172,9 @@
         let reply = tokio::time::timeout_at(deadline, self.request(instance, call)).await;
         let answer = match reply {
             Ok(Ok(GroupReply::Submitted(answer))) => answer,
-            Ok(Ok(GroupReply::Status(_) | GroupReply::Read(_))) => return Attempt::NotAppended,
             Ok(Err(RequestError { may_have_run: false })) => return Attempt::NotAppended,
-            Ok(Err(RequestError { may_have_run: true })) | Err(_) => return Attempt::Unresolved,
+            // A reply to another kind of call says nothing of this one.
+            Ok(Ok(_) | Err(_)) | Err(_) => return Attempt::Unresolved,
         };
         match answer {
             SubmitAnswer::NotLeader { leader } => {
@@ -183,10 +183,11 @@
             }
             SubmitAnswer::Unresolved => Attempt::Unresolved,
             SubmitAnswer::Refused { reason } => Attempt::Refused(reason),
-            answer => {
+            answer if answer.is_end_of(call) => {
                 *self.leader.lock() = Some(instance.clone());
                 Attempt::Answered(answer)
             }
+            SubmitAnswer::Answer(_) | SubmitAnswer::VoterChanged => Attempt::Unresolved,
         }
     }
 
