A ready answer that a slow link hasn't carried arrives after the end of the process

What callers saw: an engine's whole answer that was ready before the end of a drain broke off at the end of the process if the caller's link, or a closed receive window, hadn't let it through by then.

Cause: the kernel takes 32 KiB of an answer beyond what it can send at once (`TCP_NOTSENT_LOWAT`, for callers that don't read) and what its send buffer holds; the rest stayed in the process, which ends 0.1 s after the deadline of the server's drain.

Change: once the server's drain has ended, a connection's send buffer is widened to what the system gives for 4 MiB (never narrowed) and the limit on unsent bytes is lifted, so that the whole rest of an answer goes into the kernel, which sends it on after the process is gone. Connections that wait for their callers are woken for that at the deadline.

Not mended: an answer beyond the send buffer; a stream, which the deadline cuts; a caller that goes on sending (the rest of a body) while its connection is closed, since the kernel answers that with a reset and drops what isn't sent.

--- a/crates/wheel_ingress/src/caller_stream.rs
+++ b/crates/wheel_ingress/src/caller_stream.rs
@@ -2,19 +2,33 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::DrainDeadline;
 use crate::connection_activity::ConnectionActivity;
 use crate::head_meter::HeadMeter;
 use crate::open_answer::OpenAnswer;
 use crate::read_pace::ReadPace;
 
+/// Bytes of an answer that the system is given at the end of a drain, as far as it allows so many.
+const LAST_BUFFER_BYTES: usize = 4 << 20;
+
+/// The size of the send buffer that the system gives for [`LAST_BUFFER_BYTES`]; 0 if it gives none.
+static LARGEST_BUFFER: LazyLock<usize> = LazyLock::new(|| {
+    let granted = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_send_buffer_size(LAST_BUFFER_BYTES)?;
+        socket.send_buffer_size()
+    };
+    granted().unwrap_or_default()
+});
+
 /// A TCP stream that ends with a reset during an answer that only the end of the connection
 /// completes, whether it is dropped or the process is killed, and if its caller doesn't read.
 pub(crate) struct CallerStream {
@@ -23,6 +37,9 @@
     heads: Arc<HeadMeter>,
     pace: ReadPace,
     activity: Arc<ConnectionActivity>,
+    drain: DrainDeadline,
+    /// Whether its buffer takes the rest of an answer.
+    is_last: bool,
     /// Whether its caller has left an answer unread for too long.
     is_given_up: bool,
     /// Whether the system resets the connection instead of closing it.
@@ -32,15 +49,41 @@
 impl CallerStream {
     /// Creates a stream that is reset if it is dropped while `answer` is open or once `pace` has ended
     /// a write, and that ends if `heads` has no memory for the head of a request. What it reads and
-    /// writes is recorded in `activity`.
+    /// writes is recorded in `activity`; the end of `drain` is when the process is about to end.
     pub(crate) fn new(
         stream: TcpStream,
         answer: Arc<OpenAnswer>,
         heads: Arc<HeadMeter>,
         pace: ReadPace,
         activity: Arc<ConnectionActivity>,
+        drain: DrainDeadline,
     ) -> Self {
-        Self { stream, answer, heads, pace, activity, is_given_up: false, resets: false }
+        Self {
+            stream,
+            answer,
+            heads,
+            pace,
+            activity,
+            drain,
+            is_last: false,
+            is_given_up: false,
+            resets: false,
+        }
+    }
+
+    /// Has the system take as much of an answer as it can once the drain has ended: it goes on sending
+    /// after the end of the process, to callers whose links are slow.
+    fn widen_at_drain_end(&mut self) {
+        if self.is_last || !self.drain.has_passed() {
+            return;
+        }
+        self.is_last = true;
+        let socket = SockRef::from(&self.stream);
+        // A size of one's own replaces the one that the system has chosen, which may be larger.
+        if socket.send_buffer_size().is_ok_and(|bytes| bytes < *LARGEST_BUFFER) {
+            let _ = socket.set_send_buffer_size(LAST_BUFFER_BYTES);
+        }
+        let _ = socket.set_tcp_notsent_lowat(u32::MAX);
     }
 
     fn check_pace(
@@ -106,6 +149,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.begin_reset();
+        self.widen_at_drain_end();
         let outcome = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.check_pace(cx, outcome)
     }
@@ -116,6 +160,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.begin_reset();
+        self.widen_at_drain_end();
         let outcome = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.check_pace(cx, outcome)
     }
--- a/crates/wheel_ingress/src/http_server.rs
+++ b/crates/wheel_ingress/src/http_server.rs
@@ -286,6 +286,7 @@
             Arc::clone(&heads),
             ReadPace::new(Arc::clone(&deadline)),
             Arc::clone(&activity),
+            drain.clone(),
         );
         let read = Arc::clone(&activity);
         let service = service_fn(move |request: Request<Incoming>| {
@@ -331,21 +332,27 @@
             .max_buf_size(limits.header_bytes)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
-        let idle = async {
+        let mut idle = pin!(async {
             self.draining.cancelled().await;
             // A request that was already sent is still read. Before that, a graceful shutdown would
             // drop what was read behind the request that is served.
             activity.idle_for(LAST_READ_TIME).await;
-        };
-        // Errors are caused by the peer: it disconnected or sent invalid data that hyper has
-        // answered.
-        tokio::select! {
-            // A request that has just arrived is read first.
-            biased;
-            _ = connection.as_mut() => {}
-            () = idle => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
+        });
+        let mut end = pin!(self.drain.passed());
+        let (mut is_idle, mut is_over) = (false, false);
+        loop {
+            tokio::select! {
+                // A request that has just arrived is read first.
+                biased;
+                // Errors are caused by the peer: it disconnected or sent invalid data that hyper
+                // has answered.
+                _ = connection.as_mut() => break,
+                () = &mut idle, if !is_idle => {
+                    is_idle = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+                // A write that waits is tried again with a larger buffer.
+                () = &mut end, if !is_over => is_over = true,
             }
         }
         drop(permit);
