Tool: a text that may be cut, and a revision that was there before, are no success

`wisteriactl show` printed an answer as the whole text that nothing but its connection's end had ended, with exit code 0: a text cut between two sections is a valid one with less in it, to be edited and applied. And `apply` reported a text as applied on any 200 with a revision, also with one that was there before the text was sent.

An answer needs a length or chunks, which instances always give; any other is tried again and then reported as unknown.

--- a/crates/wheel_ctl/src/admin_client.rs
+++ b/crates/wheel_ctl/src/admin_client.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{AUTHORIZATION, HOST, IF_MATCH};
-use http::{Request, StatusCode};
+use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, IF_MATCH, TRANSFER_ENCODING};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -131,12 +132,20 @@
     let driver = tokio::spawn(connection);
     let answer = sender.send_request(request).await.map_err(|error| error.to_string())?;
     let (parts, body) = answer.into_parts();
+    if !body.is_end_stream() && !has_marked_end(&parts.headers) {
+        return Err("the answer has neither a length nor chunks, so that it may be cut".to_owned());
+    }
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     driver.abort();
     let body = body.map_err(|error| error.to_string())?.to_bytes();
     Ok(AdminAnswer::new(parts.status, &parts.headers, body))
 }
 
+/// Whether the end of the body differs from the end of its connection.
+fn has_marked_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Whether a retry may succeed.
 fn is_transient(status: StatusCode) -> bool {
     matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
--- a/crates/wheel_ctl/src/apply_run.rs
+++ b/crates/wheel_ctl/src/apply_run.rs
@@ -57,7 +57,8 @@
         let start = Instant::now();
         let answer = self.client.send(&request.base(base).key(&key)).await;
         let answer = answer.map_err(|failure| add_retry_hint(failure, base, &key))?;
-        let applied = self.read_applied(answer)?;
+        let applied = self.read_applied(answer, base);
+        let applied = applied.map_err(|failure| add_retry_hint(failure, base, &key))?;
         let AppliedManifest { revision, hash } = &applied;
         self.output.print(&format!("revision={revision} hash={hash}"), &applied);
         if self.arguments.wait { self.wait(*revision, start).await } else { Ok(()) }
@@ -81,7 +82,8 @@
         }
     }
 
-    fn read_applied(&self, answer: AdminAnswer) -> Result<AppliedManifest, CtlFailure> {
+    /// Reads the answer to a text that was edited from `base`, whose revision is a later one.
+    fn read_applied(&self, answer: AdminAnswer, base: u64) -> Result<AppliedManifest, CtlFailure> {
         let faults = match answer.status {
             StatusCode::UNPROCESSABLE_ENTITY => FaultReport::read_list(&answer.body),
             _ => None,
@@ -91,9 +93,16 @@
             return Err(CtlFailure::Faults { count: faults.len() });
         }
         let answer = answer.into_success()?;
-        serde_json::from_slice(&answer.body).map_err(|error| CtlFailure::UnknownOutcome {
-            reason: format!("the answer to an accepted text isn't valid: {error}"),
-        })
+        let applied: AppliedManifest =
+            serde_json::from_slice(&answer.body).map_err(|error| CtlFailure::UnknownOutcome {
+                reason: format!("the answer to an accepted text isn't valid: {error}"),
+            })?;
+        match applied.revision {
+            revision if revision > base => Ok(applied),
+            revision => Err(CtlFailure::UnknownOutcome {
+                reason: format!("the answer names revision {revision}, which was there before"),
+            }),
+        }
     }
 
     /// Waits until the revision is active at every instance that the answering one lists.
--- a/crates/wheel_ctl/tests/wisteriactl.rs
+++ b/crates/wheel_ctl/tests/wisteriactl.rs
@@ -8,6 +8,8 @@
 
 use support::{AdminState, InjectedAnswer, TestAdmin, run_tool};
 use tempfile::NamedTempFile;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 const ROTA: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/rota.toml");
 
@@ -286,3 +288,45 @@
         assert!(run.out.contains(part), "{part} isn't in {}", run.out);
     }
 }
+
+/// An accepted text gets a revision after the one that it was edited from.
+#[tokio::test]
+async fn apply_answered_with_an_earlier_revision_is_unknown() {
+    for answer in [r#"{"revision":7,"hash":"abcd"}"#, r#"{"revision":3}"#, "{}", ""] {
+        let admin = bind_at(7, &[InjectedAnswer::Status(200, answer)]).await;
+        let run = admin.run(&["apply", ROTA]).await;
+        assert_eq!((run.code, run.out.as_str()), (3, ""), "{answer}: {run:?}");
+        assert!(run.err.contains("apply again with --base 7 --key "), "{answer}: {run:?}");
+    }
+}
+
+/// Answers each connection with `answer` and closes it.
+async fn bind_raw(answer: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = vec![0; 4_096];
+            let _read = stream.read(&mut request).await;
+            let _written = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address.to_string()
+}
+
+/// A text cut between two sections is a valid one with less in it.
+#[tokio::test]
+async fn show_text_that_may_be_cut_is_no_text() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\netag: \"7\"\r\n";
+    let bodies = [
+        "content-length: 40\r\n\r\ngroup = \"old\"\n",
+        "transfer-encoding: chunked\r\n\r\ne\r\ngroup = \"old\"\n\r\n",
+        "\r\ngroup = \"old\"\n",
+    ];
+    for body in bodies {
+        let answer: &'static str = Box::leak(format!("{HEAD}{body}").into_boxed_str());
+        let endpoint = bind_raw(answer).await;
+        let run = run_tool(&endpoint, &["show", "--retries", "0"]).await;
+        assert_eq!((run.code, run.out.as_str()), (3, ""), "{body:?}: {run:?}");
+    }
+}
