The test of a call's time holds its clock still while it reads tokens

Cause, in the test: it counts on the engine, the client and the test, which share one thread, being run within 300 ms. Forced in a copy by a pause of 300 ms between the head and the first read, it fails each time as seen: "none of the tokens, head after 1.137148ms, Err(CallFailure { kind: Deadline }) after 301.387051ms". A pause of the machine does the same. The client is right: the time is over then.

Change: the clock stands still except for what the test advances it by. Each of two tokens comes after 101 ms of it, and after the third step the call's 300 ms are over. Checked are both tokens, in place of any at all, the same kind of failure, and newly the time of it: from 300 to 400 ms.

--- a/crates/wheel_upstream/tests/common/mod.rs
+++ b/crates/wheel_upstream/tests/common/mod.rs
@@ -34,7 +34,11 @@
 }
 
 pub async fn engine() -> (FakeEngine, EngineClient) {
-    let engine = FakeEngine::bind(FakeEngineSettings::default()).await.expect("bind");
+    engine_with(FakeEngineSettings::default()).await
+}
+
+pub async fn engine_with(settings: FakeEngineSettings) -> (FakeEngine, EngineClient) {
+    let engine = FakeEngine::bind(settings).await.expect("bind");
     engine.preload("m", 10);
     let client = engine_client(engine.local_addr());
     (engine, client)
--- a/crates/wheel_upstream/tests/engine_faults.rs
+++ b/crates/wheel_upstream/tests/engine_faults.rs
@@ -3,12 +3,14 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{
-    LONG, SHORT, ScriptedUpstream, are_tokens, engine, engine_client, eventually, generate,
-    read_all,
+    LONG, SHORT, ScriptedUpstream, are_tokens, engine, engine_client, engine_with, eventually,
+    generate, read_all,
 };
 use http::StatusCode;
-use wheel_fakes::FaultPlan;
+use wheel_fakes::{FakeEngineSettings, FaultPlan};
 use wheel_types::{RequestId, RequestOutcome};
 use wheel_upstream::{
     CallFailure, ConnectionLimits, EngineClient, EngineSettings, FailureKind, SentState,
@@ -153,18 +155,36 @@
     assert_eq!(client.status().opened, 2 + client.status().cancels.min(1));
 }
 
+/// The time of a call must end its stream although tokens arrive. The clock stands still while they
+/// are read, so that the machine's load takes nothing of that time.
 #[tokio::test]
 async fn generate_deadline_ends_a_running_stream() {
-    let (_engine, client) = engine().await;
-    let mut call = generate("r-1", 1_000_000);
+    // A timer ends with the tick of the clock after its time.
+    let (token_time, tick) = (SHORT / 3, Duration::from_millis(1));
+    let settings = FakeEngineSettings { token_time, ..FakeEngineSettings::default() };
+    let (_engine, client) = engine_with(settings).await;
+    tokio::time::pause();
+    // Without a blocking task, the clock would go on whenever every task waits.
+    let (hold, held) = std::sync::mpsc::channel::<()>();
+    tokio::task::spawn_blocking(move || held.recv());
+    let mut call = generate("r-1", 1_000);
     call.timeouts = call.timeouts.total(SHORT);
-    let began = std::time::Instant::now();
+    let began = tokio::time::Instant::now();
     let mut stream = client.generate(call).await.expect("stream");
-    let head = began.elapsed();
-    let (tokens, end) = read_all(&mut stream).await;
+    for index in 0..2 {
+        tokio::time::advance(token_time + tick).await;
+        let event = stream.next().await;
+        assert!(
+            matches!(&event, Ok(StreamEvent::Token(token)) if token.index == index),
+            "{event:?}"
+        );
+    }
+    tokio::time::advance(token_time + tick).await;
+    drop(hold);
+    let (_, end) = read_all(&mut stream).await;
     let took = began.elapsed();
-    assert!(!tokens.is_empty(), "none of the tokens, head after {head:?}, {end:?} after {took:?}");
     assert!(matches!(end.expect_err("failure").kind, FailureKind::Deadline));
+    assert!((SHORT..SHORT + token_time).contains(&took), "ended after {took:?}");
 }
 
 #[tokio::test]
