Gateway tests: a late answer costs at most the send that it arrives with

An upstream writes an answer to an earlier request before its own answer to the next one on the connection, in one piece: a request that may not be repeated is never concerned, since it has a connection of its own (3 of 3 answered, with one and two attempts); one that may be loses that send, so that with one attempt the caller gets 502 (2 of 3 answered), and with two it is answered by another upstream (3 of 3). The late answer reaches nobody.

No change: the answer that follows could only be reached by reading on behind bytes that have shown to be false.

--- a/crates/wheel_gateway/tests/repeated_answers.rs
+++ b/crates/wheel_gateway/tests/repeated_answers.rs
@@ -130,3 +130,83 @@
         assert_eq!(answer.body, "id: 1\ndata: t1\n\n", "{kind:?}");
     }
 }
+
+/// Writes an answer to a request that nobody waits for any more before each answer but a connection's first.
+async fn bind_late() -> (SocketAddr, watch::Receiver<u32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let (count, requests) = watch::channel(0);
+    let count = Arc::new(count);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = Arc::clone(&count);
+            tokio::spawn(async move {
+                let mut late = String::new();
+                while let Some(id) = read_id(&mut stream).await {
+                    count.send_modify(|count| *count += 1);
+                    let answers = late + &ANSWER.replace("id-1", &id);
+                    if stream.write_all(answers.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    late = ANSWER.replace("id-1", "id-0").replace("t1", "t0");
+                }
+            });
+        }
+    });
+    (address, requests)
+}
+
+/// Reads a request and returns its id; `None` if the connection ends.
+async fn read_id(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\nasked") {
+        let read = stream.read_buf(&mut bytes).await;
+        read.ok().filter(|read| *read > 0)?;
+    }
+    let head = String::from_utf8(bytes).expect("text");
+    head.lines().find_map(|line| line.strip_prefix("x-id: ")).map(str::to_owned)
+}
+
+/// Sends a request with an id of its own and reads the whole answer.
+async fn ask(at: SocketAddr, id: &str) -> String {
+    let mut stream = TcpStream::connect(at).await.expect("a connection");
+    let request = format!(
+        "POST /a/ HTTP/1.1\r\nhost: test\r\nx-id: {id}\r\nconnection: close\r\n\
+         content-length: 5\r\n\r\nasked"
+    );
+    stream.write_all(request.as_bytes()).await.expect("a sent request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    answer
+}
+
+/// The id of a late answer tells it apart. What may not be repeated has a connection of its own, where none
+/// can come; what may be repeated loses one send.
+#[tokio::test]
+async fn late_answer_goes_to_nobody_and_costs_one_send_at_most() {
+    for kind in KINDS {
+        for attempts in [1, 2] {
+            let (address, requests) = bind_late().await;
+            let ingress = TestIngress::with_route(kind, &[], |route| route.max_attempts = attempts);
+            let ingress = ingress.await;
+            let upstream = RepeatingUpstream { address, requests: requests.clone() };
+            let view = FleetView { engines: vec![upstream.info()], ..FleetView::default() };
+            ingress.state.set_view(view);
+            let reply = || Reply::ran(200, "id: 1\ndata: t1\n\n");
+            let other = TestUpstream::bind("u2", vec![reply(), reply(), reply()]).await;
+            ingress.add_upstream(&other, 3);
+            let mut whole = 0;
+            for id in ["id-2", "id-3", "id-4"] {
+                let answer = ask(ingress.address(), id).await;
+                assert!(!answer.contains("t0") && !answer.contains("id-0"), "{kind:?}: {answer}");
+                whole += u32::from(answer.starts_with("HTTP/1.1 200") && answer.contains("t1"));
+            }
+            // The second request loses its send, and the third one has a new connection.
+            let lost = u32::from(kind.is_repeatable());
+            let lost_for_good = if attempts == 1 { lost } else { 0 };
+            let sends = (*requests.borrow(), other.seen().len() as u32);
+            let expected = (3 - lost_for_good, (3, lost - lost_for_good));
+            assert_eq!((whole, sends), expected, "{kind:?} with {attempts} attempts");
+        }
+    }
+}
