Control: a cached text is used only as it was written

An instance that starts while it is cut off serves by the text in its data folder. That file isn't synced, and nothing showed whether its bytes are those that were written: after a loss of power a part may be missing or old. With revision and hash intact, such a text was taken for the newest one, also by the parents that are polled later, so that the instance served by it until the next change.

Evidence, before the change (`wheel_control`, `manifest_cache`, one bit of the file changed): "byte 0 of 1995: left: AcceptedManifest { revision: ManifestRevision(6), ...", expected none.

The file ends with a hash of the text, its revision and its hash. One that doesn't fit is logged as `text_cache_unreadable`, as is a file of before this change, and the instance waits for a parent. 1 of 1 passes (65 positions), and all tests of `wheel_control`.

--- a/crates/wheel_control/src/manifest_follower.rs
+++ b/crates/wheel_control/src/manifest_follower.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use spdlog::{info, warn};
 use tokio_util::sync::CancellationToken;
 use wheel_agreement::{AcceptedManifest, ManifestUpdate, UpdateError, decode, encode};
+use wheel_manifest::ManifestHash;
 use wheel_peer::{PeerChannel, PeerHub};
 use wheel_types::InstanceName;
 
@@ -32,6 +34,31 @@
     pub folder: Option<PathBuf>,
 }
 
+/// The content of the cache. Nobody compares a text with that of others once revision and hash are theirs, and a
+/// loss of power may leave some of a file's bytes unwritten.
+#[derive(Deserialize, Serialize)]
+struct CachedManifest {
+    manifest: AcceptedManifest,
+    /// The [`CachedManifest::checksum`] when it was written.
+    checksum: ManifestHash,
+}
+
+impl CachedManifest {
+    fn new(manifest: AcceptedManifest) -> Self {
+        let checksum = Self::checksum(&manifest);
+        Self { manifest, checksum }
+    }
+
+    fn is_intact(&self) -> bool {
+        self.checksum == Self::checksum(&self.manifest)
+    }
+
+    /// The hash of the manifest with its revision and hash.
+    fn checksum(manifest: &AcceptedManifest) -> ManifestHash {
+        manifest.hash.chain(&format!("{} {}", manifest.revision.0, manifest.source))
+    }
+}
+
 /// Lists the instances from which the manifest can be polled, the best one first. The order forms a
 /// tree in each data centre, so that no instance serves many.
 pub trait ParentSelector: Send + Sync + 'static {
@@ -122,11 +149,13 @@
     fn read_cache(&self) {
         let Some(path) = self.cache_path() else { return };
         let Ok(bytes) = std::fs::read(&path) else { return };
-        match decode::<AcceptedManifest>(&bytes) {
-            Ok(manifest) => {
+        match decode::<CachedManifest>(&bytes) {
+            Ok(cached) if cached.is_intact() => {
+                let CachedManifest { manifest, .. } = cached;
                 info!("text_cache_read", kv: { revision = manifest.revision.0 });
                 let _ = self.manifest.apply(ManifestUpdate::Snapshot(manifest));
             }
+            Ok(_) => warn!("text_cache_unreadable", kv: { reason = "it isn't what was written" }),
             Err(error) => warn!("text_cache_unreadable", kv: { reason:? = error.to_string() }),
         }
     }
@@ -135,7 +164,7 @@
     /// never half written.
     fn write_cache(&self) {
         let Some(path) = self.cache_path() else { return };
-        let Ok(bytes) = encode(&self.manifest.accepted()) else { return };
+        let Ok(bytes) = encode(&CachedManifest::new(self.manifest.accepted())) else { return };
         let temporary = path.with_extension("tmp");
         let written =
             std::fs::write(&temporary, bytes).and_then(|()| std::fs::rename(&temporary, &path));
