The soak stops holders of the order authority while orders are due

`HolderStop`, of which every plan longer than some seconds has one: all upstreams lose their models, the control instance that sends the next order gets SIGTERM, all lose their models again, and the same follows with its successor. It takes the place of other faults of control instances in its time; all other faults of a plan stay.

The checker excused orders beside any fault of their upstream, also of its answers, and then forgot the order. A fault of the upstream alone holds no order back, so only one of the sender or of the link to the upstream excuses now.

The number of kinds in `plans_have_every_kind_within_their_length` rises by the new one.

--- a/crates/wheel_soak/src/fault_driver.rs
+++ b/crates/wheel_soak/src/fault_driver.rs
@@ -24,6 +24,11 @@
 pub(crate) const LEAVE_TIME: Duration = Duration::from_millis(3_000);
 /// Time from an upstream's stop until its address is used again.
 pub(crate) const REUSE_TIME: Duration = Duration::from_secs(2);
+/// Number of holders of the order authority that are stopped one after another.
+const STOPPED_HOLDERS: usize = 2;
+/// Time limit for the next order, which covers an election and the pause of a new holder.
+pub(crate) const HOLDER_LIMIT: Duration = Duration::from_secs(5);
+const ORDER_POLL: Duration = Duration::from_millis(5);
 /// Limit for the restart of a terminated process, which includes its grace period.
 const END_LIMIT: Duration = Duration::from_secs(GRACE.as_secs() + 2);
 const END_POLL: Duration = Duration::from_millis(20);
@@ -69,6 +74,9 @@
         match fault.target {
             FaultTarget::Process(index) => self.inject_process_fault(index, &fault).await,
             FaultTarget::Entries => self.stop_ingresses(&fault).await,
+            FaultTarget::Control if fault.kind == FaultKind::HolderStop => {
+                self.stop_holders(&fault).await;
+            }
             FaultTarget::Control => {
                 for index in 0..CONTROL_COUNT {
                     self.system.with(index, |process| process.kill(fault.duration, false));
@@ -120,6 +128,7 @@
             FaultTarget::Entries => {
                 self.stopped_ingresses(fault).map(|it| self.system.name(it)).collect()
             }
+            FaultTarget::Control if fault.kind == FaultKind::HolderStop => vec!["holders".into()],
             FaultTarget::Control => names(0..CONTROL_COUNT),
             FaultTarget::CallerLink(index) => {
                 vec![format!("callers>{}", self.system.name(index)).into()]
@@ -193,6 +202,36 @@
         self.wait_until_up(indexes).await;
     }
 
+    /// Has all upstreams lose their models, stops the control instance that sends the next order, and has
+    /// orders due for its successor at once; then does the same with the successor.
+    async fn stop_holders(&self, fault: &PlannedFault) {
+        let crash = || self.upstreams.iter().for_each(UpstreamStub::crash);
+        for _ in 0..STOPPED_HOLDERS {
+            crash();
+            let next = tokio::time::timeout(HOLDER_LIMIT, self.next_holder());
+            let Ok(index) = next.await else { return };
+            self.system.with(index, |process| process.terminate(fault.duration));
+            crash();
+            self.wait_until_up(index..index + 1).await;
+        }
+    }
+
+    /// Waits for the next order of a running control instance, and returns its index.
+    async fn next_holder(&self) -> usize {
+        let from = self.sink.now();
+        loop {
+            tokio::time::sleep(ORDER_POLL).await;
+            let orders = self.upstreams.iter().filter_map(UpstreamStub::last_order);
+            let holder = orders.filter(|(at, _)| *at > from).max().map(|(_, holder)| holder);
+            let is_holder = |index: &usize| holder == Some(self.system.name(*index));
+            let index = (0..CONTROL_COUNT).find(is_holder);
+            if let Some(index) = index.filter(|at| self.system.with(*at, |process| process.is_up()))
+            {
+                return index;
+            }
+        }
+    }
+
     /// Waits until all stopped processes have been restarted.
     async fn wait_until_up(&self, indexes: std::ops::Range<usize>) {
         let waiting = async {
--- a/crates/wheel_soak/src/fault_history.rs
+++ b/crates/wheel_soak/src/fault_history.rs
@@ -7,6 +7,8 @@
 /// Names of groups at one end of a link, as in `entries>engine-2`.
 const SIDES: [&str; 2] = ["callers", "entries"];
 
+/// The beginning of the kinds of fault of links.
+const LINK_KINDS: &str = "link_";
 /// Kinds of fault that end an upstream.
 const ENDING_KINDS: [&str; 3] = ["address_reused", "upstream_crash", "upstream_replaced"];
 
@@ -76,9 +78,16 @@
         spans.any(|span| names_in(&span.target).filter(is_single).eq([name]))
     }
 
+    /// Whether a fault affected a link of `name` between `from` and `to`.
+    pub(crate) fn affects_link(&self, name: &str, from: Duration, to: Duration) -> bool {
+        let mut spans = self.spans.iter().filter(|span| span.overlaps(from, to));
+        let is_link = |span: &FaultSpan| span.kind.starts_with(LINK_KINDS);
+        spans.any(|span| is_link(span) && names_in(&span.target).any(|found| found == name))
+    }
+
     /// Whether the upstream `name` ended or was cut off between `from` and `to`.
     pub(crate) fn cuts_off(&self, name: &str, from: Duration, to: Duration) -> bool {
-        let is_cutting = |kind: &str| kind.starts_with("link_") || ENDING_KINDS.contains(&kind);
+        let is_cutting = |kind: &str| kind.starts_with(LINK_KINDS) || ENDING_KINDS.contains(&kind);
         let mut spans = self.spans.iter().filter(|span| span.overlaps(from, to));
         spans
             .any(|span| is_cutting(&span.kind) && names_in(&span.target).any(|found| found == name))
--- a/crates/wheel_soak/src/fault_kind.rs
+++ b/crates/wheel_soak/src/fault_kind.rs
@@ -26,6 +26,9 @@
     Kill,
     /// SIGKILL to all control instances at once.
     KillControl,
+    /// SIGTERM to the control instance that sends the next order and then to its successor, while all
+    /// upstreams lose their models, so that both have orders to send.
+    HolderStop,
     /// SIGSTOP for longer than the lease.
     Freeze,
     /// A control instance is killed and restarted without its data.
--- a/crates/wheel_soak/src/fault_plan.rs
+++ b/crates/wheel_soak/src/fault_plan.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::fault_driver::{LEAVE_TIME, REUSE_TIME, seam_file};
+use crate::fault_driver::{HOLDER_LIMIT, LEAVE_TIME, REUSE_TIME, seam_file};
 use crate::fault_table::{ANSWERS, DISORDERS, DOWNTIME_MS, KINDS, KindRow, TargetGroup};
 use crate::soak_system::{CONTROL_COUNT, GRACE};
 use crate::{FaultKind, FaultTarget, PlannedFault};
@@ -30,6 +30,11 @@
 const DISORDER_SEED: u64 = 0x5eed_d150_4de4;
 /// The same for [`ANSWERS`].
 const ANSWER_SEED: u64 = 0x5eed_a425_3e45;
+/// The same for [`FaultKind::HolderStop`], its downtimes, the time of the first and from one to the next.
+const HOLDER_SEED: u64 = 0x5eed_401d_e451;
+const HOLDER_DOWN_MS: Range<u64> = 200..1_000;
+const HOLDER_AT_MS: Range<u64> = 1_000..8_000;
+const HOLDER_GAP_MS: Range<u64> = 20_000..40_000;
 /// In the plans of one in this many seeds, [`ANSWERS`] are drawn before all others, and so find room
 /// for long faults of all upstreams.
 const ANSWERS_FIRST_SHARE: u64 = 5;
@@ -86,6 +91,7 @@
         if !are_answers_first {
             add_answers(&mut faults, scope);
         }
+        add_holder_stops(&mut faults, scope, start_loss.is_some());
         // A control instance that lost its data at the start may still be catching up.
         let is_early = |fault: &PlannedFault| disturbs_control(fault) && fault.at < CATCH_UP;
         faults.retain(|fault| start_loss.is_none() || !is_early(fault));
@@ -172,6 +178,22 @@
     }
 }
 
+/// Adds faults of [`FaultKind::HolderStop`] in place of other faults of control instances, since few
+/// plans would have room for them.
+fn add_holder_stops(faults: &mut Vec<PlannedFault>, scope: &PlanScope, has_start_loss: bool) {
+    let mut random = StdRng::seed_from_u64(scope.seed ^ HOLDER_SEED);
+    let mut at = Duration::from_millis(random.random_range(HOLDER_AT_MS));
+    at = if has_start_loss { at.max(CATCH_UP) } else { at };
+    while at < scope.length {
+        let (kind, name) = (FaultKind::HolderStop, "holder_stop");
+        let duration = Duration::from_millis(random.random_range(HOLDER_DOWN_MS));
+        let fault = PlannedFault { at, duration, kind, name, target: FaultTarget::Control };
+        faults.retain(|other| may_overlap(std::slice::from_ref(other), &fault, usize::MAX));
+        faults.push(fault);
+        at += Duration::from_millis(random.random_range(HOLDER_GAP_MS));
+    }
+}
+
 fn draw_start_loss(random: &mut StdRng) -> PlannedFault {
     PlannedFault {
         at: Duration::from_millis(random.random_range(START_LOSS_MS)),
@@ -245,6 +267,7 @@
         FaultKind::UpstreamReplaced => LEAVE_TIME + REUSE_TIME,
         FaultKind::AddressReused => REUSE_TIME,
         FaultKind::TerminateSeries => GRACE * 2,
+        FaultKind::HolderStop => fault.duration + HOLDER_LIMIT,
         FaultKind::Terminate
         | FaultKind::TerminatePair
         | FaultKind::SecondSignal
--- a/crates/wheel_soak/src/guarantee_bounds.rs
+++ b/crates/wheel_soak/src/guarantee_bounds.rs
@@ -33,7 +33,7 @@
     pub leave_run_time: Duration,
     /// Minimum pause between the last order of one lease holder and the first of the next.
     pub lease_pause: Duration,
-    /// An order isn't checked for this long after a fault of its sender or its link.
+    /// An order isn't checked for this long after a fault of its sender or of the link to its upstream.
     pub resume_time: Duration,
     /// Loads per second that the weight store allows.
     pub loads_per_s: f64,
@@ -76,6 +76,7 @@
     fn default() -> Self {
         let names = [
             "configuration",
+            "holder_stop",
             "list_odd",
             "reload",
             "restart",
--- a/crates/wheel_soak/src/order_tracker.rs
+++ b/crates/wheel_soak/src/order_tracker.rs
@@ -51,7 +51,7 @@
         });
         let from = at.saturating_sub(bounds.resume_time);
         let is_late = faults.affects(&order.holder, from, at)
-            || faults.affects(&order.upstream, from, at)
+            || faults.affects_link(&order.upstream, from, at)
             || order.status == FENCED;
         let holder = match is_late {
             true => None,
--- a/crates/wheel_soak/src/upstream_shared.rs
+++ b/crates/wheel_soak/src/upstream_shared.rs
@@ -41,6 +41,8 @@
     pub(crate) epoch: watch::Sender<u64>,
     /// Number of requests during faults, affected or not.
     candidates: Mutex<u64>,
+    /// The time of the last order, and its sender.
+    pub(crate) last_order: Mutex<Option<(Duration, Arc<str>)>>,
 }
 
 impl WireHandler for UpstreamShared {
@@ -77,6 +79,7 @@
             state: Mutex::new(UpstreamState::new(id, service)),
             epoch: watch::Sender::new(0),
             candidates: Mutex::new(0),
+            last_order: Mutex::default(),
         }
     }
 
@@ -98,6 +101,7 @@
                 let status = order.as_ref().map_or(400, |order| order.status);
                 if let Some(order) = order {
                     let is_overcommitted = order.held_mb > order.room_mb;
+                    *self.last_order.lock() = Some((self.sink.now(), Arc::clone(&order.holder)));
                     self.sink.record(SeenEvent::Ordered(order));
                     // An engine that is ordered to use more than its memory crashes.
                     if is_overcommitted && status == 202 {
@@ -110,10 +114,12 @@
         }
     }
 
-    fn crash(&self) -> ConnectionAction {
+    /// Restarts without pause under the same id; an injected fault stays.
+    pub(crate) fn crash(&self) -> ConnectionAction {
         let mut state = self.state.lock();
-        let (id, service) = (Arc::clone(&state.id), state.service);
+        let (id, service, fault) = (Arc::clone(&state.id), state.service, state.fault);
         state.restart(id, service);
+        state.fault = fault;
         self.epoch.send_modify(|epoch| *epoch += 1);
         ConnectionAction::Reset
     }
--- a/crates/wheel_soak/src/upstream_stub.rs
+++ b/crates/wheel_soak/src/upstream_stub.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::task::AbortHandle;
 use wheel_harness::{LinkRelay, LinkState};
@@ -79,6 +80,23 @@
         self.shared.state.lock().restart(id, service);
     }
 
+    /// Restarts it at once under the same id and without its models, unless it leaves or is off.
+    pub fn crash(&self) {
+        if self.shared.state.lock().phase != UpstreamPhase::Ready {
+            return;
+        }
+        let (kind, target): (Arc<str>, _) = ("upstream_crash".into(), self.id());
+        let began = SeenEvent::FaultBegan { kind: Arc::clone(&kind), target: Arc::clone(&target) };
+        self.shared.sink.record(began);
+        self.shared.crash();
+        self.shared.sink.record(SeenEvent::FaultEnded { kind, target });
+    }
+
+    /// The time of the last order that it received, and its sender.
+    pub fn last_order(&self) -> Option<(Duration, Arc<str>)> {
+        self.shared.last_order.lock().clone()
+    }
+
     /// Its entry in the instance list, unless it is off.
     pub(crate) fn entry(&self) -> Option<serde_json::Value> {
         let mut state = self.shared.state.lock();
--- a/crates/wheel_soak/tests/guarantee_checker.rs
+++ b/crates/wheel_soak/tests/guarantee_checker.rs
@@ -616,6 +616,23 @@
         .fault(1_100, 2_350, "pause", "control-0")
         .ordered(2_400, "control-0", 4)
         .assert_no_violation();
+    // Held back by the link to its upstream.
+    Schedule::default()
+        .ordered(1_000, "control-0", 4)
+        .fault(1_100, 2_350, "link_delay", "entries>engine-1")
+        .ordered(2_400, "control-1", 5)
+        .ordered(6_000, "control-1", 5)
+        .assert_no_violation();
+}
+
+// An upstream's own fault holds no order back.
+#[test]
+fn holder_beside_a_fault_of_the_upstream_alone_is_found() {
+    Schedule::default()
+        .ordered(1_000, "control-0", 4)
+        .fault(1_100, 1_400, "upstream_crash", "engine-1")
+        .ordered(1_500, "control-1", 5)
+        .assert_violation(SystemGuarantee::OneHolder, "after control-0");
 }
 
 #[test]
--- a/crates/wheel_soak/tests/short_soak.rs
+++ b/crates/wheel_soak/tests/short_soak.rs
@@ -71,6 +71,6 @@
         });
         faults.map(|fault| format!("{:?}", fault.kind)).collect()
     };
-    assert_eq!(kinds(true).len(), 73, "{:?}", kinds(true));
-    assert_eq!(kinds(false).len(), 68, "{:?}", kinds(false));
+    assert_eq!(kinds(true).len(), 74, "{:?}", kinds(true));
+    assert_eq!(kinds(false).len(), 69, "{:?}", kinds(false));
 }
