Late requests and parts of heads hold no drain

What callers and operators saw: since requests sent ahead are answered, a caller that keeps one request ahead of its answers held a drain to its deadline, and so did a head that came byte by byte. On connections beyond the limit, callers that go on sending held the places for refusals for good.

Cause: an answer closed its connection only if nothing waited behind it, which never came, and each read began the 50 ms anew after which an idle connection is closed.

Change: of the requests that arrive later than 50 ms after the drain's begin a connection serves the first, as before, and refuses the others as not run; 50 ms after the first such refusal the next one closes the connection, which can only drop what crosses it. Refusals beyond the limit on connections are treated alike. A read is no activity: a part of a head is no request.

--- a/crates/wheel_ingress/src/connection_activity.rs
+++ b/crates/wheel_ingress/src/connection_activity.rs
@@ -25,16 +25,27 @@
     is_read_out: bool,
     /// Whether a write waits for the caller.
     is_write_blocked: bool,
+    /// When a request or an answer last began or ended, or a write waited.
     changed_at: Instant,
+    /// When a read last found something.
+    arrived_at: Instant,
+    /// Whether a request was served that came after the drain began.
+    has_served_late: bool,
+    /// When the first request was refused that came too late.
+    refused_at: Option<Instant>,
 }
 
 impl Default for ActivityState {
     fn default() -> Self {
+        let now = Instant::now();
         Self {
             is_serving: false,
             is_read_out: false,
             is_write_blocked: false,
-            changed_at: Instant::now(),
+            changed_at: now,
+            arrived_at: now,
+            has_served_late: false,
+            refused_at: None,
         }
     }
 }
@@ -57,14 +68,44 @@
         self.change(|state| state.is_serving = false);
     }
 
-    /// Records whether a read found anything.
+    /// Records whether a read found anything. A part of a head is no request, so that it doesn't delay
+    /// [`Self::idle_for`].
     pub(crate) fn record_read(&self, has_bytes: bool) {
+        let mut state = self.state.lock();
+        let was_read_out = state.is_read_out;
+        state.is_read_out = !has_bytes;
+        if has_bytes {
+            state.arrived_at = Instant::now();
+        }
+        drop(state);
         // Most reads find nothing, as those before them.
-        if has_bytes || !self.is_read_out() {
-            self.change(|state| state.is_read_out = !has_bytes);
+        if was_read_out == has_bytes {
+            self.changes.notify_one();
         }
     }
 
+    /// When the request that begins has arrived: the library reads on only when it has no other one.
+    pub(crate) fn arrived_at(&self) -> Instant {
+        self.state.lock().arrived_at
+    }
+
+    /// Whether a request that came after the drain began is the first one, which is served.
+    pub(crate) fn begin_late(&self) -> bool {
+        !std::mem::replace(&mut self.state.lock().has_served_late, true)
+    }
+
+    /// Records that a request is refused which came too late.
+    pub(crate) fn record_refusal(&self) {
+        self.state.lock().refused_at.get_or_insert_with(Instant::now);
+    }
+
+    /// Whether the answer to the request that is served must be the last one of a connection that is to
+    /// close: nothing waits behind it, or requests that came too late have been refused for `pause`.
+    pub(crate) fn ends_with_answer(&self, pause: Duration) -> bool {
+        let state = self.state.lock();
+        state.is_read_out || state.refused_at.is_some_and(|begin| begin.elapsed() >= pause)
+    }
+
     /// Records whether a write waits for the caller.
     pub(crate) fn record_write(&self, is_blocked: bool) {
         if self.state.lock().is_write_blocked != is_blocked {
@@ -72,12 +113,7 @@
         }
     }
 
-    /// Whether nothing that was read waits behind the request that is served.
-    pub(crate) fn is_read_out(&self) -> bool {
-        self.state.lock().is_read_out
-    }
-
-    /// Completes once nothing was read, served or written for `pause` from now on.
+    /// Completes once nothing was served or written for `pause` from now on, and nothing waits to be.
     pub(crate) async fn idle_for(&self, pause: Duration) {
         let begin = Instant::now();
         loop {
--- a/crates/wheel_ingress/src/drain_deadline.rs
+++ b/crates/wheel_ingress/src/drain_deadline.rs
@@ -58,7 +58,12 @@
 
     /// Whether a request that arrives now comes too late to be accepted.
     pub fn is_too_late(&self) -> bool {
-        self.last_arrival.borrow().is_some_and(|last_arrival| Instant::now() > last_arrival)
+        self.refuses(Instant::now())
+    }
+
+    /// Whether a request that arrived at `arrival` came too late to be accepted.
+    pub fn refuses(&self, arrival: Instant) -> bool {
+        self.last_arrival.borrow().is_some_and(|last_arrival| arrival > last_arrival)
     }
 
     /// The end, once the drain has started.
--- a/crates/wheel_ingress/src/http_server.rs
+++ b/crates/wheel_ingress/src/http_server.rs
@@ -79,7 +79,7 @@
     RequestRefusal::new(RefusalCode::DeadlinePassed, message).with_outcome(RequestOutcome::Unknown)
 }
 
-/// The refusal of a request that was read by the deadline of the drain and hasn't begun.
+/// The refusal of a request that came after another one in the drain, or hasn't begun by its deadline.
 fn late_refusal() -> RequestRefusal {
     let message = "the instance ends";
     RequestRefusal::new(RefusalCode::NotReady, message).with_retry_after(BUSY_RETRY)
@@ -127,6 +127,8 @@
     limits: Arc<Mutex<HttpLimits>>,
     /// Whether each answer closes its connection, unless a further request waits there.
     closing: Arc<AtomicBool>,
+    /// Whether it serves connections beyond the limit, of which it refuses all requests.
+    is_busy: bool,
     /// The time at which unanswered requests get the server's own answer.
     drain: DrainDeadline,
     connections: TaskTracker,
@@ -154,6 +156,7 @@
             draining: CancellationToken::new(),
             limits: Arc::new(Mutex::new(limits.clone())),
             closing: Arc::default(),
+            is_busy: false,
             drain: DrainDeadline::default(),
             connections: TaskTracker::new(),
         };
@@ -180,8 +183,11 @@
 
     /// Stops accepting, waits for open requests, and closes connections as they become idle.
     /// Requests without an answer after `limit`, or at [`Self::abort_drain`], are answered with an
-    /// unknown outcome, and those that wait behind them are refused. Returns true if all connections ended by themselves.
+    /// unknown outcome, and those that wait behind them are refused. Of those that are sent on a
+    /// connection after its begin, the first one is served. Returns true if all connections ended by
+    /// themselves.
     pub async fn drain(&self, limit: Duration) -> bool {
+        self.drain.refuse_after(Instant::now() + LAST_READ_TIME);
         self.drain.begin(Instant::now() + limit);
         self.close_after_answers();
         self.accepting.cancel();
@@ -256,7 +262,8 @@
         // immediately.
         if let Ok(permit) = Arc::clone(&limiter.busy_permits).try_acquire_owned() {
             let limits = HttpLimits { header_timeout: BUSY_TIMEOUT, ..limits };
-            let server = Self { closing: Arc::new(AtomicBool::new(true)), ..self.clone() };
+            let closing = Arc::new(AtomicBool::new(true));
+            let server = Self { closing, is_busy: true, ..self.clone() };
             let connection = server.serve_connection(stream, permit, limits, refuse_busy);
             self.connections.spawn(connection);
         }
@@ -296,7 +303,12 @@
             // Before HTTP/1.1 only the end of the connection marks the end of a streamed answer.
             let ends_by_close =
                 request.version() < Version::HTTP_11 && request.method() != Method::HEAD;
-            let response = (!drain.has_passed()).then(|| answer(request));
+            let is_late =
+                drain.has_passed() || (drain.refuses(read.arrived_at()) && !read.begin_late());
+            if is_late || self.is_busy {
+                read.record_refusal();
+            }
+            let response = (!is_late).then(|| answer(request));
             let (closing, drain) = (Arc::clone(&closing), drain.clone());
             let (open_answer, heads) = (Arc::clone(&open_answer), Arc::clone(&heads));
             let (deadline, read) = (Arc::clone(&deadline), Arc::clone(&read));
@@ -312,7 +324,7 @@
                 if closing.load(Ordering::Acquire) {
                     // Has the connection look behind a body that wasn't read to its end.
                     tokio::task::yield_now().await;
-                    if read.is_read_out() {
+                    if read.ends_with_answer(LAST_READ_TIME) {
                         let close = HeaderValue::from_static("close");
                         response.headers_mut().insert(header::CONNECTION, close);
                     }
