A 421 without a statement promises nothing

Callers of requests that may run once saw them run twice, or were told by 503 that they hadn't run: an upstream's answer with the status 421 was taken as "not run" by its status and the request's id alone, with or without a signature, and the request was sent to the next upstream.

Cause: the platform's format looked at this status before it looked for the header that states that nothing ran, other than at 408, 429 and 503. The page of the protocol has engines send that header with a 421, and says that no other answer states it.

--- a/crates/wheel_gateway/tests/support/mod.rs
+++ b/crates/wheel_gateway/tests/support/mod.rs
@@ -461,7 +461,9 @@
 
     fn classify_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerClass {
         match status {
-            StatusCode::MISDIRECTED_REQUEST => AnswerClass::Misdirected,
+            StatusCode::MISDIRECTED_REQUEST if headers.contains_key("x-not-executed") => {
+                AnswerClass::Misdirected
+            }
             _ if headers.contains_key("x-not-executed") => AnswerClass::NotExecuted,
             _ if !headers.contains_key("x-signature") => AnswerClass::Unsigned,
             status if status.is_success() && headers.contains_key("content-encoding") => {
