A process that a test stops runs no more when the signal returns

drain_second_signal_answers_an_operators_change failed once beside four busy processes: an operators' change was answered within 300 ms although the other control instances were stopped.

Cause, in the harness: sending SIGSTOP returns at once, and the process stops only when one of its threads has been run to handle the signal. Until then its other threads run on, so that a control instance that counted as stopped still confirmed the change. The product was right to acknowledge it.

Change: ChildProcess::signal waits for the stop itself, with waitid, which reports it once all threads have stopped.

--- a/crates/wheel_harness/src/child_process.rs
+++ b/crates/wheel_harness/src/child_process.rs
@@ -7,7 +7,8 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::io::retry_on_intr;
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use snafu::ResultExt;
 
 use crate::harness_error::IoSnafu;
@@ -104,7 +105,9 @@
         address.ok_or_else(broken)
     }
 
-    /// Sends a signal. If the process has already exited, nothing happens.
+    /// Sends a signal. If the process has already exited, nothing happens. After
+    /// [`ProcessSignal::Stop`] nothing of it runs: its threads run on until one of them has handled
+    /// the signal, which takes long on a busy machine.
     pub fn signal(&self, signal: ProcessSignal) {
         let signal = match signal {
             ProcessSignal::Terminate => Signal::TERM,
@@ -114,7 +117,10 @@
             ProcessSignal::Reload => Signal::HUP,
         };
         if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
-            let _ = kill_process(pid, signal);
+            let sent = kill_process(pid, signal);
+            if signal == Signal::STOP && sent.is_ok() {
+                wait_stopped(pid);
+            }
         }
     }
 
@@ -163,3 +169,10 @@
     let file = File::options().create(true).append(true).open(log);
     file.context(IoSnafu { what: format!("open the log of {name}") })
 }
+
+/// Waits until all threads of a child are stopped, or it has exited; its exit is still reported later.
+fn wait_stopped(pid: Pid) {
+    let options = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+    // Fails only once the child's exit has been read.
+    let _ = retry_on_intr(|| waitid(WaitId::Pid(pid), options));
+}
