An old version drains once instances know the new one

Cause: the lease holder drained the old replica as soon as its own read of the engine showed the new one loaded. Instances know a new replica only from its owner's report, which follows the owner's own read: they heard of the drain first, had no replica then, and let requests wait for a load until the report came. Both drains of the plan did so: of a superseded version, and of more replicas than the manifest allows.

Change: the planner learns of each placed model whether its owner has reported that version and accepts requests, and both drains count only such replicas, at engines that don't leave. A replica whose owner is silent keeps the old version in service, as no one could be sent to the new one.

--- a/crates/wheel_director/src/fleet_builder.rs
+++ b/crates/wheel_director/src/fleet_builder.rs
@@ -115,6 +115,11 @@
         let is_outdated =
             record.draining.is_some_and(|since| !self.is_drain_report(since, &state.model, latest));
         let in_use = in_use.max(u32::from(is_outdated));
+        let is_reported = latest.is_some_and(|latest| {
+            let loaded = latest.report.loaded(&state.model);
+            latest.report.accepts_work()
+                && loaded.is_some_and(|loaded| loaded.version == state.version)
+        });
         PlacedModel {
             model: state.model.clone(),
             version: state.version,
@@ -124,6 +129,7 @@
             adapters: adapters.collect(),
             in_use,
             draining: record.draining,
+            is_reported,
             since: record.since,
             last_used,
         }
--- a/crates/wheel_policy/src/drain_pass.rs
+++ b/crates/wheel_policy/src/drain_pass.rs
@@ -79,18 +79,28 @@
     fn is_not_wanted(round: &PlanRound<'_>, placed: &PlacedModel) -> bool {
         let Some(spec) = round.manifest.model(&placed.model) else { return true };
         let drained = round.drained.iter().filter(|(_, model)| model == &placed.model).count();
-        let ready = round.ledger.replicas(&placed.model).ready;
-        ready.saturating_sub(drained as u32) > spec.max_replicas
+        let ready = Self::serving(round, &placed.model).count();
+        ready.saturating_sub(drained) > spec.max_replicas as usize
     }
 
     /// Whether it has an old version while a replica of the wanted version accepts requests.
     fn is_superseded(round: &PlanRound<'_>, placed: &PlacedModel) -> bool {
         let Some(spec) = round.manifest.model(&placed.model) else { return false };
-        let all = round.fleet.engines.iter().flat_map(|engine| &engine.models);
         placed.version != spec.version
-            && all
-                .filter(|other| other.model == placed.model && other.version == spec.version)
-                .any(PlacedModel::accepts_work)
+            && Self::serving(round, &placed.model).any(|other| other.version == spec.version)
+    }
+
+    /// The replicas that accept requests, as far as instances know: one that learns of a drain before
+    /// it learns of the replica that takes over would have none.
+    fn serving<'r>(
+        round: &'r PlanRound<'_>,
+        model: &'r ModelName,
+    ) -> impl Iterator<Item = &'r PlacedModel> {
+        let engines = round.fleet.engines.iter().filter(|engine| !engine.leaving);
+        let placed = engines.flat_map(|engine| &engine.models);
+        placed.filter(move |placed| {
+            &placed.model == model && placed.accepts_work() && placed.is_reported
+        })
     }
 
     fn is_requested_again(round: &PlanRound<'_>, index: usize, placed: &PlacedModel) -> bool {
--- a/crates/wheel_policy/src/fleet_view.rs
+++ b/crates/wheel_policy/src/fleet_view.rs
@@ -62,6 +62,9 @@
     pub in_use: u32,
     /// When it started to drain; `None` if it doesn't.
     pub draining: Option<MonotonicTime>,
+    /// Whether its owner has reported it and accepts requests for it. Instances know a replica only
+    /// from that report, which may come after the engine's own state was read.
+    pub is_reported: bool,
     /// When its current phase started.
     pub since: MonotonicTime,
     /// When its last request ended.
@@ -128,6 +131,7 @@
             adapters: Vec::new(),
             in_use: 0,
             draining: None,
+            is_reported: true,
             since: MonotonicTime::default(),
             last_used: MonotonicTime::default(),
         }
--- a/crates/wheel_policy/tests/placement_planner.rs
+++ b/crates/wheel_policy/tests/placement_planner.rs
@@ -249,6 +249,25 @@
     assert_eq!(drains(&steps), ["walks@a"]);
 }
 
+/// Instances send requests to a new version once its owner has reported it. If the old one drained
+/// before, their requests would wait for a load.
+#[test]
+fn plan_rollover_keeps_the_old_version_until_the_new_one_is_reported() {
+    let mut manifest = manifest(vec![model("walks", 60)]);
+    manifest.models[0].version = 2;
+    let mut planner = planner(&manifest);
+    let old = PlacedModel { in_use: 1, ..loaded("walks", 60) };
+    let new = PlacedModel { version: 2, is_reported: false, since: NOW, ..loaded("walks", 60) };
+    let mut view = fleet(vec![engine("a", vec![old]), engine("b", vec![new])]);
+    for max_replicas in [1, 2] {
+        manifest.models[0].max_replicas = max_replicas;
+        planner.set_manifest(&manifest);
+        assert_eq!(planner.plan(NOW, &view, &DemandView::default()), vec![]);
+    }
+    view.engines[1].models[0].is_reported = true;
+    assert_eq!(drains(&planner.plan(NOW, &view, &DemandView::default())), ["walks@a"]);
+}
+
 #[test]
 fn plan_idle_engine_is_emptied_as_a_whole() {
     let mut planner = planner(&manifest(vec![model("walks", 10), model("tides", 10)]));
