A new version isn't drained with the old one it replaces

Callers would see: with as many replicas as the manifest allows, and the new version on an engine that comes before the old one's, a version's roll left no replica that serves until the drain of the new one was taken back.

Cause: the planner visits engines in their order. At the first it found more replicas than max_replicas and drained the new version; at the second it drained the old one as replaced by it, in the same plan.

Evidence: placement_planner::plan_rollover_within_max_replicas_drains_only_the_old_version, new, failed: left ["walks@a", "walks@b"], right ["walks@b"]. Found by reading, while a late first byte of a roll was traced; no process showed it.

Change: a replica of the wanted version gives way only to others of that version. Old versions count against all, as before, so that two old ones still make room for the new one.

--- a/crates/wheel_policy/src/drain_pass.rs
+++ b/crates/wheel_policy/src/drain_pass.rs
@@ -75,11 +75,14 @@
         }
     }
 
-    /// Whether the manifest doesn't name the model, or allows fewer replicas than accept requests.
+    /// Whether the manifest doesn't name the model, or allows fewer replicas than accept requests. One
+    /// of the wanted version gives way only to others of it.
     fn is_not_wanted(round: &PlanRound<'_>, placed: &PlacedModel) -> bool {
         let Some(spec) = round.manifest.model(&placed.model) else { return true };
         let drained = round.drained.iter().filter(|(_, model)| model == &placed.model).count();
-        let ready = Self::serving(round, &placed.model).count();
+        let is_current = placed.version == spec.version;
+        let serving = Self::serving(round, &placed.model);
+        let ready = serving.filter(|other| !is_current || other.version == spec.version).count();
         ready.saturating_sub(drained) > spec.max_replicas as usize
     }
 
--- a/crates/wheel_policy/tests/placement_planner.rs
+++ b/crates/wheel_policy/tests/placement_planner.rs
@@ -249,6 +249,20 @@
     assert_eq!(drains(&steps), ["walks@a"]);
 }
 
+/// With one replica allowed, the plan drained the new version as one too many and the old one as
+/// replaced, where the new one's engine came first: nothing was left to serve.
+#[test]
+fn plan_rollover_within_max_replicas_drains_only_the_old_version() {
+    let mut manifest = manifest(vec![model("walks", 60)]);
+    (manifest.models[0].version, manifest.models[0].max_replicas) = (2, 1);
+    let mut planner = planner(&manifest);
+    let at = |version| PlacedModel { version, in_use: 1, ..loaded("walks", 60) };
+    for (first, second, old) in [(1, 2, "walks@a"), (2, 1, "walks@b")] {
+        let view = fleet(vec![engine("a", vec![at(first)]), engine("b", vec![at(second)])]);
+        assert_eq!(drains(&planner.plan(NOW, &view, &DemandView::default())), [old]);
+    }
+}
+
 /// Instances send requests to a new version once its owner has reported it. If the old one drained
 /// before, their requests would wait for a load.
 #[test]
