--- a/crates/wheel_policy/src/load_pass.rs
+++ b/crates/wheel_policy/src/load_pass.rs
@@ -317,7 +317,9 @@
         let activation_cost = Self::activation_cost(round, candidate.kind, index);
         let left =
             free_mib.saturating_sub(spec.memory_mib) as f64 / engine.memory_mib.max(1) as f64;
-        let delay = candidate.value.max(candidate.value_rate) * (load_s + wait_s);
+        let wait = Duration::from_secs_f64(load_s + wait_s);
+        let wait_cost = wait.as_secs_f64().max(round.wait_cost(wait));
+        let delay = candidate.value.max(candidate.value_rate) * wait_cost;
         let cost = delay + choice.loss + activation_cost + FREE_MEMORY_COST * left;
         Some(LoadTarget { index, choice, source, cost, activation_cost })
     }
@@ -343,10 +345,10 @@
         victims.into_iter().all(|one| one.since <= since)
     }
 
-    /// Cost of putting an empty engine to use, in worth; 0 for one in use.
+    /// Cost of putting an unused engine to use, in worth; 0 for one in use.
     fn activation_cost(round: &PlanRound<'_>, kind: LoadKind, index: usize) -> f64 {
         let engine = &round.fleet.engines[index];
-        match engine.models.is_empty() && round.ledger.free_mib(index) == engine.free_mib() {
+        match round.is_unused(index) {
             false => 0.0,
             true => {
                 let cost_per_s = round.settings.idle_cost * f64::from(engine.accelerators);
--- a/crates/wheel_policy/src/placement_planner.rs
+++ b/crates/wheel_policy/src/placement_planner.rs
@@ -12,6 +12,8 @@
 use crate::load_pass::LoadPass;
 use crate::placement_manifest::PlacementManifest;
 use crate::plan_round::{LoadReservation, PlanRound};
+use crate::stage_ledger::StageLedger;
+use crate::stage_pass::StagePass;
 use crate::{
     CheckpointSource, DemandView, FleetView, PlacementSettings, PlacementStep, SlowdownEstimator,
 };
@@ -27,6 +29,7 @@
     manifest: PlacementManifest,
     estimator: SlowdownEstimator,
     reservations: BTreeMap<ModelName, LoadReservation>,
+    staging: StageLedger,
 }
 
 impl PlacementPlanner {
@@ -37,6 +40,7 @@
             manifest: PlacementManifest::new(manifest),
             estimator: SlowdownEstimator::default(),
             reservations: BTreeMap::new(),
+            staging: StageLedger::default(),
         }
     }
 
@@ -76,12 +80,18 @@
         let reservations = std::mem::take(&mut self.reservations).into_iter().collect();
         let mut round = PlanRound::new(now, &self.settings, &self.manifest, fleet, demand);
         round.slowdown = self.estimator.slowdown();
+        round.staging = std::mem::take(&mut self.staging);
+        let size_mib =
+            |model: &ModelName| self.manifest.model(model).map_or(0, |one| one.memory_mib);
+        round.staging.observe(now, fleet, size_mib);
         DrainPass::run(&mut round, reservations);
         LoadPass::run(&mut round);
         AdapterPass::run(&mut round);
+        StagePass::run(&mut round);
         IdlePass::run(&mut round);
-        let (reservations, steps) = (round.reservations, round.steps);
+        let (reservations, staging, steps) = (round.reservations, round.staging, round.steps);
         self.reservations = reservations;
+        self.staging = staging;
         steps
     }
 }
--- a/crates/wheel_policy/src/placement_step.rs
+++ b/crates/wheel_policy/src/placement_step.rs
@@ -103,6 +103,8 @@
         /// The model that gets the memory.
         model: ModelName,
     },
+    /// Its checkpoint is brought nearer for the next request.
+    Staged,
     /// Keeping it costs more than it saves.
     Idle,
     /// It is moved to empty an engine.
--- a/crates/wheel_policy/src/plan_round.rs
+++ b/crates/wheel_policy/src/plan_round.rs
@@ -8,6 +8,7 @@
 use crate::eviction_choice::{EvictionRules, is_idle_since};
 use crate::fleet_ledger::FleetLedger;
 use crate::placement_manifest::PlacementManifest;
+use crate::stage_ledger::StageLedger;
 use crate::{
     CheckpointSource, DemandView, EngineView, FleetView, ModelDemand, PlacedModel, PlacementAction,
     PlacementReason, PlacementSettings, PlacementStep,
@@ -49,6 +50,8 @@
     pub(crate) steps: Vec<PlacementStep>,
     /// Replicas that this round drained, by engine and model.
     pub(crate) drained: HashSet<(usize, ModelName)>,
+    /// Replicas that are loaded only to bring their checkpoint nearer.
+    pub(crate) staging: StageLedger,
 }
 
 impl<'a> PlanRound<'a> {
@@ -71,6 +74,7 @@
             reservations: BTreeMap::new(),
             steps: Vec::new(),
             drained: HashSet::new(),
+            staging: StageLedger::default(),
         }
     }
 
@@ -145,6 +149,14 @@
         }
     }
 
+    /// Whether an engine isn't in use: it has no models, or only ones that are being staged.
+    pub(crate) fn is_unused(&self, index: usize) -> bool {
+        let engine = &self.fleet.engines[index];
+        let is_staged =
+            |placed: &PlacedModel| self.staging.contains(&engine.upstream, &placed.model);
+        engine.models.iter().all(is_staged) && self.ledger.free_mib(index) == engine.free_mib()
+    }
+
     /// Whether memory of an engine is reserved for a load.
     pub(crate) fn has_reservation(&self, upstream: &UpstreamName) -> bool {
         self.reservations.values().any(|reservation| &reservation.upstream == upstream)
--- a/crates/wheel_policy/tests/placement_planner.rs
+++ b/crates/wheel_policy/tests/placement_planner.rs
@@ -334,3 +334,136 @@
         }
     }
 }
+
+/// A model that the forecast expects some time today, far below what a forecast load needs.
+fn expected_today(name: &str) -> ModelDemand {
+    ModelDemand {
+        model: name.into(),
+        hourly_rate: 0.1,
+        expected_soon: 0.02,
+        worth: 10.0,
+        ..ModelDemand::default()
+    }
+}
+
+/// Plans and carries out until nothing changes, each plan a second after the one before; returns
+/// the loads.
+fn settle(
+    planner: &mut PlacementPlanner,
+    view: &mut FleetView,
+    demand: &DemandView,
+) -> Vec<String> {
+    let mut ordered = Vec::new();
+    for second in 1..=60 {
+        let now = NOW + Duration::from_secs(second);
+        let steps = planner.plan(now, view, demand);
+        ordered.extend(loads(&steps));
+        for step in &steps {
+            carry_out(view, step, now);
+        }
+        for engine in &mut view.engines {
+            end_phases(engine, now);
+        }
+    }
+    ordered
+}
+
+/// Ends an engine's loads and unloads; its host keeps one checkpoint in memory and all on disk.
+fn end_phases(engine: &mut EngineView, now: MonotonicTime) {
+    for placed in engine.models.iter_mut().filter(|one| one.phase == ModelPhase::Loading) {
+        placed.phase = ModelPhase::Loaded;
+        placed.since = now;
+        engine.disk_checkpoints.push(placed.model.clone());
+    }
+    for placed in engine.models.iter().filter(|one| one.phase == ModelPhase::Unloading) {
+        engine.memory_checkpoints = vec![placed.model.clone()];
+    }
+    engine.models.retain(|one| one.phase != ModelPhase::Unloading);
+}
+
+#[test]
+fn plan_quiet_night_brings_checkpoints_from_the_store_near() {
+    let mut planner = planner(&manifest(vec![model("walks", 40), model("tours", 60)]));
+    let mut view = fleet(vec![engine("a", vec![]), engine("b", vec![])]);
+    let demand = demand(vec![expected_today("walks"), expected_today("tours")]);
+    let ordered = settle(&mut planner, &mut view, &demand);
+    assert_eq!(ordered.len(), 2, "each is loaded once: {ordered:?}");
+    for name in ["walks", "tours"] {
+        let source = view.engines.iter().map(|engine| engine.source(&name.into())).min();
+        assert_eq!(source, Some(CheckpointSource::Memory), "{name}");
+    }
+    assert!(view.engines.iter().all(|engine| engine.models.is_empty()), "none stays loaded");
+}
+
+#[test]
+fn plan_checkpoint_pushed_out_of_memory_comes_back() {
+    let mut planner = planner(&manifest(vec![model("walks", 40)]));
+    let near = EngineView { disk_checkpoints: vec!["walks".into()], ..engine("b", vec![]) };
+    let mut view = fleet(vec![engine("a", vec![]), near]);
+    let demand = demand(vec![expected_today("walks")]);
+    assert_eq!(settle(&mut planner, &mut view, &demand), ["walks@b"], "from its disk");
+    view.engines[1].memory_checkpoints.clear();
+    let later = planner.plan(NOW + Duration::from_secs(90), &view, &demand);
+    assert_eq!(loads(&later), ["walks@b"]);
+}
+
+#[test]
+fn plan_staging_waits_behind_demand() {
+    let mut planner = planner(&manifest(vec![model("walks", 40), model("tours", 60)]));
+    let view = fleet(vec![engine("a", vec![]), engine("b", vec![])]);
+    let demand = demand(vec![expected_today("walks"), waiting("tours", 0, 1)]);
+    let steps = planner.plan(NOW, &view, &demand);
+    assert_eq!(loads(&steps).len(), 1, "{steps:?}");
+    assert!(loads(&steps)[0].starts_with("tours@"), "{steps:?}");
+}
+
+/// An engine whose host keeps no checkpoints would else load and unload for ever.
+#[test]
+fn plan_staging_in_vain_is_not_repeated() {
+    let mut planner = planner(&manifest(vec![model("walks", 40)]));
+    let mut view = fleet(vec![engine("a", vec![])]);
+    let demand = demand(vec![expected_today("walks")]);
+    let mut ordered = Vec::new();
+    for second in 1..=60 {
+        let now = NOW + Duration::from_secs(second);
+        let steps = planner.plan(now, &view, &demand);
+        ordered.extend(loads(&steps));
+        for step in &steps {
+            carry_out(&mut view, step, now);
+        }
+        end_phases(&mut view.engines[0], now);
+        view.engines[0].memory_checkpoints.clear();
+        view.engines[0].disk_checkpoints.clear();
+    }
+    assert_eq!(ordered, ["walks@a"]);
+}
+
+/// Otherwise each staged load opens an engine for forecast loads, which keep it in use.
+#[test]
+fn plan_engine_that_only_stages_counts_as_unused() {
+    let mut planner = planner(&manifest(vec![model("walks", 20), model("tours", 20)]));
+    let mut view = fleet(vec![engine("a", vec![])]);
+    let steps = planner.plan(NOW, &view, &demand(vec![expected_today("walks")]));
+    assert_eq!(loads(&steps), ["walks@a"]);
+    carry_out(&mut view, &steps[0], NOW);
+    let soon = ModelDemand { expected_soon: 0.1, hourly_rate: 0.6, ..expected_today("tours") };
+    let later = NOW + Duration::from_secs(1);
+    let steps = planner.plan(later, &view, &demand(vec![expected_today("walks"), soon]));
+    assert_eq!(loads(&steps), Vec::<String>::new(), "{steps:?}");
+}
+
+/// One request of low worth waited 15.6 s for the store, although an engine had the checkpoint in memory
+/// and could evict an idle model.
+#[test]
+fn plan_near_checkpoint_is_worth_an_eviction() {
+    let mut planner = planner(&manifest(vec![model("walks", 60), model("tours", 60)]));
+    let near = EngineView {
+        memory_checkpoints: vec!["walks".into()],
+        ..engine("a", vec![loaded("tours", 60)])
+    };
+    let view = fleet(vec![near, engine("b", vec![])]);
+    let idle = ModelDemand { hourly_rate: 0.4, worth: 10.0, ..waiting("tours", 0, 0) };
+    let demand = demand(vec![waiting("walks", 1, 1), idle]);
+    let steps = planner.plan(NOW, &view, &demand);
+    assert_eq!((loads(&steps), drains(&steps)), (vec![], vec!["tours@a".to_owned()]));
+}
--- a/crates/wheel_replay/src/wake_report.rs
+++ b/crates/wheel_replay/src/wake_report.rs
@@ -43,7 +43,7 @@
     pub slot_wait: Duration,
     /// Time until the load began for any other reason; negative waits count as none.
     pub decision_wait: Duration,
-    /// Duration of the load at full speed.
+    /// Duration of the load at full speed, or what was left of it at the first request.
     pub load: Duration,
     /// What the load took longer because other loads shared the store's speed, or because a store
     /// was slow.
@@ -139,7 +139,7 @@
             _ => self.decision_wait = before,
         }
         let taken = load.ended.map_or(Duration::ZERO, |ended| ended.since(load.begun));
-        self.load = load.full_speed;
+        self.load = load.full_speed.saturating_sub(arrived_at.since(load.begun));
         self.shared_wait = taken.saturating_sub(load.full_speed);
         self.source = Some((load.source, load.nearest));
         self.unloaded_for = load.unloaded_at.map(|at| arrived_at.since(at));
