The soak has callers that pipeline, sit behind slow links or stop reading

The soak's callers waited for each answer before the next request of a connection and read at once, so nothing showed what becomes of a request behind a long answer, or of an answer that is taken slowly, around a drain.

Three callers on plain connections: one sends a second request behind the first (until an answer announces the end of the connection), one sits behind a link of 400 kB/s, one stops reading for up to 2.5 s after a head, with a small receive buffer. They send streams and answers of up to 200 kB.

What the checker excuses: a request behind another has its time from its turn, when all answers before it have arrived whole; without a turn the answer before it is judged in its place. With its turn it is checked like any other: closing is excused only within 0.2 s of its sending and without a run. A caller's own pause isn't the system's time. An answer that is taken slowly may be cut in the last sixth of the grace, as one on which an upstream works, and at no other time.

Found: a drain closes kept connections on which a request waits behind an answer.

--- a/crates/wheel_daemon/src/fleet_ingress.rs
+++ b/crates/wheel_daemon/src/fleet_ingress.rs
@@ -120,7 +120,10 @@
         self.drain.refuse_after(Instant::now() + ACCEPT_TIME);
         self.callers.close_after_answers();
         tokio::time::sleep(NOTICE_TIME.min(self.grace / 2)).await;
-        let left = end.saturating_duration_since(Instant::now()) + ANSWER_TIME;
+        let left = match is_planted("drain_cut_short") {
+            true => ANSWER_TIME,
+            false => end.saturating_duration_since(Instant::now()) + ANSWER_TIME,
+        };
         let connections = self.callers.open_connections();
         let all_ended = self.callers.drain(left).await;
         info!("drain_ended", kv: {
--- a/crates/wheel_gateway/src/request_end.rs
+++ b/crates/wheel_gateway/src/request_end.rs
@@ -1,6 +1,6 @@
 //! Turns the outcome of a request into the answer to its caller.
 
-use http::{Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode, header};
 use rand::Rng;
 use tokio::time::Instant;
 use wheel_ingress::{AnswerBody, full_body};
@@ -35,6 +35,9 @@
     let mut response = Response::new(stream.into_body());
     *response.status_mut() = held.status;
     *response.headers_mut() = held.headers;
+    if is_planted("queued_request_dropped") {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
--- a/crates/wheel_gateway/src/request_proxy.rs
+++ b/crates/wheel_gateway/src/request_proxy.rs
@@ -9,6 +9,7 @@
 use wheel_ingress::{
     AnswerBody, DrainDeadline, HttpLimits, ReadDeadline, RefusalCode, RequestRefusal, read_body,
 };
+use wheel_seams::is_planted;
 use wheel_upstream::ServiceDialect;
 
 use crate::arrived_request::ArrivedRequest;
@@ -107,6 +108,7 @@
         };
         let deadline = arrival + limit;
         let arrived = ArrivedRequest { active, route, request, head, body, deadline };
+        let deadline = if is_planted("reader_hurried") { arrival } else { deadline };
         let mut response = answer_request(RequestRun::begin(self.context, arrived, log)).await;
         response.extensions_mut().insert(ReadDeadline(deadline));
         response
--- a/crates/wheel_seams/src/planted_fault.rs
+++ b/crates/wheel_seams/src/planted_fault.rs
@@ -9,11 +9,12 @@
 
 /// The faults that can be planted.
 #[cfg(feature = "fault-injection")]
-pub const PLANTED_NAMES: [&str; 19] = [
+pub const PLANTED_NAMES: [&str; 22] = [
     "answer_of_another",
     "attempts_unlimited",
     "call_id_carried_twice",
     "cut_answer_taken",
+    "drain_cut_short",
     "drain_stays_ready",
     "drain_without_deadline",
     "empty_end_believed",
@@ -26,6 +27,8 @@
     "order_without_pause",
     "overcommit",
     "part_looks_whole",
+    "queued_request_dropped",
+    "reader_hurried",
     "refuse_after_send",
     "repeat_unsafe",
     "silence_ends_answer",
--- a/crates/wheel_soak/src/call_record.rs
+++ b/crates/wheel_soak/src/call_record.rs
@@ -30,6 +30,15 @@
     pub(crate) max_engines: usize,
 }
 
+/// The place of a request that was sent behind others on its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CallTurn {
+    /// Another answer comes first.
+    Waiting,
+    /// All answers before its own had arrived completely at this time.
+    Came(Duration),
+}
+
 /// A run of a request at an upstream.
 #[derive(Debug)]
 pub(crate) struct CallRun {
@@ -46,6 +55,10 @@
     pub(crate) began: Option<Duration>,
     pub(crate) process: Option<Arc<str>>,
     pub(crate) sent: Option<SentCall>,
+    /// `None` unless it was sent behind others.
+    pub(crate) turn: Option<CallTurn>,
+    /// Time for which its caller reads nothing; `None` unless it takes the answer slowly.
+    pub(crate) slowed_by: Option<Duration>,
     pub(crate) end: Option<(Duration, CallEnd)>,
     pub(crate) runs: Vec<CallRun>,
     pub(crate) last_seen: Duration,
@@ -83,7 +96,10 @@
         };
         let is_affected = self.is_affected(sent, process, *at, context);
         let may_be_unread = *end == CallEnd::Closed && self.may_cross_close(sent, *at, context);
-        self.has_failed() && (self.whole_status().is_some() || !is_affected && !may_be_unread)
+        let has_turn = self.turn != Some(CallTurn::Waiting);
+        has_turn
+            && self.has_failed()
+            && (self.whole_status().is_some() || !is_affected && !may_be_unread)
     }
 
     pub(crate) fn check(
@@ -111,13 +127,20 @@
         let (sent, process) = (self.sent.as_ref()?, self.process.as_ref()?);
         let until = self.end.as_ref().map_or(sent.at + sent.deadline, |(at, _)| *at);
         let is_affected = self.is_affected(sent, process, until, context);
-        let latest = sent.at + sent.deadline + context.bounds.answer_slack;
+        // The system counts the deadline from the head, which may arrive long before the body's end, and
+        // which it reads when its turn has come.
+        let (counted_from, began) = match self.turn {
+            Some(CallTurn::Came(turn)) => (sent.at.max(turn), sent.at.max(turn)),
+            _ => (sent.at, self.began.unwrap_or(sent.at)),
+        };
+        let allowed = sent.deadline + self.slowed_by.unwrap_or_default();
+        let latest = counted_from + allowed + context.bounds.answer_slack;
         let took = until.saturating_sub(sent.at);
-        // The system counts the deadline from the head, which may arrive long before the body's end.
-        let began = self.began.unwrap_or(sent.at);
         let line = match self.end.as_ref().map(|(_, end)| end) {
             Some(CallEnd::Left | CallEnd::NotConnected) => return None,
             _ if is_affected => return None,
+            // The connection ended with the answer before, which is checked by itself.
+            _ if self.turn == Some(CallTurn::Waiting) => return None,
             None => format!("has no end long after its deadline of {:.1?}", sent.deadline),
             Some(CallEnd::TimedOut) => format!("had no end after {took:.1?}"),
             Some(_) if until > latest => format!("took {took:.1?} of {:.1?}", sent.deadline),
@@ -179,6 +202,8 @@
         let is_at_work = |cut_from: Duration| {
             self.runs.iter().any(|run| run.ended.is_none_or(|ended| ended >= cut_from))
         };
+        // A squeezed connection is still at work on the answer, as its upstream would be.
+        let is_at_work = |cut_from| self.slowed_by.is_some() || is_at_work(cut_from);
         is_broken
             || self.may_cross_close(sent, at, context)
             || cut_from.is_some_and(|cut_from| at >= cut_from && is_at_work(cut_from))
--- a/crates/wheel_soak/src/caller_connection.rs
+++ b/crates/wheel_soak/src/caller_connection.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_util::io::InspectWriter;
 
 use crate::ObservationSink;
@@ -27,6 +27,8 @@
 pub(crate) struct CallerConnection {
     pub(crate) sender: SendRequest<CallBody>,
     pub(crate) notifier: Arc<WriteNotifier>,
+    /// When it last became idle, or was opened.
+    pub(crate) idle_since: Instant,
     driver: JoinHandle<()>,
 }
 
@@ -42,7 +44,7 @@
         let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
         // The error is also returned to the pending request.
         let driver = tokio::spawn(async move { drop(connection.await) });
-        Some(Self { sender, notifier, driver })
+        Some(Self { sender, notifier, idle_since: Instant::now(), driver })
     }
 }
 
--- a/crates/wheel_soak/src/guarantee_checker.rs
+++ b/crates/wheel_soak/src/guarantee_checker.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::call_record::{CallRecord, CallRun, CheckContext, SentCall};
+use crate::call_record::{CallRecord, CallRun, CallTurn, CheckContext, SentCall};
 use crate::change_tracker::ChangeTracker;
 use crate::fault_history::FaultHistory;
 use crate::order_tracker::OrderTracker;
@@ -136,6 +136,11 @@
                 let (is_kept, max_engines) = (*is_kept, *max_engines);
                 record.sent = Some(SentCall { at, kind, deadline, is_kept, max_engines });
             }
+            SeenEvent::CallQueued { id } => {
+                self.record(at, id).turn.get_or_insert(CallTurn::Waiting);
+            }
+            SeenEvent::CallTurn { id } => self.record(at, id).turn = Some(CallTurn::Came(at)),
+            SeenEvent::CallSlowed { id, by } => self.record(at, id).slowed_by = Some(*by),
             SeenEvent::CallEnded { id, end } => return self.end_call(at, id, end),
             SeenEvent::RunBegan { id, upstream, resumed_after } => {
                 return self.begin_run(at, id, upstream, *resumed_after);
@@ -277,7 +282,8 @@
             let has_answer = matches!(record.end, Some((_, CallEnd::Answered { .. })));
             let has_left = matches!(record.end, Some((_, CallEnd::Left)));
             let began = record.began.or(record.sent.as_ref().map(|sent| sent.at));
-            if let Some(process) = record.process.as_ref().filter(|_| !has_left) {
+            let is_waiting = record.turn == Some(CallTurn::Waiting);
+            if let Some(process) = record.process.as_ref().filter(|_| !has_left && !is_waiting) {
                 let found = self.processes.record_call(
                     (began.unwrap_or(at), at),
                     process,
--- a/crates/wheel_soak/src/lib.rs
+++ b/crates/wheel_soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod call_plan;
 mod call_record;
 mod caller_connection;
+mod caller_habit;
 mod caller_settings;
 mod change_tracker;
 mod config_document;
@@ -44,11 +45,15 @@
 mod upstream_shared;
 mod upstream_state;
 mod upstream_stub;
+mod wire_answer;
+mod wire_caller;
+mod wire_plan;
 mod wire_request;
 mod wire_server;
 mod write_notifier;
 
 pub use answer_phase::AnswerPhase;
+pub use caller_habit::CallerHabit;
 pub use caller_settings::{CallRoute, CallerSettings};
 pub use config_document::{
     CLOSED_PREFIX, ConfigDocument, IDEMPOTENT_PREFIX, LIMITED_PREFIX, LOADS_PER_S, MODEL_PREFIX,
@@ -76,3 +81,4 @@
 pub use system_guarantee::SystemGuarantee;
 pub use upstream_fault::UpstreamFault;
 pub use upstream_stub::UpstreamStub;
+pub use wire_caller::WireCaller;
--- a/crates/wheel_soak/src/observation.rs
+++ b/crates/wheel_soak/src/observation.rs
@@ -95,6 +95,23 @@
         /// Maximum number of upstreams at which it may run.
         max_engines: usize,
     },
+    /// A caller is about to send a request behind others on its connection, whose answers come first.
+    CallQueued {
+        /// The request id.
+        id: Arc<str>,
+    },
+    /// All answers before that to a queued request have arrived completely.
+    CallTurn {
+        /// The request id.
+        id: Arc<str>,
+    },
+    /// A caller takes the answer to a request slowly, by its link or because it stops reading.
+    CallSlowed {
+        /// The request id.
+        id: Arc<str>,
+        /// Time for which the caller reads nothing.
+        by: Duration,
+    },
     /// A caller's exchange ended.
     CallEnded {
         /// The request id.
@@ -217,6 +234,17 @@
     LastFaultEnded,
 }
 
+impl SeenEvent {
+    /// Shortens bodies, which may be large, to their first `length` bytes.
+    pub(crate) fn shorten_bodies(&mut self, length: usize) {
+        match self {
+            Self::CallEnded { end: CallEnd::Answered { body, .. }, .. }
+            | Self::RunEnded { body: Some(body), .. } => body.truncate(length),
+            _ => {}
+        }
+    }
+}
+
 /// One event with its time.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
--- a/crates/wheel_soak/src/soak_caller.rs
+++ b/crates/wheel_soak/src/soak_caller.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use http::{HeaderName, Request, Response};
+use http::{HeaderMap, HeaderName, Request, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use parking_lot::Mutex;
@@ -24,7 +24,10 @@
 /// Maximum number of open requests of a caller; at the limit it waits.
 const MAX_OPEN: usize = 256;
 /// A caller closes the connection of an answer that is longer, in bytes; no sound one is.
-const MAX_ANSWER: usize = 8 << 20;
+pub(crate) const MAX_ANSWER: usize = 8 << 20;
+/// A connection that was idle for longer isn't used again, because nobody would know whether a fault long
+/// before has broken it.
+const MAX_IDLE: Duration = Duration::from_secs(10);
 /// Minimum time left before the deadline for the answer to a resend.
 const MIN_RESEND_TIME: Duration = Duration::from_millis(200);
 
@@ -142,6 +145,7 @@
         connection.notifier.cancel();
         let (end, is_reusable) = read_answer(answer, plan.aborts_in_stream, give_up).await;
         if is_reusable {
+            connection.idle_since = Instant::now();
             self.idle.lock().entry(plan.process).or_default().push(connection);
         }
         end
@@ -154,7 +158,8 @@
         }
         loop {
             let mut connection = self.idle.lock().get_mut(&plan.process)?.pop()?;
-            if connection.sender.ready().await.is_ok() {
+            let is_young = connection.idle_since.elapsed() < MAX_IDLE;
+            if is_young && connection.sender.ready().await.is_ok() {
                 return Some(connection);
             }
         }
@@ -192,12 +197,6 @@
     give_up: Instant,
 ) -> (CallEnd, bool) {
     let (head, mut incoming) = answer.into_parts();
-    let text = |name: HeaderName| head.headers.get(name).and_then(|value| value.to_str().ok());
-    let answered_id: Option<Arc<str>> = text(ATTEMPT_ID).map(Arc::from);
-    let suffix = format!(".{}", answered_id.as_deref().unwrap_or_default());
-    let signed_by = text(SIGNATURE).map(|by| by.strip_suffix(&suffix).unwrap_or(by).into());
-    let seconds = text(http::header::RETRY_AFTER).and_then(|value| value.parse().ok());
-    let retry_after = seconds.and_then(|value| Duration::try_from_secs_f64(value).ok());
     let (mut body, mut chunks) = (Vec::new(), 0);
     let is_whole = loop {
         match timeout_at(give_up, incoming.frame()).await {
@@ -216,9 +215,23 @@
             return (CallEnd::Left, false);
         }
     };
-    let status = head.status.as_u16();
-    let end = CallEnd::Answered { status, is_whole, answered_id, signed_by, body, retry_after };
-    (end, is_whole)
+    (answer_end(head.status.as_u16(), &head.headers, body, is_whole), is_whole)
+}
+
+/// The end of an exchange with an answer.
+pub(crate) fn answer_end(
+    status: u16,
+    headers: &HeaderMap,
+    body: Vec<u8>,
+    is_whole: bool,
+) -> CallEnd {
+    let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    let answered_id: Option<Arc<str>> = text(ATTEMPT_ID).map(Arc::from);
+    let suffix = format!(".{}", answered_id.as_deref().unwrap_or_default());
+    let signed_by = text(SIGNATURE).map(|by| by.strip_suffix(&suffix).unwrap_or(by).into());
+    let seconds = text(http::header::RETRY_AFTER).and_then(|value| value.parse().ok());
+    let retry_after = seconds.and_then(|value| Duration::try_from_secs_f64(value).ok());
+    CallEnd::Answered { status, is_whole, answered_id, signed_by, body, retry_after }
 }
 
 fn incoming_is_done(incoming: &Incoming) -> bool {
--- a/crates/wheel_soak/src/soak_run.rs
+++ b/crates/wheel_soak/src/soak_run.rs
@@ -9,7 +9,7 @@
 
 use snafu::ResultExt;
 use tokio::sync::{mpsc, watch};
-use wheel_harness::{HttpClient, LinkRelay};
+use wheel_harness::{HttpClient, LinkRate, LinkRelay};
 use wheel_platform::wire_names;
 
 use crate::config_document::{
@@ -19,10 +19,10 @@
 use crate::soak_error::{IoSnafu, NotServingSnafu};
 use crate::soak_system::{CONTROL_COUNT, LEASE, process_name};
 use crate::{
-    CallEnd, CallKind, CallRoute, CallerSettings, FailedCall, FaultDriver, FaultPlan, FaultTarget,
-    GuaranteeBounds, GuaranteeChecker, GuaranteeViolation, ListStub, LogCoverage, Observation,
-    ObservationSink, OperatorClient, PlanScope, PlannedFault, SeenEvent, SoakCaller, SoakError,
-    SoakReport, SoakSystem, SystemGuarantee, UpstreamStub,
+    CallEnd, CallKind, CallRoute, CallerHabit, CallerSettings, FailedCall, FaultDriver, FaultPlan,
+    FaultTarget, GuaranteeBounds, GuaranteeChecker, GuaranteeViolation, ListStub, LogCoverage,
+    Observation, ObservationSink, OperatorClient, PlanScope, PlannedFault, SeenEvent, SoakCaller,
+    SoakError, SoakReport, SoakSystem, SystemGuarantee, UpstreamStub, WireCaller,
 };
 
 /// Number of upstreams with and without models.
@@ -40,11 +40,21 @@
 
 /// File in the run folder with all observations.
 const OBSERVATIONS: &str = "observations.txt";
+/// Bytes of a body that are written to it.
+const LOGGED_BYTES: usize = 4 << 10;
 /// File in the run folder with the fault plan.
 const PLAN: &str = "plan.txt";
 /// Number of callers, and the requests per second that each sends.
 const CALLERS: u64 = 3;
 const CALL_RATE: f64 = 15.0;
+/// The callers on plain connections: their habits, names, and connections that each opens per second.
+const HABITS: [(CallerHabit, &str, f64); 3] = [
+    (CallerHabit::Pipelines, "pipelines", 3.0),
+    (CallerHabit::HasSlowLink, "slow", 3.0),
+    (CallerHabit::StopsReading, "pauses", 3.0),
+];
+/// Bytes per second that pass over the slow link from each ingress instance.
+const SLOW_BYTES_PER_S: f64 = 400_000.0;
 /// Time after its deadline at which a caller gives up.
 const DEADLINE_SLACK: Duration = Duration::from_secs(5);
 
@@ -62,6 +72,12 @@
     (CLOSED_PREFIX, "50x100", CallKind::ClosedStream, 8_000, true),
 ];
 
+/// Routes with answers that a slow caller takes a while for, beside the streams of [`ROUTES`].
+const LARGE_ROUTES: [RouteRow; 2] = [
+    (IDEMPOTENT_PREFIX, "200000x100", CallKind::Idempotent, 8_000, false),
+    (ONCE_PREFIX, "120000x300", CallKind::NonIdempotent, 8_000, false),
+];
+
 /// Settings of a run.
 #[derive(Clone, Debug)]
 pub struct RunSettings {
@@ -166,10 +182,17 @@
         links.push(LinkRelay::bind(system.caller_address(index)).await?);
     }
     let caller_links = links.into();
+    let mut slow_links = Vec::new();
+    for index in CONTROL_COUNT..system.count() {
+        let (any, rate) = (([127, 0, 0, 1], 0).into(), Arc::new(LinkRate::new(SLOW_BYTES_PER_S)));
+        let target = system.caller_address(index);
+        slow_links.push(LinkRelay::bind_at(any, target, Some(rate)).await?);
+    }
     let (stop, stopped) = watch::channel(false);
     let loops = operators.spawn_loops();
     let driver = FaultDriver { system, upstreams, list, caller_links, operators, sink };
     let callers = spawn_callers(&driver, settings.seed, &stopped);
+    let wire_callers = spawn_wire_callers(&driver, &slow_links, settings.seed, &stopped);
     tokio::time::sleep(LEAD_TIME).await;
     driver.run(plan).await;
     tokio::time::sleep(FAULT_FREE_TIME).await;
@@ -177,6 +200,9 @@
     for caller in callers {
         caller.ended().await;
     }
+    for caller in wire_callers {
+        caller.ended().await;
+    }
     tokio::time::sleep(SETTLE_TIME).await;
     drop(loops);
     Ok(())
@@ -206,18 +232,10 @@
     let name = |index: usize| driver.system.name(CONTROL_COUNT + index);
     let links = driver.caller_links.iter().enumerate();
     let processes: Vec<_> = links.map(|(index, link)| (name(index), link.address())).collect();
-    let route = |&(prefix, amount, kind, deadline_ms, has_model): &RouteRow| CallRoute {
-        host: ROUTE_HOST.into(),
-        path: format!("{prefix}{amount}").into(),
-        kind,
-        deadline: Duration::from_millis(deadline_ms),
-        max_engines: max_engines(prefix),
-        has_model,
-    };
     let caller = |number: u64| CallerSettings {
         name: format!("caller{number}").into(),
         processes: processes.clone(),
-        routes: ROUTES.iter().map(route).collect(),
+        routes: ROUTES.iter().map(call_route).collect(),
         models: MODELS.iter().map(|(model, _)| Arc::from(*model)).collect(),
         rate_per_s: CALL_RATE,
         seed: seed.wrapping_mul(CALLERS).wrapping_add(number),
@@ -227,6 +245,50 @@
     (0..CALLERS).map(spawn).collect()
 }
 
+/// Starts the callers on plain connections. Those that stop reading have no link between themselves and the
+/// process, which would read on.
+fn spawn_wire_callers(
+    driver: &FaultDriver,
+    slow_links: &[LinkRelay],
+    seed: u64,
+    stop: &watch::Receiver<bool>,
+) -> Vec<WireCaller> {
+    let spawn = |(number, (habit, name, rate_per_s)): (u64, (CallerHabit, &str, f64))| {
+        let address = |index: usize| match habit {
+            CallerHabit::Pipelines => driver.caller_links[index].address(),
+            CallerHabit::HasSlowLink => slow_links[index].address(),
+            CallerHabit::StopsReading => driver.system.caller_address(CONTROL_COUNT + index),
+        };
+        let ingresses = 0..driver.caller_links.len();
+        let process = |index| (driver.system.name(CONTROL_COUNT + index), address(index));
+        let large = if habit == CallerHabit::Pipelines { &[] } else { &LARGE_ROUTES[..] };
+        // Half of the requests to a slow caller have a large answer.
+        let large = large.iter().cycle().take(large.len() * 3);
+        let settings = CallerSettings {
+            name: name.into(),
+            processes: ingresses.map(process).collect(),
+            routes: ROUTES.iter().chain(large).map(call_route).collect(),
+            models: MODELS.iter().map(|(model, _)| Arc::from(*model)).collect(),
+            rate_per_s,
+            seed: seed.wrapping_mul(HABITS.len() as u64).wrapping_add(number),
+            deadline_slack: DEADLINE_SLACK,
+        };
+        WireCaller::spawn(habit, settings, driver.sink.clone(), stop.clone())
+    };
+    (0..).zip(HABITS).map(spawn).collect()
+}
+
+fn call_route(&(prefix, amount, kind, deadline_ms, has_model): &RouteRow) -> CallRoute {
+    CallRoute {
+        host: ROUTE_HOST.into(),
+        path: format!("{prefix}{amount}").into(),
+        kind,
+        deadline: Duration::from_millis(deadline_ms),
+        max_engines: max_engines(prefix),
+        has_model,
+    }
+}
+
 async fn bind_upstreams(sink: &ObservationSink) -> Result<Arc<[UpstreamStub]>, SoakError> {
     let mut upstreams = Vec::new();
     for index in 0..ENGINES + PLAIN_UPSTREAMS {
@@ -285,7 +347,7 @@
         ..GuaranteeBounds::default()
     });
     let mut log = File::create(folder.join(OBSERVATIONS)).map(BufWriter::new).ok();
-    while let Some(observation) = observations.recv().await {
+    while let Some(mut observation) = observations.recv().await {
         match &observation.event {
             SeenEvent::CallSent { .. } => outcome.calls += 1,
             SeenEvent::CallEnded {
@@ -298,11 +360,12 @@
             }
             _ => {}
         }
-        // The result of the run is valid without the file.
-        let _ = log.as_mut().map(|log| writeln!(log, "{observation:?}"));
         report.observe(&observation);
         outcome.violations.extend(checker.observe(&observation));
         outcome.failed.extend(checker.take_failed());
+        observation.event.shorten_bodies(LOGGED_BYTES);
+        // The result of the run is valid without the file.
+        let _ = log.as_mut().map(|log| writeln!(log, "{observation:?}"));
     }
     outcome.violations.extend(checker.finish());
     outcome.failed.extend(checker.take_failed());
--- a/crates/wheel_soak/tests/guarantee_checker.rs
+++ b/crates/wheel_soak/tests/guarantee_checker.rs
@@ -308,6 +308,119 @@
         .assert_no_violation();
 }
 
+/// A request that is sent behind another one at 9.1 s.
+fn queued_call() -> Schedule {
+    Schedule::default().add(9_100, SeenEvent::CallQueued { id: name("r") }).sent_on(
+        9_100,
+        "r",
+        CallKind::Idempotent,
+        true,
+    )
+}
+
+/// Its turn comes when the answer before it has arrived.
+fn queued_call_with_turn(at: u64) -> Schedule {
+    queued_call().add(at, SeenEvent::CallTurn { id: name("r") })
+}
+
+#[test]
+fn answered_queued_request_behind_a_cut_answer_passes() {
+    queued_call().ended(9_900, "r", CallEnd::Closed).assert_no_violation();
+}
+
+#[test]
+fn answered_queued_request_has_its_time_from_its_turn_passes() {
+    queued_call_with_turn(14_000)
+        .run_started(14_010, "r", "app-0")
+        .run_ended(16_000, "r", "app-0", Some(b"whole"))
+        .answered(16_000, "r", "app-0", b"whole")
+        .assert_no_violation();
+}
+
+#[test]
+fn answered_queued_request_that_crosses_a_close_passes() {
+    queued_call_with_turn(9_150).ended(9_200, "r", CallEnd::Closed).assert_no_violation();
+}
+
+// The process has read a request that waits behind a long answer, and closes in place of its answer.
+#[test]
+fn answered_queued_request_closed_behind_a_whole_answer_is_found() {
+    let reports = "closed without an answer";
+    let closed = || queued_call_with_turn(9_900).ended(9_900, "r", CallEnd::Closed);
+    closed().assert_violation(SystemGuarantee::Answered, reports);
+    closed()
+        .terminated(8_000)
+        .exited(13_500, Some(0), false)
+        .assert_violation(SystemGuarantee::Answered, "while its process drained");
+    // Not even at the end of the grace, since nothing is at work on it.
+    closed()
+        .terminated(4_000)
+        .exited(9_950, Some(0), false)
+        .assert_violation(SystemGuarantee::Answered, reports);
+}
+
+#[test]
+fn answered_queued_request_late_after_its_turn_is_found() {
+    queued_call_with_turn(10_000)
+        .run_started(10_010, "r", "app-0")
+        .run_ended(13_700, "r", "app-0", Some(b"whole"))
+        .answered(13_700, "r", "app-0", b"whole")
+        .assert_violation(SystemGuarantee::Answered, "took");
+}
+
+/// A request whose caller reads slowly, cut at 9.9 s although its upstream has ended.
+fn slowed_call() -> Schedule {
+    let part = answer(200, "r", Some("app-0"), b"who", false);
+    Schedule::default()
+        .sent(9_000, "r", CallKind::Idempotent)
+        .run_started(9_010, "r", "app-0")
+        .run_ended(9_100, "r", "app-0", Some(b"whole"))
+        .ended(9_900, "r", part)
+}
+
+#[test]
+fn answered_slowed_caller_cut_in_the_last_sixth_of_the_grace_passes() {
+    let part = answer(200, "r", Some("app-0"), b"who", false);
+    Schedule::default()
+        .sent(6_900, "r", CallKind::Idempotent)
+        .add(6_900, SeenEvent::CallSlowed { id: name("r"), by: ms(500) })
+        .run_started(6_910, "r", "app-0")
+        .run_ended(7_000, "r", "app-0", Some(b"whole"))
+        .ended(9_100, "r", part)
+        .terminated(4_000)
+        .exited(9_200, Some(0), false)
+        .assert_no_violation();
+}
+
+#[test]
+fn answered_slowed_caller_takes_its_own_pause_and_no_longer() {
+    let ended_after = |took: u64| {
+        Schedule::default()
+            .sent(9_000, "r", CallKind::Idempotent)
+            .add(9_000, SeenEvent::CallSlowed { id: name("r"), by: ms(2_000) })
+            .run_started(9_010, "r", "app-0")
+            .run_ended(9_100, "r", "app-0", Some(b"whole"))
+            .answered(9_000 + took, "r", "app-0", b"whole")
+    };
+    ended_after(5_400).assert_no_violation();
+    ended_after(5_600).assert_violation(SystemGuarantee::Answered, "took");
+}
+
+#[test]
+fn answered_slowed_caller_cut_earlier_is_found() {
+    let slowed = || slowed_call().add(9_000, SeenEvent::CallSlowed { id: name("r"), by: ms(500) });
+    slowed().assert_violation(SystemGuarantee::Answered, "answered partially");
+    // In the last sixth, but sent later than 3 s after the signal.
+    slowed()
+        .terminated(4_400)
+        .exited(10_000, Some(0), false)
+        .assert_violation(SystemGuarantee::Answered, "answered partially");
+    slowed()
+        .terminated(8_000)
+        .exited(13_500, Some(0), false)
+        .assert_violation(SystemGuarantee::Answered, "while its process drained");
+}
+
 #[test]
 fn answered_kept_connection_closed_late_or_after_a_run_is_found() {
     Schedule::default()
