The soak's stopped holders leave plain services alone

`HolderStop` crashed all upstreams, although only engines get orders, and so excused answers of plain services that broke off within 3 s.

--- a/crates/wheel_soak/src/fault_driver.rs
+++ b/crates/wheel_soak/src/fault_driver.rs
@@ -7,6 +7,7 @@
 use tokio::task::JoinSet;
 use wheel_harness::{LinkRelay, LinkState};
 
+use crate::config_document::ENGINE_SERVICE;
 use crate::soak_process::{CLOCK_SEAM, DISK_SEAM};
 use crate::soak_system::{CONTROL_COUNT, GRACE};
 use crate::{
@@ -202,10 +203,11 @@
         self.wait_until_up(indexes).await;
     }
 
-    /// Has all upstreams lose their models, stops the control instance that sends the next order, and has
+    /// Has all engines lose their models, stops the control instance that sends the next order, and has
     /// orders due for its successor at once; then does the same with the successor.
     async fn stop_holders(&self, fault: &PlannedFault) {
-        let crash = || self.upstreams.iter().for_each(UpstreamStub::crash);
+        let is_engine = |upstream: &&UpstreamStub| upstream.service() == ENGINE_SERVICE;
+        let crash = || self.upstreams.iter().filter(is_engine).for_each(UpstreamStub::crash);
         for _ in 0..STOPPED_HOLDERS {
             crash();
             let next = tokio::time::timeout(HOLDER_LIMIT, self.next_holder());
--- a/crates/wheel_soak/src/fault_kind.rs
+++ b/crates/wheel_soak/src/fault_kind.rs
@@ -27,7 +27,7 @@
     /// SIGKILL to all control instances at once.
     KillControl,
     /// SIGTERM to the control instance that sends the next order and then to its successor, while all
-    /// upstreams lose their models, so that both have orders to send.
+    /// engines lose their models, so that both have orders to send.
     HolderStop,
     /// SIGSTOP for longer than the lease.
     Freeze,
