The soak excuses no answer that is cut because its caller is slow

The checker excused an answer cut in the last sixth of the grace if its caller took it slowly, although its upstream had ended.

Change: the excuse is gone, and its test requires the violation.

--- a/crates/wheel_soak/src/call_record.rs
+++ b/crates/wheel_soak/src/call_record.rs
@@ -202,8 +202,6 @@
         let is_at_work = |cut_from: Duration| {
             self.runs.iter().any(|run| run.ended.is_none_or(|ended| ended >= cut_from))
         };
-        // A squeezed connection is still at work on the answer, as its upstream would be.
-        let is_at_work = |cut_from| self.slowed_by.is_some() || is_at_work(cut_from);
         is_broken
             || self.may_cross_close(sent, at, context)
             || cut_from.is_some_and(|cut_from| at >= cut_from && is_at_work(cut_from))
--- a/crates/wheel_soak/tests/guarantee_checker.rs
+++ b/crates/wheel_soak/tests/guarantee_checker.rs
@@ -379,7 +379,7 @@
 }
 
 #[test]
-fn answered_slowed_caller_cut_in_the_last_sixth_of_the_grace_passes() {
+fn answered_slowed_caller_cut_after_its_upstream_has_ended_is_found() {
     let part = answer(200, "r", Some("app-0"), b"who", false);
     Schedule::default()
         .sent(6_900, "r", CallKind::Idempotent)
@@ -389,7 +389,7 @@
         .ended(9_100, "r", part)
         .terminated(4_000)
         .exited(9_200, Some(0), false)
-        .assert_no_violation();
+        .assert_violation(SystemGuarantee::Answered, "answered partially");
 }
 
 #[test]
