--- a/review/stand_ins_2/kit.py
+++ b/review/stand_ins_2/kit.py
@@ -356,12 +356,12 @@
         seeds = ",".join(f'"{core.ip}:{fleet.port}"' for core in fleet.cores[:3])
         data = f'dataDir = "{self.folder}/data"\n' if is_core else ""
         bounds = "\n".join(f"{name} = {value}" for name, value in fleet.bounds.items())
-        zones = "\n".join(f'{zone} = "pt-norte"' for zone in fleet.zones)
+        zones = "\n".join(f'{zone} = "{fleet.region}"' for zone in fleet.zones)
         memory = 256 if is_core else 260
         return (
             f'nodeName = "{self.name}"\nrole = "x"\n'
             f'machineClass = "{"core" if is_core else "frontend"}"\nserves = ["{self.serves}"]\n'
-            f'ip = "{self.ip}"\nzone = "{self.zone}"\nregion = "pt-norte"\n'
+            f'ip = "{self.ip}"\nzone = "{self.zone}"\nregion = "{fleet.region}"\n'
             f"internalPorts = [{fleet.port + 2},{fleet.port + 15}]\nseedNodes = [{seeds}]\n"
             f"bootstrap = {str(self.bootstrap).lower()}\n"
             f"faultCounted = {str(is_core).lower()}\n{data}"
@@ -370,7 +370,7 @@
             f'configMode = "highest"\n[zones]\n{zones}\n[listen]\n{listen}\n'
             f"[limits]\ncpuShare = 0.25\ncpuCores = 1\nmemoryMb = {memory}\nmaxFds = 4100\n"
             f"linkMbps = 1000.0\ndiskMb = {128 if is_core else 0}\n"
-            "[faultTolerance]\nmachines = 1\nzones = 1\nregions = 0\n"
+            f"[faultTolerance]\nmachines = {fleet.tolerance}\nzones = 1\nregions = 0\n"
             f"[bounds]\n{bounds}\n"
             f'[cloudApi]\naddress = "{fleet.cloud.ip}:{fleet.cloud.port}"\n'
             "ratePerS = 42.0\nduties = []\nlagMs = 800\n"
@@ -411,11 +411,14 @@
 
     contracts = ["base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine"]
     zones = ["braga", "porto", "guimaraes"]
+    region, tolerance = "pt-norte", 1
 
     def __init__(self, record, fronts=6, cores=3, **bounds):
         self.record, self.folder = record, tempfile.mkdtemp(prefix="wheel-review-")
-        self.net = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
-        self.port = random.randrange(20_000, 28_000) // 20 * 20
+        # Drawn apart from the script's seed, so that scripts may run side by side.
+        drawn = random.SystemRandom()
+        self.net = f"127.{drawn.randrange(10, 250)}.{drawn.randrange(1, 250)}"
+        self.port = drawn.randrange(20_000, 28_000) // 20 * 20
         self.cloud = Cloud(f"{self.net}.200")
         self.bounds = dict(
             seedLagS=3, reuseAfterS=2, contactMs=3000, ackMs=4000, catchUpS=4, drainMs=3000,
