--- a/review/stand_ins_2/kit.py
+++ b/review/stand_ins_2/kit.py
@@ -673,11 +673,14 @@
 
 
 def run_case(main):
-    """Runs a case; 2 if it takes too long."""
+    """Runs a case; 2 if it takes too long or fails itself."""
     async def limited():
         try:
             return await asyncio.wait_for(main(), LIMIT_S)
         except asyncio.TimeoutError:
             print("no verdict in time")
             return 2
+        except Exception as error:  # A script that fails has shown nothing.
+            print(f"no verdict: {error!r}")
+            return 2
     return asyncio.run(limited())
