--- a/review/7/case.py
+++ b/review/7/case.py
@@ -48,6 +48,9 @@
     found = base_config(version)
     models = found["services"][0]["engine"]["models"]
     models.extend(dict(models[0], name=f"m{index}") for index in range(len(models), 16))
+    # As long as a load takes at the stand-ins.
+    for model in models:
+        model |= {"loadS": 0.4, "warmS": 0.4, "diskS": 0.4}
     return found
 
 
