Logs and metrics that tell which control instance stands outside its group

Nothing told an operator: `control_role role=PreCandidate` is what any election shows, `voters_changed` didn't count learners, and the group's live voters were known to nobody.

Change: each control instance logs `leader_missing` 3 s after it last had a leader, each 10 s from then on, and `leader_found`; the leader logs `voters_missing` and `voters_complete`. Gauges: `wheel_control_leaderless_seconds`, and at the leader the wanted, present and live voters, the learners and those that wait. `wisteriactl voter list` gets `wanted_voters` and `live_voters`.

--- a/crates/wheel_agreement/src/raft_node.rs
+++ b/crates/wheel_agreement/src/raft_node.rs
@@ -117,11 +117,13 @@
 
     /// The state for operators and metrics.
     pub fn status(&self) -> RaftStatus {
-        let (peers, waiting) = match &self.role {
-            RaftRole::Leader(state) => {
-                (peer_statuses(state), state.waiting.iter().cloned().collect())
-            }
-            _ => (Vec::new(), Vec::new()),
+        let (peers, live_voters, waiting) = match &self.role {
+            RaftRole::Leader(state) => (
+                peer_statuses(state),
+                self.live_voters(state),
+                state.waiting.iter().cloned().collect(),
+            ),
+            _ => Default::default(),
         };
         RaftStatus {
             id: self.settings.id.clone(),
@@ -133,6 +135,8 @@
             last_index: self.log.last_index(),
             snapshot_index: self.log.snapshot().index,
             members: Arc::clone(self.log.members()),
+            wanted_voters: self.settings.target_voters,
+            live_voters,
             peers,
             waiting,
         }
@@ -300,6 +304,15 @@
         self.outbox.push(RaftOutput::Restore { index, snapshot });
     }
 
+    fn live_voters(&self, state: &LeaderState) -> usize {
+        let is_live = |voter: &&NodeId| {
+            let progress = state.progress.get(*voter);
+            **voter == self.settings.id
+                || progress.is_some_and(|it| it.silence < self.settings.election_timeout_max)
+        };
+        self.log.members().voters.iter().filter(is_live).count()
+    }
+
     fn members(&self) -> Arc<GroupMembers> {
         Arc::clone(self.log.members())
     }
--- a/crates/wheel_agreement/src/raft_status.rs
+++ b/crates/wheel_agreement/src/raft_status.rs
@@ -57,6 +57,10 @@
     pub snapshot_index: u64,
     /// The newest members.
     pub members: Arc<GroupMembers>,
+    /// How many voters the group maintains automatically, if it does.
+    pub wanted_voters: Option<usize>,
+    /// Leader: the voters heard within the longest election timeout, itself included.
+    pub live_voters: usize,
     /// Leader: the other members.
     pub peers: Vec<PeerStatus>,
     /// Leader: participants with an empty folder that ask to join. They wait for an operator's
--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -18,6 +18,7 @@
 use wheel_types::MonotonicTime;
 
 use crate::control_folder::ControlFolder;
+use crate::group_monitor::GroupMonitor;
 use crate::peer_sender::PeerSender;
 use crate::{DocumentState, ManifestState, ReadAnswer, SubmitAnswer};
 
@@ -75,6 +76,7 @@
     /// What an empty folder waits for, for operators.
     start_wait: Arc<Mutex<Option<String>>>,
     wait_logged: Option<Instant>,
+    monitor: GroupMonitor,
     /// Set before the worker is told to stop, so that it doesn't wait for a full disk.
     is_stopping: Arc<AtomicBool>,
     /// Whether it was stopped before its last records could be written; it carries out no further
@@ -112,6 +114,7 @@
             applied_bytes: 0,
             start_wait,
             wait_logged: None,
+            monitor: GroupMonitor::default(),
             is_stopping,
             is_aborted: false,
         }
@@ -153,6 +156,7 @@
             }
             self.update_role();
             self.update_start_wait();
+            self.monitor.observe(Instant::now(), &self.node);
             self.compact_if_due();
         }
     }
@@ -324,7 +328,9 @@
         let answer = match &entry.payload {
             EntryPayload::Command(bytes) => Some(self.apply_command(index, bytes)),
             EntryPayload::Members(members) => {
-                info!("voters_changed", kv: { voters = members.voters.len(), index });
+                info!("voters_changed", kv: {
+                    voters = members.voters.len(), learners = members.learners.len(), index
+                });
                 None
             }
             EntryPayload::Noop => None,
--- a/crates/wheel_control/src/lib.rs
+++ b/crates/wheel_control/src/lib.rs
@@ -13,6 +13,7 @@
 mod document_state;
 mod group_call;
 mod group_client;
+mod group_monitor;
 mod manifest_follower;
 mod manifest_poll;
 mod manifest_state;
--- a/crates/wheel_daemon/src/admin_operations.rs
+++ b/crates/wheel_daemon/src/admin_operations.rs
@@ -12,8 +12,8 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wheel_agreement::{
-    GroupAction, GroupAnswer, IdempotencyKey, ManifestAnswer, NodeId, RequestDigest, VoterChange,
-    decode, encode,
+    GroupAction, GroupAnswer, IdempotencyKey, ManifestAnswer, NodeId, RequestDigest, RoleName,
+    VoterChange, decode, encode,
 };
 use wheel_control::{AddressResolver, GroupError};
 use wheel_ingress::{AdminHandler, AdminReply, ApplyRequest};
@@ -252,6 +252,8 @@
             let waiting: Vec<String> = status.waiting.iter().map(ToString::to_string).collect();
             return AdminReply::ok(json!({
                 "voters": voters, "learners": learners, "waiting": waiting,
+                "wanted_voters": status.wanted_voters.unwrap_or(voters.len()),
+                "live_voters": (status.role == RoleName::Leader).then_some(status.live_voters),
                 "leader": status.leader.map(|leader| leader.instance),
             }));
         };
