A full queue of a control instance no longer ends the tasks that follow its group

Seen: by a test, not in a run of whole systems. While the disk of a control instance is full its worker handles no inputs and 4,096 of them queue. The next question for its status was answered as if it had stopped, and the tasks that sync with the leader and that grant allowances ended for good: by reading, that instance would never have synced or published the fleet's view again, with all processes running.

Cause: `ControlNode::status` answered `None` for a full queue as well as for a stopped worker; `read` let a busy leader give up the order authority.

Change: both wait for room in the queue, and answer `None` only for a worker that has stopped. Callers have time limits of their own. Changes are still refused at once, which is true: nothing was appended.

--- a/crates/wheel_control/src/control_node.rs
+++ b/crates/wheel_control/src/control_node.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::mpsc::{SyncSender, sync_channel};
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -28,8 +28,10 @@
     SubmitAnswer,
 };
 
-/// Inputs queued for the worker; further calls are refused and messages dropped.
+/// Inputs queued for the worker; further changes are refused, messages dropped, and questions wait.
 const MAX_INPUTS: usize = 4_096;
+/// Time between two attempts to queue a question while the queue is full.
+const QUEUE_PAUSE: Duration = Duration::from_millis(20);
 
 /// Silence after which a voter is replaced by an empty folder of the same instance, where the group
 /// maintains its voters automatically: the empty folder shows that the old one is gone, and
@@ -195,17 +197,18 @@
         self.request(WorkerInput::Submit { action, reply }, answer).await
     }
 
-    /// The state of the group as this instance sees it; `None` once it has stopped.
+    /// The state of the group as this instance sees it; `None` once it has stopped. Takes as long
+    /// as the worker waits for its disk.
     pub async fn status(&self) -> Option<RaftStatus> {
         let (reply, answer) = oneshot::channel();
-        self.inputs.try_send(WorkerInput::Status { reply }).ok()?;
+        self.queue(WorkerInput::Status { reply }).await?;
         answer.await.ok()
     }
 
-    /// Makes a linearizable read; `None` if this instance doesn't lead.
+    /// Makes a linearizable read; `None` if this instance doesn't lead, or has stopped.
     pub async fn read(&self) -> Option<ReadAnswer> {
         let (reply, answer) = oneshot::channel();
-        self.inputs.try_send(WorkerInput::Read { reply }).ok()?;
+        self.queue(WorkerInput::Read { reply }).await?;
         answer.await.ok().flatten()
     }
 
@@ -223,6 +226,18 @@
         self.request(WorkerInput::ChangeVoter { change, reply }, answer).await
     }
 
+    /// Queues a question once there is room; `None` if the worker has stopped.
+    async fn queue(&self, mut question: WorkerInput) -> Option<()> {
+        loop {
+            match self.inputs.try_send(question) {
+                Ok(()) => return Some(()),
+                Err(TrySendError::Full(returned)) => question = returned,
+                Err(TrySendError::Disconnected(_)) => return None,
+            }
+            tokio::time::sleep(QUEUE_PAUSE).await;
+        }
+    }
+
     async fn request(
         &self,
         input: WorkerInput,
