Test: a leader that was paused replaces no live voter

Cause: a leader adds its own pause to everybody's silence before it handles the messages that wait, and might take live voters for silent. Change: a test of the model only, with 480 pauses of the leader alone or of all, beside a change of the members or not. Measured: none replaces a live voter, as the quorum check at the end of the pause counts all others as inactive until they answer; ruled out for these, the product is unchanged.

--- a/crates/wheel_agreement/tests/member_return.rs
+++ b/crates/wheel_agreement/tests/member_return.rs
@@ -354,3 +354,38 @@
         check_full_disks(&["a", "b", "c", "d", "e"], &["f"], full);
     }
 }
+
+/// A leader that was paused, or waited for its own disk, finds all others silent by its own clock, and
+/// may not replace a live voter for that.
+#[test]
+fn paused_leader_replaces_no_live_voter() {
+    for phase in 0..120 {
+        for pauses_all in [true, false] {
+            for grows in [false, true] {
+                let case = format!("phase {phase}, all {pauses_all}, grows {grows}");
+                let mut group = group_with_spare();
+                group.run(Duration::from_millis(13 * phase));
+                let leader = group.run_to_leader();
+                if grows {
+                    // A change of the members is on its way.
+                    let change = VoterChange::AddLearner(NodeId::new("e", 55));
+                    let proposal = ProposalId(902);
+                    group.input(&leader, RaftInput::ChangeVoter { proposal, change });
+                    group.run(Duration::from_millis(phase % 12));
+                }
+                let voters = members(&group).voters;
+                match pauses_all {
+                    true => group.now = group.now + CONTACT * 2,
+                    false => {
+                        group.paused.insert(leader.as_str().into());
+                        group.run(CONTACT * 2 / 3);
+                        group.paused.clear();
+                    }
+                }
+                group.run(SECOND * 3);
+                let now = members(&group).voters;
+                assert_eq!(now, voters, "{case}");
+            }
+        }
+    }
+}
--- a/crates/wheel_agreement/tests/test_group/mod.rs
+++ b/crates/wheel_agreement/tests/test_group/mod.rs
@@ -41,6 +41,8 @@
     /// Instances whose disk is full: they wait from their next record on, see
     /// [`TestGroup::make_room`].
     pub(crate) full: BTreeSet<InstanceName>,
+    /// Instances that are paused: messages to them wait.
+    pub(crate) paused: BTreeSet<InstanceName>,
     /// Seed of a network that loses, duplicates and reorders messages; 0 stands for one that
     /// doesn't.
     pub(crate) fault_seed: u64,
@@ -70,6 +72,7 @@
             outputs: Vec::new(),
             cut: BTreeSet::new(),
             full: BTreeSet::new(),
+            paused: BTreeSet::new(),
             fault_seed: 0,
             drops_entries: false,
             committed: Vec::new(),
@@ -243,16 +246,27 @@
     }
 
     fn next_due(&self) -> Option<MonotonicTime> {
-        let in_flight = self.in_flight.keys().next().map(|(due, _)| *due);
-        let running = self.nodes.values().filter(|test| test.blocked.is_empty());
-        let ticks = running.map(|test| test.node.next_tick());
+        let arriving = self.in_flight.iter().find(|(_, it)| !self.paused.contains(&it.to));
+        let in_flight = arriving.map(|((due, _), _)| *due);
+        let running = self.nodes.iter().filter(|(name, test)| self.is_running(name, test));
+        let ticks = running.map(|(_, test)| test.node.next_tick());
         in_flight.into_iter().chain(ticks).min()
     }
 
+    fn is_running(&self, name: &InstanceName, test: &TestNode) -> bool {
+        test.blocked.is_empty() && !self.paused.contains(name)
+    }
+
     fn deliver_due(&mut self) {
-        while let Some(next) = self.in_flight.first_entry().filter(|next| next.key().0 <= self.now)
-        {
-            let Envelope { from, to, message } = next.remove();
+        loop {
+            let is_due = |((due, _), envelope): &(&(MonotonicTime, u64), &Envelope)| {
+                *due <= self.now && !self.paused.contains(&envelope.to)
+            };
+            let next = self.in_flight.iter().find(is_due).map(|(key, _)| *key);
+            let Some(envelope) = next.and_then(|key| self.in_flight.remove(&key)) else {
+                return;
+            };
+            let Envelope { from, to, message } = envelope;
             let is_cut = |name: &InstanceName| self.cut.contains(name);
             if !is_cut(&from.instance) && !is_cut(&to) {
                 self.input(to.as_str(), RaftInput::Message { from, message });
@@ -261,8 +275,10 @@
     }
 
     fn tick_due(&mut self) {
-        let is_due = |test: &TestNode| test.blocked.is_empty() && test.node.next_tick() <= self.now;
-        let due = self.nodes.iter().filter(|(_, test)| is_due(test));
+        let is_due = |(name, test): &(&InstanceName, &TestNode)| {
+            self.is_running(name, test) && test.node.next_tick() <= self.now
+        };
+        let due = self.nodes.iter().filter(is_due);
         let names: Vec<InstanceName> = due.map(|(name, _)| name.clone()).collect();
         names.iter().for_each(|name| self.input(name.as_str(), RaftInput::Tick));
     }
