Soak: a spare control instance replaces one that is away, and leads when it is back

Change: with `--spare` a further control instance joins. A new fault kills a control instance for longer than `contactMs`, sends SIGTERM to the others one after another, so that the spare one leads, and has another one lose its data 6 s after the first is back. The logs of the control instances must show a leader again within 10 s (`MemberAgain`). The planted fault `join_request_dropped` has nobody answer those outside.

--- a/crates/wheel_control/src/control_worker.rs
+++ b/crates/wheel_control/src/control_worker.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 use wheel_agreement::{
     DocumentAnswer, EntryPayload, GroupAction, GroupAnswer, GroupClock, GroupCommand, GroupLimits,
-    GroupState, LogEntry, NodeId, PersistRecord, ProposalId, ProposalRefusal, RaftInput,
+    GroupState, LogEntry, NodeId, PersistRecord, ProposalId, ProposalRefusal, RaftBody, RaftInput,
     RaftMessage, RaftNode, RaftOutput, RaftStatus, ReadId, RoleName, VoterChange, decode, encode,
 };
 use wheel_seams::is_planted;
@@ -161,6 +161,11 @@
 
     fn convert_input(&mut self, input: WorkerInput) -> Option<RaftInput> {
         match input {
+            WorkerInput::Message { message, .. }
+                if message.body == RaftBody::JoinRequest && is_planted("join_request_dropped") =>
+            {
+                None
+            }
             WorkerInput::Message { from, message } => Some(RaftInput::Message { from, message }),
             // The group's time is known only after the role change has been handled: a command
             // stamped before that could age every claim.
--- a/crates/wheel_seams/src/planted_fault.rs
+++ b/crates/wheel_seams/src/planted_fault.rs
@@ -9,7 +9,7 @@
 
 /// The faults that can be planted.
 #[cfg(feature = "fault-injection")]
-pub const PLANTED_NAMES: [&str; 24] = [
+pub const PLANTED_NAMES: [&str; 25] = [
     "answer_of_another",
     "attempts_unlimited",
     "call_id_carried_twice",
@@ -19,6 +19,7 @@
     "drain_without_deadline",
     "empty_end_believed",
     "false_bytes_pass",
+    "join_request_dropped",
     "key_forwarded",
     "leaving_ignored",
     "log_lags",
--- a/crates/wheel_soak/src/bin/wheel_soak.rs
+++ b/crates/wheel_soak/src/bin/wheel_soak.rs
@@ -24,6 +24,7 @@
     is_kept: bool,
     has_seams: bool,
     has_teams: bool,
+    has_spare: bool,
     is_plan_only: bool,
 }
 
@@ -62,6 +63,7 @@
         "also inject disk and clock faults, with a program that has test seams",
     );
     options.optflag("", "teams", "run with teams and their keys");
+    options.optflag("", "spare", "run with a spare control instance, which replaces others");
     options.optflag("h", "help", "show this text");
     let matches = options.parse(arguments).map_err(|fault| fault.to_string())?;
     if matches.opt_present("help") {
@@ -107,6 +109,7 @@
     let is_plan_only = matches.opt_present("plan");
     let has_seams = matches.opt_present("seams");
     let has_teams = matches.opt_present("teams");
+    let has_spare = matches.opt_present("spare");
     Ok(Some(SoakFlags {
         seeds,
         minutes,
@@ -115,6 +118,7 @@
         is_kept,
         has_seams,
         has_teams,
+        has_spare,
         is_plan_only,
     }))
 }
@@ -138,6 +142,7 @@
             processes: flags.instances,
             has_seams: flags.has_seams,
             has_teams: flags.has_teams,
+            has_spare: flags.has_spare,
             length: Duration::from_secs_f64(flags.minutes * 60.0),
             folder: folder.path().to_owned(),
         };
--- a/crates/wheel_soak/src/fault_driver.rs
+++ b/crates/wheel_soak/src/fault_driver.rs
@@ -29,6 +29,15 @@
 const STOPPED_HOLDERS: usize = 2;
 /// Time limit for the next order, which covers an election and the pause of a new holder.
 pub(crate) const HOLDER_LIMIT: Duration = Duration::from_secs(5);
+/// Time after which the spare control instance has replaced one that was killed.
+const REPLACED_TIME: Duration = Duration::from_millis(4_500);
+/// Time to take a control instance in again, around which no other one is disturbed.
+pub(crate) const CATCH_UP: Duration = Duration::from_secs(6);
+/// Downtime of a control instance that loses its data.
+const LOSS_PAUSE: Duration = Duration::from_secs(1);
+/// Time from the return of the one that was replaced to the end of the fault: two times to take one
+/// in, two restarts and a loss.
+pub(crate) const REPLACE_LIMIT: Duration = Duration::from_secs(22);
 const ORDER_POLL: Duration = Duration::from_millis(5);
 /// Limit for the restart of a terminated process, which includes its grace period.
 const END_LIMIT: Duration = Duration::from_secs(GRACE.as_secs() + 2);
@@ -78,12 +87,15 @@
             FaultTarget::Control if fault.kind == FaultKind::HolderStop => {
                 self.stop_holders(&fault).await;
             }
-            FaultTarget::Control => {
-                for index in 0..CONTROL_COUNT {
-                    self.system.with(index, |process| process.kill(fault.duration, false));
+            FaultTarget::Control => match fault.kind {
+                FaultKind::VoterReplaced { away } => self.replace_voter(away, &fault).await,
+                _ => {
+                    for index in self.system.controls() {
+                        self.system.with(index, |process| process.kill(fault.duration, false));
+                    }
+                    self.wait_until_up(self.system.controls()).await;
                 }
-                self.wait_until_up(0..CONTROL_COUNT).await;
-            }
+            },
             FaultTarget::CallerLink(index) => {
                 let link = &self.caller_links[index - CONTROL_COUNT];
                 link.set(link_state(fault.kind));
@@ -130,7 +142,9 @@
                 self.stopped_ingresses(fault).map(|it| self.system.name(it)).collect()
             }
             FaultTarget::Control if fault.kind == FaultKind::HolderStop => vec!["holders".into()],
-            FaultTarget::Control => names(0..CONTROL_COUNT),
+            FaultTarget::Control => {
+                self.system.controls().map(|index| self.system.name(index)).collect()
+            }
             FaultTarget::CallerLink(index) => {
                 vec![format!("callers>{}", self.system.name(index)).into()]
             }
@@ -218,6 +232,25 @@
         }
     }
 
+    /// Has the spare control instance replace the one at `away` and lead before that is back, and a
+    /// second one lose its data once there was time to take the first one in again.
+    async fn replace_voter(&self, away: usize, fault: &PlannedFault) {
+        self.system.with(away, |process| process.kill(fault.duration, false));
+        tokio::time::sleep(REPLACED_TIME).await;
+        let others: Vec<usize> = (0..CONTROL_COUNT).filter(|index| *index != away).collect();
+        for index in others.iter().copied() {
+            self.system.with(index, |process| process.terminate(Duration::ZERO));
+            self.wait_until_up(index..index + 1).await;
+        }
+        self.wait_until_up(away..away + 1).await;
+        tokio::time::sleep(CATCH_UP).await;
+        if let Some(lost) = others.last().copied() {
+            self.system.with(lost, |process| process.kill(LOSS_PAUSE, true));
+            self.wait_until_up(lost..lost + 1).await;
+        }
+        tokio::time::sleep(CATCH_UP).await;
+    }
+
     /// Waits for the next order of a running control instance, and returns its index.
     async fn next_holder(&self) -> usize {
         let from = self.sink.now();
@@ -226,7 +259,7 @@
             let orders = self.upstreams.iter().filter_map(UpstreamStub::last_order);
             let holder = orders.filter(|(at, _)| *at > from).max().map(|(_, holder)| holder);
             let is_holder = |index: &usize| holder == Some(self.system.name(*index));
-            let index = (0..CONTROL_COUNT).find(is_holder);
+            let index = self.system.controls().find(is_holder);
             if let Some(index) = index.filter(|at| self.system.with(*at, |process| process.is_up()))
             {
                 return index;
@@ -235,7 +268,7 @@
     }
 
     /// Waits until all stopped processes have been restarted.
-    async fn wait_until_up(&self, indexes: std::ops::Range<usize>) {
+    async fn wait_until_up(&self, indexes: impl Iterator<Item = usize> + Clone) {
         let waiting = async {
             let is_up = |index| self.system.with(index, |process| process.is_up());
             while !indexes.clone().all(is_up) {
--- a/crates/wheel_soak/src/fault_kind.rs
+++ b/crates/wheel_soak/src/fault_kind.rs
@@ -29,6 +29,13 @@
     /// SIGTERM to the control instance that sends the next order and then to its successor, while all
     /// engines lose their models, so that both have orders to send.
     HolderStop,
+    /// A control instance is killed and, once the spare one has replaced it, the other ones get SIGTERM
+    /// one after another, so that the spare one leads when it is back. Then one of the others loses its
+    /// data.
+    VoterReplaced {
+        /// The index of the control instance that is killed.
+        away: usize,
+    },
     /// SIGSTOP for longer than the lease.
     Freeze,
     /// A control instance is killed and restarted without its data.
--- a/crates/wheel_soak/src/fault_plan.rs
+++ b/crates/wheel_soak/src/fault_plan.rs
@@ -8,7 +8,9 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::fault_driver::{HOLDER_LIMIT, LEAVE_TIME, REUSE_TIME, seam_file};
+use crate::fault_driver::{
+    CATCH_UP, HOLDER_LIMIT, LEAVE_TIME, REPLACE_LIMIT, REUSE_TIME, seam_file,
+};
 use crate::fault_table::{ANSWERS, DISORDERS, DOWNTIME_MS, KINDS, KindRow, TargetGroup};
 use crate::soak_system::{CONTROL_COUNT, GRACE};
 use crate::{FaultKind, FaultTarget, PlannedFault};
@@ -17,9 +19,6 @@
 const MAX_CONCURRENT: usize = 3;
 /// Time between the beginnings of two faults, in milliseconds.
 const GAP_MS: Range<u64> = 200..1_800;
-/// Time around the loss of a disk in which no other control instance is disturbed, because the lost
-/// data is copied again in this time.
-const CATCH_UP: Duration = Duration::from_secs(6);
 /// Time between the beginnings of two faults of [`DISORDERS`] or [`ANSWERS`], and from one to its
 /// companion.
 const DISORDER_GAP_MS: Range<u64> = 1_000..4_000;
@@ -35,6 +34,11 @@
 const HOLDER_DOWN_MS: Range<u64> = 200..1_000;
 const HOLDER_AT_MS: Range<u64> = 1_000..8_000;
 const HOLDER_GAP_MS: Range<u64> = 20_000..40_000;
+/// The same for [`FaultKind::VoterReplaced`].
+const REPLACED_SEED: u64 = 0x5eed_5ba2_e000;
+const REPLACED_DOWN_MS: Range<u64> = 5_500..8_000;
+const REPLACED_AT_MS: Range<u64> = 2_000..4_000;
+const REPLACED_GAP_MS: Range<u64> = 30_000..45_000;
 /// In the plans of one in this many seeds, [`ANSWERS`] are drawn before all others, and so find room
 /// for long faults of all upstreams.
 const ANSWERS_FIRST_SHARE: u64 = 5;
@@ -56,6 +60,8 @@
     pub upstreams: usize,
     /// Whether the program has test seams, which inject faults of disks and clocks.
     pub has_seams: bool,
+    /// Whether there is a spare control instance.
+    pub has_spare: bool,
     /// The time span in which faults begin.
     pub length: Duration,
 }
@@ -92,6 +98,9 @@
             add_answers(&mut faults, scope);
         }
         add_holder_stops(&mut faults, scope, start_loss.is_some());
+        if scope.has_spare {
+            add_replacements(&mut faults, scope, start_loss.is_some());
+        }
         // A control instance that lost its data at the start may still be catching up.
         let is_early = |fault: &PlannedFault| disturbs_control(fault) && fault.at < CATCH_UP;
         faults.retain(|fault| start_loss.is_none() || !is_early(fault));
@@ -194,6 +203,27 @@
     }
 }
 
+/// Adds faults of [`FaultKind::VoterReplaced`] in place of other faults of control instances.
+fn add_replacements(faults: &mut Vec<PlannedFault>, scope: &PlanScope, has_start_loss: bool) {
+    let mut random = StdRng::seed_from_u64(scope.seed ^ REPLACED_SEED);
+    let mut at = Duration::from_millis(random.random_range(REPLACED_AT_MS));
+    at = if has_start_loss { at.max(CATCH_UP) } else { at };
+    while at < scope.length {
+        let kind = FaultKind::VoterReplaced { away: random.random_range(0..CONTROL_COUNT) };
+        let duration = Duration::from_millis(random.random_range(REPLACED_DOWN_MS));
+        let (name, target) = ("voter_replaced", FaultTarget::Control);
+        let fault = PlannedFault { at, duration, kind, name, target };
+        let begins_apart = |other: &PlannedFault| {
+            !disturbs_control(other)
+                || latest_end(other) + CATCH_UP <= fault.at
+                || other.at >= latest_end(&fault)
+        };
+        faults.retain(begins_apart);
+        faults.push(fault);
+        at += Duration::from_millis(random.random_range(REPLACED_GAP_MS));
+    }
+}
+
 fn draw_start_loss(random: &mut StdRng) -> PlannedFault {
     PlannedFault {
         at: Duration::from_millis(random.random_range(START_LOSS_MS)),
@@ -268,6 +298,7 @@
         FaultKind::AddressReused => REUSE_TIME,
         FaultKind::TerminateSeries => GRACE * 2,
         FaultKind::HolderStop => fault.duration + HOLDER_LIMIT,
+        FaultKind::VoterReplaced { .. } => REPLACE_LIMIT,
         FaultKind::Terminate
         | FaultKind::TerminatePair
         | FaultKind::SecondSignal
--- a/crates/wheel_soak/src/log_coverage.rs
+++ b/crates/wheel_soak/src/log_coverage.rs
@@ -14,6 +14,7 @@
 /// An error of reading a log.
 #[derive(Debug)]
 #[derive(Snafu)]
+#[snafu(visibility(pub(crate)))]
 #[snafu(display("can't read {}: {source}", path.display()))]
 pub struct CoverageFailure {
     path: PathBuf,
--- a/crates/wheel_soak/src/soak_run.rs
+++ b/crates/wheel_soak/src/soak_run.rs
@@ -17,13 +17,13 @@
     MODELS, ONCE_PREFIX, PLAIN_SERVICE, RESUMABLE_PREFIX, ROUTE_HOST, max_engines,
 };
 use crate::soak_error::{IoSnafu, NotServingSnafu};
-use crate::soak_system::{CONTROL_COUNT, LEASE, process_name};
+use crate::soak_system::{CONTROL_COUNT, LEASE, SPARE_NAME, process_name};
 use crate::{
     CallEnd, CallKind, CallRoute, CallerHabit, CallerSettings, FailedCall, FaultDriver, FaultPlan,
     FaultTarget, GuaranteeBounds, GuaranteeChecker, GuaranteeViolation, KeyCaller, ListStub,
     LogCoverage, Observation, ObservationSink, OperatorClient, PlanScope, PlannedFault, SeenEvent,
     SoakCaller, SoakError, SoakReport, SoakSystem, SystemGuarantee, TeamKey, UpstreamStub,
-    WireCaller,
+    WireCaller, check_membership,
 };
 
 /// Number of upstreams with and without models.
@@ -92,6 +92,8 @@
     pub has_seams: bool,
     /// Whether configurations have teams, whose keys callers send.
     pub has_teams: bool,
+    /// Whether a spare control instance replaces those that are away, and faults bring that about.
+    pub has_spare: bool,
     /// Folder for logs and data.
     pub folder: PathBuf,
 }
@@ -104,6 +106,7 @@
             processes: self.processes,
             upstreams: ENGINES + PLAIN_UPSTREAMS,
             has_seams: self.has_seams,
+            has_spare: self.has_spare,
             length: self.length.saturating_sub(FAULT_FREE_TIME + LEAD_TIME),
         })
     }
@@ -159,8 +162,15 @@
         Ok(coverage) => coverage.unexplained(&outcome.failed),
         Err(source) => return Err(SoakError::Log { source }),
     };
-    report.add_violations(unexplained.clone());
-    outcome.violations.extend(unexplained);
+    let spare = settings.has_spare.then(|| Arc::from(SPARE_NAME));
+    let mut found = unexplained;
+    for name in (0..CONTROL_COUNT).map(process_name).chain(spare) {
+        let log = settings.folder.join(format!("{name}.log"));
+        let outside = check_membership(&name, &log).map_err(|source| SoakError::Log { source })?;
+        found.extend(outside);
+    }
+    report.add_violations(found.clone());
+    outcome.violations.extend(found);
     Ok(outcome)
 }
 
@@ -177,7 +187,7 @@
         &settings.folder,
         list.address(),
         &sink,
-        settings.has_teams,
+        (settings.has_teams, settings.has_spare),
     )?;
     let system = Arc::new(system);
     let operators = OperatorClient::new(Arc::clone(&system), sink.clone(), settings.has_teams);
@@ -362,7 +372,7 @@
     let mut checker = GuaranteeChecker::open(GuaranteeBounds {
         loads_per_s: LOADS_PER_S,
         lease_pause: LEASE,
-        control: (0..CONTROL_COUNT).map(process_name).collect(),
+        control: (0..CONTROL_COUNT).map(process_name).chain([SPARE_NAME.into()]).collect(),
         ..GuaranteeBounds::default()
     });
     let mut log = File::create(folder.join(OBSERVATIONS)).map(BufWriter::new).ok();
--- a/crates/wheel_soak/src/soak_system.rs
+++ b/crates/wheel_soak/src/soak_system.rs
@@ -13,8 +13,10 @@
 use crate::soak_error::IoSnafu;
 use crate::{ObservationSink, ProcessFiles, SoakError, SoakProcess};
 
-/// Number of control instances of every system; one of them may fail.
+/// Number of control instances of every system that its settings name; one of them may fail.
 pub const CONTROL_COUNT: usize = 3;
+/// Name of the spare control instance.
+pub(crate) const SPARE_NAME: &str = "control-spare";
 /// Grace period from SIGTERM to SIGKILL.
 pub const GRACE: Duration = Duration::from_secs(4);
 /// Pause before a new holder of the order authority sends its first order; that of the platform. It
@@ -35,6 +37,8 @@
     bounds: &'static str,
     /// The two middle bytes of all addresses.
     network: [u8; 2],
+    /// Number of processes without the spare control instance, which comes after them.
+    count: usize,
     peer_port: u16,
     operator_port: u16,
     caller_port: u16,
@@ -49,7 +53,8 @@
 }
 
 impl SoakSystem {
-    /// Starts `count` processes with their files in `folder` and the platform's list at `list`.
+    /// Starts `count` processes with their files in `folder` and the platform's list at `list`, and
+    /// after them a spare control instance if `has_spare`, which no settings name.
     ///
     /// # Errors
     /// [`SoakError`] if a port, a file or a process fails.
@@ -58,7 +63,7 @@
         folder: &Path,
         list: SocketAddr,
         sink: &ObservationSink,
-        has_teams: bool,
+        (has_teams, has_spare): (bool, bool),
     ) -> Result<Self, SoakError> {
         let mut ports = FreePorts;
         let mut take = || ports.take().map(|address| address.port());
@@ -69,6 +74,7 @@
             list,
             bounds: if has_teams { TEAM_BOUNDS } else { "" },
             network: [64 + high % 128, low],
+            count,
             peer_port: take()?,
             operator_port: take()?,
             caller_port: take()?,
@@ -76,10 +82,11 @@
         };
         let start = |index| {
             let files = shared.files(index);
-            shared.write(index, true)?;
+            shared.write(index, index < count)?;
             Ok(Mutex::new(SoakProcess::spawn(files, GRACE, sink.clone())?))
         };
-        let processes: Vec<_> = (0..count).map(start).collect::<Result<_, SoakError>>()?;
+        let all = 0..count + usize::from(has_spare);
+        let processes: Vec<_> = all.map(start).collect::<Result<_, SoakError>>()?;
         let processes: Arc<[_]> = processes.into();
         let supervisor = tokio::spawn(supervise(Arc::clone(&processes))).abort_handle();
         Ok(Self { processes, shared, supervisor })
@@ -103,9 +110,14 @@
         Ok(())
     }
 
-    /// The number of processes.
+    /// The number of processes without the spare control instance.
     pub fn count(&self) -> usize {
-        self.processes.len()
+        self.shared.count
+    }
+
+    /// The indices of all control instances, the spare one included.
+    pub fn controls(&self) -> impl Iterator<Item = usize> + Clone + use<> {
+        (0..CONTROL_COUNT).chain(self.shared.count..self.processes.len())
     }
 
     /// Calls `act` with the process `index`.
@@ -115,7 +127,7 @@
 
     /// The name of the process `index`.
     pub fn name(&self, index: usize) -> Arc<str> {
-        process_name(index)
+        self.shared.name(index)
     }
 
     /// The address at which a control instance serves operators.
@@ -147,8 +159,16 @@
         IpAddr::V4(Ipv4Addr::new(127, high, low, 1 + index as u8))
     }
 
+    fn is_control(&self, index: usize) -> bool {
+        index < CONTROL_COUNT || index >= self.count
+    }
+
+    fn name(&self, index: usize) -> Arc<str> {
+        if index < self.count { process_name(index) } else { SPARE_NAME.into() }
+    }
+
     fn files(&self, index: usize) -> ProcessFiles {
-        let name = process_name(index);
+        let name = self.name(index);
         let path = |end: &str| self.folder.join(format!("{name}{end}"));
         ProcessFiles {
             settings: path(".toml"),
@@ -165,7 +185,7 @@
             .map(|seed| format!("\"{}:{}\"", self.ip(seed), self.operator_port))
             .collect::<Vec<_>>()
             .join(",");
-        let (serves, listen) = if index < CONTROL_COUNT {
+        let (serves, listen) = if self.is_control(index) {
             ("control_plane", format!("controlPlane = \"{ip}:{}\"", self.operator_port))
         } else {
             let (callers, readiness) = (self.caller_port, self.readiness_port);
--- a/crates/wheel_soak/src/system_guarantee.rs
+++ b/crates/wheel_soak/src/system_guarantee.rs
@@ -39,6 +39,8 @@
     ReadinessTrue,
     /// Requests are served again after the last fault.
     ServedAgain,
+    /// A control instance that runs takes part in its group again by itself.
+    MemberAgain,
     /// Logs state why a request failed.
     FailureExplained,
 }
