Test of the soak's caller: connections opened just before its end are served

Cause, a fault of the test, traced before: the stand-in stopped accepting when the caller was told to stop, so a connection opened in that moment was never accepted and its call timed out.

Change: the stand-in accepts until the caller has ended; nothing that is checked changes.

--- a/crates/wheel_soak/tests/wire_caller.rs
+++ b/crates/wheel_soak/tests/wire_caller.rs
@@ -97,9 +97,16 @@
             tokio::spawn(serve(stream));
         }
     };
-    let _ = tokio::time::timeout(RUN_TIME, accepting).await;
-    stop.send(true).expect("the caller runs");
-    caller.ended().await;
+    // A connection that is opened just before the caller stops is served, too.
+    let stopping = async {
+        tokio::time::sleep(RUN_TIME).await;
+        stop.send(true).expect("the caller runs");
+        caller.ended().await;
+    };
+    tokio::select! {
+        () = accepting => {}
+        () = stopping => {}
+    }
     let mut observations = Vec::new();
     while let Ok(observation) = received.try_recv() {
         observations.push(observation);
