Placement: a refused load waits for the memory that is being freed for it

An engine accepted an unload, and refused the load behind it with 409, since requests of the unloaded model still ran.

Cause: the reservation of the memory ended when the load was planned. After the refusal nothing told the planner that an engine was about to hold the model, so it unloaded the same victim at the next engine too, where the same could happen again.

Change: a reservation lasts until its model is loaded, 4 s at the most; while the load is on its way or runs it counts as that load. It works since the engine is read after a refusal and gets the load once it is done, and no other engine is emptied meanwhile.

Test: `fleet_planner::plan_refused_load_waits_for_the_memory_that_is_being_freed` failed before (the victim was unloaded at the second engine), and passes.

--- a/crates/wheel_policy/src/fleet_planner.rs
+++ b/crates/wheel_policy/src/fleet_planner.rs
@@ -52,7 +52,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct FleetPlanner {
     /// Engines on which memory is being freed for a model, with the model and the time until which
-    /// the reservation holds.
+    /// the reservation holds. It lasts until the model is loaded: an engine refuses the load while
+    /// its requests hold up the unload before it.
     pub(crate) reservations: BTreeMap<EngineId, (Arc<str>, MonotonicTime)>,
 }
 
@@ -78,7 +79,8 @@
         let mut free_store_loads = input.free_store_loads;
         let mut steps = self.load_reserved(input, &mut taken, &mut free_store_loads);
         // Loads from the store for which memory is being freed count as started.
-        free_store_loads = free_store_loads.saturating_sub(self.reserved_store_loads(input));
+        free_store_loads =
+            free_store_loads.saturating_sub(self.reserved_store_loads(input, &steps));
         steps.extend(plan_adapters(input, &mut taken));
         let mut backlog = Vec::new();
         let mut waiting_for_store = 0;
@@ -100,7 +102,7 @@
         if let Some(step) = self.plan_prefetch(input, &values, &taken, free_store_loads, &steps) {
             steps.push(step);
         }
-        backlog.extend(self.reserved_loads(input));
+        backlog.extend(self.reserved_loads(input, &steps));
         FleetPlan { steps, backlog }
     }
 
@@ -129,15 +131,33 @@
     }
 
     /// The models for which memory is being freed, with the expected time until they are loaded.
-    fn reserved_loads(&self, input: &PlanInput<'_>) -> Vec<(Arc<str>, Duration)> {
+    fn reserved_loads(
+        &self,
+        input: &PlanInput<'_>,
+        steps: &[PlanStep],
+    ) -> Vec<(Arc<str>, Duration)> {
         let load = |engine: &PlanEngine| {
-            let (model, _) = self.reservations.get(&engine.id)?;
+            let model = self.awaited_model(engine, steps)?;
             let (load, _) = load_time(input.profile.model(model)?, engine);
             Some((Arc::clone(model), UNLOAD_TIME + load))
         };
         input.engines.iter().filter_map(load).collect()
     }
 
+    /// The model for which memory is being freed on an engine, unless one of `steps` loads it.
+    pub(crate) fn awaited_model(
+        &self,
+        engine: &PlanEngine,
+        steps: &[PlanStep],
+    ) -> Option<&Arc<str>> {
+        let (model, _) = self.reservations.get(&engine.id)?;
+        let loads = |step: &PlanStep| {
+            step.engine == engine.id && matches!(step.change, ModelChange::LoadModel(_))
+        };
+        let is_loading = engine.possible.contains(model) || steps.iter().any(loads);
+        (!is_loading).then_some(model)
+    }
+
     /// Loads the models for which memory was freed.
     pub(crate) fn load_reserved(
         &mut self,
@@ -147,7 +167,7 @@
     ) -> Vec<PlanStep> {
         let mut steps = Vec::new();
         for (index, engine) in input.engines.iter().enumerate() {
-            let Some((model, _)) = self.reservations.get(&engine.id) else { continue };
+            let Some(model) = self.awaited_model(engine, &[]) else { continue };
             let Some(profile) = input.profile.model(model) else { continue };
             let (expected_duration, from_store) = load_time(profile, engine);
             let has_memory = free_mb(input.profile, engine) >= profile.weights_mb;
@@ -164,16 +184,15 @@
                 from_store,
                 gain: 0.0,
             });
-            self.reservations.remove(&engine.id);
         }
         steps
     }
 
     /// Number of reserved loads that will come from the store once their memory is free.
-    fn reserved_store_loads(&self, input: &PlanInput<'_>) -> usize {
+    fn reserved_store_loads(&self, input: &PlanInput<'_>, steps: &[PlanStep]) -> usize {
         let needs_store = |engine: &&PlanEngine| {
-            let reserved = self.reservations.get(&engine.id);
-            reserved.is_some_and(|(model, _)| !has_checkpoint(engine, model))
+            let reserved = self.awaited_model(engine, steps);
+            reserved.is_some_and(|model| !has_checkpoint(engine, model))
         };
         input.engines.iter().filter(needs_store).count()
     }
@@ -226,11 +245,11 @@
         Some(PlanStep { engine, change, expected_duration, from_store, gain: PREFETCH_GAIN })
     }
 
-    /// Drops reservations whose model is loaded or loading, and those that have timed out.
+    /// Drops reservations whose model is loaded, and those that have timed out.
     pub(crate) fn expire_reservations(&mut self, input: &PlanInput<'_>) {
         self.reservations.retain(|id, (model, until)| {
             let engine = input.engines.iter().find(|engine| engine.id == *id);
-            input.now < *until && engine.is_some_and(|engine| !engine.possible.contains(model))
+            input.now < *until && engine.is_some_and(|engine| !engine.usable.contains(model))
         });
     }
 
@@ -245,7 +264,7 @@
         }
         values.retain(|model, _| input.profile.model(model).is_some());
         for engine in input.engines.iter().filter(|engine| engine.accepts_work) {
-            let reserved = self.reservations.get(&engine.id).map(|(model, _)| model);
+            let reserved = self.awaited_model(engine, &[]);
             // Replicas on an engine with a limit serve few requests, so that they don't count.
             let has_room = usize::from(!engine.is_limited);
             for model in engine.possible.iter().chain(reserved) {
--- a/crates/wheel_policy/src/ready_plan.rs
+++ b/crates/wheel_policy/src/ready_plan.rs
@@ -99,9 +99,9 @@
     /// Queues the loads for which memory is being freed.
     fn queue_reserved(&self, input: &PlanInput<'_>, queue: &mut ReadyQueue, plan: &mut FleetPlan) {
         for (index, engine) in input.engines.iter().enumerate() {
-            let Some((model, _)) = self.reservations.get(&engine.id) else { continue };
-            if let Some(time) = self.assign_load(input, queue, index, model) {
-                plan.backlog.push((Arc::clone(model), time.ready));
+            let Some(model) = self.awaited_model(engine, &plan.steps).cloned() else { continue };
+            if let Some(time) = self.assign_load(input, queue, index, &model) {
+                plan.backlog.push((model, time.ready));
             }
         }
     }
--- a/crates/wheel_policy/tests/fleet_planner.rs
+++ b/crates/wheel_policy/tests/fleet_planner.rs
@@ -444,3 +444,37 @@
     let loads: Vec<&str> = loads.map(|step| &*step.engine.name).collect();
     assert_eq!(loads, ["e2"]);
 }
+
+/// An engine accepts an unload, and refuses the load behind it while requests of the unloaded model run.
+/// Were the model then displaced at the next engine as well, none would serve it.
+#[test]
+fn plan_refused_load_waits_for_the_memory_that_is_being_freed() {
+    let mut simulation =
+        Simulation::new(vec![engine(0, "a", &[0, 1, 2], &[3]), engine(1, "a", &[0, 1, 2], &[3])]);
+    // Models that nobody requests stay in the store.
+    simulation.free_store_loads = 0;
+    let demand = demand_of(&[(0, 0.01, 0), (1, 3.0, 0), (2, 3.0, 0), (3, 0.2, 1)]);
+    let freeing = simulation.plan(&demand);
+    let [unload] = &freeing.steps[..] else { panic!("{freeing:?}") };
+    assert!(matches!(unload.change, ModelChange::UnloadModel(_)), "{unload:?}");
+    let (at, other) = match &*unload.engine.name {
+        "e0" => (0, 1),
+        _ => (1, 0),
+    };
+    let before = simulation.engines[at].clone();
+    simulation.carry_out(&freeing);
+    let loading = simulation.plan(&demand);
+    assert_eq!(loads(&loading), [&name(3)]);
+    // While the order is on its way it may have been accepted, and then it is refused.
+    simulation.engines[at].possible.push(name(3));
+    simulation.engines[at].accepts_orders = false;
+    assert_eq!(simulation.plan(&demand).steps, []);
+    simulation.engines[at] = PlanEngine { accepts_orders: false, ..before };
+    for _ in 0..10 {
+        let waiting = simulation.plan(&demand);
+        assert_eq!(waiting.steps, [], "{:?}", simulation.engines[other]);
+    }
+    simulation.carry_out(&freeing);
+    simulation.engines[at].accepts_orders = true;
+    assert_eq!(loads(&simulation.plan(&demand)), [&name(3)], "the memory is free");
+}
--- a/crates/wheel_soak/tests/short_soak.rs
+++ b/crates/wheel_soak/tests/short_soak.rs
@@ -12,14 +12,12 @@
 /// Seed, number of processes and seconds of each run; the last 20 s of a run are without faults.
 /// The second run has an incomplete entry of the list, a head without end, a restart of all upstreams
 /// and silences; the third a loss during the first start.
-/// The fourth run has teams, whose keys are withdrawn beside the faults of its plan.
-/// The last run has a spare control instance, which replaces another one and leads when that is back.
-const RUNS: [(u64, usize, u64, RunParts); 5] = [
+/// The last run has teams, whose keys are withdrawn beside the faults of its plan.
+const RUNS: [(u64, usize, u64, RunParts); 4] = [
     (2, 5, 30, RunParts::Plain),
     (1, 6, 42, RunParts::Plain),
     (3, 6, 36, RunParts::Plain),
     (2, 5, 36, RunParts::Teams),
-    (6, 5, 30, RunParts::Spare),
 ];
 /// Seeds whose plans have every kind together, half of them in either order of the draw.
 const SEEDS: [u64; 4] = [1, 3, 4, 5];
@@ -41,6 +39,12 @@
     }
 }
 
+/// A spare control instance replaces another one and leads when that is back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replaced_control_instance_takes_part_again() {
+    check_run((6, 5), Duration::from_secs(30), RunParts::Spare).await;
+}
+
 async fn check_run((seed, processes): (u64, usize), length: Duration, parts: RunParts) {
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().to_owned();
