A named leader counts only for its own group, and read-through

Cause: a name sent by another group's instance shortened the time to the next question of one outside its group, though the name itself was ignored; found in the read-through.

--- a/crates/wheel_agreement/src/raft_node/joining.rs
+++ b/crates/wheel_agreement/src/raft_node/joining.rs
@@ -63,12 +63,13 @@
 
     /// Records who leads the group, to ask it soon.
     pub(super) fn handle_leader(&mut self, group: GroupId, instance: InstanceName) {
-        let is_joining = self.is_joining();
-        if is_joining || group == self.group() && self.leader.is_none() {
-            self.search.record_leader(instance);
-        }
-        if !is_joining && self.leader.is_none() {
-            self.timers.limit_countdown(self.settings.heartbeat_interval);
+        match self.is_joining() {
+            true => self.search.record_leader(instance),
+            false if group == self.group() && self.leader.is_none() => {
+                self.search.record_leader(instance);
+                self.timers.limit_countdown(self.settings.heartbeat_interval);
+            }
+            false => {}
         }
     }
 
--- a/crates/wheel_control/src/control_node.rs
+++ b/crates/wheel_control/src/control_node.rs
@@ -201,14 +201,14 @@
     /// as the worker waits for its disk.
     pub async fn status(&self) -> Option<RaftStatus> {
         let (reply, answer) = oneshot::channel();
-        self.queue(WorkerInput::Status { reply }).await?;
+        self.enqueue(WorkerInput::Status { reply }).await?;
         answer.await.ok()
     }
 
     /// Makes a linearizable read; `None` if this instance doesn't lead, or has stopped.
     pub async fn read(&self) -> Option<ReadAnswer> {
         let (reply, answer) = oneshot::channel();
-        self.queue(WorkerInput::Read { reply }).await?;
+        self.enqueue(WorkerInput::Read { reply }).await?;
         answer.await.ok().flatten()
     }
 
@@ -226,8 +226,8 @@
         self.request(WorkerInput::ChangeVoter { change, reply }, answer).await
     }
 
-    /// Queues a question once there is room; `None` if the worker has stopped.
-    async fn queue(&self, mut question: WorkerInput) -> Option<()> {
+    /// Queues a question as soon as there is room; `None` if the worker has stopped.
+    async fn enqueue(&self, mut question: WorkerInput) -> Option<()> {
         loop {
             match self.inputs.try_send(question) {
                 Ok(()) => return Some(()),
